--- /dev/null
+++ b/cmd/sagebench/path.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+
+	"github.com/spf13/cobra"
+
+	"sagestand.example/sagestand/internal/sagecli"
+	"sagestand.example/sagestand/internal/sagepath"
+)
+
+func pathCommand(out *sagecli.Output) *cobra.Command {
+	p := new(sagepath.Check)
+	c := &cobra.Command{
+		Use:   "path",
+		Short: "Check the whole path with real processes, a line per step",
+		Long:  "path starts the stand-ins and three routers as processes of their own on loopback, sends chats and bookings\nthrough them, and checks every answer. It needs the program sagestand, by default beside itself.",
+		Args:  sagecli.Exactly(),
+		RunE: func(c *cobra.Command, _ []string) error {
+			steps, err := p.Run(c.Context(), func(s sagepath.Step) {
+				if out.Format == "text" {
+					_, _ = fmt.Fprintf(c.OutOrStdout(), "path: %-10s %-4s %s\n", s.Name, s.Verdict(), s.Detail)
+				}
+			})
+			if perr := out.Print(c.OutOrStdout(), steps, func(io.Writer) {}); perr != nil {
+				return perr
+			}
+			return err
+		},
+	}
+	self, err := os.Executable()
+	if err != nil {
+		self = "sagebench"
+	}
+	c.Flags().StringVar(&p.Sagestand, "sagestand", filepath.Join(filepath.Dir(self), "sagestand"), "the program sagestand")
+	p.Sagebench = self
+	return c
+}
--- /dev/null
+++ b/cmd/sagestand/serve.go
@@ -0,0 +1,53 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"sagestand.example/sagestand/internal/sagecli"
+	"sagestand.example/sagestand/internal/sagelog"
+	"sagestand.example/sagestand/internal/sagenode"
+	"sagestand.example/sagestand/internal/sagesettings"
+)
+
+func serveCommand() *cobra.Command {
+	var path string
+	c := &cobra.Command{
+		Use:     "serve --settings FILE",
+		Short:   "Run the daemon until SIGTERM, then stop gracefully",
+		Example: "  sagestand serve --settings node.json",
+		Args:    sagecli.Exactly(),
+		RunE: func(c *cobra.Command, _ []string) error {
+			cfg, err := load(path)
+			if err != nil {
+				return err
+			}
+			n := &sagenode.Node{Settings: cfg, Log: sagelog.New(os.Stderr, cfg.Node.Name)}
+			if err := n.Open(); err != nil {
+				return fmt.Errorf("%w: %s: %v", sagecli.ErrSettings, path, err)
+			}
+			return n.Run(c.Context())
+		},
+	}
+	c.Flags().StringVar(&path, "settings", "", "settings file (see sagestand settings example)")
+	return c
+}
+
+// load reads settings; every fault stands in the one line of the error.
+func load(path string) (sagesettings.Settings, error) {
+	if path == "" {
+		return sagesettings.Settings{}, fmt.Errorf("%w: --settings FILE is missing", sagecli.ErrUsage)
+	}
+	cfg, err := sagesettings.Load(path)
+	var faults sagesettings.Faults
+	if errors.As(err, &faults) {
+		return cfg, fmt.Errorf("%w: %s: %v", sagecli.ErrSettings, path, faults)
+	}
+	if err != nil {
+		return cfg, fmt.Errorf("%w: %v", sagecli.ErrSettings, err)
+	}
+	return cfg, nil
+}
--- /dev/null
+++ b/cmd/sagestand/settings.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+
+	"github.com/pkg/errors"
+	"github.com/spf13/cobra"
+
+	"sagestand.example/sagestand/internal/sagecli"
+	"sagestand.example/sagestand/internal/sagesettings"
+)
+
+func settingsCommand(out *sagecli.Output) *cobra.Command {
+	c := &cobra.Command{Use: "settings", Short: "Check settings or print an example"}
+	c.AddCommand(settingsCheckCommand(out), settingsExampleCommand(), settingsPageCommand())
+	return c
+}
+
+func settingsCheckCommand(out *sagecli.Output) *cobra.Command {
+	return &cobra.Command{
+		Use:     "check FILE",
+		Short:   "Report every fault of a settings file at once",
+		Example: "  sagestand settings check node.json",
+		Args:    sagecli.Exactly("FILE"),
+		RunE: func(c *cobra.Command, args []string) error {
+			_, err := sagesettings.Load(args[0])
+			var faults sagesettings.Faults
+			if err != nil && !errors.As(err, &faults) {
+				return fmt.Errorf("%w: %v", sagecli.ErrSettings, err)
+			}
+			report := struct {
+				OK     bool                `json:"ok"`
+				Faults sagesettings.Faults `json:"faults"`
+			}{OK: len(faults) == 0, Faults: faults}
+			if report.Faults == nil {
+				report.Faults = sagesettings.Faults{}
+			}
+			perr := out.Print(c.OutOrStdout(), report, func(w io.Writer) {
+				for _, f := range faults {
+					_, _ = fmt.Fprintf(w, "%s: %s\n", f.Path, f.Problem)
+				}
+				if len(faults) == 0 {
+					_, _ = fmt.Fprintln(w, "ok")
+				}
+			})
+			if perr != nil {
+				return perr
+			}
+			if len(faults) > 0 {
+				return fmt.Errorf("%w: %s: %d faults, see above", sagecli.ErrSettings, args[0], len(faults))
+			}
+			return nil
+		},
+	}
+}
+
+func settingsExampleCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "example",
+		Short:   "Print complete settings of a first node",
+		Example: "  sagestand settings example > node.json",
+		Args:    sagecli.Exactly(),
+		RunE: func(c *cobra.Command, _ []string) error {
+			e := json.NewEncoder(c.OutOrStdout())
+			e.SetIndent("", "  ")
+			if err := e.Encode(sagesettings.Example()); err != nil {
+				return fmt.Errorf("print example: %w", err)
+			}
+			return nil
+		},
+	}
+}
+
+func settingsPageCommand() *cobra.Command {
+	return &cobra.Command{
+		Use:     "page",
+		Short:   "Print docs/SETTINGS.md from the type",
+		Example: "  sagestand settings page > docs/SETTINGS.md",
+		Args:    sagecli.Exactly(),
+		RunE: func(c *cobra.Command, _ []string) error {
+			_, err := io.WriteString(c.OutOrStdout(), sagesettings.Page())
+			return err
+		},
+	}
+}
--- /dev/null
+++ b/internal/sageentry/serve.go
@@ -0,0 +1,217 @@
+package sageentry
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"sagestand.example/sagestand/internal/sagedispatch"
+	"sagestand.example/sagestand/pkg/sageconfig"
+	"sagestand.example/sagestand/pkg/sagewire"
+)
+
+// retryLater is when a caller may come back after a failure without a better estimate.
+const retryLater = time.Second
+
+// finishTimeout bounds the record of an outcome after the answer.
+const finishTimeout = 2 * time.Second
+
+func (s *Service) chat(w http.ResponseWriter, r *http.Request) {
+	req := new(Request)
+	if ref := s.decode(w, r, req, func() *sagewire.Refusal { return decodeChat(req) }); ref != nil {
+		s.refuse(w, req, ref, 0)
+		return
+	}
+	s.serve(w, r, req)
+}
+
+func (s *Service) service(w http.ResponseWriter, r *http.Request) {
+	req := new(Request)
+	if ref := s.decode(w, r, req, func() *sagewire.Refusal { return s.decodeService(r, req) }); ref != nil {
+		s.refuse(w, req, ref, 0)
+		return
+	}
+	s.serve(w, r, req)
+}
+
+// decode runs the common and the special part of decoding, and names the account.
+func (s *Service) decode(w http.ResponseWriter, r *http.Request, req *Request, special func() *sagewire.Refusal) *sagewire.Refusal {
+	if ref := s.decodeCommon(w, r, req); ref != nil {
+		return ref
+	}
+	if ref := s.Config.Serving(time.Now(), true); ref != nil {
+		return ref
+	}
+	account, ok := s.accounts.find(s.Config.State(), bearer(r.Header))
+	if !ok {
+		return sagewire.Refuse(sagewire.ReasonUnauthorized, "no client account has this key", time.Time{})
+	}
+	req.Account = account
+	return special()
+}
+
+// decodeService reads the route of a service call.
+func (s *Service) decodeService(r *http.Request, req *Request) *sagewire.Refusal {
+	req.Route, req.Kind = r.PathValue("route"), sageconfig.RouteService
+	req.Path = "/" + r.PathValue("rest")
+	if q := r.URL.RawQuery; q != "" {
+		req.Path += "?" + q
+	}
+	route, ok := s.Config.State().Route(req.Route)
+	if !ok || route.Kind != sageconfig.RouteService {
+		return sagewire.Refuse(sagewire.ReasonNoRoute, "no service route "+strconv.Quote(req.Route), time.Time{})
+	}
+	req.Idempotent = route.Idempotent || r.Method == http.MethodGet || r.Method == http.MethodHead
+	return nil
+}
+
+// serve takes a decoded request through admission, claim and attempts.
+func (s *Service) serve(w http.ResponseWriter, r *http.Request, req *Request) {
+	w.Header().Set(sagewire.HeaderRequestID, req.ID)
+	if ref := s.Config.Serving(time.Now(), req.Idempotent); ref != nil {
+		s.refuse(w, req, ref, 0)
+		return
+	}
+	ctx, cancel := context.WithDeadline(r.Context(), req.Deadline)
+	defer cancel()
+	release, ref := s.Admission.Admit(ctx, req)
+	if ref != nil {
+		s.refuse(w, req, ref, 0)
+		return
+	}
+	defer release()
+	claim, held, ref := s.claim(ctx, req)
+	if ref != nil {
+		s.refuseClaim(w, req, held, ref)
+		return
+	}
+	res, pick, attempts := s.attempts(ctx, w, req)
+	if claim != nil {
+		s.finish(ctx, claim, &res)
+	}
+	s.end(w, req, &res, pick, attempts)
+}
+
+// claim claims the key of a request that must not run twice.
+func (s *Service) claim(ctx context.Context, req *Request) (*Claim, *sagedispatch.Answer, *sagewire.Refusal) {
+	if req.Idempotent || req.Key == "" {
+		return nil, nil, nil
+	}
+	return s.Claims.Claim(ctx, req)
+}
+
+// finish records the outcome of a claimed request, also when its caller has left meanwhile.
+func (s *Service) finish(ctx context.Context, c *Claim, res *sagedispatch.Result) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
+	defer cancel()
+	s.Claims.Finish(ctx, c, res)
+}
+
+// attempts tries upstreams until an answer came, nothing more may be tried or nobody waits.
+//
+// A second attempt of a request that may run only once would double a booking. It is made only
+// after a result that proves that the first did not run.
+func (s *Service) attempts(ctx context.Context, w http.ResponseWriter, req *Request) (res sagedispatch.Result, pick *Pick, n int) {
+	var tried []string
+	var lost *sagedispatch.Result
+	s.Retries.First(time.Now())
+	for {
+		p, ref := s.Placement.Pick(ctx, req, tried)
+		if ref != nil {
+			return truthful(noPick(res, ref, n), lost), pick, n
+		}
+		n++
+		pick = p
+		if p.Token != "" {
+			w.Header().Set(sagewire.HeaderPlacement, p.Token)
+		}
+		w.Header().Set(sagewire.HeaderUpstream, p.Upstream)
+		res = s.Dispatch.Do(ctx, w, attempt(req, p, n))
+		p.Done(&res)
+		if !s.again(ctx, req, &res, p) {
+			return truthful(res, lost), pick, n
+		}
+		if res.Outcome == sagewire.Unknown {
+			l := res
+			lost = &l
+		}
+		tried = append(tried, p.Upstream)
+	}
+}
+
+// again reports whether one more attempt may follow a result.
+func (s *Service) again(ctx context.Context, req *Request, res *sagedispatch.Result, p *Pick) bool {
+	if res.Outcome == sagewire.Complete || res.Started || res.CallerGone || ctx.Err() != nil {
+		return false
+	}
+	if res.Outcome != sagewire.NotRun && !req.Idempotent {
+		return false
+	}
+	return s.Retries.Allow(time.Now(), p.Upstream)
+}
+
+// truthful returns what may be said at the end of all attempts.
+//
+// It guards against a false "not run": the last upstream may have refused while an earlier one took
+// the request and its answer was lost. The request may have run, so its outcome is unknown.
+func truthful(last sagedispatch.Result, lost *sagedispatch.Result) sagedispatch.Result {
+	if last.Outcome != sagewire.NotRun || lost == nil {
+		return last
+	}
+	out := *lost
+	if out.RetryAt.IsZero() {
+		out.RetryAt = last.RetryAt
+	}
+	return out
+}
+
+// noPick is the result when no upstream was left: that of the last attempt, if there was one.
+func noPick(last sagedispatch.Result, ref *sagewire.Refusal, n int) sagedispatch.Result {
+	if n == 0 {
+		return sagedispatch.Result{Outcome: ref.Outcome, Reason: ref.Reason, Detail: ref.Detail, RetryAt: ref.RetryAt}
+	}
+	if last.RetryAt.IsZero() {
+		last.RetryAt = ref.RetryAt
+	}
+	return last
+}
+
+// attempt makes the n-th attempt of a request at the picked upstream.
+func attempt(req *Request, p *Pick, n int) *sagedispatch.Attempt {
+	return &sagedispatch.Attempt{
+		RequestID: req.ID + "-" + strconv.Itoa(n),
+		Address:   p.Address,
+		Method:    req.Method,
+		Path:      req.Path,
+		Header:    req.Header,
+		Body:      req.Body,
+		Deadline:  req.Deadline,
+		Priority:  req.Priority,
+		Key:       req.Key,
+		Once:      !req.Idempotent,
+		Stream:    req.Stream,
+		Engine:    p.Engine,
+	}
+}
+
+// end tells the caller a refusal if nothing was told yet, and records the outcome.
+func (s *Service) end(w http.ResponseWriter, req *Request, res *sagedispatch.Result, pick *Pick, attempts int) {
+	if res.Outcome != sagewire.Complete && !res.Started {
+		ref := res.Refusal(req.ID)
+		if attempts > 0 && ref.RetryAt.IsZero() && ref.Outcome == sagewire.NotRun {
+			ref.RetryAt = time.Now().Add(retryLater)
+		}
+		s.refuse(w, req, ref, attempts)
+		return
+	}
+	o := observation(req, res.Outcome, res.Reason, attempts)
+	o.FirstByteAt, o.PromptTokens, o.CachedTokens = res.FirstByteAt, res.PromptTokens, res.CachedTokens
+	if pick != nil {
+		o.Upstream = pick.Upstream
+	}
+	s.Recorder.Record(o)
+	if res.Abort {
+		panic(http.ErrAbortHandler)
+	}
+}
--- /dev/null
+++ b/internal/sagefleet/fleet.go
@@ -0,0 +1,147 @@
+package sagefleet
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+
+	"sagestand.example/sagestand/internal/sageoperator"
+	"sagestand.example/sagestand/pkg/sageconfig"
+)
+
+// Fleet runs a layout as processes. Its exported fields are set before Start.
+type Fleet struct {
+	Layout *Layout
+	// Sagestand and Sagebench are the programs' paths.
+	Sagestand string
+	Sagebench string
+	// Dir takes settings, keys and logs.
+	Dir string
+	// EngineArgs and PlatformArgs are further arguments of the stand-ins.
+	EngineArgs   []string
+	PlatformArgs []string
+
+	Platform  *Process
+	Upstreams []*Process
+	Nodes     []*Process
+}
+
+// Start starts the stand-ins and the routers, submits the first ticket and waits until every node
+// serves.
+func (f *Fleet) Start(ctx context.Context) error {
+	if err := f.StartStandins(ctx); err != nil {
+		return err
+	}
+	if err := f.StartNodes(ctx); err != nil {
+		return err
+	}
+	if err := f.Submit(ctx, 0, f.Layout.FirstTicket(1)); err != nil {
+		return fmt.Errorf("first ticket: %w", err)
+	}
+	for _, p := range f.Nodes {
+		if err := p.WaitReady(ctx); err != nil {
+			return fmt.Errorf("after the first ticket: %w", err)
+		}
+	}
+	return nil
+}
+
+// StartStandins starts platform, engines and applications.
+func (f *Fleet) StartStandins(ctx context.Context) error {
+	f.Platform = f.standin("platform", f.Layout.Platform, append([]string{"platform"}, f.PlatformArgs...))
+	all := []*Process{f.Platform}
+	for _, u := range f.Layout.Upstreams {
+		args := []string{string(u.Kind), "--name", u.Name}
+		if u.Kind == sageconfig.Engine {
+			args = append(args, "--slots", strconv.Itoa(engineSlots))
+			args = append(args, f.EngineArgs...)
+		}
+		p := f.standin(u.Name, u.Address, args)
+		f.Upstreams = append(f.Upstreams, p)
+		all = append(all, p)
+	}
+	for _, p := range all {
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	for _, p := range all {
+		if err := p.WaitReady(ctx); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) standin(name, addr string, args []string) *Process {
+	return &Process{
+		Name: name, Path: f.Sagebench, Args: append(append([]string{"standin"}, args...), "--listen", addr),
+		Ready: "http://" + addr + "/standin/ready", Log: filepath.Join(f.Dir, name+".log"),
+	}
+}
+
+// StartNodes writes the settings and starts the routers; they are not ready before a ticket.
+func (f *Fleet) StartNodes(ctx context.Context) error {
+	if err := f.Layout.WriteKeys(f.Dir); err != nil {
+		return err
+	}
+	for i := range f.Layout.Nodes {
+		p, err := f.node(i)
+		if err != nil {
+			return err
+		}
+		f.Nodes = append(f.Nodes, p)
+		if err := p.Start(); err != nil {
+			return err
+		}
+	}
+	for i, p := range f.Nodes {
+		if err := p.waitFor(ctx, "http://"+f.Layout.Nodes[i].Listen.Operator+"/healthz"); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (f *Fleet) node(i int) (*Process, error) {
+	s := f.Layout.Nodes[i]
+	b, err := json.MarshalIndent(s, "", "  ")
+	if err != nil {
+		return nil, fmt.Errorf("settings of %s: %w", s.Node.Name, err)
+	}
+	path := filepath.Join(f.Dir, s.Node.Name+".json")
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		return nil, fmt.Errorf("settings of %s: %w", s.Node.Name, err)
+	}
+	return &Process{
+		Name: s.Node.Name, Path: f.Sagestand, Args: []string{"serve", "--settings", path},
+		Ready: "http://" + s.Listen.Operator + "/readyz", Log: filepath.Join(f.Dir, s.Node.Name+".log"),
+	}, nil
+}
+
+// Operator returns a client of a node's operator interface.
+func (f *Fleet) Operator(node int) *sageoperator.Client {
+	return &sageoperator.Client{URL: "http://" + f.Layout.Nodes[node].Listen.Operator, Key: OperatorKey, HTTP: http.DefaultClient}
+}
+
+// Submit submits a ticket through one node.
+func (f *Fleet) Submit(ctx context.Context, node int, t *sageconfig.Ticket) error {
+	return f.Operator(node).Submit(ctx, t)
+}
+
+// Stop kills whatever still runs.
+func (f *Fleet) Stop() {
+	for _, p := range f.Nodes {
+		_ = p.Kill()
+	}
+	for _, p := range f.Upstreams {
+		_ = p.Kill()
+	}
+	if f.Platform != nil {
+		_ = f.Platform.Kill()
+	}
+}
--- /dev/null
+++ b/internal/sagefleet/layout.go
@@ -0,0 +1,173 @@
+package sagefleet
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+
+	"sagestand.example/sagestand/internal/sagesettings"
+	"sagestand.example/sagestand/pkg/sageconfig"
+)
+
+// Names that every layout uses.
+const (
+	Model         = "assist"
+	ModelVersion  = "assist@1"
+	ServiceRoute  = "stock"
+	EngineSet     = "engines"
+	ServiceSet    = "applications"
+	AccountName   = "trentvale"
+	AccountKey    = "trentvale-demo-key"
+	OtherAccount  = "haller"
+	OtherKey      = "haller-demo-key"
+	PeerKey       = "peer-demo-key"
+	OperatorKey   = "operator-demo-key"
+	engineSlots   = 16
+	serviceSlots  = 64
+	entryPort     = 7101
+	peerPort      = 7201
+	operatorPort  = 7301
+	standinPort   = 7000
+	platformHost  = 250
+	engineHost    = 100
+	serviceHost   = 200
+	stopMillis    = 20000
+	locateMillis  = 1000
+	isolatedAfter = 10000
+)
+
+// Upstream is an engine or application of a layout.
+type Upstream struct {
+	Name       string
+	Address    string
+	DataCentre string
+	Kind       sageconfig.UpstreamKind
+}
+
+// Layout is the plan of a fleet.
+type Layout struct {
+	Platform  string
+	Nodes     []sagesettings.Settings
+	Upstreams []Upstream
+}
+
+var networks atomic.Uint32
+
+// NewLayout plans a fleet of so many routers and engines, spread in turn over the data centres, and
+// one application in each data centre.
+func NewLayout(routers, engines int, dataCentres []string) *Layout {
+	pid := os.Getpid()
+	network := fmt.Sprintf("127.%d.%d", 1+pid%250, (pid/250+int(networks.Add(1))*16)%250)
+	at := func(host, port int) string { return fmt.Sprintf("%s.%d:%d", network, host, port) }
+	l := &Layout{Platform: at(platformHost, standinPort)}
+	for i := range routers {
+		l.Nodes = append(l.Nodes, node(i, at, dataCentres[i%len(dataCentres)], l.Platform))
+	}
+	var seeds []sagesettings.Seed
+	for _, n := range l.Nodes {
+		seeds = append(seeds, sagesettings.Seed{Peer: n.Listen.Peer, DataCentre: n.Node.DataCentre})
+	}
+	for i := range l.Nodes {
+		l.Nodes[i].Seeds = seeds
+	}
+	for i := range engines {
+		l.Upstreams = append(l.Upstreams, Upstream{
+			Name: fmt.Sprintf("engine%d", i+1), Address: at(engineHost+i, standinPort),
+			DataCentre: dataCentres[i%len(dataCentres)], Kind: sageconfig.Engine,
+		})
+	}
+	for i, dc := range dataCentres {
+		l.Upstreams = append(l.Upstreams, Upstream{
+			Name: fmt.Sprintf("application%d", i+1), Address: at(serviceHost+i, standinPort),
+			DataCentre: dc, Kind: sageconfig.Application,
+		})
+	}
+	return l
+}
+
+func node(i int, at func(host, port int) string, dataCentre, platform string) sagesettings.Settings {
+	s := sagesettings.Default()
+	s.Node = sagesettings.Node{Name: fmt.Sprintf("vm%d", i+1), DataCentre: dataCentre, Region: "region1"}
+	s.Listen = sagesettings.Listen{Entry: at(i+1, entryPort), Peer: at(i+1, peerPort), Operator: at(i+1, operatorPort)}
+	s.Platform.URL = "http://" + platform
+	s.Locate.ValidMillis = locateMillis
+	s.Stop.WithinMillis = stopMillis
+	s.Isolated.AfterMillis = isolatedAfter
+	return s
+}
+
+// WriteKeys writes the key files into dir and names them in the settings of every node.
+func (l *Layout) WriteKeys(dir string) error {
+	peer, op := filepath.Join(dir, "peer.key"), filepath.Join(dir, "operator.key")
+	if err := os.WriteFile(peer, []byte(PeerKey+"\n"), 0o600); err != nil {
+		return fmt.Errorf("write key: %w", err)
+	}
+	if err := os.WriteFile(op, []byte(OperatorKey+"\n"), 0o600); err != nil {
+		return fmt.Errorf("write key: %w", err)
+	}
+	for i := range l.Nodes {
+		l.Nodes[i].Keys = sagesettings.Keys{PeerFile: peer, OperatorFile: op}
+	}
+	return nil
+}
+
+// Entries returns the callers' addresses of all routers.
+func (l *Layout) Entries() []string {
+	out := make([]string, len(l.Nodes))
+	for i, n := range l.Nodes {
+		out[i] = n.Listen.Entry
+	}
+	return out
+}
+
+// FirstTicket returns the ticket that puts everything of the layout in service.
+func (l *Layout) FirstTicket(number uint64) *sageconfig.Ticket {
+	t := &sageconfig.Ticket{Number: number, Author: "sagebench", Reason: "first configuration"}
+	add := func(kind sageconfig.Kind, name string, c sageconfig.Change) {
+		c.Thing = sageconfig.Thing{Kind: kind, Name: name}
+		t.Changes = append(t.Changes, c)
+	}
+	sets := map[sageconfig.UpstreamKind][]string{}
+	seen := map[string]bool{}
+	for _, u := range l.Upstreams {
+		if !seen[u.DataCentre] {
+			seen[u.DataCentre] = true
+			add(sageconfig.KindDataCentre, u.DataCentre, sageconfig.Change{DataCentre: &sageconfig.DataCentre{InService: true, Region: "region1"}})
+		}
+		add(sageconfig.KindUpstream, u.Name, sageconfig.Change{Upstream: u.state()})
+		sets[u.Kind] = append(sets[u.Kind], u.Name)
+	}
+	add(sageconfig.KindUpstreamSet, EngineSet, sageconfig.Change{UpstreamSet: &sageconfig.UpstreamSet{Upstreams: sets[sageconfig.Engine]}})
+	add(sageconfig.KindUpstreamSet, ServiceSet, sageconfig.Change{UpstreamSet: &sageconfig.UpstreamSet{Upstreams: sets[sageconfig.Application]}})
+	add(sageconfig.KindModelSet, Model, sageconfig.Change{ModelSet: &sageconfig.ModelSet{Versions: []string{ModelVersion}}})
+	add(sageconfig.KindRoute, Model, sageconfig.Change{Route: &sageconfig.Route{Kind: sageconfig.RouteChat, UpstreamSet: EngineSet, ModelSet: Model}})
+	add(sageconfig.KindRoute, ServiceRoute, sageconfig.Change{Route: &sageconfig.Route{Kind: sageconfig.RouteService, UpstreamSet: ServiceSet}})
+	add(sageconfig.KindClientAccount, AccountName, sageconfig.Change{ClientAccount: &sageconfig.ClientAccount{KeySHA256: hash(AccountKey), Weight: 1}})
+	add(sageconfig.KindClientAccount, OtherAccount, sageconfig.Change{ClientAccount: &sageconfig.ClientAccount{KeySHA256: hash(OtherKey), Weight: 1}})
+	return t
+}
+
+// state returns the upstream's thing.
+func (u *Upstream) state() *sageconfig.Upstream {
+	s := &sageconfig.Upstream{Kind: u.Kind, Address: u.Address, DataCentre: u.DataCentre, MaxInFlight: serviceSlots}
+	if u.Kind == sageconfig.Engine {
+		s.Models, s.MaxInFlight, s.ChecksFencing = []string{ModelVersion}, engineSlots, true
+	}
+	return s
+}
+
+// ServiceTicket returns the ticket that takes a data centre out of service or back.
+func ServiceTicket(number uint64, dataCentre string, inService bool) *sageconfig.Ticket {
+	return &sageconfig.Ticket{Number: number, Author: "sagebench", Changes: []sageconfig.Change{{
+		Thing:      sageconfig.Thing{Kind: sageconfig.KindDataCentre, Name: dataCentre},
+		DataCentre: &sageconfig.DataCentre{InService: inService, Region: "region1"},
+	}}}
+}
+
+func hash(key string) string {
+	sum := sha256.Sum256([]byte(key))
+	return hex.EncodeToString(sum[:])
+}
--- /dev/null
+++ b/internal/sagefleet/process.go
@@ -0,0 +1,147 @@
+package sagefleet
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrNotReady reports that a process did not get ready in time.
+var ErrNotReady = errors.New("process not ready")
+
+// readyTimeout bounds the wait for a process.
+const readyTimeout = 20 * time.Second
+
+// readyPoll lies between two looks.
+const readyPoll = 20 * time.Millisecond
+
+// Process is one process of a fleet. It can be killed, frozen and started again.
+type Process struct {
+	Name string
+	// Path and Args are what is run; Ready is the URL that answers 200 when it is ready.
+	Path  string
+	Args  []string
+	Ready string
+	// Log is the file that takes its output.
+	Log string
+
+	mu   sync.Mutex
+	cmd  *exec.Cmd
+	done chan struct{}
+	err  error
+}
+
+// Start starts the process; it does not wait until it is ready.
+func (p *Process) Start() error {
+	f, err := os.OpenFile(p.Log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		return fmt.Errorf("start %s: %w", p.Name, err)
+	}
+	defer func() { _ = f.Close() }()
+	cmd := exec.Command(p.Path, p.Args...)
+	cmd.Stdout, cmd.Stderr = f, f
+	// The child dies with this process, so that an aborted test leaves nothing running.
+	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	if err := cmd.Start(); err != nil {
+		return fmt.Errorf("start %s: %w", p.Name, err)
+	}
+	done := make(chan struct{})
+	p.mu.Lock()
+	p.cmd, p.done = cmd, done
+	p.mu.Unlock()
+	go func() {
+		err := cmd.Wait()
+		p.mu.Lock()
+		p.err = err
+		p.mu.Unlock()
+		close(done)
+	}()
+	return nil
+}
+
+// WaitReady waits until the process answers on its ready URL.
+func (p *Process) WaitReady(ctx context.Context) error { return p.waitFor(ctx, p.Ready) }
+
+// waitFor waits until the process answers 200 on url.
+func (p *Process) waitFor(ctx context.Context, url string) error {
+	ctx, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	for {
+		req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+		if err != nil {
+			return fmt.Errorf("%s: %w", p.Name, err)
+		}
+		res, err := http.DefaultClient.Do(req)
+		if err == nil {
+			_ = res.Body.Close()
+			if res.StatusCode == http.StatusOK {
+				return nil
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return fmt.Errorf("%s: %w (see %s)", p.Name, ErrNotReady, filepath.Base(p.Log))
+		case <-p.exited():
+			return fmt.Errorf("%s exited: %w (see %s)", p.Name, ErrNotReady, filepath.Base(p.Log))
+		case <-time.After(readyPoll):
+		}
+	}
+}
+
+func (p *Process) exited() <-chan struct{} {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.done
+}
+
+// Signal sends a signal to the process.
+func (p *Process) Signal(sig os.Signal) error {
+	p.mu.Lock()
+	cmd := p.cmd
+	p.mu.Unlock()
+	if cmd == nil {
+		return nil
+	}
+	if err := cmd.Process.Signal(sig); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return fmt.Errorf("signal %s: %w", p.Name, err)
+	}
+	return nil
+}
+
+// Kill ends the process without notice and waits for its end.
+func (p *Process) Kill() error {
+	if err := p.Signal(syscall.SIGKILL); err != nil {
+		return err
+	}
+	if done := p.exited(); done != nil {
+		<-done
+	}
+	return nil
+}
+
+// Terminate asks the process to stop gracefully and returns its error once it ended.
+func (p *Process) Terminate(ctx context.Context) error {
+	if err := p.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	done := p.exited()
+	if done == nil {
+		return nil
+	}
+	select {
+	case <-done:
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.err
+	case <-ctx.Done():
+		return fmt.Errorf("%s still runs: %w", p.Name, ctx.Err())
+	}
+}
--- a/internal/sagekernel/kernel.go
+++ b/internal/sagekernel/kernel.go
@@ -92,7 +92,7 @@
 // It returns nil after an ordered stop that ctx asked for.
 func (k *Kernel) Run(ctx context.Context) error {
 	var g run.Group
-	k.addStop(&g, ctx)
+	k.addStop(ctx, &g)
 	k.mu.Lock()
 	services := append([]named(nil), k.services...)
 	k.mu.Unlock()
@@ -116,7 +116,7 @@
 }
 
 // addStop adds the actor that waits for ctx.
-func (k *Kernel) addStop(g *run.Group, ctx context.Context) {
+func (k *Kernel) addStop(ctx context.Context, g *run.Group) {
 	inner, cancel := context.WithCancel(ctx)
 	g.Add(func() error {
 		<-inner.Done()
--- /dev/null
+++ b/internal/sagenode/node.go
@@ -0,0 +1,177 @@
+package sagenode
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+
+	"sagestand.example/sagestand/internal/sagedispatch"
+	"sagestand.example/sagestand/internal/sageentry"
+	"sagestand.example/sagestand/internal/sagekernel"
+	"sagestand.example/sagestand/internal/sagelog"
+	"sagestand.example/sagestand/internal/sagemetrics"
+	"sagestand.example/sagestand/internal/sageoperator"
+	"sagestand.example/sagestand/internal/sagepeer"
+	"sagestand.example/sagestand/internal/sagesettings"
+	"sagestand.example/sagestand/pkg/sageobject"
+)
+
+// ErrEmptyKey reports a key file without a key.
+var ErrEmptyKey = errors.New("key file is empty")
+
+// storeTimeout bounds one call to the platform, above the longest wait of a watch.
+const storeTimeout = 30 * time.Second
+
+// stopSlack is what the other services may take beyond the entry's own stop.
+const stopSlack = 10 * time.Second
+
+// Node is one daemon. Settings and Log are set before Open.
+type Node struct {
+	Settings sagesettings.Settings
+	Log      sagelog.Logger
+
+	kernel    sagekernel.Kernel
+	metrics   *metrics.Set
+	listeners map[string]net.Listener
+	ready     func() error
+	control   atomic.Int64
+	peers     [2]interface{ Bytes() int64 }
+	peerKey   string
+	opKey     string
+	tls       *tls.Config
+}
+
+// Open reads the keys and opens the listeners; nothing serves before Run.
+func (n *Node) Open() error {
+	cfg := &n.Settings
+	var err error
+	if n.peerKey, err = readKey(cfg.Keys.PeerFile); err != nil {
+		return fmt.Errorf("keys.peer_file: %w", err)
+	}
+	if n.opKey, err = readKey(cfg.Keys.OperatorFile); err != nil {
+		return fmt.Errorf("keys.operator_file: %w", err)
+	}
+	if cfg.TLS.CertFile != "" {
+		if n.tls, err = sagepeer.LoadTLS(cfg.TLS.CertFile, cfg.TLS.KeyFile, cfg.TLS.CAFile); err != nil {
+			return fmt.Errorf("tls: %w", err)
+		}
+	}
+	n.listeners = make(map[string]net.Listener, 3)
+	for _, l := range []struct{ name, addr string }{{"entry", cfg.Listen.Entry}, {"peer", cfg.Listen.Peer}, {"operator", cfg.Listen.Operator}} {
+		n.listeners[l.name], err = net.Listen("tcp", l.addr)
+		if err != nil {
+			n.Close()
+			return fmt.Errorf("listen.%s: %w", l.name, err)
+		}
+	}
+	n.metrics = metrics.NewSet()
+	n.register()
+	return nil
+}
+
+// Close closes the listeners of a node that will not run.
+func (n *Node) Close() {
+	for _, l := range n.listeners {
+		if l != nil {
+			_ = l.Close()
+		}
+	}
+}
+
+// readKey reads a key file; space around the key doesn't count.
+func readKey(path string) (string, error) {
+	b, err := os.ReadFile(path)
+	if err != nil {
+		return "", fmt.Errorf("read key: %w", err)
+	}
+	key := strings.TrimSpace(string(b))
+	if key == "" {
+		return "", fmt.Errorf("%s: %w", path, ErrEmptyKey)
+	}
+	return key, nil
+}
+
+// register adds every service, each before those that depend on it.
+func (n *Node) register() {
+	cfg, k := &n.Settings, &n.kernel
+	k.Log = n.Log.Part("kernel")
+	k.StopWithin = millis(cfg.Stop.WithinMillis) + stopSlack
+
+	store := &sageobject.Client{URL: cfg.Platform.URL, HTTP: &http.Client{Transport: sagepeer.CountedTransport(&n.control), Timeout: storeTimeout}}
+	k.Register("store", store)
+	peers := &sagepeer.Client{Key: n.peerKey, TLS: n.tls}
+	k.Register("peer_client", peers)
+	conf := &thinConfig{Store: store, Log: n.Log.Part("config")}
+	k.Register("config", conf)
+	locator := &thinLocator{Address: n.listeners["entry"].Addr().String(), Valid: millis(cfg.Locate.ValidMillis), Config: conf}
+	k.Register("locate", locator)
+	peerServer := &sagepeer.Server{Listener: n.listeners["peer"], Key: n.peerKey, TLS: n.tls, Log: n.Log.Part("peer")}
+	k.Register("peer_server", peerServer)
+	n.peers = [2]interface{ Bytes() int64 }{peers, peerServer}
+	n.metrics.NewGauge("sagestand_control_bytes_total", func() float64 { return float64(n.ControlBytes()) })
+	requests := &sagemetrics.Requests{Set: n.metrics}
+	entry := &sageentry.Service{
+		Listener: n.listeners["entry"], Config: conf,
+		Admission: &thinAdmission{slots: make(chan struct{}, cfg.Limits.InFlight)},
+		Claims:    &thinClaims{Store: store}, Placement: &thinPlacement{Config: conf}, Retries: thinRetries{},
+		Dispatch: &sagedispatch.Dispatcher{}, Locator: locator, Leaver: locator, Recorder: requests,
+		Limits: cfg.Limits, Stop: cfg.Stop, Log: n.Log.Part("entry"),
+	}
+	n.ready = func() error {
+		if ref := conf.Serving(time.Now(), true); ref != nil {
+			return ref
+		}
+		return nil
+	}
+	k.Register("operator", &sageoperator.Server{
+		Listener: n.listeners["operator"], Key: n.opKey, TLS: n.tls, Tickets: conf, State: conf.State, Metrics: n.metrics,
+		Ready: n.ready,
+		Status: func() any {
+			return Status{Node: cfg.Node.Name, DataCentre: cfg.Node.DataCentre, Revision: conf.Revision(), InFlight: entry.InFlight(), Services: k.Names()}
+		},
+		Log: n.Log.Part("operator"),
+	})
+	k.Register("entry", entry)
+}
+
+// Status is what GET /v1/status shows of a node.
+type Status struct {
+	Node       string   `json:"node"`
+	DataCentre string   `json:"data_centre"`
+	Revision   uint64   `json:"revision"`
+	InFlight   int64    `json:"in_flight"`
+	Services   []string `json:"services"`
+}
+
+// Ready says why the node is not ready to serve, or nil.
+func (n *Node) Ready() error { return n.ready() }
+
+// ControlBytes returns the bytes of all traffic with other nodes and the platform so far, both ways.
+func (n *Node) ControlBytes() int64 {
+	sum := n.control.Load()
+	for _, p := range n.peers {
+		sum += p.Bytes()
+	}
+	return sum
+}
+
+// Run runs the node until ctx ends and every service stopped.
+func (n *Node) Run(ctx context.Context) error {
+	n.Log.Part("node").Info("Starting.", "data_centre", n.Settings.Node.DataCentre)
+	if err := n.kernel.Run(ctx); err != nil {
+		return fmt.Errorf("run node: %w", err)
+	}
+	n.Log.Part("node").Info("Stopped.")
+	return nil
+}
+
+func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/sagenode/thin.go
@@ -0,0 +1,199 @@
+package sagenode
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"sagestand.example/sagestand/internal/sagedispatch"
+	"sagestand.example/sagestand/internal/sageentry"
+	"sagestand.example/sagestand/internal/sagelog"
+	"sagestand.example/sagestand/pkg/sageconfig"
+	"sagestand.example/sagestand/pkg/sageobject"
+	"sagestand.example/sagestand/pkg/sagewire"
+)
+
+// headKey is the object that holds the accepted tickets.
+const headKey = "config/head"
+
+// pause lies between two tries to reach the store.
+const pause = 500 * time.Millisecond
+
+// thinHead is the value of headKey.
+type thinHead struct {
+	Tickets []*sageconfig.Ticket `json:"tickets"`
+}
+
+// thinConfig keeps the configuration by watching one object. It stands in until sageconfigd.
+type thinConfig struct {
+	Store sageobject.Store
+	Log   sagelog.Logger
+
+	state    atomic.Pointer[sageconfig.State]
+	revision atomic.Uint64
+}
+
+// Run watches the head until ctx ends.
+func (c *thinConfig) Run(ctx context.Context) error {
+	var after int64
+	for ctx.Err() == nil {
+		o, err := c.Store.Watch(ctx, headKey, after)
+		if err != nil {
+			sleep(ctx, pause)
+			continue
+		}
+		var h thinHead
+		if err := json.Unmarshal(o.Value, &h); err != nil {
+			return fmt.Errorf("decode %s: %w", headKey, err)
+		}
+		s := sageconfig.NewState()
+		for _, t := range h.Tickets {
+			s.ApplyTicket(t)
+		}
+		c.state.Store(s)
+		c.revision.Store(uint64(len(h.Tickets)))
+		after = o.Version
+	}
+	return nil
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
+	}
+}
+
+func (c *thinConfig) State() *sageconfig.State { return c.state.Load() }
+func (c *thinConfig) Revision() uint64         { return c.revision.Load() }
+
+func (c *thinConfig) Serving(now time.Time, _ bool) *sagewire.Refusal {
+	if c.state.Load() == nil {
+		return sagewire.Refuse(sagewire.ReasonNoConfig, "no configuration yet", now.Add(time.Second))
+	}
+	return nil
+}
+
+// Submit accepts a ticket by a conditional update of the head.
+func (c *thinConfig) Submit(ctx context.Context, t *sageconfig.Ticket) error {
+	for {
+		var h thinHead
+		o, err := c.Store.Get(ctx, headKey)
+		if err != nil && !errors.Is(err, sageobject.ErrNotFound) {
+			return fmt.Errorf("read head: %w", err)
+		}
+		if err == nil {
+			if err := json.Unmarshal(o.Value, &h); err != nil {
+				return fmt.Errorf("decode head: %w", err)
+			}
+		}
+		h.Tickets = append(h.Tickets, t)
+		b, err := json.Marshal(&h)
+		if err != nil {
+			return fmt.Errorf("encode head: %w", err)
+		}
+		_, err = c.Store.Put(ctx, headKey, b, o.Version)
+		if errors.Is(err, sageobject.ErrConflict) {
+			continue
+		}
+		if err != nil {
+			return fmt.Errorf("write head: %w", err)
+		}
+		return nil
+	}
+}
+
+// thinLocator names only this node.
+type thinLocator struct {
+	Address string
+	Valid   time.Duration
+	Config  sageentry.Config
+}
+
+func (l *thinLocator) Locate(now time.Time, _, _ string) sageentry.Place {
+	return sageentry.Place{Addresses: []string{l.Address}, ValidUntil: now.Add(l.Valid), Revision: l.Config.Revision()}
+}
+
+func (l *thinLocator) Leave(now time.Time) time.Time { return now.Add(l.Valid) }
+
+// thinAdmission bounds the requests in flight.
+type thinAdmission struct{ slots chan struct{} }
+
+func (a *thinAdmission) Admit(context.Context, *sageentry.Request) (func(), *sagewire.Refusal) {
+	select {
+	case a.slots <- struct{}{}:
+		return func() { <-a.slots }, nil
+	default:
+		return nil, sagewire.Refuse(sagewire.ReasonOverloaded, "too many requests in flight", time.Now().Add(time.Second))
+	}
+}
+
+// thinClaims writes one object for each claim.
+type thinClaims struct{ Store sageobject.Store }
+
+func (c *thinClaims) Claim(ctx context.Context, r *sageentry.Request) (*sageentry.Claim, *sagedispatch.Answer, *sagewire.Refusal) {
+	key := fmt.Sprintf("claims/%s/%016x", r.Account, xxhash.Sum64String(r.Key))
+	_, err := c.Store.Put(ctx, key, []byte(r.ID), sageobject.NoVersion)
+	switch {
+	case err == nil:
+		return &sageentry.Claim{ID: r.ID, Key: key}, nil, nil
+	case errors.Is(err, sageobject.ErrConflict), errors.Is(err, sageobject.ErrUnknown):
+		return nil, nil, &sagewire.Refusal{Outcome: sagewire.AlreadyRun, Reason: sagewire.ReasonKeyInUse}
+	}
+	return nil, nil, sagewire.Refuse(sagewire.ReasonStoreUnavailable, err.Error(), time.Now().Add(time.Second))
+}
+
+func (c *thinClaims) Finish(context.Context, *sageentry.Claim, *sagedispatch.Result) {}
+
+// thinPlacement takes the first upstream in rendezvous order.
+type thinPlacement struct{ Config sageentry.Config }
+
+func (p *thinPlacement) Pick(_ context.Context, r *sageentry.Request, tried []string) (*sageentry.Pick, *sagewire.Refusal) {
+	s := p.Config.State()
+	route, ok := s.Route(r.Route)
+	if !ok || route.Kind != r.Kind {
+		return nil, sagewire.Refuse(sagewire.ReasonNoRoute, "no route "+r.Route, time.Time{})
+	}
+	set, ok := s.UpstreamSet(route.UpstreamSet)
+	if !ok {
+		return nil, sagewire.Refuse(sagewire.ReasonNoUpstream, "no upstream set "+route.UpstreamSet, time.Now().Add(time.Second))
+	}
+	best, bestHash := "", uint64(0)
+	for _, name := range set.Upstreams {
+		u, ok := s.Upstream(name)
+		if !ok || u.Leaving || contains(tried, name) {
+			continue
+		}
+		if dc, ok := s.DataCentre(u.DataCentre); ok && !dc.InService {
+			continue
+		}
+		if h := xxhash.Sum64String(r.Context + "\x00" + name); best == "" || h > bestHash {
+			best, bestHash = name, h
+		}
+	}
+	u, ok := s.Upstream(best)
+	if !ok {
+		return nil, sagewire.Refuse(sagewire.ReasonNoUpstream, "no upstream left", time.Now().Add(time.Second))
+	}
+	return &sageentry.Pick{Upstream: best, Address: u.Address, Engine: u.Kind == sageconfig.Engine, Done: func(*sagedispatch.Result) {}}, nil
+}
+
+func contains(list []string, s string) bool {
+	for _, x := range list {
+		if x == s {
+			return true
+		}
+	}
+	return false
+}
+
+// thinRetries allows every attempt that finds an upstream not yet tried.
+type thinRetries struct{}
+
+func (thinRetries) First(time.Time)              {}
+func (thinRetries) Allow(time.Time, string) bool { return true }
--- /dev/null
+++ b/internal/sageoperator/server.go
@@ -0,0 +1,156 @@
+package sageoperator
+
+import (
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"sagestand.example/sagestand/internal/sagelog"
+	"sagestand.example/sagestand/internal/sagepeer"
+	"sagestand.example/sagestand/pkg/sageconfig"
+)
+
+// Limits of the operators' listener.
+const (
+	maxHeaderBytes = 16 << 10
+	readTimeout    = 10 * time.Second
+	writeTimeout   = time.Minute
+	stopTimeout    = 2 * time.Second
+)
+
+// Tickets accepts change tickets.
+type Tickets interface {
+	Submit(ctx context.Context, t *sageconfig.Ticket) error
+}
+
+// Server answers operators. Its fields are set, and further handlers added, before Run.
+type Server struct {
+	Listener net.Listener
+	Key      string
+	TLS      *tls.Config
+	Tickets  Tickets
+	// Ready says why this node is not ready, or nil.
+	Ready func() error
+	// Status is what GET /v1/status shows, as JSON.
+	Status  func() any
+	State   func() *sageconfig.State
+	Metrics *metrics.Set
+	Log     sagelog.Logger
+
+	private http.ServeMux
+}
+
+// Handle adds a handler below the operators' key, with a pattern of [http.ServeMux].
+func (s *Server) Handle(pattern string, h http.Handler) { s.private.Handle(pattern, h) }
+
+// handler returns the whole interface.
+func (s *Server) handler() http.Handler {
+	s.private.HandleFunc("POST /v1/tickets", s.submit)
+	s.private.HandleFunc("GET /v1/things/{kind}/{name}", s.thing)
+	s.private.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { WriteJSON(w, http.StatusOK, s.Status()) })
+	mux := http.NewServeMux()
+	mux.Handle("/v1/", sagepeer.Authenticated(s.Key, &s.private))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "ok\n") })
+	mux.HandleFunc("GET /readyz", s.ready)
+	mux.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) {
+		s.Metrics.WritePrometheus(w)
+		metrics.WriteProcessMetrics(w)
+	})
+	return http.MaxBytesHandler(mux, sageconfig.MaxTicketBytes+1)
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := s.Ready(); err != nil {
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		return
+	}
+	_, _ = io.WriteString(w, "ready\n")
+}
+
+// Problem is the body of every answer to an operator that is not a success.
+type Problem struct {
+	Problem string `json:"problem"`
+}
+
+// WriteJSON answers with v.
+func WriteJSON(w http.ResponseWriter, code int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(code)
+	_ = json.NewEncoder(w).Encode(v)
+}
+
+func (s *Server) submit(w http.ResponseWriter, r *http.Request) {
+	b, err := io.ReadAll(r.Body)
+	if err != nil {
+		WriteJSON(w, http.StatusRequestEntityTooLarge, Problem{Problem: "read ticket: " + err.Error()})
+		return
+	}
+	t, err := sageconfig.DecodeTicket(b)
+	if err != nil {
+		WriteJSON(w, http.StatusBadRequest, Problem{Problem: err.Error()})
+		return
+	}
+	if err := s.Tickets.Submit(r.Context(), t); err != nil {
+		WriteJSON(w, http.StatusServiceUnavailable, Problem{Problem: err.Error()})
+		return
+	}
+	s.Log.Info("Ticket accepted.", "number", t.Number, "author", t.Author, "changes", len(t.Changes))
+	WriteJSON(w, http.StatusOK, map[string]any{"accepted": t.Number})
+}
+
+func (s *Server) thing(w http.ResponseWriter, r *http.Request) {
+	t := sageconfig.Thing{Kind: sageconfig.Kind(r.PathValue("kind")), Name: r.PathValue("name")}
+	if err := t.Check(); err != nil {
+		WriteJSON(w, http.StatusBadRequest, Problem{Problem: err.Error()})
+		return
+	}
+	st := s.State()
+	if st == nil {
+		WriteJSON(w, http.StatusServiceUnavailable, Problem{Problem: "this node holds no configuration yet"})
+		return
+	}
+	e, ok := st.Entries[t]
+	if !ok {
+		WriteJSON(w, http.StatusNotFound, Problem{Problem: "no ticket has touched " + t.String()})
+		return
+	}
+	WriteJSON(w, http.StatusOK, e)
+}
+
+// Run serves until ctx ends.
+func (s *Server) Run(ctx context.Context) error {
+	srv := &http.Server{
+		Handler:           s.handler(),
+		ReadHeaderTimeout: readTimeout,
+		ReadTimeout:       readTimeout,
+		WriteTimeout:      writeTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+	}
+	l := s.Listener
+	if s.TLS != nil {
+		l = tls.NewListener(l, s.TLS)
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		<-ctx.Done()
+		stop, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTimeout)
+		defer cancel()
+		if err := srv.Shutdown(stop); err != nil {
+			_ = srv.Close()
+		}
+	}()
+	s.Log.Info("Listening.", "address", s.Listener.Addr())
+	if err := srv.Serve(l); err != http.ErrServerClosed {
+		return fmt.Errorf("serve operators: %w", err)
+	}
+	<-done
+	return nil
+}
--- a/internal/sagepeer/client.go
+++ b/internal/sagepeer/client.go
@@ -44,21 +44,26 @@
 	if h := c.http.Load(); h != nil {
 		return h
 	}
+	t := CountedTransport(&c.bytes)
+	t.TLSClientConfig = c.TLS
+	c.http.CompareAndSwap(nil, &http.Client{Transport: &keyed{key: c.Key, next: t}, Timeout: callTimeout})
+	return c.http.Load()
+}
+
+// CountedTransport returns a transport that adds what passes its connections to n.
+func CountedTransport(n *atomic.Int64) *http.Transport {
 	d := &net.Dialer{Timeout: dialTimeout}
-	t := &http.Transport{
-		TLSClientConfig:     c.TLS,
+	return &http.Transport{
 		MaxIdleConnsPerHost: idlePerHost,
 		IdleConnTimeout:     idleTimeout,
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			n, err := d.DialContext(ctx, network, addr)
+			c, err := d.DialContext(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: n, bytes: &c.bytes}, nil
+			return &countedConn{Conn: c, bytes: n}, nil
 		},
 	}
-	c.http.CompareAndSwap(nil, &http.Client{Transport: &keyed{key: c.Key, next: t}, Timeout: callTimeout})
-	return c.http.Load()
 }
 
 // keyed adds the shared key to every call.
--- /dev/null
+++ b/internal/sageworkload/load.go
@@ -0,0 +1,169 @@
+package sageworkload
+
+import (
+	"context"
+	"fmt"
+	"math/rand"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"sagestand.example/sagestand/internal/sagecaller"
+	"sagestand.example/sagestand/internal/sagestandin"
+	"sagestand.example/sagestand/pkg/sagewire"
+)
+
+// Shape of the load.
+const (
+	turns        = 8
+	contexts     = 4
+	contextWords = 120
+	messageWords = 12
+	answerTokens = 24
+	repeatEvery  = 3
+	maxPause     = 40 * time.Millisecond
+	patience     = 15 * time.Second
+)
+
+// Load sends requests until an instant. Its exported fields are set before Run.
+type Load struct {
+	// Entries are the addresses to ask first where to connect.
+	Entries []string
+	Key     string
+	Model   string
+	Service string
+	// Chats and Bookers are how many callers of each kind work side by side.
+	Chats   int
+	Bookers int
+	Seed    int64
+	Until   time.Time
+
+	counter counter
+}
+
+// Run sends requests until l.Until, waits for the last answers and returns the counts.
+func (l *Load) Run(ctx context.Context) Tally {
+	l.counter.runs = make(map[string]*bookingEnd)
+	var wg sync.WaitGroup
+	for i := range l.Chats {
+		wg.Go(func() { l.chats(ctx, rand.New(rand.NewSource(l.Seed+int64(i)))) })
+	}
+	for i := range l.Bookers {
+		wg.Go(func() { l.bookings(ctx, rand.New(rand.NewSource(l.Seed-int64(i)-1))) })
+	}
+	wg.Wait()
+	return l.counter.tally
+}
+
+func (l *Load) caller() *sagecaller.Caller {
+	return &sagecaller.Caller{Entries: l.Entries, Key: l.Key, HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 4}}}
+}
+
+func (l *Load) going(ctx context.Context) bool { return ctx.Err() == nil && time.Now().Before(l.Until) }
+
+// words returns n words that depend on the seed of rng only.
+func words(rng *rand.Rand, n int) string {
+	s := ""
+	for range n {
+		s += fmt.Sprintf("w%d ", rng.Intn(1000))
+	}
+	return s
+}
+
+// chats plays one caller: a chat of some turns, each with the whole history, then the next chat.
+func (l *Load) chats(ctx context.Context, rng *rand.Rand) {
+	c := l.caller()
+	for l.going(ctx) {
+		shared := rng.Intn(contexts)
+		system := words(rand.New(rand.NewSource(int64(shared))), contextWords)
+		chat := fmt.Sprintf("chat-%x", rng.Uint64())
+		history := []sagestandin.Message{{Role: "system", Content: system}}
+		for turn := 0; turn < turns && l.going(ctx); turn++ {
+			history = append(history, sagestandin.Message{Role: "user", Content: words(rng, messageWords)})
+			req := &sagestandin.ChatRequest{Model: l.Model, Messages: history, Stream: turn%2 == 0, MaxTokens: answerTokens}
+			e := c.Chat(ctx, req, sagecaller.Options{
+				Chat: chat, Context: fmt.Sprintf("context-%d", shared),
+				Priority: sagewire.Priority(rng.Intn(sagewire.Priorities)), Deadline: time.Now().Add(patience),
+			})
+			l.counter.add(e)
+			if e.Outcome != sagewire.Complete {
+				l.comeBack(ctx, e)
+				continue
+			}
+			history = append(history, sagestandin.Message{Role: "assistant", Content: "noted"})
+			time.Sleep(time.Duration(rng.Int63n(int64(maxPause))))
+		}
+	}
+}
+
+// comeBack waits as a refusal asks, at most as long as the load goes on.
+func (l *Load) comeBack(ctx context.Context, e sagecaller.End) {
+	at := time.Now().Add(maxPause)
+	if e.Refusal != nil && e.Refusal.RetryAt.After(at) {
+		at = e.Refusal.RetryAt
+	}
+	if at.After(l.Until) {
+		at = l.Until
+	}
+	select {
+	case <-ctx.Done():
+	case <-time.After(time.Until(at)):
+	}
+}
+
+// bookings plays one caller that books, and sends every few bookings twice at once through two
+// connections.
+func (l *Load) bookings(ctx context.Context, rng *rand.Rand) {
+	first, second := l.caller(), l.caller()
+	for n := 0; l.going(ctx); n++ {
+		key := uuid.Must(uuid.NewV7()).String()
+		body := []byte(fmt.Sprintf(`{"item":%q,"n":%d}`, words(rng, 2), n))
+		book := func(c *sagecaller.Caller, chat string) {
+			e := c.Service(ctx, http.MethodPost, l.Service+"/bookings", body, sagecaller.Options{Chat: chat, IdempotencyKey: key, Deadline: time.Now().Add(patience)})
+			l.counter.addBooking(key, e)
+			if e.Outcome != sagewire.Complete && e.Outcome != sagewire.AlreadyRun {
+				l.comeBack(ctx, e)
+			}
+		}
+		var wg sync.WaitGroup
+		wg.Go(func() { book(first, key) })
+		if n%repeatEvery == 0 {
+			wg.Go(func() { book(second, key+"-repeat") })
+		}
+		wg.Wait()
+		time.Sleep(time.Duration(rng.Int63n(int64(maxPause))))
+	}
+}
+
+// Audit compares what callers were told about bookings with how often the applications ran them.
+type Audit struct {
+	Bookings int `json:"bookings"`
+	// ExecutedTwice counts keys that ran more than once.
+	ExecutedTwice int `json:"executed_twice"`
+	// FalseNotRun counts keys of which every caller was told "not run" and which ran.
+	FalseNotRun int `json:"false_not_run"`
+	// FalseComplete counts keys told complete that never ran.
+	FalseComplete int `json:"false_complete"`
+}
+
+// Audit compares the ends of the bookings with the executions by key.
+func (l *Load) Audit(executions map[string]int) Audit {
+	l.counter.mu.Lock()
+	defer l.counter.mu.Unlock()
+	a := Audit{Bookings: len(l.counter.runs)}
+	for key, b := range l.counter.runs {
+		n := executions[key]
+		if n > 1 {
+			a.ExecutedTwice++
+		}
+		if n > 0 && b.notRun > 0 && b.complete+b.unknown+b.already == 0 {
+			a.FalseNotRun++
+		}
+		if n == 0 && b.complete > 0 {
+			a.FalseComplete++
+		}
+	}
+	return a
+}
--- /dev/null
+++ b/pkg/sageburn/slot.go
@@ -0,0 +1,77 @@
+package sageburn
+
+import "time"
+
+// Count is the number of requests of a slot of time, and how many of them were bad.
+type Count struct {
+	Total uint32 `json:"total"`
+	Bad   uint32 `json:"bad"`
+}
+
+func (c *Count) add(d Count) {
+	c.Total += d.Total
+	c.Bad += d.Bad
+}
+
+// level is a resolution at which counts are kept.
+type level struct {
+	step  time.Duration
+	slots int
+}
+
+// levels reach back an hour by minutes, six hours by ten minutes and three days by hours.
+var levels = [...]level{{time.Minute, 60}, {10 * time.Minute, 36}, {time.Hour, 72}}
+
+// slot returns the number of the slot of wall-clock time that holds now.
+func (l level) slot(now time.Time) int64 { return now.UnixNano() / int64(l.step) }
+
+// ring holds the newest slots of one level.
+type ring struct {
+	newest int64
+	counts []Count
+}
+
+// at returns the count of slot n, making room for it. A slot that is too old gives nil.
+func (r *ring) at(l level, n int64) *Count {
+	if r.counts == nil {
+		r.counts = make([]Count, l.slots)
+		r.newest = n
+	}
+	if n <= r.newest-int64(l.slots) {
+		return nil
+	}
+	for r.newest < n {
+		r.newest++
+		r.counts[r.newest%int64(l.slots)] = Count{}
+		if n-r.newest > int64(l.slots) {
+			r.newest = n - int64(l.slots)
+		}
+	}
+	return &r.counts[n%int64(l.slots)]
+}
+
+// Latency buckets: two to an octave from 5 ms on; the last one is open.
+const latencyBuckets = 28
+
+var latencyBounds = func() [latencyBuckets - 1]time.Duration {
+	var b [latencyBuckets - 1]time.Duration
+	d := 5 * time.Millisecond
+	for i := 0; i < len(b); i += 2 {
+		b[i] = d
+		if i+1 < len(b) {
+			b[i+1] = d * 7 / 5
+		}
+		d *= 2
+	}
+	return b
+}()
+
+// bucket returns the latency bucket of d.
+func bucket(d time.Duration) int {
+	for i, b := range latencyBounds {
+		if d <= b {
+			return i
+		}
+	}
+	return latencyBuckets - 1
+}
--- a/pkg/sagewire/refusal.go
+++ b/pkg/sagewire/refusal.go
@@ -34,6 +34,7 @@
 	ReasonUpstreamFailed   Reason = "upstream_failed"
 	ReasonUpstreamRefused  Reason = "upstream_refused"
 	ReasonAnswerLost       Reason = "answer_lost"
+	ReasonSlowCaller       Reason = "slow_caller"
 	ReasonInternal         Reason = "internal"
 )
 
@@ -91,6 +92,8 @@
 		return http.StatusTooManyRequests
 	case ReasonDeadline:
 		return http.StatusGatewayTimeout
+	case ReasonSlowCaller:
+		return http.StatusRequestTimeout
 	}
 	return http.StatusServiceUnavailable
 }
