--- a/internal/sagenode/node.go
+++ b/internal/sagenode/node.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
+	"sagestand.example/sagestand/internal/sageburnd"
 	"sagestand.example/sagestand/internal/sagedispatch"
 	"sagestand.example/sagestand/internal/sageentry"
 	"sagestand.example/sagestand/internal/sagekernel"
@@ -21,7 +22,9 @@
 	"sagestand.example/sagestand/internal/sagemetrics"
 	"sagestand.example/sagestand/internal/sageoperator"
 	"sagestand.example/sagestand/internal/sagepeer"
+	"sagestand.example/sagestand/internal/sagerpc/report"
 	"sagestand.example/sagestand/internal/sagesettings"
+	"sagestand.example/sagestand/pkg/sageburn"
 	"sagestand.example/sagestand/pkg/sageobject"
 )
 
@@ -118,12 +121,15 @@
 	k.Register("peer_server", peerServer)
 	n.peers = [2]interface{ Bytes() int64 }{peers, peerServer}
 	n.metrics.NewGauge("sagestand_control_bytes_total", func() float64 { return float64(n.ControlBytes()) })
+	burn := &sageburnd.Service{Objectives: objectives(cfg.Objectives), Peers: n.otherSeeds, Client: peers}
+	peerServer.Mount(report.NewReportServer(burn))
+	k.Register("burn", burn)
 	requests := &sagemetrics.Requests{Set: n.metrics}
 	entry := &sageentry.Service{
 		Listener: n.listeners["entry"], Config: conf,
 		Admission: &thinAdmission{slots: make(chan struct{}, cfg.Limits.InFlight)},
 		Claims:    &thinClaims{Store: store}, Placement: &thinPlacement{Config: conf}, Retries: thinRetries{},
-		Dispatch: &sagedispatch.Dispatcher{}, Locator: locator, Leaver: locator, Recorder: requests,
+		Dispatch: &sagedispatch.Dispatcher{}, Locator: locator, Leaver: locator, Recorder: sagemetrics.Fan{requests, burn},
 		Limits: cfg.Limits, Stop: cfg.Stop, Log: n.Log.Part("entry"),
 	}
 	n.ready = func() error {
@@ -132,17 +138,39 @@
 		}
 		return nil
 	}
-	k.Register("operator", &sageoperator.Server{
+	operator := &sageoperator.Server{
 		Listener: n.listeners["operator"], Key: n.opKey, TLS: n.tls, Tickets: conf, State: conf.State, Metrics: n.metrics,
 		Ready: n.ready,
 		Status: func() any {
 			return Status{Node: cfg.Node.Name, DataCentre: cfg.Node.DataCentre, Revision: conf.Revision(), InFlight: entry.InFlight(), Services: k.Names()}
 		},
 		Log: n.Log.Part("operator"),
-	})
+	}
+	operator.Handle("GET /v1/report/burn", burn)
+	k.Register("operator", operator)
 	k.Register("entry", entry)
 }
 
+// objectives takes the settings' objectives over into the report's own type.
+func objectives(in []sagesettings.Objective) []sageburn.Objective {
+	out := make([]sageburn.Objective, len(in))
+	for i, o := range in {
+		out[i] = sageburn.Objective(o)
+	}
+	return out
+}
+
+// otherSeeds returns the peer addresses of the settings but this node's own.
+func (n *Node) otherSeeds() []string {
+	var out []string
+	for _, s := range n.Settings.Seeds {
+		if s.Peer != n.Settings.Listen.Peer {
+			out = append(out, s.Peer)
+		}
+	}
+	return out
+}
+
 // Status is what GET /v1/status shows of a node.
 type Status struct {
 	Node       string   `json:"node"`
--- a/internal/sagepath/sagepath.go
+++ b/internal/sagepath/sagepath.go
@@ -19,6 +19,7 @@
 	"github.com/google/uuid"
 	"github.com/pkg/errors"
 
+	"sagestand.example/sagestand/internal/sageburnd"
 	"sagestand.example/sagestand/internal/sagecaller"
 	"sagestand.example/sagestand/internal/sagefleet"
 	"sagestand.example/sagestand/internal/sagestandin"
@@ -74,7 +75,7 @@
 		run  func(context.Context) (string, error)
 	}{
 		{"standins", c.startStandins}, {"routers", c.startRouters}, {"ticket", c.firstTicket}, {"locate", c.locate},
-		{"chat", c.chat}, {"stream", c.stream}, {"booking", c.booking}, {"repeat", c.repeat}, {"refusal", c.refusal}, {"stop", c.stop},
+		{"chat", c.chat}, {"stream", c.stream}, {"booking", c.booking}, {"repeat", c.repeat}, {"refusal", c.refusal}, {"burn", c.burn}, {"stop", c.stop},
 	} {
 		detail, err := s.run(ctx)
 		step := Step{Name: s.name, OK: err == nil, Detail: detail}
@@ -186,6 +187,18 @@
 	return string(b), err
 }
 
+// burn asks one router for the report over all of them.
+func (c *Check) burn(ctx context.Context) (string, error) {
+	var rep sageburnd.Report
+	if err := c.fleet.Operator(0).Do(ctx, http.MethodGet, "/v1/report/burn", nil, &rep); err != nil {
+		return "", err
+	}
+	if rep.Nodes != len(c.fleet.Nodes) || len(rep.Lines) == 0 {
+		return "", fmt.Errorf("report of %d nodes with %d lines, missing %v: %w", rep.Nodes, len(rep.Lines), rep.Missing, ErrStep)
+	}
+	return fmt.Sprintf("%d lines from %d routers", len(rep.Lines), rep.Nodes), nil
+}
+
 func (c *Check) stop(ctx context.Context) (string, error) {
 	for _, p := range c.fleet.Nodes {
 		if err := p.Terminate(ctx); err != nil {
