--- /dev/null
+++ b/pkg/sageconfig/example_test.go
@@ -0,0 +1,21 @@
+package sageconfig_test
+
+import (
+	"fmt"
+
+	"sagestand.example/sagestand/pkg/sageconfig"
+)
+
+func ExampleState_Apply() {
+	derby := sageconfig.Thing{Kind: sageconfig.KindDataCentre, Name: "derby"}
+	out := sageconfig.Entry{Number: 8, Change: sageconfig.Change{Thing: derby, DataCentre: &sageconfig.DataCentre{}}}
+	in := sageconfig.Entry{Number: 7, Change: sageconfig.Change{Thing: derby, DataCentre: &sageconfig.DataCentre{InService: true}}}
+
+	s := sageconfig.NewState()
+	fmt.Println(s.Apply(out), s.Apply(in), s.Apply(out))
+	dc, _ := s.DataCentre("derby")
+	fmt.Println(dc.InService)
+	// Output:
+	// true false false
+	// false
+}
--- /dev/null
+++ b/pkg/sageconfig/state_test.go
@@ -0,0 +1,128 @@
+package sageconfig
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, v := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, v); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+// anyState draws states as the join of tickets: at most one content per number and thing.
+func anyState(t *rapid.T, label string) *State {
+	s := NewState()
+	for _, n := range rapid.SliceOfN(rapid.Uint64Range(1, 6), 0, 8).Draw(t, label) {
+		for _, name := range rapid.SliceOfN(rapid.SampledFrom([]string{"a", "b", "c"}), 1, 2).Draw(t, label) {
+			dc := &DataCentre{InService: n%2 == 0, Region: name}
+			s.Apply(Entry{Number: n, Change: Change{Thing: Thing{Kind: KindDataCentre, Name: name}, DataCentre: dc}})
+		}
+	}
+	return s
+}
+
+func joined(ss ...*State) *State {
+	s := NewState()
+	for _, o := range ss {
+		s.Merge(o)
+	}
+	return s
+}
+
+// Copies that exchange changes in any order, late or repeatedly, must hold the same in the end.
+func TestMergeIsJoin(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := anyState(t, "a"), anyState(t, "b"), anyState(t, "c")
+		assert.Equal(t, joined(a, b), joined(b, a), "commutative")
+		assert.Equal(t, joined(joined(a, b), c), joined(a, joined(b, c)), "associative")
+		assert.Equal(t, a, joined(a, a), "idempotent")
+		ab := joined(a, b)
+		for th, e := range a.Entries {
+			assert.GreaterOrEqual(t, ab.Entries[th].Number, e.Number, "never reverts")
+		}
+	})
+}
+
+// A clone is changed by one goroutine while the original is being served from.
+func TestCloneIsIndependent(t *testing.T) {
+	s := joined()
+	s.Apply(Entry{Number: 1, Change: Change{Thing: Thing{Kind: KindDataCentre, Name: "a"}, DataCentre: new(DataCentre)}})
+	c := s.Clone()
+	c.Apply(Entry{Number: 2, Change: Change{Thing: Thing{Kind: KindDataCentre, Name: "a"}, Deleted: true}})
+	_, ok := s.DataCentre("a")
+	assert.True(t, ok)
+	_, ok = c.DataCentre("a")
+	assert.False(t, ok)
+	assert.Equal(t, []string{"a"}, s.Names(KindDataCentre))
+	assert.Empty(t, c.Names(KindDataCentre))
+}
+
+func TestUnserved(t *testing.T) {
+	th := func(k Kind, n string) Thing { return Thing{Kind: k, Name: n} }
+	build := func(change func(*Upstream, *DataCentre, *UpstreamSet)) *State {
+		u := &Upstream{Kind: Engine, Address: "127.0.0.1:1", DataCentre: "derby", MaxInFlight: 1, Models: []string{"m@1"}}
+		d := &DataCentre{InService: true}
+		us := &UpstreamSet{Upstreams: []string{"e1"}}
+		change(u, d, us)
+		s := NewState()
+		s.ApplyTicket(&Ticket{Number: 1, Changes: []Change{
+			{Thing: th(KindUpstream, "e1"), Upstream: u},
+			{Thing: th(KindDataCentre, "derby"), DataCentre: d},
+			{Thing: th(KindUpstreamSet, "s"), UpstreamSet: us},
+			{Thing: th(KindModelSet, "ms"), ModelSet: &ModelSet{Versions: []string{"m@1"}}},
+			{Thing: th(KindRoute, "chat"), Route: &Route{Kind: RouteChat, UpstreamSet: "s", ModelSet: "ms"}},
+			{Thing: th(KindClientAccount, "haller"), ClientAccount: &ClientAccount{UpstreamSet: "s"}},
+			{Thing: th(KindClientAccount, "other"), ClientAccount: &ClientAccount{}},
+		}})
+		return s
+	}
+	both := map[Thing]bool{th(KindRoute, "chat"): true, th(KindClientAccount, "haller"): true}
+	for _, c := range []struct {
+		name   string
+		change func(*Upstream, *DataCentre, *UpstreamSet)
+		want   map[Thing]bool
+	}{
+		{"served", func(*Upstream, *DataCentre, *UpstreamSet) {}, map[Thing]bool{}},
+		{"leaving", func(u *Upstream, _ *DataCentre, _ *UpstreamSet) { u.Leaving = true }, both},
+		{"data centre out", func(_ *Upstream, d *DataCentre, _ *UpstreamSet) { d.InService = false }, both},
+		{"empty set", func(_ *Upstream, _ *DataCentre, s *UpstreamSet) { s.Upstreams = nil }, both},
+		{"application", func(u *Upstream, _ *DataCentre, _ *UpstreamSet) { u.Kind = Application }, both},
+		{"other version", func(u *Upstream, _ *DataCentre, _ *UpstreamSet) { u.Models = []string{"m@2"} }, map[Thing]bool{th(KindRoute, "chat"): true}},
+	} {
+		assert.Equal(t, c.want, build(c.change).Unserved(), c.name)
+	}
+}
+
+func TestParseThing(t *testing.T) {
+	th, err := ParseThing("data_centre/derby")
+	require.NoError(t, err)
+	assert.Equal(t, "data_centre/derby", th.String())
+	for _, bad := range []string{"", "derby", "zone/derby", "data_centre/", "data_centre/a b"} {
+		_, err := ParseThing(bad)
+		assert.ErrorIs(t, err, ErrBadThing, bad)
+	}
+}
+
+func BenchmarkClone(b *testing.B) {
+	s := NewState()
+	for i := range 34_500 {
+		name := "a" + string(rune('a'+i%26)) + string(rune('a'+i/26%26)) + string(rune('a'+i/676%26)) + string(rune('a'+i/17576))
+		s.Apply(Entry{Number: 1, Change: Change{Thing: Thing{Kind: KindClientAccount, Name: name}, ClientAccount: new(ClientAccount)}})
+	}
+	b.ReportMetric(float64(len(s.Entries)), "entries")
+	b.ReportAllocs()
+	for b.Loop() {
+		s.Clone()
+	}
+}
