Decide placement by bounded rendezvous order

Cause: each request needs an upstream whose cache is warm, under a bound on load, decided alike by routers that don't talk to each other. Change: pkg/sageplace: weighted rendezvous order on shared context or chat, bounded loads with a deterministic spill, widening of hot contexts, authenticated placement token, bounded evidence, and the baselines for measurements.

--- /dev/null
+++ b/pkg/sageplace/bounded.go
@@ -0,0 +1,68 @@
+package sageplace
+
+// ways is the number of entries that share a slot of a [Bounded]; the oldest of them gives way.
+const ways = 4
+
+// Bounded is a map of fixed size from hashed keys to values. A full slot forgets the entry that was
+// used longest ago, so what it holds is only ever a hint. It allocates only when made.
+type Bounded[V any] struct {
+	slots []slot[V]
+	clock uint32
+}
+
+type slot[V any] struct {
+	keys   [ways]uint64
+	used   [ways]uint32
+	values [ways]V
+}
+
+// NewBounded returns a map that holds about n entries.
+func NewBounded[V any](n int) *Bounded[V] {
+	return &Bounded[V]{slots: make([]slot[V], max(1, n/ways))}
+}
+
+// Get returns the value of key, or nil. The pointer holds until the next Put.
+func (b *Bounded[V]) Get(key uint64) *V {
+	s := b.slot(key)
+	for i, k := range s.keys {
+		if k == key {
+			b.clock++
+			s.used[i] = b.clock
+			return &s.values[i]
+		}
+	}
+	return nil
+}
+
+// Put returns the value of key, a zero one if it was absent.
+func (b *Bounded[V]) Put(key uint64) *V {
+	if v := b.Get(key); v != nil {
+		return v
+	}
+	s := b.slot(key)
+	oldest := 0
+	for i := range s.used {
+		if b.clock-s.used[i] > b.clock-s.used[oldest] {
+			oldest = i
+		}
+	}
+	b.clock++
+	var zero V
+	s.keys[oldest], s.used[oldest], s.values[oldest] = key, b.clock, zero
+	return &s.values[oldest]
+}
+
+// Delete forgets key.
+func (b *Bounded[V]) Delete(key uint64) {
+	s := b.slot(key)
+	for i, k := range s.keys {
+		if k == key {
+			var zero V
+			s.keys[i], s.used[i], s.values[i] = 0, 0, zero
+		}
+	}
+}
+
+func (b *Bounded[V]) slot(key uint64) *slot[V] {
+	return &b.slots[mix(key)%uint64(len(b.slots))]
+}
--- /dev/null
+++ b/pkg/sageplace/placer_test.go
@@ -0,0 +1,195 @@
+package sageplace
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"sort"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var start = time.Date(2026, 11, 1, 8, 0, 0, 0, time.UTC)
+
+func placer() *Placer[Narrow] { return &Placer[Narrow]{Bound: DefaultBound, Fresh: DefaultFresh} }
+
+// sorted is the plain statement of inOrder: sort by cost, take the first that may be taken.
+func sorted(t *Table, l *Loads, key uint64, tried []int, multiple float64) Choice {
+	var order []int
+	for i := range t.Upstreams {
+		if !slices.Contains(tried, i) {
+			order = append(order, i)
+		}
+	}
+	sort.Slice(order, func(a, b int) bool { return t.cost(key, order[a]) < t.cost(key, order[b]) })
+	if len(order) == 0 {
+		return Choice{Index: -1, Why: Empty}
+	}
+	if l.fits(order[0], multiple) {
+		return Choice{Index: order[0], Why: First}
+	}
+	for _, want := range []bool{true, false} {
+		for _, i := range order {
+			if l.all[i].Known == want && l.fits(i, multiple) {
+				return Choice{Index: i, Why: map[bool]Why{true: Spilled, false: Silent}[want]}
+			}
+		}
+	}
+	return Choice{Index: -1, Why: Over}
+}
+
+func drawLoads(t *rapid.T, n int) *Loads {
+	l := NewLoads(n)
+	for i := range n {
+		l.Set(i, Load{
+			InFlight: float64(rapid.IntRange(0, 20).Draw(t, "in flight")),
+			Cap:      rapid.IntRange(0, 16).Draw(t, "cap"),
+			Free:     rapid.IntRange(0, 2).Draw(t, "free"),
+			Known:    rapid.IntRange(0, 3).Draw(t, "known") > 0,
+		})
+	}
+	return l
+}
+
+func TestInOrderIsFirstThatFits(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(0, 9).Draw(t, "n")
+		ups := upstreams(n, 1)
+		for i := range ups {
+			ups[i].Weight = rapid.IntRange(1, 40).Draw(t, "weight")
+		}
+		tab, l := NewTable(ups), drawLoads(t, n)
+		key := rapid.Uint64().Draw(t, "key")
+		tried := rapid.SliceOfN(rapid.IntRange(0, 9), 0, 3).Draw(t, "tried")
+		got, want := inOrder(tab, l, key, tried, 1.25), sorted(tab, l, key, tried, 1.25)
+		if got != want {
+			t.Fatalf("got %+v, want %+v", got, want)
+		}
+	})
+}
+
+// Story: one engine carries twice what the others do and its chats time out, while the others idle.
+// Whatever rule chooses, the chosen upstream must be outside tried and under the bound after it.
+func TestChoiceKeepsBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 12).Draw(t, "n")
+		tab, l := NewTable(upstreams(n, 16)), drawLoads(t, n)
+		p := &Placer[*ByLoad]{Bound: 1.25, Fresh: 1.15, Width: NewByLoad(16)}
+		q := &Query{
+			Context: rapid.Uint64Range(0, 3).Draw(t, "context"),
+			Chat:    rapid.Uint64Range(0, 99).Draw(t, "chat"),
+			Place:   Place{Upstream: Key(fmt.Sprintf("engine-%d", rapid.IntRange(0, 13).Draw(t, "place")))},
+			Tried:   rapid.SliceOfN(rapid.IntRange(0, n-1), 0, 2).Draw(t, "tried"),
+		}
+		for step := range 8 {
+			c := p.Choose(start.Add(time.Duration(step)*3*time.Second), tab, l, q)
+			if c.Index < 0 {
+				for i := range n {
+					if !slices.Contains(q.Tried, i) && l.fits(i, p.Bound) {
+						t.Fatalf("refused as %v while %d fits", c.Why, i)
+					}
+				}
+				return
+			}
+			if slices.Contains(q.Tried, c.Index) || !l.fits(c.Index, p.Bound) {
+				t.Fatalf("chose %+v with %+v", c, l.At(c.Index))
+			}
+			l.Add(c.Index, 1)
+		}
+	})
+}
+
+func TestReturningChatIsKept(t *testing.T) {
+	tab := NewTable(upstreams(6, 10))
+	chat := Key("chat-1")
+	home := tab.Find(Key(first(tab, chat)))
+	other := (home + 1) % 6
+	place := Place{Upstream: Key(tab.Upstreams[other].Name), Generation: 4}
+	tests := []struct {
+		name  string
+		load  Load
+		tried []int
+		want  int
+	}{
+		{"warm", Load{InFlight: 5, Cap: 10, Free: 3, Known: true, CacheGeneration: 4}, nil, other},
+		{"cache lost", Load{InFlight: 5, Cap: 10, Free: 3, Known: true, CacheGeneration: 5}, nil, home},
+		{"over the bound", Load{InFlight: 9, Cap: 10, Free: 3, Known: true, CacheGeneration: 4}, nil, home},
+		{"cold, ramp full", Load{InFlight: 2, Cap: 2, Free: 3, Known: true, CacheGeneration: 4}, nil, home},
+		{"no allotment", Load{InFlight: 5, Cap: 10, Known: true, CacheGeneration: 4}, nil, home},
+		{"silent", Load{Cap: 10, Free: 3, CacheGeneration: 4}, nil, other},
+		{"tried", Load{InFlight: 5, Cap: 10, Free: 3, Known: true, CacheGeneration: 4}, []int{other}, home},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := even(6, 5, 10)
+			l.Set(other, tt.load)
+			c := placer().Choose(start, tab, l, &Query{Chat: chat, Place: place, Tried: tt.tried})
+			require.Equal(t, tt.want, c.Index)
+		})
+	}
+}
+
+// Story: an engine's reports stop while the others are busy. Its last word was "idle", so all routers
+// send it everything that the others may not take, and it falls over before it is heard again.
+func TestSilenceDrawsNoSpill(t *testing.T) {
+	tab := NewTable(upstreams(5, 10))
+	l := even(5, 8, 10)
+	l.Set(3, Load{Cap: 10, Free: 10})
+	for k := range 500 {
+		key := mix(uint64(k + 1))
+		busy := tab.Find(Key(first(tab, key)))
+		if busy == 3 {
+			continue
+		}
+		was := l.At(busy)
+		l.Set(busy, Load{InFlight: 10, Cap: 10, Free: 10, Known: true})
+		c := placer().Choose(start, tab, l, &Query{Chat: key})
+		require.Equal(t, Spilled, c.Why)
+		require.NotEqual(t, 3, c.Index)
+		l.Set(busy, was)
+	}
+	for i := range 5 {
+		l.Set(i, Load{InFlight: 10, Cap: 10, Free: 10, Known: i != 3})
+	}
+	l.Set(3, Load{Cap: 10, Free: 10})
+	c := placer().Choose(start, tab, l, &Query{Chat: 1})
+	require.Equal(t, Choice{Index: -1, Why: Over}, c, "when the rest is full the silent one counts as full")
+}
+
+func TestAllSilentStillServes(t *testing.T) {
+	tab := NewTable(upstreams(3, 10))
+	l := NewLoads(3)
+	l.Refresh(func(int) Load { return Load{Cap: 10, Free: 1} })
+	c := placer().Choose(start, tab, l, &Query{Chat: 5})
+	require.Equal(t, First, c.Why)
+	l.Add(c.Index, 1)
+	c = placer().Choose(start, tab, l, &Query{Chat: 5})
+	require.Equal(t, Silent, c.Why, "allotments alone hold the bound now")
+}
+
+func TestNoCandidate(t *testing.T) {
+	q := &Query{Chat: 5}
+	require.Equal(t, Choice{Index: -1, Why: Empty}, placer().Choose(start, NewTable(nil), NewLoads(0), q))
+	tab := NewTable(upstreams(2, 10))
+	q.Tried = []int{0, 1}
+	require.Equal(t, Choice{Index: -1, Why: Empty}, placer().Choose(start, tab, even(2, 0, 10), q))
+	q.Tried = nil
+	require.Equal(t, Choice{Index: -1, Why: Over}, placer().Choose(start, tab, even(2, 10, 10), q))
+}
+
+func TestBaselinesKeepCapacity(t *testing.T) {
+	tab := NewTable(upstreams(4, 10))
+	r := rand.New(rand.NewPCG(1, 1))
+	for _, p := range []Policy{&Random{r}, &RoundRobin{}, LeastLoaded{}, &TwoChoices{r}, PlainHash{}} {
+		l := even(4, 10, 10)
+		l.Set(2, Load{InFlight: 3, Cap: 10, Free: 5, Known: true})
+		for k := range 20 {
+			require.Equal(t, 2, p.Choose(start, tab, l, &Query{Chat: uint64(k + 1)}).Index, "%T", p)
+		}
+		require.Equal(t, -1, p.Choose(start, tab, l, &Query{Chat: 1, Tried: []int{2}}).Index, "%T", p)
+		require.Equal(t, -1, p.Choose(start, NewTable(nil), NewLoads(0), &Query{Chat: 1}).Index, "%T", p)
+	}
+}
--- /dev/null
+++ b/pkg/sageplace/width_test.go
@@ -0,0 +1,81 @@
+package sageplace
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Story: a festival greeting is shared by a third of all chats; its one engine stays at the bound and
+// each chat beyond it spills with its whole prompt uncached. The context must spread, then shrink
+// again when the rush is over, without going back and forth in between.
+func TestByLoadWidensAndNarrows(t *testing.T) {
+	tab := NewTable(upstreams(8, 20))
+	r := NewByLoad(16)
+	l := even(8, 8, 20)
+	ctx := Key("festival")
+	now := start
+	width := func() int { return len(r.Width(now, tab, l, ctx)) }
+	require.Equal(t, 1, width())
+
+	hot := r.Width(now, tab, l, ctx)[0]
+	l.Set(int(hot), Load{InFlight: 14, Cap: 20, Free: 9, Known: true})
+	now = now.Add(r.Hold)
+	require.Equal(t, 2, width(), "its upstream is above the high mark")
+	require.Equal(t, 2, width(), "the second one has room")
+	second := r.Width(now, tab, l, ctx)[1]
+	l.Set(int(second), Load{InFlight: 14, Cap: 20, Free: 9, Known: true})
+	now = now.Add(r.Hold / 2)
+	require.Equal(t, 2, width(), "the effect of the last change is not yet in the reports")
+	now = now.Add(r.Hold)
+	require.Equal(t, 3, width())
+
+	l = even(8, 8, 20)
+	now = now.Add(r.Rest)
+	require.Equal(t, 3, width(), "between the marks nothing changes")
+	l.Refresh(func(i int) Load {
+		n := 8.0
+		if i == int(hot) || i == int(second) {
+			n = 1
+		}
+		return Load{InFlight: n, Cap: 20, Free: 9, Known: true}
+	})
+	require.Equal(t, 2, width())
+	require.Equal(t, 2, width(), "one step in each rest")
+	now = now.Add(r.Rest)
+	require.Equal(t, 1, width())
+}
+
+func TestWidthKeptThroughTableChange(t *testing.T) {
+	r := NewByLoad(16)
+	ctx := Key("festival")
+	now, big := start, NewTable(upstreams(8, 20))
+	full := NewLoads(8)
+	full.Refresh(func(int) Load { return Load{InFlight: 20, Cap: 20, Known: true} })
+	for range 4 {
+		r.Width(now, big, full, ctx)
+		now = now.Add(r.Hold)
+	}
+	require.Len(t, r.Width(now, big, even(8, 5, 20), ctx), 5)
+	require.Len(t, r.Width(now, NewTable(upstreams(7, 20)), even(7, 5, 20), ctx), 5)
+	require.Len(t, r.Width(now, NewTable(upstreams(2, 20)), even(2, 5, 20), ctx), 2)
+	require.Empty(t, r.Width(now, NewTable(nil), NewLoads(0), ctx))
+}
+
+func TestByShareFollowsDemand(t *testing.T) {
+	r := NewByShare(64)
+	tab, l := NewTable(upstreams(10, 20)), even(10, 5, 20)
+	now, width := start, 0
+	for k := range 2000 {
+		now = now.Add(20 * time.Millisecond)
+		ctx := Key("festival")
+		if k%2 == 1 {
+			ctx = mix(uint64(k))
+		}
+		if w := len(r.Width(now, tab, l, ctx)); k%2 == 0 {
+			width = w
+		}
+	}
+	require.InDelta(t, 5, width, 1, "half of all requests, ten upstreams")
+}
