sageload: in-flight allotments, ramp, detector and estimates

Cause: routers that disagree, pause or are cut off must not together overload an upstream. Change: home nodes grant shares of an upstream's cap; majority promises, wait-out, causal echoes in place of compared clocks, guaranteed shares, a ramp by completed work, a latency detector.

--- /dev/null
+++ b/pkg/sageload/holding.go
@@ -0,0 +1,181 @@
+package sageload
+
+import "time"
+
+// Want is a router's ask to the home of one upstream. It is also the router's recognition of the
+// asked node as home.
+type Want struct {
+	Upstream string
+	// Holder names one process of one router.
+	Holder string
+	// Node is the router's name on the roster.
+	Node string
+	// Seq grows with each ask of a holder.
+	Seq uint64
+	// Echo is the Seq of the last answer that the holder adopted from this home; 0 for none.
+	Echo uint64
+	// Home is the process that gave the echoed answer.
+	Home string
+	// BootID is the boot that the requests in flight run on; empty if the holder knows none.
+	BootID string
+	// Over is the number of requests in flight beyond the guaranteed share.
+	Over int
+	// Units is the number the holder would like, beyond the guaranteed share.
+	Units int
+	// Recognise promises to recognise no other home until [Limits.Promise] has passed.
+	Recognise bool
+}
+
+// Grant is a home's answer. Zero units confirm the ask and allow nothing.
+type Grant struct {
+	Upstream string
+	Seq      uint64
+	// Home names one process of the granting node.
+	Home  string
+	Units int
+	// BootID is the boot of the upstream that the units are for.
+	BootID string
+	Cap    int
+	Report Report
+	// Known says that Report is recent.
+	Known bool
+	// Pending says that this node grants nothing yet: the holder keeps what it has to its deadline.
+	Pending bool
+	// Resigned releases the holder from its promise: this home grants no more.
+	Resigned bool
+}
+
+// Holding is a router's side of the allotment of one upstream. It is not safe for concurrent use.
+type Holding struct {
+	Upstream string
+	// Holder names this process, Node its place on the roster.
+	Holder string
+	Node   string
+	// Voter says that Node is in the upstream's electorate.
+	Voter bool
+	// Guaranteed is the part usable without a grant, see [Guaranteed].
+	Guaranteed int
+	Limits     Limits
+	// AbstainUntil is the end of the first promise period after the start of this process.
+	//
+	// A voter that restarts has forgotten its promise. If it voted at once, two homes could have a
+	// majority, and the upstream would get the grants of both. By this instant each promise of an
+	// earlier process of this node has run out.
+	AbstainUntil time.Time
+	// GuaranteedFrom is when the guaranteed share becomes usable: one request lifetime after the
+	// start of this process.
+	//
+	// Requests that an earlier process of this node sent on the share may run until then. Using it
+	// at once would put twice the share in flight.
+	GuaranteedFrom time.Time
+
+	running  map[string]int // requests in flight by the boot they were taken for
+	boot     string         // the boot last seen, by a grant or a connection
+	units    int
+	unitBoot string
+	until    time.Time
+	seq      uint64
+	echo     uint64
+	home     string // process that gave the adopted answer
+	askedAt  time.Time
+	promised string // node that holds the promise
+	promise  time.Time
+}
+
+// Ask returns the ask to send to the node that this router takes for home. It is false while a
+// promise binds the router to another node.
+func (h *Holding) Ask(now time.Time, home string, units int) (Want, bool) {
+	if h.Voter && h.promised != "" && h.promised != home && now.Before(h.promise) {
+		return Want{}, false
+	}
+	w := Want{Upstream: h.Upstream, Holder: h.Holder, Node: h.Node, BootID: h.boot, Over: max(0, h.InUse()-h.own(now)), Units: max(0, units-h.own(now))}
+	if h.Voter && !now.Before(h.AbstainUntil) {
+		h.promised, h.promise = home, now.Add(h.Limits.Promise)
+		w.Recognise = true
+	}
+	h.seq++
+	h.askedAt = now
+	w.Seq, w.Echo, w.Home = h.seq, h.echo, h.home
+	return w, true
+}
+
+// Answer adopts a home's answer to the latest ask and reports whether it did. An answer to an
+// earlier ask is dropped: the home has already stopped counting it.
+func (h *Holding) Answer(g Grant) bool {
+	if g.Seq != h.seq || g.Seq == h.echo {
+		return false
+	}
+	if g.Resigned {
+		h.promised = ""
+	}
+	h.echo, h.home = g.Seq, g.Home
+	if g.Pending {
+		return true
+	}
+	h.boot = g.BootID
+	h.units, h.unitBoot = g.Units, g.BootID
+	// The home counts from a later instant, when it answered, and for longer.
+	h.until = h.askedAt.Add(h.Limits.Grant)
+	return true
+}
+
+// Acquire takes one unit and reports whether the request may go. The request may only be sent to
+// the boot that is returned, see [Holding.Seen]; its unit goes back with [Holding.Release].
+//
+// It compares the deadline with the present, not with the last tick: a router that was paused past
+// the deadline would otherwise go on sending on units that the home has since given to others, and
+// the upstream would carry more than its cap.
+func (h *Holding) Acquire(now time.Time) (boot string, ok bool) {
+	if h.Free(now) <= 0 {
+		return "", false
+	}
+	if h.running == nil {
+		h.running = make(map[string]int)
+	}
+	h.running[h.boot]++
+	return h.boot, true
+}
+
+// Release gives back the unit of a request that has ended.
+func (h *Holding) Release(boot string) {
+	if h.running[boot]--; h.running[boot] <= 0 {
+		delete(h.running, boot)
+	}
+}
+
+// Free returns the units that Acquire can still give.
+func (h *Holding) Free(now time.Time) int {
+	n := h.own(now)
+	if now.Before(h.until) && h.unitBoot == h.boot {
+		n += h.units
+	}
+	return max(0, n-h.InUse())
+}
+
+// Seen tells the holding which boot a connection to the upstream leads to. If it is another one
+// than before, the units granted for the earlier boot are not usable any more.
+//
+// A restart closes the connections of the earlier boot. If each new connection is asked for its
+// boot id before it carries a request, no unit meant for a warm engine reaches its cold successor,
+// however late the home learns of the restart.
+func (h *Holding) Seen(boot string) { h.boot = boot }
+
+// BootID returns the boot last seen.
+func (h *Holding) BootID() string { return h.boot }
+
+// InUse returns the requests in flight on the present boot. Those sent while the boot was unknown
+// may run on any.
+func (h *Holding) InUse() int {
+	if h.boot == "" {
+		return h.running[""]
+	}
+	return h.running[h.boot] + h.running[""]
+}
+
+// own returns the part of the guaranteed share that is usable now.
+func (h *Holding) own(now time.Time) int {
+	if now.Before(h.GuaranteedFrom) {
+		return 0
+	}
+	return h.Guaranteed
+}
--- /dev/null
+++ b/pkg/sageload/home.go
@@ -0,0 +1,90 @@
+package sageload
+
+import (
+	"sort"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// Member is a node as far as homes are concerned.
+type Member struct {
+	Name       string
+	DataCentre string
+}
+
+// MinElectorate is the least number of roster nodes in a data centre for them alone to be the
+// electorate of its upstreams.
+const MinElectorate = 5
+
+// score is the rendezvous weight of a node for an upstream.
+func score(upstream, node string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	_, _ = d.WriteString(upstream)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(node)
+	return d.Sum64()
+}
+
+// Home returns the node that should probe the upstream and grant its shares: the first in
+// rendezvous order among the live nodes of its data centre, or among all of them if none is there.
+// Callers pass only nodes of the upstream's electorate, because only these can win a majority.
+func Home(upstream, dataCentre string, live []Member) (string, bool) {
+	best, found, near := "", false, false
+	var top uint64
+	for _, m := range live {
+		n := m.DataCentre == dataCentre
+		if near && !n {
+			continue
+		}
+		s := score(upstream, m.Name)
+		if !found || n && !near || s > top || s == top && m.Name < best {
+			best, top, found, near = m.Name, s, true, n
+		}
+	}
+	return best, found
+}
+
+// Electorate returns the roster nodes whose majority decides who is the upstream's home: those of
+// its data centre if they are at least [MinElectorate], else the whole roster.
+func Electorate(dataCentre string, roster []Member) []Member {
+	var near []Member
+	for _, m := range roster {
+		if m.DataCentre == dataCentre {
+			near = append(near, m)
+		}
+	}
+	if len(near) >= MinElectorate {
+		return near
+	}
+	return roster
+}
+
+// Guaranteed returns the node's part of the floor units of an upstream that are set aside for use
+// without a grant. The parts of all roster nodes sum to floor exactly; the first in rendezvous
+// order get one more where it does not divide.
+func Guaranteed(upstream, node string, roster []Member, floor int) int {
+	if len(roster) == 0 || floor <= 0 {
+		return 0
+	}
+	names := make([]string, 0, len(roster))
+	in := false
+	for _, m := range roster {
+		names = append(names, m.Name)
+		in = in || m.Name == node
+	}
+	if !in {
+		return 0
+	}
+	sort.Slice(names, func(i, j int) bool {
+		a, b := score(upstream, names[i]), score(upstream, names[j])
+		return a > b || a == b && names[i] < names[j]
+	})
+	units := floor / len(names)
+	for i, n := range names {
+		if n == node && i < floor%len(names) {
+			units++
+		}
+	}
+	return units
+}
--- /dev/null
+++ b/pkg/sageload/ledger.go
@@ -0,0 +1,208 @@
+package sageload
+
+import "time"
+
+// unbounded is more units than any upstream has, and small enough for sums.
+const unbounded = 1 << 30
+
+// Ledger is the home's side of the allotment of one upstream: who may have how much in flight. It
+// is not safe for concurrent use.
+//
+// For each holder it commits the greatest number of requests, beyond the guaranteed share, that
+// the holder may have in flight: what it last reported, or any grant that it may still adopt or
+// use, whichever is more. What holders of earlier homes left running is committed as carried.
+// The sum of all commitments and the floor stays within the cap whenever it grants.
+type Ledger struct {
+	// Home names this process.
+	Home       string
+	Electorate []string
+	Limits     Limits
+	// Floor is the sum of the guaranteed shares.
+	Floor int
+
+	capacity int
+	boot     string
+	report   Report
+	reported time.Time // when the report arrived
+	probed   time.Time // when the probe of the report was sent
+	resigned bool
+
+	recognised map[string]time.Time
+	majority   time.Time // a majority recognises this home until then
+	grantFrom  time.Time // end of the wait for grants of earlier homes
+	carried    carried
+	holders    map[string]*holder
+}
+
+// holder is the ledger's account of one router process.
+type holder struct {
+	seq  uint64
+	over int
+	want int
+	last sent // answered latest, perhaps not adopted
+	echo sent // adopted, as the holder's echo said
+	// known says that over counts everything the holder has in flight on this boot, see carried.
+	known bool
+}
+
+// sent is one answer that a holder may act on.
+type sent struct {
+	seq   uint64
+	units int
+	at    time.Time
+	until time.Time // the holder can't use it after this instant
+}
+
+// carried bounds the requests in flight that no holder of this term has reported.
+type carried struct {
+	units int
+	// from is the first instant at which the number can only fall; until is when all have ended.
+	from, until time.Time
+	// seen is when the first report that counts them arrived; zero before.
+	seen time.Time
+}
+
+// commit returns the greatest number of requests the holder may have in flight beyond its
+// guaranteed share.
+func (h *holder) commit() int { return max(h.over, h.last.units, h.echo.units) }
+
+// until returns the instant after which the holder can't start requests on any grant.
+func (h *holder) until() time.Time {
+	if h.echo.until.After(h.last.until) {
+		return h.echo.until
+	}
+	return h.last.until
+}
+
+// Ask takes a holder's ask at the instant now and returns the answer.
+func (l *Ledger) Ask(now time.Time, w Want) Grant {
+	l.advance(now)
+	g := Grant{Upstream: w.Upstream, Seq: w.Seq, Home: l.Home, BootID: l.boot, Cap: l.capacity,
+		Report: l.report, Known: l.Known(now), Pending: true, Resigned: l.resigned}
+	h := l.holder(w)
+	if w.Seq <= h.seq {
+		// A late or repeated ask carries an old count of requests in flight; taking it would free
+		// units that are in use. The holder drops the answer too.
+		return g
+	}
+	l.confirm(now, h, w)
+	l.vote(now, w)
+	if l.Granting(now) && l.settle(h) {
+		g.Units, g.Pending = l.share(h, w.Units), false
+	}
+	h.seq = w.Seq
+	h.last = sent{seq: w.Seq, units: g.Units, at: now, until: now.Add(l.Limits.long(l.Limits.Grant))}
+	if g.Pending {
+		h.last.units, h.last.until = h.echo.units, h.echo.until // the holder keeps what it has
+	}
+	return g
+}
+
+// Report takes the answer of a probe that was sent at the instant sent and says what the upstream
+// bears now (see [Ramp]).
+func (l *Ledger) Report(now, sent time.Time, r Report, bears int) {
+	l.advance(now)
+	if sent.Before(l.probed) {
+		return
+	}
+	if l.boot != r.BootID {
+		l.restart(r.BootID)
+	}
+	l.report, l.reported, l.probed, l.capacity = r, now, sent, bears
+	l.observe(now, sent, r.InFlight)
+}
+
+// Known reports whether the last report is recent.
+func (l *Ledger) Known(now time.Time) bool {
+	return !l.reported.IsZero() && now.Sub(l.reported) < l.Limits.Grant
+}
+
+// Granting reports whether this home may grant now.
+func (l *Ledger) Granting(now time.Time) bool {
+	return !l.resigned && l.recognisedAt(now) && !now.Before(l.grantFrom) && l.Known(now)
+}
+
+// Resign ends the term: from now on nothing is granted, and answers release the holders from
+// their promise, so that a successor need not wait for it.
+func (l *Ledger) Resign() { l.resigned = true }
+
+// Committed returns the units that holders may have in flight, the floor included.
+func (l *Ledger) Committed() int {
+	n := l.Floor
+	for _, h := range l.holders {
+		n += h.commit()
+	}
+	return n + l.carried.units
+}
+
+// holder returns the record of the asking process, a new one if it has none.
+func (l *Ledger) holder(w Want) *holder {
+	if l.holders == nil {
+		l.holders = make(map[string]*holder)
+	}
+	h := l.holders[w.Holder]
+	if h == nil {
+		h = new(holder)
+		l.holders[w.Holder] = h
+	}
+	return h
+}
+
+// confirm takes over what the ask says of the holder. The holder adopts only the answer to its
+// latest ask, so of all answers only the echoed one and the coming one count from here on.
+func (l *Ledger) confirm(now time.Time, h *holder, w Want) {
+	if w.Home == l.Home && h.last.seq == w.Echo {
+		h.echo = h.last
+	} else if h.echo.seq != w.Echo || w.Home != l.Home {
+		h.echo = sent{}
+	}
+	if !now.Before(h.echo.until) {
+		h.echo.units = 0
+	}
+	h.over, h.want = w.Over, w.Units
+	if w.BootID != "" && w.BootID != l.boot {
+		h.over = 0 // on a boot that is gone
+	}
+	if !l.carried.seen.IsZero() && !h.known && h.echo.at.After(l.carried.seen) {
+		h.known = true
+		l.carried.units = max(0, l.carried.units-h.over)
+	}
+}
+
+// settle reports whether the holder may be granted units: only once everything it has in flight is
+// counted apart from the carried requests. Otherwise requests on a first grant would be taken for
+// carried ones, and the carried ones of dead routers would be forgotten.
+func (l *Ledger) settle(h *holder) bool {
+	return !l.carried.seen.IsZero() && h.known
+}
+
+// share returns the units for a holder: its max-min fair share of the cap by wants, but no more
+// than the other commitments leave.
+func (l *Ledger) share(h *holder, want int) int {
+	left := l.capacity - l.Floor - l.carried.units
+	others := 0
+	for _, o := range l.holders {
+		if o != h {
+			others += o.commit()
+		}
+	}
+	return max(0, min(want, l.fair(left), left-others))
+}
+
+// fair returns the level at which the wants of all holders, each cut to the level, fill left.
+func (l *Ledger) fair(left int) int {
+	lo, hi := 0, max(0, left)
+	for lo < hi {
+		mid := (lo + hi + 1) / 2
+		sum := 0
+		for _, h := range l.holders {
+			sum += min(mid, max(h.want, h.over))
+		}
+		if sum <= left {
+			lo = mid
+		} else {
+			hi = mid - 1
+		}
+	}
+	return max(lo, 1)
+}
--- /dev/null
+++ b/pkg/sageload/part_test.go
@@ -0,0 +1,148 @@
+package sageload
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+func TestGuaranteedSumsToFloor(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, floor := rapid.IntRange(1, 30).Draw(t, "nodes"), rapid.IntRange(0, 100).Draw(t, "floor")
+		roster := make([]Member, n)
+		for i := range roster {
+			roster[i].Name = string(rune('a'+i%26)) + string(rune('a'+i/26))
+		}
+		sum := 0
+		for _, m := range roster {
+			sum += Guaranteed("u", m.Name, roster, floor)
+		}
+		require.Equal(t, floor, sum)
+		require.Zero(t, Guaranteed("u", "stranger", roster, floor))
+	})
+}
+
+func TestHomeIsNearAndMovesLittle(t *testing.T) {
+	live := []Member{{"a", "x"}, {"b", "x"}, {"c", "y"}, {"d", "y"}}
+	for _, u := range []string{"u1", "u2", "u3", "u4", "u5", "u6"} {
+		h, ok := Home(u, "y", live)
+		require.True(t, ok)
+		require.Contains(t, []string{"c", "d"}, h)
+		without := live[:3] // d is gone: only its upstreams move
+		if h == "c" {
+			again, _ := Home(u, "y", without)
+			require.Equal(t, "c", again)
+		}
+		far, ok := Home(u, "z", live)
+		require.True(t, ok)
+		require.NotEmpty(t, far)
+	}
+	_, ok := Home("u", "x", nil)
+	require.False(t, ok)
+	require.Len(t, Electorate("y", live), 4, "two are too few to decide alone")
+}
+
+func TestRampGrowsWithWorkAndRestarts(t *testing.T) {
+	p := Ramp{Start: 2, PerUnit: 4, Max: 9}
+	for _, c := range []struct {
+		name string
+		r    Report
+		want int
+	}{
+		{"just started", Report{BootID: "b1", Bears: 16}, 2},
+		{"time alone", Report{BootID: "b1", Bears: 16}, 2},
+		{"work", Report{BootID: "b1", Bears: 16, Completed: 8}, 4},
+		{"bears less than the ramp", Report{BootID: "b1", Bears: 3, Completed: 12}, 3},
+		{"configured limit", Report{BootID: "b1", Bears: 16, Completed: 100}, 9},
+		{"cache dropped", Report{BootID: "b1", Bears: 16, Completed: 100, CacheGeneration: 1}, 2},
+		{"work again", Report{BootID: "b1", Bears: 16, Completed: 104, CacheGeneration: 1}, 3},
+		{"new boot", Report{BootID: "b2", Bears: 16, Completed: 1, CacheGeneration: 1}, 2},
+	} {
+		require.Equal(t, c.want, p.Observe(c.r), c.name)
+	}
+	warm := Ramp{Start: 2, PerUnit: 4}
+	require.Equal(t, 16, warm.Observe(Report{BootID: "b1", Bears: 16, Completed: 1000}), "a new home of a warm engine")
+	warm.Restart()
+	require.Equal(t, 2, warm.Observe(Report{BootID: "b1", Bears: 16, Completed: 1000}), "back from an exit")
+}
+
+// Story: an engine drops its compiled kernels without restarting and tells nobody; users see
+// answers four times as slow. The detector must say so once, and not for a single slow answer.
+func TestDetectorSeesColdOnce(t *testing.T) {
+	var d Detector
+	feed := func(latency float64, n int) (colds int) {
+		for i := range n {
+			if d.Observe(latency * (1 + 0.2*float64(i%3-1))) {
+				colds++
+			}
+		}
+		return colds
+	}
+	require.Zero(t, feed(10, 200))
+	require.Zero(t, feed(300, 1), "one slow answer")
+	require.Zero(t, feed(10, 50))
+	require.Equal(t, 1, feed(45, 100))
+	require.True(t, d.Cold())
+	require.Zero(t, feed(22, 100), "between the thresholds nothing changes")
+	require.True(t, d.Cold())
+	require.Zero(t, feed(10, 100))
+	require.False(t, d.Cold())
+}
+
+// Story: a lagging report says that an engine is idle, and a router sends it everything for as long
+// as the report stays. Its own dispatches must count, and an old report must not pass for idle.
+func TestEstimateAddsOwnDispatches(t *testing.T) {
+	now := time.Unix(100, 0)
+	e := Estimate{Silence: 5 * time.Second}
+	require.False(t, e.Known(now), "never heard of is unknown")
+	e.Observe(now, Report{AsOf: now})
+	for range 4 {
+		e.Dispatched()
+	}
+	require.EqualValues(t, 4, e.InFlight())
+	e.Observe(now.Add(time.Second), Report{AsOf: now.Add(time.Second), InFlight: 1})
+	require.EqualValues(t, 5, e.InFlight(), "the report may miss dispatches since the one before")
+	e.Observe(now.Add(2*time.Second), Report{AsOf: now.Add(2 * time.Second), InFlight: 4})
+	require.EqualValues(t, 4, e.InFlight(), "now it shows them")
+	for range 4 {
+		e.Ended()
+	}
+	require.True(t, e.Known(now.Add(6*time.Second)))
+	require.False(t, e.Known(now.Add(7*time.Second)))
+}
+
+func TestLimitsCheck(t *testing.T) {
+	require.NoError(t, DefaultLimits.Check())
+	require.ErrorIs(t, Limits{}.Check(), ErrBadLimits)
+	bad := DefaultLimits
+	bad.Drift = 0.5
+	require.ErrorIs(t, bad.Check(), ErrBadLimits)
+}
+
+func BenchmarkAcquireRelease(b *testing.B) {
+	now := time.Unix(0, 0)
+	h := Holding{Guaranteed: 4, Limits: DefaultLimits}
+	b.ReportAllocs()
+	for b.Loop() {
+		boot, _ := h.Acquire(now)
+		h.Release(boot)
+	}
+}
+
+func BenchmarkLedgerAsk(b *testing.B) {
+	s := newStage("")
+	l := s.homeOf("a")
+	var asking []*Holding
+	for _, n := range []string{"a", "b", "c", "d"} {
+		asking = append(asking, s.router(n))
+	}
+	s.run(5*time.Second, l, "a", bearsTen, asking...)
+	b.ReportAllocs()
+	for b.Loop() {
+		s.now = s.now.Add(time.Millisecond)
+		w, _ := asking[0].Ask(s.now, "a", 5)
+		asking[0].Answer(l.Ask(s.now, w))
+	}
+}
