--- a/cmd/sagebench/path.go
+++ b/cmd/sagebench/path.go
@@ -31,11 +31,16 @@
 			return err
 		},
 	}
+	addPrograms(c, &p.Sagestand, &p.Sagebench)
+	return c
+}
+
+// addPrograms adds the flag that names the program sagestand, by default beside this one.
+func addPrograms(c *cobra.Command, sagestand, sagebench *string) {
 	self, err := os.Executable()
 	if err != nil {
 		self = "sagebench"
 	}
-	c.Flags().StringVar(&p.Sagestand, "sagestand", filepath.Join(filepath.Dir(self), "sagestand"), "the program sagestand")
-	p.Sagebench = self
-	return c
+	*sagebench = self
+	c.Flags().StringVar(sagestand, "sagestand", filepath.Join(filepath.Dir(self), "sagestand"), "the program sagestand")
 }
--- /dev/null
+++ b/internal/sagecost/sagecost.go
@@ -0,0 +1,208 @@
+package sagecost
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"slices"
+	"sync"
+	"time"
+
+	"sagestand.example/sagestand/internal/sagecaller"
+	"sagestand.example/sagestand/internal/sagefleet"
+	"sagestand.example/sagestand/internal/sagestandin"
+	"sagestand.example/sagestand/pkg/sagewire"
+)
+
+// Shape of the measurement.
+const (
+	workers      = 16
+	streams      = 16
+	streamTokens = 2000
+	settle       = 2 * time.Second
+)
+
+// Figures is the result.
+type Figures struct {
+	Calls             int     `json:"calls"`
+	DirectP50Micros   float64 `json:"direct_p50_micros"`
+	DirectP99Micros   float64 `json:"direct_p99_micros"`
+	RoutedP50Micros   float64 `json:"routed_p50_micros"`
+	RoutedP99Micros   float64 `json:"routed_p99_micros"`
+	AddedP50Micros    float64 `json:"added_p50_micros"`
+	AddedP99Micros    float64 `json:"added_p99_micros"`
+	CPUMicrosPerCall  float64 `json:"cpu_micros_per_call"`
+	CallsPerSecond    float64 `json:"calls_per_second"`
+	StreamTokens      int     `json:"stream_tokens"`
+	TokensPerCoreSec  float64 `json:"tokens_per_core_second"`
+	RSSAtRestBytes    int64   `json:"rss_at_rest_bytes"`
+	RSSUnderLoadBytes int64   `json:"rss_under_load_bytes"`
+}
+
+// Measure is one measurement. Its fields are set before Run.
+type Measure struct {
+	Sagestand string
+	Sagebench string
+	Calls     int
+
+	fleet *sagefleet.Fleet
+	fig   Figures
+}
+
+// Run measures one router before one engine and one application.
+func (m *Measure) Run(ctx context.Context) (Figures, error) {
+	dir, err := os.MkdirTemp("", "sagestand-cost")
+	if err != nil {
+		return m.fig, fmt.Errorf("cost: %w", err)
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	l := sagefleet.NewLayout(1, 1, []string{"derby"})
+	m.fleet = &sagefleet.Fleet{Layout: l, Sagestand: m.Sagestand, Sagebench: m.Sagebench, Dir: dir, EngineArgs: []string{"--token-micros", "0", "--prompt-micros", "0"}}
+	defer m.fleet.Stop()
+	if err := m.fleet.Start(ctx); err != nil {
+		return m.fig, fmt.Errorf("cost: %w", err)
+	}
+	m.fig.Calls = m.Calls
+	for _, step := range []func(context.Context) error{m.rest, m.latency, m.throughput, m.tokens} {
+		if err := step(ctx); err != nil {
+			return m.fig, fmt.Errorf("cost: %w", err)
+		}
+	}
+	return m.fig, nil
+}
+
+func (m *Measure) usage() (Usage, error) { return ReadUsage(m.fleet.Nodes[0].PID()) }
+
+// rest reads the memory of a router that serves nothing.
+func (m *Measure) rest(context.Context) error {
+	time.Sleep(settle)
+	u, err := m.usage()
+	m.fig.RSSAtRestBytes = u.RSS
+	return err
+}
+
+// latency times single calls, directly and routed, one after another.
+func (m *Measure) latency(ctx context.Context) error {
+	app := m.fleet.Layout.Upstreams[1].Address // the one engine comes first
+	entry := m.fleet.Layout.Nodes[0].Listen.Entry
+	direct, err := m.times(ctx, "http://"+app+"/reservations")
+	if err != nil {
+		return err
+	}
+	routed, err := m.times(ctx, "http://"+entry+"/v1/services/"+sagefleet.ServiceRoute+"/reservations")
+	if err != nil {
+		return err
+	}
+	f := &m.fig
+	f.DirectP50Micros, f.DirectP99Micros = quantile(direct, 0.5), quantile(direct, 0.99)
+	f.RoutedP50Micros, f.RoutedP99Micros = quantile(routed, 0.5), quantile(routed, 0.99)
+	f.AddedP50Micros, f.AddedP99Micros = f.RoutedP50Micros-f.DirectP50Micros, f.RoutedP99Micros-f.DirectP99Micros
+	return nil
+}
+
+// get sends one idempotent call and reads its answer.
+func get(ctx context.Context, h *http.Client, url string) error {
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, url, nil)
+	if err != nil {
+		return fmt.Errorf("call: %w", err)
+	}
+	req.Header.Set("Authorization", "Bearer "+sagefleet.AccountKey)
+	res, err := h.Do(req)
+	if err != nil {
+		return fmt.Errorf("call: %w", err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	b, err := io.ReadAll(res.Body)
+	if err != nil {
+		return fmt.Errorf("call: %w", err)
+	}
+	if res.StatusCode != http.StatusOK || !bytes.Contains(b, []byte(`"path"`)) {
+		return fmt.Errorf("call: %s: %s: %w", res.Status, b, sagecaller.ErrNoEntry)
+	}
+	return nil
+}
+
+func (m *Measure) times(ctx context.Context, url string) ([]time.Duration, error) {
+	h := &http.Client{}
+	out := make([]time.Duration, 0, m.Calls)
+	for range m.Calls {
+		start := time.Now()
+		if err := get(ctx, h, url); err != nil {
+			return nil, err
+		}
+		out = append(out, time.Since(start))
+	}
+	slices.Sort(out)
+	return out, nil
+}
+
+// quantile returns quantile q of sorted times, in microseconds.
+func quantile(sorted []time.Duration, q float64) float64 {
+	i := min(len(sorted)-1, int(q*float64(len(sorted))))
+	return float64(sorted[i]) / float64(time.Microsecond)
+}
+
+// throughput sends calls side by side and reads the router's processor time for them.
+func (m *Measure) throughput(ctx context.Context) error {
+	before, err := m.usage()
+	if err != nil {
+		return err
+	}
+	url := "http://" + m.fleet.Layout.Nodes[0].Listen.Entry + "/v1/services/" + sagefleet.ServiceRoute + "/reservations"
+	start := time.Now()
+	each := m.Calls / 2
+	errs := make([]error, workers)
+	var wg sync.WaitGroup
+	for i := range workers {
+		wg.Go(func() {
+			h := &http.Client{Transport: &http.Transport{}}
+			for range each {
+				if errs[i] = get(ctx, h, url); errs[i] != nil {
+					return
+				}
+			}
+		})
+	}
+	wg.Wait()
+	for _, err := range errs {
+		if err != nil {
+			return err
+		}
+	}
+	after, err := m.usage()
+	n := float64(each * workers)
+	m.fig.CPUMicrosPerCall = float64(after.CPU-before.CPU) / float64(time.Microsecond) / n
+	m.fig.CallsPerSecond = n / time.Since(start).Seconds()
+	m.fig.RSSUnderLoadBytes = after.RSS
+	return err
+}
+
+// tokens streams long answers side by side and reads the router's processor time for them.
+func (m *Measure) tokens(ctx context.Context) error {
+	before, err := m.usage()
+	if err != nil {
+		return err
+	}
+	ends := make([]sagecaller.End, streams)
+	var wg sync.WaitGroup
+	for i := range streams {
+		wg.Go(func() {
+			c := &sagecaller.Caller{Entries: m.fleet.Layout.Entries(), Key: sagefleet.AccountKey, HTTP: &http.Client{Transport: &http.Transport{}}}
+			chat := &sagestandin.ChatRequest{Model: sagefleet.Model, Stream: true, MaxTokens: streamTokens, Messages: []sagestandin.Message{{Role: "user", Content: fmt.Sprint("stream ", i)}}}
+			ends[i] = c.Chat(ctx, chat, sagecaller.Options{Chat: fmt.Sprint("chat-", i)})
+		})
+	}
+	wg.Wait()
+	for _, e := range ends {
+		if e.Outcome != sagewire.Complete || e.Wrong != "" || e.Lost != nil {
+			return fmt.Errorf("stream ended %q, %s, %v: %w", e.Outcome, e.Wrong, e.Lost, sagecaller.ErrNoEntry)
+		}
+	}
+	after, err := m.usage()
+	m.fig.StreamTokens = streams * streamTokens
+	m.fig.TokensPerCoreSec = float64(m.fig.StreamTokens) / (after.CPU - before.CPU).Seconds()
+	return err
+}
--- /dev/null
+++ b/internal/sagecost/usage.go
@@ -0,0 +1,47 @@
+package sagecost
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrBadUsage reports process figures that can't be read.
+var ErrBadUsage = errors.New("malformed process figures")
+
+// ticksPerSecond is the unit of processor time in /proc; it is 100 on every Linux in use.
+const ticksPerSecond = 100
+
+// Usage is what a process has used so far.
+type Usage struct {
+	CPU time.Duration
+	RSS int64
+}
+
+// ReadUsage reads the processor time and resident memory of a process from /proc.
+func ReadUsage(pid int) (Usage, error) {
+	b, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		return Usage{}, fmt.Errorf("read usage: %w", err)
+	}
+	// The name in parentheses may hold spaces; the fields after it are numbers.
+	_, rest, ok := strings.Cut(string(b), ") ")
+	f := strings.Fields(rest)
+	if !ok || len(f) < 22 {
+		return Usage{}, fmt.Errorf("stat of %d: %w", pid, ErrBadUsage)
+	}
+	var n [3]int64
+	for i, field := range []int{11, 12, 21} {
+		if n[i], err = strconv.ParseInt(f[field], 10, 64); err != nil {
+			return Usage{}, fmt.Errorf("stat of %d: %v: %w", pid, err, ErrBadUsage)
+		}
+	}
+	return Usage{
+		CPU: time.Duration(n[0]+n[1]) * time.Second / ticksPerSecond,
+		RSS: n[2] * int64(os.Getpagesize()),
+	}, nil
+}
--- a/internal/sagedemo/skew.go
+++ b/internal/sagedemo/skew.go
@@ -41,7 +41,7 @@
 		case <-t.C:
 		}
 		var loads []int
-		for _, e := range d.engines {
+		for _, e := range d.system.Engines {
 			loads = append(loads, e.State().InFlight)
 		}
 		s.add(loads)
--- a/internal/sagefleet/fleet.go
+++ b/internal/sagefleet/fleet.go
@@ -124,8 +124,10 @@
 }
 
 // Operator returns a client of a node's operator interface.
-func (f *Fleet) Operator(node int) *sageoperator.Client {
-	return &sageoperator.Client{URL: "http://" + f.Layout.Nodes[node].Listen.Operator, Key: OperatorKey, HTTP: http.DefaultClient}
+func (f *Fleet) Operator(node int) *sageoperator.Client { return operator(f.Layout, node) }
+
+func operator(l *Layout, node int) *sageoperator.Client {
+	return &sageoperator.Client{URL: "http://" + l.Nodes[node].Listen.Operator, Key: OperatorKey, HTTP: http.DefaultClient}
 }
 
 // Submit submits a ticket through one node.
--- a/internal/sagefleet/process.go
+++ b/internal/sagefleet/process.go
@@ -96,6 +96,16 @@
 	}
 }
 
+// PID returns the process's number, 0 before its start.
+func (p *Process) PID() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.cmd == nil {
+		return 0
+	}
+	return p.cmd.Process.Pid
+}
+
 func (p *Process) exited() <-chan struct{} {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- /dev/null
+++ b/internal/sagemeasure/registry.go
@@ -0,0 +1,18 @@
+package sagemeasure
+
+import (
+	"maps"
+	"slices"
+)
+
+// registry holds every measure by the name under which sagebench runs it.
+var registry = map[string]Func{}
+
+// Names returns the names of all measures in order.
+func Names() []string { return slices.Sorted(maps.Keys(registry)) }
+
+// Lookup returns the measure of that name.
+func Lookup(name string) (Func, bool) {
+	f, ok := registry[name]
+	return f, ok
+}
