Measure placement and spread hot contexts by load

Change: internal/sagemeasure replays a seeded trace over fake engines in virtual time and measures churn, skew and exit against five baselines and an oracle. pkg/sageplace: a chat new to a spread context takes the less loaded of its first two; bound 1.35 and fresh 1.1; less urgent requests leave a part of each engine free. Removed guards that a test notices: yield (TestBulkLeavesRoom), two choices (TestSpreadContextTakesLessLoaded).

--- /dev/null
+++ b/internal/sagemeasure/churn.go
@@ -0,0 +1,84 @@
+package sagemeasure
+
+import "time"
+
+// The parts of a replay: caches fill, then figures count.
+const (
+	warmUp  = 120 * time.Second
+	measure = 240 * time.Second
+	tail    = 30 * time.Second
+)
+
+// Churn measures cache reuse, cached prompt tokens / prompt tokens, while engines join, leave and
+// flap, routers are replaced, and each router learns of a change up to four seconds late.
+func Churn(seed uint64) ([]Sample, error) {
+	var out []Sample
+	for _, s := range []site{trentvale, haller} {
+		trace := makeTrace(s, seed, warmUp+measure)
+		best := 0.0
+		for _, v := range all() {
+			p := runChurn(s, v, trace, seed)
+			reuse := p.reuse(warmUp)
+			if v.name == oracle.name {
+				best = reuse
+			}
+			out = append(out, Sample{Scenario: s.name, Policy: v.name, Metric: "cache reuse", Value: reuse})
+			of := Sample{Scenario: s.name, Policy: v.name, Metric: "cache reuse of oracle's", Value: reuse / best}
+			if v.name == ours.name || v.name == oursCounts.name {
+				of.Target = &Target{AtLeast, 0.95}
+			}
+			out = append(out, of)
+		}
+	}
+	return out, nil
+}
+
+func runChurn(s site, v variant, trace []request, seed uint64) *replay {
+	p := newReplay(s, v, trace, seed)
+	p.churn()
+	p.runUntil(warmUp + measure + tail)
+	return p
+}
+
+// churn arranges what happens to engines and routers. Every 20 seconds an engine flaps: it crashes
+// and is back, cold, five seconds later. Every 60 seconds an engine leaves for 45 seconds as planned
+// and returns cold. Every 30 seconds a router is replaced by one that remembers nothing.
+func (p *replay) churn() {
+	n := len(p.engines)
+	p.every(warmUp/2, 20*time.Second, func() {
+		i := p.rand.IntN(n)
+		if e := p.engines[i]; e.up && !e.leaving {
+			p.flap(i, 5*time.Second)
+		}
+	})
+	p.every(warmUp/2, 60*time.Second, func() {
+		i := p.rand.IntN(n)
+		if e := p.engines[i]; e.up && !e.leaving {
+			p.leave(i, 45*time.Second)
+		}
+	})
+	p.every(warmUp/2, 30*time.Second, func() { p.boot(p.routers[p.rand.IntN(len(p.routers))]) })
+}
+
+func (p *replay) flap(i int, back time.Duration) {
+	e := p.engines[i]
+	p.announce(i, false)
+	e.crash()
+	p.after(back, func() {
+		e.up = true
+		p.announce(i, true)
+	})
+}
+
+// leave drains an engine: no router sends it new work after changeDelay, and it stops when the last
+// request is done.
+func (p *replay) leave(i int, back time.Duration) {
+	e := p.engines[i]
+	e.leaving = true
+	p.announce(i, false)
+	p.after(back-5*time.Second, func() { e.crash() })
+	p.after(back, func() {
+		e.up, e.leaving = true, false
+		p.announce(i, true)
+	})
+}
--- /dev/null
+++ b/internal/sagemeasure/replay_test.go
@@ -0,0 +1,100 @@
+package sagemeasure
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sagestand.example/sagestand/pkg/sagewire"
+)
+
+// small is a site that a test can replay in less than a second.
+var small = site{name: "small", dataCentres: 2, engines: 6, routers: 3, accounts: 4, contexts: 4, festival: 0.2, use: 0.6}
+
+func replayed(s site, v variant, seed uint64) *replay {
+	trace := makeTrace(s, seed, time.Minute)
+	p := newReplay(s, v, trace, seed)
+	p.every(20*time.Second, 20*time.Second, func() { p.flap(p.rand.IntN(len(p.engines)), 5*time.Second) })
+	p.runUntil(2 * time.Minute)
+	return p
+}
+
+func TestReplayIsTheSameForOneSeed(t *testing.T) {
+	a, b, c := replayed(small, ours, 3), replayed(small, ours, 3), replayed(small, ours, 4)
+	require.Equal(t, a.reuse(0), b.reuse(0))
+	for i := range a.results {
+		require.Equal(t, a.results[i].at, b.results[i].at)
+	}
+	require.NotEqual(t, a.reuse(0), c.reuse(0))
+}
+
+func TestEveryRequestEnds(t *testing.T) {
+	p := replayed(small, ours, 1)
+	for i := range p.results {
+		require.NotZero(t, p.results[i].at, "request %d has neither answer nor refusal", i)
+	}
+	for _, e := range p.engines {
+		require.Zero(t, e.inFlight())
+	}
+	for _, r := range p.routers {
+		for _, n := range r.own {
+			require.Zero(t, n)
+		}
+	}
+}
+
+// The order of the policies is what the published tables rest on; a change of the decision code that
+// loses it must not pass unseen.
+func TestPolicyBeatsBaselinesThroughFlaps(t *testing.T) {
+	got := replayed(small, ours, 1).reuse(0)
+	require.Greater(t, got, 0.95*replayed(small, oracle, 1).reuse(0))
+	for _, v := range append(baselines, firstVersion) {
+		require.Greater(t, got, replayed(small, v, 1).reuse(0), v.name)
+	}
+}
+
+func TestExitStopsNewWork(t *testing.T) {
+	trace := makeTrace(small, 1, 40*time.Second)
+	p := newReplay(small, ours, trace, 1)
+	p.after(20*time.Second, func() {
+		p.inService[0] = false
+		p.announceAll(0, false)
+	})
+	p.runUntil(time.Minute)
+	began := 0
+	for i := range trace {
+		if r := &p.results[i]; r.done && r.engine.dataCentre == 0 {
+			require.LessOrEqual(t, trace[i].at, 20*time.Second+changeDelay)
+			began++
+		}
+	}
+	require.NotZero(t, began)
+}
+
+func TestEngineServesUrgentFirst(t *testing.T) {
+	var ended []int
+	c := new(clock)
+	e := &engine{slots: 1, up: true, cache: newPrefixCache(1000), clock: c, jobs: map[*job]bool{}}
+	e.ended = func(j *job, ok bool) {
+		require.True(t, ok)
+		ended = append(ended, j.number)
+	}
+	for n, p := range []sagewire.Priority{sagewire.Normal, sagewire.Bulk, sagewire.Urgent} {
+		e.submit(&job{request: &request{number: n, chat: uint64(n + 1), fresh: 100, output: 10, priority: p}})
+	}
+	c.runUntil(time.Minute)
+	require.Equal(t, []int{0, 2, 1}, ended)
+}
+
+func TestPrefixCacheForgetsOldest(t *testing.T) {
+	c := newPrefixCache(1000)
+	a := &request{context: 1, contextTokens: 300, chat: 2, history: 400}
+	b := &request{context: 1, contextTokens: 300, chat: 3, history: 400}
+	c.store(a, 400)
+	require.Equal(t, 700, c.cached(a))
+	require.Equal(t, 300, c.cached(b), "the shared context alone")
+	c.store(b, 400)
+	require.Equal(t, 700, c.cached(b))
+	require.Equal(t, 300, c.cached(a), "1100 tokens don't fit")
+}
--- /dev/null
+++ b/internal/sagemeasure/skew.go
@@ -0,0 +1,111 @@
+package sagemeasure
+
+import (
+	"sort"
+	"time"
+)
+
+// promised is the multiple of the mean that no engine is to exceed.
+const promised = 1.5
+
+// Skew measures how unevenly the engines are loaded: Zipf accounts, at haller with a context that
+// three chats of ten share, while each 15 seconds a router loses sight of an engine for 10 seconds.
+func Skew(seed uint64) ([]Sample, error) {
+	var out []Sample
+	for _, s := range []site{trentvale, haller} {
+		trace := makeTrace(s, seed, warmUp+measure)
+		for _, v := range all() {
+			p := newReplay(s, v, trace, seed)
+			p.disagree()
+			k := p.sampleSkew(warmUp, warmUp+measure)
+			p.runUntil(warmUp + measure + tail)
+			rows := k.samples(v)
+			rows = append(rows, Sample{Metric: "cache reuse", Value: p.reuse(warmUp)})
+			for _, r := range rows {
+				r.Scenario, r.Policy = s.name, v.name
+				out = append(out, r)
+			}
+		}
+	}
+	return out, nil
+}
+
+// disagree makes the routers disagree about which engines exist.
+func (p *replay) disagree() {
+	p.every(warmUp/2, 15*time.Second, func() {
+		r, i := p.routers[p.rand.IntN(len(p.routers))], p.rand.IntN(len(p.engines))
+		p.see(r, i, false, 0)
+		p.see(r, i, true, 10*time.Second)
+	})
+}
+
+// samples returns the figures of s; one of the project's own policies has the promised bound as target.
+func (s *skewSampler) samples(v variant) []Sample {
+	over := Sample{Metric: "samples over 1.5 x mean", Unit: "%", Value: 100 * float64(s.over) / float64(max(1, len(s.maxOverMean)))}
+	if v.name == ours.name || v.name == oursCounts.name {
+		over.Target = &Target{AtMost, 0}
+	}
+	return []Sample{
+		{Metric: "max/mean, median sample", Value: quantile(s.maxOverMean, 0.5)},
+		{Metric: "max/mean, worst sample", Value: quantile(s.maxOverMean, 1)},
+		{Metric: "p99/mean, median sample", Value: quantile(s.p99OverMean, 0.5)},
+		over,
+	}
+}
+
+// skewSampler looks at the true loads of all usable engines at fixed times. Loads are compared by what
+// each engine bears: one in cold start is not idle because it may carry only four requests.
+type skewSampler struct {
+	maxOverMean []float64
+	p99OverMean []float64
+	// over counts the samples in which an engine carried more than ceil(promised x mean).
+	over int
+}
+
+// sampleSkew samples every 100 ms from an instant to another.
+func (p *replay) sampleSkew(from, to time.Duration) *skewSampler {
+	s := new(skewSampler)
+	p.every(from, 100*time.Millisecond, func() {
+		if p.now < to {
+			s.sample(p)
+		}
+	})
+	return s
+}
+
+func (s *skewSampler) sample(p *replay) {
+	total, capacity := 0, 0
+	for _, e := range p.engines {
+		if p.usable(e) {
+			total += e.inFlight()
+			capacity += e.bears()
+		}
+	}
+	if total == 0 {
+		return
+	}
+	var relative []float64
+	over := false
+	for _, e := range p.engines {
+		if p.usable(e) {
+			relative = append(relative, float64(e.inFlight()*capacity)/float64(e.bears()*total))
+			over = over || e.inFlight() > ceiling(promised, total, capacity, e.bears())
+		}
+	}
+	sort.Float64s(relative)
+	s.maxOverMean = append(s.maxOverMean, relative[len(relative)-1])
+	s.p99OverMean = append(s.p99OverMean, relative[(len(relative)*99+99)/100-1])
+	if over {
+		s.over++
+	}
+}
+
+// quantile returns the q-quantile of v, 0 if v is empty.
+func quantile(v []float64, q float64) float64 {
+	if len(v) == 0 {
+		return 0
+	}
+	s := append([]float64(nil), v...)
+	sort.Float64s(s)
+	return s[min(len(s)-1, int(q*float64(len(s))))]
+}
--- /dev/null
+++ b/internal/sagemeasure/trace.go
@@ -0,0 +1,146 @@
+package sagemeasure
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"sort"
+	"time"
+
+	"sagestand.example/sagestand/pkg/sageplace"
+	"sagestand.example/sagestand/pkg/sagewire"
+)
+
+// site is a size at which to measure.
+type site struct {
+	name        string
+	dataCentres int
+	engines     int
+	routers     int
+	accounts    int
+	// contexts is the number of shared contexts of each account.
+	contexts int
+	// festival is the part of all chats that share one context, besides the Zipf order of the rest.
+	festival float64
+	// use is the part of all slots that the trace keeps busy when nothing is cached but contexts.
+	use float64
+}
+
+// The users' sizes of today.
+var (
+	trentvale = site{name: "trentvale", dataCentres: 4, engines: 12, routers: 8, accounts: 10, contexts: 8, festival: 0, use: 0.55}
+	haller    = site{name: "haller", dataCentres: 3, engines: 18, routers: 8, accounts: 10, contexts: 8, festival: 0.3, use: 0.55}
+)
+
+// What a fake engine has, and how long a request of the trace occupies it on average.
+const (
+	engineSlots = 32
+	engineCache = 400_000 // tokens
+	meanService = 2700 * time.Millisecond
+)
+
+// request is one request of a trace.
+type request struct {
+	number        int
+	at            time.Duration
+	deadline      time.Duration
+	account       uint64
+	context       uint64
+	contextTokens int
+	chat          uint64
+	chatName      string
+	// history is the part of the prompt that the chat has sent before, fresh the part that is new.
+	history  int
+	fresh    int
+	output   int
+	priority sagewire.Priority
+}
+
+func (r *request) prompt() int { return r.contextTokens + r.history + r.fresh }
+
+// patience is the time from a request to its deadline by priority.
+var patience = [sagewire.Priorities]time.Duration{10 * time.Second, 15 * time.Second, 60 * time.Second}
+
+// makeTrace returns the requests of a site until end. Chats begin as a Poisson process, take a
+// geometric number of turns and return after log-normal pauses. Accounts and their contexts are
+// drawn by Zipf's law.
+func makeTrace(s site, seed uint64, end time.Duration) []request {
+	r := rand.New(rand.NewPCG(seed, 0x7261636574))
+	accounts, contexts := zipf(s.accounts, 1.1), zipf(s.contexts, 1)
+	lengths := make([]int, s.accounts*s.contexts)
+	for i := range lengths {
+		lengths[i] = 1000 + r.IntN(4000)
+	}
+	const meanTurns = 5
+	perSecond := float64(s.engines) * engineSlots * s.use / meanService.Seconds() / meanTurns
+	var trace []request
+	// The first chats begin before the trace so that it starts with chats of every age.
+	for t := -90.0; t < end.Seconds(); t += r.ExpFloat64() / perSecond {
+		account := draw(r, accounts)
+		context := account*s.contexts + draw(r, contexts)
+		if r.Float64() < s.festival {
+			account, context = 0, 0
+		}
+		c := request{
+			account: sageplace.Key(fmt.Sprint("account-", account)),
+			context: sageplace.Key(fmt.Sprint("context-", context)), contextTokens: lengths[context],
+			chatName: fmt.Sprint("chat-", len(trace), "-", t), priority: drawPriority(r),
+		}
+		c.chat = sageplace.Key(c.chatName)
+		trace = appendChat(trace, r, c, t, end, meanTurns)
+	}
+	sort.SliceStable(trace, func(a, b int) bool { return trace[a].at < trace[b].at })
+	for i := range trace {
+		trace[i].number = i
+	}
+	return trace
+}
+
+// appendChat adds the turns of one chat that fall into the trace.
+func appendChat(trace []request, r *rand.Rand, c request, t float64, end time.Duration, meanTurns float64) []request {
+	c.fresh = 200 + r.IntN(1000)
+	for {
+		c.at = time.Duration(t * float64(time.Second))
+		c.deadline = c.at + patience[c.priority]
+		c.output = min(300, 20+int(r.ExpFloat64()*80))
+		if c.at >= end {
+			return trace
+		}
+		if c.at >= 0 {
+			trace = append(trace, c)
+		}
+		if r.Float64() < 1/meanTurns {
+			return trace
+		}
+		c.history += c.fresh + c.output
+		c.fresh = 20 + r.IntN(200)
+		t += 8 + 20*math.Exp(0.8*r.NormFloat64())
+	}
+}
+
+func drawPriority(r *rand.Rand) sagewire.Priority {
+	switch x := r.Float64(); {
+	case x < 0.2:
+		return sagewire.Urgent
+	case x < 0.8:
+		return sagewire.Normal
+	}
+	return sagewire.Bulk
+}
+
+// zipf returns the cumulative probabilities of n ranks by Zipf's law.
+func zipf(n int, exponent float64) []float64 {
+	p, sum := make([]float64, n), 0.0
+	for i := range p {
+		sum += math.Pow(float64(i+1), -exponent)
+		p[i] = sum
+	}
+	for i := range p {
+		p[i] /= sum
+	}
+	return p
+}
+
+func draw(r *rand.Rand, cumulative []float64) int {
+	return min(sort.SearchFloat64s(cumulative, r.Float64()), len(cumulative)-1)
+}
--- /dev/null
+++ b/internal/sagemeasure/variants.go
@@ -0,0 +1,103 @@
+package sagemeasure
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"sagestand.example/sagestand/pkg/sageplace"
+)
+
+// variant is one way to place requests.
+type variant struct {
+	name   string
+	policy func(p *replay) sageplace.Policy
+	// token lets placement tokens ride with the callers; memory lets each router remember the chats
+	// that it served.
+	token, memory bool
+	// yield lets less urgent requests leave room for urgent ones.
+	yield bool
+	// feed is reports if it is zero.
+	feed feed
+}
+
+// ours is what the daemon does.
+var ours = variant{name: "sagestand", token: true, yield: true, policy: byLoad(sageplace.DefaultBound, sageplace.DefaultFresh)}
+
+// oursCounts is ours with a faster view of the load.
+var oursCounts = variant{name: "sagestand, counts", token: true, yield: true, feed: counts, policy: ours.policy}
+
+// firstVersion is the bounded order alone, which the project began with.
+var firstVersion = variant{name: "first version", policy: narrow(1.25, 1.25)}
+
+func byLoad(bound, fresh float64) func(*replay) sageplace.Policy {
+	return func(*replay) sageplace.Policy {
+		return &sageplace.Placer[*sageplace.ByLoad]{Bound: bound, Fresh: fresh, Width: sageplace.NewByLoad(1024)}
+	}
+}
+
+func byShare(bound, fresh float64) func(*replay) sageplace.Policy {
+	return func(*replay) sageplace.Policy {
+		return &sageplace.Placer[*sageplace.ByShare]{Bound: bound, Fresh: fresh, Width: sageplace.NewByShare(1024)}
+	}
+}
+
+func narrow(bound, fresh float64) func(*replay) sageplace.Policy {
+	return func(*replay) sageplace.Policy {
+		return &sageplace.Placer[sageplace.Narrow]{Bound: bound, Fresh: fresh}
+	}
+}
+
+var oracle = variant{name: "oracle", policy: func(p *replay) sageplace.Policy { return &seer{p} }}
+
+var baselines = []variant{
+	{name: "random", policy: func(p *replay) sageplace.Policy { return &sageplace.Random{Rand: p.rand} }},
+	{name: "round robin", policy: func(*replay) sageplace.Policy { return &sageplace.RoundRobin{} }},
+	{name: "least loaded", policy: func(*replay) sageplace.Policy { return sageplace.LeastLoaded{} }},
+	{name: "two choices", policy: func(p *replay) sageplace.Policy { return &sageplace.TwoChoices{Rand: p.rand} }},
+	{name: "plain hash", policy: func(*replay) sageplace.Policy { return sageplace.PlainHash{} }},
+}
+
+// seer is the oracle: it sees the true caches and loads of all engines without lag, and sends each
+// request to the one under the bound that holds most of its prompt, the least loaded of these.
+type seer struct{ p *replay }
+
+// Choose implements [sageplace.Policy].
+func (s *seer) Choose(_ time.Time, _ *sageplace.Table, _ *sageplace.Loads, q *sageplace.Query) sageplace.Choice {
+	p := s.p
+	r := &request{context: q.Context, contextTokens: 1 << 20, chat: q.Chat, history: 1 << 20}
+	total, capacity := 1, 0
+	for _, e := range p.engines {
+		if p.usable(e) {
+			total += e.inFlight()
+			capacity += e.bears()
+		}
+	}
+	best, cached, load := -1, -1, 0
+	for i, e := range p.engines {
+		if !p.usable(e) || e.inFlight()+1 > min(e.bears(), ceiling(sageplace.DefaultBound, total, capacity, e.bears())) {
+			continue
+		}
+		c := e.cache.cached(r)
+		if c > cached || c == cached && e.inFlight() < load {
+			best, cached, load = i, c, e.inFlight()
+		}
+	}
+	if best < 0 {
+		return sageplace.Choice{Index: -1, Why: sageplace.Over}
+	}
+	return sageplace.Choice{Index: best, Why: sageplace.First}
+}
+
+// usable reports whether an engine is a candidate in truth.
+func (p *replay) usable(e *engine) bool { return e.up && !e.leaving && p.inService[e.dataCentre] }
+
+// ceiling returns ceil(multiple x mean) for an engine that bears that much of the whole capacity.
+func ceiling(multiple float64, total, capacity, bears int) int {
+	return int(math.Ceil(multiple * float64(total) * float64(bears) / float64(max(capacity, 1))))
+}
+
+// all returns every policy that a table compares.
+func all() []variant {
+	return slices.Concat([]variant{oracle, ours, oursCounts, firstVersion}, baselines)
+}
--- a/pkg/sageplace/baseline.go
+++ b/pkg/sageplace/baseline.go
@@ -38,7 +38,7 @@
 func (LeastLoaded) Choose(_ time.Time, t *Table, l *Loads, q *Query) Choice {
 	best := -1
 	for i := range t.Upstreams {
-		if open(l, q, i) && (best < 0 || relative(l, i) < relative(l, best)) {
+		if open(l, q, i) && (best < 0 || l.relative(i) < l.relative(best)) {
 			best = i
 		}
 	}
@@ -58,7 +58,7 @@
 		return Choice{Index: -1, Why: Empty}
 	}
 	a, b := p.Rand.IntN(n), p.Rand.IntN(n)
-	if relative(l, b) < relative(l, a) {
+	if l.relative(b) < l.relative(a) {
 		a, b = b, a
 	}
 	if open(l, q, a) {
@@ -91,8 +91,6 @@
 	return v.Free > 0 && v.InFlight+1 <= float64(v.Cap) && !slices.Contains(q.Tried, i)
 }
 
-func relative(l *Loads, i int) float64 { return l.all[i].InFlight / float64(max(1, l.all[i].Cap)) }
-
 // next returns the first open upstream from i on, in the order of the table.
 func next(l *Loads, q *Query, i int) Choice {
 	for k := range l.all {
--- a/pkg/sageplace/bench_test.go
+++ b/pkg/sageplace/bench_test.go
@@ -45,7 +45,7 @@
 	t, l := busy()
 	b.ReportAllocs()
 	for n := uint64(1); b.Loop(); n++ {
-		inOrder(t, l, mix(n), nil, DefaultBound)
+		inOrder(t, l, mix(n), nil, l.limit(DefaultBound, 0))
 	}
 }
 
--- a/pkg/sageplace/loads.go
+++ b/pkg/sageplace/loads.go
@@ -83,23 +83,32 @@
 	return math.Max(v.InFlight, l.mean(i))
 }
 
-// fits reports whether one request more keeps upstream i within multiple x mean, its own capacity
-// and this router's allotment.
-func (l *Loads) fits(i int, multiple float64) bool { return l.under(i, l.mark(multiple)) }
+// limit is how far an upstream may be loaded.
+type limit struct {
+	// mean is the load, for each unit of capacity, that is the wanted multiple of the mean after one
+	// request more.
+	mean float64
+	// part is the part of its capacity that may be used.
+	part float64
+}
 
-// mark returns the load, for each unit of capacity, that is multiple x mean after one request more.
-func (l *Loads) mark(multiple float64) float64 {
+func (l *Loads) limit(multiple, yield float64) limit {
 	if l.capacity <= 0 {
-		return math.MaxFloat64 // nothing is known: only allotments and capacities hold
+		return limit{mean: math.MaxFloat64, part: 1 - yield} // nothing is known of the mean
 	}
-	return multiple * (l.inFlight + 1) / l.capacity
+	return limit{mean: multiple * (l.inFlight + 1) / l.capacity, part: 1 - yield}
 }
 
-func (l *Loads) under(i int, mark float64) bool {
+// fits reports whether one request more keeps upstream i within the limit and this router's
+// allotment.
+func (l *Loads) fits(i int, m limit) bool {
 	v := &l.all[i]
 	if v.Free < 1 {
 		return false
 	}
-	after := l.estimate(i) + 1
-	return after <= float64(v.Cap) && after <= math.Ceil(mark*float64(v.Cap))
+	after, capacity := l.estimate(i)+1, float64(v.Cap)
+	return after <= capacity*m.part && after <= math.Ceil(m.mean*capacity)
 }
+
+// relative returns the part of its capacity that upstream i carries.
+func (l *Loads) relative(i int) float64 { return l.estimate(i) / math.Max(1, float64(l.all[i].Cap)) }
--- a/pkg/sageplace/placer.go
+++ b/pkg/sageplace/placer.go
@@ -8,11 +8,15 @@
 // The multiples of the mean load that docs/design/placement.md measured best.
 const (
 	// DefaultBound is for all requests.
-	DefaultBound = 1.25
+	DefaultBound = 1.35
 	// DefaultFresh is for chats of which an upstream holds nothing.
-	DefaultFresh = 1.15
+	DefaultFresh = 1.1
 )
 
+// DefaultYield is the part of an upstream's capacity that a request leaves free, from the most urgent
+// priority class to the least.
+var DefaultYield = [3]float64{0, 0.05, 0.2}
+
 // Place names an upstream by the [Key] of its name, and the generation of its cache.
 type Place struct {
 	Upstream   uint64
@@ -31,6 +35,8 @@
 	Place Place
 	// Tried lists upstreams, by place in the table, that must not be chosen again.
 	Tried []int
+	// Yield is the part of an upstream's capacity that the request leaves to more urgent ones.
+	Yield float64
 }
 
 // Why tells which rule chose.
@@ -85,10 +91,10 @@
 			return Choice{Index: i, Why: First}
 		}
 	}
-	c := inOrder(t, l, key, q.Tried, p.Fresh)
+	c := inOrder(t, l, key, q.Tried, l.limit(p.Fresh, q.Yield))
 	if c.Why == Over || c.Why == Silent {
 		// Above Fresh everywhere: the bound itself decides.
-		c = inOrder(t, l, key, q.Tried, p.Bound)
+		c = inOrder(t, l, key, q.Tried, l.limit(p.Bound, q.Yield))
 	}
 	return c
 }
@@ -103,28 +109,39 @@
 	if i < 0 || l.all[i].CacheGeneration != q.Place.Generation {
 		return -1
 	}
-	if slices.Contains(q.Tried, i) || !l.fits(i, p.Bound) {
+	if slices.Contains(q.Tried, i) || !l.fits(i, l.limit(p.Bound, q.Yield)) {
 		return -1
 	}
 	return i
 }
 
-// wide returns the upstream for the chat among those that its context is spread over, or -1.
+// wide returns the upstream for the chat among those that its context is spread over, or -1. It is
+// the less loaded of the first two of the chat's own order: the chat has no cached prefix here, the
+// context is cached on both, so evening out the load costs nothing.
 func (p *Placer[W]) wide(now time.Time, t *Table, l *Loads, q *Query) int {
-	first := p.Width.Width(now, t, l, q.Context)
-	if len(first) < 2 {
+	among := p.Width.Width(now, t, l, q.Context)
+	if len(among) < 2 {
 		return -1
 	}
-	key := q.chatKey()
-	mark := l.mark(p.Fresh)
-	best, at := ^uint64(0), -1
-	for _, i := range first {
+	key, m := q.chatKey(), l.limit(p.Fresh, q.Yield)
+	const none = ^uint64(0)
+	first, firstAt := none, -1
+	second, secondAt := none, -1
+	for _, i := range among {
 		c := t.cost(key, int(i))
-		if c < best && l.under(int(i), mark) && !slices.Contains(q.Tried, int(i)) {
-			best, at = c, int(i)
+		if c >= second || !l.fits(int(i), m) || slices.Contains(q.Tried, int(i)) {
+			continue
 		}
+		second, secondAt = c, int(i)
+		if c < first {
+			first, second = second, first
+			firstAt, secondAt = secondAt, firstAt
+		}
+	}
+	if secondAt >= 0 && l.relative(secondAt) < l.relative(firstAt) {
+		return secondAt
 	}
-	return at
+	return firstAt
 }
 
 // key is what the order is made from: chats of one context meet on the same upstreams.
@@ -148,9 +165,8 @@
 //
 // An upstream of unknown load is taken as first of the order, where chats return to it anyway, but
 // not as a spill while a known one fits: all routers would spill on it blindly.
-func inOrder(t *Table, l *Loads, key uint64, tried []int, multiple float64) Choice {
+func inOrder(t *Table, l *Loads, key uint64, tried []int, m limit) Choice {
 	const none = ^uint64(0)
-	mark := l.mark(multiple)
 	front, frontAt := none, -1
 	known, knownAt := none, -1
 	silent, silentAt := none, -1
@@ -167,7 +183,7 @@
 			front, frontAt = c, i
 		}
 		switch {
-		case !l.under(i, mark):
+		case !l.fits(i, m):
 		case l.all[i].Known:
 			known, knownAt = c, i
 		case c < silent:
--- a/pkg/sageplace/placer_test.go
+++ b/pkg/sageplace/placer_test.go
@@ -17,7 +17,7 @@
 func placer() *Placer[Narrow] { return &Placer[Narrow]{Bound: DefaultBound, Fresh: DefaultFresh} }
 
 // sorted is the plain statement of inOrder: sort by cost, take the first that may be taken.
-func sorted(t *Table, l *Loads, key uint64, tried []int, multiple float64) Choice {
+func sorted(t *Table, l *Loads, key uint64, tried []int, m limit) Choice {
 	var order []int
 	for i := range t.Upstreams {
 		if !slices.Contains(tried, i) {
@@ -28,12 +28,12 @@
 	if len(order) == 0 {
 		return Choice{Index: -1, Why: Empty}
 	}
-	if l.fits(order[0], multiple) {
+	if l.fits(order[0], m) {
 		return Choice{Index: order[0], Why: First}
 	}
 	for _, want := range []bool{true, false} {
 		for _, i := range order {
-			if l.all[i].Known == want && l.fits(i, multiple) {
+			if l.all[i].Known == want && l.fits(i, m) {
 				return Choice{Index: i, Why: map[bool]Why{true: Spilled, false: Silent}[want]}
 			}
 		}
@@ -64,7 +64,8 @@
 		tab, l := NewTable(ups), drawLoads(t, n)
 		key := rapid.Uint64().Draw(t, "key")
 		tried := rapid.SliceOfN(rapid.IntRange(0, 9), 0, 3).Draw(t, "tried")
-		got, want := inOrder(tab, l, key, tried, 1.25), sorted(tab, l, key, tried, 1.25)
+		m := l.limit(1.25, 0)
+		got, want := inOrder(tab, l, key, tried, m), sorted(tab, l, key, tried, m)
 		if got != want {
 			t.Fatalf("got %+v, want %+v", got, want)
 		}
@@ -77,24 +78,25 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 12).Draw(t, "n")
 		tab, l := NewTable(upstreams(n, 16)), drawLoads(t, n)
-		p := &Placer[*ByLoad]{Bound: 1.25, Fresh: 1.15, Width: NewByLoad(16)}
+		p := &Placer[*ByLoad]{Bound: DefaultBound, Fresh: DefaultFresh, Width: NewByLoad(16)}
 		q := &Query{
 			Context: rapid.Uint64Range(0, 3).Draw(t, "context"),
 			Chat:    rapid.Uint64Range(0, 99).Draw(t, "chat"),
 			Place:   Place{Upstream: Key(fmt.Sprintf("engine-%d", rapid.IntRange(0, 13).Draw(t, "place")))},
+			Yield:   float64(rapid.IntRange(0, 1).Draw(t, "yield")) / 4,
 			Tried:   rapid.SliceOfN(rapid.IntRange(0, n-1), 0, 2).Draw(t, "tried"),
 		}
 		for step := range 8 {
 			c := p.Choose(start.Add(time.Duration(step)*3*time.Second), tab, l, q)
 			if c.Index < 0 {
 				for i := range n {
-					if !slices.Contains(q.Tried, i) && l.fits(i, p.Bound) {
+					if !slices.Contains(q.Tried, i) && l.fits(i, l.limit(p.Bound, q.Yield)) {
 						t.Fatalf("refused as %v while %d fits", c.Why, i)
 					}
 				}
 				return
 			}
-			if slices.Contains(q.Tried, c.Index) || !l.fits(c.Index, p.Bound) {
+			if slices.Contains(q.Tried, c.Index) || !l.fits(c.Index, l.limit(p.Bound, q.Yield)) {
 				t.Fatalf("chose %+v with %+v", c, l.At(c.Index))
 			}
 			l.Add(c.Index, 1)
@@ -170,6 +172,39 @@
 	require.Equal(t, Silent, c.Why, "allotments alone hold the bound now")
 }
 
+// Story: a context is spread over four engines, but all its new chats of a minute start on one of
+// them, because a hash alone is blind to load. Of the two that a chat may use, the idler one must win.
+func TestSpreadContextTakesLessLoaded(t *testing.T) {
+	tab := NewTable(upstreams(12, 20))
+	p := &Placer[fixed]{Bound: 1.35, Fresh: 1.1, Width: fixed(4)}
+	ctx, l := Key("festival"), even(12, 8, 20)
+	taken := map[int]int{}
+	for k := range 400 {
+		c := p.Choose(start, tab, l, &Query{Context: ctx, Chat: mix(uint64(k + 1))})
+		require.Equal(t, First, c.Why)
+		taken[c.Index]++
+	}
+	require.Len(t, taken, 4)
+	var order [4]int32
+	tab.Order(ctx, order[:])
+	l.Set(int(order[0]), Load{InFlight: 7, Cap: 20, Free: 20, Known: true})
+	more := 0
+	for k := range 400 {
+		if p.Choose(start, tab, l, &Query{Context: ctx, Chat: mix(uint64(k + 1))}).Index == int(order[0]) {
+			more++
+		}
+	}
+	require.InDelta(t, 200, more, 40, "it wins for each chat that has it among its first two of four")
+}
+
+// fixed is a constant width.
+type fixed int
+
+func (n fixed) Width(_ time.Time, t *Table, _ *Loads, context uint64) []int32 {
+	order := make([]int32, n)
+	return order[:t.Order(context, order)]
+}
+
 func TestNoCandidate(t *testing.T) {
 	q := &Query{Chat: 5}
 	require.Equal(t, Choice{Index: -1, Why: Empty}, placer().Choose(start, NewTable(nil), NewLoads(0), q))
@@ -180,6 +215,14 @@
 	require.Equal(t, Choice{Index: -1, Why: Over}, placer().Choose(start, tab, even(2, 10, 10), q))
 }
 
+// Story: half the engines leave; long audits fill the rest and a fitter on a doorstep is refused. The
+// last part of each engine must stay free for urgent requests.
+func TestBulkLeavesRoom(t *testing.T) {
+	tab, l := NewTable(upstreams(2, 10)), even(2, 8, 10)
+	require.Equal(t, Over, placer().Choose(start, tab, l, &Query{Chat: 5, Yield: 0.2}).Why)
+	require.Equal(t, First, placer().Choose(start, tab, l, &Query{Chat: 5}).Why)
+}
+
 func TestBaselinesKeepCapacity(t *testing.T) {
 	tab := NewTable(upstreams(4, 10))
 	r := rand.New(rand.NewPCG(1, 1))
--- a/pkg/sageplace/width.go
+++ b/pkg/sageplace/width.go
@@ -47,7 +47,7 @@
 // NewByLoad returns the rule with the marks that were measured best, for about n hot contexts.
 func NewByLoad(n int) *ByLoad {
 	return &ByLoad{
-		High: 1.1, Low: 0.9, Hold: 2 * time.Second, Rest: 20 * time.Second,
+		High: 1, Low: 0.8, Hold: 2 * time.Second, Rest: 20 * time.Second,
 		hot: NewBounded[spread](n),
 	}
 }
@@ -81,8 +81,9 @@
 }
 
 func (r *ByLoad) crowded(l *Loads, s *spread) bool {
+	m := l.limit(r.High, 0)
 	for _, i := range s.order[:s.width] {
-		if l.fits(int(i), r.High) {
+		if l.fits(int(i), m) {
 			return false
 		}
 	}
