Place requests by sageplace in the daemon

Cause: the daemon took the first upstream in rendezvous order, blind to load, model versions and chats' caches. Change: internal/sageplacement implements the step "placement" over the configuration, pkg/sageplace and a Load interface (OwnLoad until the service "load" is there); circuits are taken if set.

--- a/internal/sagemeasure/skew.go
+++ b/internal/sagemeasure/skew.go
@@ -3,10 +3,12 @@
 import (
 	"sort"
 	"time"
+
+	"sagestand.example/sagestand/pkg/sageplace"
 )
 
 // promised is the multiple of the mean that no engine is to exceed.
-const promised = 1.5
+const promised = sageplace.DefaultMultiple
 
 // Skew measures how unevenly the engines are loaded: Zipf accounts, at haller with a context that
 // three chats of ten share, while each 15 seconds a router loses sight of an engine for 10 seconds.
--- a/internal/sagenode/node.go
+++ b/internal/sagenode/node.go
@@ -22,10 +22,12 @@
 	"sagestand.example/sagestand/internal/sagemetrics"
 	"sagestand.example/sagestand/internal/sageoperator"
 	"sagestand.example/sagestand/internal/sagepeer"
+	"sagestand.example/sagestand/internal/sageplacement"
 	"sagestand.example/sagestand/internal/sagerpc/report"
 	"sagestand.example/sagestand/internal/sagesettings"
 	"sagestand.example/sagestand/pkg/sageburn"
 	"sagestand.example/sagestand/pkg/sageobject"
+	"sagestand.example/sagestand/pkg/sageplace"
 )
 
 // ErrEmptyKey reports a key file without a key.
@@ -124,11 +126,17 @@
 	burn := &sageburnd.Service{Objectives: objectives(cfg.Objectives), Peers: n.otherSeeds, Client: peers}
 	peerServer.Mount(report.NewReportServer(burn))
 	k.Register("burn", burn)
+	placement := &sageplacement.Service{
+		Config: conf, Load: &sageplacement.OwnLoad{Config: conf}, Multiple: cfg.Placement.LoadBound,
+		Sealer:     sageplace.Sealer{Keys: [][]byte{[]byte(n.peerKey)}},
+		TokenValid: millis(cfg.Placement.TokenValidMillis), Metrics: n.metrics,
+	}
+	k.Register("placement", placement)
 	requests := &sagemetrics.Requests{Set: n.metrics}
 	entry := &sageentry.Service{
 		Listener: n.listeners["entry"], Config: conf,
 		Admission: &thinAdmission{slots: make(chan struct{}, cfg.Limits.InFlight)},
-		Claims:    &thinClaims{Store: store}, Placement: &thinPlacement{Config: conf}, Retries: thinRetries{},
+		Claims:    &thinClaims{Store: store}, Placement: placement, Retries: thinRetries{},
 		Dispatch: &sagedispatch.Dispatcher{}, Locator: locator, Leaver: locator, Recorder: sagemetrics.Fan{requests, burn},
 		Limits: cfg.Limits, Stop: cfg.Stop, Log: n.Log.Part("entry"),
 	}
--- a/internal/sagenode/thin.go
+++ b/internal/sagenode/thin.go
@@ -150,48 +150,6 @@
 
 func (c *thinClaims) Finish(context.Context, *sageentry.Claim, *sagedispatch.Result) {}
 
-// thinPlacement takes the first upstream in rendezvous order.
-type thinPlacement struct{ Config sageentry.Config }
-
-func (p *thinPlacement) Pick(_ context.Context, r *sageentry.Request, tried []string) (*sageentry.Pick, *sagewire.Refusal) {
-	s := p.Config.State()
-	route, ok := s.Route(r.Route)
-	if !ok || route.Kind != r.Kind {
-		return nil, sagewire.Refuse(sagewire.ReasonNoRoute, "no route "+r.Route, time.Time{})
-	}
-	set, ok := s.UpstreamSet(route.UpstreamSet)
-	if !ok {
-		return nil, sagewire.Refuse(sagewire.ReasonNoUpstream, "no upstream set "+route.UpstreamSet, time.Now().Add(time.Second))
-	}
-	best, bestHash := "", uint64(0)
-	for _, name := range set.Upstreams {
-		u, ok := s.Upstream(name)
-		if !ok || u.Leaving || contains(tried, name) {
-			continue
-		}
-		if dc, ok := s.DataCentre(u.DataCentre); ok && !dc.InService {
-			continue
-		}
-		if h := xxhash.Sum64String(r.Context + "\x00" + name); best == "" || h > bestHash {
-			best, bestHash = name, h
-		}
-	}
-	u, ok := s.Upstream(best)
-	if !ok {
-		return nil, sagewire.Refuse(sagewire.ReasonNoUpstream, "no upstream left", time.Now().Add(time.Second))
-	}
-	return &sageentry.Pick{Upstream: best, Address: u.Address, Engine: u.Kind == sageconfig.Engine, Done: func(*sagedispatch.Result) {}}, nil
-}
-
-func contains(list []string, s string) bool {
-	for _, x := range list {
-		if x == s {
-			return true
-		}
-	}
-	return false
-}
-
 // thinRetries allows every attempt that finds an upstream not yet tried.
 type thinRetries struct{}
 
--- a/internal/sagesettings/settings.go
+++ b/internal/sagesettings/settings.go
@@ -133,7 +133,7 @@
 		Locate:    Locate{ValidMillis: 5000, Addresses: 3},
 		Stop:      Stop{WithinMillis: 330000},
 		Isolated:  Isolated{Rule: IsolatedFence, AfterMillis: 10000},
-		Placement: Placement{LoadBound: 1.25, TokenValidMillis: 3600000},
+		Placement: Placement{LoadBound: 1.5, TokenValidMillis: 3600000},
 		Retry:     Retry{Ratio: 0.1, Attempts: 3},
 		Claims:    Claims{RetentionMillis: 86400000, CollectMillis: 5},
 		Objectives: []Objective{
--- a/pkg/sageplace/doc.go
+++ b/pkg/sageplace/doc.go
@@ -34,8 +34,9 @@
 //	t := sageplace.NewTable(candidates)
 //	l := sageplace.NewLoads(len(candidates))
 //	l.Refresh(func(i int) sageplace.Load { return loadOf(candidates[i].Name) })
+//	bound, fresh := sageplace.Aims(sageplace.DefaultMultiple)
 //	p := &sageplace.Placer[*sageplace.ByLoad]{
-//		Bound: sageplace.DefaultBound, Fresh: sageplace.DefaultFresh, Width: sageplace.NewByLoad(1024),
+//		Bound: bound, Fresh: fresh, Width: sageplace.NewByLoad(1024),
 //	}
 //	c := p.Choose(time.Now(), t, l, &sageplace.Query{Chat: sageplace.Key("chat-1")})
 //
--- a/pkg/sageplace/main_test.go
+++ b/pkg/sageplace/main_test.go
@@ -19,6 +19,8 @@
 	os.Exit(m.Run())
 }
 
+var testBound, testFresh = Aims(DefaultMultiple)
+
 func upstreams(n, weight int) []Upstream {
 	ups := make([]Upstream, n)
 	for i := range ups {
--- a/pkg/sageplace/placer.go
+++ b/pkg/sageplace/placer.go
@@ -1,17 +1,21 @@
 package sageplace
 
 import (
+	"math"
 	"slices"
 	"time"
 )
 
-// The multiples of the mean load that docs/design/placement.md measured best.
-const (
-	// DefaultBound is for all requests.
-	DefaultBound = 1.35
-	// DefaultFresh is for chats of which an upstream holds nothing.
-	DefaultFresh = 1.1
-)
+// DefaultMultiple is the multiple of the mean load that no upstream is to exceed.
+// docs/design/placement.md has the measurement that chose it.
+const DefaultMultiple = 1.5
+
+// Aims returns the bounds to place by so that a multiple of the mean is seldom exceeded: a router
+// sees loads late, so it has to aim lower. The bound is for all requests, fresh for chats of which an
+// upstream holds nothing.
+func Aims(multiple float64) (bound, fresh float64) {
+	return math.Max(1, 0.9*multiple), 1 + (multiple-1)/5
+}
 
 // DefaultYield is the part of an upstream's capacity that a request leaves free, from the most urgent
 // priority class to the least.
@@ -72,7 +76,7 @@
 // Placer is the policy of this package, with a rule for the width of hot contexts. It is not safe for
 // concurrent use.
 type Placer[W Widener] struct {
-	// Bound is the multiple of the mean load up to which a request may be placed at all.
+	// Bound is the multiple of the mean load up to which a request may be placed at all; see [Aims].
 	Bound float64
 	// Fresh is the multiple up to which an upstream takes chats that it holds nothing of. Below
 	// Bound, it keeps room for the chats that it does hold.
