--- a/pkg/sagefair/scheduler_test.go
+++ b/pkg/sagefair/scheduler_test.go
@@ -142,6 +142,39 @@
 	require.InDelta(t, 150, b.starts["heavy"], 4)
 }
 
+// Story: an account whose requests take long gets as many of them as others get short ones, and so
+// most of the slots. Shares are of slot time, known only at the end.
+func TestLongRequestsAreCharged(t *testing.T) {
+	b := newBench(1)
+	b.s.MaxQueue = 4000
+	for range 400 {
+		b.offer(request("long", sagewire.Normal))
+		b.offer(request("short", sagewire.Normal))
+	}
+	b.starts = map[string]int{}
+	for range 220 {
+		b.took = 10 * time.Millisecond
+		if b.running[0].Request.Account == "long" {
+			b.took = 100 * time.Millisecond
+		}
+		b.end()
+	}
+	require.InDelta(t, 20, b.starts["long"], 6)
+}
+
+// Story: one account sends thousands of requests within a moment. They fill the queue, and the
+// first request of every other account is refused.
+func TestSurgeLeavesRoomInTheQueue(t *testing.T) {
+	b := newBench(4)
+	b.s.MaxQueue = 40
+	for range 1000 {
+		b.offer(request("surge", sagewire.Normal))
+	}
+	for i := range 50 {
+		require.Equal(t, Waiting, b.offer(request(fmt.Sprint("calm", i), sagewire.Normal)).State)
+	}
+}
+
 // Story: a stream of urgent questions never lets an audit start, and it is reported as hung. While
 // lower classes wait, every fourth start is normal and every sixteenth bulk, and no later.
 func TestNoClassStarves(t *testing.T) {
--- a/pkg/sageretry/budget.go
+++ b/pkg/sageretry/budget.go
@@ -24,14 +24,8 @@
 // Has reports whether a retry is covered.
 func (b *Budget) Has() bool { return b.burst()-b.spent >= 1 }
 
-// Withdraw counts a retry and reports whether it was covered.
-func (b *Budget) Withdraw() bool {
-	if !b.Has() {
-		return false
-	}
-	b.spent++
-	return true
-}
+// Withdraw counts a retry, which [Budget.Has] said is covered.
+func (b *Budget) Withdraw() { b.spent++ }
 
 func (b *Budget) ratio() float64 {
 	if b.Ratio > 0 {
--- a/pkg/sageretry/policy.go
+++ b/pkg/sageretry/policy.go
@@ -10,7 +10,7 @@
 	Idempotent bool
 	// NotRun says that the upstream's own word is that it did not execute the request.
 	NotRun bool
-	// Tried lists the upstreams that had it, the last one last.
+	// Tried lists the upstreams that had it, at least one, the last one last.
 	Tried []string
 	// Others is the number of upstreams that could still take it.
 	Others   int
@@ -87,7 +87,7 @@
 	switch {
 	case !a.Idempotent && !a.NotRun:
 		return Decision{Why: WhyNotIdempotent}
-	case n >= p.attempts():
+	case n == 0, n >= p.attempts():
 		return Decision{Why: WhyAttempts}
 	case a.Others < 1:
 		return Decision{Why: WhyNoOther}
@@ -96,16 +96,12 @@
 	if !at.Before(a.Deadline) {
 		return Decision{Why: WhyDeadline}
 	}
-	if n > 0 {
-		u := &p.at(a.Tried[n-1]).budget
-		if !p.Budget.Has() || !u.Has() {
-			return Decision{Why: WhyBudget}
-		}
-		u.Withdraw()
-	}
-	if !p.Budget.Withdraw() {
+	u := &p.at(a.Tried[n-1]).budget
+	if !p.Budget.Has() || !u.Has() {
 		return Decision{Why: WhyBudget}
 	}
+	p.Budget.Withdraw()
+	u.Withdraw()
 	return Decision{OK: true, At: at}
 }
 
