--- a/pkg/sageload/example_test.go
+++ b/pkg/sageload/example_test.go
@@ -24,7 +24,7 @@
 			router.Answer(home.Ask(now, w))
 		}
 	}
-	_, ok := router.Acquire(now)
+	ok := router.Acquire(now)
 	fmt.Println(ok, router.Free(now), router.BootID())
 	// Output: true 5 b1
 }
--- a/pkg/sageload/holding.go
+++ b/pkg/sageload/holding.go
@@ -16,8 +16,6 @@
 	Echo uint64
 	// Home is the process that gave the echoed answer.
 	Home string
-	// BootID is the boot that the requests in flight run on; empty if the holder knows none.
-	BootID string
 	// Over is the number of requests in flight beyond the guaranteed share.
 	Over int
 	// Units is the number the holder would like, beyond the guaranteed share.
@@ -69,7 +67,7 @@
 	// at once would put twice the share in flight.
 	GuaranteedFrom time.Time
 
-	running  map[string]int // requests in flight by the boot they were taken for
+	running  int
 	boot     string         // the boot last seen, by a grant or a connection
 	units    int
 	unitBoot string
@@ -88,7 +86,7 @@
 	if h.Voter && h.promised != "" && h.promised != home && now.Before(h.promise) {
 		return Want{}, false
 	}
-	w := Want{Upstream: h.Upstream, Holder: h.Holder, Node: h.Node, BootID: h.boot, Over: max(0, h.InUse()-h.own(now)), Units: max(0, units-h.own(now))}
+	w := Want{Upstream: h.Upstream, Holder: h.Holder, Node: h.Node, Over: max(0, h.InUse()-h.own(now)), Units: max(0, units-h.own(now))}
 	if h.Voter && !now.Before(h.AbstainUntil) {
 		h.promised, h.promise = home, now.Add(h.Limits.Promise)
 		w.Recognise = true
@@ -119,29 +117,22 @@
 	return true
 }
 
-// Acquire takes one unit and reports whether the request may go. The request may only be sent to
-// the boot that is returned, see [Holding.Seen]; its unit goes back with [Holding.Release].
+// Acquire takes one unit and reports whether the request may go. The request may only be sent on a
+// connection to the boot that was last seen, see [Holding.Seen].
 //
 // It compares the deadline with the present, not with the last tick: a router that was paused past
 // the deadline would otherwise go on sending on units that the home has since given to others, and
 // the upstream would carry more than its cap.
-func (h *Holding) Acquire(now time.Time) (boot string, ok bool) {
+func (h *Holding) Acquire(now time.Time) bool {
 	if h.Free(now) <= 0 {
-		return "", false
-	}
-	if h.running == nil {
-		h.running = make(map[string]int)
+		return false
 	}
-	h.running[h.boot]++
-	return h.boot, true
+	h.running++
+	return true
 }
 
 // Release gives back the unit of a request that has ended.
-func (h *Holding) Release(boot string) {
-	if h.running[boot]--; h.running[boot] <= 0 {
-		delete(h.running, boot)
-	}
-}
+func (h *Holding) Release() { h.running = max(0, h.running-1) }
 
 // Free returns the units that Acquire can still give.
 func (h *Holding) Free(now time.Time) int {
@@ -163,14 +154,9 @@
 // BootID returns the boot last seen.
 func (h *Holding) BootID() string { return h.boot }
 
-// InUse returns the requests in flight on the present boot. Those sent while the boot was unknown
-// may run on any.
-func (h *Holding) InUse() int {
-	if h.boot == "" {
-		return h.running[""]
-	}
-	return h.running[h.boot] + h.running[""]
-}
+// InUse returns the requests in flight. Those of an earlier boot count until they are released;
+// their connections break with it.
+func (h *Holding) InUse() int { return h.running }
 
 // own returns the part of the guaranteed share that is usable now.
 func (h *Holding) own(now time.Time) int {
--- a/pkg/sageload/ledger.go
+++ b/pkg/sageload/ledger.go
@@ -160,9 +160,6 @@
 		h.echo.units = 0
 	}
 	h.over, h.want = w.Over, w.Units
-	if w.BootID != "" && w.BootID != l.boot {
-		h.over = 0 // on a boot that is gone
-	}
 	if !l.carried.seen.IsZero() && !h.known && h.echo.at.After(l.carried.seen) {
 		h.known = true
 		l.carried.units = max(0, l.carried.units-h.over)
--- a/pkg/sageload/part_test.go
+++ b/pkg/sageload/part_test.go
@@ -126,8 +126,8 @@
 	h := Holding{Guaranteed: 4, Limits: DefaultLimits}
 	b.ReportAllocs()
 	for b.Loop() {
-		boot, _ := h.Acquire(now)
-		h.Release(boot)
+		h.Acquire(now)
+		h.Release()
 	}
 }
 
--- a/pkg/sageload/story_test.go
+++ b/pkg/sageload/story_test.go
@@ -86,7 +86,7 @@
 func (s *stage) take(h *Holding, at time.Time) int {
 	n := 0
 	for ; n < 2*bearsTen; n++ {
-		if _, ok := h.Acquire(at); !ok {
+		if !h.Acquire(at) {
 			break
 		}
 	}
--- a/pkg/sageload/world_test.go
+++ b/pkg/sageload/world_test.go
@@ -215,7 +215,7 @@
 			w.done++
 		}
 		if q.node.life == q.life {
-			q.node.h.Release(q.boot)
+			q.node.h.Release()
 		}
 	}
 	w.running = kept
@@ -328,7 +328,7 @@
 	if w.without != withBoot {
 		n.h.Seen(w.bootID())
 	}
-	if _, ok := n.h.Acquire(now); !ok {
+	if !n.h.Acquire(now) {
 		return
 	}
 	life := time.Duration(w.r.IntN(int(worldLimits.Lifetime/2))) / 2
