--- a/pkg/sageload/holding.go
+++ b/pkg/sageload/holding.go
@@ -68,7 +68,7 @@
 	GuaranteedFrom time.Time
 
 	running  int
-	boot     string         // the boot last seen, by a grant or a connection
+	boot     string // the boot last seen, by a grant or a connection
 	units    int
 	unitBoot string
 	until    time.Time
