--- a/internal/sageoperator/server.go
+++ b/internal/sageoperator/server.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/pprof"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -54,6 +55,8 @@
 func (s *Server) handler() http.Handler {
 	s.private.HandleFunc("POST /v1/tickets", s.submit)
 	s.private.HandleFunc("GET /v1/things/{kind}/{name}", s.thing)
+	s.private.HandleFunc("GET /v1/debug/profile", pprof.Profile)
+	s.private.HandleFunc("GET /v1/debug/heap", pprof.Handler("heap").ServeHTTP)
 	s.private.HandleFunc("GET /v1/status", func(w http.ResponseWriter, _ *http.Request) { WriteJSON(w, http.StatusOK, s.Status()) })
 	mux := http.NewServeMux()
 	mux.Handle("/v1/", sagepeer.Authenticated(s.Key, &s.private))
