Add sagedispatch: one exchange with one upstream

An answer may be another request's, or short.

Change: request bodies that are neither nil nor rewindable, no redirects, fresh connections for what may run only once, connections that know whether a byte may have left and are sealed when none did, echoed ids, checked ends, streams resumed at the same upstream by position.

--- /dev/null
+++ b/internal/sagedispatch/stream_test.go
@@ -0,0 +1,306 @@
+package sagedispatch
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"sagestand.example/sagestand/pkg/sagewire"
+)
+
+func ev(from, to int) string {
+	var b strings.Builder
+	for i := from; i <= to; i++ {
+		_, _ = fmt.Fprintf(&b, "id: %d\ndata: w%d\n\n", i, i)
+	}
+	return b.String()
+}
+
+func end(at int) string { return fmt.Sprintf("id: %d\ndata: [DONE]\n\n", at) }
+
+// engine answers the n-th request for a stream by the n-th part; a part that ends with "!" breaks
+// the connection, and "404" says that the stream is gone.
+type engine struct {
+	mu       sync.Mutex
+	parts    []string
+	asked    []string
+	boots    []string
+	canceled chan struct{}
+}
+
+func (e *engine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodDelete {
+		close(e.canceled)
+		return
+	}
+	e.mu.Lock()
+	n := len(e.asked)
+	e.asked = append(e.asked, r.URL.RequestURI())
+	part := e.parts[min(n, len(e.parts)-1)]
+	e.mu.Unlock()
+	w.Header().Set(sagewire.HeaderRequestID, r.Header.Get(sagewire.HeaderRequestID))
+	w.Header().Set(sagewire.HeaderBootID, e.boots[min(n, len(e.boots)-1)])
+	w.Header().Set("Content-Type", "text/event-stream")
+	if part == "404" {
+		w.WriteHeader(http.StatusNotFound)
+		return
+	}
+	body, broken := strings.CutSuffix(part, "!")
+	_, _ = io.WriteString(w, body)
+	_ = http.NewResponseController(w).Flush()
+	if broken {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func TestStreams(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		parts   []string
+		boots   []string
+		want    string
+		whole   bool
+		resumes int
+		asked   string
+	}{
+		{name: "whole", parts: []string{ev(1, 3) + end(4)}, want: ev(1, 3) + end(4), whole: true},
+		{name: "keep-alive", parts: []string{ev(1, 1) + ": hi\n\n" + end(2)}, want: ev(1, 1) + ": hi\n\n" + end(2), whole: true},
+		{name: "broken and resumed", parts: []string{ev(1, 2) + "id: 3\nda!", ev(3, 3) + end(4)}, want: ev(1, 3) + end(4), whole: true, resumes: 1, asked: "/v1/streams/r-1?after=2"},
+		{name: "ends without the mark", parts: []string{ev(1, 2), ev(3, 3) + end(4)}, want: ev(1, 3) + end(4), whole: true, resumes: 1, asked: "/v1/streams/r-1?after=2"},
+		{name: "resumed too early", parts: []string{ev(1, 2) + "!", ev(1, 3) + end(4)}, want: ev(1, 3) + end(4), whole: true, resumes: 1},
+		{name: "duplicate", parts: []string{ev(1, 2) + ev(2, 3) + end(4)}, want: ev(1, 3) + end(4), whole: true},
+		{name: "gap filled by resuming", parts: []string{ev(1, 1) + ev(3, 3), ev(2, 3) + end(4)}, want: ev(1, 3) + end(4), whole: true, resumes: 1, asked: "/v1/streams/r-1?after=1"},
+		{name: "end mark after a gap", parts: []string{ev(1, 1) + end(4)}, want: ev(1, 1), resumes: DefaultMaxResumes},
+		{name: "gap for ever", parts: []string{ev(1, 1) + ev(3, 3), ev(3, 3)}, want: ev(1, 1), resumes: DefaultMaxResumes},
+		{name: "event without position", parts: []string{ev(1, 1) + "data: x\n\n"}, want: ev(1, 1)},
+		{name: "stream gone", parts: []string{ev(1, 1) + "!", "404"}, want: ev(1, 1), resumes: 1},
+		{name: "upstream restarted", parts: []string{ev(1, 1) + "!", ev(2, 2) + end(3)}, boots: []string{"b1", "b2"}, want: ev(1, 1), resumes: 1},
+		{name: "upstream error", parts: []string{ev(1, 1) + "event: error\ndata: oom\n\n"}, want: ev(1, 1)},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			e := &engine{parts: tt.parts, boots: append(tt.boots, "b1")[:max(1, len(tt.boots))], canceled: make(chan struct{})}
+			srv := httptest.NewServer(e)
+			defer srv.Close()
+			d := &Dispatcher{}
+			defer d.Close()
+			a := attempt(srv.Listener.Addr().String())
+			a.Stream, a.Engine = true, true
+			w := httptest.NewRecorder()
+			res := d.Do(t.Context(), w, a)
+			got, tail, failed := strings.Cut(w.Body.String(), "event: error\n")
+			assert.Equal(t, tt.want, got)
+			assert.Equal(t, !tt.whole, failed, "error event")
+			assert.Equal(t, tt.whole, res.Outcome == sagewire.Complete, res.Detail)
+			assert.Equal(t, tt.resumes, res.Resumes)
+			if tt.asked != "" {
+				assert.Equal(t, tt.asked, e.asked[1])
+			}
+			if failed {
+				ref, err := sagewire.DecodeRefusal([]byte(strings.TrimSpace(strings.TrimPrefix(tail, "data: "))))
+				require.NoError(t, err)
+				assert.Equal(t, sagewire.Unknown, ref.Outcome)
+				<-e.canceled
+			}
+		})
+	}
+}
+
+// A chat's first event never comes: the caller may be served by another engine, so nothing may have
+// been written to it.
+func TestStreamWithoutFirstEventLeavesTheCallerUntouched(t *testing.T) {
+	e := &engine{parts: []string{"!", "404"}, boots: []string{"b"}, canceled: make(chan struct{})}
+	srv := httptest.NewServer(e)
+	defer srv.Close()
+	d := &Dispatcher{}
+	defer d.Close()
+	a := attempt(srv.Listener.Addr().String())
+	a.Stream, a.Engine = true, true
+	w := httptest.NewRecorder()
+	res := d.Do(t.Context(), w, a)
+	assert.False(t, res.Started)
+	assert.Equal(t, sagewire.Unknown, res.Outcome)
+	assert.Empty(t, w.Header())
+	assert.Empty(t, w.Body.String())
+}
+
+// brokenWriter fails every write, like a caller that has gone.
+type brokenWriter struct{ *httptest.ResponseRecorder }
+
+func (brokenWriter) Write([]byte) (int, error) { return 0, errors.New("gone") }
+
+// A caller leaves in the middle of a long stream; without a word to the engine it would generate on
+// for nobody.
+func TestCancelIsSentWhenTheCallerLeaves(t *testing.T) {
+	t.Run("write fails", func(t *testing.T) {
+		e := &engine{parts: []string{ev(1, 2)}, boots: []string{"b"}, canceled: make(chan struct{})}
+		srv := httptest.NewServer(e)
+		defer srv.Close()
+		d := &Dispatcher{}
+		defer d.Close()
+		a := attempt(srv.Listener.Addr().String())
+		a.Stream, a.Engine = true, true
+		res := d.Do(t.Context(), brokenWriter{httptest.NewRecorder()}, a)
+		assert.True(t, res.CallerGone)
+		<-e.canceled
+	})
+	t.Run("context ends", func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		canceled := make(chan struct{})
+		srv := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+			if r.Method == http.MethodDelete {
+				close(canceled)
+				return
+			}
+			cancel()
+			<-r.Context().Done()
+		}))
+		defer srv.Close()
+		d := &Dispatcher{}
+		defer d.Close()
+		a := attempt(srv.Listener.Addr().String())
+		a.Engine, a.Body = true, nil
+		a.Method = http.MethodGet
+		res := d.Do(ctx, httptest.NewRecorder(), a)
+		assert.True(t, res.CallerGone)
+		assert.Equal(t, sagewire.Unknown, res.Outcome)
+		<-canceled
+	})
+}
+
+// A large answer breaks off after half of it was passed on: the caller must see a broken connection
+// and no outcome, since a closed chunked body would look whole.
+func TestLargeAnswerBrokenOff(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		t.Run(fmt.Sprintf("cut=%v", cut), func(t *testing.T) {
+			up := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set(sagewire.HeaderRequestID, r.Header.Get(sagewire.HeaderRequestID))
+				_, _ = w.Write(make([]byte, 100_000))
+				if cut {
+					panic(http.ErrAbortHandler)
+				}
+			}))
+			defer up.Close()
+			d := &Dispatcher{MaxHeld: 1000}
+			defer d.Close()
+			var res Result
+			entry := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+				a := attempt(up.Listener.Addr().String())
+				a.Once = true
+				res = d.Do(r.Context(), w, a)
+				if res.Abort {
+					panic(http.ErrAbortHandler)
+				}
+			}))
+			defer entry.Close()
+			got, err := http.Get(entry.URL)
+			require.NoError(t, err)
+			b, err := io.ReadAll(got.Body)
+			_ = got.Body.Close()
+			if cut {
+				require.Error(t, err)
+				assert.Equal(t, sagewire.Unknown, res.Outcome)
+				return
+			}
+			require.NoError(t, err)
+			assert.Len(t, b, 100_000)
+			assert.Equal(t, "complete", got.Trailer.Get(sagewire.HeaderOutcome))
+			assert.Nil(t, res.Answer, "too large to hold")
+		})
+	}
+}
+
+func FuzzEvents(f *testing.F) {
+	f.Add([]byte(ev(1, 2) + end(3)))
+	f.Add([]byte(": c\n\nid: 0\n\nid: x\r\ndata: a\ndata\n\n"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		r := &eventReader{r: bufio.NewReaderSize(bytes.NewReader(b), 16), max: 64}
+		var passed []byte
+		for {
+			e, err := r.next()
+			if err != nil {
+				break
+			}
+			if len(e.raw) > 64 {
+				t.Fatalf("event of %d bytes", len(e.raw))
+			}
+			passed = append(passed, e.raw...)
+		}
+		if !bytes.Contains(stripBlank(b), stripBlank(passed)) {
+			t.Fatalf("passed %q of %q", passed, b)
+		}
+	})
+}
+
+func stripBlank(b []byte) []byte {
+	return bytes.Map(func(r rune) rune {
+		if r == '\n' || r == '\r' {
+			return -1
+		}
+		return r
+	}, b)
+}
+
+func BenchmarkStream(b *testing.B) {
+	e := &engine{parts: []string{ev(1, 500) + end(501)}, boots: []string{"b"}, canceled: make(chan struct{})}
+	srv := httptest.NewServer(e)
+	defer srv.Close()
+	d := &Dispatcher{}
+	defer d.Close()
+	a := attempt(srv.Listener.Addr().String())
+	a.Stream, a.Engine = true, true
+	for b.Loop() {
+		if res := d.Do(b.Context(), httptest.NewRecorder(), a); res.Outcome != sagewire.Complete {
+			b.Fatal(res.Detail)
+		}
+	}
+}
+
+// A chat hangs for ever: the network to the engine is cut without a word after the second event, so
+// that no read fails. Virtual time: the silence is taken for a break, and the rest is resumed.
+func TestSilentStreamIsResumed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := 0
+		d := &Dispatcher{Dial: func(context.Context, string, string) (net.Conn, error) {
+			n++
+			first := n == 1
+			a, b := net.Pipe()
+			go func() {
+				req, err := http.ReadRequest(bufio.NewReader(b))
+				if err != nil {
+					return
+				}
+				_, _ = fmt.Fprintf(b, "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n%s: %s\r\nConnection: close\r\n\r\n",
+					sagewire.HeaderRequestID, req.Header.Get(sagewire.HeaderRequestID))
+				if first {
+					_, _ = io.WriteString(b, ev(1, 2))
+					_, _ = io.Copy(io.Discard, b)
+					return
+				}
+				_, _ = io.WriteString(b, ev(3, 3)+end(4))
+				_ = b.Close()
+			}()
+			return a, nil
+		}}
+		defer d.Close()
+		a := attempt("engine:1")
+		a.Stream, a.Engine = true, true
+		w := httptest.NewRecorder()
+		res := d.Do(t.Context(), w, a)
+		assert.Equal(t, sagewire.Complete, res.Outcome, res.Detail)
+		assert.Equal(t, ev(1, 3)+end(4), w.Body.String())
+		assert.Equal(t, 1, res.Resumes)
+	})
+}
