--- a/internal/sagedispatch/dispatcher_test.go
+++ b/internal/sagedispatch/dispatcher_test.go
@@ -269,3 +269,23 @@
 	}
 	assert.Len(t, seen, 3, "connections")
 }
+
+// A booking's outcome is unknown though the application answered: its caller closed the connection
+// while the application worked, and the attempt was given up with it.
+func TestOnceGoesOnWithoutItsCaller(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	s := upstream(t, func(_ int64, c net.Conn, req *http.Request) bool {
+		cancel()
+		answer(c, req.Header.Get(sagewire.HeaderRequestID), "booked")
+		return false
+	})
+	d := &Dispatcher{}
+	defer d.Close()
+	a := attempt(s.address())
+	a.Once = true
+	res := d.Do(ctx, httptest.NewRecorder(), a)
+	assert.Equal(t, sagewire.Complete, res.Outcome, res.Detail)
+	assert.True(t, res.CallerGone)
+	require.NotNil(t, res.Answer)
+	assert.Equal(t, "booked", string(res.Answer.Body))
+}
--- a/internal/sagedispatch/stream_test.go
+++ b/internal/sagedispatch/stream_test.go
@@ -36,6 +36,7 @@
 type engine struct {
 	mu       sync.Mutex
 	parts    []string
+	ids      []string
 	asked    []string
 	boots    []string
 	canceled chan struct{}
@@ -51,7 +52,11 @@
 	e.asked = append(e.asked, r.URL.RequestURI())
 	part := e.parts[min(n, len(e.parts)-1)]
 	e.mu.Unlock()
-	w.Header().Set(sagewire.HeaderRequestID, r.Header.Get(sagewire.HeaderRequestID))
+	id := r.Header.Get(sagewire.HeaderRequestID)
+	if n < len(e.ids) && e.ids[n] != "" {
+		id = e.ids[n]
+	}
+	w.Header().Set(sagewire.HeaderRequestID, id)
 	w.Header().Set(sagewire.HeaderBootID, e.boots[min(n, len(e.boots)-1)])
 	w.Header().Set("Content-Type", "text/event-stream")
 	if part == "404" {
@@ -71,6 +76,7 @@
 		name    string
 		parts   []string
 		boots   []string
+		ids     []string
 		want    string
 		whole   bool
 		resumes int
@@ -88,10 +94,11 @@
 		{name: "event without position", parts: []string{ev(1, 1) + "data: x\n\n"}, want: ev(1, 1)},
 		{name: "stream gone", parts: []string{ev(1, 1) + "!", "404"}, want: ev(1, 1), resumes: 1},
 		{name: "upstream restarted", parts: []string{ev(1, 1) + "!", ev(2, 2) + end(3)}, boots: []string{"b1", "b2"}, want: ev(1, 1), resumes: 1},
+		{name: "resumed with another's stream", parts: []string{ev(1, 1) + "!", ev(2, 2) + end(3)}, ids: []string{"", "r-2", "r-2", "r-2", "r-2"}, want: ev(1, 1), resumes: DefaultMaxResumes},
 		{name: "upstream error", parts: []string{ev(1, 1) + "event: error\ndata: oom\n\n"}, want: ev(1, 1)},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
-			e := &engine{parts: tt.parts, boots: append(tt.boots, "b1")[:max(1, len(tt.boots))], canceled: make(chan struct{})}
+			e := &engine{parts: tt.parts, ids: tt.ids, boots: append(tt.boots, "b1")[:max(1, len(tt.boots))], canceled: make(chan struct{})}
 			srv := httptest.NewServer(e)
 			defer srv.Close()
 			d := &Dispatcher{}
--- /dev/null
+++ b/pkg/sageclaim/book.go
@@ -0,0 +1,149 @@
+package sageclaim
+
+import (
+	"fmt"
+	"time"
+
+	"sagestand.example/sagestand/pkg/sagewire"
+)
+
+// State is where the request of a key stands.
+type State string
+
+// The states.
+const (
+	// Claimed: a router may be running it, or died while it did.
+	Claimed State = "claimed"
+	// Finished: it ended with Outcome.
+	Finished State = "finished"
+	// Released: it didn't run; the key is free for the next claim.
+	Released State = "released"
+)
+
+// Record is the present state of a key.
+type Record struct {
+	Account     string           `json:"account"`
+	Key         string           `json:"key"`
+	ClaimID     string           `json:"claim_id"`
+	Fingerprint string           `json:"fingerprint"`
+	Deadline    time.Time        `json:"deadline"`
+	State       State            `json:"state"`
+	Outcome     sagewire.Outcome `json:"outcome,omitempty"`
+	Status      int              `json:"status,omitempty"`
+}
+
+// Unsettled reports whether at now only a person can say if the request ran: its outcome is unknown,
+// or its deadline passed without an outcome.
+func (r *Record) Unsettled(now time.Time) bool {
+	if r.State == Finished {
+		return r.Outcome == sagewire.Unknown
+	}
+	return r.State == Claimed && now.After(r.Deadline)
+}
+
+type bookKey struct{ account, key string }
+
+// Book is one claim object, decoded. The zero value is empty.
+type Book struct {
+	records map[bookKey]*Record
+	order   []bookKey
+	encoded []byte
+}
+
+// DecodeBook decodes and checks a claim object.
+func DecodeBook(b []byte) (*Book, error) {
+	entries, err := decodeEntries(b)
+	if err != nil {
+		return nil, fmt.Errorf("decode claims: %w", err)
+	}
+	book := new(Book)
+	for i := range entries {
+		book.Apply(&entries[i])
+	}
+	// Lines without effect stay in the object, so that its bytes only ever grow.
+	book.encoded = append([]byte(nil), b...)
+	return book, nil
+}
+
+// Encode returns the object; it must not be changed.
+func (b *Book) Encode() []byte { return b.encoded }
+
+// Records returns the state of each key, in the order of their first claims.
+func (b *Book) Records() []Record {
+	out := make([]Record, 0, len(b.order))
+	for _, k := range b.order {
+		out = append(out, *b.records[k])
+	}
+	return out
+}
+
+// Record returns the state of a key.
+func (b *Book) Record(account, key string) (Record, bool) {
+	r, ok := b.records[bookKey{account, key}]
+	if !ok {
+		return Record{}, false
+	}
+	return *r, true
+}
+
+// Apply judges an entry. If it has an effect it is appended and Apply reports true. The same entry a
+// second time has none, so an entry may be sent again while it isn't known to have arrived.
+func (b *Book) Apply(e *Entry) bool {
+	k := bookKey{e.Account, e.Key}
+	r := b.records[k]
+	if !changes(r, e) {
+		return false
+	}
+	if r == nil {
+		r = &Record{Account: e.Account, Key: e.Key}
+		if b.records == nil {
+			b.records = make(map[bookKey]*Record)
+		}
+		b.records[k] = r
+		b.order = append(b.order, k)
+	}
+	r.apply(e)
+	b.encoded = append(b.encoded, e.encode()...)
+	return true
+}
+
+// changes reports whether e has an effect on r.
+//
+// It guards against two runs of one key: a claim has an effect only on a free key, and nothing but
+// the word of the claim's own holder, or of a person, frees a key. Time alone never does: the holder
+// may be paused and send the request later.
+func changes(r *Record, e *Entry) bool {
+	if e.Op == OpClaim {
+		// A released claim stays as a mark, so that its own late copy doesn't claim again.
+		return r == nil || (r.State == Released && r.ClaimID != e.ClaimID)
+	}
+	if r == nil || r.ClaimID != e.ClaimID {
+		return false
+	}
+	switch e.Op {
+	case OpFinish:
+		return r.State == Claimed
+	case OpRelease:
+		return r.State == Claimed
+	case OpSettle:
+		return r.State == Claimed || (r.State == Finished && r.Outcome == sagewire.Unknown)
+	}
+	return false
+}
+
+func (r *Record) apply(e *Entry) {
+	switch e.Op {
+	case OpClaim:
+		r.ClaimID, r.Fingerprint, r.Deadline = e.ClaimID, e.Fingerprint, e.Deadline
+		r.State, r.Outcome, r.Status = Claimed, "", 0
+	case OpFinish:
+		r.State, r.Outcome, r.Status = Finished, e.Outcome, e.Status
+	case OpRelease:
+		r.State = Released
+	case OpSettle:
+		r.State, r.Outcome, r.Status = Finished, e.Outcome, e.Status
+		if e.Outcome == sagewire.NotRun {
+			r.State = Released
+		}
+	}
+}
