--- /dev/null
+++ b/pkg/sagesync/bench_test.go
@@ -0,0 +1,91 @@
+package sagesync
+
+import (
+	"fmt"
+	"testing"
+
+	"sagestand.example/sagestand/pkg/sageconfig"
+	"sagestand.example/sagestand/pkg/sageticket"
+)
+
+// things is the number of things of the size that the design is for: 32,000 client accounts, 2,300
+// runners, routes, sets and data centres.
+const things = 34_500
+
+// large returns a replica at that size.
+func large(c *clock) *Replica {
+	s := sageconfig.NewState()
+	for i := range things {
+		s.Apply(sageconfig.Entry{Number: 1, Change: sageconfig.Change{
+			Thing:         sageconfig.Thing{Kind: sageconfig.KindClientAccount, Name: fmt.Sprintf("account-%d", i)},
+			ClientAccount: &sageconfig.ClientAccount{KeySHA256: fmt.Sprintf("%064x", i), Weight: 1},
+		}})
+	}
+	r := &Replica{Now: c.Now}
+	r.TakeLoaded(&sageticket.Loaded{Head: &sageticket.Head{Revision: 1, Folded: 1}, State: s}, c.now)
+	return r
+}
+
+// benchTicket takes a data centre out or in.
+func benchTicket(i int) *sageconfig.Ticket {
+	return &sageconfig.Ticket{Number: uint64(i + 2), Changes: []sageconfig.Change{{
+		Thing:      sageconfig.Thing{Kind: sageconfig.KindDataCentre, Name: "derby"},
+		DataCentre: &sageconfig.DataCentre{InService: i%2 == 0},
+	}}}
+}
+
+func benchHead(revision uint64) *sageticket.Head {
+	t := benchTicket(int(revision))
+	return &sageticket.Head{Revision: revision, Folded: revision - 1, Tail: []sageticket.Record{{
+		Revision: revision, Digest: t.Digest(), AcceptedAt: start, Ticket: t,
+	}}}
+}
+
+// BenchmarkIdle is an exchange between nodes that hold the same.
+func BenchmarkIdle(b *testing.B) {
+	c := &clock{start}
+	n, peer := large(c), large(c)
+	b.ReportAllocs()
+	for b.Loop() {
+		n.Delta(peer.Digest(), 16<<10)
+	}
+	b.ReportMetric(float64(len(peer.Digest())), "digest-bytes")
+}
+
+// BenchmarkMerge brings one ticket from node to node.
+func BenchmarkMerge(b *testing.B) {
+	c := &clock{start}
+	n, peer := large(c), large(c)
+	b.ReportAllocs()
+	size := 0
+	for rev := uint64(2); b.Loop(); rev++ {
+		peer.TakeHead(benchHead(rev), c.now)
+		d := peer.Delta(n.Digest(), 16<<10)
+		size = len(d)
+		if err := n.Merge(d); err != nil {
+			b.Fatal(err)
+		}
+	}
+	b.ReportMetric(float64(size), "delta-bytes")
+}
+
+// BenchmarkCopy transfers the whole state to a node that boots during an outage.
+func BenchmarkCopy(b *testing.B) {
+	c := &clock{start}
+	peer := large(c)
+	b.ReportAllocs()
+	exchanges, size := 0, 0
+	for b.Loop() {
+		n := &Replica{Now: c.Now}
+		exchanges, size = 0, 0
+		for n.Current().Revision == 0 {
+			d := peer.Delta(n.Digest(), 16<<10)
+			exchanges, size = exchanges+1, size+len(d)
+			if err := n.Merge(d); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	b.ReportMetric(float64(exchanges), "exchanges")
+	b.ReportMetric(float64(size), "bytes")
+}
--- a/pkg/sagesync/copy.go
+++ b/pkg/sagesync/copy.go
@@ -97,9 +97,6 @@
 	if c == nil || !c.complete() {
 		return
 	}
-	if c.base < r.Current().Revision {
-		return
-	}
 	r.copying = nil
 	r.publish(c.base, c.state, c.records)
 }
--- a/pkg/sagesync/replica.go
+++ b/pkg/sagesync/replica.go
@@ -1,6 +1,7 @@
 package sagesync
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"sync"
@@ -18,9 +19,9 @@
 // would let nodes count as fresh for too long, so what exceeds it is not taken.
 const maxSkew = time.Second
 
-// maxTail and maxTailBytes bound the records kept for peers that are behind.
+// DefaultTail and maxTailBytes bound the records kept for peers that are behind.
 const (
-	maxTail      = 128
+	DefaultTail  = 128
 	maxTailBytes = 256 << 10
 )
 
@@ -49,10 +50,12 @@
 	since    time.Time
 }
 
-// Replica is one node's copy of the configuration. Now is set before first use; all methods are
-// safe for concurrent use and do no I/O.
+// Replica is one node's copy of the configuration. Its fields are set before first use; all methods
+// are safe for concurrent use and do no I/O.
 type Replica struct {
 	Now func() time.Time
+	// Tail bounds the records kept for peers that are behind; 0 means DefaultTail.
+	Tail int
 
 	current atomic.Pointer[Snapshot]
 
@@ -169,7 +172,6 @@
 func (r *Replica) Confirm(revision uint64, at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.hear(revision)
 	r.confirm(Evidence{Revision: revision, At: at})
 }
 
@@ -177,6 +179,7 @@
 // fresh, so it counts only once that revision is in force. Evidence about a lower one comes from a
 // store copy that lags, and says nothing about now.
 func (r *Replica) confirm(e Evidence) {
+	r.hear(e.Revision)
 	if e.At.After(r.Now().Add(maxSkew)) {
 		return
 	}
@@ -244,7 +247,7 @@
 // setTail keeps the newest records within the bounds.
 func (r *Replica) setTail(tail []record) {
 	size, keep := 0, 0
-	for i := len(tail) - 1; i >= 0 && keep < maxTail; i-- {
+	for i := len(tail) - 1; i >= 0 && keep < cmp.Or(r.Tail, DefaultTail); i-- {
 		size += len(tail[i].raw)
 		if size > maxTailBytes && keep > 0 {
 			break
--- /dev/null
+++ b/pkg/sagesync/rule_test.go
@@ -0,0 +1,96 @@
+package sagesync
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"sagestand.example/sagestand/pkg/sagewire"
+)
+
+func TestJudge(t *testing.T) {
+	now := start.Add(time.Hour)
+	ago := func(s int) time.Time { return now.Add(-time.Duration(s) * time.Second) }
+	fresh := Standing{Revision: 5, Heard: 5, ConfirmedAt: ago(2)}
+	old := Standing{Revision: 5, Heard: 5, ConfirmedAt: ago(60)}
+	met := Standing{Revision: 5, Heard: 5, ConfirmedAt: ago(60), QuorumAt: ago(1)}
+	lagging := Standing{Revision: 5, Heard: 6, ConfirmedAt: ago(2), BehindSince: ago(1)}
+	behind := Standing{Revision: 5, Heard: 6, ConfirmedAt: ago(2), BehindSince: ago(4)}
+	ways := []Isolated{IsolatedServe, IsolatedIdempotent, IsolatedRefuse, IsolatedQuorum}
+	for _, c := range []struct {
+		name   string
+		s      Standing
+		want   [4]May
+		reason sagewire.Reason
+	}{
+		{"fresh", fresh, [4]May{ServeAll, ServeAll, ServeAll, ServeAll}, ""},
+		{"old", old, [4]May{ServeAll, ServeIdempotent, ServeNothing, ServeNothing}, sagewire.ReasonStale},
+		{"old, contact to most", met, [4]May{ServeAll, ServeIdempotent, ServeNothing, ServeAll}, sagewire.ReasonStale},
+		{"just heard of a newer one", lagging, [4]May{ServeAll, ServeAll, ServeAll, ServeAll}, ""},
+		{"heard of a newer one", behind, [4]May{}, sagewire.ReasonStale},
+		{"none", Standing{Heard: 3, ConfirmedAt: now, QuorumAt: now}, [4]May{}, sagewire.ReasonNoConfig},
+	} {
+		for i, way := range ways {
+			r := Rule{Isolated: way, Freshness: DefaultFreshness, CatchUp: DefaultCatchUp}
+			v := r.Judge(now, c.s)
+			name := fmt.Sprintf("%s, %s", c.name, way)
+			assert.Equal(t, c.want[i], v.May, name)
+			if v.May == ServeAll {
+				assert.Nil(t, v.Refusal, name)
+				continue
+			}
+			assert.Equal(t, c.reason, v.Refusal.Reason, name)
+			assert.Equal(t, sagewire.NotRun, v.Refusal.Outcome, name)
+			assert.True(t, v.Refusal.RetryAt.After(now), name)
+		}
+	}
+	q := Rule{Isolated: IsolatedQuorum, Freshness: DefaultFreshness, CatchUp: DefaultCatchUp}
+	assert.True(t, q.MayAccept(now, met))
+	assert.False(t, q.MayAccept(now, fresh), "no contact to most of the roster")
+	assert.True(t, Rule{Isolated: IsolatedRefuse, Freshness: time.Second}.MayAccept(now, fresh))
+}
+
+func TestRuleCheck(t *testing.T) {
+	assert.NoError(t, Rule{Isolated: IsolatedServe, Freshness: 1, CatchUp: 1}.Check())
+	for _, bad := range []Rule{{}, {Isolated: "fence", Freshness: 1, CatchUp: 1}, {Isolated: IsolatedServe, CatchUp: 1}, {Isolated: IsolatedServe, Freshness: 1}} {
+		assert.ErrorIs(t, bad.Check(), ErrBadRule)
+	}
+}
+
+// The store's limit on calls depends on there being few watchers, and freshness on there being some,
+// whoever leaves.
+func TestWatchers(t *testing.T) {
+	var live []string
+	for i := range 45 {
+		live = append(live, fmt.Sprintf("vm-%d", i))
+	}
+	w := Watchers(live, 2)
+	assert.Len(t, w, 2)
+	count := 0
+	for _, n := range live {
+		if IsWatcher(n, live, 2) {
+			assert.Contains(t, w, n)
+			count++
+		}
+	}
+	assert.Equal(t, 2, count)
+	for _, gone := range live {
+		var rest []string
+		for _, n := range live {
+			if n != gone {
+				rest = append(rest, n)
+			}
+		}
+		kept := 0
+		for _, n := range Watchers(rest, 2) {
+			if n == w[0] || n == w[1] {
+				kept++
+			}
+		}
+		assert.GreaterOrEqual(t, kept, 1, "at most one watch moves when %s leaves", gone)
+	}
+	assert.True(t, IsWatcher("alone", nil, 2), "a node that knows of nobody watches itself")
+	assert.Len(t, Watchers([]string{"a"}, 2), 1)
+}
--- a/pkg/sagesync/section.go
+++ b/pkg/sagesync/section.go
@@ -35,16 +35,16 @@
 	p := decodeDigest(peer)
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.hear(max(p.Revision, p.Heard, p.Evidence.Revision))
+	r.hear(max(p.Revision, p.Heard))
 	r.confirm(p.Evidence)
-	d := delta{Heard: r.heard}
+	var d delta
 	if r.evidence.At.After(p.Evidence.At) {
 		d.Evidence = r.evidence
 	}
 	if payload := budget - envelope; payload >= minPayload && r.Current().Revision > p.Revision {
 		r.fill(&d, &p, payload)
 	}
-	if d.Heard <= p.Heard && d.Evidence.At.IsZero() && d.Records == nil && d.Fragment == nil && d.Chunk == nil {
+	if d.Evidence.At.IsZero() && d.Records == nil && d.Fragment == nil && d.Chunk == nil {
 		return nil
 	}
 	if b := encode(&d); len(b) <= budget {
@@ -91,7 +91,6 @@
 	raws := d.Records
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.hear(max(d.Heard, d.Evidence.Revision))
 	if d.Fragment != nil {
 		if whole := r.part.take(d.Fragment); whole != nil {
 			raws = append(raws, whole)
--- a/pkg/sagesync/wire.go
+++ b/pkg/sagesync/wire.go
@@ -40,7 +40,6 @@
 
 // delta is what one exchange brings.
 type delta struct {
-	Heard    uint64   `json:"heard"`
 	Evidence Evidence `json:"evidence,omitzero"`
 	// Records holds consecutive encoded records.
 	Records  []json.RawMessage `json:"records,omitempty"`
--- a/pkg/sageticket/store_test.go
+++ b/pkg/sageticket/store_test.go
@@ -16,7 +16,7 @@
 
 func TestMain(m *testing.M) {
 	flag.Parse()
-	for name, v := range map[string]string{"rapid.seed": "1", "rapid.checks": "50", "rapid.nofailfile": "true"} {
+	for name, v := range map[string]string{"rapid.seed": "1", "rapid.checks": "50", "rapid.nofailfile": "true", "rapid.shrinktime": "3s"} {
 		if err := flag.Set(name, v); err != nil {
 			panic(err)
 		}
