Measure in-flight allotments under placement

Change: the replay can run the real ledgers and holdings of pkg/sageload, with units held in advance or asked for on demand; measures weigh and slope. Conclusion: a multiple of the mean can be a hard bound only if units are asked for on demand; otherwise allotments should hold what the upstream bears and leave the multiple to placement.

--- /dev/null
+++ b/internal/sagemeasure/allotment_test.go
@@ -0,0 +1,29 @@
+package sagemeasure
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Story: homes grant 1.5 x mean in all and routers keep two units of each engine in advance. Units
+// held idle count against the grants but not in the mean; the mean falls with each refusal and the
+// grants fall with the mean, until a quarter of all requests is refused by idle engines. Asked for on
+// demand, the same bound refuses nothing.
+func TestStandingAllotmentsOfMeanCollapse(t *testing.T) {
+	s := small
+	s.routers = 8
+	run := func(rule allotRule) *replay {
+		v := ours
+		v.allot, v.feed = &rule, counts
+		p := newReplay(s, v, makeTrace(s, 1, time.Minute), 1)
+		p.runUntil(90 * time.Second)
+		return p
+	}
+	standing := run(allotRule{multiple: 1.5, headroom: 2})
+	require.Greater(t, standing.refused(20*time.Second), 0.1)
+	onDemand := run(allotRule{multiple: 1.5, onDemand: true})
+	require.Zero(t, onDemand.refused(20*time.Second))
+	require.NotZero(t, onDemand.allotments.asked)
+}
--- a/internal/sagemeasure/churn.go
+++ b/internal/sagemeasure/churn.go
@@ -24,7 +24,7 @@
 			}
 			out = append(out, Sample{Scenario: s.name, Policy: v.name, Metric: "cache reuse", Value: reuse})
 			of := Sample{Scenario: s.name, Policy: v.name, Metric: "cache reuse of oracle's", Value: reuse / best}
-			if v.name == ours.name || v.name == oursCounts.name {
+			if own(v) {
 				of.Target = &Target{AtLeast, 0.95}
 			}
 			out = append(out, of)
--- a/internal/sagemeasure/exit.go
+++ b/internal/sagemeasure/exit.go
@@ -28,7 +28,7 @@
 			w := p.watchReturn()
 			p.exit(0)
 			p.runUntil(exitEnd + patience[sagewire.Bulk])
-			for _, r := range append(p.exitSamples(v), w.sample()) {
+			for _, r := range append(p.exitSamples(v), w.sample(v)) {
 				r.Scenario, r.Policy = s.name, v.name
 				out = append(out, r)
 			}
@@ -73,13 +73,13 @@
 		part, refused := p.inTime(exitAt, exitEnd, c)
 		in := Sample{Metric: c.String() + " within deadline", Unit: "%", Value: 100 * part}
 		no := Sample{Metric: c.String() + " refused", Value: float64(refused)}
-		if v.name == ours.name && c == sagewire.Urgent {
+		if own(v) && c == sagewire.Urgent {
 			in.Target, no.Target = &Target{AtLeast, 99}, &Target{AtMost, 0}
 		}
 		out = append(out, in, no)
 	}
 	late := Sample{Metric: "new work in the left data centre after 4 s", Value: float64(p.lateWork(0))}
-	if v.name == ours.name {
+	if own(v) {
 		late.Target = &Target{AtMost, 0}
 	}
 	return append(out,
@@ -165,6 +165,10 @@
 	return w
 }
 
-func (w *returnWatch) sample() Sample {
-	return Sample{Metric: "greatest load of a returning engine / what it bears", Value: w.worst}
+func (w *returnWatch) sample(v variant) Sample {
+	s := Sample{Metric: "greatest load of a returning engine / what it bears", Value: w.worst}
+	if own(v) {
+		s.Target = &Target{AtMost, 1}
+	}
+	return s
 }
--- a/internal/sagemeasure/fakeupstream.go
+++ b/internal/sagemeasure/fakeupstream.go
@@ -29,6 +29,7 @@
 	ended func(j *job, ok bool)
 	clock *clock
 	jobs  map[*job]bool
+	last  report
 }
 
 // job is one request at an engine.
@@ -39,6 +40,7 @@
 	tried   []int
 	started time.Duration
 	cached  int
+	boot    string // that its allotment was taken for
 }
 
 func (e *engine) inFlight() int { return len(e.jobs) }
--- a/internal/sagemeasure/replay.go
+++ b/internal/sagemeasure/replay.go
@@ -34,6 +34,8 @@
 	results []result
 	// inService says which data centres operators have in service.
 	inService []bool
+	// allotments is nil for variants that go by estimates alone.
+	allotments *allotments
 }
 
 // result is the end of one request of the trace.
@@ -109,7 +111,10 @@
 		p.boot(r)
 	}
 	for i, e := range p.engines {
-		p.every(time.Duration(p.rand.Int64N(int64(v.feed.every))), v.feed.every, func() { p.report(i, e) })
+		p.every(p.phase(v.feed.every), v.feed.every, func() { p.report(i, e) })
+	}
+	if v.allot != nil {
+		p.allot(*v.allot)
 	}
 	for i := range trace {
 		r := &trace[i]
@@ -142,10 +147,13 @@
 
 // load is the router's belief of an engine: its last report, corrected by own requests since.
 func (p *replay) load(r *router, i int) sageplace.Load {
-	last := r.last[i]
+	last, free := r.last[i], engineSlots
+	if p.allotments != nil {
+		free = p.allotments.free(r.id, i)
+	}
 	return sageplace.Load{
 		InFlight: float64(max(0, last.inFlight+r.own[i]-last.own)),
-		Cap:      bears(last.completed), Free: engineSlots,
+		Cap:      bears(last.completed), Free: free,
 		Known: last.known, CacheGeneration: last.generation,
 	}
 }
@@ -155,6 +163,7 @@
 		return
 	}
 	rep := report{inFlight: e.inFlight(), completed: e.completed, generation: e.generation, asOf: p.now, known: true}
+	e.last = rep
 	for _, r := range p.routers {
 		rep.own = r.own[i]
 		delay := p.variant.feed.delay/10 + time.Duration(p.rand.Int64N(int64(p.variant.feed.delay*9/10)))
@@ -226,7 +235,7 @@
 			p.results[j.number] = result{refused: why, at: p.now, tries: len(j.tried)}
 			return
 		}
-		if e := p.engines[i]; e.up {
+		if e := p.engines[i]; e.up && (p.allotments == nil || p.allotments.acquire(j, i)) {
 			j.engine = e
 			p.count(r, i, 1)
 			e.submit(j)
@@ -270,6 +279,9 @@
 // ended takes a job back from its engine; a lost one is sent to another engine, being idempotent.
 func (p *replay) ended(j *job, ok bool) {
 	r, i := j.router, slices.Index(p.engines, j.engine)
+	if p.allotments != nil {
+		p.allotments.release(j, i)
+	}
 	p.count(r, i, -1)
 	if !ok {
 		j.tried = append(j.tried, i)
@@ -321,3 +333,17 @@
 	}
 	return float64(good) / float64(max(all, 1)), refused
 }
+
+// refused returns the part of the requests from an instant on that were refused.
+func (p *replay) refused(from time.Duration) float64 {
+	all, no := 0, 0
+	for i := range p.trace {
+		if p.trace[i].at >= from {
+			all++
+			if !p.results[i].done {
+				no++
+			}
+		}
+	}
+	return float64(no) / float64(max(all, 1))
+}
--- a/internal/sagemeasure/skew.go
+++ b/internal/sagemeasure/skew.go
@@ -22,7 +22,9 @@
 			k := p.sampleSkew(warmUp, warmUp+measure)
 			p.runUntil(warmUp + measure + tail)
 			rows := k.samples(v)
-			rows = append(rows, Sample{Metric: "cache reuse", Value: p.reuse(warmUp)})
+			rows = append(rows,
+				Sample{Metric: "cache reuse", Value: p.reuse(warmUp)},
+				Sample{Metric: "refused", Unit: "%", Value: 100 * p.refused(warmUp)})
 			for _, r := range rows {
 				r.Scenario, r.Policy = s.name, v.name
 				out = append(out, r)
@@ -44,7 +46,7 @@
 // samples returns the figures of s; one of the project's own policies has the promised bound as target.
 func (s *skewSampler) samples(v variant) []Sample {
 	over := Sample{Metric: "samples over 1.5 x mean", Unit: "%", Value: 100 * float64(s.over) / float64(max(1, len(s.maxOverMean)))}
-	if v.name == ours.name || v.name == oursCounts.name {
+	if own(v) {
 		over.Target = &Target{AtMost, 0}
 	}
 	return []Sample{
--- /dev/null
+++ b/internal/sagemeasure/slope.go
@@ -0,0 +1,28 @@
+package sagemeasure
+
+import (
+	"fmt"
+	"time"
+)
+
+// Slope measures how cache reuse and skew go with the number of engines of one set, with haller's
+// kind of load: 18 engines and 8 routers, then more of both.
+func Slope(seed uint64) ([]Sample, error) {
+	const start, end = 60 * time.Second, 120 * time.Second
+	var out []Sample
+	for _, n := range []int{18, 72, 256} {
+		s := haller
+		s.name, s.engines, s.routers = fmt.Sprintf("%d engines", n), n, 8*n/18
+		trace := makeTrace(s, seed, end)
+		for _, v := range []variant{oracle, ours, oursCounts, firstVersion} {
+			p := newReplay(s, v, trace, seed)
+			k := p.sampleSkew(start, end)
+			p.runUntil(end + tail)
+			for _, r := range append(k.samples(v), Sample{Metric: "cache reuse", Value: p.reuse(start)}) {
+				r.Scenario, r.Policy, r.Target = s.name, v.name, nil
+				out = append(out, r)
+			}
+		}
+	}
+	return out, nil
+}
--- a/internal/sagemeasure/variants.go
+++ b/internal/sagemeasure/variants.go
@@ -17,16 +17,29 @@
 	token, memory bool
 	// yield lets less urgent requests leave room for urgent ones.
 	yield bool
+	// allot, if set, bounds requests in flight by allotments of the engines' homes.
+	allot *allotRule
 	// feed is reports if it is zero.
 	feed feed
 }
 
-// ours is what the daemon does.
-var ours = variant{name: "sagestand", token: true, yield: true, policy: byLoad(sageplace.Aims(promised))}
+// ours places by estimates: the engines' lagging reports and own requests since.
+var ours = variant{name: "sagestand, reports", token: true, yield: true, policy: byLoad(sageplace.Aims(promised))}
 
 // oursCounts is ours with a faster view of the load.
 var oursCounts = variant{name: "sagestand, counts", token: true, yield: true, feed: counts, policy: ours.policy}
 
+// oursAllotted is ours under in-flight allotments that a router asks for when it needs them.
+var oursAllotted = variant{
+	name: "sagestand, allotments", token: true, yield: true, feed: counts,
+	allot: &allotRule{multiple: 1.4, onDemand: true}, policy: byLoad(1.4, 1.1),
+}
+
+// own reports whether v is one of the project's own ways, which have targets.
+func own(v variant) bool {
+	return v.name == ours.name || v.name == oursCounts.name || v.name == oursAllotted.name
+}
+
 // firstVersion is the bounded order alone, which the project began with.
 var firstVersion = variant{name: "first version", policy: narrow(1.25, 1.25)}
 
@@ -102,5 +115,5 @@
 
 // all returns every policy that a table compares.
 func all() []variant {
-	return slices.Concat([]variant{oracle, ours, oursCounts, firstVersion}, baselines)
+	return slices.Concat([]variant{oracle, ours, oursCounts, oursAllotted, firstVersion}, baselines)
 }
--- a/internal/sagemeasure/weigh.go
+++ b/internal/sagemeasure/weigh.go
@@ -16,8 +16,12 @@
 		{name: "bound: 1.5, fresh 1.1", token: true, policy: byLoad(1.5, 1.1)},
 		{name: "bound: 1.5, fresh 1.5", token: true, policy: byLoad(1.5, 1.5)},
 		{name: "bound: 2, fresh 1.1", token: true, policy: byLoad(2, 1.1)},
-		{name: "load: counts, bound 1.35", token: true, feed: counts, policy: byLoad(1.35, 1.1)},
-		{name: "load: counts, bound 1.5", token: true, feed: counts, policy: byLoad(1.5, 1.1)},
+		{name: "load: counts", token: true, feed: counts, policy: byLoad(1.35, 1.1)},
+		{name: "allotments: two in advance, 1.5", token: true, feed: counts, allot: &allotRule{multiple: 1.5, headroom: 2}, policy: byLoad(1.35, 1.1)},
+		{name: "allotments: one in advance, 2", token: true, feed: counts, allot: &allotRule{multiple: 2, headroom: 1, onDemand: true}, policy: byLoad(1.35, 1.1)},
+		{name: "allotments: on demand, 1.3", token: true, feed: counts, allot: &allotRule{multiple: 1.3, onDemand: true}, policy: byLoad(1.3, 1.1)},
+		{name: "allotments: on demand, 1.4", token: true, feed: counts, allot: &allotRule{multiple: 1.4, onDemand: true}, policy: byLoad(1.4, 1.1)},
+		{name: "allotments: on demand, 1.5", token: true, feed: counts, allot: &allotRule{multiple: 1.5, onDemand: true}, policy: byLoad(1.5, 1.1)},
 	}
 	var out []Sample
 	for _, s := range []site{trentvale, haller} {
@@ -27,7 +31,10 @@
 			p.churn()
 			k := p.sampleSkew(warmUp, warmUp+measure)
 			p.runUntil(warmUp + measure + tail)
-			for _, r := range append(k.samples(v), Sample{Metric: "cache reuse", Value: p.reuse(warmUp)}) {
+			rows := append(k.samples(v),
+				Sample{Metric: "cache reuse", Value: p.reuse(warmUp)},
+				Sample{Metric: "refused", Unit: "%", Value: 100 * p.refused(warmUp)})
+			for _, r := range rows {
 				r.Scenario, r.Policy = s.name, v.name
 				out = append(out, r)
 			}
