--- a/internal/sagemeasure/allotment.go
+++ b/internal/sagemeasure/allotment.go
@@ -124,9 +124,11 @@
 func (a *allotments) acquire(j *job, i int) bool {
 	h, now := a.holdings[j.router.id][i], a.p.instant()
 	h.Seen(fmt.Sprint(a.p.engines[i].generation))
-	var ok bool
-	if j.boot, ok = h.Acquire(now); ok || !a.rule.onDemand {
-		return ok
+	if h.Acquire(now) {
+		return true
+	}
+	if !a.rule.onDemand {
+		return false
 	}
 	w, ok := h.Ask(now, routerName(a.homes[i]), h.InUse()+1)
 	if !ok {
@@ -134,11 +136,10 @@
 	}
 	a.asked++
 	h.Answer(a.ledgers[i].Ask(now, w))
-	j.boot, ok = h.Acquire(now)
-	return ok
+	return h.Acquire(now)
 }
 
-func (a *allotments) release(j *job, i int) { a.holdings[j.router.id][i].Release(j.boot) }
+func (a *allotments) release(j *job, i int) { a.holdings[j.router.id][i].Release() }
 
 // free returns the units that the router can hope for.
 func (a *allotments) free(r, i int) int {
--- a/internal/sagemeasure/fakeupstream.go
+++ b/internal/sagemeasure/fakeupstream.go
@@ -40,7 +40,6 @@
 	tried   []int
 	started time.Duration
 	cached  int
-	boot    string // that its allotment was taken for
 }
 
 func (e *engine) inFlight() int { return len(e.jobs) }
--- a/internal/sagemeasure/registry.go
+++ b/internal/sagemeasure/registry.go
@@ -6,7 +6,13 @@
 )
 
 // registry holds every measure by the name under which sagebench runs it.
-var registry = map[string]Func{}
+var registry = map[string]Func{
+	"churn": Churn,
+	"exit":  Exit,
+	"skew":  Skew,
+	"slope": Slope,
+	"weigh": Weigh,
+}
 
 // Names returns the names of all measures in order.
 func Names() []string { return slices.Sorted(maps.Keys(registry)) }
