--- a/internal/sagemeasure/registry.go
+++ b/internal/sagemeasure/registry.go
@@ -10,6 +10,7 @@
 	"churn": Churn,
 	"exit":  Exit,
 	"skew":  Skew,
+	"slope": Slope,
 	"weigh": Weigh,
 }
 
