Share upstreams among routers: services load, admission and retry

Cause: admission knew only the requests of its own node, and retries had no bound. Change: internal/sageloadd grants and holds in-flight allotments over twirp, probes engines and names the boot on each new connection; internal/sageadmission queues by fair shares over the units held; internal/sageretryd keeps budgets and circuits. Guaranteed shares are set aside only once a boot has completed work: otherwise the only unit of a cold engine belonged to one router and none warmed it (seen in TestNodesShareAnEngine). What the fair level leaves over is granted too. Conclusion: routers share an engine and together stay within its limit.

--- /dev/null
+++ b/internal/sageadmission/service.go
@@ -0,0 +1,232 @@
+package sageadmission
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"sagestand.example/sagestand/internal/sageentry"
+	"sagestand.example/sagestand/pkg/sageconfig"
+	"sagestand.example/sagestand/pkg/sagefair"
+	"sagestand.example/sagestand/pkg/sagewire"
+)
+
+const (
+	// refresh is how often slots are read anew while requests wait.
+	refresh = 20 * time.Millisecond
+	// startup is how long requests may wait for the first units of an upstream set.
+	startup = 15 * time.Second
+	// forget is how long an unused scheduler is kept.
+	forget = time.Minute
+)
+
+// Load says how many requests this node may have in flight.
+type Load interface {
+	// Slots returns the units held at the upstreams; queued requests wait for more.
+	Slots(upstreams []string, queued int) int
+}
+
+// Service implements [sageentry.Admission]. Its exported fields are set before Run.
+type Service struct {
+	Config sageentry.Config
+	Load   Load
+	// InFlight bounds the requests in flight of each upstream set, Queued those that wait.
+	InFlight int
+	Queued   int
+
+	mu    sync.Mutex
+	pools map[string]*pool
+}
+
+// pool is the scheduler of one upstream set.
+type pool struct {
+	sagefair.Scheduler
+
+	upstreams []string
+	waiting   map[*sagefair.Item]chan struct{}
+	made      time.Time
+	used      time.Time
+	read      time.Time
+	slots     int
+}
+
+// Run reads slots anew while requests wait, and forgets what is not used, until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	t := time.NewTicker(refresh)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-t.C:
+			s.tick(time.Now())
+		}
+	}
+}
+
+func (s *Service) tick(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for name, p := range s.pools {
+		if len(p.waiting) > 0 {
+			s.refresh(now, p)
+		} else if p.Running() == 0 && now.Sub(p.used) > forget {
+			delete(s.pools, name)
+		}
+	}
+}
+
+// refresh sets the slots of a pool to the units held now.
+func (s *Service) refresh(now time.Time, p *pool) {
+	p.read = now
+	p.slots = min(s.Load.Slots(p.upstreams, len(p.waiting)), s.InFlight)
+	p.wake(p.SetSlots(now, p.slots))
+}
+
+// wake tells those who wait for the items.
+func (p *pool) wake(items []*sagefair.Item) {
+	for _, it := range items {
+		if c := p.waiting[it]; c != nil {
+			close(c)
+			delete(p.waiting, it)
+		}
+	}
+}
+
+// Admit implements [sageentry.Admission].
+func (s *Service) Admit(ctx context.Context, r *sageentry.Request) (release func(), ref *sagewire.Refusal) {
+	weight, set, upstreams := s.shares(r)
+	if len(upstreams) == 0 {
+		return func() {}, nil // placement says why nothing can serve it
+	}
+	if ref := s.started(ctx, set, upstreams); ref != nil {
+		return nil, ref
+	}
+	p, it, turn := s.offer(r, weight, set, upstreams)
+	if turn != nil {
+		select {
+		case <-turn:
+		case <-ctx.Done():
+			if ref := s.left(p, it); ref != nil {
+				return nil, ref
+			}
+		}
+	}
+	if it.State == sagefair.Refused {
+		return nil, refusal(it)
+	}
+	var once sync.Once
+	return func() { once.Do(func() { s.done(p, it) }) }, nil
+}
+
+// shares returns the weight of the request's account, and the upstream set that it goes to.
+func (s *Service) shares(r *sageentry.Request) (weight float64, set string, upstreams []string) {
+	st, weight := s.Config.State(), 1
+	if st == nil {
+		return weight, "", nil
+	}
+	if route, ok := st.Route(r.Route); ok {
+		set = route.UpstreamSet
+	}
+	if a, ok := st.ClientAccount(r.Account); ok {
+		weight = a.Weight
+		if a.UpstreamSet != "" && r.Kind == sageconfig.RouteChat {
+			set = a.UpstreamSet
+		}
+	}
+	if us, ok := st.UpstreamSet(set); ok {
+		upstreams = us.Upstreams
+	}
+	return weight, set, upstreams
+}
+
+// offer offers the request; turn is not nil if it has to wait.
+func (s *Service) offer(r *sageentry.Request, weight float64, set string, upstreams []string) (*pool, *sagefair.Item, chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	p := s.pool(now, set, upstreams)
+	if now.Sub(p.read) > refresh {
+		s.refresh(now, p)
+	}
+	it, others := p.Offer(now, sagefair.Request{Account: r.Account, Weight: weight, Priority: r.Priority, Deadline: r.Deadline})
+	p.wake(others)
+	if it.State != sagefair.Waiting {
+		return p, it, nil
+	}
+	turn := make(chan struct{})
+	p.waiting[it] = turn
+	return p, it, turn
+}
+
+// pool returns the scheduler of an upstream set; mu is held.
+func (s *Service) pool(now time.Time, set string, upstreams []string) *pool {
+	if s.pools == nil {
+		s.pools = make(map[string]*pool)
+	}
+	p := s.pools[set]
+	if p == nil {
+		p = &pool{waiting: make(map[*sagefair.Item]chan struct{}), made: now}
+		p.MaxQueue = s.Queued
+		s.pools[set] = p
+	}
+	p.upstreams, p.used = upstreams, now
+	return p
+}
+
+// started waits for the first units of a set: a node that has just started, or an upstream set that
+// a ticket has just brought, holds none for some seconds, and refusing would turn each start into
+// an outage. Later a set without units is refused at once.
+func (s *Service) started(ctx context.Context, set string, upstreams []string) *sagewire.Refusal {
+	for {
+		s.mu.Lock()
+		now := time.Now()
+		p := s.pool(now, set, upstreams)
+		if p.slots == 0 {
+			s.refresh(now, p)
+		}
+		ready := p.slots > 0 || now.Sub(p.made) > startup
+		s.mu.Unlock()
+		if ready {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return sagewire.Refuse(sagewire.ReasonOverloaded, "no in-flight allotment yet", now.Add(time.Second))
+		case <-time.After(refresh):
+		}
+	}
+}
+
+// left takes a request out of the queue whose deadline passed or whose caller left; nil means that
+// it got its slot or its refusal at that moment.
+func (s *Service) left(p *pool, it *sagefair.Item) *sagewire.Refusal {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if it.State != sagefair.Waiting {
+		return nil
+	}
+	now := time.Now()
+	p.Cancel(now, it)
+	delete(p.waiting, it)
+	return sagewire.Refuse(sagewire.ReasonDeadline, "the deadline passed in the queue", now.Add(time.Second))
+}
+
+func (s *Service) done(p *pool, it *sagefair.Item) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	p.used = now
+	p.wake(p.Done(now, it))
+}
+
+// details say to a person what the reasons of the scheduler mean.
+var details = map[sagewire.Reason]string{
+	sagewire.ReasonAccountLimit: "the client account has as many requests waiting as its share allows",
+	sagewire.ReasonOverloaded:   "no in-flight allotment is free and the queue is full",
+	sagewire.ReasonDeadline:     "the request could not start before its deadline",
+}
+
+func refusal(it *sagefair.Item) *sagewire.Refusal {
+	return sagewire.Refuse(it.Reason, details[it.Reason], it.RetryAt)
+}
--- a/internal/sageentry/serve.go
+++ b/internal/sageentry/serve.go
@@ -129,26 +129,36 @@
 		w.Header().Set(sagewire.HeaderUpstream, p.Upstream)
 		res = s.Dispatch.Do(ctx, w, attempt(req, p, n))
 		p.Done(&res)
-		if !s.again(ctx, req, &res, p) {
+		tried = append(tried, p.Upstream)
+		if !s.again(ctx, req, &res, tried) {
 			return truthful(res, lost), pick, n
 		}
 		if res.Outcome == sagewire.Unknown {
 			l := res
 			lost = &l
 		}
-		tried = append(tried, p.Upstream)
 	}
 }
 
-// again reports whether one more attempt may follow a result.
-func (s *Service) again(ctx context.Context, req *Request, res *sagedispatch.Result, p *Pick) bool {
+// again reports whether one more attempt may follow a result, after waiting for its instant.
+func (s *Service) again(ctx context.Context, req *Request, res *sagedispatch.Result, tried []string) bool {
 	if res.Outcome == sagewire.Complete || res.Started || res.CallerGone || ctx.Err() != nil {
 		return false
 	}
 	if res.Outcome != sagewire.NotRun && !req.Idempotent {
 		return false
 	}
-	return s.Retries.Allow(time.Now(), p.Upstream)
+	now := time.Now()
+	at, ok := s.Retries.Allow(now, req, tried, res.Outcome == sagewire.NotRun)
+	if !ok {
+		return false
+	}
+	select {
+	case <-ctx.Done():
+		return false
+	case <-time.After(at.Sub(now)):
+		return true
+	}
 }
 
 // truthful returns what may be said at the end of all attempts.
--- a/internal/sageentry/steps.go
+++ b/internal/sageentry/steps.go
@@ -89,8 +89,9 @@
 type Retries interface {
 	// First notes the first attempt of a request.
 	First(now time.Time)
-	// Allow reports whether one more attempt may be made, and counts it.
-	Allow(now time.Time, failed string) bool
+	// Allow reports whether one more attempt may be made after those at the upstreams tried, and
+	// from which instant on, and counts it. NotRun says that the last attempt did not execute.
+	Allow(now time.Time, r *Request, tried []string, notRun bool) (at time.Time, ok bool)
 }
 
 // Dispatch is one exchange with one upstream.
--- a/internal/sagefleet/layout.go
+++ b/internal/sagefleet/layout.go
@@ -37,6 +37,8 @@
 	stopMillis    = 20000
 	locateMillis  = 1000
 	isolatedAfter = 10000
+	grantMillis   = 600
+	lagMillis     = 100
 )
 
 // Upstream is an engine or application of a layout.
@@ -96,6 +98,7 @@
 	s.Locate.ValidMillis = locateMillis
 	s.Stop.WithinMillis = stopMillis
 	s.Isolated.AfterMillis = isolatedAfter
+	s.Load.GrantMillis, s.Load.PromiseMillis, s.Load.ReportLagMillis = grantMillis, grantMillis, lagMillis
 	return s
 }
 
--- /dev/null
+++ b/internal/sageloadd/ask.go
@@ -0,0 +1,119 @@
+package sageloadd
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"sagestand.example/sagestand/internal/sagerpc/allot"
+	"sagestand.example/sagestand/pkg/sageload"
+)
+
+// ask asks every home for shares, the nodes in parallel; hurried asks only concern upstreams that
+// lack units.
+func (s *Service) ask(ctx context.Context, wait *sync.WaitGroup, hurried bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	byHome := make(map[string][]sageload.Want)
+	live := s.live()
+	for _, u := range s.upstreams {
+		if !u.engine || hurried && u.missed == 0 && u.queued == 0 && !u.cold {
+			continue
+		}
+		home, ok := s.homeOf(u, live)
+		if !ok || s.calls[home] {
+			// A second ask would make the answer to the first one void: under a call that takes
+			// longer than a round, no answer would ever count.
+			continue
+		}
+		units := u.units(now)
+		if u.out || s.stopping {
+			units = 0
+		}
+		if !u.holding.Voter && units == 0 && u.holding.InUse() == 0 {
+			continue
+		}
+		if w, ok := u.holding.Ask(now, home, units); ok {
+			byHome[home] = append(byHome[home], w)
+		}
+		u.missed, u.peak = 0, 0
+	}
+	for home, wants := range byHome {
+		if home == s.Node {
+			s.askSelf(wants)
+			continue
+		}
+		req := s.encode(wants)
+		s.calls[home] = true
+		wait.Go(func() { s.askPeer(ctx, home, req) })
+	}
+}
+
+// homeOf returns the home of an upstream among the live nodes of its electorate.
+func (s *Service) homeOf(u *upstream, live map[string]bool) (string, bool) {
+	in := make([]sageload.Member, 0, len(u.electorate))
+	for _, m := range u.electorate {
+		if live[m.Name] {
+			in = append(in, m)
+		}
+	}
+	return sageload.Home(u.name, u.dataCentre, in)
+}
+
+// askSelf is the ask of this router to itself as home; mu is held.
+func (s *Service) askSelf(wants []sageload.Want) {
+	for _, w := range wants {
+		u := s.upstreams[w.Upstream]
+		s.adopt(s.grant(u, w, u.cold))
+		u.cold = false
+	}
+}
+
+func (s *Service) askPeer(ctx context.Context, home string, req *allot.AskRequest) {
+	ctx, cancel := context.WithTimeout(ctx, s.Limits.Grant/2)
+	defer cancel()
+	res, err := allot.NewAllotProtobufClient(s.Peers.URL(home), s.Peers.HTTP()).Ask(ctx, req)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls[home] = false
+	if err != nil {
+		return // the next round asks again; what is held runs out by its deadline
+	}
+	for _, g := range res.Grants {
+		s.adopt(decodeGrant(res.Home, g))
+	}
+}
+
+// adopt takes a home's answer over; mu is held.
+func (s *Service) adopt(g sageload.Grant) {
+	u := s.upstreams[g.Upstream]
+	if u == nil || !u.holding.Answer(g) {
+		return
+	}
+	if g.Known {
+		u.estimate.Observe(time.Now(), g.Report)
+		u.capacity = g.Cap
+	}
+}
+
+func (s *Service) encode(wants []sageload.Want) *allot.AskRequest {
+	req := &allot.AskRequest{Node: s.Node, Holder: s.process}
+	for _, w := range wants {
+		u := s.upstreams[w.Upstream]
+		req.Wants = append(req.Wants, &allot.Want{
+			Upstream: w.Upstream, Seq: w.Seq, Echo: w.Echo, Home: w.Home,
+			Over: uint32(w.Over), Units: uint32(w.Units), Recognise: w.Recognise, Cold: u.cold,
+		})
+		u.cold = false
+	}
+	return req
+}
+
+func decodeGrant(home string, g *allot.Grant) sageload.Grant {
+	return sageload.Grant{
+		Upstream: g.Upstream, Seq: g.Seq, Home: home, Units: int(g.Units), BootID: g.BootId, Cap: int(g.Cap),
+		Known: g.Known, Pending: g.Pending, Resigned: g.Resigned, Warm: g.Warm,
+		Report: sageload.Report{BootID: g.BootId, InFlight: int(g.InFlight), CacheGeneration: g.CacheGeneration, AsOf: time.UnixMicro(g.AsOf)},
+	}
+}
--- /dev/null
+++ b/internal/sageloadd/service.go
@@ -0,0 +1,243 @@
+package sageloadd
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+
+	"sagestand.example/sagestand/internal/sagelog"
+	"sagestand.example/sagestand/pkg/sageconfig"
+	"sagestand.example/sagestand/pkg/sageload"
+)
+
+// Parts of a grant period. An ask that is lost leaves time for another before the grant ends.
+const (
+	asksPerGrant = 4
+	kickSpacing  = 50 * time.Millisecond
+	// silentGrants is after how many grant periods an upstream's load counts as unknown.
+	silentGrants = 2
+	// idleAfter is how long a router keeps asking for a spare unit after its last use.
+	idleAfter = time.Minute
+)
+
+// Config is what the service needs of the configuration.
+type Config interface {
+	State() *sageconfig.State
+}
+
+// Peers makes calls to other nodes.
+type Peers interface {
+	URL(addr string) string
+	HTTP() *http.Client
+}
+
+// Service is the load service of one node. Its exported fields are set before Run.
+type Service struct {
+	// Node is this node's address on the roster, at which other nodes call it.
+	Node string
+	// Roster holds every node by address; it is the same on all of them.
+	Roster []sageload.Member
+	// Live returns the nodes that are up and not leaving; nil means the roster.
+	Live   func() []sageload.Member
+	Config Config
+	Peers  Peers
+	// Probe makes the calls to upstreams; nil means a client of its own.
+	Probe  *http.Client
+	Limits sageload.Limits
+	// Floor is the part of a warm engine's limit that is set aside for the guaranteed shares.
+	Floor int
+	// Ramp is the number of completed requests for one more at once on a cold engine.
+	Ramp uint64
+	Log  sagelog.Logger
+
+	mu        sync.Mutex
+	process   string
+	started   time.Time
+	state     *sageconfig.State
+	upstreams map[string]*upstream
+	byAddress map[string]*upstream
+	calls     map[string]bool // homes with an ask under way
+	kick      chan struct{}
+	once      sync.Once
+	stopping  bool
+}
+
+func (s *Service) init() {
+	s.once.Do(func() {
+		id := uuid.New()
+		s.process = string(appendBase32(nil, id[:]))
+		s.started = time.Now()
+		s.upstreams = make(map[string]*upstream)
+		s.byAddress = make(map[string]*upstream)
+		s.calls = make(map[string]bool)
+		s.kick = make(chan struct{}, 1)
+		if s.Probe == nil {
+			s.Probe = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+		}
+	})
+}
+
+// appendBase32 writes the first bytes of an id as text of 13 characters.
+func appendBase32(dst, id []byte) []byte {
+	const digits = "0123456789abcdefghijklmnopqrstuv"
+	var v uint64
+	for _, b := range id[:8] {
+		v = v<<8 | uint64(b)
+	}
+	for range 13 {
+		dst = append(dst, digits[v&31])
+		v >>= 5
+	}
+	return dst
+}
+
+// Run asks, probes and grants until ctx ends.
+func (s *Service) Run(ctx context.Context) error {
+	s.init()
+	period := s.Limits.Grant / asksPerGrant
+	t := time.NewTicker(period)
+	defer t.Stop()
+	var wait sync.WaitGroup
+	defer wait.Wait()
+	s.round(ctx, &wait)
+	for {
+		select {
+		case <-ctx.Done():
+			s.resign()
+			return nil
+		case <-t.C:
+			s.round(ctx, &wait)
+		case <-s.kick:
+			s.ask(ctx, &wait, true)
+			select {
+			case <-ctx.Done():
+			case <-time.After(kickSpacing):
+			}
+		}
+	}
+}
+
+// round follows the configuration, probes what this node is home of, and asks for shares.
+func (s *Service) round(ctx context.Context, wait *sync.WaitGroup) {
+	s.mu.Lock()
+	s.follow()
+	s.mu.Unlock()
+	s.probe(ctx, wait)
+	s.ask(ctx, wait, false)
+}
+
+// resign ends every term of this home: what it granted runs out, nothing new is granted, and the
+// other nodes may turn to a successor at once.
+func (s *Service) resign() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopping = true
+	for _, u := range s.upstreams {
+		if u.ledger != nil {
+			u.ledger.Resign()
+		}
+	}
+}
+
+func (s *Service) live() map[string]bool {
+	members := s.Roster
+	if s.Live != nil {
+		members = s.Live()
+	}
+	live := make(map[string]bool, len(members))
+	for _, m := range members {
+		live[m.Name] = true
+	}
+	return live
+}
+
+// View returns what this node knows of an upstream's load.
+func (s *Service) View(name string) sageload.View {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := s.find(name)
+	if u == nil {
+		return sageload.View{Upstream: name}
+	}
+	return u.view(time.Now())
+}
+
+// Acquire takes one unit of this node's allotment of an upstream.
+func (s *Service) Acquire(name string, now time.Time) bool {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	u := s.find(name)
+	if u == nil {
+		return false
+	}
+	u.used = now
+	// The caller's instant may be old by now if it was paused; the deadline is held against the
+	// present one.
+	if !u.holding.Acquire(time.Now()) {
+		u.missed++
+		s.hurry()
+		return false
+	}
+	u.estimate.Dispatched()
+	u.peak = max(u.peak, u.holding.InUse())
+	return true
+}
+
+// Release gives a unit back.
+func (s *Service) Release(name string, _ time.Time, _ bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if u := s.upstreams[name]; u != nil {
+		u.holding.Release()
+		u.estimate.Ended()
+	}
+}
+
+// Latency takes the latency of one answer, see [sageload.Detector].
+func (s *Service) Latency(name string, latency float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if u := s.upstreams[name]; u != nil && u.detector.Observe(latency) {
+		u.cold = true
+		s.hurry()
+	}
+}
+
+// Slots returns how many requests this node may have in flight at the named upstreams together, and
+// takes note that queued more wait for them.
+func (s *Service) Slots(names []string, queued int) int {
+	s.init()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now, n, grow := time.Now(), 0, false
+	each := (queued + len(names) - 1) / max(len(names), 1)
+	for _, name := range names {
+		u := s.find(name)
+		if u == nil {
+			continue
+		}
+		n += u.holding.InUse() + u.holding.Free(now)
+		grow = grow || each > u.queued
+		u.queued = each
+		if queued > 0 {
+			u.used = now
+		}
+	}
+	if grow {
+		s.hurry()
+	}
+	return n
+}
+
+// hurry makes the service ask soon instead of at the next round.
+func (s *Service) hurry() {
+	select {
+	case s.kick <- struct{}{}:
+	default:
+	}
+}
--- /dev/null
+++ b/internal/sagenode/load.go
@@ -0,0 +1,46 @@
+package sagenode
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"sagestand.example/sagestand/internal/sageloadd"
+	"sagestand.example/sagestand/internal/sagepeer"
+	"sagestand.example/sagestand/internal/sageretryd"
+	"sagestand.example/sagestand/pkg/sageload"
+	"sagestand.example/sagestand/pkg/sageretry"
+)
+
+// clockDrift bounds how far the rate of a node's clock may be from true.
+const clockDrift = 0.005
+
+// cutSlack is what may pass between the deadline of a request and the moment at which the upstream
+// no longer works on it.
+const cutSlack = 5 * time.Second
+
+// loadService returns the load service; the settings' seeds are its roster.
+func (n *Node) loadService(conf sageloadd.Config, peers *sagepeer.Client) *sageloadd.Service {
+	cfg := &n.Settings
+	roster := make([]sageload.Member, len(cfg.Seeds))
+	for i, s := range cfg.Seeds {
+		roster[i] = sageload.Member{Name: s.Peer, DataCentre: s.DataCentre}
+	}
+	return &sageloadd.Service{
+		Node: cfg.Listen.Peer, Roster: roster, Config: conf, Peers: peers,
+		Limits: sageload.Limits{
+			Grant: millis(cfg.Load.GrantMillis), Promise: millis(cfg.Load.PromiseMillis),
+			Lifetime: millis(cfg.Limits.DeadlineMillis) + cutSlack, ReportLag: millis(cfg.Load.ReportLagMillis),
+			Drift: clockDrift,
+		},
+		Floor: cfg.Load.Floor, Ramp: uint64(cfg.Load.RampCompletions), Log: n.Log.Part("load"),
+	}
+}
+
+// retryService returns the retry service; each process draws its own jitter.
+func (n *Node) retryService() *sageretryd.Service {
+	r := n.Settings.Retry
+	return &sageretryd.Service{Policy: sageretry.Policy{
+		Budget: sageretry.Budget{Ratio: r.Ratio}, Attempts: r.Attempts,
+		Source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}}
+}
--- a/internal/sagenode/node.go
+++ b/internal/sagenode/node.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
+	"sagestand.example/sagestand/internal/sageadmission"
 	"sagestand.example/sagestand/internal/sageburnd"
 	"sagestand.example/sagestand/internal/sagedispatch"
 	"sagestand.example/sagestand/internal/sageentry"
@@ -22,6 +23,7 @@
 	"sagestand.example/sagestand/internal/sagemetrics"
 	"sagestand.example/sagestand/internal/sageoperator"
 	"sagestand.example/sagestand/internal/sagepeer"
+	"sagestand.example/sagestand/internal/sagerpc/allot"
 	"sagestand.example/sagestand/internal/sagerpc/report"
 	"sagestand.example/sagestand/internal/sagesettings"
 	"sagestand.example/sagestand/pkg/sageburn"
@@ -124,12 +126,19 @@
 	burn := &sageburnd.Service{Objectives: objectives(cfg.Objectives), Peers: n.otherSeeds, Client: peers}
 	peerServer.Mount(report.NewReportServer(burn))
 	k.Register("burn", burn)
+	load := n.loadService(conf, peers)
+	peerServer.Mount(allot.NewAllotServer(load))
+	k.Register("load", load)
+	admission := &sageadmission.Service{Config: conf, Load: load, InFlight: cfg.Limits.InFlight, Queued: cfg.Limits.Queued}
+	k.Register("admission", admission)
+	retries := n.retryService()
+	k.Register("retry", retries)
 	requests := &sagemetrics.Requests{Set: n.metrics}
 	entry := &sageentry.Service{
 		Listener: n.listeners["entry"], Config: conf,
-		Admission: &thinAdmission{slots: make(chan struct{}, cfg.Limits.InFlight)},
-		Claims:    &thinClaims{Store: store}, Placement: &thinPlacement{Config: conf}, Retries: thinRetries{},
-		Dispatch: &sagedispatch.Dispatcher{}, Locator: locator, Leaver: locator, Recorder: sagemetrics.Fan{requests, burn},
+		Admission: admission,
+		Claims:    &thinClaims{Store: store}, Placement: &thinPlacement{Config: conf}, Retries: retries,
+		Dispatch: &sagedispatch.Dispatcher{Dial: load.Dial}, Locator: locator, Leaver: locator, Recorder: sagemetrics.Fan{requests, burn},
 		Limits: cfg.Limits, Stop: cfg.Stop, Log: n.Log.Part("entry"),
 	}
 	n.ready = func() error {
--- a/internal/sagenode/thin.go
+++ b/internal/sagenode/thin.go
@@ -121,18 +121,6 @@
 
 func (l *thinLocator) Leave(now time.Time) time.Time { return now.Add(l.Valid) }
 
-// thinAdmission bounds the requests in flight.
-type thinAdmission struct{ slots chan struct{} }
-
-func (a *thinAdmission) Admit(context.Context, *sageentry.Request) (func(), *sagewire.Refusal) {
-	select {
-	case a.slots <- struct{}{}:
-		return func() { <-a.slots }, nil
-	default:
-		return nil, sagewire.Refuse(sagewire.ReasonOverloaded, "too many requests in flight", time.Now().Add(time.Second))
-	}
-}
-
 // thinClaims writes one object for each claim.
 type thinClaims struct{ Store sageobject.Store }
 
@@ -191,9 +179,3 @@
 	}
 	return false
 }
-
-// thinRetries allows every attempt that finds an upstream not yet tried.
-type thinRetries struct{}
-
-func (thinRetries) First(time.Time)              {}
-func (thinRetries) Allow(time.Time, string) bool { return true }
--- a/internal/sagesettings/check.go
+++ b/internal/sagesettings/check.go
@@ -84,6 +84,15 @@
 		f.add("placement.load_bound", "have %v, want above 1", s.Placement.LoadBound)
 	}
 	f.positive("placement.token_valid_millis", int64(s.Placement.TokenValidMillis))
+	f.positive("load.grant_millis", int64(s.Load.GrantMillis))
+	f.positive("load.promise_millis", int64(s.Load.PromiseMillis))
+	f.positive("load.ramp_completions", int64(s.Load.RampCompletions))
+	if s.Load.ReportLagMillis < 0 {
+		f.add("load.report_lag_millis", "have %d, want at least 0", s.Load.ReportLagMillis)
+	}
+	if s.Load.Floor < 0 {
+		f.add("load.floor", "have %d, want at least 0", s.Load.Floor)
+	}
 	if s.Retry.Ratio < 0 || s.Retry.Ratio > 1 {
 		f.add("retry.ratio", "have %v, want 0 to 1", s.Retry.Ratio)
 	}
--- a/internal/sagesettings/settings.go
+++ b/internal/sagesettings/settings.go
@@ -15,6 +15,7 @@
 	Stop       Stop        `json:"stop" doc:"graceful stop"`
 	Isolated   Isolated    `json:"isolated" doc:"what a node does that can't confirm its configuration"`
 	Placement  Placement   `json:"placement" doc:"load bound and placement token"`
+	Load       Allotments  `json:"load" doc:"in-flight allotments of upstreams; the same on every node"`
 	Retry      Retry       `json:"retry" doc:"retry budget"`
 	Claims     Claims      `json:"claims" doc:"idempotency keys"`
 	Objectives []Objective `json:"objectives" doc:"service levels that report burn measures against"`
@@ -103,6 +104,15 @@
 	TokenValidMillis int     `json:"token_valid_millis" doc:"how long a placement token counts"`
 }
 
+// Allotments holds the periods of in-flight allotments.
+type Allotments struct {
+	GrantMillis     int `json:"grant_millis" doc:"how long a granted share of an upstream's limit lasts"`
+	PromiseMillis   int `json:"promise_millis" doc:"how long a node that recognised an upstream's home recognises no other"`
+	ReportLagMillis int `json:"report_lag_millis" doc:"greatest age of the figures in an engine's load report"`
+	Floor           int `json:"floor" doc:"part of a warm engine's limit that is set aside for nodes that can't get a grant"`
+	RampCompletions int `json:"ramp_completions" doc:"completed requests after which a cold engine gets one more at once"`
+}
+
 // Retry is the retry budget.
 type Retry struct {
 	Ratio    float64 `json:"ratio" doc:"retries allowed for each request"`
@@ -134,6 +144,7 @@
 		Stop:      Stop{WithinMillis: 330000},
 		Isolated:  Isolated{Rule: IsolatedFence, AfterMillis: 10000},
 		Placement: Placement{LoadBound: 1.25, TokenValidMillis: 3600000},
+		Load:      Allotments{GrantMillis: 2000, PromiseMillis: 2000, ReportLagMillis: 1000, Floor: 1, RampCompletions: 4},
 		Retry:     Retry{Ratio: 0.1, Attempts: 3},
 		Claims:    Claims{RetentionMillis: 86400000, CollectMillis: 5},
 		Objectives: []Objective{
--- a/pkg/sageload/holding.go
+++ b/pkg/sageload/holding.go
@@ -39,6 +39,8 @@
 	Known bool
 	// Pending says that this node grants nothing yet: the holder keeps what it has to its deadline.
 	Pending bool
+	// Warm says that the guaranteed shares may be used on this boot.
+	Warm bool
 	// Resigned releases the holder from its promise: this home grants no more.
 	Resigned bool
 }
@@ -51,8 +53,11 @@
 	Node   string
 	// Voter says that Node is in the upstream's electorate.
 	Voter bool
-	// Guaranteed is the part usable without a grant, see [Guaranteed].
+	// Guaranteed is the part usable without a grant, see [Guaranteed]: on boots that a home said are
+	// warm, or on any if Static is set. Static suits upstreams that report no load; their whole limit
+	// is divided into guaranteed shares.
 	Guaranteed int
+	Static     bool
 	Limits     Limits
 	// AbstainUntil is the end of the first promise period after the start of this process.
 	//
@@ -68,7 +73,8 @@
 	GuaranteedFrom time.Time
 
 	running  int
-	boot     string         // the boot last seen, by a grant or a connection
+	boot     string // the boot last seen, by a grant or a connection
+	warm     string // the boot whose guaranteed share is usable
 	units    int
 	unitBoot string
 	until    time.Time
@@ -111,6 +117,9 @@
 		return true
 	}
 	h.boot = g.BootID
+	if g.Warm {
+		h.warm = g.BootID
+	}
 	h.units, h.unitBoot = g.Units, g.BootID
 	// The home counts from a later instant, when it answered, and for longer.
 	h.until = h.askedAt.Add(h.Limits.Grant)
@@ -160,7 +169,7 @@
 
 // own returns the part of the guaranteed share that is usable now.
 func (h *Holding) own(now time.Time) int {
-	if now.Before(h.GuaranteedFrom) {
+	if now.Before(h.GuaranteedFrom) || !h.Static && (h.warm == "" || h.warm != h.boot) {
 		return 0
 	}
 	return h.Guaranteed
--- a/pkg/sageload/ledger.go
+++ b/pkg/sageload/ledger.go
@@ -17,8 +17,11 @@
 	Home       string
 	Electorate []string
 	Limits     Limits
-	// Floor is the sum of the guaranteed shares.
-	Floor int
+	// Floor is the sum of the guaranteed shares. It is set aside, and the shares become usable, once
+	// a boot has completed WarmAfter requests: a cold upstream might not bear even them, and while
+	// they belong to single routers the others could not warm it.
+	Floor     int
+	WarmAfter uint64
 
 	capacity int
 	boot     string
@@ -88,13 +91,15 @@
 	l.confirm(now, h, w)
 	l.vote(now, w)
 	if l.Granting(now) && l.settle(h) {
-		g.Units, g.Pending = l.share(h, w.Units), false
+		g.Units, g.Pending = l.share(w.Holder, h), false
 	}
 	h.seq = w.Seq
 	h.last = sent{seq: w.Seq, units: g.Units, at: now, until: now.Add(l.Limits.long(l.Limits.Grant))}
 	if g.Pending {
 		h.last.units, h.last.until = h.echo.units, h.echo.until // the holder keeps what it has
 	}
+	// Only once grants have made room for the floor may it be used.
+	g.Warm = !g.Pending && l.floor() > 0 && l.Committed() <= l.capacity
 	return g
 }
 
@@ -126,9 +131,18 @@
 // their promise, so that a successor need not wait for it.
 func (l *Ledger) Resign() { l.resigned = true }
 
+// floor returns what is set aside for guaranteed shares. Completed only grows within a boot, so a
+// later home, whose report is newer, sets aside at least as much.
+func (l *Ledger) floor() int {
+	if l.reported.IsZero() || l.report.Completed < l.WarmAfter {
+		return 0
+	}
+	return l.Floor
+}
+
 // Committed returns the units that holders may have in flight, the floor included.
 func (l *Ledger) Committed() int {
-	n := l.Floor
+	n := l.floor()
 	for _, h := range l.holders {
 		n += h.commit()
 	}
@@ -175,31 +189,49 @@
 
 // share returns the units for a holder: its max-min fair share of the cap by wants, but no more
 // than the other commitments leave.
-func (l *Ledger) share(h *holder, want int) int {
-	left := l.capacity - l.Floor - l.carried.units
+func (l *Ledger) share(name string, h *holder) int {
+	left := l.capacity - l.floor() - l.carried.units
 	others := 0
 	for _, o := range l.holders {
 		if o != h {
 			others += o.commit()
 		}
 	}
-	return max(0, min(want, l.fair(left), left-others))
+	return max(0, min(l.fair(name, h, left), left-others))
 }
 
-// fair returns the level at which the wants of all holders, each cut to the level, fill left.
-func (l *Ledger) fair(left int) int {
+// fair returns the holder's part of left: its want, cut to the level at which the wants of all fill
+// left. What the level leaves over goes one by one to the first holders by name that want more.
+func (l *Ledger) fair(name string, h *holder, left int) int {
 	lo, hi := 0, max(0, left)
 	for lo < hi {
 		mid := (lo + hi + 1) / 2
-		sum := 0
-		for _, h := range l.holders {
-			sum += min(mid, max(h.want, h.over))
-		}
-		if sum <= left {
+		if l.filled(mid) <= left {
 			lo = mid
 		} else {
 			hi = mid - 1
 		}
 	}
-	return max(lo, 1)
+	if h.want <= lo {
+		return h.want
+	}
+	before := 0
+	for n, o := range l.holders {
+		if n < name && max(o.want, o.over) > lo {
+			before++
+		}
+	}
+	if before < left-l.filled(lo) {
+		return lo + 1
+	}
+	return lo
+}
+
+// filled returns the sum of the wants, each cut to the level.
+func (l *Ledger) filled(level int) int {
+	sum := 0
+	for _, h := range l.holders {
+		sum += min(level, max(h.want, h.over))
+	}
+	return sum
 }
--- a/pkg/sageload/ramp.go
+++ b/pkg/sageload/ramp.go
@@ -1,6 +1,7 @@
 package sageload
 
-// Ramp says what an upstream may carry now. It starts at Start and grows by one for each PerUnit
+// Ramp says what an upstream may carry now. It starts at Start, or at a quarter of what the upstream
+// says that it bears if that is more, and grows by one for each PerUnit
 // completed requests, up to what the upstream says it bears.
 //
 // Growth follows completed work, not time: an upstream that is stuck in its start would otherwise
@@ -44,9 +45,9 @@
 	if p.completed > p.base {
 		grown = (p.completed - p.base) / max(p.PerUnit, 1)
 	}
-	c := bears
-	if uint64(p.Start)+grown < uint64(max(bears, 0)) {
-		c = p.Start + int(grown)
+	c, start := bears, max(p.Start, bears/4)
+	if uint64(start)+grown < uint64(max(bears, 0)) {
+		c = start + int(grown)
 	}
 	if p.Max > 0 {
 		c = min(c, p.Max)
--- a/pkg/sageload/story_test.go
+++ b/pkg/sageload/story_test.go
@@ -174,6 +174,46 @@
 	})
 }
 
+// Story: the network splits, and routers on both sides find their own home. Router d is with a, which
+// nobody else can reach; c is with b and the majority. Each home gives out the whole cap.
+func TestOnlyAMajorityGrants(t *testing.T) {
+	bothWays(t, withMajority, func(s *stage) {
+		a, b, c, d := s.router("a"), s.router("b"), s.router("c"), s.router("d")
+		minority, majority := s.homeOf("a"), s.homeOf("b")
+		if s.without == withMajority {
+			minority.Electorate = []string{"a"}
+		}
+		for range 50 {
+			s.run(100*time.Millisecond, minority, "a", bearsTen, d, a)
+			s.now = s.now.Add(-100 * time.Millisecond)
+			s.run(100*time.Millisecond, majority, "b", bearsTen, c, b)
+		}
+		s.take(c, s.now)
+		s.take(d, s.now)
+	})
+}
+
+// Story: router b dies with two requests of its guaranteed share in flight, and its VM's successor
+// sends two more on the same share, while the others use all the rest.
+func TestRestartedRouterLeavesItsGuaranteedShare(t *testing.T) {
+	bothWays(t, withOwn, func(s *stage) {
+		a, b, c := s.router("a"), s.router("b"), s.router("c")
+		home := s.homeOf("a")
+		home.Floor, b.Guaranteed = 2, 2
+		s.run(5*time.Second, home, "a", bearsTen, c, a, b)
+		s.dead = s.take(b, s.now)
+		s.routers = []*Holding{a, c}
+		again := s.router("b")
+		again.Holder, again.Guaranteed = "b.2", 2
+		if s.without != withOwn {
+			again.GuaranteedFrom = s.now.Add(s.limits.Lifetime)
+		}
+		s.run(time.Second, home, "a", bearsTen, c, a, again)
+		s.take(c, s.now)
+		s.take(again, s.now)
+	})
+}
+
 // Story: the VM of a router and home dies. The ten requests it had sent run on at the engine, and
 // no router reports them; the next home hands out the whole cap again.
 func TestNewHomeCountsRequestsOfDeadRouters(t *testing.T) {
--- a/pkg/sageretry/doc.go
+++ b/pkg/sageretry/doc.go
@@ -13,6 +13,7 @@
 // # Usage
 //
 //	p := &sageretry.Policy{Source: rand.New(rand.NewPCG(seed, 0))}
+//	p.First()
 //	p.Sent(upstream)
 //	p.Failed(now, upstream)
 //	if d := p.Retry(now, sageretry.Attempt{Idempotent: true, Tried: tried, Deadline: deadline}); d.OK {
--- a/pkg/sageretry/policy.go
+++ b/pkg/sageretry/policy.go
@@ -57,11 +57,11 @@
 	circuit Circuit
 }
 
-// Sent counts a first attempt to an upstream.
-func (p *Policy) Sent(name string) {
-	p.Budget.Deposit()
-	p.at(name).budget.Deposit()
-}
+// First counts the first attempt of a request.
+func (p *Policy) First() { p.Budget.Deposit() }
+
+// Sent counts an attempt at an upstream.
+func (p *Policy) Sent(name string) { p.at(name).budget.Deposit() }
 
 // Succeeded counts an answer of an upstream, also a refusal that says that it did not execute.
 func (p *Policy) Succeeded(name string) { p.at(name).circuit.Succeeded() }
