--- a/internal/sagenode/node.go
+++ b/internal/sagenode/node.go
@@ -23,11 +23,13 @@
 	"sagestand.example/sagestand/internal/sagemetrics"
 	"sagestand.example/sagestand/internal/sageoperator"
 	"sagestand.example/sagestand/internal/sagepeer"
+	"sagestand.example/sagestand/internal/sageplacement"
 	"sagestand.example/sagestand/internal/sagerpc/allot"
 	"sagestand.example/sagestand/internal/sagerpc/report"
 	"sagestand.example/sagestand/internal/sagesettings"
 	"sagestand.example/sagestand/pkg/sageburn"
 	"sagestand.example/sagestand/pkg/sageobject"
+	"sagestand.example/sagestand/pkg/sageplace"
 )
 
 // ErrEmptyKey reports a key file without a key.
@@ -133,11 +135,17 @@
 	k.Register("admission", admission)
 	retries := n.retryService()
 	k.Register("retry", retries)
+	placement := &sageplacement.Service{
+		Config: conf, Load: load, Circuits: retries, Multiple: cfg.Placement.LoadBound,
+		Sealer:     sageplace.Sealer{Keys: [][]byte{[]byte(n.peerKey)}},
+		TokenValid: millis(cfg.Placement.TokenValidMillis), Metrics: n.metrics,
+	}
+	k.Register("placement", placement)
 	requests := &sagemetrics.Requests{Set: n.metrics}
 	entry := &sageentry.Service{
 		Listener: n.listeners["entry"], Config: conf,
 		Admission: admission,
-		Claims:    &thinClaims{Store: store}, Placement: &thinPlacement{Config: conf}, Retries: retries,
+		Claims:    &thinClaims{Store: store}, Placement: placement, Retries: retries,
 		Dispatch: &sagedispatch.Dispatcher{Dial: load.Dial}, Locator: locator, Leaver: locator, Recorder: sagemetrics.Fan{requests, burn},
 		Limits: cfg.Limits, Stop: cfg.Stop, Log: n.Log.Part("entry"),
 	}
