Wait for a unit while upstreams have room, refuse at once when none has

Cause: units of in-flight allotments lie with the routers that last used them. Ruled out: the load bound (it allows one request of an idle set), the model set. Change: placement asks itself where the request would go with a unit in hand; if somewhere, it asks for the unit and waits up to 2 s, else it refuses at once. The part of a cap that urgent work may use is rounded up, else a cap of 1 served nobody but urgent requests. Replays run one after another: side by side they starved each other of processor time (dial timeouts), which showed as refusals. Conclusion: no refusal while there is room; a full fleet still refuses at once.

--- a/internal/sageplacement/service.go
+++ b/internal/sageplacement/service.go
@@ -21,6 +21,10 @@
 	evidenceSize = 1 << 14
 	// hotContexts is the number of contexts whose width a node keeps.
 	hotContexts = 1 << 10
+	// grantWait bounds the wait for a unit of an upstream that has room: a few asks and answers.
+	grantWait = 2 * time.Second
+	// grantPoll lies between two looks for a unit.
+	grantPoll = 10 * time.Millisecond
 	// retryAfter is the least time until a refused request may come back.
 	retryAfter = 500 * time.Millisecond
 )
@@ -48,13 +52,30 @@
 	evidence *sageplace.Evidence
 }
 
-// Pick implements [sageentry.Placement].
-func (s *Service) Pick(_ context.Context, r *sageentry.Request, tried []string) (*sageentry.Pick, *sagewire.Refusal) {
+// Pick implements [sageentry.Placement]. It waits for a unit while an upstream has room that this
+// node only lacks the allotment for; a request for which no upstream has room is refused at once.
+func (s *Service) Pick(ctx context.Context, r *sageentry.Request, tried []string) (*sageentry.Pick, *sagewire.Refusal) {
+	until := time.Now().Add(grantWait)
+	for {
+		p, ref, wait := s.try(r, tried)
+		if !wait || !time.Now().Before(until) {
+			return p, ref
+		}
+		select {
+		case <-ctx.Done():
+			return nil, ref
+		case <-time.After(grantPoll):
+		}
+	}
+}
+
+// try looks for an upstream once. It reports wait with a refusal that may be over with the next grant.
+func (s *Service) try(r *sageentry.Request, tried []string) (p *sageentry.Pick, ref *sagewire.Refusal, wait bool) {
 	now := time.Now()
 	state := s.Config.State()
 	key, ref := groupOf(state, r, now)
 	if ref != nil {
-		return nil, ref
+		return nil, ref, false
 	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -65,7 +86,6 @@
 	passed := false
 	for {
 		c := s.placer.Choose(now, g.table, g.loads, q)
-		s.count(c.Why)
 		if c.Index < 0 && g.endedBefore != s.ended {
 			// Requests of other groups have ended on the same upstreams since the loads were read:
 			// refusing by them would call an upstream full that has room.
@@ -73,10 +93,11 @@
 			continue
 		}
 		if c.Index < 0 {
-			return nil, refuse(now, r, g, c.Why == sageplace.Empty && !passed)
+			return s.wanted(now, r, g, q, c.Why == sageplace.Empty && !passed)
 		}
 		if s.take(now, g.table.Upstreams[c.Index].Name, r.Deadline) {
-			return s.pick(now, r, g, c.Index), nil
+			s.count(c.Why)
+			return s.pick(now, r, g, c.Index), nil, false
 		}
 		// The allotment went since the loads were read, or the circuit is open. The upstream is
 		// passed over, so each round has a candidate less and the loop ends.
@@ -85,6 +106,21 @@
 	}
 }
 
+// wanted looks for the upstream that would take the request if this node had a unit of it, and asks
+// for one by trying to take it.
+//
+// It guards against refusing what the fleet has room for: units lie with the routers that last used
+// them, so a router whose callers have just turned to it holds none, while the upstreams idle.
+func (s *Service) wanted(now time.Time, r *sageentry.Request, g *group, q *sageplace.Query, allTried bool) (*sageentry.Pick, *sagewire.Refusal, bool) {
+	c := s.placer.Choose(now, g.table, g.loads.WithUnits(), q)
+	if c.Index >= 0 && s.take(now, g.table.Upstreams[c.Index].Name, r.Deadline) {
+		s.count(c.Why)
+		return s.pick(now, r, g, c.Index), nil, false
+	}
+	s.count(sageplace.Over)
+	return nil, refuse(now, r, g, allTried), c.Index >= 0
+}
+
 // take takes a unit of the upstream's allotment for a request, if its circuit lets it.
 func (s *Service) take(now time.Time, name string, deadline time.Time) bool {
 	if !s.Load.Acquire(name, now) {
--- a/internal/sagetrace/trace_test.go
+++ b/internal/sagetrace/trace_test.go
@@ -21,7 +21,6 @@
 	require.NotEmpty(t, files)
 	for _, f := range files {
 		t.Run(strings.TrimSuffix(filepath.Base(f), ".json"), func(t *testing.T) {
-			t.Parallel()
 			tr, err := Load(f)
 			require.NoError(t, err)
 			res, err := Replay(context.Background(), tr)
--- a/pkg/sageplace/loads.go
+++ b/pkg/sageplace/loads.go
@@ -39,6 +39,17 @@
 	l.count(v, 1)
 }
 
+// WithUnits returns a copy in which this router has a free unit of every upstream. It says where a
+// request would go if only allotments were lacking.
+func (l *Loads) WithUnits() *Loads {
+	c := &Loads{all: make([]Load, len(l.all)), inFlight: l.inFlight, capacity: l.capacity}
+	copy(c.all, l.all)
+	for i := range c.all {
+		c.all[i].Free = max(1, c.all[i].Free)
+	}
+	return c
+}
+
 // Add corrects the load of upstream i by n own requests.
 func (l *Loads) Add(i, n int) {
 	v := l.all[i]
@@ -107,7 +118,9 @@
 		return false
 	}
 	after, capacity := l.estimate(i)+1, float64(v.Cap)
-	return after <= capacity*m.part && after <= math.Ceil(m.mean*capacity)
+	// A small cap would leave the less urgent classes nothing at all if its part were not rounded up:
+	// they would be refused by an idle upstream that bears one request.
+	return after <= math.Ceil(capacity*m.part) && after <= math.Ceil(m.mean*capacity)
 }
 
 // relative returns the part of its capacity that upstream i carries.
