--- a/internal/sagefleet/layout.go
+++ b/internal/sagefleet/layout.go
@@ -37,7 +37,7 @@
 	stopMillis    = 20000
 	locateMillis  = 1000
 	isolatedAfter = 10000
-	grantMillis   = 600
+	grantMillis   = 1000
 	lagMillis     = 100
 )
 
--- a/internal/sageloadd/ask.go
+++ b/internal/sageloadd/ask.go
@@ -44,7 +44,7 @@
 			s.askSelf(wants)
 			continue
 		}
-		req := s.encode(wants)
+		req := s.encode(home, wants)
 		s.calls[home] = true
 		wait.Go(func() { s.askPeer(ctx, home, req) })
 	}
@@ -80,8 +80,11 @@
 	if err != nil {
 		return // the next round asks again; what is held runs out by its deadline
 	}
+	s.processes[home] = res.Home
 	for _, g := range res.Grants {
-		s.adopt(decodeGrant(res.Home, g))
+		if int(g.Want) < len(req.Wants) {
+			s.adopt(decodeGrant(req.Wants[g.Want].Upstream, res.Home, g))
+		}
 	}
 }
 
@@ -97,12 +100,15 @@
 	}
 }
 
-func (s *Service) encode(wants []sageload.Want) *allot.AskRequest {
-	req := &allot.AskRequest{Node: s.Node, Holder: s.process}
+func (s *Service) encode(home string, wants []sageload.Want) *allot.AskRequest {
+	req := &allot.AskRequest{Node: s.Node, Holder: s.process, EchoHome: s.processes[home]}
 	for _, w := range wants {
-		u := s.upstreams[w.Upstream]
+		u, echo := s.upstreams[w.Upstream], w.Echo
+		if w.Home != req.EchoHome {
+			echo = 0 // of an earlier home
+		}
 		req.Wants = append(req.Wants, &allot.Want{
-			Upstream: w.Upstream, Seq: w.Seq, Echo: w.Echo, Home: w.Home,
+			Upstream: w.Upstream, Seq: w.Seq, Echo: echo,
 			Over: uint32(w.Over), Units: uint32(w.Units), Recognise: w.Recognise, Cold: u.cold,
 		})
 		u.cold = false
@@ -110,9 +116,9 @@
 	return req
 }
 
-func decodeGrant(home string, g *allot.Grant) sageload.Grant {
+func decodeGrant(upstream, home string, g *allot.Grant) sageload.Grant {
 	return sageload.Grant{
-		Upstream: g.Upstream, Seq: g.Seq, Home: home, Units: int(g.Units), BootID: g.BootId, Cap: int(g.Cap),
+		Upstream: upstream, Seq: g.Seq, Home: home, Units: int(g.Units), BootID: g.BootId, Cap: int(g.Cap),
 		Known: g.Known, Pending: g.Pending, Resigned: g.Resigned, Warm: g.Warm,
 		Report: sageload.Report{BootID: g.BootId, InFlight: int(g.InFlight), CacheGeneration: g.CacheGeneration, AsOf: time.UnixMicro(g.AsOf)},
 	}
--- /dev/null
+++ b/internal/sageloadd/bytes_test.go
@@ -0,0 +1,86 @@
+package sageloadd
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"google.golang.org/protobuf/proto"
+
+	"sagestand.example/sagestand/internal/sagepeer"
+	"sagestand.example/sagestand/internal/sagerpc/allot"
+	"sagestand.example/sagestand/pkg/sageconfig"
+	"sagestand.example/sagestand/pkg/sageload"
+)
+
+// BenchmarkControlBytes runs nodes that call each other over loopback for some seconds, each with
+// requests at every engine, and reports what one node sends and receives for allotments a second.
+func BenchmarkControlBytes(b *testing.B) {
+	for _, c := range []struct{ nodes, engines int }{{8, 12}, {8, 30}, {16, 30}, {16, 60}} {
+		b.Run(fmt.Sprintf("%dnodes/%dengines", c.nodes, c.engines), func(b *testing.B) {
+			for b.Loop() {
+				b.ReportMetric(controlBytes(b, c.nodes, c.engines, 6*time.Second), "B/s/node")
+			}
+		})
+	}
+}
+
+func controlBytes(b *testing.B, nodes, engines int, d time.Duration) float64 {
+	engine := httptest.NewServer(http.HandlerFunc(report))
+	defer engine.Close()
+	f := &fleet{state: sageconfig.NewState()}
+	for i := range engines {
+		f.state.Apply(sageconfig.Entry{Number: 2, Change: sageconfig.Change{
+			Thing: sageconfig.Thing{Kind: sageconfig.KindUpstream, Name: fmt.Sprintf("derby-engine-%03d", i)},
+			Upstream: &sageconfig.Upstream{Kind: sageconfig.Engine, DataCentre: "derby", MaxInFlight: 16,
+				Address: strings.TrimPrefix(engine.URL, "http://")},
+		}})
+	}
+	var roster []sageload.Member
+	var servers []*sagepeer.Server
+	for range nodes {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(b, err)
+		servers = append(servers, &sagepeer.Server{Listener: l, Key: "k"})
+		roster = append(roster, sageload.Member{Name: l.Addr().String(), DataCentre: "derby"})
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	sum := func() (n int64) {
+		for _, s := range servers {
+			n += s.Bytes()
+		}
+		return n
+	}
+	limits := testLimits
+	limits.Grant, limits.Promise = 4*time.Second, 4*time.Second
+	for i, m := range roster {
+		s := &Service{Node: m.Name, Roster: roster, Config: f, Peers: &sagepeer.Client{Key: "k"}, Limits: limits, Floor: 1, Ramp: 1}
+		servers[i].Mount(allot.NewAllotServer(s))
+		go func() { _ = servers[i].Run(ctx) }()
+		go func() { _ = s.Run(ctx) }()
+	}
+	time.Sleep(3 * limits.Grant)
+	before := sum()
+	time.Sleep(d)
+	// Every byte passes one server and one client, so a node sees twice its server's share.
+	return 2 * float64(sum()-before) / d.Seconds() / float64(nodes)
+}
+
+func TestSizeOfAsk(t *testing.T) {
+	ask := &allot.AskRequest{Node: "10.0.0.1:7201", Holder: "78gcdu0edbfsb", EchoHome: "njic1gpv6m523"}
+	res := &allot.AskResponse{Home: "njic1gpv6m523"}
+	for i := range 6 {
+		ask.Wants = append(ask.Wants, &allot.Want{Upstream: fmt.Sprintf("derby-engine-%03d", i), Seq: 1 << 20, Echo: 1 << 20, Over: 2, Units: 3, Recognise: true})
+		res.Grants = append(res.Grants, encodeGrant(i, sageload.Grant{Seq: 1 << 20, Units: 3, Cap: 16,
+			BootID: shortID("a9a536d1-550e-4aad-a01f-a5568754a1a0"), Known: true, Report: sageload.Report{InFlight: 12, CacheGeneration: 3, AsOf: time.Now()}}))
+	}
+	t.Logf("six upstreams: ask %d bytes, answer %d bytes", proto.Size(ask), proto.Size(res))
+	require.Less(t, proto.Size(ask)+proto.Size(res), 1000, "one ask about six upstreams and its answer")
+}
--- a/internal/sageloadd/home.go
+++ b/internal/sageloadd/home.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"sagestand.example/sagestand/internal/sagerpc/allot"
@@ -40,16 +41,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	res := &allot.AskResponse{Home: s.process}
-	for _, w := range req.Wants {
+	for i, w := range req.Wants {
 		u := s.find(w.Upstream)
 		if u == nil || !u.engine {
 			continue // the asker has a newer or older configuration; it asks again
 		}
 		g := s.grant(u, sageload.Want{
-			Upstream: w.Upstream, Holder: req.Holder, Node: req.Node, Seq: w.Seq, Echo: w.Echo, Home: w.Home,
+			Upstream: w.Upstream, Holder: req.Holder, Node: req.Node, Seq: w.Seq, Echo: w.Echo, Home: req.EchoHome,
 			Over: int(w.Over), Units: int(w.Units), Recognise: w.Recognise,
 		}, w.Cold)
-		res.Grants = append(res.Grants, encodeGrant(g))
+		res.Grants = append(res.Grants, encodeGrant(i, g))
 	}
 	return res, nil
 }
@@ -81,9 +82,9 @@
 	return u.ledger
 }
 
-func encodeGrant(g sageload.Grant) *allot.Grant {
+func encodeGrant(want int, g sageload.Grant) *allot.Grant {
 	return &allot.Grant{
-		Upstream: g.Upstream, Seq: g.Seq, Units: uint32(g.Units), BootId: g.BootID, Cap: uint32(max(g.Cap, 0)),
+		Want: uint32(want), Seq: g.Seq, Units: uint32(g.Units), BootId: g.BootID, Cap: uint32(max(g.Cap, 0)),
 		Known: g.Known, Pending: g.Pending, Resigned: g.Resigned, Warm: g.Warm,
 		InFlight: uint32(max(g.Report.InFlight, 0)), CacheGeneration: g.Report.CacheGeneration, AsOf: g.Report.AsOf.UnixMicro(),
 	}
@@ -153,5 +154,14 @@
 	if r.BootID == "" || r.InFlight < 0 || r.Bears < 0 {
 		return r, fmt.Errorf("boot id %q, in_flight %d, bears %d: %w", r.BootID, r.InFlight, r.Bears, ErrBadReport)
 	}
+	r.BootID = shortID(r.BootID)
 	return r, nil
 }
+
+// shortID shortens an id that goes with every grant.
+func shortID(id string) string {
+	if len(id) <= shortBytes {
+		return id
+	}
+	return base32(xxhash.Sum64String(id))
+}
--- a/internal/sageloadd/service.go
+++ b/internal/sageloadd/service.go
@@ -2,12 +2,11 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
 
-	"github.com/google/uuid"
-
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/pkg/sageconfig"
 	"sagestand.example/sagestand/pkg/sageload"
@@ -59,7 +58,8 @@
 	state     *sageconfig.State
 	upstreams map[string]*upstream
 	byAddress map[string]*upstream
-	calls     map[string]bool // homes with an ask under way
+	calls     map[string]bool   // homes with an ask under way
+	processes map[string]string // the process that last answered, by node
 	kick      chan struct{}
 	once      sync.Once
 	stopping  bool
@@ -67,12 +67,12 @@
 
 func (s *Service) init() {
 	s.once.Do(func() {
-		id := uuid.New()
-		s.process = string(appendBase32(nil, id[:]))
+		s.process = base32(rand.Uint64())
 		s.started = time.Now()
 		s.upstreams = make(map[string]*upstream)
 		s.byAddress = make(map[string]*upstream)
 		s.calls = make(map[string]bool)
+		s.processes = make(map[string]string)
 		s.kick = make(chan struct{}, 1)
 		if s.Probe == nil {
 			s.Probe = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
@@ -80,18 +80,18 @@
 	})
 }
 
-// appendBase32 writes the first bytes of an id as text of 13 characters.
-func appendBase32(dst, id []byte) []byte {
+// shortBytes is the length of a 64-bit number in base 32.
+const shortBytes = 13
+
+// base32 writes v in shortBytes characters.
+func base32(v uint64) string {
 	const digits = "0123456789abcdefghijklmnopqrstuv"
-	var v uint64
-	for _, b := range id[:8] {
-		v = v<<8 | uint64(b)
-	}
-	for range 13 {
-		dst = append(dst, digits[v&31])
+	var b [shortBytes]byte
+	for i := range b {
+		b[i] = digits[v&31]
 		v >>= 5
 	}
-	return dst
+	return string(b[:])
 }
 
 // Run asks, probes and grants until ctx ends.
--- a/internal/sageloadd/service_test.go
+++ b/internal/sageloadd/service_test.go
@@ -39,7 +39,7 @@
 func (f *fleet) URL(addr string) string   { return "http://" + addr }
 func (f *fleet) HTTP() *http.Client       { return http.DefaultClient }
 
-func newFleet(t *testing.T) *fleet {
+func newFleet(t testing.TB) *fleet {
 	f := &fleet{state: sageconfig.NewState(), engine: httptest.NewServer(http.HandlerFunc(report))}
 	t.Cleanup(f.engine.Close)
 	f.state.Apply(sageconfig.Entry{Number: 1, Change: sageconfig.Change{
--- a/internal/sageloadd/upstream.go
+++ b/internal/sageloadd/upstream.go
@@ -100,7 +100,7 @@
 	u := &upstream{name: name, engine: c.Kind == sageconfig.Engine, dataCentre: c.DataCentre}
 	u.estimate.Silence = silentGrants * s.Limits.Grant
 	u.ramp = sageload.Ramp{Start: 1, PerUnit: s.Ramp}
-	u.electorate = sageload.Electorate(c.DataCentre, s.Roster)
+	u.electorate = sageload.Electorate(name, c.DataCentre, s.Roster)
 	u.holding = sageload.Holding{
 		Upstream: name, Holder: s.process, Node: s.Node, Limits: s.Limits, Voter: contains(u.electorate, s.Node),
 		AbstainUntil:   s.started.Add(s.Limits.Promise + s.Limits.Promise/10),
--- a/internal/sagesettings/settings.go
+++ b/internal/sagesettings/settings.go
@@ -144,7 +144,7 @@
 		Stop:      Stop{WithinMillis: 330000},
 		Isolated:  Isolated{Rule: IsolatedFence, AfterMillis: 10000},
 		Placement: Placement{LoadBound: 1.5, TokenValidMillis: 3600000},
-		Load:      Allotments{GrantMillis: 2000, PromiseMillis: 2000, ReportLagMillis: 1000, Floor: 1, RampCompletions: 4},
+		Load:      Allotments{GrantMillis: 4000, PromiseMillis: 4000, ReportLagMillis: 1000, Floor: 1, RampCompletions: 4},
 		Retry:     Retry{Ratio: 0.1, Attempts: 3},
 		Claims:    Claims{RetentionMillis: 86400000, CollectMillis: 5},
 		Objectives: []Objective{
--- a/pkg/sageload/home.go
+++ b/pkg/sageload/home.go
@@ -12,9 +12,12 @@
 	DataCentre string
 }
 
-// MinElectorate is the least number of roster nodes in a data centre for them alone to be the
-// electorate of its upstreams.
-const MinElectorate = 5
+// Sizes of an electorate. Fewer than the least of one data centre could not lose a node; more than
+// the greatest would make every home hear from too many.
+const (
+	MinElectorate = 5
+	MaxElectorate = 9
+)
 
 // score is the rendezvous weight of a node for an upstream.
 func score(upstream, node string) uint64 {
@@ -45,19 +48,30 @@
 	return best, found
 }
 
-// Electorate returns the roster nodes whose majority decides who is the upstream's home: those of
-// its data centre if they are at least [MinElectorate], else the whole roster.
-func Electorate(dataCentre string, roster []Member) []Member {
+// Electorate returns the roster nodes whose majority decides who is the upstream's home, and of
+// which the home is one. It is drawn from the nodes of the upstream's data centre if they are at
+// least [MinElectorate], else from the whole roster. Of a larger roster every k-th node forms one
+// cell, and the upstream belongs to one cell, so that what a node spends on promises doesn't grow
+// with the fleet, and neighbours on the roster, who may share a rack, sit in different cells.
+func Electorate(upstream, dataCentre string, roster []Member) []Member {
 	var near []Member
 	for _, m := range roster {
 		if m.DataCentre == dataCentre {
 			near = append(near, m)
 		}
 	}
-	if len(near) >= MinElectorate {
+	if len(near) < MinElectorate {
+		near = roster
+	}
+	cells := (len(near) + MaxElectorate - 1) / MaxElectorate
+	if cells <= 1 {
 		return near
 	}
-	return roster
+	var cell []Member
+	for i := int(score(upstream, "") % uint64(cells)); i < len(near); i += cells {
+		cell = append(cell, near[i])
+	}
+	return cell
 }
 
 // Guaranteed returns the node's part of the floor units of an upstream that are set aside for use
--- a/pkg/sageload/part_test.go
+++ b/pkg/sageload/part_test.go
@@ -41,7 +41,15 @@
 	}
 	_, ok := Home("u", "x", nil)
 	require.False(t, ok)
-	require.Len(t, Electorate("y", live), 4, "two are too few to decide alone")
+	require.Len(t, Electorate("u", "y", live), 4, "two are too few to decide alone")
+	var many []Member
+	for i := range 45 {
+		many = append(many, Member{Name: string(rune('A' + i)), DataCentre: "x"})
+	}
+	cell := Electorate("u", "x", many)
+	require.Len(t, cell, 9)
+	require.Equal(t, cell, Electorate("u", "x", many), "the same on every node")
+	require.NotEqual(t, cell, Electorate("u2", "x", many))
 }
 
 func TestRampGrowsWithWorkAndRestarts(t *testing.T) {
