--- a/internal/sagemeasure/registry.go
+++ b/internal/sagemeasure/registry.go
@@ -8,6 +8,7 @@
 // registry holds every measure by the name under which sagebench runs it.
 var registry = map[string]Func{
 	"churn": Churn,
+	"cold":  Cold,
 	"exit":  Exit,
 	"skew":  Skew,
 	"slope": Slope,
