Add sageclaims: claims by the owner of their object, repeats answered, unknown outcomes listed

Cause: a repeat of a booking through another router, after a lost answer, a dead router or during a store outage must not run it twice, and nobody may lose sight of one whose outcome is unknown.

--- /dev/null
+++ b/internal/sageclaims/sweep.go
@@ -0,0 +1,196 @@
+package sageclaims
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sagestand.example/sagestand/pkg/sageclaim"
+	"sagestand.example/sagestand/pkg/sageobject"
+)
+
+// Keys of the sweep in the store.
+const (
+	unknownPrefix = "unknown/"
+	cursorKey     = "unknown-cursor"
+)
+
+// sweepEvery is the pause between two sweeps; a deletion follows every deleteEvery sweeps.
+const (
+	sweepEvery  = 15 * time.Second
+	deleteEvery = 20
+)
+
+// cursor says up to which bucket claim objects were searched. It lives in the store, so that a node
+// that takes over goes on where another one stopped, also after an outage of all nodes.
+type cursor struct {
+	SweptUntil time.Time `json:"swept_until"`
+}
+
+// sweepUntil sweeps until ctx ends, while this node owns the cursor.
+func (s *Service) sweepUntil(ctx context.Context) {
+	for n := 1; wait(ctx, sweepEvery); n++ {
+		if s.owner(cursorKey) != s.Self {
+			continue
+		}
+		if err := s.Sweep(ctx, time.Now()); err != nil && ctx.Err() == nil {
+			s.Log.Warn("Can't sweep claims.", "err", err)
+		}
+		if n%deleteEvery == 0 {
+			if err := s.DeleteOld(ctx, time.Now()); err != nil && ctx.Err() == nil {
+				s.Log.Warn("Can't delete old claims.", "err", err)
+			}
+		}
+	}
+}
+
+// Sweep lists the unsettled requests of every bucket that is old enough and not searched yet.
+//
+// It guards against losing track of a request whose router died: nobody else knows of it but its
+// claim. The list is written before the cursor moves, so a crash between the two only repeats work.
+func (s *Service) Sweep(ctx context.Context, now time.Time) error {
+	until := s.Rules.BucketOf(now.Add(-s.SettleAfter))
+	cur, version, err := s.cursor(ctx, now)
+	if err != nil || !cur.SweptUntil.Before(until) {
+		return err
+	}
+	for hour := cur.SweptUntil.Truncate(time.Hour); hour.Before(until); hour = hour.Add(time.Hour) {
+		metas, err := s.Store.List(ctx, s.Rules.HourPrefix(hour))
+		if err != nil {
+			return fmt.Errorf("list claims: %w", err)
+		}
+		for _, m := range metas {
+			at, err := s.Rules.BucketOfObject(m.Key)
+			if err != nil || at.Before(cur.SweptUntil) || !at.Before(until) {
+				continue
+			}
+			if err := s.listUnsettled(ctx, m.Key, now); err != nil {
+				return err
+			}
+		}
+	}
+	b, err := json.Marshal(&cursor{SweptUntil: until})
+	if err != nil {
+		return fmt.Errorf("encode cursor: %w", err)
+	}
+	if _, err := s.Store.Put(ctx, cursorKey, b, version); err != nil && !errors.Is(err, sageobject.ErrConflict) {
+		return fmt.Errorf("write cursor: %w", err)
+	}
+	return nil
+}
+
+func (s *Service) cursor(ctx context.Context, now time.Time) (cursor, int64, error) {
+	o, err := s.Store.Get(ctx, cursorKey)
+	if errors.Is(err, sageobject.ErrNotFound) {
+		return cursor{SweptUntil: s.Rules.BucketOf(now.Add(-s.Rules.Retention))}, sageobject.NoVersion, nil
+	}
+	if err != nil {
+		return cursor{}, 0, fmt.Errorf("read cursor: %w", err)
+	}
+	var c cursor
+	if err := json.Unmarshal(o.Value, &c); err != nil {
+		return cursor{}, 0, fmt.Errorf("decode cursor: %w", err)
+	}
+	return c, o.Version, nil
+}
+
+// listUnsettled copies the unsettled requests of one claim object to the operators' list.
+func (s *Service) listUnsettled(ctx context.Context, object string, now time.Time) error {
+	o, err := s.Store.Get(ctx, object)
+	if errors.Is(err, sageobject.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return fmt.Errorf("read claims: %w", err)
+	}
+	book, err := sageclaim.DecodeBook(o.Value)
+	if err != nil {
+		return fmt.Errorf("%s: %w", object, err)
+	}
+	var found []sageclaim.Record
+	for _, r := range book.Records() {
+		if r.Unsettled(now) {
+			found = append(found, r)
+		}
+	}
+	if len(found) == 0 {
+		return nil
+	}
+	return s.addUnknown(ctx, now, found)
+}
+
+// addUnknown adds records to the list object of the present hour, once each.
+func (s *Service) addUnknown(ctx context.Context, now time.Time, found []sageclaim.Record) error {
+	key := unknownPrefix + now.UTC().Format("2006010215")
+	for {
+		var list []sageclaim.Record
+		o, err := s.Store.Get(ctx, key)
+		if err != nil && !errors.Is(err, sageobject.ErrNotFound) {
+			return fmt.Errorf("read unknown outcomes: %w", err)
+		}
+		if err == nil {
+			if list, err = decodeUnknown(o.Value); err != nil {
+				return err
+			}
+		}
+		have := make(map[string]bool, len(list))
+		for _, r := range list {
+			have[r.ClaimID] = true
+		}
+		for _, r := range found {
+			if !have[r.ClaimID] {
+				list = append(list, r)
+			}
+		}
+		b, err := json.Marshal(list)
+		if err != nil {
+			return fmt.Errorf("encode unknown outcomes: %w", err)
+		}
+		_, err = s.Store.Put(ctx, key, b, o.Version)
+		if errors.Is(err, sageobject.ErrConflict) {
+			continue
+		}
+		if err != nil {
+			return fmt.Errorf("write unknown outcomes: %w", err)
+		}
+		return nil
+	}
+}
+
+func decodeUnknown(b []byte) ([]sageclaim.Record, error) {
+	var list []sageclaim.Record
+	if err := json.Unmarshal(b, &list); err != nil {
+		return nil, fmt.Errorf("decode unknown outcomes: %w", err)
+	}
+	for i := range list {
+		if err := list[i].Check(); err != nil {
+			return nil, fmt.Errorf("decode unknown outcomes: %w", err)
+		}
+	}
+	return list, nil
+}
+
+// DeleteOld deletes claim objects beyond retention, after a last search for unsettled requests: a
+// key may have been used long after its creation, when its bucket had been searched already.
+func (s *Service) DeleteOld(ctx context.Context, now time.Time) error {
+	metas, err := s.Store.List(ctx, sageclaim.Prefix)
+	if err != nil {
+		return fmt.Errorf("list claims: %w", err)
+	}
+	for _, m := range metas {
+		at, err := s.Rules.BucketOfObject(m.Key)
+		if err != nil || now.Before(at.Add(s.Rules.Bucket+s.Rules.Retention+sageclaim.DeleteMargin)) {
+			continue
+		}
+		if err := s.listUnsettled(ctx, m.Key, now); err != nil {
+			return err
+		}
+		if err := s.Store.Delete(ctx, m.Key, m.Version); err != nil && !errors.Is(err, sageobject.ErrConflict) && !errors.Is(err, sageobject.ErrNotFound) {
+			return fmt.Errorf("delete claims: %w", err)
+		}
+	}
+	return nil
+}
--- a/pkg/sageclaim/book.go
+++ b/pkg/sageclaim/book.go
@@ -1,6 +1,7 @@
 package sageclaim
 
 import (
+	"encoding/json"
 	"fmt"
 	"time"
 
@@ -147,3 +148,31 @@
 		}
 	}
 }
+
+// Check reports a record that contradicts itself, wrapped around [ErrBadEntry].
+func (r *Record) Check() error {
+	if r.Account == "" || r.Key == "" || r.ClaimID == "" {
+		return fmt.Errorf("record without account, key or claim_id: %w", ErrBadEntry)
+	}
+	switch r.State {
+	case Claimed, Released:
+		return nil
+	case Finished:
+		if r.Outcome == sagewire.Complete || r.Outcome == sagewire.Unknown {
+			return nil
+		}
+	}
+	return fmt.Errorf("record in state %q with outcome %q: %w", r.State, r.Outcome, ErrBadEntry)
+}
+
+// DecodeRecord decodes and checks a record.
+func DecodeRecord(b []byte) (Record, error) {
+	var r Record
+	if err := json.Unmarshal(b, &r); err != nil {
+		return Record{}, fmt.Errorf("decode record: %v: %w", err, ErrBadEntry)
+	}
+	if err := r.Check(); err != nil {
+		return Record{}, fmt.Errorf("decode record: %w", err)
+	}
+	return r, nil
+}
--- a/pkg/sageclaim/committer.go
+++ b/pkg/sageclaim/committer.go
@@ -20,6 +20,8 @@
 	ErrUnsettled = errors.New("claim not settled")
 	// ErrFull: the object can't take the claim, or the claim was released before.
 	ErrFull = errors.New("claim not taken")
+	// ErrLate: the claim's deadline passed before it was written.
+	ErrLate = errors.New("claim came after its deadline")
 	// ErrNoClaim: the key of a finish, release or settlement has no claim.
 	ErrNoClaim = errors.New("no claim of that key")
 )
@@ -87,6 +89,8 @@
 	book    *Book
 	version int64
 	used    int64
+	// stale says that the store may have a newer version.
+	stale bool
 }
 
 // Wait returns when no commit is under way.
@@ -165,6 +169,7 @@
 func (c *Committer) commit(object string, batch []*pending) {
 	ctx, cancel := context.WithTimeout(context.Background(), c.timeout())
 	defer cancel()
+	batch = dropLate(batch, time.Now())
 	book, err := c.append(ctx, object, batch)
 	for _, p := range batch {
 		switch {
@@ -177,6 +182,21 @@
 	}
 }
 
+// dropLate answers claims that nobody waits for any more. A committer that was paused would else
+// claim keys that nobody runs.
+func dropLate(batch []*pending, now time.Time) []*pending {
+	kept := batch[:0]
+	for _, p := range batch {
+		if p.entry.Op == OpClaim && now.After(p.entry.Deadline) {
+			p.err = ErrLate
+			close(p.done)
+			continue
+		}
+		kept = append(kept, p)
+	}
+	return kept
+}
+
 func (p *pending) settle(book *Book) {
 	rec, ok := book.Record(p.entry.Account, p.entry.Key)
 	switch {
@@ -283,7 +303,7 @@
 // load returns the object from memory or from the store.
 func (c *Committer) load(ctx context.Context, object string) (*cached, error) {
 	c.mu.Lock()
-	if e, ok := c.cache[object]; ok {
+	if e, ok := c.cache[object]; ok && !e.stale {
 		c.uses++
 		e.used = c.uses
 		c.mu.Unlock()
@@ -347,10 +367,13 @@
 	delete(c.cache, oldest)
 }
 
+// forget makes the next load read the object from the store; [Committer.Cached] still knows it.
 func (c *Committer) forget(object string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	delete(c.cache, object)
+	if e, ok := c.cache[object]; ok {
+		e.stale = true
+	}
 }
 
 func (c *Committer) count(f func(*Stats)) {
--- a/pkg/sageclaim/entry.go
+++ b/pkg/sageclaim/entry.go
@@ -98,3 +98,15 @@
 	}
 	return entries, nil
 }
+
+// DecodeEntry decodes and checks one entry.
+func DecodeEntry(b []byte) (Entry, error) {
+	var e Entry
+	if err := json.Unmarshal(b, &e); err != nil {
+		return Entry{}, fmt.Errorf("decode entry: %v: %w", err, ErrBadEntry)
+	}
+	if err := e.Check(); err != nil {
+		return Entry{}, fmt.Errorf("decode entry: %w", err)
+	}
+	return e, nil
+}
--- a/pkg/sageclaim/rules.go
+++ b/pkg/sageclaim/rules.go
@@ -67,3 +67,16 @@
 	_, _ = h.Write(body)
 	return hex.EncodeToString(h.Sum(nil)[:8])
 }
+
+// HourPrefix returns the prefix of the claim objects whose buckets start in the hour of t.
+func (r *Rules) HourPrefix(t time.Time) string { return Prefix + t.UTC().Format("2006010215") + "/" }
+
+// BucketOfObject reads the start of the bucket from an object's key.
+func (r *Rules) BucketOfObject(object string) (time.Time, error) {
+	var hour, shard int
+	var millis int64
+	if n, err := fmt.Sscanf(object, Prefix+"%d/%d-%d", &hour, &millis, &shard); err != nil || n != 3 {
+		return time.Time{}, fmt.Errorf("claim object %q: %w", object, ErrBadKey)
+	}
+	return time.UnixMilli(millis), nil
+}
