--- a/internal/sagemeasure/fakeupstream.go
+++ b/internal/sagemeasure/fakeupstream.go
@@ -29,6 +29,7 @@
 	ended func(j *job, ok bool)
 	clock *clock
 	jobs  map[*job]bool
+	last  report
 }
 
 // job is one request at an engine.
