Claim keys by sageclaims in the daemon

Cause: the thin claims wrote one object a booking, took a lost answer for a claim of somebody else, and never released a key.

Change: the node registers the service, mounts the call between nodes and the operators' list of unknown outcomes.

--- a/internal/sagenode/node.go
+++ b/internal/sagenode/node.go
@@ -25,6 +25,7 @@
 	"sagestand.example/sagestand/internal/sagepeer"
 	"sagestand.example/sagestand/internal/sageplacement"
 	"sagestand.example/sagestand/internal/sagerpc/allot"
+	"sagestand.example/sagestand/internal/sagerpc/claim"
 	"sagestand.example/sagestand/internal/sagerpc/report"
 	"sagestand.example/sagestand/internal/sagesettings"
 	"sagestand.example/sagestand/pkg/sageburn"
@@ -141,11 +142,14 @@
 		TokenValid: millis(cfg.Placement.TokenValidMillis), Metrics: n.metrics,
 	}
 	k.Register("placement", placement)
+	claims := n.claimService(store, peers)
+	peerServer.Mount(claim.NewClaimsServer(claims))
+	k.Register("claims", claims)
 	requests := &sagemetrics.Requests{Set: n.metrics}
 	entry := &sageentry.Service{
 		Listener: n.listeners["entry"], Config: conf,
 		Admission: admission,
-		Claims:    &thinClaims{Store: store}, Placement: placement, Retries: retries,
+		Claims:    claims, Placement: placement, Retries: retries,
 		Dispatch: &sagedispatch.Dispatcher{Dial: load.Dial}, Locator: locator, Leaver: locator, Recorder: sagemetrics.Fan{requests, burn},
 		Limits: cfg.Limits, Stop: cfg.Stop, Log: n.Log.Part("entry"),
 	}
@@ -164,6 +168,8 @@
 		Log: n.Log.Part("operator"),
 	}
 	operator.Handle("GET /v1/report/burn", burn)
+	operator.Handle("GET /v1/unknown", claims)
+	operator.Handle("POST /v1/unknown", claims)
 	k.Register("operator", operator)
 	k.Register("entry", entry)
 }
--- a/internal/sagenode/thin.go
+++ b/internal/sagenode/thin.go
@@ -7,10 +7,8 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
-	"sagestand.example/sagestand/internal/sagedispatch"
 	"sagestand.example/sagestand/internal/sageentry"
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/pkg/sageconfig"
@@ -120,20 +118,3 @@
 }
 
 func (l *thinLocator) Leave(now time.Time) time.Time { return now.Add(l.Valid) }
-
-// thinClaims writes one object for each claim.
-type thinClaims struct{ Store sageobject.Store }
-
-func (c *thinClaims) Claim(ctx context.Context, r *sageentry.Request) (*sageentry.Claim, *sagedispatch.Answer, *sagewire.Refusal) {
-	key := fmt.Sprintf("claims/%s/%016x", r.Account, xxhash.Sum64String(r.Key))
-	_, err := c.Store.Put(ctx, key, []byte(r.ID), sageobject.NoVersion)
-	switch {
-	case err == nil:
-		return &sageentry.Claim{ID: r.ID, Key: key}, nil, nil
-	case errors.Is(err, sageobject.ErrConflict), errors.Is(err, sageobject.ErrUnknown):
-		return nil, nil, &sagewire.Refusal{Outcome: sagewire.AlreadyRun, Reason: sagewire.ReasonKeyInUse}
-	}
-	return nil, nil, sagewire.Refuse(sagewire.ReasonStoreUnavailable, err.Error(), time.Now().Add(time.Second))
-}
-
-func (c *thinClaims) Finish(context.Context, *sageentry.Claim, *sagedispatch.Result) {}
