Add sagelease and sageorders: fenced orders to engines

Cause: two nodes that both think they hold the duty would tell an engine contradicting things, and not all engines refuse an old fencing number.

Change: a lease in the Object API with a fencing number; the holder stops a margin before its end by its own clocks, a successor waits for a term that it saw itself, and for engines that ignore the number also the longest delay. Orders are absolute, repeated, and checked against the lease when sent.

--- a/internal/sageclaims/service_test.go
+++ b/internal/sageclaims/service_test.go
@@ -386,3 +386,49 @@
 		}
 	})
 }
+
+// A booking that ran is told as unknown, or a released one blocks its key: another node wrote the
+// object while this one, its owner, couldn't be reached, and this one goes by what it remembers.
+func TestMemoryBehindTheStore(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, f *fleet) {
+		other := &sageclaim.Committer{Store: f.store}
+		defer other.Wait()
+		n := f.nodes[0]
+		r := request(keyNow("a"), "b")
+		_, _, ref := n.Claim(t.Context(), r)
+		require.Nil(t, ref)
+		key, err := sageclaim.ParseKey(r.Key)
+		require.NoError(t, err)
+		object := n.Rules.Object(r.Account, key)
+		entry := func(op sageclaim.Op, id string) sageclaim.Entry {
+			return sageclaim.Entry{Op: op, Account: r.Account, Key: r.Key, ClaimID: id, Fingerprint: "f", Deadline: time.Now().Add(time.Minute)}
+		}
+		finish := entry(sageclaim.OpFinish, r.ID)
+		finish.Outcome, finish.Status = sagewire.Complete, 201
+		_, err = other.Do(t.Context(), object, finish)
+		require.NoError(t, err)
+		time.Sleep(time.Until(r.Deadline) + time.Second)
+		_, _, ref = n.Claim(t.Context(), request(r.Key, "b"))
+		require.NotNil(t, ref)
+		assert.Equal(t, sagewire.ReasonKeyInUse, ref.Reason, "it ran; its outcome is known")
+
+		second := request(keyNow("b"), "b")
+		_, _, ref = n.Claim(t.Context(), second)
+		require.Nil(t, ref)
+		key, err = sageclaim.ParseKey(second.Key)
+		require.NoError(t, err)
+		object = n.Rules.Object(r.Account, key)
+		r.Key = second.Key
+		for _, e := range []sageclaim.Entry{entry(sageclaim.OpRelease, second.ID), entry(sageclaim.OpClaim, "x")} {
+			_, err = other.Do(t.Context(), object, e)
+			require.NoError(t, err)
+		}
+		require.True(t, n.try(t.Context(), job{object: object, entry: entry(sageclaim.OpRelease, "x")}))
+		o, err := f.store.Get(t.Context(), object)
+		require.NoError(t, err)
+		book, err := sageclaim.DecodeBook(o.Value)
+		require.NoError(t, err)
+		rec, _ := book.Record(r.Account, r.Key)
+		assert.Equal(t, sageclaim.Released, rec.State)
+	})
+}
--- a/internal/sagenode/claims.go
+++ b/internal/sagenode/claims.go
@@ -1,12 +1,19 @@
 package sagenode
 
 import (
+	"net/http"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/google/uuid"
+
 	"sagestand.example/sagestand/internal/sageclaims"
+	"sagestand.example/sagestand/internal/sageentry"
+	"sagestand.example/sagestand/internal/sageorders"
 	"sagestand.example/sagestand/internal/sagepeer"
 	"sagestand.example/sagestand/internal/sagerpc/claim"
 	"sagestand.example/sagestand/pkg/sageclaim"
+	"sagestand.example/sagestand/pkg/sagelease"
 	"sagestand.example/sagestand/pkg/sageobject"
 )
 
@@ -43,3 +50,40 @@
 		Metrics:     n.metrics,
 	}
 }
+
+// The lease on orders. A successor takes over within two terms of its predecessor's last renewal.
+const (
+	ordersLease  = "lease/orders"
+	orderTerm    = 10 * time.Second
+	orderMargin  = 4 * time.Second
+	orderDelay   = 10 * time.Second
+	orderTimeout = 5 * time.Second
+	// orderCandidates is how many nodes try for the lease at a time.
+	orderCandidates = 3
+)
+
+// orderService makes the service that applies orders to engines.
+func (n *Node) orderService(store sageobject.Store, conf sageentry.Config) *sageorders.Service {
+	return &sageorders.Service{
+		Config: conf,
+		Lease: &sagelease.Keeper{
+			Store: store, Key: ordersLease, Holder: n.Settings.Node.Name + "/" + uuid.NewString(),
+			Term: orderTerm, Margin: orderMargin, LongestDelay: orderDelay,
+		},
+		Candidate: func() bool { return rank(n.Settings.Listen.Peer, n.otherSeeds(), ordersLease) < orderCandidates },
+		HTTP:      &http.Client{Timeout: orderTimeout},
+		Log:       n.Log.Part("orders"),
+	}
+}
+
+// rank returns how many of the others come before self in the rendezvous order of a duty.
+func rank(self string, others []string, duty string) int {
+	weight := func(addr string) uint64 { return xxhash.Sum64String(addr + "\x00" + duty) }
+	n := 0
+	for _, o := range others {
+		if weight(o) > weight(self) {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/sagenode/node.go
+++ b/internal/sagenode/node.go
@@ -145,6 +145,7 @@
 	claims := n.claimService(store, peers)
 	peerServer.Mount(claim.NewClaimsServer(claims))
 	k.Register("claims", claims)
+	k.Register("orders", n.orderService(store, conf))
 	requests := &sagemetrics.Requests{Set: n.metrics}
 	entry := &sageentry.Service{
 		Listener: n.listeners["entry"], Config: conf,
--- /dev/null
+++ b/internal/sageorders/service_test.go
@@ -0,0 +1,139 @@
+package sageorders
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"sagestand.example/sagestand/internal/sagestandin"
+	"sagestand.example/sagestand/pkg/sageconfig"
+	"sagestand.example/sagestand/pkg/sagelease"
+	"sagestand.example/sagestand/pkg/sageobject"
+)
+
+type fixedConfig struct{ state *sageconfig.State }
+
+func (f *fixedConfig) State() *sageconfig.State { return f.state }
+
+// roundTripper hands requests to engines by address, in the caller's goroutine.
+type roundTripper map[string]http.Handler
+
+func (m roundTripper) RoundTrip(r *http.Request) (*http.Response, error) {
+	h, ok := m[r.URL.Host]
+	if !ok {
+		return nil, &net.OpError{Op: "dial", Err: net.ErrClosed}
+	}
+	if err := r.Context().Err(); err != nil {
+		return nil, err
+	}
+	w := httptest.NewRecorder()
+	h.ServeHTTP(w, r)
+	return w.Result(), nil
+}
+
+func testState(checks bool) *sageconfig.State {
+	s := sageconfig.NewState()
+	add := func(n uint64, c sageconfig.Change) { s.Apply(sageconfig.Entry{Number: n, Change: c}) }
+	add(1, sageconfig.Change{Thing: sageconfig.Thing{Kind: sageconfig.KindUpstream, Name: "e1"}, Upstream: &sageconfig.Upstream{Kind: sageconfig.Engine, Address: "e1:1", DataCentre: "derby", MaxInFlight: 1, ChecksFencing: checks}})
+	add(2, sageconfig.Change{Thing: sageconfig.Thing{Kind: sageconfig.KindOrder, Name: "old"}, Order: &sageconfig.Order{Upstream: "e1", Role: "old"}})
+	add(3, sageconfig.Change{Thing: sageconfig.Thing{Kind: sageconfig.KindOrder, Name: "new"}, Order: &sageconfig.Order{Upstream: "e1", Role: "decode", Drain: true}})
+	add(4, sageconfig.Change{Thing: sageconfig.Thing{Kind: sageconfig.KindOrder, Name: "gone"}, Order: &sageconfig.Order{Upstream: "nobody"}})
+	return s
+}
+
+func node(st sageobject.Store, name string, checks bool, engines roundTripper) *Service {
+	return &Service{
+		Config: &fixedConfig{testState(checks)}, HTTP: &http.Client{Transport: engines},
+		Lease: &sagelease.Keeper{Store: st, Key: "lease/orders", Holder: name, Term: 10 * time.Second, Margin: 3 * time.Second, LongestDelay: 5 * time.Second},
+	}
+}
+
+// An engine is told two things in turn by two nodes, of which the first was paused past its lease.
+// Every order that arrives bears a number at least as high as those before it.
+func TestOrdersOverAPause(t *testing.T) {
+	for _, checks := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			e := &sagestandin.Engine{Name: "e1", Slots: 1, ChecksFencing: checks}
+			engines := roundTripper{"e1:1": e.Handler()}
+			st := &sageobject.Memory{}
+			a, b := node(st, "a", checks, engines), node(st, "b", checks, engines)
+			require.NoError(t, a.Lease.Step(t.Context()))
+			require.NoError(t, b.Lease.Step(t.Context()))
+			a.Apply(t.Context(), time.Now())
+			wait := time.Duration(0)
+			if !checks {
+				_, log := e.CurrentOrder()
+				assert.Empty(t, log, "the first waits out an unknown predecessor")
+				wait = a.Lease.LongestDelay
+			}
+			time.Sleep(wait)
+			a.Apply(t.Context(), time.Now())
+			b.Apply(t.Context(), time.Now())
+			o, log := e.CurrentOrder()
+			assert.Equal(t, sagestandin.Order{Fencing: 1, Role: "decode", Drain: true}, o)
+			assert.Equal(t, []int64{1}, log)
+
+			paused := time.Now()
+			time.Sleep(11 * time.Second)
+			require.NoError(t, b.Lease.Step(t.Context()))
+			time.Sleep(b.Lease.LongestDelay)
+			b.Apply(t.Context(), time.Now())
+			a.applied = nil
+			a.Apply(t.Context(), paused)
+			assert.Error(t, a.send(t.Context(), &orders(testState(checks))[0]), "checked again when sent")
+			_, log = e.CurrentOrder()
+			assert.Equal(t, []int64{1, 2}, log)
+		})
+	}
+}
+
+// An engine restarts and forgets its order; it is sent again after a while, and not more often.
+func TestOrdersAreRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &sagestandin.Engine{Name: "e1", Slots: 1}
+		s := node(&sageobject.Memory{}, "a", true, roundTripper{"e1:1": e.Handler()})
+		ctx, cancel := context.WithTimeout(t.Context(), 2*repeatAfter+repeatAfter/2)
+		defer cancel()
+		require.NoError(t, s.Run(ctx))
+		_, log := e.CurrentOrder()
+		assert.Len(t, log, 3)
+	})
+}
+
+// An engine that can't be reached gets its order as soon as it can; a higher number met there ends
+// the holder's acting.
+func TestFailedOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		e := &sagestandin.Engine{Name: "e1", Slots: 1, ChecksFencing: true}
+		engines := roundTripper{}
+		s := node(&sageobject.Memory{}, "a", true, engines)
+		require.NoError(t, s.Lease.Step(t.Context()))
+		s.Apply(t.Context(), time.Now())
+		engines["e1:1"] = e.Handler()
+		s.Apply(t.Context(), time.Now())
+		_, log := e.CurrentOrder()
+		assert.Equal(t, []int64{1}, log)
+		high := node(&sageobject.Memory{}, "b", true, engines)
+		high.Lease.Store = &sageobject.Memory{}
+		_, err := high.Lease.Store.Put(t.Context(), "lease/orders", []byte(`{"holder":"z","fencing":8,"write":"z-1"}`), sageobject.NoVersion)
+		require.NoError(t, err)
+		require.NoError(t, high.Lease.Step(t.Context()))
+		time.Sleep(11 * time.Second)
+		require.NoError(t, high.Lease.Step(t.Context()))
+		high.Apply(t.Context(), time.Now())
+		require.NoError(t, s.Lease.Step(t.Context()))
+		s.applied = nil
+		s.Apply(t.Context(), time.Now())
+		_, err = s.Lease.Permit(time.Now(), true)
+		require.ErrorIs(t, err, sagelease.ErrNotHeld)
+		_, log = e.CurrentOrder()
+		assert.Equal(t, []int64{1, 9}, log)
+	})
+}
