--- /dev/null
+++ b/internal/sagemeasure/memberfleet.go
@@ -0,0 +1,208 @@
+package sagemeasure
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"sagestand.example/sagestand/pkg/sagegossip"
+	"sagestand.example/sagestand/pkg/sagemember"
+)
+
+// errLost is how the fake link reports a lost message.
+var errLost = errors.New("message lost")
+
+// MemberFleet runs the real member tables and exchanges of many nodes over a fake link, one round a
+// second of virtual time.
+type MemberFleet struct {
+	Now  time.Time
+	Rand *rand.Rand
+	// Loss is the part of the exchanges that fail, half of them after the peer took the message.
+	Loss float64
+	// Cut says which direction of which link is broken.
+	Cut   func(from, to *MemberNode) bool
+	Nodes []*MemberNode
+	// Bytes counts what all messages carried; Exchanges counts the meetings begun.
+	Bytes     int64
+	Exchanges int64
+}
+
+// MemberNode is one process of the fleet.
+type MemberNode struct {
+	Table   *sagemember.Table
+	Engine  *sagegossip.Engine
+	Stopped bool
+	Paused  bool
+
+	chooser *sagegossip.Chooser
+	fleet   *MemberFleet
+}
+
+// NewMemberFleet returns a fleet without nodes.
+func NewMemberFleet(seed uint64) *MemberFleet {
+	return &MemberFleet{Now: time.Unix(1_800_000_000, 0), Rand: rand.New(rand.NewPCG(seed, 1))}
+}
+
+// Add starts n nodes over data centres in turn; the first node of the fleet is their hint.
+func (f *MemberFleet) Add(n, dcs int, limits sagemember.Limits) error {
+	for range n {
+		i := len(f.Nodes)
+		addr := fmt.Sprintf("10.0.%d.%d:7000", i/250, i%250)
+		if _, err := f.Start(addr, fmt.Sprintf("dc%d", i%dcs), limits); err != nil {
+			return fmt.Errorf("add node %d: %w", i, err)
+		}
+	}
+	return nil
+}
+
+// Start starts a process at an address; one that ran there before is stopped.
+func (f *MemberFleet) Start(addr, dc string, limits sagemember.Limits) (*MemberNode, error) {
+	if old := f.At(addr); old != nil {
+		old.Stopped = true
+	}
+	t := &sagemember.Table{
+		Self:   sagemember.Node{Address: addr, Entry: addr, DataCentre: dc, Phase: sagemember.Serving},
+		Limits: limits,
+		Now:    func() time.Time { return f.Now },
+	}
+	if err := t.Start(); err != nil {
+		return nil, fmt.Errorf("start %s: %w", addr, err)
+	}
+	if len(f.Nodes) > 0 {
+		t.Hint(f.Nodes[0].Table.Me().Address)
+	}
+	n := &MemberNode{
+		Table:   t,
+		Engine:  &sagegossip.Engine{Sections: []sagegossip.Section{t}, Budget: 8 << 10},
+		chooser: &sagegossip.Chooser{Self: sagegossip.Peer{Address: addr, DataCentre: dc}, Rand: f.Rand},
+		fleet:   f,
+	}
+	f.Nodes = append(f.Nodes, n)
+	return n, nil
+}
+
+// At returns the running process at an address.
+func (f *MemberFleet) At(addr string) *MemberNode {
+	for _, n := range f.Nodes {
+		if !n.Stopped && n.Table.Self.Address == addr {
+			return n
+		}
+	}
+	return nil
+}
+
+// Running returns the processes that run and are not paused.
+func (f *MemberFleet) Running() []*MemberNode {
+	var list []*MemberNode
+	for _, n := range f.Nodes {
+		if !n.Stopped && !n.Paused {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+// Round lets a second pass: every running node ticks and meets one peer, in random order.
+func (f *MemberFleet) Round() {
+	f.Now = f.Now.Add(time.Second)
+	list := f.Running()
+	f.Rand.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	for _, n := range list {
+		n.Table.Tick()
+		addr, ok := n.chooser.Next(n.Table.Peers(), n.Table.Urgent())
+		if !ok {
+			continue
+		}
+		f.Exchanges++
+		// A failed exchange is what the fake link is for; the table is told by the engine.
+		_ = n.Engine.Exchange(context.Background(), n, addr)
+	}
+}
+
+// Rounds lets rounds pass until done says so, at most limit, and returns how many did.
+func (f *MemberFleet) Rounds(limit int, done func() bool) int {
+	for i := range limit {
+		if done() {
+			return i
+		}
+		f.Round()
+	}
+	return limit
+}
+
+// carry counts a message and says whether it arrives.
+func (f *MemberFleet) carry(from, to *MemberNode, parts []sagegossip.Part) bool {
+	for _, p := range parts {
+		f.Bytes += int64(len(p.Section) + len(p.Data) + partFrame)
+	}
+	if to == nil || to.Stopped || to.Paused {
+		return false
+	}
+	return f.Cut == nil || !f.Cut(from, to)
+}
+
+// partFrame is what the protobuf encoding adds to a part.
+const partFrame = 8
+
+// Meet implements [sagegossip.Caller] for the node that calls.
+func (n *MemberNode) Meet(_ context.Context, addr string, digests []sagegossip.Part) (deltas, own []sagegossip.Part, err error) {
+	f, to := n.fleet, n.fleet.At(addr)
+	fate := f.Rand.Float64()
+	if !f.carry(n, to, digests) || fate < f.Loss/2 {
+		return nil, nil, errLost
+	}
+	deltas, own, err = to.Engine.Answer(digests)
+	if err != nil {
+		return nil, nil, fmt.Errorf("answer: %w", err)
+	}
+	if !f.carry(to, n, append(append([]sagegossip.Part(nil), deltas...), own...)) || fate < f.Loss {
+		return nil, nil, errLost
+	}
+	return deltas, own, nil
+}
+
+// Push implements [sagegossip.Caller] for the node that calls.
+func (n *MemberNode) Push(_ context.Context, addr string, deltas []sagegossip.Part) error {
+	to := n.fleet.At(addr)
+	if !n.fleet.carry(n, to, deltas) {
+		return errLost
+	}
+	if err := to.Engine.Merge(deltas); err != nil {
+		return fmt.Errorf("merge: %w", err)
+	}
+	return nil
+}
+
+// Agreed says whether every running node counts exactly the running and paused nodes as live.
+func (f *MemberFleet) Agreed() bool {
+	there := make(map[uint64]bool)
+	for _, n := range f.Nodes {
+		if !n.Stopped {
+			there[n.Table.Me().Incarnation] = true
+		}
+	}
+	for _, n := range f.Running() {
+		live := n.Table.Live()
+		if len(live) != len(there) {
+			return false
+		}
+		for _, l := range live {
+			if !there[l.Incarnation] {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+// Evictions sums how often a node took another for dead.
+func (f *MemberFleet) Evictions() int64 {
+	sum := int64(0)
+	for _, n := range f.Nodes {
+		sum += n.Table.Evictions()
+	}
+	return sum
+}
