--- /dev/null
+++ b/internal/sagegossipd/rpc.go
@@ -0,0 +1,71 @@
+package sagegossipd
+
+import (
+	"context"
+	"fmt"
+
+	"github.com/twitchtv/twirp"
+
+	"sagestand.example/sagestand/internal/sagerpc/exchange"
+	"sagestand.example/sagestand/pkg/sagegossip"
+)
+
+// Meet implements the exchange call of a peer.
+func (s *Service) Meet(_ context.Context, r *exchange.MeetRequest) (*exchange.MeetResponse, error) {
+	deltas, own, err := s.Engine.Answer(fromWire(r.GetDigests()))
+	if err != nil {
+		return nil, twirp.InvalidArgumentError("digests", err.Error())
+	}
+	return &exchange.MeetResponse{Deltas: toWire(deltas), Digests: toWire(own)}, nil
+}
+
+// Push implements the exchange call of a peer.
+func (s *Service) Push(_ context.Context, r *exchange.PushRequest) (*exchange.PushResponse, error) {
+	if err := s.Engine.Merge(fromWire(r.GetDeltas())); err != nil {
+		return nil, twirp.InvalidArgumentError("deltas", err.Error())
+	}
+	return &exchange.PushResponse{}, nil
+}
+
+// caller is a [sagegossip.Caller] over twirp.
+type caller struct {
+	peers Peers
+	self  string
+}
+
+func (c *caller) client(addr string) exchange.Exchange {
+	return exchange.NewExchangeProtobufClient(c.peers.URL(addr), c.peers.HTTP())
+}
+
+// Meet implements [sagegossip.Caller].
+func (c *caller) Meet(ctx context.Context, addr string, digests []sagegossip.Part) (deltas, own []sagegossip.Part, err error) {
+	res, err := c.client(addr).Meet(ctx, &exchange.MeetRequest{Node: c.self, Digests: toWire(digests)})
+	if err != nil {
+		return nil, nil, fmt.Errorf("call meet: %w", err)
+	}
+	return fromWire(res.GetDeltas()), fromWire(res.GetDigests()), nil
+}
+
+// Push implements [sagegossip.Caller].
+func (c *caller) Push(ctx context.Context, addr string, deltas []sagegossip.Part) error {
+	if _, err := c.client(addr).Push(ctx, &exchange.PushRequest{Node: c.self, Deltas: toWire(deltas)}); err != nil {
+		return fmt.Errorf("call push: %w", err)
+	}
+	return nil
+}
+
+func toWire(parts []sagegossip.Part) []*exchange.Part {
+	out := make([]*exchange.Part, len(parts))
+	for i, p := range parts {
+		out[i] = &exchange.Part{Section: p.Section, Data: p.Data}
+	}
+	return out
+}
+
+func fromWire(parts []*exchange.Part) []sagegossip.Part {
+	out := make([]sagegossip.Part, len(parts))
+	for i, p := range parts {
+		out[i] = sagegossip.Part{Section: p.GetSection(), Data: p.GetData()}
+	}
+	return out
+}
--- a/pkg/sagemember/judge.go
+++ b/pkg/sagemember/judge.go
@@ -24,9 +24,9 @@
 			t.evictions++
 		}
 	case Unconfirmed:
+		// It was never up in this node's sight, so this is no flap.
 		if silent > deadAfter {
 			e.become(Dead, now)
-			e.damp.fell(now)
 		}
 	case Dead:
 	}
--- a/pkg/sagemember/node.go
+++ b/pkg/sagemember/node.go
@@ -138,9 +138,9 @@
 // DefaultLimits returns the limits for one tick and one exchange a second.
 func DefaultLimits() Limits {
 	return Limits{
-		SuspectAfter: 5 * time.Second,
-		DeadAfter:    10 * time.Second,
-		FarFactor:    3,
+		SuspectAfter: 6 * time.Second,
+		DeadAfter:    12 * time.Second,
+		FarFactor:    4,
 		Checks:       3,
 		GiveUpAfter:  2 * time.Minute,
 		PauseAfter:   4 * time.Second,
--- a/pkg/sagemember/table.go
+++ b/pkg/sagemember/table.go
@@ -89,16 +89,14 @@
 	t.Self.Heard = now
 	t.far = 0
 	for id, e := range t.nodes {
-		if !e.there() {
-			if now.Sub(e.since) > t.Limits.ForgetAfter {
-				t.forget(id)
-			}
-			continue
-		}
-		t.judge(e, now)
-		if e.DataCentre != t.Self.DataCentre {
+		if e.Phase != Gone && e.DataCentre != t.Self.DataCentre {
 			t.far++
 		}
+		if e.there() {
+			t.judge(e, now)
+		} else if now.Sub(e.since) > t.Limits.ForgetAfter {
+			t.forget(id)
+		}
 	}
 	for id, at := range t.questions {
 		if now.Sub(at) > t.Limits.DeadAfter {
