--- a/internal/sagenode/node.go
+++ b/internal/sagenode/node.go
@@ -14,6 +14,7 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
+	"sagestand.example/sagestand/internal/sageadmission"
 	"sagestand.example/sagestand/internal/sageburnd"
 	"sagestand.example/sagestand/internal/sagedispatch"
 	"sagestand.example/sagestand/internal/sageentry"
@@ -23,6 +24,7 @@
 	"sagestand.example/sagestand/internal/sageoperator"
 	"sagestand.example/sagestand/internal/sagepeer"
 	"sagestand.example/sagestand/internal/sageplacement"
+	"sagestand.example/sagestand/internal/sagerpc/allot"
 	"sagestand.example/sagestand/internal/sagerpc/report"
 	"sagestand.example/sagestand/internal/sagesettings"
 	"sagestand.example/sagestand/pkg/sageburn"
@@ -126,8 +128,15 @@
 	burn := &sageburnd.Service{Objectives: objectives(cfg.Objectives), Peers: n.otherSeeds, Client: peers}
 	peerServer.Mount(report.NewReportServer(burn))
 	k.Register("burn", burn)
+	load := n.loadService(conf, peers)
+	peerServer.Mount(allot.NewAllotServer(load))
+	k.Register("load", load)
+	admission := &sageadmission.Service{Config: conf, Load: load, InFlight: cfg.Limits.InFlight, Queued: cfg.Limits.Queued}
+	k.Register("admission", admission)
+	retries := n.retryService()
+	k.Register("retry", retries)
 	placement := &sageplacement.Service{
-		Config: conf, Load: &sageplacement.OwnLoad{Config: conf}, Multiple: cfg.Placement.LoadBound,
+		Config: conf, Load: load, Circuits: retries, Multiple: cfg.Placement.LoadBound,
 		Sealer:     sageplace.Sealer{Keys: [][]byte{[]byte(n.peerKey)}},
 		TokenValid: millis(cfg.Placement.TokenValidMillis), Metrics: n.metrics,
 	}
@@ -135,9 +144,9 @@
 	requests := &sagemetrics.Requests{Set: n.metrics}
 	entry := &sageentry.Service{
 		Listener: n.listeners["entry"], Config: conf,
-		Admission: &thinAdmission{slots: make(chan struct{}, cfg.Limits.InFlight)},
-		Claims:    &thinClaims{Store: store}, Placement: placement, Retries: thinRetries{},
-		Dispatch: &sagedispatch.Dispatcher{}, Locator: locator, Leaver: locator, Recorder: sagemetrics.Fan{requests, burn},
+		Admission: admission,
+		Claims:    &thinClaims{Store: store}, Placement: placement, Retries: retries,
+		Dispatch: &sagedispatch.Dispatcher{Dial: load.Dial}, Locator: locator, Leaver: locator, Recorder: sagemetrics.Fan{requests, burn},
 		Limits: cfg.Limits, Stop: cfg.Stop, Log: n.Log.Part("entry"),
 	}
 	n.ready = func() error {
