Add the service that follows, confirms and accepts configuration

Cause: the daemon needs its copy kept up to date by few watchers, an answer to "may I serve from it", and tickets accepted on any node.

Change: internal/sageconfigd; sagesync.QuorumAt; the rule "fence" takes the settings' name.

Guards removed by hand, and the tests that failed: asking the store when starved, watcher choice (TestNotWatcher), spaced calls in an outage, contact to the roster (TestOutage), load after a gap (TestWatchGap), version comparison (TestWatchHangs), store gone back (TestStoreGoneBack), acceptance by a minority (TestSubmitNeedsQuorum), fold when due (TestFoldWhenDue), halves of a roster (TestQuorumAt).

--- /dev/null
+++ b/internal/sageconfigd/service_test.go
@@ -0,0 +1,192 @@
+package sageconfigd
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"sagestand.example/sagestand/pkg/sagesync"
+	"sagestand.example/sagestand/pkg/sageticket"
+	"sagestand.example/sagestand/pkg/sagewire"
+)
+
+// later lets virtual time pass and the service settle.
+func later(d time.Duration) {
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+func TestFollow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		s := start(t, p, nil, sagesync.IsolatedFence)
+		later(time.Second)
+		assert.Nil(t, s.State())
+		ref := s.Serving(time.Now(), true)
+		require.NotNil(t, ref)
+		assert.Equal(t, sagewire.ReasonNoConfig, ref.Reason)
+
+		accept(t, p, 1, 1)
+		later(time.Millisecond)
+		assert.Equal(t, uint64(1), s.Revision(), "by the watch, at once")
+		assert.Nil(t, s.Serving(time.Now(), false))
+
+		changed := s.Changed()
+		acc, err := s.Submit(t.Context(), dcTicket(2, true))
+		require.NoError(t, err)
+		assert.Equal(t, uint64(2), acc.Revision)
+		assert.Equal(t, uint64(2), s.Revision(), "in force here when the operator is answered")
+		<-changed
+	})
+}
+
+// The store is out for a minute. What requests see depends on the rule that the operators chose;
+// when the store is back, all are served again.
+func TestOutage(t *testing.T) {
+	quorum := &members{live: []string{"vm-0"}, quorum: func(now time.Time) time.Time { return now }}
+	lost := &members{live: []string{"vm-0"}, quorum: func(time.Time) time.Time { return time.Time{} }}
+	for _, c := range []struct {
+		name              string
+		way               sagesync.Isolated
+		m                 Members
+		idempotent, other bool
+	}{
+		{"serve", sagesync.IsolatedServe, nil, true, true},
+		{"idempotent only", sagesync.IsolatedIdempotent, nil, true, false},
+		{"fence", sagesync.IsolatedFence, nil, false, false},
+		{"quorum kept", sagesync.IsolatedQuorum, quorum, true, true},
+		{"quorum lost", sagesync.IsolatedQuorum, lost, false, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				p := newPlatform()
+				accept(t, p, 1, 1)
+				s := start(t, p, c.m, c.way)
+				later(time.Minute)
+				require.Nil(t, s.Serving(time.Now(), false), "evidence is renewed while nothing changes")
+				p.out.Store(true)
+				before := p.total()
+				later(time.Minute)
+				assert.Equal(t, c.idempotent, s.Serving(time.Now(), true) == nil)
+				assert.Equal(t, c.other, s.Serving(time.Now(), false) == nil)
+				assert.Less(t, p.total()-before, int64(60), "calls against a store that is out are spaced")
+				p.out.Store(false)
+				later(lastPause + confirmEvery)
+				assert.Nil(t, s.Serving(time.Now(), false))
+			})
+		})
+	}
+}
+
+// The watch breaks, and far more tickets are accepted and folded than the head's tail holds. A node
+// that only applied the tail would lack the others for good.
+func TestWatchGap(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		p.hang.Store(true)
+		accept(t, p, 1, 1)
+		s := start(t, p, nil, sagesync.IsolatedServe)
+		later(time.Second)
+		require.Equal(t, uint64(1), s.Revision())
+		accept(t, p, 2, 40)
+		later(confirmEvery)
+		assert.Equal(t, uint64(40), s.Revision())
+		l, err := sageticket.Load(t.Context(), p)
+		require.NoError(t, err)
+		assert.Equal(t, l.State, s.State())
+	})
+}
+
+// The watch hangs on a broken connection. Without the comparison of versions the node would go on
+// with the old configuration until the watch times out.
+func TestWatchHangs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		p.hang.Store(true)
+		accept(t, p, 1, 1)
+		s := start(t, p, nil, sagesync.IsolatedServe)
+		later(time.Second)
+		require.Equal(t, uint64(1), s.Revision())
+		accept(t, p, 2, 2)
+		later(confirmEvery)
+		assert.Equal(t, uint64(2), s.Revision())
+	})
+}
+
+// The store was restored from an old copy. Confirming it would call the node's newer state the
+// newest, though the store no longer holds it.
+func TestStoreGoneBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		accept(t, p, 1, 3)
+		s := start(t, p, nil, sagesync.IsolatedFence)
+		later(time.Second)
+		p.hang.Store(true)
+		p.back.Store(true)
+		later(time.Minute)
+		assert.Equal(t, uint64(3), s.Revision())
+		assert.NotNil(t, s.Serving(time.Now(), true), "not confirmed")
+	})
+}
+
+// A node that is not a watcher spares the store, but doesn't starve when no watcher feeds it.
+func TestNotWatcher(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		accept(t, p, 1, 1)
+		live := []string{"vm-0"}
+		for i := 0; len(live) < 20; i++ {
+			live = append(live, "other-"+string(rune('a'+i)))
+		}
+		require.False(t, sagesync.IsWatcher("vm-0", live, watchers))
+		s := start(t, p, &members{live: live, quorum: func(now time.Time) time.Time { return now }}, sagesync.IsolatedFence)
+		later(time.Second)
+		assert.Equal(t, uint64(1), s.Revision(), "boots from the store")
+		fed := time.Now().Add(time.Minute)
+		before := p.total()
+		for time.Now().Before(fed) {
+			s.replica.Confirm(1, time.Now())
+			later(time.Second)
+		}
+		assert.Equal(t, before, p.total(), "evidence from peers is enough")
+		for range 60 {
+			later(time.Second)
+			assert.Nil(t, s.Serving(time.Now(), false), "asks the store itself")
+		}
+		assert.LessOrEqual(t, p.total()-before, int64(31))
+	})
+}
+
+// Under the quorum rule a ticket accepted by a cut-off minority would not reach the nodes that go on
+// without evidence from the store.
+func TestSubmitNeedsQuorum(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		s := start(t, p, &members{live: []string{"vm-0"}, quorum: func(time.Time) time.Time { return time.Time{} }}, sagesync.IsolatedQuorum)
+		_, err := s.Submit(t.Context(), dcTicket(1, true))
+		require.ErrorIs(t, err, sageticket.ErrNotAccepted)
+		h, _, err := sageticket.ReadHead(t.Context(), p)
+		require.NoError(t, err)
+		assert.Zero(t, h.Revision)
+	})
+}
+
+// Whoever accepts the ticket that makes the tail long folds it, so that the head stays small.
+func TestFoldWhenDue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		s := start(t, p, nil, sagesync.IsolatedServe)
+		for n := uint64(1); n <= 70; n++ {
+			_, err := s.Submit(t.Context(), dcTicket(n, n%2 == 0))
+			require.NoError(t, err)
+		}
+		later(time.Second)
+		h, _, err := sageticket.ReadHead(t.Context(), p)
+		require.NoError(t, err)
+		assert.GreaterOrEqual(t, h.Folded, uint64(64))
+		assert.Less(t, len(h.Tail), 64)
+	})
+}
--- a/pkg/sagesync/rule.go
+++ b/pkg/sagesync/rule.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,8 +22,8 @@
 	IsolatedServe Isolated = "serve"
 	// IsolatedIdempotent serves idempotent requests only.
 	IsolatedIdempotent Isolated = "idempotent_only"
-	// IsolatedRefuse refuses everything.
-	IsolatedRefuse Isolated = "refuse"
+	// IsolatedFence refuses everything.
+	IsolatedFence Isolated = "fence"
 	// IsolatedQuorum takes recent contact to most of the roster for freshness, in service and in the
 	// acceptance of tickets, and refuses everything without it.
 	IsolatedQuorum Isolated = "quorum"
@@ -47,9 +48,9 @@
 // Check reports an unknown way or a period that is not above zero.
 func (r Rule) Check() error {
 	switch r.Isolated {
-	case IsolatedServe, IsolatedIdempotent, IsolatedRefuse, IsolatedQuorum:
+	case IsolatedServe, IsolatedIdempotent, IsolatedFence, IsolatedQuorum:
 	default:
-		return fmt.Errorf("isolated %q (want serve, idempotent_only, refuse or quorum): %w", r.Isolated, ErrBadRule)
+		return fmt.Errorf("isolated %q (want serve, idempotent_only, fence or quorum): %w", r.Isolated, ErrBadRule)
 	}
 	if r.Freshness <= 0 || r.CatchUp <= 0 {
 		return fmt.Errorf("freshness %v, catch up %v (want above 0): %w", r.Freshness, r.CatchUp, ErrBadRule)
@@ -122,3 +123,19 @@
 func (r Rule) MayAccept(now time.Time, s Standing) bool {
 	return r.Isolated != IsolatedQuorum || !now.After(s.QuorumAt.Add(r.Freshness))
 }
+
+// QuorumAt returns the latest instant since which this node has had contact to most of a roster of
+// itself and len(heard) others, given when it last heard of each of them, directly or through
+// others; zero for one never heard of. A node that is its whole roster has contact at now.
+//
+// The roster must hold the nodes that are out of sight too. Counted among the visible ones only, a
+// cut-off minority would always find itself complete.
+func QuorumAt(now time.Time, heard []time.Time) time.Time {
+	need := (len(heard) + 1) / 2
+	if need == 0 {
+		return now
+	}
+	h := slices.Clone(heard)
+	slices.SortFunc(h, func(a, b time.Time) int { return b.Compare(a) })
+	return h[need-1]
+}
--- a/pkg/sagesync/rule_test.go
+++ b/pkg/sagesync/rule_test.go
@@ -18,7 +18,7 @@
 	met := Standing{Revision: 5, Heard: 5, ConfirmedAt: ago(60), QuorumAt: ago(1)}
 	lagging := Standing{Revision: 5, Heard: 6, ConfirmedAt: ago(2), BehindSince: ago(1)}
 	behind := Standing{Revision: 5, Heard: 6, ConfirmedAt: ago(2), BehindSince: ago(4)}
-	ways := []Isolated{IsolatedServe, IsolatedIdempotent, IsolatedRefuse, IsolatedQuorum}
+	ways := []Isolated{IsolatedServe, IsolatedIdempotent, IsolatedFence, IsolatedQuorum}
 	for _, c := range []struct {
 		name   string
 		s      Standing
@@ -49,12 +49,34 @@
 	q := Rule{Isolated: IsolatedQuorum, Freshness: DefaultFreshness, CatchUp: DefaultCatchUp}
 	assert.True(t, q.MayAccept(now, met))
 	assert.False(t, q.MayAccept(now, fresh), "no contact to most of the roster")
-	assert.True(t, Rule{Isolated: IsolatedRefuse, Freshness: time.Second}.MayAccept(now, fresh))
+	assert.True(t, Rule{Isolated: IsolatedFence, Freshness: time.Second}.MayAccept(now, fresh))
+}
+
+// Two sides of a partition must not both count as most of the roster.
+func TestQuorumAt(t *testing.T) {
+	now := start.Add(time.Hour)
+	var never time.Time
+	old := now.Add(-time.Minute)
+	for _, c := range []struct {
+		name  string
+		heard []time.Time
+		want  time.Time
+	}{
+		{"alone", nil, now},
+		{"one of two", []time.Time{never}, never},
+		{"both of two", []time.Time{now}, now},
+		{"one half of four", []time.Time{now, never, never}, never},
+		{"three of four", []time.Time{never, old, now}, old},
+		{"three of five", []time.Time{now, now, never, never}, now},
+		{"two of five", []time.Time{now, never, old, never}, old},
+	} {
+		assert.Equal(t, c.want, QuorumAt(now, c.heard), c.name)
+	}
 }
 
 func TestRuleCheck(t *testing.T) {
 	assert.NoError(t, Rule{Isolated: IsolatedServe, Freshness: 1, CatchUp: 1}.Check())
-	for _, bad := range []Rule{{}, {Isolated: "fence", Freshness: 1, CatchUp: 1}, {Isolated: IsolatedServe, CatchUp: 1}, {Isolated: IsolatedServe, Freshness: 1}} {
+	for _, bad := range []Rule{{}, {Isolated: "wait", Freshness: 1, CatchUp: 1}, {Isolated: IsolatedServe, CatchUp: 1}, {Isolated: IsolatedServe, Freshness: 1}} {
 		assert.ErrorIs(t, bad.Check(), ErrBadRule)
 	}
 }
