Serve configuration from sageconfigd; ticket status, list and outcomes

Cause: the daemon kept tickets in one growing object and told every failed submission alike, so an operator couldn't tell a refused ticket from one whose acceptance is unknown.

Change: the node's service "config" is sageconfigd; the operators' interface tells refused, not accepted and unknown apart and lists where a ticket is in force; the rule "quorum" joins the settings (the expected message of TestFaults names it now). Status lists only the own node until the membership is plugged in.

--- a/cmd/sagestand/ticket.go
+++ b/cmd/sagestand/ticket.go
@@ -6,18 +6,24 @@
 	"io"
 	"net/http"
 	"os"
+	"strconv"
+	"time"
 
+	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
 
 	"sagestand.example/sagestand/internal/sagecli"
+	"sagestand.example/sagestand/internal/sageconfigd"
+	"sagestand.example/sagestand/internal/sageoperator"
 	"sagestand.example/sagestand/pkg/sageconfig"
+	"sagestand.example/sagestand/pkg/sageticket"
 )
 
 func ticketCommand(out *sagecli.Output) *cobra.Command {
 	f := new(nodeFlags)
 	c := &cobra.Command{Use: "ticket", Short: "Submit change tickets and see where they are in force"}
 	f.add(c)
-	c.AddCommand(ticketSubmitCommand(out, f), ticketShowCommand(out, f))
+	c.AddCommand(ticketSubmitCommand(out, f), ticketStatusCommand(out, f), ticketListCommand(out, f), ticketShowCommand(out, f))
 	return c
 }
 
@@ -32,19 +38,92 @@
 			if err != nil {
 				return fmt.Errorf("%w: %v", sagecli.ErrUsage, err)
 			}
-			t, err := sageconfig.DecodeTicket(b)
+			_, err = sageconfig.DecodeTicket(b)
 			if err != nil {
 				return fmt.Errorf("%w: %s: %v", sagecli.ErrUsage, args[0], err)
 			}
 			var raw json.RawMessage
 			if err := f.call(c.Context(), http.MethodPost, "/v1/tickets", b, &raw); err != nil {
+				if errors.Is(err, sagecli.ErrUnreachable) || errors.Is(err, sageoperator.ErrUnknown) {
+					return fmt.Errorf("%w; the ticket may be in force: submit it again, which is safe and tells", err)
+				}
 				return err
 			}
-			return out.Print(c.OutOrStdout(), raw, func(w io.Writer) { _, _ = fmt.Fprintf(w, "ticket %d accepted\n", t.Number) })
+			return out.Print(c.OutOrStdout(), raw, func(w io.Writer) { printAccepted(w, raw) })
 		},
 	}
 }
 
+func printAccepted(w io.Writer, raw json.RawMessage) {
+	var acc sageticket.Accepted
+	if json.Unmarshal(raw, &acc) != nil {
+		_, _ = fmt.Fprintf(w, "%s\n", raw)
+		return
+	}
+	again := ""
+	if acc.Repeated {
+		again = ", as before"
+	}
+	_, _ = fmt.Fprintf(w, "ticket %d accepted at revision %d%s\n", acc.Number, acc.Revision, again)
+}
+
+func ticketStatusCommand(out *sagecli.Output, f *nodeFlags) *cobra.Command {
+	return &cobra.Command{
+		Use:     "status NUMBER",
+		Short:   "Show on which nodes a ticket is in force, where not, and since when",
+		Example: "  sagestand ticket status 17",
+		Args:    sagecli.Exactly("NUMBER"),
+		RunE: func(c *cobra.Command, args []string) error {
+			if _, err := strconv.ParseUint(args[0], 10, 64); err != nil {
+				return fmt.Errorf("%w: %q: want the number of a ticket", sagecli.ErrUsage, args[0])
+			}
+			var st sageconfigd.TicketStatus
+			if err := f.call(c.Context(), http.MethodGet, "/v1/tickets/"+args[0], nil, &st); err != nil {
+				return err
+			}
+			return out.Print(c.OutOrStdout(), st, func(w io.Writer) { printStatus(w, &st) })
+		},
+	}
+}
+
+func printStatus(w io.Writer, st *sageconfigd.TicketStatus) {
+	_, _ = fmt.Fprintf(w, "ticket %d, revision %d, accepted at %s: in force on %d nodes, not on %d\n",
+		st.Number, st.Revision, st.AcceptedAt.Format(time.RFC3339Nano), len(st.InForce), len(st.Lacking))
+	for _, n := range st.InForce {
+		since := "for long"
+		if !n.Since.IsZero() {
+			since = "since " + n.Since.Format(time.RFC3339Nano)
+		}
+		_, _ = fmt.Fprintf(w, "  in force  %-12s %-12s %s\n", n.Node, n.DataCentre, since)
+	}
+	for _, n := range st.Lacking {
+		_, _ = fmt.Fprintf(w, "  not       %-12s %-12s at revision %d, heard of at %s\n", n.Node, n.DataCentre, n.Revision, n.HeardAt.Format(time.RFC3339Nano))
+	}
+}
+
+func ticketListCommand(out *sagecli.Output, f *nodeFlags) *cobra.Command {
+	var count int
+	c := &cobra.Command{
+		Use:     "list",
+		Short:   "List the newest accepted tickets",
+		Example: "  sagestand ticket list --count 50",
+		Args:    sagecli.Exactly(),
+		RunE: func(c *cobra.Command, _ []string) error {
+			var ps []sageticket.Past
+			if err := f.call(c.Context(), http.MethodGet, "/v1/tickets?n="+strconv.Itoa(count), nil, &ps); err != nil {
+				return err
+			}
+			return out.Print(c.OutOrStdout(), ps, func(w io.Writer) {
+				for _, p := range ps {
+					_, _ = fmt.Fprintf(w, "%8d  revision %-8d %s  %d things  %s  %s\n", p.Number, p.Revision, p.AcceptedAt.Format(time.RFC3339), p.Things, p.Author, p.Reason)
+				}
+			})
+		},
+	}
+	c.Flags().IntVar(&count, "count", 20, "number of tickets")
+	return c
+}
+
 func ticketShowCommand(out *sagecli.Output, f *nodeFlags) *cobra.Command {
 	return &cobra.Command{
 		Use:     "show KIND/NAME",
--- a/internal/sageconfigd/fake_test.go
+++ b/internal/sageconfigd/fake_test.go
@@ -58,16 +58,25 @@
 	return n
 }
 
-// members is a membership that never changes.
+// members is a membership whose nodes a test sets.
 type members struct {
 	live   []string
 	quorum func(now time.Time) time.Time
+	nodes  atomic.Pointer[[]NodeRevision]
 }
 
+func (m *members) set(nodes ...NodeRevision) { m.nodes.Store(&nodes) }
+
 func (m *members) Live() []string                   { return m.live }
-func (m *members) Nodes() []NodeRevision            { return nil }
 func (m *members) QuorumAt(now time.Time) time.Time { return m.quorum(now) }
 
+func (m *members) Nodes() []NodeRevision {
+	if ns := m.nodes.Load(); ns != nil {
+		return *ns
+	}
+	return nil
+}
+
 func dcTicket(number uint64, in bool) *sageconfig.Ticket {
 	return &sageconfig.Ticket{Number: number, Changes: []sageconfig.Change{{
 		Thing:      sageconfig.Thing{Kind: sageconfig.KindDataCentre, Name: "derby"},
--- a/internal/sageconfigd/service.go
+++ b/internal/sageconfigd/service.go
@@ -59,8 +59,9 @@
 // Service is the service "config". Its fields are set before Run.
 type Service struct {
 	// Node is this node's name in the membership.
-	Node  string
-	Store sageobject.Store
+	Node       string
+	DataCentre string
+	Store      sageobject.Store
 	// Members is nil on a node that knows of no others: it then watches the store itself.
 	Members Members
 	Rule    sagesync.Rule
@@ -72,6 +73,7 @@
 	replica  sagesync.Replica
 	acceptor sageticket.Acceptor
 	foldDue  chan struct{}
+	tracker  tracker
 
 	mu      sync.Mutex
 	version int64 // of the head object that was last taken in
@@ -208,6 +210,7 @@
 		changed := s.replica.Changed()
 		now := time.Now()
 		s.noteQuorum(now)
+		s.track(now)
 		if v := s.Rule.Judge(now, s.Standing()); v.May != may {
 			may = v.May
 			if may == sagesync.ServeAll {
--- a/internal/sageconfigd/service_test.go
+++ b/internal/sageconfigd/service_test.go
@@ -190,3 +190,57 @@
 		assert.Less(t, len(h.Tail), 64)
 	})
 }
+
+// An operator waits for an exit to be in force everywhere: each node must be listed, on the side
+// that its newest heartbeat says, also while the store is out.
+func TestStatus(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPlatform()
+		m := &members{live: []string{"vm-0"}, quorum: func(now time.Time) time.Time { return now }}
+		s := start(t, p, m, sagesync.IsolatedServe)
+		_, err := s.Submit(t.Context(), dcTicket(1, true))
+		require.NoError(t, err)
+		m.set(NodeRevision{Node: "vm-1", Revision: 1}, NodeRevision{Node: "vm-2"})
+		later(time.Second)
+		begun := time.Now()
+		_, err = s.Submit(t.Context(), dcTicket(2, true))
+		require.NoError(t, err)
+		later(5 * time.Second)
+		m.set(NodeRevision{Node: "vm-1", Revision: 2}, NodeRevision{Node: "vm-2", Revision: 1})
+		later(time.Second)
+		m.set(NodeRevision{Node: "vm-1", Revision: 3}, NodeRevision{Node: "vm-2", Revision: 1})
+		later(time.Second)
+		p.out.Store(true)
+
+		st, err := s.Status(t.Context(), 2)
+		require.NoError(t, err)
+		assert.Equal(t, uint64(2), st.Revision)
+		require.Len(t, st.InForce, 2)
+		assert.Equal(t, []string{"vm-0", "vm-1"}, []string{st.InForce[0].Node, st.InForce[1].Node})
+		assert.WithinDuration(t, begun.Add(5*time.Second), st.InForce[1].Since, tick, "not when it moved on to revision 3")
+		require.Len(t, st.Lacking, 1)
+		assert.Equal(t, "vm-2", st.Lacking[0].Node)
+
+		p.out.Store(false)
+		_, err = s.Status(t.Context(), 9)
+		assert.ErrorIs(t, err, sageticket.ErrNoTicket)
+		h, err := s.History(t.Context(), 10)
+		require.NoError(t, err)
+		assert.Equal(t, []uint64{2, 1}, []uint64{h[0].Number, h[1].Number})
+	})
+}
+
+// A node is replaced by one of the same name that holds nothing yet: what the old one held must not
+// count for the new one.
+func TestTrackerRestart(t *testing.T) {
+	var tr tracker
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	tr.note(now, []NodeRevision{{Node: "a", Revision: 5}})
+	tr.note(now.Add(time.Minute), []NodeRevision{{Node: "a", Revision: 0}})
+	tr.note(now.Add(2*time.Minute), []NodeRevision{{Node: "a", Revision: 5}})
+	assert.Equal(t, now.Add(2*time.Minute), tr.since("a", 5))
+	for i := range uint64(2 * maxSteps) {
+		tr.note(now.Add(time.Hour), []NodeRevision{{Node: "a", Revision: 6 + i}})
+	}
+	assert.True(t, tr.since("a", 5).IsZero(), "no longer remembered")
+}
--- a/internal/sagenode/node.go
+++ b/internal/sagenode/node.go
@@ -15,6 +15,7 @@
 	"github.com/pkg/errors"
 
 	"sagestand.example/sagestand/internal/sageburnd"
+	"sagestand.example/sagestand/internal/sageconfigd"
 	"sagestand.example/sagestand/internal/sagedispatch"
 	"sagestand.example/sagestand/internal/sageentry"
 	"sagestand.example/sagestand/internal/sagekernel"
@@ -28,6 +29,7 @@
 	"sagestand.example/sagestand/pkg/sageburn"
 	"sagestand.example/sagestand/pkg/sageobject"
 	"sagestand.example/sagestand/pkg/sageplace"
+	"sagestand.example/sagestand/pkg/sagesync"
 )
 
 // ErrEmptyKey reports a key file without a key.
@@ -115,7 +117,10 @@
 	k.Register("store", store)
 	peers := &sagepeer.Client{Key: n.peerKey, TLS: n.tls}
 	k.Register("peer_client", peers)
-	conf := &thinConfig{Store: store, Log: n.Log.Part("config")}
+	conf := &sageconfigd.Service{
+		Node: cfg.Node.Name, DataCentre: cfg.Node.DataCentre, Store: store, Rule: rule(cfg.Isolated),
+		Metrics: n.metrics, Log: n.Log.Part("config"),
+	}
 	k.Register("config", conf)
 	locator := &thinLocator{Address: n.listeners["entry"].Addr().String(), Valid: millis(cfg.Locate.ValidMillis), Config: conf}
 	k.Register("locate", locator)
@@ -159,6 +164,11 @@
 	k.Register("entry", entry)
 }
 
+// rule takes the settings' rule for isolated nodes over.
+func rule(i sagesettings.Isolated) sagesync.Rule {
+	return sagesync.Rule{Isolated: sagesync.Isolated(i.Rule), Freshness: millis(i.AfterMillis), CatchUp: sagesync.DefaultCatchUp}
+}
+
 // objectives takes the settings' objectives over into the report's own type.
 func objectives(in []sagesettings.Objective) []sageburn.Objective {
 	out := make([]sageburn.Objective, len(in))
--- a/internal/sageoperator/client.go
+++ b/internal/sageoperator/client.go
@@ -17,6 +17,8 @@
 var (
 	// ErrRefused: the node answered, and not with a success.
 	ErrRefused = errors.New("refused")
+	// ErrUnknown: the node can't tell whether the ticket was accepted.
+	ErrUnknown = errors.New("outcome unknown")
 	// ErrUnreachable: no answer came.
 	ErrUnreachable = errors.New("node not reached")
 )
@@ -49,7 +51,7 @@
 		return fmt.Errorf("call %s: %v: %w", path, err, ErrUnreachable)
 	}
 	if res.StatusCode != http.StatusOK {
-		return fmt.Errorf("call %s: %s: %w", path, problem(b, res.Status), ErrRefused)
+		return fmt.Errorf("call %s: %w", path, problem(b, res.Status))
 	}
 	if out == nil {
 		return nil
@@ -61,12 +63,15 @@
 }
 
 // problem returns what a refusal says.
-func problem(body []byte, status string) string {
+func problem(body []byte, status string) error {
 	var p Problem
-	if json.Unmarshal(body, &p) == nil && p.Problem != "" {
-		return p.Problem
+	if json.Unmarshal(body, &p) != nil || p.Problem == "" {
+		return fmt.Errorf("%s: %w", status, ErrRefused)
 	}
-	return status
+	if p.Outcome == OutcomeUnknown {
+		return fmt.Errorf("%s: %w", p.Problem, ErrUnknown)
+	}
+	return fmt.Errorf("%s: %w", p.Problem, ErrRefused)
 }
 
 // Submit submits a ticket.
--- a/internal/sageoperator/server.go
+++ b/internal/sageoperator/server.go
@@ -26,11 +26,6 @@
 	stopTimeout    = 2 * time.Second
 )
 
-// Tickets accepts change tickets.
-type Tickets interface {
-	Submit(ctx context.Context, t *sageconfig.Ticket) error
-}
-
 // Server answers operators. Its fields are set, and further handlers added, before Run.
 type Server struct {
 	Listener net.Listener
@@ -54,6 +49,8 @@
 // handler returns the whole interface.
 func (s *Server) handler() http.Handler {
 	s.private.HandleFunc("POST /v1/tickets", s.submit)
+	s.private.HandleFunc("GET /v1/tickets", s.history)
+	s.private.HandleFunc("GET /v1/tickets/{number}", s.ticketStatus)
 	s.private.HandleFunc("GET /v1/things/{kind}/{name}", s.thing)
 	s.private.HandleFunc("GET /v1/debug/profile", pprof.Profile)
 	s.private.HandleFunc("GET /v1/debug/heap", pprof.Handler("heap").ServeHTTP)
@@ -80,6 +77,8 @@
 // Problem is the body of every answer to an operator that is not a success.
 type Problem struct {
 	Problem string `json:"problem"`
+	// Outcome says what became of a submitted ticket; empty in other answers.
+	Outcome Outcome `json:"outcome,omitempty"`
 }
 
 // WriteJSON answers with v.
@@ -89,25 +88,6 @@
 	_ = json.NewEncoder(w).Encode(v)
 }
 
-func (s *Server) submit(w http.ResponseWriter, r *http.Request) {
-	b, err := io.ReadAll(r.Body)
-	if err != nil {
-		WriteJSON(w, http.StatusRequestEntityTooLarge, Problem{Problem: "read ticket: " + err.Error()})
-		return
-	}
-	t, err := sageconfig.DecodeTicket(b)
-	if err != nil {
-		WriteJSON(w, http.StatusBadRequest, Problem{Problem: err.Error()})
-		return
-	}
-	if err := s.Tickets.Submit(r.Context(), t); err != nil {
-		WriteJSON(w, http.StatusServiceUnavailable, Problem{Problem: err.Error()})
-		return
-	}
-	s.Log.Info("Ticket accepted.", "number", t.Number, "author", t.Author, "changes", len(t.Changes))
-	WriteJSON(w, http.StatusOK, map[string]any{"accepted": t.Number})
-}
-
 func (s *Server) thing(w http.ResponseWriter, r *http.Request) {
 	t := sageconfig.Thing{Kind: sageconfig.Kind(r.PathValue("kind")), Name: r.PathValue("name")}
 	if err := t.Check(); err != nil {
--- a/internal/sagesettings/check.go
+++ b/internal/sagesettings/check.go
@@ -75,9 +75,9 @@
 
 func (s *Settings) checkRules(f *Faults) {
 	switch s.Isolated.Rule {
-	case IsolatedFence, IsolatedIdempotent, IsolatedServe:
+	case IsolatedFence, IsolatedIdempotent, IsolatedServe, IsolatedQuorum:
 	default:
-		f.add("isolated.rule", "have %q, want fence, idempotent_only or serve", s.Isolated.Rule)
+		f.add("isolated.rule", "have %q, want quorum, fence, idempotent_only or serve", s.Isolated.Rule)
 	}
 	f.positive("isolated.after_millis", int64(s.Isolated.AfterMillis))
 	if s.Placement.LoadBound <= 1 {
--- a/internal/sagesettings/settings.go
+++ b/internal/sagesettings/settings.go
@@ -89,11 +89,12 @@
 	IsolatedFence      IsolatedRule = "fence"
 	IsolatedIdempotent IsolatedRule = "idempotent_only"
 	IsolatedServe      IsolatedRule = "serve"
+	IsolatedQuorum     IsolatedRule = "quorum"
 )
 
 // Isolated is the rule and when it starts to apply.
 type Isolated struct {
-	Rule        IsolatedRule `json:"rule" doc:"fence, idempotent_only or serve"`
+	Rule        IsolatedRule `json:"rule" doc:"quorum, fence, idempotent_only or serve"`
 	AfterMillis int          `json:"after_millis" doc:"time without confirmation after which the rule applies"`
 }
 
--- a/internal/sagesettings/settings_test.go
+++ b/internal/sagesettings/settings_test.go
@@ -51,7 +51,7 @@
 		{"two at once", func(m map[string]any) {
 			sub(m, "retry")["ratio"] = 2
 			sub(m, "isolated")["rule"] = "hope"
-		}, []string{`isolated.rule: have "hope", want fence, idempotent_only or serve`, "retry.ratio: have 2, want 0 to 1"}},
+		}, []string{`isolated.rule: have "hope", want quorum, fence, idempotent_only or serve`, "retry.ratio: have 2, want 0 to 1"}},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
--- a/pkg/sagesync/replica.go
+++ b/pkg/sagesync/replica.go
@@ -268,3 +268,19 @@
 	}
 	return record{revision: rec.Revision, ticket: rec.Ticket, raw: append([]byte(nil), raw...)}, nil
 }
+
+// Find returns the record of a ticket number if it is among the newest, also during an outage of
+// the store.
+func (r *Replica) Find(number uint64) (*sageticket.Record, bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for i := range r.tail {
+		if r.tail[i].ticket.Number != number {
+			continue
+		}
+		rec := new(sageticket.Record)
+		err := json.Unmarshal(r.tail[i].raw, rec)
+		return rec, err == nil
+	}
+	return nil, false
+}
