Measure coordination with many real processes

Change: sagebench scale: bytes, processor time, memory, store calls, time to in force, with N router processes and the engines inside sagebench.

--- /dev/null
+++ b/cmd/sagebench/scale.go
@@ -0,0 +1,44 @@
+package main
+
+import (
+	"fmt"
+	"io"
+
+	"github.com/spf13/cobra"
+
+	"sagestand.example/sagestand/internal/sagecli"
+	"sagestand.example/sagestand/internal/sagescale"
+)
+
+func scaleCommand(out *sagecli.Output) *cobra.Command {
+	m := new(sagescale.Measure)
+	c := &cobra.Command{
+		Use:     "scale",
+		Short:   "Measure what coordination costs with many real router processes",
+		Example: "  sagebench scale --nodes 50 --engines 300 --output json",
+		Args:    sagecli.Exactly(),
+		RunE: func(c *cobra.Command, _ []string) error {
+			if m.Nodes < 1 || m.Nodes > 200 {
+				return fmt.Errorf("%w: --nodes %d: want 1 to 200", sagecli.ErrUsage, m.Nodes)
+			}
+			f, err := m.Run(c.Context())
+			if err != nil {
+				return err
+			}
+			return out.Print(c.OutOrStdout(), f, func(w io.Writer) {
+				_, _ = fmt.Fprintf(w, "%d nodes, %d upstreams\n", f.Nodes, f.Upstreams)
+				_, _ = fmt.Fprintf(w, "control bytes/s a node   mean %.0f, max %.0f\n", f.ControlBytesPerSecond.Mean, f.ControlBytesPerSecond.Max)
+				_, _ = fmt.Fprintf(w, "CPU %% of a core a node   mean %.2f, max %.2f\n", f.CPUPercent.Mean, f.CPUPercent.Max)
+				_, _ = fmt.Fprintf(w, "memory MB a node         mean %.1f, max %.1f\n", f.RSSMegabytes.Mean, f.RSSMegabytes.Max)
+				_, _ = fmt.Fprintf(w, "store calls/s            %v\n", f.StoreCallsPerSecond)
+				_, _ = fmt.Fprintf(w, "ticket in force          p50 %.0f ms, p99 %.0f ms, max %.0f ms, never %d\n", f.InForce.P50, f.InForce.P99, f.InForce.Max, f.InForce.Never)
+				_, _ = fmt.Fprintf(w, "the same, store out      p50 %.0f ms, p99 %.0f ms, max %.0f ms, never %d\n", f.InForceStoreOut.P50, f.InForceStoreOut.P99, f.InForceStoreOut.Max, f.InForceStoreOut.Never)
+			})
+		},
+	}
+	addPrograms(c, &m.Sagestand, &m.Sagebench)
+	c.Flags().IntVar(&m.Nodes, "nodes", 8, "number of routers, each a process")
+	c.Flags().IntVar(&m.Engines, "engines", 48, "number of engines, all inside this process")
+	c.Flags().IntVar(&m.Seconds, "seconds", 10, "how long figures at rest are taken")
+	return c
+}
--- a/internal/sagechaos/sagechaos.go
+++ b/internal/sagechaos/sagechaos.go
@@ -12,12 +12,9 @@
 package sagechaos
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
-	"net/http"
 	"os"
 	"syscall"
 	"time"
@@ -181,7 +178,7 @@
 	lost := sagestandin.Fault{Op: "put", Kind: sagestandin.FaultLostAnswer, Rate: 0.3}
 	out := sagestandin.Fault{Kind: sagestandin.FaultOutage}
 	for _, f := range [][]sagestandin.Fault{{lost}, {out}, {}} {
-		if err := r.setFaults(ctx, f); err != nil {
+		if err := sagefleet.SetFaults(ctx, r.fleet.Layout.Platform, sagestandin.FaultPlan{Seed: r.Seed, Faults: f}); err != nil {
 			return err
 		}
 		if len(f) > 0 {
@@ -190,19 +187,3 @@
 	}
 	return nil
 }
-
-func (r *Run) setFaults(ctx context.Context, faults []sagestandin.Fault) error {
-	b, err := json.Marshal(sagestandin.FaultPlan{Seed: r.Seed, Faults: faults})
-	if err != nil {
-		return fmt.Errorf("set faults: %w", err)
-	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+r.fleet.Layout.Platform+"/standin/faults", bytes.NewReader(b))
-	if err != nil {
-		return fmt.Errorf("set faults: %w", err)
-	}
-	res, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return fmt.Errorf("set faults: %w", err)
-	}
-	return res.Body.Close()
-}
--- a/internal/sagefleet/embedded.go
+++ b/internal/sagefleet/embedded.go
@@ -104,14 +104,22 @@
 }
 
 func (e *Embedded) serve(addr string, h http.Handler) error {
+	srv, err := serve(addr, h)
+	if err == nil {
+		e.servers = append(e.servers, srv)
+	}
+	return err
+}
+
+// serve serves h at addr until the server is closed.
+func serve(addr string, h http.Handler) (*http.Server, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return nil, fmt.Errorf("listen: %w", err)
 	}
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: readyTimeout}
-	e.servers = append(e.servers, srv)
 	go func() { _ = srv.Serve(l) }()
-	return nil
+	return srv, nil
 }
 
 func (e *Embedded) startNodes(ctx context.Context) error {
--- a/internal/sagefleet/executions.go
+++ b/internal/sagefleet/executions.go
@@ -1,6 +1,7 @@
 package sagefleet
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -37,3 +38,24 @@
 	}
 	return n, nil
 }
+
+// SetFaults replaces the faults of the stand-in at an address.
+func SetFaults(ctx context.Context, addr string, p sagestandin.FaultPlan) error {
+	b, err := json.Marshal(p)
+	if err != nil {
+		return fmt.Errorf("set faults: %w", err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/standin/faults", bytes.NewReader(b))
+	if err != nil {
+		return fmt.Errorf("set faults: %w", err)
+	}
+	res, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return fmt.Errorf("set faults: %w", err)
+	}
+	_ = res.Body.Close()
+	if res.StatusCode != http.StatusNoContent {
+		return fmt.Errorf("set faults of %s: %s: %w", addr, res.Status, sagestandin.ErrBadFault)
+	}
+	return nil
+}
--- a/internal/sagefleet/fleet.go
+++ b/internal/sagefleet/fleet.go
@@ -10,6 +10,7 @@
 	"strconv"
 
 	"sagestand.example/sagestand/internal/sageoperator"
+	"sagestand.example/sagestand/internal/sagestandin"
 	"sagestand.example/sagestand/pkg/sageconfig"
 )
 
@@ -24,7 +25,10 @@
 	// EngineArgs and PlatformArgs are further arguments of the stand-ins.
 	EngineArgs   []string
 	PlatformArgs []string
+	// Inline runs engines and applications inside this process, for fleets with many of them.
+	Inline bool
 
+	inline    []*http.Server
 	Platform  *Process
 	Upstreams []*Process
 	Nodes     []*Process
@@ -54,7 +58,15 @@
 func (f *Fleet) StartStandins(ctx context.Context) error {
 	f.Platform = f.standin("platform", f.Layout.Platform, append([]string{"platform"}, f.PlatformArgs...))
 	all := []*Process{f.Platform}
+	if f.Inline {
+		if err := f.serveUpstreams(); err != nil {
+			return err
+		}
+	}
 	for _, u := range f.Layout.Upstreams {
+		if f.Inline {
+			break
+		}
 		args := []string{string(u.Kind), "--name", u.Name}
 		if u.Kind == sageconfig.Engine {
 			args = append(args, "--slots", strconv.Itoa(engineSlots))
@@ -77,6 +89,22 @@
 	return nil
 }
 
+// serveUpstreams serves engines and applications inside this process.
+func (f *Fleet) serveUpstreams() error {
+	for _, u := range f.Layout.Upstreams {
+		h := (&sagestandin.Application{Name: u.Name}).Handler()
+		if u.Kind == sageconfig.Engine {
+			h = DefaultEngine(u.Name).Handler()
+		}
+		srv, err := serve(u.Address, h)
+		if err != nil {
+			return err
+		}
+		f.inline = append(f.inline, srv)
+	}
+	return nil
+}
+
 func (f *Fleet) standin(name, addr string, args []string) *Process {
 	return &Process{
 		Name: name, Path: f.Sagebench, Args: append(append([]string{"standin"}, args...), "--listen", addr),
@@ -143,6 +171,9 @@
 	for _, p := range f.Upstreams {
 		_ = p.Kill()
 	}
+	for _, srv := range f.inline {
+		_ = srv.Close()
+	}
 	if f.Platform != nil {
 		_ = f.Platform.Kill()
 	}
--- a/internal/sagefleet/layout.go
+++ b/internal/sagefleet/layout.go
@@ -14,26 +14,28 @@
 
 // Names that every layout uses.
 const (
-	Model         = "assist"
-	ModelVersion  = "assist@1"
-	ServiceRoute  = "stock"
-	EngineSet     = "engines"
-	ServiceSet    = "applications"
-	AccountName   = "trentvale"
-	AccountKey    = "trentvale-demo-key"
-	OtherAccount  = "haller"
-	OtherKey      = "haller-demo-key"
-	PeerKey       = "peer-demo-key"
-	OperatorKey   = "operator-demo-key"
-	engineSlots   = 16
-	serviceSlots  = 64
-	entryPort     = 7101
-	peerPort      = 7201
-	operatorPort  = 7301
-	standinPort   = 7000
-	platformHost  = 250
-	engineHost    = 100
-	serviceHost   = 200
+	Model        = "assist"
+	ModelVersion = "assist@1"
+	ServiceRoute = "stock"
+	EngineSet    = "engines"
+	ServiceSet   = "applications"
+	AccountName  = "trentvale"
+	AccountKey   = "trentvale-demo-key"
+	OtherAccount = "haller"
+	OtherKey     = "haller-demo-key"
+	PeerKey      = "peer-demo-key"
+	OperatorKey  = "operator-demo-key"
+	engineSlots  = 16
+	serviceSlots = 64
+	entryPort    = 7101
+	peerPort     = 7201
+	operatorPort = 7301
+	standinPort  = 7000
+	platformHost = 250
+	engineHost   = 100
+	serviceHost  = 195
+	// hostsPerKind keeps the kinds apart: routers from 1, engines from 100, applications from 195 on.
+	hostsPerKind  = 50
 	stopMillis    = 20000
 	locateMillis  = 1000
 	isolatedAfter = 10000
@@ -63,8 +65,11 @@
 func NewLayout(routers, engines int, dataCentres []string) *Layout {
 	pid := os.Getpid()
 	network := fmt.Sprintf("127.%d.%d", 1+pid%250, (pid/250+int(networks.Add(1))*16)%250)
-	at := func(host, port int) string { return fmt.Sprintf("%s.%d:%d", network, host, port) }
-	l := &Layout{Platform: at(platformHost, standinPort)}
+	// at spreads the members of a kind over the hosts that it has, and then over ports.
+	at := func(first, port, i int) string {
+		return fmt.Sprintf("%s.%d:%d", network, first+i%hostsPerKind, port+i/hostsPerKind)
+	}
+	l := &Layout{Platform: at(platformHost, standinPort, 0)}
 	for i := range routers {
 		l.Nodes = append(l.Nodes, node(i, at, dataCentres[i%len(dataCentres)], l.Platform))
 	}
@@ -77,23 +82,23 @@
 	}
 	for i := range engines {
 		l.Upstreams = append(l.Upstreams, Upstream{
-			Name: fmt.Sprintf("engine%d", i+1), Address: at(engineHost+i, standinPort),
+			Name: fmt.Sprintf("engine%d", i+1), Address: at(engineHost, standinPort, i),
 			DataCentre: dataCentres[i%len(dataCentres)], Kind: sageconfig.Engine,
 		})
 	}
 	for i, dc := range dataCentres {
 		l.Upstreams = append(l.Upstreams, Upstream{
-			Name: fmt.Sprintf("application%d", i+1), Address: at(serviceHost+i, standinPort),
+			Name: fmt.Sprintf("application%d", i+1), Address: at(serviceHost, standinPort, i),
 			DataCentre: dc, Kind: sageconfig.Application,
 		})
 	}
 	return l
 }
 
-func node(i int, at func(host, port int) string, dataCentre, platform string) sagesettings.Settings {
+func node(i int, at func(first, port, i int) string, dataCentre, platform string) sagesettings.Settings {
 	s := sagesettings.Default()
 	s.Node = sagesettings.Node{Name: fmt.Sprintf("vm%d", i+1), DataCentre: dataCentre, Region: "region1"}
-	s.Listen = sagesettings.Listen{Entry: at(i+1, entryPort), Peer: at(i+1, peerPort), Operator: at(i+1, operatorPort)}
+	s.Listen = sagesettings.Listen{Entry: at(1, entryPort, i), Peer: at(1, peerPort, i), Operator: at(1, operatorPort, i)}
 	s.Platform.URL = "http://" + platform
 	s.Locate.ValidMillis = locateMillis
 	s.Stop.WithinMillis = stopMillis
--- a/internal/sagetrace/play.go
+++ b/internal/sagetrace/play.go
@@ -1,9 +1,7 @@
 package sagetrace
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
 	"fmt"
 	"net/http"
 	"strings"
@@ -104,29 +102,13 @@
 		p.ticket++
 		return p.system.Submit(ctx, 0, sagefleet.ServiceTicket(p.ticket, e.Service.DataCentre, e.Service.InService))
 	}
-	b, err := json.Marshal(e.Fault.Plan)
-	if err != nil {
-		return fmt.Errorf("set faults: %w", err)
-	}
 	addr := p.layout.Platform
 	for _, u := range p.layout.Upstreams {
 		if u.Name == e.Fault.Target {
 			addr = u.Address
 		}
 	}
-	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/standin/faults", bytes.NewReader(b))
-	if err != nil {
-		return fmt.Errorf("set faults: %w", err)
-	}
-	res, err := p.http.Do(req)
-	if err != nil {
-		return fmt.Errorf("set faults: %w", err)
-	}
-	_ = res.Body.Close()
-	if res.StatusCode != http.StatusNoContent {
-		return fmt.Errorf("set faults of %s: %s: %w", e.Fault.Target, res.Status, ErrBadTrace)
-	}
-	return nil
+	return sagefleet.SetFaults(ctx, addr, e.Fault.Plan)
 }
 
 // caller returns the caller for a forced router, 0 for none.
