--- a/internal/sagemeasure/cold.go
+++ b/internal/sagemeasure/cold.go
@@ -33,9 +33,18 @@
 	name             string
 	routers, engines int
 	load             float64
-	faults           bool
+	fault            coldFaultKind
 }
 
+// coldFaultKind is what happens to routers in a scenario; engines restart in every one.
+type coldFaultKind int
+
+const (
+	coldNoFault coldFaultKind = iota
+	coldReplaced
+	coldSplit
+)
+
 // coldPolicy decides whether and where a router sends a request.
 type coldPolicy struct {
 	name string
@@ -57,10 +66,10 @@
 func Cold(seed uint64) ([]Sample, error) {
 	var out []Sample
 	for _, sc := range []coldScenario{
-		{"trentvale, 60% load, faults", 8, 12, 0.6, true},
-		{"trentvale, 60% load, restarts only", 8, 12, 0.6, false},
-		{"haller, 60% load, faults", 9, 18, 0.6, true},
-		{"haller, 130% load, no faults", 9, 18, 1.3, false},
+		{"trentvale, 60% load, VMs replaced", 8, 12, 0.6, coldReplaced},
+		{"trentvale, 60% load, routers well", 8, 12, 0.6, coldNoFault},
+		{"haller, 60% load, partitions", 9, 18, 0.6, coldSplit},
+		{"haller, 130% load, routers well", 9, 18, 1.3, coldNoFault},
 	} {
 		for _, p := range coldPolicies {
 			w := newColdWorld(sc, p, seed)
@@ -121,13 +130,18 @@
 	w.arrive(rate)
 	w.after(coldWarmUp, func() { w.every(0, 100*time.Millisecond, w.sample) })
 	w.after(coldWarmUp, func() { w.every(coldRestart, coldRestart, w.restart) })
-	if sc.faults {
-		w.after(coldWarmUp, func() { w.every(coldFault, coldFault, w.fault) })
+	switch sc.fault {
+	case coldReplaced:
+		w.after(coldWarmUp, func() { w.every(coldFault, coldFault, w.replace) })
+	case coldSplit:
+		w.after(coldWarmUp, func() { w.every(coldFault, coldFault, w.split) })
 	}
 	return w
 }
 
-func (w *coldWorld) phase(d time.Duration) time.Duration { return time.Duration(w.rand.Int64N(int64(d))) }
+func (w *coldWorld) phase(d time.Duration) time.Duration {
+	return time.Duration(w.rand.Int64N(int64(d)))
+}
 
 // arrive makes requests come as a Poisson process at routers chosen at random.
 func (w *coldWorld) arrive(rate float64) {
@@ -192,17 +206,18 @@
 	e.inFlight, e.completed = 0, 0
 }
 
-// fault replaces the VM of a router, whose requests run on at the engines, or splits the routers.
-func (w *coldWorld) fault() {
-	if w.rand.IntN(2) == 0 {
-		r := w.routers[w.rand.IntN(len(w.routers))]
-		r.start(false)
-		for _, o := range w.routers {
-			w.after(w.phase(coldBelieve), func() { o.live[r.id] = false })
-			w.after(coldBelieve+w.phase(coldBelieve), func() { o.live[r.id] = true })
-		}
-		return
+// replace replaces the VM of a router, whose requests run on at the engines.
+func (w *coldWorld) replace() {
+	r := w.routers[w.rand.IntN(len(w.routers))]
+	r.start(false)
+	for _, o := range w.routers {
+		w.after(w.phase(coldBelieve), func() { o.live[r.id] = false })
+		w.after(coldBelieve+w.phase(coldBelieve), func() { o.live[r.id] = true })
 	}
+}
+
+// split cuts the routers into two sides for a while.
+func (w *coldWorld) split() {
 	for i := range w.side {
 		w.side[i] = w.rand.IntN(2)
 	}
--- a/internal/sagemeasure/registry.go
+++ b/internal/sagemeasure/registry.go
@@ -10,8 +10,10 @@
 	"churn": Churn,
 	"cold":  Cold,
 	"exit":  Exit,
+	"retry": Retry,
 	"skew":  Skew,
 	"slope": Slope,
+	"surge": Surge,
 	"weigh": Weigh,
 }
 
--- /dev/null
+++ b/internal/sagemeasure/surge.go
@@ -0,0 +1,217 @@
+package sagemeasure
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"sagestand.example/sagestand/pkg/sagefair"
+	"sagestand.example/sagestand/pkg/sagewire"
+)
+
+// Shape of the surge measure: routers with equal parts of the slots, ten client accounts of equal
+// weight, one of which sends a multiple of what the whole fleet can serve for half of the time.
+const (
+	surgeRouters  = 8
+	surgeSlots    = 24 // of each router
+	surgeAccounts = 10
+	surgeTime     = 3 * time.Minute
+	surgeFrom     = time.Minute
+	surgeService  = 400 * time.Millisecond
+	surgePatience = 3 * time.Second
+	surgeUse      = 0.6 // of the slots, by the nine others and the tenth before its surge
+	surgeTimes    = 5   // the surge as a multiple of all slots
+	surgeQueue    = 200
+)
+
+// surgeQueuing is one way to queue the requests of a router.
+type surgeQueuing struct {
+	name string
+	make func() surgeQueuer
+}
+
+// surgeQueuer offers requests and takes their ends; items are those of the scheduler.
+type surgeQueuer interface {
+	Offer(now time.Time, r sagefair.Request) (*sagefair.Item, []*sagefair.Item)
+	Done(now time.Time, it *sagefair.Item) []*sagefair.Item
+}
+
+var surgeQueuings = []surgeQueuing{
+	{"fair shares", func() surgeQueuer {
+		s := &sagefair.Scheduler{MaxQueue: surgeQueue}
+		s.SetSlots(epoch, surgeSlots)
+		return s
+	}},
+	{"first in first out", func() surgeQueuer { return &fifo{slots: surgeSlots} }},
+}
+
+// surgeCase says where the surge comes in and how it is marked.
+type surgeCase struct {
+	name     string
+	routers  int // that get the surge
+	priority sagewire.Priority
+}
+
+var surgeCases = []surgeCase{
+	{"surge at every router", surgeRouters, sagewire.Normal},
+	{"surge at one router", 1, sagewire.Normal},
+	{"surge marked urgent", surgeRouters, sagewire.Urgent},
+}
+
+// Surge measures what other accounts get while one surges, against the same run without a surge.
+func Surge(seed uint64) ([]Sample, error) {
+	var out []Sample
+	for _, c := range surgeCases {
+		for _, q := range surgeQueuings {
+			calm := newSurgeWorld(q, c, 0, seed)
+			surged := newSurgeWorld(q, c, surgeTimes, seed)
+			calm.runUntil(surgeTime)
+			surged.runUntil(surgeTime)
+			out = append(out, surgeSamples(c, q, calm, surged)...)
+		}
+	}
+	return out, nil
+}
+
+func surgeSamples(c surgeCase, q surgeQueuing, calm, surged *surgeWorld) []Sample {
+	kept := 100 * float64(surged.good) / float64(calm.good)
+	s := []Sample{
+		{Metric: "goodput of others, of that without surge", Unit: "%", Value: kept},
+		{Metric: "p99 of others without surge", Unit: "ms", Value: calm.p99()},
+		{Metric: "p99 of others with surge", Unit: "ms", Value: surged.p99()},
+		{Metric: "surging account's part of slot time", Unit: "%", Value: 100 * surged.surgeTime.Seconds() / surged.allTime.Seconds()},
+	}
+	if q.name == "fair shares" {
+		s[0].Target = &Target{AtLeast, 98}
+	}
+	for i := range s {
+		s[i].Scenario, s[i].Policy = c.name, q.name
+	}
+	return s
+}
+
+type surgeWorld struct {
+	clock
+
+	rand   *rand.Rand
+	queues []surgeQueuer
+	timers map[*sagefair.Item]*surgeJob
+
+	good               int // requests of others that ended within their deadline, during the surge
+	latencies          []time.Duration
+	surgeTime, allTime time.Duration
+}
+
+type surgeJob struct {
+	router  int
+	account int
+	came    time.Duration
+	service time.Duration
+}
+
+func newSurgeWorld(q surgeQueuing, c surgeCase, times float64, seed uint64) *surgeWorld {
+	w := &surgeWorld{rand: rand.New(rand.NewPCG(seed, 13)), timers: make(map[*sagefair.Item]*surgeJob)}
+	for range surgeRouters {
+		w.queues = append(w.queues, q.make())
+	}
+	full := surgeRouters * surgeSlots / surgeService.Seconds()
+	for a := range surgeAccounts {
+		source := rand.New(rand.NewPCG(seed, uint64(100+a)))
+		w.arrive(source, a, surgeUse*full/surgeAccounts, surgeRouters, sagewire.Normal)
+	}
+	if times > 0 {
+		source := rand.New(rand.NewPCG(seed, 99))
+		w.after(surgeFrom, func() { w.arrive(source, 0, times*full*float64(c.routers)/surgeRouters, c.routers, c.priority) })
+	}
+	return w
+}
+
+// arrive makes the requests of one account come; each account draws from a source of its own, so
+// that the others' requests are the same with and without the surge.
+func (w *surgeWorld) arrive(source *rand.Rand, account int, rate float64, routers int, p sagewire.Priority) {
+	w.after(time.Duration(source.ExpFloat64()/rate*float64(time.Second)), func() {
+		j := &surgeJob{router: source.IntN(routers), account: account, came: w.now,
+			service: time.Duration(source.ExpFloat64() * float64(surgeService))}
+		w.offer(j, p)
+		w.arrive(source, account, rate, routers, p)
+	})
+}
+
+func (w *surgeWorld) offer(j *surgeJob, p sagewire.Priority) {
+	now := w.instant()
+	it, others := w.queues[j.router].Offer(now, sagefair.Request{
+		Account: fmt.Sprint("account-", j.account), Weight: 1, Priority: p, Deadline: now.Add(surgePatience)})
+	w.timers[it] = j
+	w.start(append(others, it))
+}
+
+// start runs the items that got their slot.
+func (w *surgeWorld) start(items []*sagefair.Item) {
+	for _, it := range items {
+		j := w.timers[it]
+		switch it.State {
+		case sagefair.Refused:
+			delete(w.timers, it)
+		case sagefair.Running:
+			w.after(j.service, func() { w.end(it, j) })
+		}
+	}
+}
+
+func (w *surgeWorld) end(it *sagefair.Item, j *surgeJob) {
+	delete(w.timers, it)
+	if w.now >= surgeFrom {
+		w.allTime += j.service
+		if j.account == 0 {
+			w.surgeTime += j.service
+		} else if took := w.now - j.came; took <= surgePatience {
+			w.good++
+			w.latencies = append(w.latencies, took)
+		}
+	}
+	w.start(w.queues[j.router].Done(w.instant(), it))
+}
+
+func (w *surgeWorld) p99() float64 {
+	slices.Sort(w.latencies)
+	return float64(w.latencies[len(w.latencies)*99/100]) / float64(time.Millisecond)
+}
+
+// fifo is the baseline: one bounded queue for all, first in first out.
+type fifo struct {
+	slots, running int
+	queue          []*sagefair.Item
+}
+
+// Offer implements [surgeQueuer].
+func (f *fifo) Offer(_ time.Time, r sagefair.Request) (*sagefair.Item, []*sagefair.Item) {
+	it := &sagefair.Item{Request: r}
+	switch {
+	case f.running < f.slots:
+		f.running++
+		it.State = sagefair.Running
+	case len(f.queue) >= surgeQueue:
+		it.State = sagefair.Refused
+	default:
+		f.queue = append(f.queue, it)
+	}
+	return it, nil
+}
+
+// Done implements [surgeQueuer].
+func (f *fifo) Done(now time.Time, _ *sagefair.Item) []*sagefair.Item {
+	f.running--
+	var out []*sagefair.Item
+	for f.running < f.slots && len(f.queue) > 0 {
+		it := f.queue[0]
+		f.queue = f.queue[1:]
+		it.State = sagefair.Refused
+		if now.Before(it.Request.Deadline) {
+			it.State = sagefair.Running
+			f.running++
+		}
+		out = append(out, it)
+	}
+	return out
+}
