--- a/internal/sageadmission/service.go
+++ b/internal/sageadmission/service.go
@@ -2,9 +2,12 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"sagestand.example/sagestand/internal/sageentry"
 	"sagestand.example/sagestand/pkg/sageconfig"
 	"sagestand.example/sagestand/pkg/sagefair"
@@ -220,6 +223,21 @@
 	p.wake(p.Done(now, it))
 }
 
+// Export adds the number of waiting requests by class to a set of metrics.
+func (s *Service) Export(set *metrics.Set) {
+	for c := range sagewire.Priority(sagewire.Priorities) {
+		set.NewGauge(fmt.Sprintf("sagestand_queued{priority=%q}", c), func() float64 {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			n := 0
+			for _, p := range s.pools {
+				n += p.Queued(c)
+			}
+			return float64(n)
+		})
+	}
+}
+
 // details say to a person what the reasons of the scheduler mean.
 var details = map[sagewire.Reason]string{
 	sagewire.ReasonAccountLimit: "the client account has as many requests waiting as its share allows",
--- a/internal/sageloadd/ask.go
+++ b/internal/sageloadd/ask.go
@@ -28,7 +28,7 @@
 			continue
 		}
 		units := u.units(now)
-		if u.out || s.stopping {
+		if u.out {
 			units = 0
 		}
 		if !u.holding.Voter && units == 0 && u.holding.InUse() == 0 {
--- a/internal/sageloadd/home.go
+++ b/internal/sageloadd/home.go
@@ -75,7 +75,7 @@
 		for _, m := range u.electorate {
 			u.ledger.Electorate = append(u.ledger.Electorate, m.Name)
 		}
-		if s.stopping {
+		if s.resigned {
 			u.ledger.Resign()
 		}
 	}
--- a/internal/sageloadd/service.go
+++ b/internal/sageloadd/service.go
@@ -62,7 +62,7 @@
 	processes map[string]string // the process that last answered, by node
 	kick      chan struct{}
 	once      sync.Once
-	stopping  bool
+	resigned  bool
 }
 
 func (s *Service) init() {
@@ -106,7 +106,7 @@
 	for {
 		select {
 		case <-ctx.Done():
-			s.resign()
+			s.Resign()
 			return nil
 		case <-t.C:
 			s.round(ctx, &wait)
@@ -129,12 +129,14 @@
 	s.ask(ctx, wait, false)
 }
 
-// resign ends every term of this home: what it granted runs out, nothing new is granted, and the
-// other nodes may turn to a successor at once.
-func (s *Service) resign() {
+// Resign ends every term of this home: what it granted runs out, nothing new is granted, and the
+// other nodes may turn to a successor at once. A node that leaves calls it before it says so; it
+// goes on asking for its own requests.
+func (s *Service) Resign() {
+	s.init()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.stopping = true
+	s.resigned = true
 	for _, u := range s.upstreams {
 		if u.ledger != nil {
 			u.ledger.Resign()
@@ -198,16 +200,6 @@
 	}
 }
 
-// Latency takes the latency of one answer, see [sageload.Detector].
-func (s *Service) Latency(name string, latency float64) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if u := s.upstreams[name]; u != nil && u.detector.Observe(latency) {
-		u.cold = true
-		s.hurry()
-	}
-}
-
 // Slots returns how many requests this node may have in flight at the named upstreams together, and
 // takes note that queued more wait for them.
 func (s *Service) Slots(names []string, queued int) int {
--- a/internal/sageretryd/sageretryd.go
+++ b/internal/sageretryd/sageretryd.go
@@ -15,6 +15,8 @@
 	"sync"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"sagestand.example/sagestand/internal/sagedispatch"
 	"sagestand.example/sagestand/internal/sageentry"
 	"sagestand.example/sagestand/pkg/sageretry"
@@ -68,3 +70,12 @@
 		s.Policy.Failed(now, upstream)
 	}
 }
+
+// Export adds the number of circuits that are not closed to a set of metrics.
+func (s *Service) Export(set *metrics.Set) {
+	set.NewGauge("sagestand_circuits_open", func() float64 {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		return float64(s.Policy.Open())
+	})
+}
--- a/pkg/sageretry/policy.go
+++ b/pkg/sageretry/policy.go
@@ -77,6 +77,17 @@
 // Circuit returns the state of an upstream's circuit.
 func (p *Policy) Circuit(name string) State { return p.at(name).circuit.State() }
 
+// Open returns the number of circuits that are not closed.
+func (p *Policy) Open() int {
+	n := 0
+	for _, u := range p.upstreams {
+		if u.circuit.State() != Closed {
+			n++
+		}
+	}
+	return n
+}
+
 // Retry decides on another attempt and charges the router's budget and that of the upstream that
 // failed. The latter keeps one failing upstream from using up the retries of all others.
 //
--- a/pkg/sageretry/policy_test.go
+++ b/pkg/sageretry/policy_test.go
@@ -97,6 +97,7 @@
 	p.Failed(start, "u")
 	require.Equal(t, Open, p.Circuit("u"))
 	require.False(t, p.Allow(start, "u", later))
+	require.Equal(t, 1, p.Open())
 	now := start.Add(time.Second)
 	require.True(t, p.Allow(now, "u", later), "one trial")
 	require.False(t, p.Allow(now, "u", later), "and no second")
