--- a/internal/sagenode/node.go
+++ b/internal/sagenode/node.go
@@ -16,6 +16,7 @@
 
 	"sagestand.example/sagestand/internal/sageadmission"
 	"sagestand.example/sagestand/internal/sageburnd"
+	"sagestand.example/sagestand/internal/sageconfigd"
 	"sagestand.example/sagestand/internal/sagedispatch"
 	"sagestand.example/sagestand/internal/sageentry"
 	"sagestand.example/sagestand/internal/sagekernel"
@@ -25,11 +26,13 @@
 	"sagestand.example/sagestand/internal/sagepeer"
 	"sagestand.example/sagestand/internal/sageplacement"
 	"sagestand.example/sagestand/internal/sagerpc/allot"
+	"sagestand.example/sagestand/internal/sagerpc/claim"
 	"sagestand.example/sagestand/internal/sagerpc/report"
 	"sagestand.example/sagestand/internal/sagesettings"
 	"sagestand.example/sagestand/pkg/sageburn"
 	"sagestand.example/sagestand/pkg/sageobject"
 	"sagestand.example/sagestand/pkg/sageplace"
+	"sagestand.example/sagestand/pkg/sagesync"
 )
 
 // ErrEmptyKey reports a key file without a key.
@@ -117,7 +120,10 @@
 	k.Register("store", store)
 	peers := &sagepeer.Client{Key: n.peerKey, TLS: n.tls}
 	k.Register("peer_client", peers)
-	conf := &thinConfig{Store: store, Log: n.Log.Part("config")}
+	conf := &sageconfigd.Service{
+		Node: cfg.Node.Name, DataCentre: cfg.Node.DataCentre, Store: store, Rule: rule(cfg.Isolated),
+		Metrics: n.metrics, Log: n.Log.Part("config"),
+	}
 	k.Register("config", conf)
 	locator := &thinLocator{Address: n.listeners["entry"].Addr().String(), Valid: millis(cfg.Locate.ValidMillis), Config: conf}
 	k.Register("locate", locator)
@@ -141,11 +147,15 @@
 		TokenValid: millis(cfg.Placement.TokenValidMillis), Metrics: n.metrics,
 	}
 	k.Register("placement", placement)
+	claims := n.claimService(store, peers)
+	peerServer.Mount(claim.NewClaimsServer(claims))
+	k.Register("claims", claims)
+	k.Register("orders", n.orderService(store, conf))
 	requests := &sagemetrics.Requests{Set: n.metrics}
 	entry := &sageentry.Service{
 		Listener: n.listeners["entry"], Config: conf,
 		Admission: admission,
-		Claims:    &thinClaims{Store: store}, Placement: placement, Retries: retries,
+		Claims:    claims, Placement: placement, Retries: retries,
 		Dispatch: &sagedispatch.Dispatcher{Dial: load.Dial}, Locator: locator, Leaver: locator, Recorder: sagemetrics.Fan{requests, burn},
 		Limits: cfg.Limits, Stop: cfg.Stop, Log: n.Log.Part("entry"),
 	}
@@ -164,10 +174,17 @@
 		Log: n.Log.Part("operator"),
 	}
 	operator.Handle("GET /v1/report/burn", burn)
+	operator.Handle("GET /v1/unknown", claims)
+	operator.Handle("POST /v1/unknown", claims)
 	k.Register("operator", operator)
 	k.Register("entry", entry)
 }
 
+// rule takes the settings' rule for isolated nodes over.
+func rule(i sagesettings.Isolated) sagesync.Rule {
+	return sagesync.Rule{Isolated: sagesync.Isolated(i.Rule), Freshness: millis(i.AfterMillis), CatchUp: sagesync.DefaultCatchUp}
+}
+
 // objectives takes the settings' objectives over into the report's own type.
 func objectives(in []sagesettings.Objective) []sageburn.Objective {
 	out := make([]sageburn.Objective, len(in))
