--- a/internal/sageloadd/service.go
+++ b/internal/sageloadd/service.go
@@ -181,7 +181,8 @@
 	// The caller's instant may be old by now if it was paused; the deadline is held against the
 	// present one.
 	if !u.holding.Acquire(time.Now()) {
-		u.missed++
+		// Whoever waits for a unit tries again and again; the ask grows by doubling.
+		u.missed = min(u.missed+1, 1+u.holding.InUse())
 		s.hurry()
 		return false
 	}
--- a/internal/sagenode/load.go
+++ b/internal/sagenode/load.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"time"
 
+	"sagestand.example/sagestand/internal/sageentry"
 	"sagestand.example/sagestand/internal/sageloadd"
 	"sagestand.example/sagestand/internal/sagepeer"
 	"sagestand.example/sagestand/internal/sageretryd"
@@ -44,3 +45,16 @@
 		Source: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 	}}
 }
+
+// resigner ends this node's terms as home before it says that it leaves. The homes' successors need
+// not wait for promises then, and the upstreams are without grants for a shorter time.
+type resigner struct {
+	Next sageentry.Leaver
+	Load *sageloadd.Service
+}
+
+// Leave implements [sageentry.Leaver].
+func (r *resigner) Leave(now time.Time) time.Time {
+	r.Load.Resign()
+	return r.Next.Leave(now)
+}
--- a/internal/sagenode/node.go
+++ b/internal/sagenode/node.go
@@ -20,6 +20,7 @@
 	"sagestand.example/sagestand/internal/sagedispatch"
 	"sagestand.example/sagestand/internal/sageentry"
 	"sagestand.example/sagestand/internal/sagekernel"
+	"sagestand.example/sagestand/internal/sageloadd"
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/internal/sagemetrics"
 	"sagestand.example/sagestand/internal/sageoperator"
@@ -136,10 +137,13 @@
 	k.Register("burn", burn)
 	load := n.loadService(conf, peers)
 	peerServer.Mount(allot.NewAllotServer(load))
+	load.Export(n.metrics)
 	k.Register("load", load)
 	admission := &sageadmission.Service{Config: conf, Load: load, InFlight: cfg.Limits.InFlight, Queued: cfg.Limits.Queued}
+	admission.Export(n.metrics)
 	k.Register("admission", admission)
 	retries := n.retryService()
+	retries.Export(n.metrics)
 	k.Register("retry", retries)
 	placement := &sageplacement.Service{
 		Config: conf, Load: load, Circuits: retries, Multiple: cfg.Placement.LoadBound,
@@ -156,7 +160,8 @@
 		Listener: n.listeners["entry"], Config: conf,
 		Admission: admission,
 		Claims:    claims, Placement: placement, Retries: retries,
-		Dispatch: &sagedispatch.Dispatcher{Dial: load.Dial}, Locator: locator, Leaver: locator, Recorder: sagemetrics.Fan{requests, burn},
+		Dispatch: &sageloadd.Timed{Next: &sagedispatch.Dispatcher{Dial: load.Dial}, Load: load},
+		Locator:  locator, Leaver: &resigner{Next: locator, Load: load}, Recorder: sagemetrics.Fan{requests, burn},
 		Limits: cfg.Limits, Stop: cfg.Stop, Log: n.Log.Part("entry"),
 	}
 	n.ready = func() error {
@@ -174,6 +179,7 @@
 		Log: n.Log.Part("operator"),
 	}
 	operator.Handle("GET /v1/report/burn", burn)
+	operator.Handle("GET /v1/allotments", load)
 	operator.Handle("GET /v1/unknown", claims)
 	operator.Handle("POST /v1/unknown", claims)
 	k.Register("operator", operator)
