--- a/internal/sageorders/service.go
+++ b/internal/sageorders/service.go
@@ -43,8 +43,8 @@
 	// Candidate reports whether this node may take the lease; a few of all nodes suffice, and each
 	// candidate costs the store a read a step. Nil means yes.
 	Candidate func() bool
-	HTTP   *http.Client
-	Log    sagelog.Logger
+	HTTP      *http.Client
+	Log       sagelog.Logger
 
 	applied map[string]applied
 }
--- a/pkg/sagelease/keeper_test.go
+++ b/pkg/sagelease/keeper_test.go
@@ -42,7 +42,7 @@
 		assert.Zero(t, holds(b, true))
 		time.Sleep(a.Term - a.Margin - 1)
 		assert.EqualValues(t, 1, holds(a, true))
-		time.Sleep(1)
+		time.Sleep(time.Nanosecond)
 		assert.Zero(t, holds(a, true), "a margin before the end")
 
 		step(t, b)
