--- a/internal/sagematrix/world_test.go
+++ b/internal/sagematrix/world_test.go
@@ -41,11 +41,9 @@
 
 // mutant switches a guard off; the zero value has all of them.
 type mutant struct {
-	name     string
 	store    func(sageobject.Store) sageobject.Store
 	claims   func(sageentry.Claims) sageentry.Claims
 	dispatch func(sageentry.Dispatch) sageentry.Dispatch
-	dial     func(net.Conn, *sagedispatch.Attempt) net.Conn
 }
 
 // world is one cell under way.
