--- a/internal/sagesettings/settings.go
+++ b/internal/sagesettings/settings.go
@@ -90,11 +90,12 @@
 	IsolatedFence      IsolatedRule = "fence"
 	IsolatedIdempotent IsolatedRule = "idempotent_only"
 	IsolatedServe      IsolatedRule = "serve"
+	IsolatedQuorum     IsolatedRule = "quorum"
 )
 
 // Isolated is the rule and when it starts to apply.
 type Isolated struct {
-	Rule        IsolatedRule `json:"rule" doc:"fence, idempotent_only or serve"`
+	Rule        IsolatedRule `json:"rule" doc:"quorum, fence, idempotent_only or serve"`
 	AfterMillis int          `json:"after_millis" doc:"time without confirmation after which the rule applies"`
 }
 
@@ -144,7 +145,7 @@
 		Stop:      Stop{WithinMillis: 330000},
 		Isolated:  Isolated{Rule: IsolatedFence, AfterMillis: 10000},
 		Placement: Placement{LoadBound: 1.5, TokenValidMillis: 3600000},
-		Load:      Allotments{GrantMillis: 2000, PromiseMillis: 2000, ReportLagMillis: 1000, Floor: 1, RampCompletions: 4},
+		Load:      Allotments{GrantMillis: 4000, PromiseMillis: 4000, ReportLagMillis: 1000, Floor: 1, RampCompletions: 4},
 		Retry:     Retry{Ratio: 0.1, Attempts: 3},
 		Claims:    Claims{RetentionMillis: 86400000, CollectMillis: 5},
 		Objectives: []Objective{
