--- a/internal/sagematrix/world_test.go
+++ b/internal/sagematrix/world_test.go
@@ -14,7 +14,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"sagestand.example/sagestand/internal/sagedispatch"
 	"sagestand.example/sagestand/internal/sageentry"
 	"sagestand.example/sagestand/pkg/sageobject"
 	"sagestand.example/sagestand/pkg/sagewire"
