Run membership, exchange and locate in the daemon

Change: sagenode registers gossip, members and locate; locate takes a data centre and may refuse; a node counts as ready once it has announced itself as serving.

--- a/internal/sagecaller/caller.go
+++ b/internal/sagecaller/caller.go
@@ -14,8 +14,8 @@
 
 	"github.com/pkg/errors"
 
-	"sagestand.example/sagestand/internal/sageentry"
 	"sagestand.example/sagestand/internal/sagestandin"
+	"sagestand.example/sagestand/pkg/sagelocate"
 	"sagestand.example/sagestand/pkg/sagewire"
 )
 
@@ -32,7 +32,7 @@
 	Fixed string
 
 	mu    sync.Mutex
-	kept  map[string]sageentry.Place
+	kept  map[string]sagelocate.Answer
 	token map[string]string
 }
 
@@ -83,7 +83,7 @@
 		}
 		c.mu.Lock()
 		if c.kept == nil {
-			c.kept = make(map[string]sageentry.Place)
+			c.kept = make(map[string]sagelocate.Answer)
 		}
 		c.kept[chat] = p
 		c.mu.Unlock()
@@ -99,8 +99,8 @@
 	delete(c.kept, chat)
 }
 
-func (c *Caller) ask(ctx context.Context, addr, chat string) (sageentry.Place, error) {
-	var p sageentry.Place
+func (c *Caller) ask(ctx context.Context, addr, chat string) (sagelocate.Answer, error) {
+	var p sagelocate.Answer
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+addr+"/v1/locate?chat="+url.QueryEscape(chat), nil)
 	if err != nil {
 		return p, fmt.Errorf("ask %s: %w", addr, err)
--- a/internal/sageentry/handler_test.go
+++ b/internal/sageentry/handler_test.go
@@ -17,6 +17,7 @@
 	"sagestand.example/sagestand/internal/sagedispatch"
 	"sagestand.example/sagestand/internal/sagesettings"
 	"sagestand.example/sagestand/pkg/sageconfig"
+	"sagestand.example/sagestand/pkg/sagelocate"
 	"sagestand.example/sagestand/pkg/sagewire"
 )
 
@@ -41,9 +42,12 @@
 func (f *fakeSteps) Allow(now time.Time, _ *Request, _ []string, _ bool) (time.Time, bool) {
 	return now, true
 }
-func (f *fakeSteps) Record(o Observation)                    { f.seen = append(f.seen, o) }
-func (f *fakeSteps) Locate(now time.Time, _, _ string) Place { return Place{ValidUntil: now} }
-func (f *fakeSteps) Leave(now time.Time) time.Time           { return now }
+func (f *fakeSteps) Record(o Observation) { f.seen = append(f.seen, o) }
+func (f *fakeSteps) Locate(now time.Time, _ sagelocate.Query) (sagelocate.Answer, *sagewire.Refusal) {
+	return sagelocate.Answer{ValidUntil: now}, nil
+}
+
+func (f *fakeSteps) Leave(now time.Time) time.Time { return now }
 func (f *fakeSteps) Finish(_ context.Context, _ *Claim, r *sagedispatch.Result) {
 	f.finished = append(f.finished, r.Outcome)
 }
--- a/internal/sageentry/server.go
+++ b/internal/sageentry/server.go
@@ -13,6 +13,7 @@
 
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/internal/sagesettings"
+	"sagestand.example/sagestand/pkg/sagelocate"
 	"sagestand.example/sagestand/pkg/sagewire"
 )
 
@@ -71,9 +72,14 @@
 		writeRefusal(w, id, sagewire.Refuse(sagewire.ReasonUnauthorized, "no client account has this key", time.Time{}))
 		return
 	}
-	p := s.Locator.Locate(now, account, r.URL.Query().Get("chat"))
+	q := r.URL.Query()
+	a, ref := s.Locator.Locate(now, sagelocate.Query{Account: account, Chat: q.Get("chat"), DataCentre: q.Get("data_centre")})
+	if ref != nil {
+		writeRefusal(w, id, ref)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
-	_ = json.NewEncoder(w).Encode(p)
+	_ = json.NewEncoder(w).Encode(&a)
 }
 
 // Run serves until ctx ends, then stops gracefully: it announces that the node leaves, serves on
--- a/internal/sageentry/steps.go
+++ b/internal/sageentry/steps.go
@@ -7,6 +7,7 @@
 
 	"sagestand.example/sagestand/internal/sagedispatch"
 	"sagestand.example/sagestand/pkg/sageconfig"
+	"sagestand.example/sagestand/pkg/sagelocate"
 	"sagestand.example/sagestand/pkg/sagewire"
 )
 
@@ -99,16 +100,9 @@
 	Do(ctx context.Context, w http.ResponseWriter, a *sagedispatch.Attempt) sagedispatch.Result
 }
 
-// Place says where a caller should connect, until when.
-type Place struct {
-	Addresses  []string  `json:"addresses"`
-	ValidUntil time.Time `json:"valid_until"`
-	Revision   uint64    `json:"revision"`
-}
-
 // Locator answers where a caller should connect.
 type Locator interface {
-	Locate(now time.Time, account, chat string) Place
+	Locate(now time.Time, q sagelocate.Query) (sagelocate.Answer, *sagewire.Refusal)
 }
 
 // Leaver announces that this node stops.
--- a/internal/sagemembers/service.go
+++ b/internal/sagemembers/service.go
@@ -16,6 +16,9 @@
 // listEvery is how often the VM list is read. It lags by itself, and each read counts at the platform.
 const listEvery = 30 * time.Second
 
+// startEvery is how often a starting node looks whether it is ready.
+const startEvery = 100 * time.Millisecond
+
 // VMs reads the addresses of the platform's VM list.
 type VMs interface {
 	VMs(ctx context.Context) ([]string, error)
@@ -60,12 +63,14 @@
 	s.Table.Hint(s.Seeds...)
 	t := time.NewTicker(s.Every)
 	defer t.Stop()
+	start := time.NewTicker(startEvery)
+	defer start.Stop()
 	var nextList time.Time
 	var wait sync.WaitGroup
 	defer wait.Wait()
+	s.tick(time.Now())
 	for {
 		now := time.Now()
-		s.tick(now)
 		if s.VMs != nil && !now.Before(nextList) {
 			nextList = now.Add(listEvery)
 			wait.Go(func() { s.list(ctx) })
@@ -75,20 +80,33 @@
 			s.Table.Advance(sagemember.Gone)
 			s.Nudge()
 			return nil
-		case <-t.C:
+		case now := <-t.C:
+			s.tick(now)
+		case <-start.C:
+			if s.begin() {
+				start.Stop()
+			}
 		}
 	}
 }
 
 func (s *Service) tick(now time.Time) {
 	s.Table.Report(s.Revision(), uint32(max(0, s.Load())))
-	if s.Ready() {
-		s.Table.Advance(sagemember.Serving)
-	}
 	s.Table.Tick()
 	s.note(now)
 }
 
+// begin announces the node as serving once it is ready, and says whether it has.
+func (s *Service) begin() bool {
+	if !s.Ready() {
+		return false
+	}
+	s.Table.Advance(sagemember.Serving)
+	s.Nudge()
+	s.Log.Info("Announced as serving.")
+	return true
+}
+
 // list takes the VM list as hints. Its addresses may lack a port: all VMs are alike, so the own one
 // is taken.
 func (s *Service) list(ctx context.Context) {
--- /dev/null
+++ b/internal/sagenode/members.go
@@ -0,0 +1,67 @@
+package sagenode
+
+import (
+	"net/http"
+	"time"
+
+	"sagestand.example/sagestand/internal/sageentry"
+	"sagestand.example/sagestand/internal/sagegossipd"
+	"sagestand.example/sagestand/internal/sagelocator"
+	"sagestand.example/sagestand/internal/sagemembers"
+	"sagestand.example/sagestand/internal/sagepeer"
+	"sagestand.example/sagestand/internal/sagerpc/exchange"
+	"sagestand.example/sagestand/pkg/sagedrain"
+	"sagestand.example/sagestand/pkg/sagegossip"
+	"sagestand.example/sagestand/pkg/sagelocate"
+	"sagestand.example/sagestand/pkg/sagemember"
+)
+
+// Periods of the membership.
+const (
+	heartbeatEvery = time.Second
+	listTimeout    = 5 * time.Second
+	// leaveSpread is within what time every connected node has heard that this one leaves.
+	leaveSpread = 10 * time.Second
+)
+
+// memberServices registers the exchange, the membership and locate. The exchange comes first, so that
+// it outlives the membership and carries its last word.
+func (n *Node) memberServices(conf sageentry.Config, peers *sagepeer.Client, srv *sagepeer.Server) (*sagemembers.Service, *sagelocator.Service) {
+	cfg := &n.Settings
+	n.table = &sagemember.Table{
+		Self: sagemember.Node{
+			Address: n.listeners["peer"].Addr().String(), Entry: n.listeners["entry"].Addr().String(),
+			DataCentre: cfg.Node.DataCentre,
+		},
+		Limits: sagemember.DefaultLimits(),
+	}
+	n.gossip = &sagegossipd.Service{
+		Self:  sagegossip.Peer{Address: n.table.Self.Address, DataCentre: cfg.Node.DataCentre},
+		Peers: peers, Members: n.table, Every: heartbeatEvery,
+		Engine:  sagegossip.Engine{Sections: []sagegossip.Section{n.table}},
+		Metrics: n.metrics, Log: n.Log.Part("gossip"),
+	}
+	srv.Mount(exchange.NewExchangeServer(n.gossip))
+	n.kernel.Register("gossip", n.gossip)
+	members := &sagemembers.Service{
+		Table: n.table, Every: heartbeatEvery, Seeds: n.otherSeeds(),
+		VMs:      &sagemembers.Platform{URL: cfg.Platform.URL, HTTP: &http.Client{Transport: sagepeer.CountedTransport(&n.control), Timeout: listTimeout}},
+		Ready:    func() bool { return conf.Serving(time.Now(), true) == nil },
+		Revision: conf.Revision, Nudge: n.gossip.Nudge, Drain: n.drain(),
+		Metrics: n.metrics, Log: n.Log.Part("members"),
+	}
+	n.kernel.Register("members", members)
+	ranker := sagelocate.DefaultRanker()
+	ranker.Count = cfg.Locate.Addresses
+	locator := &sagelocator.Service{Members: n.table, Config: conf, Ranker: ranker, Valid: millis(cfg.Locate.ValidMillis)}
+	n.kernel.Register("locate", locator)
+	return members, locator
+}
+
+// drain returns the periods of the stop. Where the settings leave little time, half of what the
+// answers don't need goes to spreading the word, the rest to the running requests.
+func (n *Node) drain() sagedrain.Machine {
+	valid, within := millis(n.Settings.Locate.ValidMillis), millis(n.Settings.Stop.WithinMillis)
+	spread := min(leaveSpread, (within-valid)/2)
+	return sagedrain.Machine{AnswersLast: valid, SpreadWithin: spread, DrainWithin: within - valid - spread}
+}
--- a/internal/sagenode/node.go
+++ b/internal/sagenode/node.go
@@ -18,6 +18,7 @@
 	"sagestand.example/sagestand/internal/sageburnd"
 	"sagestand.example/sagestand/internal/sagedispatch"
 	"sagestand.example/sagestand/internal/sageentry"
+	"sagestand.example/sagestand/internal/sagegossipd"
 	"sagestand.example/sagestand/internal/sagekernel"
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/internal/sagemetrics"
@@ -28,6 +29,7 @@
 	"sagestand.example/sagestand/internal/sagerpc/report"
 	"sagestand.example/sagestand/internal/sagesettings"
 	"sagestand.example/sagestand/pkg/sageburn"
+	"sagestand.example/sagestand/pkg/sagemember"
 	"sagestand.example/sagestand/pkg/sageobject"
 	"sagestand.example/sagestand/pkg/sageplace"
 )
@@ -35,6 +37,9 @@
 // ErrEmptyKey reports a key file without a key.
 var ErrEmptyKey = errors.New("key file is empty")
 
+// errStarting reports a node that callers are not told of yet.
+var errStarting = errors.New("not announced to the other nodes yet")
+
 // storeTimeout bounds one call to the platform, above the longest wait of a watch.
 const storeTimeout = 30 * time.Second
 
@@ -47,6 +52,8 @@
 	Log      sagelog.Logger
 
 	kernel    sagekernel.Kernel
+	table     *sagemember.Table
+	gossip    *sagegossipd.Service
 	metrics   *metrics.Set
 	listeners map[string]net.Listener
 	ready     func() error
@@ -82,6 +89,10 @@
 	}
 	n.metrics = metrics.NewSet()
 	n.register()
+	if err := n.table.Start(); err != nil {
+		n.Close()
+		return fmt.Errorf("members: %w", err)
+	}
 	return nil
 }
 
@@ -119,12 +130,11 @@
 	k.Register("peer_client", peers)
 	conf := &thinConfig{Store: store, Log: n.Log.Part("config")}
 	k.Register("config", conf)
-	locator := &thinLocator{Address: n.listeners["entry"].Addr().String(), Valid: millis(cfg.Locate.ValidMillis), Config: conf}
-	k.Register("locate", locator)
 	peerServer := &sagepeer.Server{Listener: n.listeners["peer"], Key: n.peerKey, TLS: n.tls, Log: n.Log.Part("peer")}
 	k.Register("peer_server", peerServer)
 	n.peers = [2]interface{ Bytes() int64 }{peers, peerServer}
 	n.metrics.NewGauge("sagestand_control_bytes_total", func() float64 { return float64(n.ControlBytes()) })
+	members, locator := n.memberServices(conf, peers, peerServer)
 	burn := &sageburnd.Service{Objectives: objectives(cfg.Objectives), Peers: n.otherSeeds, Client: peers}
 	peerServer.Mount(report.NewReportServer(burn))
 	k.Register("burn", burn)
@@ -146,13 +156,17 @@
 		Listener: n.listeners["entry"], Config: conf,
 		Admission: admission,
 		Claims:    &thinClaims{Store: store}, Placement: placement, Retries: retries,
-		Dispatch: &sagedispatch.Dispatcher{Dial: load.Dial}, Locator: locator, Leaver: locator, Recorder: sagemetrics.Fan{requests, burn},
+		Dispatch: &sagedispatch.Dispatcher{Dial: load.Dial}, Locator: locator, Leaver: members, Recorder: sagemetrics.Fan{requests, burn},
 		Limits: cfg.Limits, Stop: cfg.Stop, Log: n.Log.Part("entry"),
 	}
+	members.Load = entry.InFlight
 	n.ready = func() error {
 		if ref := conf.Serving(time.Now(), true); ref != nil {
 			return ref
 		}
+		if n.table.Me().Phase == sagemember.Starting {
+			return errStarting
+		}
 		return nil
 	}
 	operator := &sageoperator.Server{
--- a/pkg/sagemember/table.go
+++ b/pkg/sagemember/table.go
@@ -88,10 +88,12 @@
 	t.Self.Counter++
 	t.Self.Heard = now
 	t.far = 0
-	for id, e := range t.nodes {
+	for _, e := range t.nodes {
 		if e.Phase != Gone && e.DataCentre != t.Self.DataCentre {
 			t.far++
 		}
+	}
+	for id, e := range t.nodes {
 		if e.there() {
 			t.judge(e, now)
 		} else if now.Sub(e.since) > t.Limits.ForgetAfter {
