--- a/internal/sagenode/node.go
+++ b/internal/sagenode/node.go
@@ -19,6 +19,7 @@
 	"sagestand.example/sagestand/internal/sageconfigd"
 	"sagestand.example/sagestand/internal/sagedispatch"
 	"sagestand.example/sagestand/internal/sageentry"
+	"sagestand.example/sagestand/internal/sagegossipd"
 	"sagestand.example/sagestand/internal/sagekernel"
 	"sagestand.example/sagestand/internal/sageloadd"
 	"sagestand.example/sagestand/internal/sagelog"
@@ -31,6 +32,7 @@
 	"sagestand.example/sagestand/internal/sagerpc/report"
 	"sagestand.example/sagestand/internal/sagesettings"
 	"sagestand.example/sagestand/pkg/sageburn"
+	"sagestand.example/sagestand/pkg/sagemember"
 	"sagestand.example/sagestand/pkg/sageobject"
 	"sagestand.example/sagestand/pkg/sageplace"
 	"sagestand.example/sagestand/pkg/sagesync"
@@ -39,6 +41,9 @@
 // ErrEmptyKey reports a key file without a key.
 var ErrEmptyKey = errors.New("key file is empty")
 
+// errStarting reports a node that callers are not told of yet.
+var errStarting = errors.New("not announced to the other nodes yet")
+
 // storeTimeout bounds one call to the platform, above the longest wait of a watch.
 const storeTimeout = 30 * time.Second
 
@@ -51,6 +56,8 @@
 	Log      sagelog.Logger
 
 	kernel    sagekernel.Kernel
+	table     *sagemember.Table
+	gossip    *sagegossipd.Service
 	metrics   *metrics.Set
 	listeners map[string]net.Listener
 	ready     func() error
@@ -87,6 +94,10 @@
 	}
 	n.metrics = metrics.NewSet()
 	n.register()
+	if err := n.table.Start(); err != nil {
+		n.Close()
+		return fmt.Errorf("members: %w", err)
+	}
 	return nil
 }
 
@@ -127,14 +138,13 @@
 		Metrics: n.metrics, Log: n.Log.Part("config"),
 	}
 	k.Register("config", conf)
-	locator := &thinLocator{Address: n.listeners["entry"].Addr().String(), Valid: millis(cfg.Locate.ValidMillis), Config: conf}
-	k.Register("locate", locator)
 	peerServer := &sagepeer.Server{Listener: n.listeners["peer"], Key: n.peerKey, TLS: n.tls, Log: n.Log.Part("peer")}
 	k.Register("peer_server", peerServer)
 	n.peers = [2]interface{ Bytes() int64 }{peers, peerServer}
 	n.metrics.NewGauge("sagestand_control_bytes_total", func() float64 { return float64(n.ControlBytes()) })
 	n.metrics.NewGauge("sagestand_claim_bytes_total", func() float64 { return float64(n.ClaimBytes()) })
-	burn := &sageburnd.Service{Objectives: objectives(cfg.Objectives), Peers: n.otherSeeds, Client: peers}
+	members, locator := n.memberServices(conf, peers, peerServer)
+	burn := &sageburnd.Service{Objectives: objectives(cfg.Objectives), Peers: n.livePeers, Client: peers}
 	peerServer.Mount(report.NewReportServer(burn))
 	k.Register("burn", burn)
 	load := n.loadService(conf, peers)
@@ -163,13 +173,17 @@
 		Admission: admission,
 		Claims:    claims, Placement: placement, Retries: retries,
 		Dispatch: &sageloadd.Timed{Next: &sagedispatch.Dispatcher{Dial: load.Dial}, Load: load},
-		Locator:  locator, Leaver: &resigner{Next: locator, Load: load}, Recorder: sagemetrics.Fan{requests, burn},
+		Locator:  locator, Leaver: &resigner{Next: members, Load: load}, Recorder: sagemetrics.Fan{requests, burn},
 		Limits: cfg.Limits, Stop: cfg.Stop, Log: n.Log.Part("entry"),
 	}
+	members.Load = entry.InFlight
 	n.ready = func() error {
 		if ref := conf.Serving(time.Now(), true); ref != nil {
 			return ref
 		}
+		if n.table.Me().Phase == sagemember.Starting {
+			return errStarting
+		}
 		return nil
 	}
 	operator := &sageoperator.Server{
