--- /dev/null
+++ b/internal/sagemeasure/configfleet.go
@@ -0,0 +1,190 @@
+package sagemeasure
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"sagestand.example/sagestand/pkg/sageconfig"
+	"sagestand.example/sagestand/pkg/sagegossip"
+	"sagestand.example/sagestand/pkg/sagemember"
+	"sagestand.example/sagestand/pkg/sageobject"
+	"sagestand.example/sagestand/pkg/sagesync"
+	"sagestand.example/sagestand/pkg/sageticket"
+)
+
+// Periods of a watcher, as the service "config" has them, in rounds of a second.
+const (
+	confirmRounds = 2
+	watchRounds   = 15
+)
+
+// watchersEach is the number of nodes of a data centre that watch the store.
+const watchersEach = 2
+
+// configFleet is a member fleet whose nodes also exchange configuration, and the store behind them.
+type configFleet struct {
+	*MemberFleet
+	nodes []*configNode
+	store sageobject.Memory
+	a     sageticket.Acceptor
+	// all lets every node watch the store: the baseline.
+	all bool
+	// reaches says whether a node reaches the store.
+	reaches func(n *configNode) bool
+	round   int
+	number  uint64
+	// calls counts the calls to the store, waiting watches among them.
+	calls int64
+}
+
+// configNode is one node with its copy of the configuration.
+type configNode struct {
+	*MemberNode
+	index   int
+	replica *sagesync.Replica
+	bytes   int64 // what its part of the exchanges carried
+	watcher bool  // as of its last look at who is live
+}
+
+// counted counts the bytes of a section.
+type counted struct {
+	sagegossip.Section
+	n *configNode
+}
+
+func (c *counted) Digest() []byte {
+	d := c.Section.Digest()
+	c.n.bytes += int64(len(d))
+	return d
+}
+
+func (c *counted) Delta(digest []byte, budget int) []byte {
+	d := c.Section.Delta(digest, budget)
+	c.n.bytes += int64(len(d))
+	return d
+}
+
+// roleRounds is how often a node looks at who is live.
+const roleRounds = 5
+
+// settleRounds lets the nodes of a new fleet meet each other.
+const settleRounds = 60
+
+// newConfigFleet returns a fleet of n nodes in so many data centres that have met each other.
+func newConfigFleet(seed uint64, n, dataCentres int) (*configFleet, error) {
+	f := &configFleet{MemberFleet: NewMemberFleet(seed), reaches: func(*configNode) bool { return true }}
+	f.a = sageticket.Acceptor{Store: &f.store, Now: func() time.Time { return f.Now }}
+	if err := f.Add(n, dataCentres, sagemember.DefaultLimits()); err != nil {
+		return nil, fmt.Errorf("config fleet: %w", err)
+	}
+	for i, m := range f.Nodes {
+		c := &configNode{MemberNode: m, index: i, replica: &sagesync.Replica{Now: func() time.Time { return f.Now }}}
+		m.Engine.Sections = append(m.Engine.Sections, &counted{Section: c.replica, n: c})
+		f.nodes = append(f.nodes, c)
+	}
+	if err := f.accept(f.nodes[0], "dc0", true); err != nil {
+		return nil, err
+	}
+	for range settleRounds {
+		f.step()
+	}
+	if c := f.behind(1); c > 0 {
+		return nil, fmt.Errorf("%d of %d nodes lack the first ticket after %d rounds: %w", c, n, settleRounds, ErrIncomplete)
+	}
+	return f, nil
+}
+
+// accept submits a change of a data centre through a node that reaches the store. The acceptor has
+// it at once; the watchers have it with the next step.
+func (f *configFleet) accept(n *configNode, dataCentre string, in bool) error {
+	f.number++
+	t := &sageconfig.Ticket{Number: f.number, Author: "operator", Reason: "planned exit", Changes: []sageconfig.Change{{
+		Thing:      sageconfig.Thing{Kind: sageconfig.KindDataCentre, Name: dataCentre},
+		DataCentre: &sageconfig.DataCentre{InService: in},
+	}}}
+	if _, err := f.a.Submit(context.Background(), t); err != nil {
+		return fmt.Errorf("accept: %w", err)
+	}
+	return f.read(n)
+}
+
+// read brings a node up to date from the store.
+func (f *configFleet) read(n *configNode) error {
+	h, _, err := sageticket.ReadHead(context.Background(), &f.store)
+	if err != nil {
+		return fmt.Errorf("node %d: %w", n.index, err)
+	}
+	if n.replica.TakeHead(h, f.Now) {
+		return nil
+	}
+	l, err := sageticket.Load(context.Background(), &f.store)
+	if err != nil {
+		return fmt.Errorf("node %d: %w", n.index, err)
+	}
+	n.replica.TakeLoaded(l, f.Now)
+	return nil
+}
+
+// watches says whether n watches the store, by its own view of who is live.
+func (f *configFleet) watches(n *configNode) bool {
+	if f.all || (f.round+n.index)%roleRounds != 0 {
+		return f.all || n.watcher
+	}
+	var live []string
+	for _, m := range n.Table.Live() {
+		if m.DataCentre == n.Table.Self.DataCentre {
+			live = append(live, m.Address)
+		}
+	}
+	n.watcher = sagesync.IsWatcher(n.Table.Self.Address, live, watchersEach)
+	return n.watcher
+}
+
+// step lets a second pass: watchers that reach the store learn from it, then the nodes exchange.
+func (f *configFleet) step() {
+	f.round++
+	for _, n := range f.nodes {
+		if !f.watches(n) {
+			continue
+		}
+		if (f.round+n.index)%confirmRounds == 0 {
+			f.calls++
+		}
+		if (f.round+n.index)%watchRounds == 0 {
+			f.calls++
+		}
+		if !f.reaches(n) {
+			continue
+		}
+		before := n.replica.Current().Revision
+		// The store of the fleet never fails; a failed read would show as a node that stays behind.
+		if (f.round+n.index)%confirmRounds == 0 || before < f.number {
+			_ = f.read(n)
+		}
+		if n.replica.Current().Revision > before {
+			f.calls++ // the watch returned and is set again
+		}
+	}
+	f.Round()
+}
+
+// behind returns how many nodes don't hold a revision yet.
+func (f *configFleet) behind(revision uint64) int {
+	c := 0
+	for _, n := range f.nodes {
+		if n.replica.Current().Revision < revision {
+			c++
+		}
+	}
+	return c
+}
+
+// bytesOut sums what the configuration's part of the exchanges carried.
+func (f *configFleet) bytesOut() int64 {
+	sum := int64(0)
+	for _, n := range f.nodes {
+		sum += n.bytes
+	}
+	return sum
+}
--- /dev/null
+++ b/internal/sagemeasure/inforce.go
@@ -0,0 +1,128 @@
+package sagemeasure
+
+import (
+	"fmt"
+	"slices"
+	"time"
+)
+
+// inForceTickets is the number of tickets of each case.
+const inForceTickets = 6
+
+// inForceLimit is how many rounds a ticket is waited for.
+const inForceLimit = 90
+
+// inForceTarget is the time in which an accepted ticket must be in force everywhere, in seconds.
+const inForceTarget = 16
+
+// InForce measures the time from acceptance to in force at every node, in rounds of a second in which
+// each node begins one exchange, with exchanges lost and with the store out right after acceptance,
+// and what it costs.
+func InForce(seed uint64) ([]Sample, error) {
+	var out []Sample
+	for _, size := range []struct{ nodes, dataCentres int }{{8, 4}, {50, 9}, {150, 9}, {400, 9}} {
+		f, err := newConfigFleet(seed, size.nodes, size.dataCentres)
+		if err != nil {
+			return nil, fmt.Errorf("%d nodes: %w", size.nodes, err)
+		}
+		for _, outage := range []bool{false, true} {
+			for _, loss := range []float64{0, 0.01, 0.1, 0.3} {
+				f.Loss = loss
+				s, err := f.inForce(outage)
+				if err != nil {
+					return nil, fmt.Errorf("%d nodes: %w", size.nodes, err)
+				}
+				name := fmt.Sprintf("%d nodes, %g%% lost", size.nodes, 100*loss)
+				if outage {
+					name += ", store out"
+				}
+				for i := range s {
+					s[i].Scenario = name
+				}
+				out = append(out, s...)
+			}
+		}
+		f.Loss = 0
+		for _, s := range f.cost() {
+			s.Scenario = fmt.Sprintf("%d nodes, idle", size.nodes)
+			out = append(out, s)
+		}
+	}
+	return out, nil
+}
+
+// inForce accepts tickets one after another and notes when each node has each.
+func (f *configFleet) inForce(outage bool) ([]Sample, error) {
+	var delays []float64
+	for i := range inForceTickets {
+		f.reaches = func(*configNode) bool { return true }
+		f.step()
+		if err := f.accept(f.nodes[f.Rand.IntN(len(f.nodes))], "dc1", i%2 == 0); err != nil {
+			return nil, err
+		}
+		f.reaches = func(*configNode) bool { return !outage }
+		held := make([]bool, len(f.nodes))
+		for round := 1; round <= inForceLimit && f.behind(f.number) > 0; round++ {
+			f.step()
+			for k, n := range f.nodes {
+				if !held[k] && n.replica.Current().Revision >= f.number {
+					held[k] = true
+					delays = append(delays, float64(round))
+				}
+			}
+		}
+		if c := f.behind(f.number); c > 0 {
+			return nil, fmt.Errorf("ticket %d lacks at %d nodes after %d rounds: %w", f.number, c, inForceLimit, ErrIncomplete)
+		}
+	}
+	f.reaches = func(*configNode) bool { return true }
+	slices.Sort(delays)
+	at := func(q float64) float64 { return delays[int(q*float64(len(delays)-1))] }
+	return []Sample{
+		{Metric: "in force, p50", Unit: "s", Value: at(0.5)},
+		{Metric: "in force, p99", Unit: "s", Value: at(0.99)},
+		{Metric: "in force, max", Unit: "s", Value: at(1), Target: &Target{Comparison: AtMost, Limit: inForceTarget}},
+	}, nil
+}
+
+// cost measures a quiet minute and the minute around a ticket, with few watchers and with all nodes
+// watching.
+func (f *configFleet) cost() []Sample {
+	const rounds = 60
+	var out []Sample
+	for _, all := range []bool{false, true} {
+		f.all = all
+		policy := "few watchers"
+		if all {
+			policy = "every node watches"
+		}
+		calls, bytes := f.calls, f.bytesOut()
+		waiting := 0
+		for _, n := range f.nodes {
+			if f.watches(n) {
+				waiting++
+			}
+		}
+		for range rounds {
+			f.step()
+		}
+		perNode := float64(f.bytesOut()-bytes) / rounds / float64(len(f.nodes))
+		out = append(out,
+			Sample{Policy: policy, Metric: "store calls", Unit: "1/s", Value: float64(f.calls-calls) / rounds},
+			Sample{Policy: policy, Metric: "waiting watches", Unit: "", Value: float64(waiting)},
+			Sample{Policy: policy, Metric: "configuration bytes sent per node", Unit: "B/s", Value: perNode},
+		)
+		out = append(out, Sample{Policy: policy, Metric: "oldest evidence", Unit: "s", Value: f.oldestEvidence().Seconds()})
+	}
+	f.all = false
+	return out
+}
+
+// oldestEvidence returns the greatest age of a node's evidence of freshness.
+func (f *configFleet) oldestEvidence() time.Duration {
+	oldest := time.Duration(0)
+	for _, n := range f.nodes {
+		oldest = max(oldest, f.Now.Sub(n.replica.Standing().ConfirmedAt))
+	}
+	return oldest
+}
--- /dev/null
+++ b/internal/sagemeasure/isolated.go
@@ -0,0 +1,180 @@
+package sagemeasure
+
+import (
+	"fmt"
+	"time"
+
+	"sagestand.example/sagestand/pkg/sagemember"
+	"sagestand.example/sagestand/pkg/sagesync"
+)
+
+// The fleet of the isolation measure: three regions of three data centres with two nodes each. Data
+// centre d stands in region d/3; the store stands in region 0.
+const (
+	isoDataCentres = 9
+	isoRegions     = 3
+	isoNodes       = 18
+	isoRounds      = 300
+	isoExitAt      = 30
+	// isoGrace is what "a few seconds" allows after an accepted exit, in rounds.
+	isoGrace = 8
+	// isoBookings is the part of the requests that may not be repeated.
+	isoBookings = 0.3
+)
+
+// trouble is a failure that lasts for the whole measure: who reaches whom, and who the store.
+type trouble struct {
+	name  string
+	link  func(a, b *configNode) bool
+	store func(n *configNode) bool
+	// exit is the data centre that operators take out, or -1, and by which node.
+	exit, by int
+}
+
+func region(n *configNode) int { return n.index % isoDataCentres / isoRegions }
+
+func anyLink(_, _ *configNode) bool { return true }
+
+func sameRegion(a, b *configNode) bool { return region(a) == region(b) }
+
+// troubles lists the cases. The exit is in the part that is cut off, where it matters most: nodes
+// there go on sending work to it if they don't know.
+func troubles() []trouble {
+	alone := func(n *configNode) bool { return n.index == 8 }
+	return []trouble{
+		{"store out", anyLink, func(*configNode) bool { return false }, -1, 0},
+		{"one node cut off, exit", func(a, b *configNode) bool { return alone(a) == alone(b) }, func(n *configNode) bool { return !alone(n) }, 8, 0},
+		{
+			"far region cut off, exit",
+			func(a, b *configNode) bool { return (region(a) == 2) == (region(b) == 2) },
+			func(n *configNode) bool { return region(n) != 2 },
+			8, 0,
+		},
+		{
+			"region of the store cut off, exit there",
+			func(a, b *configNode) bool { return (region(a) == 0) == (region(b) == 0) },
+			func(n *configNode) bool { return region(n) == 0 },
+			8, 0,
+		},
+		{"far region cut off and store out", func(a, b *configNode) bool { return (region(a) == 2) == (region(b) == 2) }, func(*configNode) bool { return false }, -1, 0},
+		{"all regions lose each other, exit", sameRegion, func(n *configNode) bool { return region(n) == 0 }, 8, 0},
+	}
+}
+
+// Isolated measures what each rule for isolated nodes costs in service, and how much work it lets go
+// to a data centre that operators took out.
+func Isolated(seed uint64) ([]Sample, error) {
+	var out []Sample
+	for _, t := range troubles() {
+		for _, way := range []sagesync.Isolated{sagesync.IsolatedServe, sagesync.IsolatedIdempotent, sagesync.IsolatedFence, sagesync.IsolatedQuorum} {
+			s, err := isolate(seed, t, sagesync.Rule{Isolated: way, Freshness: sagesync.DefaultFreshness, CatchUp: sagesync.DefaultCatchUp})
+			if err != nil {
+				return nil, fmt.Errorf("%s, %s: %w", t.name, way, err)
+			}
+			for i := range s {
+				s[i].Scenario, s[i].Policy = t.name, string(way)
+			}
+			out = append(out, s...)
+		}
+	}
+	return out, nil
+}
+
+// isolate runs one trouble under one rule. Each node gets the same load each round, and spreads it
+// over the data centres that are in service by its own state and that it reaches.
+func isolate(seed uint64, t trouble, rule sagesync.Rule) ([]Sample, error) {
+	f, err := newConfigFleet(seed, isoNodes, isoDataCentres)
+	if err != nil {
+		return nil, err
+	}
+	for d := range isoDataCentres {
+		if err := f.accept(f.nodes[0], fmt.Sprintf("dc%d", d), true); err != nil {
+			return nil, err
+		}
+	}
+	for range settleRounds {
+		f.step()
+	}
+	byTable := make(map[*MemberNode]*configNode)
+	for _, n := range f.nodes {
+		byTable[n.MemberNode] = n
+	}
+	f.Cut = func(from, to *MemberNode) bool { return !t.link(byTable[from], byTable[to]) }
+	f.reaches = t.store
+	var lost, sent, offered float64
+	accepted := t.exit < 0
+	exitedAt := 0
+	for round := 1; round <= isoRounds; round++ {
+		f.step()
+		for _, n := range f.nodes {
+			n.noteQuorum(f.Now)
+		}
+		if round >= isoExitAt && !accepted && rule.MayAccept(f.Now, f.nodes[t.by].replica.Standing()) {
+			if err := f.accept(f.nodes[t.by], fmt.Sprintf("dc%d", t.exit), false); err != nil {
+				return nil, err
+			}
+			accepted, exitedAt = true, round
+		}
+		for _, n := range f.nodes {
+			share, toOut := n.load(f, t, exitedAt > 0 && round > exitedAt+isoGrace)
+			served := servedPart(rule.Judge(f.Now, n.replica.Standing()).May)
+			offered++
+			lost += 1 - served
+			sent += served * share * toOut
+		}
+	}
+	yes := 0.0
+	if accepted {
+		yes = 100
+	}
+	out := []Sample{
+		{Metric: "service lost", Unit: "%", Value: 100 * lost / offered},
+		{Metric: "work sent to the data centre that was out", Unit: "%", Value: 100 * sent / offered},
+	}
+	if t.exit >= 0 {
+		out = append(out, Sample{Metric: "exit accepted", Unit: "%", Value: yes})
+	}
+	return out, nil
+}
+
+func servedPart(m sagesync.May) float64 {
+	switch m {
+	case sagesync.ServeAll:
+		return 1
+	case sagesync.ServeIdempotent:
+		return 1 - isoBookings
+	}
+	return 0
+}
+
+// load returns the part of n's work that goes to each data centre it uses, and 1 if one of these is
+// out although it may receive nothing any more.
+func (n *configNode) load(f *configFleet, t trouble, out bool) (share, toOut float64) {
+	used := 0
+	for _, o := range f.nodes[:isoDataCentres] {
+		dc, ok := n.replica.Current().State.DataCentre(o.Table.Self.DataCentre)
+		if !ok || !dc.InService || !t.link(n, o) && n.index%isoDataCentres != o.index {
+			continue
+		}
+		used++
+		if out && o.index == t.exit {
+			toOut = 1
+		}
+	}
+	if used == 0 {
+		return 0, 0
+	}
+	return 1 / float64(used), toOut
+}
+
+// noteQuorum tells the replica when the node last had contact to most of the nodes that its table
+// remembers, dead ones among them.
+func (n *configNode) noteQuorum(now time.Time) {
+	var heard []time.Time
+	for _, m := range n.Table.All() {
+		if m.Incarnation != n.Table.Me().Incarnation && m.Phase != sagemember.Gone {
+			heard = append(heard, m.Heard)
+		}
+	}
+	n.replica.NoteQuorum(sagesync.QuorumAt(now, heard))
+}
--- a/internal/sagemeasure/registry.go
+++ b/internal/sagemeasure/registry.go
@@ -7,11 +7,13 @@
 
 // registry holds every measure by the name under which sagebench runs it.
 var registry = map[string]Func{
-	"churn": Churn,
-	"exit":  Exit,
-	"skew":  Skew,
-	"slope": Slope,
-	"weigh": Weigh,
+	"churn":    Churn,
+	"exit":     Exit,
+	"inforce":  InForce,
+	"isolated": Isolated,
+	"skew":     Skew,
+	"slope":    Slope,
+	"weigh":    Weigh,
 }
 
 // Names returns the names of all measures in order.
