Compress the chunks of a state transfer

Cause: a node that boots during an outage copies 34,500 things from peers; at the exchange's 16 KB this took 425 exchanges.

Change: a delta that carries a chunk is compressed, with the most entries that fit the budget.

--- a/pkg/sagesync/bench_test.go
+++ b/pkg/sagesync/bench_test.go
@@ -1,6 +1,7 @@
 package sagesync
 
 import (
+	"crypto/sha256"
 	"fmt"
 	"testing"
 
@@ -18,7 +19,7 @@
 	for i := range things {
 		s.Apply(sageconfig.Entry{Number: 1, Change: sageconfig.Change{
 			Thing:         sageconfig.Thing{Kind: sageconfig.KindClientAccount, Name: fmt.Sprintf("account-%d", i)},
-			ClientAccount: &sageconfig.ClientAccount{KeySHA256: fmt.Sprintf("%064x", i), Weight: 1},
+			ClientAccount: &sageconfig.ClientAccount{KeySHA256: fmt.Sprintf("%x", sha256.Sum256([]byte{byte(i), byte(i >> 8)})), Weight: 1},
 		}})
 	}
 	r := &Replica{Now: c.Now}
--- a/pkg/sagesync/copy.go
+++ b/pkg/sagesync/copy.go
@@ -132,7 +132,7 @@
 	s := r.Current()
 	keys := r.indexOf(s)
 	ch := &chunk{Revision: s.Revision}
-	if c != nil && !c.Done {
+	if c != nil {
 		ch.After = c.After
 	}
 	ch.Last = ch.After
--- a/pkg/sagesync/fake_test.go
+++ b/pkg/sagesync/fake_test.go
@@ -4,8 +4,8 @@
 	"context"
 	"flag"
 	"fmt"
+	"math/rand/v2"
 	"os"
-	"strings"
 	"testing"
 	"time"
 
@@ -51,14 +51,25 @@
 	return s
 }
 
+// noise returns text that doesn't compress.
+func noise(n int, seed uint64) string {
+	const letters = "0123456789abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ"
+	r := rand.New(rand.NewPCG(seed, uint64(n)))
+	b := make([]byte, n)
+	for i := range b {
+		b[i] = letters[r.IntN(len(letters))]
+	}
+	return string(b)
+}
+
 // accept submits a ticket that touches the named data centres; pad lengthens its reason and each of
 // its states.
 func (s *source) accept(t require.TestingT, pad int, names ...string) {
-	tk := &sageconfig.Ticket{Number: uint64(len(s.log)), Reason: strings.Repeat("r", pad)}
-	for _, n := range names {
+	tk := &sageconfig.Ticket{Number: uint64(len(s.log)), Reason: noise(pad, uint64(len(s.log)))}
+	for i, n := range names {
 		tk.Changes = append(tk.Changes, sageconfig.Change{
 			Thing:      sageconfig.Thing{Kind: sageconfig.KindDataCentre, Name: n},
-			DataCentre: &sageconfig.DataCentre{InService: true, Region: strings.Repeat("x", pad)},
+			DataCentre: &sageconfig.DataCentre{InService: true, Region: noise(pad, uint64(len(s.log)+i))},
 		})
 	}
 	acc, err := s.a.Submit(ctx, tk)
--- a/pkg/sagesync/replica_test.go
+++ b/pkg/sagesync/replica_test.go
@@ -138,8 +138,9 @@
 		``, `[]`, `{"records":[{}]}`, `{"records":[{"revision":5,"digest":"00","ticket":{"number":9,"changes":[{"thing":{"kind":"upstream","name":"a"},"deleted":true}]}}]}`,
 		`{"fragment":{"of":"record/5","offset":9,"total":4,"bytes":"AAAA"}}`, `{"fragment":{"of":"record/5","offset":0,"total":1000000000,"bytes":"AAAA"}}`,
 		`{"chunk":{"revision":9,"last":"a","done":true,"entries":[{"number":1,"change":{"thing":{"kind":"zone","name":"a"}}}]}}`,
+		string(pack([]byte(`{`))), string([]byte{packed, 0xff, 0xff}),
 	} {
-		assert.ErrorIs(t, node.Merge([]byte(bad)), ErrBadDelta, bad)
+		assert.ErrorIs(t, node.Merge([]byte(bad)), ErrBadDelta, "%.40q", bad)
 	}
 	assert.Equal(t, uint64(4), node.Current().Revision)
 }
@@ -148,7 +149,7 @@
 // were taken, the things between would be missing from what the node serves.
 func TestStrayChunk(t *testing.T) {
 	c := &clock{start}
-	s, peer := filled(t, c, 20, 100)
+	s, peer := filled(t, c, 60, 300)
 	peer.Tail = 1
 	s.accept(t, 0, "zz")
 	s.feed(t, peer, c.now)
@@ -156,6 +157,7 @@
 	for range 3 {
 		pull(t, before, peer, 2000)
 	}
+	require.Zero(t, before.Current().Revision, "in the middle of the copy")
 	stray := peer.Delta(before.Digest(), 100_000)
 	pull(t, after, peer, 2000)
 	require.NoError(t, after.Merge(stray))
--- a/pkg/sagesync/section.go
+++ b/pkg/sagesync/section.go
@@ -41,10 +41,14 @@
 	if r.evidence.At.After(p.Evidence.At) {
 		d.Evidence = r.evidence
 	}
-	if payload := budget - envelope; payload >= minPayload && r.Current().Revision > p.Revision {
-		r.fill(&d, &p, payload)
+	payload := budget - envelope
+	if payload >= minPayload && r.Current().Revision > p.Revision {
+		if r.needsCopy(&p) {
+			return r.packChunk(d, &p, budget)
+		}
+		r.fillRecords(&d, &p, payload)
 	}
-	if d.Evidence.At.IsZero() && d.Records == nil && d.Fragment == nil && d.Chunk == nil {
+	if d.Evidence.At.IsZero() && d.Records == nil && d.Fragment == nil {
 		return nil
 	}
 	if b := encode(&d); len(b) <= budget {
@@ -53,21 +57,43 @@
 	return nil
 }
 
-// fill adds the payload that the peer needs next.
-func (r *Replica) fill(d *delta, p *digest, payload int) {
-	from := p.Revision
+// from returns the revision above which a peer needs records.
+func (p *digest) from() uint64 {
 	if p.Copy != nil && p.Copy.Done {
-		from = p.Copy.Base
+		return p.Copy.Base
 	}
+	return p.Revision
+}
+
+// needsCopy reports whether a peer needs the next chunk of the state: it has begun a copy, or the
+// tail doesn't reach back to what it has.
+func (r *Replica) needsCopy(p *digest) bool {
 	if p.Copy != nil && !p.Copy.Done {
-		d.Chunk = r.chunkFor(p.Copy, p.Partial, payload)
-		return
+		return true
 	}
-	if from >= r.Current().Revision {
-		return
+	from := p.from()
+	return from < r.Current().Revision && (len(r.tail) == 0 || from+1 < r.tail[0].revision)
+}
+
+// packChunk returns d with as much of the next chunk as fits the budget once compressed.
+func (r *Replica) packChunk(d delta, p *digest, budget int) []byte {
+	c := p.Copy
+	if c != nil && c.Done {
+		c = nil
+	}
+	for _, ratio := range packRatios {
+		d.Chunk = r.chunkFor(c, p.Partial, (budget-envelope)*ratio)
+		if b := pack(encode(&d)); len(b) <= budget {
+			return b
+		}
 	}
-	if len(r.tail) == 0 || from+1 < r.tail[0].revision {
-		d.Chunk = r.chunkFor(nil, p.Partial, payload)
+	return nil
+}
+
+// fillRecords adds the records that the peer lacks, or a fragment of the first.
+func (r *Replica) fillRecords(d *delta, p *digest, payload int) {
+	from := p.from()
+	if from >= r.Current().Revision {
 		return
 	}
 	size := 0
--- a/pkg/sagesync/wire.go
+++ b/pkg/sagesync/wire.go
@@ -112,6 +112,10 @@
 }
 
 func decodeDelta(b []byte) (*delta, error) {
+	b, err := unpack(b)
+	if err != nil {
+		return nil, fmt.Errorf("decode delta: %w", err)
+	}
 	d := new(delta)
 	if err := json.Unmarshal(b, d); err != nil {
 		return nil, fmt.Errorf("decode delta: %v: %w", err, ErrBadDelta)
