--- a/internal/sagefleet/embedded.go
+++ b/internal/sagefleet/embedded.go
@@ -104,14 +104,22 @@
 }
 
 func (e *Embedded) serve(addr string, h http.Handler) error {
+	srv, err := serve(addr, h)
+	if err == nil {
+		e.servers = append(e.servers, srv)
+	}
+	return err
+}
+
+// serve serves h at addr until the server is closed.
+func serve(addr string, h http.Handler) (*http.Server, error) {
 	l, err := net.Listen("tcp", addr)
 	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+		return nil, fmt.Errorf("listen: %w", err)
 	}
 	srv := &http.Server{Handler: h, ReadHeaderTimeout: readyTimeout}
-	e.servers = append(e.servers, srv)
 	go func() { _ = srv.Serve(l) }()
-	return nil
+	return srv, nil
 }
 
 func (e *Embedded) startNodes(ctx context.Context) error {
@@ -176,6 +184,15 @@
 	return n
 }
 
+// ClaimBytes adds up the traffic of all nodes for claims so far.
+func (e *Embedded) ClaimBytes() int64 {
+	var n int64
+	for _, node := range e.Nodes {
+		n += node.ClaimBytes()
+	}
+	return n
+}
+
 // Stop stops the nodes gracefully, then the stand-ins, and returns the first node's error.
 func (e *Embedded) Stop() error {
 	if e.cancel != nil {
--- a/internal/sagemeasure/registry.go
+++ b/internal/sagemeasure/registry.go
@@ -12,8 +12,10 @@
 	"exit":     Exit,
 	"inforce":  InForce,
 	"isolated": Isolated,
+	"retry":    Retry,
 	"skew":     Skew,
 	"slope":    Slope,
+	"surge":    Surge,
 	"weigh":    Weigh,
 }
 
--- a/internal/sagenode/node.go
+++ b/internal/sagenode/node.go
@@ -20,6 +20,7 @@
 	"sagestand.example/sagestand/internal/sagedispatch"
 	"sagestand.example/sagestand/internal/sageentry"
 	"sagestand.example/sagestand/internal/sagekernel"
+	"sagestand.example/sagestand/internal/sageloadd"
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/internal/sagemetrics"
 	"sagestand.example/sagestand/internal/sageoperator"
@@ -54,6 +55,7 @@
 	listeners map[string]net.Listener
 	ready     func() error
 	control   atomic.Int64
+	claims    atomic.Int64
 	peers     [2]interface{ Bytes() int64 }
 	peerKey   string
 	opKey     string
@@ -131,15 +133,19 @@
 	k.Register("peer_server", peerServer)
 	n.peers = [2]interface{ Bytes() int64 }{peers, peerServer}
 	n.metrics.NewGauge("sagestand_control_bytes_total", func() float64 { return float64(n.ControlBytes()) })
+	n.metrics.NewGauge("sagestand_claim_bytes_total", func() float64 { return float64(n.ClaimBytes()) })
 	burn := &sageburnd.Service{Objectives: objectives(cfg.Objectives), Peers: n.otherSeeds, Client: peers}
 	peerServer.Mount(report.NewReportServer(burn))
 	k.Register("burn", burn)
 	load := n.loadService(conf, peers)
 	peerServer.Mount(allot.NewAllotServer(load))
+	load.Export(n.metrics)
 	k.Register("load", load)
 	admission := &sageadmission.Service{Config: conf, Load: load, InFlight: cfg.Limits.InFlight, Queued: cfg.Limits.Queued}
+	admission.Export(n.metrics)
 	k.Register("admission", admission)
 	retries := n.retryService()
+	retries.Export(n.metrics)
 	k.Register("retry", retries)
 	placement := &sageplacement.Service{
 		Config: conf, Load: load, Circuits: retries, Multiple: cfg.Placement.LoadBound,
@@ -147,7 +153,7 @@
 		TokenValid: millis(cfg.Placement.TokenValidMillis), Metrics: n.metrics,
 	}
 	k.Register("placement", placement)
-	claims := n.claimService(store, peers)
+	claims := n.claimService(n.claimStore(), peers)
 	peerServer.Mount(claim.NewClaimsServer(claims))
 	k.Register("claims", claims)
 	k.Register("orders", n.orderService(store, conf))
@@ -156,7 +162,8 @@
 		Listener: n.listeners["entry"], Config: conf,
 		Admission: admission,
 		Claims:    claims, Placement: placement, Retries: retries,
-		Dispatch: &sagedispatch.Dispatcher{Dial: load.Dial}, Locator: locator, Leaver: locator, Recorder: sagemetrics.Fan{requests, burn},
+		Dispatch: &sageloadd.Timed{Next: &sagedispatch.Dispatcher{Dial: load.Dial}, Load: load},
+		Locator:  locator, Leaver: &resigner{Next: locator, Load: load}, Recorder: sagemetrics.Fan{requests, burn},
 		Limits: cfg.Limits, Stop: cfg.Stop, Log: n.Log.Part("entry"),
 	}
 	n.ready = func() error {
@@ -174,6 +181,7 @@
 		Log: n.Log.Part("operator"),
 	}
 	operator.Handle("GET /v1/report/burn", burn)
+	operator.Handle("GET /v1/allotments", load)
 	operator.Handle("GET /v1/unknown", claims)
 	operator.Handle("POST /v1/unknown", claims)
 	k.Register("operator", operator)
@@ -217,7 +225,17 @@
 // Ready says why the node is not ready to serve, or nil.
 func (n *Node) Ready() error { return n.ready() }
 
-// ControlBytes returns the bytes of all traffic with other nodes and the platform so far, both ways.
+// claimStore returns a client of the Object API whose traffic is counted apart: claims are part of the
+// requests that they belong to and grow with them, control traffic does not.
+func (n *Node) claimStore() *sageobject.Client {
+	return &sageobject.Client{URL: n.Settings.Platform.URL, HTTP: &http.Client{Transport: sagepeer.CountedTransport(&n.claims), Timeout: storeTimeout}}
+}
+
+// ClaimBytes returns the bytes exchanged with the platform so far for claims of idempotency keys.
+func (n *Node) ClaimBytes() int64 { return n.claims.Load() }
+
+// ControlBytes returns the bytes of all traffic with other nodes and the platform so far, both ways,
+// but for [Node.ClaimBytes].
 func (n *Node) ControlBytes() int64 {
 	sum := n.control.Load()
 	for _, p := range n.peers {
