--- a/internal/sagenode/node.go
+++ b/internal/sagenode/node.go
@@ -187,6 +187,7 @@
 		},
 		Log: n.Log.Part("operator"),
 	}
+	operator.Handle("GET /v1/nodes", members)
 	operator.Handle("GET /v1/report/burn", burn)
 	operator.Handle("GET /v1/unknown", claims)
 	operator.Handle("POST /v1/unknown", claims)
