--- a/internal/sageadmission/service.go
+++ b/internal/sageadmission/service.go
@@ -17,8 +17,8 @@
 const (
 	// refresh is how often slots are read anew while requests wait.
 	refresh = 20 * time.Millisecond
-	// startup is how long requests may wait for the first units of an upstream set.
-	startup = 15 * time.Second
+	// noUnits is how long a set may be without units before its requests are refused at once.
+	noUnits = 15 * time.Second
 	// forget is how long an unused scheduler is kept.
 	forget = time.Minute
 )
@@ -47,7 +47,7 @@
 
 	upstreams []string
 	waiting   map[*sagefair.Item]chan struct{}
-	made      time.Time
+	lacking   time.Time // since when the set is without units; zero if it has some
 	used      time.Time
 	read      time.Time
 	slots     int
@@ -83,6 +83,11 @@
 func (s *Service) refresh(now time.Time, p *pool) {
 	p.read = now
 	p.slots = min(s.Load.Slots(p.upstreams, len(p.waiting)), s.InFlight)
+	if p.slots > 0 {
+		p.lacking = time.Time{}
+	} else if p.lacking.IsZero() {
+		p.lacking = now
+	}
 	p.wake(p.SetSlots(now, p.slots))
 }
 
@@ -102,10 +107,18 @@
 	if len(upstreams) == 0 {
 		return func() {}, nil // placement says why nothing can serve it
 	}
-	if ref := s.started(ctx, set, upstreams); ref != nil {
-		return nil, ref
+	var p *pool
+	var it *sagefair.Item
+	var turn chan struct{}
+	for {
+		if ref := s.units(ctx, set, upstreams); ref != nil {
+			return nil, ref
+		}
+		var again bool
+		if p, it, turn, again = s.offer(r, weight, set, upstreams); !again {
+			break
+		}
 	}
-	p, it, turn := s.offer(r, weight, set, upstreams)
 	if turn != nil {
 		select {
 		case <-turn:
@@ -143,23 +156,27 @@
 	return weight, set, upstreams
 }
 
-// offer offers the request; turn is not nil if it has to wait.
-func (s *Service) offer(r *sageentry.Request, weight float64, set string, upstreams []string) (*pool, *sagefair.Item, chan struct{}) {
+// offer offers the request; turn is not nil if it has to wait. It reports again when the set's units
+// ran out since they were waited for.
+func (s *Service) offer(r *sageentry.Request, weight float64, set string, upstreams []string) (p *pool, it *sagefair.Item, turn chan struct{}, again bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := time.Now()
-	p := s.pool(now, set, upstreams)
+	p = s.pool(now, set, upstreams)
 	if now.Sub(p.read) > refresh {
 		s.refresh(now, p)
 	}
+	if !p.decided(now) {
+		return nil, nil, nil, true
+	}
 	it, others := p.Offer(now, sagefair.Request{Account: r.Account, Weight: weight, Priority: r.Priority, Deadline: r.Deadline})
 	p.wake(others)
 	if it.State != sagefair.Waiting {
-		return p, it, nil
+		return p, it, nil, false
 	}
-	turn := make(chan struct{})
+	turn = make(chan struct{})
 	p.waiting[it] = turn
-	return p, it, turn
+	return p, it, turn, false
 }
 
 // pool returns the scheduler of an upstream set; mu is held.
@@ -169,7 +186,7 @@
 	}
 	p := s.pools[set]
 	if p == nil {
-		p = &pool{waiting: make(map[*sagefair.Item]chan struct{}), made: now}
+		p = &pool{waiting: make(map[*sagefair.Item]chan struct{}), lacking: now}
 		p.MaxQueue = s.Queued
 		s.pools[set] = p
 	}
@@ -177,10 +194,17 @@
 	return p
 }
 
-// started waits for the first units of a set: a node that has just started, or an upstream set that
-// a ticket has just brought, holds none for some seconds, and refusing would turn each start into
-// an outage. Later a set without units is refused at once.
-func (s *Service) started(ctx context.Context, set string, upstreams []string) *sagewire.Refusal {
+// decided reports whether the pool can judge a request: it has units, or has lacked them for long.
+func (p *pool) decided(now time.Time) bool {
+	return p.slots > 0 || now.Sub(p.lacking) > noUnits
+}
+
+// units waits while a set has no units but may soon have some.
+//
+// It guards against an outage at each change: a node that has just started, a set that a ticket has
+// just brought, and every set whose homes have just died hold no unit for the seconds that a new home
+// must wait. Refusing at once would turn each of these into refusals of all requests.
+func (s *Service) units(ctx context.Context, set string, upstreams []string) *sagewire.Refusal {
 	for {
 		s.mu.Lock()
 		now := time.Now()
@@ -188,7 +212,7 @@
 		if p.slots == 0 {
 			s.refresh(now, p)
 		}
-		ready := p.slots > 0 || now.Sub(p.made) > startup
+		ready := p.decided(now)
 		s.mu.Unlock()
 		if ready {
 			return nil
