--- a/internal/sagemeasure/claims.go
+++ b/internal/sagemeasure/claims.go
@@ -85,14 +85,24 @@
 		{name: "one write a claim, today", rate: todayRate, alone: true, rules: rules(2*time.Second, 4)},
 		{name: "group, today", rate: todayRate, rules: rules(2*time.Second, 4), window: 50 * time.Millisecond},
 	}
-	for _, window := range []time.Duration{5 * time.Millisecond, 20 * time.Millisecond, 50 * time.Millisecond} {
-		for _, shards := range []int{2, 4, 8} {
-			ways = append(ways, claimWay{name: fmt.Sprintf("group, %v, %d shards, bucket 2s", window, shards), rate: bookingRate, rules: rules(2*time.Second, shards), window: window})
-		}
+	for _, l := range []struct {
+		window time.Duration
+		shards int
+		bucket time.Duration
+	}{
+		{5 * time.Millisecond, 4, 2 * time.Second},
+		{25 * time.Millisecond, 4, 2 * time.Second}, {25 * time.Millisecond, 4, 500 * time.Millisecond},
+		{50 * time.Millisecond, 2, 2 * time.Second}, {50 * time.Millisecond, 4, 2 * time.Second}, {50 * time.Millisecond, 8, 2 * time.Second},
+		{50 * time.Millisecond, 2, 500 * time.Millisecond}, {50 * time.Millisecond, 4, 500 * time.Millisecond},
+		{50 * time.Millisecond, 2, time.Second}, {50 * time.Millisecond, 4, 10 * time.Second},
+		{100 * time.Millisecond, 4, 500 * time.Millisecond},
+	} {
+		ways = append(ways, claimWay{
+			name: fmt.Sprintf("group, %v, %d shards, bucket %v", l.window, l.shards, l.bucket),
+			rate: bookingRate, rules: rules(l.bucket, l.shards), window: l.window,
+		})
 	}
 	ways = append(ways,
-		claimWay{name: "group, 50ms, 4 shards, bucket 500ms", rate: bookingRate, rules: rules(500*time.Millisecond, 4), window: 50 * time.Millisecond},
-		claimWay{name: "group, 50ms, 4 shards, bucket 10s", rate: bookingRate, rules: rules(10*time.Second, 4), window: 50 * time.Millisecond},
 		claimWay{name: "2% lost, read back", rate: bookingRate, rules: rules(2*time.Second, 4), window: 50 * time.Millisecond, loss: lossRate},
 		claimWay{name: "2% lost, taken as unknown", rate: bookingRate, rules: rules(2*time.Second, 4), window: 50 * time.Millisecond, loss: lossRate, noReadBack: true},
 	)
--- a/internal/sagenode/claims.go
+++ b/internal/sagenode/claims.go
@@ -20,7 +20,7 @@
 // The layout of claim objects is the same on every node; docs/design/at_most_once.md has the
 // measurements behind it.
 const (
-	claimBucket = 2 * time.Second
+	claimBucket = 500 * time.Millisecond
 	claimShards = 4
 	// claimAhead is how far callers' clocks may be ahead of this node's.
 	claimAhead = time.Minute
@@ -40,7 +40,7 @@
 		Committer: &sageclaim.Committer{Store: store, Window: millis(cfg.Claims.CollectMillis), CommitTimeout: claimTimeout},
 		Store:     store,
 		Self:      cfg.Listen.Peer,
-		Peers:     n.otherSeeds,
+		Peers:     n.livePeers,
 		Dial: func(addr string) claim.Claims {
 			return claim.NewClaimsProtobufClient(peers.URL(addr), peers.HTTP())
 		},
@@ -70,7 +70,7 @@
 			Store: store, Key: ordersLease, Holder: n.Settings.Node.Name + "/" + uuid.NewString(),
 			Term: orderTerm, Margin: orderMargin, LongestDelay: orderDelay,
 		},
-		Candidate: func() bool { return rank(n.Settings.Listen.Peer, n.otherSeeds(), ordersLease) < orderCandidates },
+		Candidate: func() bool { return rank(n.Settings.Listen.Peer, n.livePeers(), ordersLease) < orderCandidates },
 		HTTP:      &http.Client{Timeout: orderTimeout},
 		Log:       n.Log.Part("orders"),
 	}
--- a/pkg/sagemember/section.go
+++ b/pkg/sagemember/section.go
@@ -235,6 +235,7 @@
 func addRecord(d *member.Delta, n *Node, budget int) int {
 	r := &member.Record{
 		Incarnation: n.Incarnation,
+		Name:        n.Name,
 		Address:     n.Address,
 		Entry:       n.Entry,
 		DataCentre:  n.DataCentre,
@@ -272,6 +273,7 @@
 func (t *Table) mergeRecord(r *member.Record, now time.Time) error {
 	n := Node{
 		Incarnation: r.GetIncarnation(),
+		Name:        r.GetName(),
 		Address:     r.GetAddress(),
 		Entry:       r.GetEntry(),
 		DataCentre:  r.GetDataCentre(),
