Let operators list and settle unknown outcomes; tell what a request without key risks

Cause: the list of unknown outcomes could be read only by a bare call, and a caller without a key wasn't told that sending again may run its request twice.

Change: sagestand unknown list and settle, refusals of the interface as the other ones, fuzz tests of what other nodes and the store hand over, the detail of an unknown outcome without a key.

--- a/cmd/sagestand/main.go
+++ b/cmd/sagestand/main.go
@@ -24,6 +24,6 @@
 		Long:  "sagestand routes callers to model engines and application services.\n\n" + sagecli.ExitHelp,
 	}
 	out.AddFlag(c)
-	c.AddCommand(serveCommand(), settingsCommand(out), ticketCommand(out), statusCommand(out), locateCommand(out), reportCommand(out), demoCommand(out), versionCommand(out))
+	c.AddCommand(serveCommand(), settingsCommand(out), ticketCommand(out), statusCommand(out), locateCommand(out), reportCommand(out), unknownCommand(out), demoCommand(out), versionCommand(out))
 	return c
 }
--- a/internal/sageclaims/service_test.go
+++ b/internal/sageclaims/service_test.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -377,6 +380,96 @@
 	assert.Nil(t, encodeAnswer(&sagedispatch.Answer{Status: 200, Body: make([]byte, maxHeldAnswer+1)}))
 }
 
+func TestOperatorsInterface(t *testing.T) {
+	bubble(t, 1, func(t *testing.T, f *fleet) {
+		r := request(keyNow("a"), "b")
+		_, _, ref := f.nodes[0].Claim(t.Context(), r)
+		require.Nil(t, ref)
+		time.Sleep(2 * time.Minute)
+		call := func(method, body string) (int, string) {
+			w := httptest.NewRecorder()
+			f.nodes[0].ServeHTTP(w, httptest.NewRequest(method, "/v1/unknown", strings.NewReader(body)))
+			return w.Code, w.Body.String()
+		}
+		code, body := call(http.MethodGet, "")
+		assert.Equal(t, http.StatusOK, code)
+		assert.Contains(t, body, r.Key)
+		set := fmt.Sprintf(`{"account":"haller","key":%q,"claim_id":%q,"outcome":"%%s"}`, r.Key, r.ID)
+		for _, bad := range []string{"{", fmt.Sprintf(set, "unknown"), strings.Replace(fmt.Sprintf(set, "not_run"), r.ID, "other", 1), strings.Replace(fmt.Sprintf(set, "not_run"), r.Key, "1-x", 1)} {
+			code, body = call(http.MethodPost, bad)
+			assert.Equal(t, http.StatusBadRequest, code, "%s: %s", bad, body)
+		}
+		code, body = call(http.MethodPost, fmt.Sprintf(set, "complete"))
+		assert.Equal(t, http.StatusOK, code, body)
+		_, body = call(http.MethodGet, "")
+		assert.NotContains(t, body, r.Key)
+		f.setDown(true)
+		code, _ = call(http.MethodGet, "")
+		assert.Equal(t, http.StatusServiceUnavailable, code)
+	})
+}
+
+// Whatever another node sends, the call neither fails hard nor writes what it can't read again.
+func FuzzCommit(f *testing.F) {
+	f.Add("claims/x", []byte(`{"op":"claim","account":"a","key":"1764700000123-x","claim_id":"c","fingerprint":"f","deadline":"2100-01-01T00:00:00Z"}`))
+	f.Fuzz(func(t *testing.T, object string, entry []byte) {
+		st := &sageobject.Memory{}
+		rules := sageclaim.Rules{Bucket: time.Second, Shards: 2, Retention: time.Hour}
+		s := &Service{Rules: rules, Committer: &sageclaim.Committer{Store: st}, Store: st, Self: "n0", Peers: func() []string { return nil }}
+		if e, err := sageclaim.DecodeEntry(entry); err == nil {
+			if key, err := sageclaim.ParseKey(e.Key); err == nil {
+				object = rules.Object(e.Account, key)
+			}
+		}
+		res, err := s.Commit(t.Context(), &claim.CommitRequest{Object: object, Entry: entry})
+		s.Committer.Wait()
+		if err != nil || res.GetError() != "" {
+			return
+		}
+		if _, err := sageclaim.DecodeRecord(res.GetRecord()); err != nil {
+			t.Fatal(err)
+		}
+		o, err := st.Get(t.Context(), object)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := sageclaim.DecodeBook(o.Value); err != nil {
+			t.Fatal(err)
+		}
+	})
+}
+
+func FuzzDecodeUnknown(f *testing.F) {
+	f.Add([]byte(`[{"account":"a","key":"k","claim_id":"c","state":"claimed"}]`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		list, err := decodeUnknown(b)
+		for _, r := range list {
+			if err == nil && r.Check() != nil {
+				t.Fatalf("%+v", r)
+			}
+		}
+	})
+}
+
+// BenchmarkHeldAnswers says what a held answer of 300 bytes costs in memory.
+func BenchmarkHeldAnswers(b *testing.B) {
+	a := booked(strings.Repeat("x", 300)).Answer
+	h := held{limit: 8 << 20}
+	var before, after runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	n := 0
+	for b.Loop() {
+		h.put(fmt.Sprintf("%036d", n), encodeAnswer(a))
+		n++
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/float64(h.list.Len()), "B/answer")
+	b.ReportMetric(float64(h.list.Len()), "answers")
+	runtime.KeepAlive(&h)
+}
+
 func FuzzDecodeAnswer(f *testing.F) {
 	f.Add(encodeAnswer(booked("x").Answer))
 	f.Fuzz(func(t *testing.T, b []byte) {
--- a/internal/sageclaims/unknown.go
+++ b/internal/sageclaims/unknown.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"sagestand.example/sagestand/internal/sageoperator"
 	"sagestand.example/sagestand/pkg/sageclaim"
 	"sagestand.example/sagestand/pkg/sageobject"
 	"sagestand.example/sagestand/pkg/sagewire"
@@ -105,10 +106,13 @@
 	if r.Method == http.MethodPost {
 		var set Settlement
 		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxSettleBytes)).Decode(&set); err != nil {
-			http.Error(w, "decode settlement: "+err.Error(), http.StatusBadRequest)
+			sageoperator.WriteJSON(w, http.StatusBadRequest, sageoperator.Problem{Problem: "decode settlement: " + err.Error()})
 			return
 		}
 		rec, err := s.Settle(r.Context(), &set)
+		if err == nil && rec.ClaimID != set.ClaimID {
+			err = fmt.Errorf("the key now belongs to claim %s: %w", rec.ClaimID, sageclaim.ErrNoClaim)
+		}
 		reply(w, &rec, err)
 		return
 	}
@@ -119,11 +123,10 @@
 func reply(w http.ResponseWriter, v any, err error) {
 	switch {
 	case errors.Is(err, sageclaim.ErrBadKey), errors.Is(err, sageclaim.ErrBadEntry), errors.Is(err, sageclaim.ErrNoClaim):
-		http.Error(w, err.Error(), http.StatusBadRequest)
+		sageoperator.WriteJSON(w, http.StatusBadRequest, sageoperator.Problem{Problem: err.Error()})
 	case err != nil:
-		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+		sageoperator.WriteJSON(w, http.StatusServiceUnavailable, sageoperator.Problem{Problem: err.Error()})
 	default:
-		w.Header().Set("Content-Type", "application/json")
-		_ = json.NewEncoder(w).Encode(v)
+		sageoperator.WriteJSON(w, http.StatusOK, v)
 	}
 }
--- a/internal/sageentry/handler_test.go
+++ b/internal/sageentry/handler_test.go
@@ -144,6 +144,17 @@
 	}
 }
 
+// Staff repeat a booking without a key after an unknown outcome: the refusal says what that may do.
+func TestUnknownWithoutKeySaysSo(t *testing.T) {
+	for _, key := range []string{"", "k"} {
+		f := &fakeSteps{results: []sagedispatch.Result{{Outcome: sagewire.Unknown, Reason: sagewire.ReasonAnswerLost}}}
+		w := call(testService(f), "POST", "/v1/services/orders/x", "", sagewire.HeaderIdempotencyKey, key)
+		ref, err := sagewire.DecodeRefusal(w.Body.Bytes())
+		require.NoError(t, err)
+		assert.Equal(t, key == "", strings.Contains(ref.Detail, "may run it twice"))
+	}
+}
+
 func TestAttempts(t *testing.T) {
 	notRun := sagedispatch.Result{Outcome: sagewire.NotRun, Reason: sagewire.ReasonUpstreamRefused}
 	unknown := sagedispatch.Result{Outcome: sagewire.Unknown, Reason: sagewire.ReasonAnswerLost}
--- a/internal/sageentry/serve.go
+++ b/internal/sageentry/serve.go
@@ -209,6 +209,9 @@
 func (s *Service) end(w http.ResponseWriter, req *Request, res *sagedispatch.Result, pick *Pick, attempts int) {
 	if res.Outcome != sagewire.Complete && !res.Started {
 		ref := res.Refusal(req.ID)
+		if ref.Outcome == sagewire.Unknown && !req.Idempotent && req.Key == "" {
+			ref.Detail += "; it was sent once and has no " + sagewire.HeaderIdempotencyKey + ", so sending it again may run it twice"
+		}
 		if attempts > 0 && ref.RetryAt.IsZero() && ref.Outcome == sagewire.NotRun {
 			ref.RetryAt = time.Now().Add(retryLater)
 		}
