--- a/internal/sageclaims/sweep.go
+++ b/internal/sageclaims/sweep.go
@@ -24,10 +24,11 @@
 	deleteEvery = 20
 )
 
-// cursor says up to which bucket claim objects were searched. It lives in the store, so that a node
-// that takes over goes on where another one stopped, also after an outage of all nodes.
+// cursor says up to which bucket claim objects were searched, and deleted. It lives in the store, so
+// that a node that takes over goes on where another one stopped, also after an outage of all nodes.
 type cursor struct {
-	SweptUntil time.Time `json:"swept_until"`
+	SweptUntil   time.Time `json:"swept_until"`
+	DeletedUntil time.Time `json:"deleted_until"`
 }
 
 // sweepUntil sweeps until ctx ends, while this node owns the cursor.
@@ -57,22 +58,36 @@
 	if err != nil || !cur.SweptUntil.Before(until) {
 		return err
 	}
-	for hour := cur.SweptUntil.Truncate(time.Hour); hour.Before(until); hour = hour.Add(time.Hour) {
-		metas, err := s.Store.List(ctx, s.Rules.HourPrefix(hour))
+	err = s.eachObject(ctx, cur.SweptUntil, until, func(m sageobject.Meta) error { return s.listUnsettled(ctx, m.Key, now) })
+	if err != nil {
+		return err
+	}
+	cur.SweptUntil = until
+	return s.moveCursor(ctx, &cur, version)
+}
+
+// eachObject calls f for each claim object whose bucket starts in [from, until).
+func (s *Service) eachObject(ctx context.Context, from, until time.Time, f func(sageobject.Meta) error) error {
+	for minute := from.Truncate(time.Minute); minute.Before(until); minute = minute.Add(time.Minute) {
+		metas, err := s.Store.List(ctx, s.Rules.MinutePrefix(minute))
 		if err != nil {
 			return fmt.Errorf("list claims: %w", err)
 		}
 		for _, m := range metas {
 			at, err := s.Rules.BucketOfObject(m.Key)
-			if err != nil || at.Before(cur.SweptUntil) || !at.Before(until) {
+			if err != nil || at.Before(from) || !at.Before(until) {
 				continue
 			}
-			if err := s.listUnsettled(ctx, m.Key, now); err != nil {
+			if err := f(m); err != nil {
 				return err
 			}
 		}
 	}
-	b, err := json.Marshal(&cursor{SweptUntil: until})
+	return nil
+}
+
+func (s *Service) moveCursor(ctx context.Context, cur *cursor, version int64) error {
+	b, err := json.Marshal(cur)
 	if err != nil {
 		return fmt.Errorf("encode cursor: %w", err)
 	}
@@ -85,7 +100,8 @@
 func (s *Service) cursor(ctx context.Context, now time.Time) (cursor, int64, error) {
 	o, err := s.Store.Get(ctx, cursorKey)
 	if errors.Is(err, sageobject.ErrNotFound) {
-		return cursor{SweptUntil: s.Rules.BucketOf(now.Add(-s.Rules.Retention))}, sageobject.NoVersion, nil
+		first := s.Rules.BucketOf(now.Add(-s.Rules.Retention - sageclaim.DeleteMargin))
+		return cursor{SweptUntil: first, DeletedUntil: first}, sageobject.NoVersion, nil
 	}
 	if err != nil {
 		return cursor{}, 0, fmt.Errorf("read cursor: %w", err)
@@ -176,21 +192,23 @@
 // DeleteOld deletes claim objects beyond retention, after a last search for unsettled requests: a
 // key may have been used long after its creation, when its bucket had been searched already.
 func (s *Service) DeleteOld(ctx context.Context, now time.Time) error {
-	metas, err := s.Store.List(ctx, sageclaim.Prefix)
-	if err != nil {
-		return fmt.Errorf("list claims: %w", err)
+	until := s.Rules.BucketOf(now.Add(-s.Rules.Bucket - s.Rules.Retention - sageclaim.DeleteMargin))
+	cur, version, err := s.cursor(ctx, now)
+	if err != nil || !cur.DeletedUntil.Before(until) {
+		return err
 	}
-	for _, m := range metas {
-		at, err := s.Rules.BucketOfObject(m.Key)
-		if err != nil || now.Before(at.Add(s.Rules.Bucket+s.Rules.Retention+sageclaim.DeleteMargin)) {
-			continue
-		}
+	err = s.eachObject(ctx, cur.DeletedUntil, until, func(m sageobject.Meta) error {
 		if err := s.listUnsettled(ctx, m.Key, now); err != nil {
 			return err
 		}
-		if err := s.Store.Delete(ctx, m.Key, m.Version); err != nil && !errors.Is(err, sageobject.ErrConflict) && !errors.Is(err, sageobject.ErrNotFound) {
+		if err := s.Store.Delete(ctx, m.Key, m.Version); err != nil && !errors.Is(err, sageobject.ErrNotFound) {
 			return fmt.Errorf("delete claims: %w", err)
 		}
+		return nil
+	})
+	if err != nil {
+		return err
 	}
-	return nil
+	cur.DeletedUntil = until
+	return s.moveCursor(ctx, &cur, version)
 }
--- a/internal/sagemeasure/claims.go
+++ b/internal/sagemeasure/claims.go
@@ -16,6 +16,7 @@
 // The load of the claims measure: 36,000 requests a second of which one in 50 is a booking.
 const (
 	bookingRate  = 720
+	accounts     = 32_000
 	todayRate    = 5
 	claimsFor    = 1500 * time.Millisecond
 	bookingTakes = 300 * time.Millisecond
@@ -83,19 +84,17 @@
 	ways := []claimWay{
 		{name: "one write a claim", rate: bookingRate, alone: true, rules: rules(2*time.Second, 4)},
 		{name: "one write a claim, today", rate: todayRate, alone: true, rules: rules(2*time.Second, 4)},
-		{name: "group, today", rate: todayRate, rules: rules(2*time.Second, 4), window: 50 * time.Millisecond},
+		{name: "group, today", rate: todayRate, rules: rules(2*time.Second, 2), window: 50 * time.Millisecond},
 	}
 	for _, l := range []struct {
 		window time.Duration
 		shards int
 		bucket time.Duration
 	}{
-		{5 * time.Millisecond, 4, 2 * time.Second},
-		{25 * time.Millisecond, 4, 2 * time.Second}, {25 * time.Millisecond, 4, 500 * time.Millisecond},
-		{50 * time.Millisecond, 2, 2 * time.Second}, {50 * time.Millisecond, 4, 2 * time.Second}, {50 * time.Millisecond, 8, 2 * time.Second},
-		{50 * time.Millisecond, 2, 500 * time.Millisecond}, {50 * time.Millisecond, 4, 500 * time.Millisecond},
-		{50 * time.Millisecond, 2, time.Second}, {50 * time.Millisecond, 4, 10 * time.Second},
-		{100 * time.Millisecond, 4, 500 * time.Millisecond},
+		{5 * time.Millisecond, 4, 2 * time.Second}, {25 * time.Millisecond, 4, 500 * time.Millisecond},
+		{50 * time.Millisecond, 4, 500 * time.Millisecond}, {50 * time.Millisecond, 2, 500 * time.Millisecond},
+		{50 * time.Millisecond, 2, 2 * time.Second}, {50 * time.Millisecond, 4, 2 * time.Second},
+		{50 * time.Millisecond, 2, 10 * time.Second}, {100 * time.Millisecond, 2, 2 * time.Second},
 	} {
 		ways = append(ways, claimWay{
 			name: fmt.Sprintf("group, %v, %d shards, bucket %v", l.window, l.shards, l.bucket),
@@ -103,8 +102,8 @@
 		})
 	}
 	ways = append(ways,
-		claimWay{name: "2% lost, read back", rate: bookingRate, rules: rules(2*time.Second, 4), window: 50 * time.Millisecond, loss: lossRate},
-		claimWay{name: "2% lost, taken as unknown", rate: bookingRate, rules: rules(2*time.Second, 4), window: 50 * time.Millisecond, loss: lossRate, noReadBack: true},
+		claimWay{name: "2% lost, read back", rate: bookingRate, rules: rules(2*time.Second, 2), window: 50 * time.Millisecond, loss: lossRate},
+		claimWay{name: "2% lost, taken as unknown", rate: bookingRate, rules: rules(2*time.Second, 2), window: 50 * time.Millisecond, loss: lossRate, noReadBack: true},
 	)
 	var out []Sample
 	for _, w := range ways {
@@ -143,29 +142,42 @@
 		}
 		time.Sleep(time.Until(next))
 		created := time.Now().Add(time.Duration((rng.Float64()*2 - 1) * float64(clockSpread)))
-		name := fmt.Sprintf("%d-%016x", created.UnixMilli(), rng.Uint64())
-		wg.Go(func() { w.book(c, &t, name) })
+		b := booking{
+			key:         fmt.Sprintf("%d-%016x%04x", created.UnixMilli(), rng.Uint64(), rng.Intn(1<<16)),
+			account:     fmt.Sprintf("account-%d", rng.Intn(accounts)),
+			fingerprint: fmt.Sprintf("%016x", rng.Uint64()),
+		}
+		for i := range b.ids {
+			b.ids[i] = fmt.Sprintf("%016x%016x", rng.Uint64(), rng.Uint64())
+		}
+		wg.Go(func() { w.book(c, &t, &b) })
 	}
 	wg.Wait()
 	c.Wait()
 	return w.samples(c, mem, &t, n)
 }
 
+// booking is one booking; its texts are random, as they compress like real ones only then.
+type booking struct {
+	key, account, fingerprint string
+	ids                       [2]string
+}
+
 // book claims, runs and finishes one booking; a claim refused for the store is sent once more.
-func (w *claimWay) book(c *sageclaim.Committer, t *claimTally, name string) {
-	key, err := sageclaim.ParseKey(name)
+func (w *claimWay) book(c *sageclaim.Committer, t *claimTally, b *booking) {
+	key, err := sageclaim.ParseKey(b.key)
 	if err != nil {
 		return
 	}
-	object := w.rules.Object("haller", key)
+	object := w.rules.Object(b.account, key)
 	if w.alone {
-		object += "/" + name
+		object += "/" + b.key
 	}
 	begin := time.Now()
-	for try := range 2 {
+	for _, id := range b.ids {
 		e := sageclaim.Entry{
-			Op: sageclaim.OpClaim, Account: "haller", Key: key.Text, ClaimID: fmt.Sprintf("%s-%d", name, try),
-			Fingerprint: "0123456789abcdef", Deadline: time.Now().Add(10 * time.Second).UTC(),
+			Op: sageclaim.OpClaim, Account: b.account, Key: key.Text, ClaimID: id,
+			Fingerprint: b.fingerprint, Deadline: time.Now().Add(10 * time.Second).UTC(),
 		}
 		rec, err := c.Do(context.Background(), object, e)
 		if err != nil {
--- a/internal/sagenode/claims.go
+++ b/internal/sagenode/claims.go
@@ -20,8 +20,8 @@
 // The layout of claim objects is the same on every node; docs/design/at_most_once.md has the
 // measurements behind it.
 const (
-	claimBucket = 500 * time.Millisecond
-	claimShards = 4
+	claimBucket = 2 * time.Second
+	claimShards = 2
 	// claimAhead is how far callers' clocks may be ahead of this node's.
 	claimAhead = time.Minute
 	// claimTimeout bounds one commit, and with it how long a caller waits for a store that hangs.
--- a/pkg/sageclaim/key_test.go
+++ b/pkg/sageclaim/key_test.go
@@ -80,7 +80,7 @@
 func TestObjectIsStable(t *testing.T) {
 	r := testRules()
 	k := Key{Text: "k", CreatedAt: time.UnixMilli(1_764_700_000_123)}
-	assert.Equal(t, "claims/2025120218/1764700000000-00", r.Object("haller", k))
+	assert.Equal(t, "claims/202512021826/1764700000000-00", r.Object("haller", k))
 	assert.NotEqual(t, Fingerprint("POST", "/a", []byte("b")), Fingerprint("POST", "/ab", nil))
 }
 
--- a/pkg/sageclaim/rules.go
+++ b/pkg/sageclaim/rules.go
@@ -9,6 +9,9 @@
 	"time"
 )
 
+// minuteLayout names a minute.
+const minuteLayout = "200601021504"
+
 // Prefix is the prefix of the claim objects' keys.
 const Prefix = "claims/"
 
@@ -51,7 +54,7 @@
 // ObjectAt returns the key of a bucket's object.
 func (r *Rules) ObjectAt(bucket time.Time, shard int) string {
 	b := bucket.UTC()
-	return fmt.Sprintf("%s%s/%013d-%02d", Prefix, b.Format("2006010215"), b.UnixMilli(), shard)
+	return fmt.Sprintf("%s%s/%013d-%02d", Prefix, b.Format(minuteLayout), b.UnixMilli(), shard)
 }
 
 // Object returns the key of the object that holds a claim.
@@ -68,14 +71,15 @@
 	return hex.EncodeToString(h.Sum(nil)[:8])
 }
 
-// HourPrefix returns the prefix of the claim objects whose buckets start in the hour of t.
-func (r *Rules) HourPrefix(t time.Time) string { return Prefix + t.UTC().Format("2006010215") + "/" }
+// MinutePrefix returns the prefix of the claim objects whose buckets start in the minute of t. A list
+// of one minute stays small however many bookings there are.
+func (r *Rules) MinutePrefix(t time.Time) string { return Prefix + t.UTC().Format(minuteLayout) + "/" }
 
 // BucketOfObject reads the start of the bucket from an object's key.
 func (r *Rules) BucketOfObject(object string) (time.Time, error) {
-	var hour, shard int
+	var minute, shard int
 	var millis int64
-	if n, err := fmt.Sscanf(object, Prefix+"%d/%d-%d", &hour, &millis, &shard); err != nil || n != 3 {
+	if n, err := fmt.Sscanf(object, Prefix+"%d/%d-%d", &minute, &millis, &shard); err != nil || n != 3 {
 		return time.Time{}, fmt.Errorf("claim object %q: %w", object, ErrBadKey)
 	}
 	return time.UnixMilli(millis), nil
