--- a/internal/sageloadd/ask.go
+++ b/internal/sageloadd/ask.go
@@ -18,7 +18,7 @@
 	byHome := make(map[string][]sageload.Want)
 	live := s.live()
 	for _, u := range s.upstreams {
-		if !u.engine || hurried && u.missed == 0 && u.queued == 0 && !u.cold {
+		if !u.engine || hurried && !u.hasty() {
 			continue
 		}
 		home, ok := s.homeOf(u, live)
@@ -36,6 +36,7 @@
 		}
 		if w, ok := u.holding.Ask(now, home, units); ok {
 			byHome[home] = append(byHome[home], w)
+			u.wanted, u.full = w.Units, false
 		}
 		u.missed, u.peak = 0, 0
 	}
@@ -94,6 +95,7 @@
 	if u == nil || !u.holding.Answer(g) {
 		return
 	}
+	u.full = !g.Pending && g.Units < u.wanted
 	if g.Known {
 		u.estimate.Observe(time.Now(), g.Report)
 		u.capacity = g.Cap
--- a/internal/sageloadd/bytes_test.go
+++ b/internal/sageloadd/bytes_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -19,19 +20,26 @@
 	"sagestand.example/sagestand/pkg/sageload"
 )
 
-// BenchmarkControlBytes runs nodes that call each other over loopback for some seconds, each with
-// requests at every engine, and reports what one node sends and receives for allotments a second.
+// BenchmarkControlBytes runs nodes that call each other over loopback for some seconds, each asking
+// for units of every engine, and reports what one node sends and receives for allotments a second.
+// Busy nodes begin twenty requests a second each, and so hurry for units that they lack.
 func BenchmarkControlBytes(b *testing.B) {
-	for _, c := range []struct{ nodes, engines int }{{8, 12}, {8, 30}, {16, 30}, {16, 60}} {
-		b.Run(fmt.Sprintf("%dnodes/%dengines", c.nodes, c.engines), func(b *testing.B) {
+	for _, c := range []struct {
+		nodes, engines int
+		busy           bool
+	}{{8, 12, false}, {8, 12, true}, {8, 30, false}, {16, 30, false}, {16, 60, false}} {
+		b.Run(fmt.Sprintf("%dnodes/%dengines/busy=%v", c.nodes, c.engines, c.busy), func(b *testing.B) {
 			for b.Loop() {
-				b.ReportMetric(controlBytes(b, c.nodes, c.engines, 6*time.Second), "B/s/node")
+				b.ReportMetric(controlBytes(b, c.nodes, c.engines, c.busy), "B/s/node")
 			}
 		})
 	}
 }
 
-func controlBytes(b *testing.B, nodes, engines int, d time.Duration) float64 {
+// measured is how long bytes are counted.
+const measured = 6 * time.Second
+
+func controlBytes(b *testing.B, nodes, engines int, busy bool) float64 {
 	engine := httptest.NewServer(http.HandlerFunc(report))
 	defer engine.Close()
 	f := &fleet{state: sageconfig.NewState()}
@@ -65,12 +73,26 @@
 		servers[i].Mount(allot.NewAllotServer(s))
 		go func() { _ = servers[i].Run(ctx) }()
 		go func() { _ = s.Run(ctx) }()
+		if busy {
+			go requests(ctx, s, engines)
+		}
 	}
 	time.Sleep(3 * limits.Grant)
 	before := sum()
-	time.Sleep(d)
+	time.Sleep(measured)
 	// Every byte passes one server and one client, so a node sees twice its server's share.
-	return 2 * float64(sum()-before) / d.Seconds() / float64(nodes)
+	return 2 * float64(sum()-before) / measured.Seconds() / float64(nodes)
+}
+
+// requests begins twenty requests a second of half a second each at engines chosen at random.
+func requests(ctx context.Context, s *Service, engines int) {
+	for ctx.Err() == nil {
+		name := fmt.Sprintf("derby-engine-%03d", rand.IntN(engines))
+		if s.Acquire(name, time.Now()) {
+			time.AfterFunc(500*time.Millisecond, func() { s.Release(name, time.Now(), true) })
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
 }
 
 func TestSizeOfAsk(t *testing.T) {
--- a/internal/sageloadd/service.go
+++ b/internal/sageloadd/service.go
@@ -15,7 +15,9 @@
 // Parts of a grant period. An ask that is lost leaves time for another before the grant ends.
 const (
 	asksPerGrant = 4
-	kickSpacing  = 50 * time.Millisecond
+	// kickSpacing is the least time after a hurried ask, so that a shortage doesn't turn into a stream
+	// of asks; never more than half a round.
+	kickSpacing = 100 * time.Millisecond
 	// silentGrants is after how many grant periods an upstream's load counts as unknown.
 	silentGrants = 2
 	// idleAfter is how long a router keeps asking for a spare unit after its last use.
@@ -114,7 +116,7 @@
 			s.ask(ctx, &wait, true)
 			select {
 			case <-ctx.Done():
-			case <-time.After(kickSpacing):
+			case <-time.After(min(kickSpacing, period/2)):
 			}
 		}
 	}
@@ -183,7 +185,9 @@
 	if !u.holding.Acquire(time.Now()) {
 		// Whoever waits for a unit tries again and again; the ask grows by doubling.
 		u.missed = min(u.missed+1, 1+u.holding.InUse())
-		s.hurry()
+		if u.hasty() {
+			s.hurry()
+		}
 		return false
 	}
 	u.estimate.Dispatched()
--- a/internal/sageloadd/upstream.go
+++ b/internal/sageloadd/upstream.go
@@ -26,6 +26,8 @@
 	missed   int // acquires without a free unit since the last ask
 	peak     int // most in use since the last ask
 	queued   int
+	wanted   int  // units of the last ask
+	full     bool // the home had fewer than wanted; asking again before the next round won't help
 
 	// As home.
 	ledger    *sageload.Ledger
@@ -34,6 +36,9 @@
 	restarted time.Time // when the ramp was last restarted for latency
 }
 
+// spare is how many units beyond those in use a router asks for, so that most requests find one.
+const spare = 2
+
 // coldSpacing is the least time between two restarts of a ramp because routers see cold latency:
 // several see the same one.
 const coldSpacing = 10 * time.Second
@@ -51,13 +56,18 @@
 }
 
 // units returns how many units to ask for: what was in use or missed since the last ask, what waits,
-// and one to spare for as long as the upstream is used.
+// and some to spare for as long as the upstream is used.
 func (u *upstream) units(now time.Time) int {
 	n := max(u.peak, u.holding.InUse()) + u.missed + u.queued
 	if u.used.IsZero() || now.Sub(u.used) > idleAfter {
 		return n
 	}
-	return n + 1 + n/4
+	return n + spare + n/4
+}
+
+// hasty reports whether an ask can't wait for the next round.
+func (u *upstream) hasty() bool {
+	return u.cold || !u.full && (u.missed > 0 || u.queued > 0)
 }
 
 // find returns the record of an upstream; a new one if the configuration has it.
