--- a/internal/sagenode/load.go
+++ b/internal/sagenode/load.go
@@ -9,6 +9,7 @@
 	"sagestand.example/sagestand/internal/sagepeer"
 	"sagestand.example/sagestand/internal/sageretryd"
 	"sagestand.example/sagestand/pkg/sageload"
+	"sagestand.example/sagestand/pkg/sagemember"
 	"sagestand.example/sagestand/pkg/sageretry"
 )
 
@@ -27,7 +28,7 @@
 		roster[i] = sageload.Member{Name: s.Peer, DataCentre: s.DataCentre}
 	}
 	return &sageloadd.Service{
-		Node: cfg.Listen.Peer, Roster: roster, Config: conf, Peers: peers,
+		Node: cfg.Listen.Peer, Roster: roster, Live: n.liveMembers, Config: conf, Peers: peers,
 		Limits: sageload.Limits{
 			Grant: millis(cfg.Load.GrantMillis), Promise: millis(cfg.Load.PromiseMillis),
 			Lifetime: millis(cfg.Limits.DeadlineMillis) + cutSlack, ReportLag: millis(cfg.Load.ReportLagMillis),
@@ -37,6 +38,17 @@
 	}
 }
 
+// liveMembers returns the nodes that are up and not leaving.
+func (n *Node) liveMembers() []sageload.Member {
+	var live []sageload.Member
+	for _, m := range n.table.Live() {
+		if m.Phase != sagemember.Leaving {
+			live = append(live, sageload.Member{Name: m.Address, DataCentre: m.DataCentre})
+		}
+	}
+	return live
+}
+
 // retryService returns the retry service; each process draws its own jitter.
 func (n *Node) retryService() *sageretryd.Service {
 	r := n.Settings.Retry
--- a/pkg/sagemember/node.go
+++ b/pkg/sagemember/node.go
@@ -77,6 +77,8 @@
 // Node is one incarnation of a node as the table knows it.
 type Node struct {
 	Incarnation uint64 `json:"incarnation"`
+	// Name is what operators call it.
+	Name string `json:"name"`
 	// Address is where other nodes call it.
 	Address string `json:"address"`
 	// Entry is where callers connect.
@@ -96,7 +98,7 @@
 
 // Check reports a node that can't be called, wrapped around [ErrBadNode].
 func (n *Node) Check() error {
-	if len(n.Address) > maxText || len(n.DataCentre) > maxText || len(n.Entry) > maxText {
+	if len(n.Name) > maxText || len(n.Address) > maxText || len(n.DataCentre) > maxText || len(n.Entry) > maxText {
 		return fmt.Errorf("text above %d bytes: %w", maxText, ErrBadNode)
 	}
 	if _, _, err := net.SplitHostPort(n.Address); err != nil {
