--- a/pkg/sagefair/scheduler_test.go
+++ b/pkg/sagefair/scheduler_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"runtime"
 	"testing"
 	"time"
 
@@ -287,6 +288,24 @@
 	}
 }
 
+// BenchmarkMemory reports the memory of a scheduler with 32,000 accounts that have one request each.
+func BenchmarkMemory(b *testing.B) {
+	for b.Loop() {
+		var before, after runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&before)
+		d := newBench(8)
+		d.s.MaxQueue = 100000
+		for i := range 32000 {
+			d.offer(request(fmt.Sprint("account-", i), sagewire.Normal))
+		}
+		runtime.GC()
+		runtime.ReadMemStats(&after)
+		b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc)/32000, "B/account")
+		runtime.KeepAlive(d)
+	}
+}
+
 // Story: 32,000 accounts call once each in a burst; their state must go when they are served.
 func TestStateOfServedAccountsGoes(t *testing.T) {
 	b := newBench(64)
--- a/pkg/sageload/part_test.go
+++ b/pkg/sageload/part_test.go
@@ -1,6 +1,8 @@
 package sageload
 
 import (
+	"runtime"
+	"strconv"
 	"testing"
 	"time"
 
@@ -140,6 +142,35 @@
 	}
 }
 
+// BenchmarkMemory reports the memory of the router's side for one upstream, and of the home's side
+// for one holder.
+func BenchmarkMemory(b *testing.B) {
+	const upstreams, holders = 2300, 100
+	for b.Loop() {
+		start := heap()
+		all := make([]*Holding, upstreams)
+		for i := range all {
+			all[i] = &Holding{Upstream: "engine", Limits: DefaultLimits}
+		}
+		held := heap()
+		l := &Ledger{Limits: DefaultLimits}
+		for i := range holders {
+			l.Ask(time.Unix(0, 0), Want{Holder: strconv.Itoa(i), Seq: 1})
+		}
+		b.ReportMetric(float64(held-start)/upstreams, "B/holding")
+		b.ReportMetric(float64(heap()-held)/holders, "B/holder")
+		runtime.KeepAlive(all)
+		runtime.KeepAlive(l)
+	}
+}
+
+func heap() uint64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
+}
+
 func BenchmarkLedgerAsk(b *testing.B) {
 	s := newStage("")
 	l := s.homeOf("a")
