--- a/internal/sagematrix/router_test.go
+++ b/internal/sagematrix/router_test.go
@@ -17,6 +17,7 @@
 	"sagestand.example/sagestand/internal/sagesettings"
 	"sagestand.example/sagestand/pkg/sageclaim"
 	"sagestand.example/sagestand/pkg/sageconfig"
+	"sagestand.example/sagestand/pkg/sagelocate"
 	"sagestand.example/sagestand/pkg/sageobject"
 	"sagestand.example/sagestand/pkg/sagewire"
 )
@@ -151,8 +152,8 @@
 func (s *steps) Serving(time.Time, bool) *sagewire.Refusal { return nil }
 func (s *steps) First(time.Time)                           {}
 func (s *steps) Record(sageentry.Observation)              {}
-func (s *steps) Locate(now time.Time, _, _ string) sageentry.Place {
-	return sageentry.Place{ValidUntil: now}
+func (s *steps) Locate(now time.Time, _ sagelocate.Query) (sagelocate.Answer, *sagewire.Refusal) {
+	return sagelocate.Answer{ValidUntil: now}, nil
 }
 func (s *steps) Leave(now time.Time) time.Time { return now }
 func (s *steps) Allow(now time.Time, _ *sageentry.Request, tried []string, notRun bool) (time.Time, bool) {
