--- a/internal/sageentry/steps.go
+++ b/internal/sageentry/steps.go
@@ -7,6 +7,7 @@
 
 	"sagestand.example/sagestand/internal/sagedispatch"
 	"sagestand.example/sagestand/pkg/sageconfig"
+	"sagestand.example/sagestand/pkg/sagelocate"
 	"sagestand.example/sagestand/pkg/sagewire"
 )
 
@@ -89,8 +90,9 @@
 type Retries interface {
 	// First notes the first attempt of a request.
 	First(now time.Time)
-	// Allow reports whether one more attempt may be made, and counts it.
-	Allow(now time.Time, failed string) bool
+	// Allow reports whether one more attempt may be made after those at the upstreams tried, and
+	// from which instant on, and counts it. NotRun says that the last attempt did not execute.
+	Allow(now time.Time, r *Request, tried []string, notRun bool) (at time.Time, ok bool)
 }
 
 // Dispatch is one exchange with one upstream.
@@ -98,16 +100,9 @@
 	Do(ctx context.Context, w http.ResponseWriter, a *sagedispatch.Attempt) sagedispatch.Result
 }
 
-// Place says where a caller should connect, until when.
-type Place struct {
-	Addresses  []string  `json:"addresses"`
-	ValidUntil time.Time `json:"valid_until"`
-	Revision   uint64    `json:"revision"`
-}
-
 // Locator answers where a caller should connect.
 type Locator interface {
-	Locate(now time.Time, account, chat string) Place
+	Locate(now time.Time, q sagelocate.Query) (sagelocate.Answer, *sagewire.Refusal)
 }
 
 // Leaver announces that this node stops.
--- a/internal/sagenode/node.go
+++ b/internal/sagenode/node.go
@@ -14,25 +14,36 @@
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
 
+	"sagestand.example/sagestand/internal/sageadmission"
 	"sagestand.example/sagestand/internal/sageburnd"
+	"sagestand.example/sagestand/internal/sageconfigd"
 	"sagestand.example/sagestand/internal/sagedispatch"
 	"sagestand.example/sagestand/internal/sageentry"
+	"sagestand.example/sagestand/internal/sagegossipd"
 	"sagestand.example/sagestand/internal/sagekernel"
+	"sagestand.example/sagestand/internal/sageloadd"
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/internal/sagemetrics"
 	"sagestand.example/sagestand/internal/sageoperator"
 	"sagestand.example/sagestand/internal/sagepeer"
 	"sagestand.example/sagestand/internal/sageplacement"
+	"sagestand.example/sagestand/internal/sagerpc/allot"
+	"sagestand.example/sagestand/internal/sagerpc/claim"
 	"sagestand.example/sagestand/internal/sagerpc/report"
 	"sagestand.example/sagestand/internal/sagesettings"
 	"sagestand.example/sagestand/pkg/sageburn"
+	"sagestand.example/sagestand/pkg/sagemember"
 	"sagestand.example/sagestand/pkg/sageobject"
 	"sagestand.example/sagestand/pkg/sageplace"
+	"sagestand.example/sagestand/pkg/sagesync"
 )
 
 // ErrEmptyKey reports a key file without a key.
 var ErrEmptyKey = errors.New("key file is empty")
 
+// errStarting reports a node that callers are not told of yet.
+var errStarting = errors.New("not announced to the other nodes yet")
+
 // storeTimeout bounds one call to the platform, above the longest wait of a watch.
 const storeTimeout = 30 * time.Second
 
@@ -45,10 +56,13 @@
 	Log      sagelog.Logger
 
 	kernel    sagekernel.Kernel
+	table     *sagemember.Table
+	gossip    *sagegossipd.Service
 	metrics   *metrics.Set
 	listeners map[string]net.Listener
 	ready     func() error
 	control   atomic.Int64
+	claims    atomic.Int64
 	peers     [2]interface{ Bytes() int64 }
 	peerKey   string
 	opKey     string
@@ -80,6 +94,10 @@
 	}
 	n.metrics = metrics.NewSet()
 	n.register()
+	if err := n.table.Start(); err != nil {
+		n.Close()
+		return fmt.Errorf("members: %w", err)
+	}
 	return nil
 }
 
@@ -115,35 +133,57 @@
 	k.Register("store", store)
 	peers := &sagepeer.Client{Key: n.peerKey, TLS: n.tls}
 	k.Register("peer_client", peers)
-	conf := &thinConfig{Store: store, Log: n.Log.Part("config")}
+	conf := &sageconfigd.Service{
+		Node: cfg.Node.Name, DataCentre: cfg.Node.DataCentre, Store: store, Rule: rule(cfg.Isolated),
+		Metrics: n.metrics, Log: n.Log.Part("config"),
+	}
 	k.Register("config", conf)
-	locator := &thinLocator{Address: n.listeners["entry"].Addr().String(), Valid: millis(cfg.Locate.ValidMillis), Config: conf}
-	k.Register("locate", locator)
 	peerServer := &sagepeer.Server{Listener: n.listeners["peer"], Key: n.peerKey, TLS: n.tls, Log: n.Log.Part("peer")}
 	k.Register("peer_server", peerServer)
 	n.peers = [2]interface{ Bytes() int64 }{peers, peerServer}
 	n.metrics.NewGauge("sagestand_control_bytes_total", func() float64 { return float64(n.ControlBytes()) })
-	burn := &sageburnd.Service{Objectives: objectives(cfg.Objectives), Peers: n.otherSeeds, Client: peers}
+	n.metrics.NewGauge("sagestand_claim_bytes_total", func() float64 { return float64(n.ClaimBytes()) })
+	members, locator := n.memberServices(conf, peers, peerServer)
+	burn := &sageburnd.Service{Objectives: objectives(cfg.Objectives), Peers: n.livePeers, Client: peers}
 	peerServer.Mount(report.NewReportServer(burn))
 	k.Register("burn", burn)
+	load := n.loadService(conf, peers)
+	peerServer.Mount(allot.NewAllotServer(load))
+	load.Export(n.metrics)
+	k.Register("load", load)
+	admission := &sageadmission.Service{Config: conf, Load: load, InFlight: cfg.Limits.InFlight, Queued: cfg.Limits.Queued}
+	admission.Export(n.metrics)
+	k.Register("admission", admission)
+	retries := n.retryService()
+	retries.Export(n.metrics)
+	k.Register("retry", retries)
 	placement := &sageplacement.Service{
-		Config: conf, Load: &sageplacement.OwnLoad{Config: conf}, Multiple: cfg.Placement.LoadBound,
+		Config: conf, Load: load, Circuits: retries, Multiple: cfg.Placement.LoadBound,
 		Sealer:     sageplace.Sealer{Keys: [][]byte{[]byte(n.peerKey)}},
 		TokenValid: millis(cfg.Placement.TokenValidMillis), Metrics: n.metrics,
 	}
 	k.Register("placement", placement)
+	claims := n.claimService(n.claimStore(), peers)
+	peerServer.Mount(claim.NewClaimsServer(claims))
+	k.Register("claims", claims)
+	k.Register("orders", n.orderService(store, conf))
 	requests := &sagemetrics.Requests{Set: n.metrics}
 	entry := &sageentry.Service{
 		Listener: n.listeners["entry"], Config: conf,
-		Admission: &thinAdmission{slots: make(chan struct{}, cfg.Limits.InFlight)},
-		Claims:    &thinClaims{Store: store}, Placement: placement, Retries: thinRetries{},
-		Dispatch: &sagedispatch.Dispatcher{}, Locator: locator, Leaver: locator, Recorder: sagemetrics.Fan{requests, burn},
+		Admission: admission,
+		Claims:    claims, Placement: placement, Retries: retries,
+		Dispatch: &sageloadd.Timed{Next: &sagedispatch.Dispatcher{Dial: load.Dial}, Load: load},
+		Locator:  locator, Leaver: &resigner{Next: members, Load: load}, Recorder: sagemetrics.Fan{requests, burn},
 		Limits: cfg.Limits, Stop: cfg.Stop, Log: n.Log.Part("entry"),
 	}
+	members.Load = entry.InFlight
 	n.ready = func() error {
 		if ref := conf.Serving(time.Now(), true); ref != nil {
 			return ref
 		}
+		if n.table.Me().Phase == sagemember.Starting {
+			return errStarting
+		}
 		return nil
 	}
 	operator := &sageoperator.Server{
@@ -155,10 +195,18 @@
 		Log: n.Log.Part("operator"),
 	}
 	operator.Handle("GET /v1/report/burn", burn)
+	operator.Handle("GET /v1/allotments", load)
+	operator.Handle("GET /v1/unknown", claims)
+	operator.Handle("POST /v1/unknown", claims)
 	k.Register("operator", operator)
 	k.Register("entry", entry)
 }
 
+// rule takes the settings' rule for isolated nodes over.
+func rule(i sagesettings.Isolated) sagesync.Rule {
+	return sagesync.Rule{Isolated: sagesync.Isolated(i.Rule), Freshness: millis(i.AfterMillis), CatchUp: sagesync.DefaultCatchUp}
+}
+
 // objectives takes the settings' objectives over into the report's own type.
 func objectives(in []sagesettings.Objective) []sageburn.Objective {
 	out := make([]sageburn.Objective, len(in))
@@ -191,7 +239,17 @@
 // Ready says why the node is not ready to serve, or nil.
 func (n *Node) Ready() error { return n.ready() }
 
-// ControlBytes returns the bytes of all traffic with other nodes and the platform so far, both ways.
+// claimStore returns a client of the Object API whose traffic is counted apart: claims are part of the
+// requests that they belong to and grow with them, control traffic does not.
+func (n *Node) claimStore() *sageobject.Client {
+	return &sageobject.Client{URL: n.Settings.Platform.URL, HTTP: &http.Client{Transport: sagepeer.CountedTransport(&n.claims), Timeout: storeTimeout}}
+}
+
+// ClaimBytes returns the bytes exchanged with the platform so far for claims of idempotency keys.
+func (n *Node) ClaimBytes() int64 { return n.claims.Load() }
+
+// ControlBytes returns the bytes of all traffic with other nodes and the platform so far, both ways,
+// but for [Node.ClaimBytes].
 func (n *Node) ControlBytes() int64 {
 	sum := n.control.Load()
 	for _, p := range n.peers {
--- a/internal/sagesettings/check.go
+++ b/internal/sagesettings/check.go
@@ -75,15 +75,24 @@
 
 func (s *Settings) checkRules(f *Faults) {
 	switch s.Isolated.Rule {
-	case IsolatedFence, IsolatedIdempotent, IsolatedServe:
+	case IsolatedFence, IsolatedIdempotent, IsolatedServe, IsolatedQuorum:
 	default:
-		f.add("isolated.rule", "have %q, want fence, idempotent_only or serve", s.Isolated.Rule)
+		f.add("isolated.rule", "have %q, want quorum, fence, idempotent_only or serve", s.Isolated.Rule)
 	}
 	f.positive("isolated.after_millis", int64(s.Isolated.AfterMillis))
 	if s.Placement.LoadBound <= 1 {
 		f.add("placement.load_bound", "have %v, want above 1", s.Placement.LoadBound)
 	}
 	f.positive("placement.token_valid_millis", int64(s.Placement.TokenValidMillis))
+	f.positive("load.grant_millis", int64(s.Load.GrantMillis))
+	f.positive("load.promise_millis", int64(s.Load.PromiseMillis))
+	f.positive("load.ramp_completions", int64(s.Load.RampCompletions))
+	if s.Load.ReportLagMillis < 0 {
+		f.add("load.report_lag_millis", "have %d, want at least 0", s.Load.ReportLagMillis)
+	}
+	if s.Load.Floor < 0 {
+		f.add("load.floor", "have %d, want at least 0", s.Load.Floor)
+	}
 	if s.Retry.Ratio < 0 || s.Retry.Ratio > 1 {
 		f.add("retry.ratio", "have %v, want 0 to 1", s.Retry.Ratio)
 	}
--- a/pkg/sageretry/policy.go
+++ b/pkg/sageretry/policy.go
@@ -57,11 +57,11 @@
 	circuit Circuit
 }
 
-// Sent counts a first attempt to an upstream.
-func (p *Policy) Sent(name string) {
-	p.Budget.Deposit()
-	p.at(name).budget.Deposit()
-}
+// First counts the first attempt of a request.
+func (p *Policy) First() { p.Budget.Deposit() }
+
+// Sent counts an attempt at an upstream.
+func (p *Policy) Sent(name string) { p.at(name).budget.Deposit() }
 
 // Succeeded counts an answer of an upstream, also a refusal that says that it did not execute.
 func (p *Policy) Succeeded(name string) { p.at(name).circuit.Succeeded() }
@@ -77,6 +77,17 @@
 // Circuit returns the state of an upstream's circuit.
 func (p *Policy) Circuit(name string) State { return p.at(name).circuit.State() }
 
+// Open returns the number of circuits that are not closed.
+func (p *Policy) Open() int {
+	n := 0
+	for _, u := range p.upstreams {
+		if u.circuit.State() != Closed {
+			n++
+		}
+	}
+	return n
+}
+
 // Retry decides on another attempt and charges the router's budget and that of the upstream that
 // failed. The latter keeps one failing upstream from using up the retries of all others.
 //
--- a/pkg/sagesync/copy.go
+++ b/pkg/sagesync/copy.go
@@ -97,9 +97,6 @@
 	if c == nil || !c.complete() {
 		return
 	}
-	if c.base < r.Current().Revision {
-		return
-	}
 	r.copying = nil
 	r.publish(c.base, c.state, c.records)
 }
@@ -135,7 +132,7 @@
 	s := r.Current()
 	keys := r.indexOf(s)
 	ch := &chunk{Revision: s.Revision}
-	if c != nil && !c.Done {
+	if c != nil {
 		ch.After = c.After
 	}
 	ch.Last = ch.After
