Wait shortly for a unit of the warm upstream

Cause: a router without a unit of the chat's engine passed it over silently: the chat lost its cache, and as the engine was never tried, the load service never asked for units of it. Change: if the prefix leads to an upstream that has room but of which this node has no unit, Pick takes or asks for one and waits at most 60 ms; a request with less than 600 ms left doesn't wait. Removed guards: the look for a lacking unit, the wait, its bound and the hurry rule each fail TestWaitsForUnitOfWarmUpstream.

--- a/internal/sageplacement/service.go
+++ b/internal/sageplacement/service.go
@@ -23,6 +23,9 @@
 	hotContexts = 1 << 10
 	// grantWait bounds the wait for a unit of an upstream that has room: a few asks and answers.
 	grantWait = 2 * time.Second
+	// preferWait bounds the wait for a unit of the upstream where the request's prefix is cached or
+	// will be, while others have units. It costs less than reading a long prompt anew.
+	preferWait = 60 * time.Millisecond
 	// grantPoll lies between two looks for a unit.
 	grantPoll = 10 * time.Millisecond
 	// retryAfter is the least time until a refused request may come back.
@@ -55,9 +58,13 @@
 // Pick implements [sageentry.Placement]. It waits for a unit while an upstream has room that this
 // node only lacks the allotment for; a request for which no upstream has room is refused at once.
 func (s *Service) Pick(ctx context.Context, r *sageentry.Request, tried []string) (*sageentry.Pick, *sagewire.Refusal) {
-	until := time.Now().Add(grantWait)
+	start := time.Now()
+	until, preferUntil := start.Add(grantWait), start.Add(preferWait)
+	if !r.Deadline.IsZero() && r.Deadline.Before(start.Add(10*preferWait)) {
+		preferUntil = start
+	}
 	for {
-		p, ref, wait := s.try(r, tried)
+		p, ref, wait := s.try(r, tried, preferUntil)
 		if !wait || !time.Now().Before(until) {
 			return p, ref
 		}
@@ -70,7 +77,7 @@
 }
 
 // try looks for an upstream once. It reports wait with a refusal that may be over with the next grant.
-func (s *Service) try(r *sageentry.Request, tried []string) (p *sageentry.Pick, ref *sagewire.Refusal, wait bool) {
+func (s *Service) try(r *sageentry.Request, tried []string, preferUntil time.Time) (p *sageentry.Pick, ref *sagewire.Refusal, wait bool) {
 	now := time.Now()
 	state := s.Config.State()
 	key, ref := groupOf(state, r, now)
@@ -83,6 +90,17 @@
 	g.refresh(now, s.Load, s.ended)
 	q := s.query(now, r, key)
 	q.Tried = g.find(tried)
+	if c := s.lacking(now, g, q); c.Index >= 0 {
+		name := g.table.Upstreams[c.Index].Name
+		if s.Load.Acquire(name, now) {
+			if s.lets(now, name, r.Deadline) {
+				s.count(c.Why)
+				return s.pick(now, r, g, c.Index), nil, false
+			}
+		} else if now.Before(preferUntil) {
+			return nil, refuse(now, r, g, false), true
+		}
+	}
 	passed := false
 	for {
 		c := s.placer.Choose(now, g.table, g.loads, q)
@@ -121,11 +139,31 @@
 	return nil, refuse(now, r, g, allTried), c.Index >= 0
 }
 
+// lacking returns the upstream that the request's prefix leads to, if this node has no unit of it
+// while it has room; else its index is -1.
+//
+// It guards against a chat that leaves its warm engine for want of a unit, unheard: a router asks for
+// units of the upstreams that it uses, so one that it never reaches would never be asked for.
+func (s *Service) lacking(now time.Time, g *group, q *sageplace.Query) sageplace.Choice {
+	none := sageplace.Choice{Index: -1}
+	if !g.loads.Short() {
+		return none
+	}
+	c := s.placer.Choose(now, g.table, g.loads.WithUnits(), q)
+	if c.Why != sageplace.Kept && c.Why != sageplace.First || g.loads.At(c.Index).Free > 0 {
+		return none
+	}
+	return c
+}
+
 // take takes a unit of the upstream's allotment for a request, if its circuit lets it.
 func (s *Service) take(now time.Time, name string, deadline time.Time) bool {
-	if !s.Load.Acquire(name, now) {
-		return false
-	}
+	return s.Load.Acquire(name, now) && s.lets(now, name, deadline)
+}
+
+// lets reports whether the circuit lets a request to the upstream that has a unit; else the unit goes
+// back.
+func (s *Service) lets(now time.Time, name string, deadline time.Time) bool {
 	if s.Circuits == nil || s.Circuits.Lets(now, name, deadline) {
 		return true
 	}
--- a/internal/sageplacement/wait_test.go
+++ b/internal/sageplacement/wait_test.go
@@ -85,3 +85,72 @@
 		assert.LessOrEqual(t, time.Since(start), grantWait+grantPoll)
 	})
 }
+
+// partly is a load service where this node lacks units of one upstream until the grant comes.
+type partly struct {
+	OwnLoad
+	lacks string
+	grant time.Time
+	asks  int
+}
+
+func (l *partly) lacking(name string) bool {
+	return name == l.lacks && (l.grant.IsZero() || time.Now().Before(l.grant))
+}
+
+func (l *partly) View(name string) sageload.View {
+	v := l.OwnLoad.View(name)
+	if l.lacking(name) {
+		v.Free = 0
+	}
+	return v
+}
+
+func (l *partly) Acquire(name string, now time.Time) bool {
+	if l.lacking(name) {
+		l.asks++
+		return false
+	}
+	return l.OwnLoad.Acquire(name, now)
+}
+
+// Story: a chat comes by a router that holds no unit of the chat's engine but some of others. The chat
+// went elsewhere, its whole history was read again, and as the router never tried the engine it never
+// asked for units either, so this happened with each of the chat's requests.
+func TestWaitsForUnitOfWarmUpstream(t *testing.T) {
+	tests := []struct {
+		name    string
+		after   time.Duration // until the grant; 0 for never
+		left    time.Duration // until the request's deadline
+		warm    bool
+		waiting time.Duration
+	}{
+		{"grant in time", 30 * time.Millisecond, time.Minute, true, 30 * time.Millisecond},
+		{"no grant", 0, time.Minute, false, preferWait},
+		{"in a hurry", 30 * time.Millisecond, 100 * time.Millisecond, false, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s, c, _ := testService()
+				p, _ := s.Pick(context.Background(), chat("a", "m", "x"), nil)
+				home := p.Upstream
+				p.Done(nil)
+				l := &partly{OwnLoad: OwnLoad{Config: c}, lacks: home}
+				s.Load = l
+				time.Sleep(refreshEvery)
+				start := time.Now()
+				if tt.after > 0 {
+					l.grant = start.Add(tt.after)
+				}
+				r := chat("a", "m", "x")
+				r.Deadline = start.Add(tt.left)
+				p, ref := s.Pick(context.Background(), r, nil)
+				require.Nil(t, ref)
+				assert.Equal(t, tt.warm, p.Upstream == home)
+				assert.LessOrEqual(t, time.Since(start), tt.waiting+2*grantPoll)
+				assert.Positive(t, l.asks, "the load service hears of the wish")
+			})
+		})
+	}
+}
--- a/pkg/sageplace/loads.go
+++ b/pkg/sageplace/loads.go
@@ -50,6 +50,16 @@
 	return c
 }
 
+// Short reports whether this router lacks a unit of any upstream.
+func (l *Loads) Short() bool {
+	for i := range l.all {
+		if l.all[i].Free < 1 {
+			return true
+		}
+	}
+	return false
+}
+
 // Add corrects the load of upstream i by n own requests.
 func (l *Loads) Add(i, n int) {
 	v := l.all[i]
