--- a/internal/sagemeasure/variants.go
+++ b/internal/sagemeasure/variants.go
@@ -23,18 +23,29 @@
 	feed feed
 }
 
-// ours places by estimates: the engines' lagging reports and own requests since.
-var ours = variant{name: "sagestand, reports", token: true, yield: true, policy: byLoad(sageplace.Aims(promised))}
+// ours is what the daemon does: placement by the engines' lagging reports and own requests since,
+// under allotments of what each engine bears.
+var ours = variant{
+	name: "sagestand", token: true, yield: true,
+	allot: &allotRule{multiple: noMultiple, headroom: 1, onDemand: true}, policy: byLoad(sageplace.Aims(promised)),
+}
+
+// noMultiple leaves the allotments of an engine at what it bears.
+const noMultiple = 1e6
 
-// oursCounts is ours with a faster view of the load.
-var oursCounts = variant{name: "sagestand, counts", token: true, yield: true, feed: counts, policy: ours.policy}
+// oursCounts is ours if homes told the routers' counts with each grant, which the daemon doesn't.
+var oursCounts = variant{name: "sagestand, counts", token: true, yield: true, feed: counts, allot: ours.allot, policy: ours.policy}
 
-// oursAllotted is ours under in-flight allotments that a router asks for when it needs them.
+// oursAllotted is oursCounts if homes also granted no more than 1.4 x mean, each unit on demand,
+// which the daemon doesn't.
 var oursAllotted = variant{
-	name: "sagestand, allotments", token: true, yield: true, feed: counts,
+	name: "sagestand, mean allotted", token: true, yield: true, feed: counts,
 	allot: &allotRule{multiple: 1.4, onDemand: true}, policy: byLoad(1.4, 1.1),
 }
 
+// estimates is ours without allotments.
+var estimates = variant{name: "estimates alone", token: true, yield: true, policy: ours.policy}
+
 // own reports whether v is one of the project's own ways, which have targets.
 func own(v variant) bool {
 	return v.name == ours.name || v.name == oursCounts.name || v.name == oursAllotted.name
@@ -115,5 +126,5 @@
 
 // all returns every policy that a table compares.
 func all() []variant {
-	return slices.Concat([]variant{oracle, ours, oursCounts, oursAllotted, firstVersion}, baselines)
+	return slices.Concat([]variant{oracle, ours, oursCounts, oursAllotted, estimates, firstVersion}, baselines)
 }
--- a/pkg/sageplace/table.go
+++ b/pkg/sageplace/table.go
@@ -77,13 +77,16 @@
 	return hi
 }
 
-// Order writes the first len(dst) candidates of key's order into dst and returns how many there are.
+// Order writes the first candidates of key's order into dst, at most [MaxWidth], and returns how many
+// there are.
 func (t *Table) Order(key uint64, dst []int32) int {
+	var costs [MaxWidth]uint64
+	dst = dst[:min(len(dst), MaxWidth)]
 	n := 0
 	for i := range t.hashes {
 		c := t.cost(key, i)
 		j := n
-		for j > 0 && c < t.cost(key, int(dst[j-1])) {
+		for j > 0 && c < costs[j-1] {
 			j--
 		}
 		if j == len(dst) {
@@ -91,7 +94,8 @@
 		}
 		n = min(n+1, len(dst))
 		copy(dst[j+1:n], dst[j:n-1])
-		dst[j] = int32(i)
+		copy(costs[j+1:n], costs[j:n-1])
+		dst[j], costs[j] = int32(i), c
 	}
 	return n
 }
