--- a/internal/sagemeasure/allotment.go
+++ b/internal/sagemeasure/allotment.go
@@ -92,7 +92,7 @@
 	home := a.p.routers[a.homes[i]]
 	total, capacity := 1, 0
 	for k, r := range home.last {
-		if home.sees[k] && r.known {
+		if home.sees[k] && home.estimates[k].Known(a.p.instant()) {
 			total += r.inFlight
 			capacity += bears(r.completed)
 		}
--- a/internal/sagemeasure/replay.go
+++ b/internal/sagemeasure/replay.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"sagestand.example/sagestand/pkg/sageload"
 	"sagestand.example/sagestand/pkg/sageplace"
 	"sagestand.example/sagestand/pkg/sagewire"
 )
@@ -60,14 +61,15 @@
 	memory *sageplace.Evidence
 	own    []int
 	last   []report
+	// estimates are the real ones of the daemon, one an engine.
+	estimates []sageload.Estimate
 }
 
-// report is an engine's word on its load, with the part of it that was this router's own.
+// report is an engine's word on its load.
 type report struct {
-	inFlight, own, completed int
-	generation               uint64
-	asOf                     time.Duration
-	known                    bool
+	inFlight, completed int
+	generation          uint64
+	asOf                time.Duration
 }
 
 // feed says how routers learn of loads: how often, and after which delay at most. The least delay is a
@@ -105,7 +107,8 @@
 		r := &router{id: i, sees: make([]bool, s.engines), own: make([]int, s.engines), last: make([]report, s.engines)}
 		for e := range r.sees {
 			r.sees[e] = true
-			r.last[e] = report{known: true, completed: 1000}
+			r.last[e] = report{completed: 1000}
+			r.estimates = append(r.estimates, sageload.Estimate{Silence: silentAfter})
 		}
 		p.routers = append(p.routers, r)
 		p.boot(r)
@@ -145,16 +148,16 @@
 	r.loads.Refresh(func(i int) sageplace.Load { return p.load(r, r.at[i]) })
 }
 
-// load is the router's belief of an engine: its last report, corrected by own requests since.
+// load is the router's belief of an engine, by its last report and own requests since.
 func (p *replay) load(r *router, i int) sageplace.Load {
 	last, free := r.last[i], engineSlots
 	if p.allotments != nil {
 		free = p.allotments.free(r.id, i)
 	}
 	return sageplace.Load{
-		InFlight: float64(max(0, last.inFlight+r.own[i]-last.own)),
+		InFlight: r.estimates[i].InFlight(),
 		Cap:      bears(last.completed), Free: free,
-		Known: last.known, CacheGeneration: last.generation,
+		Known: r.estimates[i].Known(p.instant()), CacheGeneration: last.generation,
 	}
 }
 
@@ -162,10 +165,9 @@
 	if !e.up {
 		return
 	}
-	rep := report{inFlight: e.inFlight(), completed: e.completed, generation: e.generation, asOf: p.now, known: true}
+	rep := report{inFlight: e.inFlight(), completed: e.completed, generation: e.generation, asOf: p.now}
 	e.last = rep
 	for _, r := range p.routers {
-		rep.own = r.own[i]
 		delay := p.variant.feed.delay/10 + time.Duration(p.rand.Int64N(int64(p.variant.feed.delay*9/10)))
 		p.after(delay, func() { p.hear(r, i, rep) })
 	}
@@ -176,13 +178,11 @@
 		return
 	}
 	r.last[i] = rep
-	p.update(r, i)
-	p.after(silentAfter, func() {
-		if r.last[i].asOf == rep.asOf {
-			r.last[i].known = false
-			p.update(r, i)
-		}
+	r.estimates[i].Observe(p.instant(), sageload.Report{
+		BootID: fmt.Sprint(rep.generation), InFlight: rep.inFlight, AsOf: epoch.Add(rep.asOf),
 	})
+	p.update(r, i)
+	p.after(silentAfter, func() { p.update(r, i) })
 }
 
 func (p *replay) update(r *router, i int) {
@@ -196,7 +196,11 @@
 	p.after(delay, func() {
 		if r.sees[i] != candidate {
 			r.sees[i] = candidate
-			r.last[i] = report{own: r.own[i]} // a new one is unknown, and cold
+			// A new one is unknown, and cold.
+			r.last[i], r.estimates[i] = report{}, sageload.Estimate{Silence: silentAfter}
+			for range r.own[i] {
+				r.estimates[i].Dispatched()
+			}
 			p.rebuild(r)
 		}
 	})
@@ -264,9 +268,12 @@
 // count corrects what the router knows of an engine by n own requests.
 func (p *replay) count(r *router, i, n int) {
 	r.own[i] += n
-	if k := slices.Index(r.at, i); k >= 0 {
-		r.loads.Add(k, n)
+	if n > 0 {
+		r.estimates[i].Dispatched()
+	} else {
+		r.estimates[i].Ended()
 	}
+	p.update(r, i)
 }
 
 func (p *replay) place(j *job) sageplace.Place {
