--- a/internal/sagetrace/replay.go
+++ b/internal/sagetrace/replay.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"slices"
+	"time"
 
 	"sagestand.example/sagestand/internal/sagecaller"
 	"sagestand.example/sagestand/internal/sagefleet"
@@ -71,11 +72,14 @@
 	return r
 }
 
-// forbidden returns the data centre that served a request although it must not have, or "".
+// forbidden returns the data centre that served a request although it must not have, or "". A request
+// counts if it was sent and answered within the span: one that waits for an earlier one of its chat is
+// sent later than its event, and may then be served rightly after the span.
 func (p *player) forbidden(e *Event, end *sagecaller.End) string {
+	sent, ended := p.sent[e.Request.ID].Sub(p.start), end.EndedAt.Sub(p.start)
 	for _, u := range p.layout.Upstreams {
 		for _, n := range p.trace.Expect.NoWork {
-			if u.Name == end.Upstream && u.DataCentre == n.DataCentre && e.AtMillis >= n.FromMillis && e.AtMillis < n.ToMillis {
+			if u.Name == end.Upstream && u.DataCentre == n.DataCentre && sent >= millis(n.FromMillis) && ended < millis(n.ToMillis) {
 				return u.DataCentre
 			}
 		}
@@ -83,6 +87,8 @@
 	return ""
 }
 
+func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+
 // mismatch says how the end of a request differs from what its trace states.
 func mismatch(r *Request, e *sagecaller.End) string {
 	switch {
