Send an attempt only to the boot of an engine that its unit is for

Cause: after a restart, requests that held units for the warm engine dialed and reached the cold one. Change: connections know their boot, attempts name theirs; on a mismatch nothing is sent. Also: reports must be newer than a grant lasts (Limits.Check); the layouts' engines lag 300 ms and report at each probe, so their report lag is set to 600 ms.

--- a/internal/sagedispatch/attempt.go
+++ b/internal/sagedispatch/attempt.go
@@ -33,6 +33,8 @@
 	Once bool
 	// Stream says that the answer is expected as server-sent events.
 	Stream bool
+	// BootID is the boot of the upstream that the attempt is for; empty means any.
+	BootID string
 	// Engine says that the upstream resumes and cancels by request id.
 	Engine bool
 }
--- a/internal/sagedispatch/conn.go
+++ b/internal/sagedispatch/conn.go
@@ -18,6 +18,8 @@
 // stays true.
 type conn struct {
 	net.Conn
+	// boot is the boot of the upstream that the connection leads to, if the dialer found out.
+	boot string
 
 	mu     sync.Mutex
 	use    uint64
@@ -37,6 +39,19 @@
 	return c.Conn.Write(b)
 }
 
+// Booted is a connection that knows which boot of an upstream it leads to.
+type Booted interface {
+	BootID() string
+}
+
+func wrap(c net.Conn) *conn {
+	w := &conn{Conn: c}
+	if b, ok := c.(Booted); ok {
+		w.boot = b.BootID()
+	}
+	return w
+}
+
 // begin starts a use of the connection by one request and returns its number.
 func (c *conn) begin() uint64 {
 	c.mu.Lock()
--- a/internal/sagedispatch/dispatcher.go
+++ b/internal/sagedispatch/dispatcher.go
@@ -76,7 +76,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("connect: %w", err)
 		}
-		return &conn{Conn: c}, nil
+		return wrap(c), nil
 	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
@@ -137,7 +137,7 @@
 }
 
 func (x *exchange) run(ctx context.Context) {
-	sent := new(tracker)
+	sent := &tracker{boot: x.a.BootID}
 	res, err := x.send(ctx, sent)
 	x.res.Connected = sent.connected()
 	if err != nil {
@@ -237,9 +237,10 @@
 
 // tracker remembers the connection of one round trip.
 type tracker struct {
-	mu  sync.Mutex
-	c   *conn
-	use uint64
+	boot string // of the upstream that the round trip is for; empty means any
+	mu   sync.Mutex
+	c    *conn
+	use  uint64
 }
 
 func (t *tracker) got(info httptrace.GotConnInfo) {
@@ -251,6 +252,12 @@
 	t.mu.Lock()
 	t.c, t.use = c, use
 	t.mu.Unlock()
+	// The upstream may have restarted since the request got its unit of the allotment, and the
+	// connection lead to the cold successor. Sealed, it carries nothing, and the request counts as
+	// not run.
+	if t.boot != "" && c.boot != "" && c.boot != t.boot {
+		c.seal(use)
+	}
 }
 
 func (t *tracker) conn() (*conn, uint64) {
--- a/internal/sagefleet/layout.go
+++ b/internal/sagefleet/layout.go
@@ -40,7 +40,7 @@
 	locateMillis  = 1000
 	isolatedAfter = 10000
 	grantMillis   = 1000
-	lagMillis     = 100
+	lagMillis     = 600
 )
 
 // Upstream is an engine or application of a layout.
--- a/internal/sageloadd/dial.go
+++ b/internal/sageloadd/dial.go
@@ -23,6 +23,9 @@
 // Dial connects to an upstream for requests; a dispatcher uses it for every connection. To an engine
 // it first reads the load on the new connection, for the boot id.
 //
+// The connection knows its boot from then on (sagedispatch.Booted), and no attempt for another boot
+// goes out on it.
+//
 // A restarted engine is cold and falls over under the units that were granted for its warm
 // predecessor; the home may learn of the restart a second later. The restart breaks every old
 // connection, so whoever comes next dials, sees the new boot id here, and nothing is sent on units
@@ -47,9 +50,19 @@
 		_ = c.Close()
 		return nil, fmt.Errorf("%s: %w", address, ErrRestarted)
 	}
-	return c, nil
+	return &booted{Conn: c, boot: boot}, nil
 }
 
+// booted is a connection to one boot of an engine.
+type booted struct {
+	net.Conn
+
+	boot string
+}
+
+// BootID returns the boot that the connection leads to.
+func (c *booted) BootID() string { return c.boot }
+
 func (s *Service) boot(address string) (id string, engine bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/sageloadd/latency.go
+++ b/internal/sageloadd/latency.go
@@ -17,7 +17,7 @@
 	Do(ctx context.Context, w http.ResponseWriter, a *sagedispatch.Attempt) sagedispatch.Result
 }
 
-// Timed passes attempts on and feeds the time to the first token, per uncached prompt token, to the
+// Timed passes attempts on, each bound to the boot of the engine that its unit is for, and feeds the time to the first token, per uncached prompt token, to the
 // detector of cold engines. Answers that are not streamed come when they are whole, so their time
 // tells the length of the answer and is left out.
 type Timed struct {
@@ -27,6 +27,9 @@
 
 // Do implements [Dispatch].
 func (t *Timed) Do(ctx context.Context, w http.ResponseWriter, a *sagedispatch.Attempt) sagedispatch.Result {
+	if id, ok := t.Load.boot(a.Address); ok {
+		a.BootID = id
+	}
 	start := time.Now()
 	res := t.Next.Do(ctx, w, a)
 	fresh := res.PromptTokens - res.CachedTokens
--- a/internal/sageloadd/service.go
+++ b/internal/sageloadd/service.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"math/rand/v2"
 	"net/http"
 	"sync"
@@ -98,6 +99,9 @@
 
 // Run asks, probes and grants until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
+	if err := s.Limits.Check(); err != nil {
+		return fmt.Errorf("load service: %w", err)
+	}
 	s.init()
 	period := s.Limits.Grant / asksPerGrant
 	t := time.NewTicker(period)
--- a/internal/sagesettings/check.go
+++ b/internal/sagesettings/check.go
@@ -87,8 +87,8 @@
 	f.positive("load.grant_millis", int64(s.Load.GrantMillis))
 	f.positive("load.promise_millis", int64(s.Load.PromiseMillis))
 	f.positive("load.ramp_completions", int64(s.Load.RampCompletions))
-	if s.Load.ReportLagMillis < 0 {
-		f.add("load.report_lag_millis", "have %d, want at least 0", s.Load.ReportLagMillis)
+	if l := s.Load.ReportLagMillis; l < 0 || l >= s.Load.GrantMillis {
+		f.add("load.report_lag_millis", "have %d, want at least 0 and less than load.grant_millis (%d)", l, s.Load.GrantMillis)
 	}
 	if s.Load.Floor < 0 {
 		f.add("load.floor", "have %d, want at least 0", s.Load.Floor)
--- a/pkg/sageload/limits.go
+++ b/pkg/sageload/limits.go
@@ -34,12 +34,16 @@
 	Drift:     0.005,
 }
 
-// Check reports a period that isn't positive or a drift outside [0, 0.1], wrapped around
-// [ErrBadLimits].
+// Check reports a period that isn't positive, a drift outside [0, 0.1] or reports that may be older
+// than a grant, wrapped around [ErrBadLimits]. A new home must see at least as much completed work
+// as the one before it, or it would not set aside the floor that is already in use.
 func (l Limits) Check() error {
 	if l.Grant <= 0 || l.Promise <= 0 || l.Lifetime <= 0 || l.ReportLag < 0 {
 		return fmt.Errorf("periods must be positive: %w", ErrBadLimits)
 	}
+	if l.ReportLag >= l.Grant {
+		return fmt.Errorf("report lag %v (want less than the grant's %v): %w", l.ReportLag, l.Grant, ErrBadLimits)
+	}
 	if l.Drift < 0 || l.Drift > 0.1 {
 		return fmt.Errorf("drift %v (want 0 to 0.1): %w", l.Drift, ErrBadLimits)
 	}
--- a/pkg/sageload/part_test.go
+++ b/pkg/sageload/part_test.go
@@ -130,6 +130,9 @@
 	bad := DefaultLimits
 	bad.Drift = 0.5
 	require.ErrorIs(t, bad.Check(), ErrBadLimits)
+	bad = DefaultLimits
+	bad.ReportLag = bad.Grant
+	require.ErrorIs(t, bad.Check(), ErrBadLimits)
 }
 
 func BenchmarkAcquireRelease(b *testing.B) {
