--- a/internal/sagefleet/layout.go
+++ b/internal/sagefleet/layout.go
@@ -36,7 +36,7 @@
 	serviceHost  = 195
 	// hostsPerKind keeps the kinds apart: routers from 1, engines from 100, applications from 195 on.
 	hostsPerKind  = 50
-	stopMillis    = 20000
+	stopMillis    = 5000
 	locateMillis  = 1000
 	isolatedAfter = 10000
 	grantMillis   = 1000
