Choose the quorum rule for isolated nodes; count a fixed roster

Change: default isolated.rule quorum. QuorumAt counts a roster that is the same on all nodes: before, two nodes outside an even roster could each add themselves to a half of it and both count as most (TestQuorumAt, "one half of four"). A node that has just started waits up to 10 s to meet the others before it refuses a ticket (TestSubmitWhileMeeting); one that has lost them refuses at once (TestSubmitNeedsQuorum). Nodes ask the store themselves at 3/4 of the freshness period, since evidence at 400 nodes is up to 8 s old with 30% of the exchanges lost.

--- a/internal/sageconfigd/follow.go
+++ b/internal/sageconfigd/follow.go
@@ -18,10 +18,10 @@
 }
 
 // starved reports whether this node must ask the store although it doesn't watch it: it has no
-// configuration, or its evidence has reached half the age at which it counts as isolated.
+// configuration, or its evidence has reached three quarters of the age at which it counts as isolated.
 func (s *Service) starved(now time.Time) bool {
 	st := s.replica.Standing()
-	return st.Revision == 0 || now.After(st.ConfirmedAt.Add(s.Rule.Freshness/2))
+	return st.Revision == 0 || now.After(st.ConfirmedAt.Add(s.Rule.Freshness*3/4))
 }
 
 // pause waits after the n-th failure in a row, for a random part of a doubled period, so that nodes
--- a/internal/sageconfigd/service.go
+++ b/internal/sageconfigd/service.go
@@ -27,6 +27,8 @@
 	confirmEvery = 2 * time.Second
 	// tick is how often the service looks at its role.
 	tick = 500 * time.Millisecond
+	// meetWithin is how long a submission waits on a node that hasn't met the others yet.
+	meetWithin = 10 * time.Second
 	// watchFor bounds a watch, after which the role is looked at again.
 	watchFor = 15 * time.Second
 	// firstPause and lastPause bound the pause after failed calls, which doubles.
@@ -145,10 +147,8 @@
 // when it returns.
 func (s *Service) Submit(ctx context.Context, t *sageconfig.Ticket) (sageticket.Accepted, error) {
 	s.init()
-	now := time.Now()
-	s.noteQuorum(now)
-	if !s.Rule.MayAccept(now, s.Standing()) {
-		return sageticket.Accepted{}, fmt.Errorf("submit ticket %d: this node has no contact to most of the others: %w", t.Number, sageticket.ErrNotAccepted)
+	if !s.mayAccept(ctx) {
+		return sageticket.Accepted{}, fmt.Errorf("submit ticket %d: this node has no contact to most of the roster: %w", t.Number, sageticket.ErrNotAccepted)
 	}
 	acc, err := s.acceptor.Submit(ctx, t)
 	if err != nil {
@@ -166,6 +166,24 @@
 	return acc, nil
 }
 
+// mayAccept reports whether the rule lets this node accept tickets now. A node that has just started
+// is given a moment to meet the others; one that has lost them answers at once.
+func (s *Service) mayAccept(ctx context.Context) bool {
+	until := time.Now().Add(meetWithin)
+	for {
+		now := time.Now()
+		s.noteQuorum(now)
+		st := s.Standing()
+		if s.Rule.MayAccept(now, st) {
+			return true
+		}
+		if !st.QuorumAt.IsZero() || now.After(until) || ctx.Err() != nil {
+			return false
+		}
+		wait(ctx, tick)
+	}
+}
+
 // Run keeps the copy up to date until ctx ends.
 func (s *Service) Run(ctx context.Context) error {
 	s.init()
--- a/internal/sageconfigd/service_test.go
+++ b/internal/sageconfigd/service_test.go
@@ -169,6 +169,15 @@
 		s := start(t, p, &members{live: []string{"vm-0"}, quorum: func(time.Time) time.Time { return time.Time{} }}, sagesync.IsolatedQuorum)
 		_, err := s.Submit(t.Context(), dcTicket(1, true))
 		require.ErrorIs(t, err, sageticket.ErrNotAccepted)
+
+		met := time.Now()
+		m := &members{live: []string{"vm-0"}, quorum: func(time.Time) time.Time { return met }}
+		lost := start(t, p, m, sagesync.IsolatedQuorum)
+		later(time.Minute)
+		asked := time.Now()
+		_, err = lost.Submit(t.Context(), dcTicket(1, true))
+		require.ErrorIs(t, err, sageticket.ErrNotAccepted)
+		assert.Equal(t, asked, time.Now(), "at once")
 		h, _, err := sageticket.ReadHead(t.Context(), p)
 		require.NoError(t, err)
 		assert.Zero(t, h.Revision)
@@ -245,3 +254,18 @@
 	}
 	assert.True(t, tr.since("a", 5).IsZero(), "no longer remembered")
 }
+
+// An operator submits the first ticket right after the nodes were started.
+func TestSubmitWhileMeeting(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		meets := time.Now().Add(3 * time.Second)
+		s := start(t, newPlatform(), &members{live: []string{"vm-0"}, quorum: func(now time.Time) time.Time {
+			if now.Before(meets) {
+				return time.Time{}
+			}
+			return now
+		}}, sagesync.IsolatedQuorum)
+		_, err := s.Submit(t.Context(), dcTicket(1, true))
+		require.NoError(t, err)
+	})
+}
--- a/internal/sagemeasure/configfleet.go
+++ b/internal/sagemeasure/configfleet.go
@@ -163,6 +163,7 @@
 	f.round++
 	for _, n := range f.nodes {
 		if !f.watches(n) {
+			f.feedStarved(n)
 			continue
 		}
 		if (f.round+n.index)%confirmRounds == 0 {
@@ -197,6 +198,19 @@
 	}
 }
 
+// feedStarved lets a node that doesn't watch ask the store when its evidence has grown old.
+func (f *configFleet) feedStarved(n *configNode) {
+	starved := f.Now.After(n.replica.Standing().ConfirmedAt.Add(sagesync.DefaultFreshness * 3 / 4))
+	if !starved || (f.round+n.index)%confirmRounds != 0 {
+		return
+	}
+	f.calls++
+	if f.reaches(n) {
+		// A failed read would show as a node that stays behind.
+		_ = f.read(n)
+	}
+}
+
 // others lists all nodes but one.
 func (f *configFleet) others(m *MemberNode) []sagegossip.Peer {
 	var peers []sagegossip.Peer
--- a/internal/sagemeasure/inforce.go
+++ b/internal/sagemeasure/inforce.go
@@ -44,6 +44,9 @@
 		}
 		for _, loss := range []float64{0, 0.3} {
 			f.Loss = loss
+			for range settleRounds {
+				f.step()
+			}
 			for _, s := range f.cost() {
 				s.Scenario = fmt.Sprintf("%d nodes, %g%% lost, no tickets", size.nodes, 100*loss)
 				out = append(out, s)
--- a/internal/sagemeasure/isolated.go
+++ b/internal/sagemeasure/isolated.go
@@ -170,7 +170,7 @@
 // noteQuorum tells the replica when the node last had contact to most of the roster, which is all
 // nodes of this fleet: its table remembers dead ones for longer than the measure runs.
 func (n *configNode) noteQuorum(now time.Time) {
-	var heard []time.Time
+	heard := []time.Time{now}
 	for _, m := range n.Table.All() {
 		if m.Incarnation != n.Table.Me().Incarnation && m.Phase != sagemember.Gone {
 			heard = append(heard, m.Heard)
--- a/internal/sagenode/members.go
+++ b/internal/sagenode/members.go
@@ -52,7 +52,7 @@
 		Metrics: n.metrics, Log: n.Log.Part("members"),
 	}
 	n.kernel.Register("members", members)
-	conf.Members = &configMembers{members: members, roster: n.otherSeeds()}
+	conf.Members = &configMembers{members: members, roster: n.allSeeds()}
 	ranker := sagelocate.DefaultRanker()
 	ranker.Count = cfg.Locate.Addresses
 	locator := &sagelocator.Service{Members: n.table, Config: conf, Ranker: ranker, Valid: millis(cfg.Locate.ValidMillis)}
@@ -83,7 +83,7 @@
 // configMembers shows the membership to the configuration service.
 type configMembers struct {
 	members *sagemembers.Service
-	// roster holds the addresses of the other nodes of the settings, out of sight or not.
+	// roster holds the addresses of the settings' seeds, the same on every node, out of sight or not.
 	roster []string
 }
 
@@ -107,6 +107,7 @@
 			latest[n.Address] = n.Heard
 		}
 	}
+	latest[m.members.Table.Me().Address] = now
 	heard := make([]time.Time, len(m.roster))
 	for i, a := range m.roster {
 		heard[i] = latest[a]
--- a/internal/sagenode/node.go
+++ b/internal/sagenode/node.go
@@ -216,6 +216,15 @@
 	return out
 }
 
+// allSeeds returns the peer addresses of the settings.
+func (n *Node) allSeeds() []string {
+	out := make([]string, len(n.Settings.Seeds))
+	for i, s := range n.Settings.Seeds {
+		out[i] = s.Peer
+	}
+	return out
+}
+
 // otherSeeds returns the peer addresses of the settings but this node's own.
 func (n *Node) otherSeeds() []string {
 	var out []string
--- a/internal/sagesettings/settings.go
+++ b/internal/sagesettings/settings.go
@@ -143,7 +143,7 @@
 		},
 		Locate:    Locate{ValidMillis: 5000, Addresses: 3},
 		Stop:      Stop{WithinMillis: 330000},
-		Isolated:  Isolated{Rule: IsolatedFence, AfterMillis: 10000},
+		Isolated:  Isolated{Rule: IsolatedQuorum, AfterMillis: 10000},
 		Placement: Placement{LoadBound: 1.5, TokenValidMillis: 3600000},
 		Load:      Allotments{GrantMillis: 4000, PromiseMillis: 4000, ReportLagMillis: 1000, Floor: 1, RampCompletions: 4},
 		Retry:     Retry{Ratio: 0.1, Attempts: 3},
--- a/pkg/sagesync/rule.go
+++ b/pkg/sagesync/rule.go
@@ -124,18 +124,19 @@
 	return r.Isolated != IsolatedQuorum || !now.After(s.QuorumAt.Add(r.Freshness))
 }
 
-// QuorumAt returns the latest instant since which this node has had contact to most of a roster of
-// itself and len(heard) others, given when it last heard of each of them, directly or through
-// others; zero for one never heard of. A node that is its whole roster has contact at now.
+// QuorumAt returns the latest instant since which this node has had contact to most of a roster,
+// given when it last heard of each of its nodes, directly or through others: now for itself if it is
+// in the roster, zero for one never heard of. Without a roster there is nobody to lose: it returns
+// now.
 //
-// The roster must hold the nodes that are out of sight too. Counted among the visible ones only, a
-// cut-off minority would always find itself complete.
+// The roster must be the same on all nodes and hold those that are out of sight too. Counted among
+// the visible ones only, a cut-off minority would always find itself complete; and two nodes that
+// each add themselves to an even roster could both count a half of it as most.
 func QuorumAt(now time.Time, heard []time.Time) time.Time {
-	need := (len(heard) + 1) / 2
-	if need == 0 {
+	if len(heard) == 0 {
 		return now
 	}
 	h := slices.Clone(heard)
 	slices.SortFunc(h, func(a, b time.Time) int { return b.Compare(a) })
-	return h[need-1]
+	return h[len(h)/2]
 }
--- a/pkg/sagesync/rule_test.go
+++ b/pkg/sagesync/rule_test.go
@@ -62,13 +62,14 @@
 		heard []time.Time
 		want  time.Time
 	}{
-		{"alone", nil, now},
-		{"one of two", []time.Time{never}, never},
-		{"both of two", []time.Time{now}, now},
-		{"one half of four", []time.Time{now, never, never}, never},
-		{"three of four", []time.Time{never, old, now}, old},
-		{"three of five", []time.Time{now, now, never, never}, now},
-		{"two of five", []time.Time{now, never, old, never}, old},
+		{"no roster", nil, now},
+		{"itself only", []time.Time{now}, now},
+		{"one of two", []time.Time{now, never}, never},
+		{"both of two", []time.Time{now, old}, old},
+		{"one half of four", []time.Time{now, now, never, never}, never},
+		{"three of four", []time.Time{now, never, old, now}, old},
+		{"three of five", []time.Time{now, now, now, never, never}, now},
+		{"two of five", []time.Time{now, never, now, never, old}, old},
 	} {
 		assert.Equal(t, c.want, QuorumAt(now, c.heard), c.name)
 	}
