--- a/internal/sagenode/claims.go
+++ b/internal/sagenode/claims.go
@@ -40,7 +40,7 @@
 		Committer: &sageclaim.Committer{Store: store, Window: millis(cfg.Claims.CollectMillis), CommitTimeout: claimTimeout},
 		Store:     store,
 		Self:      cfg.Listen.Peer,
-		Peers:     n.otherSeeds,
+		Peers:     n.livePeers,
 		Dial: func(addr string) claim.Claims {
 			return claim.NewClaimsProtobufClient(peers.URL(addr), peers.HTTP())
 		},
--- a/internal/sagenode/members.go
+++ b/internal/sagenode/members.go
@@ -68,6 +68,18 @@
 	return sagedrain.Machine{AnswersLast: valid, SpreadWithin: spread, DrainWithin: within - valid - spread}
 }
 
+// livePeers returns the addresses of the other live nodes.
+func (n *Node) livePeers() []string {
+	me := n.table.Me().Address
+	var out []string
+	for _, m := range n.table.Live() {
+		if m.Address != me {
+			out = append(out, m.Address)
+		}
+	}
+	return out
+}
+
 // configMembers shows the membership to the configuration service.
 type configMembers struct {
 	members *sagemembers.Service
--- a/internal/sagenode/node.go
+++ b/internal/sagenode/node.go
@@ -144,7 +144,7 @@
 	n.metrics.NewGauge("sagestand_control_bytes_total", func() float64 { return float64(n.ControlBytes()) })
 	n.metrics.NewGauge("sagestand_claim_bytes_total", func() float64 { return float64(n.ClaimBytes()) })
 	members, locator := n.memberServices(conf, peers, peerServer)
-	burn := &sageburnd.Service{Objectives: objectives(cfg.Objectives), Peers: n.otherSeeds, Client: peers}
+	burn := &sageburnd.Service{Objectives: objectives(cfg.Objectives), Peers: n.livePeers, Client: peers}
 	peerServer.Mount(report.NewReportServer(burn))
 	k.Register("burn", burn)
 	load := n.loadService(conf, peers)
--- a/internal/sageproc/fleet_test.go
+++ b/internal/sageproc/fleet_test.go
@@ -16,6 +16,7 @@
 
 	"sagestand.example/sagestand/internal/sagefleet"
 	"sagestand.example/sagestand/internal/sagemembers"
+	"sagestand.example/sagestand/internal/sagesettings"
 	"sagestand.example/sagestand/pkg/sagemember"
 )
 
@@ -62,11 +63,14 @@
 }
 
 // start runs a fleet of eight nodes over four data centres until every node knows all.
-func start(t *testing.T, edit func(*sagefleet.Layout)) *sagefleet.Fleet {
+func start(t *testing.T, edit func(*sagesettings.Settings)) *sagefleet.Fleet {
 	t.Helper()
 	l := sagefleet.NewLayout(8, 4, []string{"derby", "nottingham", "leicester", "lincoln"})
-	if edit != nil {
-		edit(l)
+	for i := range l.Nodes {
+		l.Nodes[i].Isolated.Rule = sagesettings.IsolatedQuorum
+		if edit != nil {
+			edit(&l.Nodes[i])
+		}
 	}
 	f := &sagefleet.Fleet{
 		Layout: l, Sagestand: filepath.Join(bin, "sagestand"), Sagebench: filepath.Join(bin, "sagebench"), Dir: t.TempDir(),
--- a/internal/sageproc/stop_test.go
+++ b/internal/sageproc/stop_test.go
@@ -13,6 +13,7 @@
 	"sagestand.example/sagestand/internal/sagecaller"
 	"sagestand.example/sagestand/internal/sagefleet"
 	"sagestand.example/sagestand/internal/sagemembers"
+	"sagestand.example/sagestand/internal/sagesettings"
 	"sagestand.example/sagestand/pkg/sagemember"
 	"sagestand.example/sagestand/pkg/sagewire"
 )
@@ -21,11 +22,7 @@
 // answer names one of them, or whose stream runs there, must not notice.
 func TestTerminateUnderStreamsCutsNothing(t *testing.T) {
 	t.Parallel()
-	f := start(t, func(l *sagefleet.Layout) {
-		for i := range l.Nodes {
-			l.Nodes[i].Stop.WithinMillis = 12000
-		}
-	})
+	f := start(t, func(cfg *sagesettings.Settings) { cfg.Stop.WithinMillis = 12000 })
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	defer cancel()
 	load := &streams{t: t, fleet: f, through: make(map[string]int), refused: make(map[string]int)}
