--- a/internal/sagemeasure/memberfleet.go
+++ b/internal/sagemeasure/memberfleet.go
@@ -28,8 +28,16 @@
 	// Bytes counts what all messages carried; Exchanges counts the meetings begun.
 	Bytes     int64
 	Exchanges int64
+	// DirectEvictions is the baseline: how often a node would have been dropped by a node whose last
+	// directFailures calls to it failed.
+	DirectEvictions int64
+
+	failures map[[2]string]int
 }
 
+// directFailures is how many failed calls in a row the baseline takes for death.
+const directFailures = 3
+
 // MemberNode is one process of the fleet.
 type MemberNode struct {
 	Table   *sagemember.Table
@@ -43,7 +51,9 @@
 
 // NewMemberFleet returns a fleet without nodes.
 func NewMemberFleet(seed uint64) *MemberFleet {
-	return &MemberFleet{Now: time.Unix(1_800_000_000, 0), Rand: rand.New(rand.NewPCG(seed, 1))}
+	return &MemberFleet{
+		Now: time.Unix(1_800_000_000, 0), Rand: rand.New(rand.NewPCG(seed, 1)), failures: make(map[[2]string]int),
+	}
 }
 
 // Add starts n nodes over data centres in turn; the first node of the fleet is their hint.
@@ -117,8 +127,21 @@
 			continue
 		}
 		f.Exchanges++
-		// A failed exchange is what the fake link is for; the table is told by the engine.
-		_ = n.Engine.Exchange(context.Background(), n, addr)
+		f.noteDirect(n, addr, n.Engine.Exchange(context.Background(), n, addr))
+	}
+}
+
+// noteDirect keeps the baseline's account of calls to nodes that run. A failed exchange is no error
+// here: it is what the fake link is for, and the table is told of it by the engine.
+func (f *MemberFleet) noteDirect(from *MemberNode, addr string, err error) {
+	link := [2]string{from.Table.Self.Address, addr}
+	if to := f.At(addr); err == nil || to == nil || to.Paused {
+		f.failures[link] = 0
+		return
+	}
+	f.failures[link]++
+	if f.failures[link] == directFailures {
+		f.DirectEvictions++
 	}
 }
 
--- /dev/null
+++ b/internal/sagemeasure/membership.go
@@ -0,0 +1,169 @@
+package sagemeasure
+
+import (
+	"fmt"
+
+	"sagestand.example/sagestand/pkg/sagemember"
+)
+
+// Sizes of the measure of the membership.
+const (
+	memberBoot    = 60  // rounds at most until all nodes know each other
+	memberSteady  = 60  // rounds of steady state
+	memberChange  = 120 // rounds at most until a change is known everywhere
+	memberLinks   = 300 // rounds with a broken link
+	controlBudget = 19_000
+)
+
+// memberSize is a fleet to measure.
+type memberSize struct {
+	nodes, dcs int
+	losses     []float64
+}
+
+// Membership measures the member table and its exchange: bytes a node spends, rounds of one second
+// until a join, a leave and a death are known everywhere, and nodes wrongly taken for dead, at several
+// sizes and losses; and the latter with broken links under three policies.
+func Membership(seed uint64) ([]Sample, error) {
+	var samples []Sample
+	losses := []float64{0, 0.01, 0.1, 0.3}
+	for _, size := range []memberSize{{8, 4, losses}, {50, 9, losses}, {150, 9, losses}, {400, 9, []float64{0}}} {
+		for _, loss := range size.losses {
+			s, err := memberRun(seed, size, loss)
+			if err != nil {
+				return nil, fmt.Errorf("%d nodes: %w", size.nodes, err)
+			}
+			samples = append(samples, s...)
+		}
+	}
+	for _, l := range brokenLinks {
+		s, err := l.run(seed)
+		if err != nil {
+			return nil, fmt.Errorf("%s: %w", l.name, err)
+		}
+		samples = append(samples, s...)
+	}
+	return samples, nil
+}
+
+func memberRun(seed uint64, size memberSize, loss float64) ([]Sample, error) {
+	f := NewMemberFleet(seed)
+	f.Loss = loss
+	if err := f.Add(size.nodes, size.dcs, sagemember.DefaultLimits()); err != nil {
+		return nil, err
+	}
+	scenario := fmt.Sprintf("%d nodes, %g%% lost", size.nodes, loss*100)
+	sample := func(metric, unit string, v float64, t *Target) Sample {
+		return Sample{Scenario: scenario, Policy: "indirect check", Metric: metric, Unit: unit, Value: v, Target: t}
+	}
+	boot := f.Rounds(memberBoot, f.Agreed)
+	evictions, bytes := f.Evictions(), f.Bytes
+	f.Rounds(memberSteady, func() bool { return false })
+	perNode := 2 * float64(f.Bytes-bytes) / memberSteady / float64(size.nodes)
+	wrong := f.Evictions() - evictions
+	join, leave, death, err := f.change()
+	if err != nil {
+		return nil, err
+	}
+	return []Sample{
+		sample("rounds until all know each other", "s", float64(boot), nil),
+		sample("payload a node, both ways", "B/s", perNode, &Target{AtMost, controlBudget}),
+		sample("nodes wrongly taken for dead in 60 s", "", float64(wrong), &Target{AtMost, 0}),
+		sample("rounds until a join is known", "s", float64(join), nil),
+		sample("rounds until a leave is known", "s", float64(leave), nil),
+		sample("rounds until a death is known", "s", float64(death), nil),
+	}, nil
+}
+
+// change lets a node join, leave and die, and returns the rounds until each was known everywhere.
+func (f *MemberFleet) change() (join, leave, death int, err error) {
+	n, err := f.Start("10.9.9.9:7000", "dc0", sagemember.DefaultLimits())
+	if err != nil {
+		return 0, 0, 0, err
+	}
+	id := n.Table.Me().Incarnation
+	knows := func(ok func(sagemember.Node) bool) func() bool {
+		return func() bool {
+			for _, m := range f.Running() {
+				if !m.knows(id, ok) {
+					return false
+				}
+			}
+			return true
+		}
+	}
+	join = f.Rounds(memberChange, knows(func(x sagemember.Node) bool { return x.State == sagemember.Alive }))
+	n.Table.Advance(sagemember.Leaving)
+	leave = f.Rounds(memberChange, knows(func(x sagemember.Node) bool { return x.Phase == sagemember.Leaving }))
+	n.Stopped = true
+	death = f.Rounds(memberChange, knows(func(x sagemember.Node) bool { return x.State == sagemember.Dead }))
+	return join, leave, death, nil
+}
+
+// knows says whether what the node knows of an incarnation satisfies ok.
+func (n *MemberNode) knows(id uint64, ok func(sagemember.Node) bool) bool {
+	for _, x := range n.Table.All() {
+		if x.Incarnation == id {
+			return ok(x)
+		}
+	}
+	return false
+}
+
+// brokenLink is a scenario in which every node runs and some link is broken.
+type brokenLink struct {
+	name  string
+	nodes int
+	loss  float64
+	cut   func(f *MemberFleet) func(from, to *MemberNode) bool
+}
+
+var brokenLinks = []brokenLink{
+	{name: "8 nodes, one link broken", nodes: 8, cut: func(f *MemberFleet) func(from, to *MemberNode) bool {
+		a, b := f.Nodes[0], f.Nodes[4]
+		return func(from, to *MemberNode) bool { return from == a && to == b || from == b && to == a }
+	}},
+	{name: "8 nodes, one link broken one way", nodes: 8, cut: func(f *MemberFleet) func(from, to *MemberNode) bool {
+		a, b := f.Nodes[0], f.Nodes[4]
+		return func(from, to *MemberNode) bool { return from == a && to == b }
+	}},
+	{name: "8 nodes, one reaches half of the others", nodes: 8, cut: func(f *MemberFleet) func(from, to *MemberNode) bool {
+		far := make(map[*MemberNode]bool)
+		for _, n := range f.Nodes[4:] {
+			far[n] = true
+		}
+		a := f.Nodes[0]
+		return func(from, to *MemberNode) bool { return from == a && far[to] || to == a && far[from] }
+	}},
+	{name: "24 nodes, 45% lost", nodes: 24, loss: 0.45},
+}
+
+// run counts the nodes wrongly taken for dead under the table's own rule, under the rule without the
+// indirect check, and under the baseline.
+func (l *brokenLink) run(seed uint64) ([]Sample, error) {
+	const metric = "nodes wrongly taken for dead in 300 s"
+	var samples []Sample
+	for _, checks := range []int{sagemember.DefaultLimits().Checks, 0} {
+		limits := sagemember.DefaultLimits()
+		limits.Checks = checks
+		f := NewMemberFleet(seed)
+		if err := f.Add(l.nodes, 4, limits); err != nil {
+			return nil, err
+		}
+		f.Rounds(memberBoot, f.Agreed)
+		f.Loss = l.loss
+		if l.cut != nil {
+			f.Cut = l.cut(f)
+		}
+		f.Rounds(memberLinks, func() bool { return false })
+		policy, target := "indirect check", &Target{AtMost, 0}
+		if checks == 0 {
+			policy, target = "no check", nil
+		}
+		samples = append(samples, Sample{Scenario: l.name, Policy: policy, Metric: metric, Value: float64(f.Evictions()), Target: target})
+		if checks > 0 {
+			samples = append(samples, Sample{Scenario: l.name, Policy: "three failed calls", Metric: metric, Value: float64(f.DirectEvictions)})
+		}
+	}
+	return samples, nil
+}
--- a/internal/sagemeasure/registry.go
+++ b/internal/sagemeasure/registry.go
@@ -7,16 +7,17 @@
 
 // registry holds every measure by the name under which sagebench runs it.
 var registry = map[string]Func{
-	"churn":    Churn,
-	"cold":     Cold,
-	"exit":     Exit,
-	"inforce":  InForce,
-	"isolated": Isolated,
-	"retry":    Retry,
-	"skew":     Skew,
-	"slope":    Slope,
-	"surge":    Surge,
-	"weigh":    Weigh,
+	"churn":      Churn,
+	"cold":       Cold,
+	"exit":       Exit,
+	"inforce":    InForce,
+	"isolated":   Isolated,
+	"membership": Membership,
+	"retry":      Retry,
+	"skew":       Skew,
+	"slope":      Slope,
+	"surge":      Surge,
+	"weigh":      Weigh,
 }
 
 // Names returns the names of all measures in order.
--- a/internal/sageproc/fleet_test.go
+++ b/internal/sageproc/fleet_test.go
@@ -79,7 +79,10 @@
 	t.Cleanup(f.Stop)
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	defer cancel()
-	require.NoError(t, f.Start(ctx))
+	require.NoError(t, f.StartStandins(ctx))
+	require.NoError(t, f.StartNodes(ctx))
+	// Under the quorum rule a node accepts once it has met most of the others.
+	eventually(t, "the first ticket is accepted", func() bool { return f.Submit(ctx, 0, l.FirstTicket(1)) == nil })
 	for i := range l.Nodes {
 		until(t, f, i, "knows all nodes", func(v *sagemembers.View) bool { return serving(v) == len(l.Nodes) })
 	}
