--- a/pkg/sagemember/table.go
+++ b/pkg/sagemember/table.go
@@ -159,6 +159,17 @@
 	return nodes
 }
 
+// Node returns what the table knows of an incarnation other than this node's own.
+func (t *Table) Node(incarnation uint64) (Node, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	e := t.nodes[incarnation]
+	if e == nil {
+		return Node{}, false
+	}
+	return e.Node, true
+}
+
 // Live returns the nodes that count as live, suspects and this one included. Those that are leaving
 // are among them: they still serve.
 func (t *Table) Live() []Node {
