Prefer the live incarnation at an address; close gaps of the tests

Cause: locate took the first incarnation known at an entry address, which after a replacement can be the suspected old one. Change: the live one is taken; tests for it, for heartbeats of gone nodes and for wrong counters.

--- a/internal/sagelocator/service.go
+++ b/internal/sagelocator/service.go
@@ -59,13 +59,7 @@
 // split returns the VMs that may be named, by whether their data centre is in service.
 func (s *Service) split() (in, out []sagelocate.VM) {
 	state := s.Config.State()
-	taken := make(map[string]bool)
-	for _, n := range s.Members.Live() {
-		// Two incarnations at one address are one VM to callers.
-		if n.Phase != sagemember.Serving || n.Entry == "" || taken[n.Entry] {
-			continue
-		}
-		taken[n.Entry] = true
+	for _, n := range s.nodes() {
 		vm := sagelocate.VM{Address: n.Entry, DataCentre: n.DataCentre, Load: n.Load, Suspect: n.State == sagemember.Suspect}
 		if state != nil {
 			if dc, ok := state.DataCentre(n.DataCentre); ok && !dc.InService {
@@ -77,3 +71,23 @@
 	}
 	return in, out
 }
+
+// nodes returns the nodes that serve, one for each entry address. After a VM was replaced, its old
+// incarnation may still be suspected at the address; taken for the VM, it would send callers elsewhere.
+func (s *Service) nodes() []sagemember.Node {
+	var list []sagemember.Node
+	at := make(map[string]int)
+	for _, n := range s.Members.Live() {
+		if n.Phase != sagemember.Serving || n.Entry == "" {
+			continue
+		}
+		i, ok := at[n.Entry]
+		if !ok {
+			at[n.Entry] = len(list)
+			list = append(list, n)
+		} else if list[i].State == sagemember.Suspect {
+			list[i] = n
+		}
+	}
+	return list
+}
--- a/internal/sagelocator/service_test.go
+++ b/internal/sagelocator/service_test.go
@@ -59,3 +59,27 @@
 	require.Equal(t, sagewire.ReasonStale, ref.Reason)
 	require.Equal(t, now.Add(time.Second), ref.RetryAt)
 }
+
+// A VM is replaced at the same address. Its chats move away although it is up. Cause: the suspected
+// old incarnation was taken for the VM.
+func TestReplacedVMIsNotSuspect(t *testing.T) {
+	old := node("a:1", "in", sagemember.Serving)
+	old.State = sagemember.Suspect
+	fresh, other := node("a:1", "in", sagemember.Serving), node("b:1", "in", sagemember.Serving)
+	v := &view{}
+	s := &sagelocator.Service{Members: v, Config: v, Ranker: sagelocate.DefaultRanker(), Valid: time.Second}
+	first := func(nodes ...sagemember.Node) map[string]string {
+		v.nodes = nodes
+		got := make(map[string]string)
+		for _, chat := range []string{"1", "2", "3", "4", "5", "6", "7", "8"} {
+			a, ref := s.Locate(time.Unix(1000, 0), sagelocate.Query{Account: "x", Chat: chat})
+			require.Nil(t, ref)
+			got[chat] = a.Addresses[0]
+		}
+		return got
+	}
+	want := first(fresh, other)
+	require.Equal(t, want, first(old, fresh, other))
+	require.Equal(t, want, first(fresh, old, other))
+	require.NotEqual(t, want, first(old, other))
+}
--- a/pkg/sagemember/table_test.go
+++ b/pkg/sagemember/table_test.go
@@ -138,6 +138,10 @@
 		f.Nodes[i%3].Table.Delta(b, 1000)
 		f.Round()
 		require.True(t, f.Agreed())
+		x, ok := find(f.Nodes[i%3], oldID)
+		require.True(t, ok)
+		require.Equal(t, sagemember.Gone, x.Phase)
+		require.Less(t, x.Counter, d.Counters[0], "what is gone is not heard")
 	}
 }
 
@@ -220,6 +224,11 @@
 	b, err = proto.Marshal(d)
 	require.NoError(t, err)
 	a.Table.Delta(b, 1000)
+	rounds(f, 60)
+	require.True(t, f.Agreed(), "the victim's heartbeats have overtaken the wrong one")
+	require.Equal(t, me.Incarnation, victim.Table.Me().Incarnation)
+	require.Zero(t, f.Evictions())
+
 	a.Table.Delta([]byte{0xff, 1, 2}, 1000)
 	require.ErrorIs(t, a.Table.Merge([]byte{0xff, 1, 2}), sagemember.ErrBadDelta)
 	rec := &member.Record{Incarnation: me.Incarnation, Address: me.Address, DataCentre: "dc0", Phase: uint32(sagemember.Gone)}
