--- a/internal/sagegossipd/rpc.go
+++ b/internal/sagegossipd/rpc.go
@@ -12,6 +12,7 @@
 
 // Meet implements the exchange call of a peer.
 func (s *Service) Meet(_ context.Context, r *exchange.MeetRequest) (*exchange.MeetResponse, error) {
+	s.init()
 	deltas, own, err := s.Engine.Answer(fromWire(r.GetDigests()))
 	if err != nil {
 		return nil, twirp.InvalidArgumentError("digests", err.Error())
@@ -21,6 +22,7 @@
 
 // Push implements the exchange call of a peer.
 func (s *Service) Push(_ context.Context, r *exchange.PushRequest) (*exchange.PushResponse, error) {
+	s.init()
 	if err := s.Engine.Merge(fromWire(r.GetDeltas())); err != nil {
 		return nil, twirp.InvalidArgumentError("deltas", err.Error())
 	}
--- a/internal/sagenode/node.go
+++ b/internal/sagenode/node.go
@@ -194,6 +194,7 @@
 		},
 		Log: n.Log.Part("operator"),
 	}
+	operator.Handle("GET /v1/nodes", members)
 	operator.Handle("GET /v1/report/burn", burn)
 	operator.Handle("GET /v1/allotments", load)
 	operator.Handle("GET /v1/unknown", claims)
