Refuse faster when no candidate fits

Cause: with all candidates at their bound each cost was computed in full, twice. Change: one that doesn't fit is costed only if it may be the front; the second pass runs only if something fits it.

--- a/pkg/sageplace/bench_test.go
+++ b/pkg/sageplace/bench_test.go
@@ -67,3 +67,14 @@
 		n++
 	}))
 }
+
+// BenchmarkRefuse256 is the worst case: no candidate fits, so each is looked at twice.
+func BenchmarkRefuse256(b *testing.B) {
+	t, l := NewTable(upstreams(256, 16)), even(256, 16, 16)
+	p := &Placer[*ByLoad]{Bound: testBound, Fresh: testFresh, Width: NewByLoad(1024)}
+	q := &Query{Chat: 7}
+	b.ReportAllocs()
+	for b.Loop() {
+		p.Choose(start, t, l, q)
+	}
+}
--- a/pkg/sageplace/loads.go
+++ b/pkg/sageplace/loads.go
@@ -133,5 +133,15 @@
 	return after <= math.Ceil(capacity*m.part) && after <= math.Ceil(m.mean*capacity)
 }
 
+// anyFits reports whether any upstream fits.
+func (l *Loads) anyFits(m limit) bool {
+	for i := range l.all {
+		if l.fits(i, m) {
+			return true
+		}
+	}
+	return false
+}
+
 // relative returns the part of its capacity that upstream i carries.
 func (l *Loads) relative(i int) float64 { return l.estimate(i) / math.Max(1, float64(l.all[i].Cap)) }
--- a/pkg/sageplace/placer.go
+++ b/pkg/sageplace/placer.go
@@ -96,7 +96,7 @@
 		}
 	}
 	c := inOrder(t, l, key, q.Tried, l.limit(p.Fresh, q.Yield))
-	if c.Why == Over || c.Why == Silent {
+	if c.Why == Silent || c.Why == Over && l.anyFits(l.limit(p.Bound, q.Yield)) {
 		// Above Fresh everywhere: the bound itself decides.
 		c = inOrder(t, l, key, q.Tried, l.limit(p.Bound, q.Yield))
 	}
@@ -176,7 +176,13 @@
 	silent, silentAt := none, -1
 	for i, h := range t.hashes {
 		x := mix(key ^ h)
-		if t.floorOf(x, i) >= known {
+		least := t.floorOf(x, i)
+		if least >= known {
+			continue
+		}
+		// One that doesn't fit only matters if it comes before all that were looked at.
+		fits := l.fits(i, m)
+		if !fits && least >= front {
 			continue
 		}
 		c := t.costOf(x, i)
@@ -187,7 +193,7 @@
 			front, frontAt = c, i
 		}
 		switch {
-		case !l.fits(i, m):
+		case !fits:
 		case l.all[i].Known:
 			known, knownAt = c, i
 		case c < silent:
