--- a/internal/sagemeasure/allotment.go
+++ b/internal/sagemeasure/allotment.go
@@ -136,6 +136,7 @@
 	}
 	a.asked++
 	h.Answer(a.ledgers[i].Ask(now, w))
+	h.Seen(fmt.Sprint(a.p.engines[i].generation)) // the home may not know of a restart yet
 	return h.Acquire(now)
 }
 
--- a/pkg/sageplace/placer.go
+++ b/pkg/sageplace/placer.go
@@ -1,7 +1,6 @@
 package sageplace
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -10,11 +9,11 @@
 // docs/design/placement.md has the measurement that chose it.
 const DefaultMultiple = 1.5
 
-// Aims returns the bounds to place by so that a multiple of the mean is seldom exceeded: a router
-// sees loads late, so it has to aim lower. The bound is for all requests, fresh for chats of which an
-// upstream holds nothing.
+// Aims returns the bounds to place by so that a multiple of the mean is seldom exceeded. The bound is
+// for all requests, fresh for chats of which an upstream holds nothing: these even out the load, since
+// moving them costs no cache. A bound below the multiple gains nothing, as loads are known too late.
 func Aims(multiple float64) (bound, fresh float64) {
-	return math.Max(1, 0.9*multiple), 1 + (multiple-1)/5
+	return multiple, 1 + (multiple-1)/5
 }
 
 // DefaultYield is the part of an upstream's capacity that a request leaves free, from the most urgent
