--- a/pkg/sageplace/placer.go
+++ b/pkg/sageplace/placer.go
@@ -1,7 +1,6 @@
 package sageplace
 
 import (
-	"math"
 	"slices"
 	"time"
 )
@@ -10,11 +9,11 @@
 // docs/design/placement.md has the measurement that chose it.
 const DefaultMultiple = 1.5
 
-// Aims returns the bounds to place by so that a multiple of the mean is seldom exceeded: a router
-// sees loads late, so it has to aim lower. The bound is for all requests, fresh for chats of which an
-// upstream holds nothing.
+// Aims returns the bounds to place by so that a multiple of the mean is seldom exceeded. The bound is
+// for all requests, fresh for chats of which an upstream holds nothing: these even out the load, since
+// moving them costs no cache. A bound below the multiple gains nothing, as loads are known too late.
 func Aims(multiple float64) (bound, fresh float64) {
-	return math.Max(1, 0.9*multiple), 1 + (multiple-1)/5
+	return multiple, 1 + (multiple-1)/5
 }
 
 // DefaultYield is the part of an upstream's capacity that a request leaves free, from the most urgent
@@ -96,7 +95,7 @@
 		}
 	}
 	c := inOrder(t, l, key, q.Tried, l.limit(p.Fresh, q.Yield))
-	if c.Why == Over || c.Why == Silent {
+	if c.Why == Silent || c.Why == Over && l.anyFits(l.limit(p.Bound, q.Yield)) {
 		// Above Fresh everywhere: the bound itself decides.
 		c = inOrder(t, l, key, q.Tried, l.limit(p.Bound, q.Yield))
 	}
@@ -176,7 +175,13 @@
 	silent, silentAt := none, -1
 	for i, h := range t.hashes {
 		x := mix(key ^ h)
-		if t.floorOf(x, i) >= known {
+		least := t.floorOf(x, i)
+		if least >= known {
+			continue
+		}
+		// One that doesn't fit only matters if it comes before all that were looked at.
+		fits := l.fits(i, m)
+		if !fits && least >= front {
 			continue
 		}
 		c := t.costOf(x, i)
@@ -187,7 +192,7 @@
 			front, frontAt = c, i
 		}
 		switch {
-		case !l.fits(i, m):
+		case !fits:
 		case l.all[i].Known:
 			known, knownAt = c, i
 		case c < silent:
