--- a/internal/sageloadd/service_test.go
+++ b/internal/sageloadd/service_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,6 +29,20 @@
 	nodes  []*Service
 	engine *httptest.Server
 	state  *sageconfig.State
+	stop   map[string]func() // by node
+	gone   atomic.Value      // name of the node that is down
+}
+
+func (f *fleet) live(roster []sageload.Member) func() []sageload.Member {
+	return func() []sageload.Member {
+		var out []sageload.Member
+		for _, m := range roster {
+			if m.Name != f.gone.Load() {
+				out = append(out, m)
+			}
+		}
+		return out
+	}
 }
 
 // report answers as a warm engine that is idle.
@@ -40,7 +55,7 @@
 func (f *fleet) HTTP() *http.Client       { return http.DefaultClient }
 
 func newFleet(t testing.TB) *fleet {
-	f := &fleet{state: sageconfig.NewState(), engine: httptest.NewServer(http.HandlerFunc(report))}
+	f := &fleet{state: sageconfig.NewState(), stop: map[string]func(){}, engine: httptest.NewServer(http.HandlerFunc(report))}
 	t.Cleanup(f.engine.Close)
 	f.state.Apply(sageconfig.Entry{Number: 1, Change: sageconfig.Change{
 		Thing: sageconfig.Thing{Kind: sageconfig.KindUpstream, Name: "engine1"},
@@ -56,11 +71,13 @@
 		muxes = append(muxes, mux)
 		roster = append(roster, sageload.Member{Name: strings.TrimPrefix(srv.URL, "http://"), DataCentre: "derby"})
 	}
-	ctx, cancel := context.WithCancel(context.Background())
 	var wait sync.WaitGroup
-	t.Cleanup(func() { cancel(); wait.Wait() })
+	t.Cleanup(wait.Wait)
 	for i, m := range roster {
-		s := &Service{Node: m.Name, Roster: roster, Config: f, Peers: f, Limits: testLimits, Floor: 1, Ramp: 1}
+		ctx, cancel := context.WithCancel(context.Background())
+		t.Cleanup(cancel)
+		f.stop[m.Name] = cancel
+		s := &Service{Node: m.Name, Roster: roster, Live: f.live(roster), Config: f, Peers: f, Limits: testLimits, Floor: 1, Ramp: 1}
 		h := allot.NewAllotServer(s)
 		muxes[i].Handle(h.PathPrefix(), h)
 		f.nodes = append(f.nodes, s)
@@ -100,6 +117,39 @@
 	require.NotEmpty(t, v.BootID)
 }
 
+// Story: the VM that is an engine's home dies, and the engine gets no work any more although it and
+// the other routers are well. Another node becomes its home and grants.
+func TestAnotherNodeBecomesHome(t *testing.T) {
+	f := newFleet(t)
+	roster := f.nodes[0].Roster
+	home, _ := sageload.Home("engine1", "derby", roster)
+	var others []*Service
+	for _, s := range f.nodes {
+		if s.Node != home {
+			others = append(others, s)
+		}
+	}
+	granted := func() bool {
+		ok := others[0].Acquire("engine1", time.Now())
+		if ok {
+			others[0].Release("engine1", time.Now(), true)
+		}
+		return ok
+	}
+	require.Eventually(t, granted, 20*time.Second, 20*time.Millisecond)
+	f.stop[home]()
+	f.gone.Store(home)
+	require.Eventually(t, func() bool { return !granted() }, 20*time.Second, 5*time.Millisecond, "the old grants run out")
+	require.Eventually(t, granted, 20*time.Second, 20*time.Millisecond)
+	granting := ""
+	for _, s := range others {
+		if s.Statuses()[0].Granting {
+			granting = s.Node
+		}
+	}
+	require.NotEmpty(t, granting)
+}
+
 // Story: an engine restarts cold, and a router that has not heard of it sends on units granted for
 // the warm one. A new connection names its boot first, and another than expected carries nothing.
 func TestDialRefusesAnotherBoot(t *testing.T) {
