Send cancels and resumptions on fresh connections

Change: both go on a fresh connection; TestCancelAvoidsIdleConnections shows the failure, and the tests wait for the cancel itself rather than without end.

--- a/internal/sagedispatch/dispatcher.go
+++ b/internal/sagedispatch/dispatcher.go
@@ -218,6 +218,9 @@
 }
 
 // sendCancel tells an engine, without waiting, that nobody wants the answer any more.
+//
+// It goes on a fresh connection: an idle one that the engine has closed meanwhile would swallow it
+// without an error that could be told from others, and the engine would generate on for nobody.
 func (d *Dispatcher) sendCancel(a *Attempt) {
 	d.cancel.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
@@ -227,7 +230,7 @@
 			return
 		}
 		req.Header.Set(sagewire.HeaderRequestID, a.RequestID)
-		if res, err := d.reused.RoundTrip(req); err == nil {
+		if res, err := d.fresh.RoundTrip(req); err == nil {
 			_ = res.Body.Close()
 		}
 	})
--- a/internal/sagedispatch/stream.go
+++ b/internal/sagedispatch/stream.go
@@ -155,7 +155,8 @@
 	return nil
 }
 
-// resume asks the same upstream for the rest of the stream.
+// resume asks the same upstream for the rest of the stream, on a fresh connection: after a break the
+// idle ones are likely broken too.
 func (x *exchange) resume(ctx context.Context, sent *tracker, last uint64) (*http.Response, error) {
 	if !x.a.Engine {
 		return nil, errNotResumed
@@ -166,7 +167,7 @@
 		return nil, err
 	}
 	req.Header.Set(sagewire.HeaderRequestID, x.a.RequestID)
-	res, err := x.d.reused.RoundTrip(req)
+	res, err := x.d.fresh.RoundTrip(req)
 	if err != nil {
 		return nil, fmt.Errorf("resume: %w", err)
 	}
--- a/internal/sagedispatch/stream_test.go
+++ b/internal/sagedispatch/stream_test.go
@@ -71,6 +71,15 @@
 	}
 }
 
+func (e *engine) wasCanceled() bool {
+	select {
+	case <-e.canceled:
+		return true
+	default:
+		return false
+	}
+}
+
 func TestStreams(t *testing.T) {
 	for _, tt := range []struct {
 		name    string
@@ -119,7 +128,8 @@
 				ref, err := sagewire.DecodeRefusal([]byte(strings.TrimSpace(strings.TrimPrefix(tail, "data: "))))
 				require.NoError(t, err)
 				assert.Equal(t, sagewire.Unknown, ref.Outcome)
-				<-e.canceled
+				d.cancel.Wait()
+				assert.True(t, e.wasCanceled())
 			}
 		})
 	}
@@ -161,7 +171,8 @@
 		a.Stream, a.Engine = true, true
 		res := d.Do(t.Context(), brokenWriter{httptest.NewRecorder()}, a)
 		assert.True(t, res.CallerGone)
-		<-e.canceled
+		d.cancel.Wait()
+		assert.True(t, e.wasCanceled())
 	})
 	t.Run("context ends", func(t *testing.T) {
 		ctx, cancel := context.WithCancel(t.Context())
@@ -187,6 +198,33 @@
 	})
 }
 
+// An engine generates on for a caller that left: the cancel was written to an idle connection that the
+// engine had closed. It happened to the tests above when the machine was busy.
+func TestCancelAvoidsIdleConnections(t *testing.T) {
+	canceled := make(chan struct{})
+	s := upstream(t, func(_ int64, c net.Conn, req *http.Request) bool {
+		if req.Method == http.MethodDelete {
+			if req.Close {
+				close(canceled)
+			}
+			return false
+		}
+		answer(c, req.Header.Get(sagewire.HeaderRequestID), "ok")
+		return true
+	})
+	d := &Dispatcher{}
+	defer d.Close()
+	a := attempt(s.address())
+	require.Equal(t, sagewire.Complete, d.Do(t.Context(), httptest.NewRecorder(), a).Outcome)
+	d.sendCancel(a)
+	d.cancel.Wait()
+	select {
+	case <-canceled:
+	default:
+		t.Fatal("the cancel used the idle connection")
+	}
+}
+
 // A large answer breaks off after half of it was passed on: the caller must see a broken connection
 // and no outcome, since a closed chunked body would look whole.
 func TestLargeAnswerBrokenOff(t *testing.T) {
