--- a/internal/sagemeasure/claims.go
+++ b/internal/sagemeasure/claims.go
@@ -24,7 +24,7 @@
 	storeJitter  = 4 * time.Millisecond
 	clockSpread  = time.Second
 	repeatAfter  = 100 * time.Millisecond
-	lossRate     = 0.02
+	lossRate     = 0.1
 )
 
 // claimWay is one way of committing claims.
@@ -102,8 +102,8 @@
 		})
 	}
 	ways = append(ways,
-		claimWay{name: "2% lost, read back", rate: bookingRate, rules: rules(2*time.Second, 2), window: 50 * time.Millisecond, loss: lossRate},
-		claimWay{name: "2% lost, taken as unknown", rate: bookingRate, rules: rules(2*time.Second, 2), window: 50 * time.Millisecond, loss: lossRate, noReadBack: true},
+		claimWay{name: "10% lost, read back", rate: bookingRate, rules: rules(2*time.Second, 2), window: 50 * time.Millisecond, loss: lossRate},
+		claimWay{name: "10% lost, taken as unknown", rate: bookingRate, rules: rules(2*time.Second, 2), window: 50 * time.Millisecond, loss: lossRate, noReadBack: true},
 	)
 	var out []Sample
 	for _, w := range ways {
