Retry outcomes with growing pauses; run the matrix's steps in parallel

Cause: a release that finds no claim was tried every 250 ms for half a minute, two store reads each; the matrix under the race detector took 45 s.

Change: pauses double up to 4 s; a few compressors are kept outside the garbage collector; the steps of the matrix run in parallel.

--- a/internal/sageclaims/backlog.go
+++ b/internal/sageclaims/backlog.go
@@ -15,6 +15,7 @@
 const (
 	maxBacklog    = 20_000
 	backlogPause  = 250 * time.Millisecond
+	backlogMost   = 4 * time.Second
 	backlogAtOnce = 64
 	// noClaimFor is how long after its deadline a claim may still be written by a slow owner, and so
 	// how long a release that found no claim is repeated.
@@ -29,6 +30,16 @@
 	answer []byte
 	// giveUp is when a job that finds no claim is dropped.
 	giveUp time.Time
+	// after is when a job that failed is tried again; its pauses double.
+	after time.Time
+	pause time.Duration
+}
+
+// failed returns the job as it is to be tried again.
+func (j job) failed(now time.Time) job {
+	j.pause = min(max(2*j.pause, backlogPause), backlogMost)
+	j.after = now.Add(j.pause)
+	return j
 }
 
 // backlog holds the jobs that wait.
@@ -91,7 +102,7 @@
 		select {
 		case <-ctx.Done():
 		case <-wake:
-			if s.work(ctx) > 0 {
+			if s.work(ctx, false) > 0 {
 				// What failed comes back after a pause, so that an outage isn't met by a storm.
 				wait(ctx, backlogPause)
 				s.backlog.push()
@@ -100,7 +111,7 @@
 	}
 	last, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainFor)
 	defer cancel()
-	for s.work(last) > 0 && wait(last, backlogPause) {
+	for s.work(last, true) > 0 && wait(last, backlogPause) {
 	}
 	if n := s.backlog.len(); n > 0 {
 		s.Log.Warn("Stopped with outcomes not recorded; they show as unsettled.", "count", n)
@@ -109,17 +120,24 @@
 	return nil
 }
 
-// work tries every waiting job once and returns how many wait again.
-func (s *Service) work(ctx context.Context) int {
+// work tries every waiting job that is due, or all, once and returns how many wait again.
+func (s *Service) work(ctx context.Context, all bool) int {
 	var mu sync.Mutex
 	var again []job
 	var g errgroup.Group
 	g.SetLimit(backlogAtOnce)
+	now := time.Now()
 	for _, j := range s.backlog.take() {
+		if now.Before(j.after) && !all {
+			mu.Lock()
+			again = append(again, j)
+			mu.Unlock()
+			continue
+		}
 		g.Go(func() error {
 			if !s.try(ctx, j) {
 				mu.Lock()
-				again = append(again, j)
+				again = append(again, j.failed(time.Now()))
 				mu.Unlock()
 			}
 			return nil
--- a/internal/sagematrix/table_test.go
+++ b/internal/sagematrix/table_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"slices"
 	"strings"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -236,26 +237,32 @@
 // TestMatrix runs every cell. It logs how many ended undecided, which is not a failure: such a
 // request is told as unknown and listed for the operators.
 func TestMatrix(t *testing.T) {
+	var mu sync.Mutex
 	total, undecided, blocked := 0, 0, 0
+	t.Cleanup(func() {
+		t.Logf("%d cells, %d undecided, %d of them with a key blocked though nothing ran", total, undecided, blocked)
+	})
 	for _, s := range allSteps {
 		t.Run(string(s), func(t *testing.T) {
+			t.Parallel()
 			for _, names := range combinations() {
 				c := run(t, s, names, mutant{})
-				total++
 				if len(names) == 1 {
 					t.Logf("%-45s executions %d, told %s", c.name(), c.executions, c.words())
 				}
+				mu.Lock()
+				total++
 				if c.undecided {
 					undecided++
 				}
 				if c.blocked {
 					blocked++
 				}
+				mu.Unlock()
 				assert.Empty(t, c.bad, "%s: executions %d, told %+v", c.name(), c.executions, c.told)
 			}
 		})
 	}
-	t.Logf("%d cells, %d undecided, %d of them with a key blocked though nothing ran", total, undecided, blocked)
 }
 
 // Without a fault the booking runs and its answer is whole; a matrix in which nothing works proves
--- a/pkg/sageclaim/book.go
+++ b/pkg/sageclaim/book.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"sync"
 	"time"
 
 	"sagestand.example/sagestand/pkg/sageobject"
@@ -82,20 +81,33 @@
 	return book, nil
 }
 
-// compressors keeps compressors, each of which takes about a megabyte, from one commit to the next.
-var compressors = sync.Pool{New: func() any {
+// compressors keeps a few compressors, each of which takes about a megabyte, from one commit to the
+// next. A [sync.Pool] loses them at each garbage collection.
+var compressors = make(chan *gzip.Writer, 4)
+
+func compressor() *gzip.Writer {
+	select {
+	case z := <-compressors:
+		return z
+	default:
+	}
 	z, err := gzip.NewWriterLevel(nil, gzip.BestSpeed)
 	if err != nil {
 		panic("sageclaim: the level is valid: " + err.Error())
 	}
 	return z
-}}
+}
 
 // Encode returns the object: its lines, compressed.
 func (b *Book) Encode() []byte {
 	var buf bytes.Buffer
-	z, _ := compressors.Get().(*gzip.Writer)
-	defer compressors.Put(z)
+	z := compressor()
+	defer func() {
+		select {
+		case compressors <- z:
+		default:
+		}
+	}()
 	z.Reset(&buf)
 	if _, err := z.Write(b.encoded); err != nil {
 		panic("sageclaim: writing to memory never fails: " + err.Error())
