--- a/pkg/sageticket/accept.go
+++ b/pkg/sageticket/accept.go
@@ -72,8 +72,10 @@
 	}
 	digest := t.Digest()
 	unsure := false
+	var last error
 	for range attempts {
 		acc, lost, err := a.attempt(ctx, t, digest)
+		last = err
 		switch {
 		case err == nil:
 			return acc, nil
@@ -92,9 +94,9 @@
 		}
 	}
 	if unsure {
-		return Accepted{}, fmt.Errorf("submit ticket %d: answers kept being lost: %w", t.Number, ErrOutcomeUnknown)
+		return Accepted{}, fmt.Errorf("submit ticket %d: gave up: %v: %w", t.Number, last, ErrOutcomeUnknown)
 	}
-	return Accepted{}, fmt.Errorf("submit ticket %d: other writers kept winning: %w", t.Number, ErrNotAccepted)
+	return Accepted{}, fmt.Errorf("submit ticket %d: gave up: %v: %w", t.Number, last, ErrNotAccepted)
 }
 
 // verdict reports whether err says about the ticket itself, not about the store. Such a verdict
@@ -172,7 +174,10 @@
 	if err != nil {
 		return nil, err
 	}
-	s, ok := a.fromBase(h)
+	s, ok, err := a.fromBase(h)
+	if err != nil {
+		return nil, err
+	}
 	if !ok {
 		l, err := Load(ctx, a.Store)
 		if err != nil {
@@ -194,24 +199,29 @@
 	return v, nil
 }
 
-// fromBase returns the state at the head's revision from the base and the tail.
-func (a *Acceptor) fromBase(h *Head) (*sageconfig.State, bool) {
-	if h.Revision == 0 {
-		return sageconfig.NewState(), true
-	}
+// fromBase returns the state at the head's revision from the base and the tail, if there is a base
+// that the tail reaches back to.
+//
+// A base above the head is that of a ticket accepted since the head was read; the next attempt reads
+// that head. If it stays above, the store was put back to an old copy. A ticket accepted there would
+// get a revision that the nodes passed long ago, and would come into force nowhere.
+func (a *Acceptor) fromBase(h *Head) (s *sageconfig.State, ok bool, err error) {
 	if a.Base == nil {
-		return nil, false
+		return sageconfig.NewState(), h.Revision == 0, nil
 	}
 	rev, s := a.Base()
+	if rev > h.Revision {
+		return nil, false, fmt.Errorf("head at revision %d, this node at %d: %w", h.Revision, rev, sageobject.ErrConflict)
+	}
 	rs, ok := h.Since(rev)
 	if !ok {
-		return nil, false
+		return nil, false, nil
 	}
 	if len(rs) > 0 {
 		s = s.Clone()
 		applyTail(s, rs)
 	}
-	return s, true
+	return s, true, nil
 }
 
 // judge reports why a ticket whose number is not known can't be accepted.
--- a/pkg/sageticket/accept_test.go
+++ b/pkg/sageticket/accept_test.go
@@ -160,3 +160,17 @@
 	assert.Equal(t, uint64(operators/2), l.Head.Revision)
 	assert.Equal(t, operators/2, l.State.Len())
 }
+
+// The platform's operators put the store back to an old copy. A ticket accepted on top of it would
+// get a revision that the nodes are past, and never come into force.
+func TestSubmitOnOldStore(t *testing.T) {
+	f := newFaults()
+	mustSubmit(t, &Acceptor{Store: f}, served())
+	l, err := Load(ctx, f)
+	require.NoError(t, err)
+	a := &Acceptor{Store: f, Base: func() (uint64, *sageconfig.State) { return 7, l.State }}
+	puts := f.puts
+	_, err = a.Submit(ctx, ticket(9, dc("leeds", true)))
+	require.ErrorIs(t, err, ErrNotAccepted)
+	assert.Equal(t, puts, f.puts, "nothing is written")
+}
