--- a/internal/sagemeasure/isolated.go
+++ b/internal/sagemeasure/isolated.go
@@ -37,8 +37,8 @@
 
 func sameRegion(a, b *configNode) bool { return region(a) == region(b) }
 
-// troubles lists the cases. The exit is in the part that is cut off, where it matters most: nodes
-// there go on sending work to it if they don't know.
+// troubles lists the cases. The exit is in a region that is cut off from the store, where it matters
+// most: nodes there go on sending work to it if they don't know.
 func troubles() []trouble {
 	alone := func(n *configNode) bool { return n.index == 8 }
 	return []trouble{
@@ -51,7 +51,7 @@
 			8, 0,
 		},
 		{
-			"region of the store cut off, exit there",
+			"region of the store cut off, exit",
 			func(a, b *configNode) bool { return (region(a) == 0) == (region(b) == 0) },
 			func(n *configNode) bool { return region(n) == 0 },
 			8, 0,
--- a/internal/sagemeasure/registry.go
+++ b/internal/sagemeasure/registry.go
@@ -10,6 +10,7 @@
 	"churn":    Churn,
 	"claims":   Claims,
 	"cold":     Cold,
+	"contact":  Contact,
 	"exit":     Exit,
 	"inforce":  InForce,
 	"isolated": Isolated,
