--- a/pkg/sagemember/table_test.go
+++ b/pkg/sagemember/table_test.go
@@ -259,20 +259,22 @@
 	require.Less(t, len(tab.Delta(nil, 1<<20)), 2048+64, "an unreadable digest gets a bounded answer")
 }
 
-func BenchmarkDigest400(b *testing.B) {
-	f := sagemeasure.NewMemberFleet(1)
-	if err := f.Add(400, 9, sagemember.DefaultLimits()); err != nil {
-		b.Fatal(err)
-	}
-	var all []byte
-	for _, n := range f.Nodes[1:] {
-		all = append(all, n.Table.Delta(nil, 1<<10)...)
-	}
-	if err := f.Nodes[0].Table.Merge(all); err != nil {
-		b.Fatal(err)
-	}
-	for b.Loop() {
-		f.Nodes[0].Table.Delta(f.Nodes[0].Table.Digest(), 8<<10)
+// BenchmarkNodeSecond is what one node spends in a second of steady state: a tick, the choice of a
+// peer, the exchange that it begins and, on average, one that it answers.
+func BenchmarkNodeSecond(b *testing.B) {
+	for _, n := range []int{8, 50, 150, 400} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			f := sagemeasure.NewMemberFleet(1)
+			if err := f.Add(n, 9, sagemember.DefaultLimits()); err != nil {
+				b.Fatal(err)
+			}
+			f.Rounds(40, f.Agreed)
+			b.ResetTimer()
+			for range b.N {
+				f.Round()
+			}
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*n), "ns/node-second")
+		})
 	}
 }
 
