--- a/internal/sageproc/faults_test.go
+++ b/internal/sageproc/faults_test.go
@@ -21,7 +21,7 @@
 func TestKillPauseAndStoreOutage(t *testing.T) {
 	t.Parallel()
 	const paused, killed, seer = 1, 2, 0
-	f := start(t, nil)
+	f := start(t, eight, nil)
 	old, ok := live(f, view(t, f, seer), killed)
 	require.True(t, ok)
 
--- a/internal/sageproc/fleet_test.go
+++ b/internal/sageproc/fleet_test.go
@@ -62,10 +62,13 @@
 	})
 }
 
-// start runs a fleet of eight nodes over four data centres until every node knows all.
-func start(t *testing.T, edit func(*sagesettings.Settings)) *sagefleet.Fleet {
+// eight is the size of the fleets that stand for today's.
+const eight = 8
+
+// start runs a fleet over four data centres until every node knows all.
+func start(t *testing.T, nodes int, edit func(*sagesettings.Settings)) *sagefleet.Fleet {
 	t.Helper()
-	l := sagefleet.NewLayout(8, 4, []string{"derby", "nottingham", "leicester", "lincoln"})
+	l := sagefleet.NewLayout(nodes, 4, []string{"derby", "nottingham", "leicester", "lincoln"})
 	for i := range l.Nodes {
 		l.Nodes[i].Isolated.Rule = sagesettings.IsolatedQuorum
 		if edit != nil {
--- a/internal/sageproc/stop_test.go
+++ b/internal/sageproc/stop_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -13,6 +14,7 @@
 	"sagestand.example/sagestand/internal/sagecaller"
 	"sagestand.example/sagestand/internal/sagefleet"
 	"sagestand.example/sagestand/internal/sagemembers"
+	"sagestand.example/sagestand/internal/sagenode"
 	"sagestand.example/sagestand/internal/sagesettings"
 	"sagestand.example/sagestand/pkg/sagemember"
 	"sagestand.example/sagestand/pkg/sagewire"
@@ -22,7 +24,7 @@
 // answer names one of them, or whose stream runs there, must not notice.
 func TestTerminateUnderStreamsCutsNothing(t *testing.T) {
 	t.Parallel()
-	f := start(t, func(cfg *sagesettings.Settings) { cfg.Stop.WithinMillis = 12000 })
+	f := start(t, eight, func(cfg *sagesettings.Settings) { cfg.Stop.WithinMillis = 12000 })
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	defer cancel()
 	load := &streams{t: t, fleet: f, through: make(map[string]int), refused: make(map[string]int)}
@@ -54,6 +56,35 @@
 	until(t, f, seer, "has dropped both", func(v *sagemembers.View) bool { return serving(v) == 6 })
 }
 
+// A stream runs longer than the stop may take. Its caller takes the part that came for the whole answer,
+// and nothing in the log says that it was cut.
+func TestStopDeadlineCutsWithAnErrorAndALogLine(t *testing.T) {
+	t.Parallel()
+	f := start(t, 2, func(cfg *sagesettings.Settings) { cfg.Stop.WithinMillis = 3000 })
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	node := f.Layout.Nodes[1].Listen.Entry
+	c := &sagecaller.Caller{Fixed: node, Key: sagefleet.AccountKey, HTTP: &http.Client{Timeout: limit}}
+	eventually(t, "a chat is answered", func() bool {
+		return c.Chat(ctx, chatOf("hello", 2), sagecaller.Options{}).Outcome == sagewire.Complete
+	})
+	ends := make(chan sagecaller.End, 1)
+	go func() { ends <- c.Chat(ctx, chatOf("a long one", 600), sagecaller.Options{}) }()
+	eventually(t, "the stream runs", func() bool {
+		var s sagenode.Status
+		err := f.Operator(1).Do(ctx, http.MethodGet, "/v1/status", nil, &s)
+		return err == nil && s.InFlight > 0
+	})
+	require.NoError(t, f.Nodes[1].Terminate(ctx))
+	e := <-ends
+	require.NoError(t, e.Lost)
+	require.NotEqual(t, sagewire.Complete, e.Outcome)
+	require.NotNil(t, e.Refusal)
+	log, err := os.ReadFile(f.Nodes[1].Log)
+	require.NoError(t, err)
+	require.Contains(t, string(log), "Cutting requests at the stop deadline.")
+}
+
 // streams is a load of callers that stream one chat after another.
 type streams struct {
 	t     *testing.T
