Let the graceful stop test see a refused kept answer

Cause: the test's callers went on to their next address, so the test passed with honouring removed. Change: each stream uses the first address of its answer only. With Leave returning the present instant the test now fails with refused connections; as built it passes (27 s).

--- a/internal/sageproc/stop_test.go
+++ b/internal/sageproc/stop_test.go
@@ -8,6 +8,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -85,6 +86,9 @@
 	require.Contains(t, string(log), "Cutting requests at the stop deadline.")
 }
 
+// refusedPause keeps a refused caller from asking again at once.
+const refusedPause = 50 * time.Millisecond
+
 // streams is a load of callers that stream one chat after another.
 type streams struct {
 	t     *testing.T
@@ -102,11 +106,22 @@
 func (s *streams) begin(ctx context.Context, callers int) {
 	for i := range callers {
 		s.wait.Go(func() {
-			c := &sagecaller.Caller{Entries: s.fleet.Layout.Entries(), Key: sagefleet.AccountKey, HTTP: &http.Client{Timeout: limit}}
+			client := &http.Client{Timeout: limit}
+			asker := &sagecaller.Caller{Entries: s.fleet.Layout.Entries(), Key: sagefleet.AccountKey, HTTP: client}
 			for n := 0; !s.stop.Load(); n++ {
 				chat := fmt.Sprintf("chat-%d-%d", i, n%4)
+				addrs, err := asker.Locate(ctx, chat)
+				if err != nil {
+					s.fail(err)
+					return
+				}
+				// Only the first address: a caller that may go on to the next would hide a refusal.
+				c := &sagecaller.Caller{Fixed: addrs[0], Key: sagefleet.AccountKey, HTTP: client}
 				e := c.Chat(ctx, chatOf(chat, 40), sagecaller.Options{Chat: chat})
 				s.note(&e)
+				if e.Refusal != nil {
+					time.Sleep(refusedPause)
+				}
 			}
 		})
 	}
