--- a/internal/sagemeasure/memberfleet.go
+++ b/internal/sagemeasure/memberfleet.go
@@ -77,6 +77,7 @@
 		Self:   sagemember.Node{Address: addr, Entry: addr, DataCentre: dc, Phase: sagemember.Serving},
 		Limits: limits,
 		Now:    func() time.Time { return f.Now },
+		Random: f.Rand.Uint64,
 	}
 	if err := t.Start(); err != nil {
 		return nil, fmt.Errorf("start %s: %w", addr, err)
--- a/pkg/sagemember/incarnation.go
+++ b/pkg/sagemember/incarnation.go
@@ -4,9 +4,13 @@
 
 // freshIncarnation is random rather than counted or timed: a VM without disk that is replaced at the
 // same address remembers no count, and its clock may be behind that of its predecessor.
-func freshIncarnation() uint64 {
+func (t *Table) freshIncarnation() uint64 {
+	next := t.Random
+	if next == nil {
+		next = rand.Uint64
+	}
 	for {
-		if n := rand.Uint64(); n != 0 {
+		if n := next(); n != 0 {
 			return n
 		}
 	}
@@ -28,7 +32,7 @@
 
 // renew makes this process another node to its peers.
 func (t *Table) renew() {
-	t.Self.Incarnation = freshIncarnation()
+	t.Self.Incarnation = t.freshIncarnation()
 	t.Self.Counter = 1
 }
 
--- a/pkg/sagemember/section.go
+++ b/pkg/sagemember/section.go
@@ -50,14 +50,26 @@
 		e.noteSent(t.digests)
 		addColumn(d, &e.Node)
 	}
-	for id, e := range t.nodes {
-		if e.State == Suspect && e.Phase != Gone && len(d.Suspects) < maxSuspects {
-			d.Suspects = append(d.Suspects, short(id))
-		}
+	for _, e := range t.suspects() {
+		d.Suspects = append(d.Suspects, short(e.Incarnation))
 	}
 	return marshal(d)
 }
 
+// suspects returns the nodes that peers are asked about, the longest suspected first.
+func (t *Table) suspects() []*entry {
+	var list []*entry
+	for _, e := range t.nodes {
+		if e.State == Suspect && e.Phase != Gone {
+			list = append(list, e)
+		}
+	}
+	slices.SortFunc(list, func(a, b *entry) int {
+		return cmp.Or(a.since.Compare(b.since), cmp.Compare(a.Incarnation, b.Incarnation))
+	})
+	return list[:min(maxSuspects, len(list))]
+}
+
 func addColumn(d *member.Digest, n *Node) {
 	d.Incarnations = append(d.Incarnations, short(n.Incarnation))
 	d.Counters = append(d.Counters, n.Counter)
--- a/pkg/sagemember/table.go
+++ b/pkg/sagemember/table.go
@@ -17,6 +17,9 @@
 	Limits Limits
 	// Now is the local clock; nil means [time.Now].
 	Now func() time.Time
+	// Random gives incarnations; nil means the runtime's own source. A measurement sets it to repeat a
+	// run.
+	Random func() uint64
 
 	mu        sync.Mutex
 	nodes     map[uint64]*entry
@@ -65,7 +68,7 @@
 	t.calling = make(map[string]contact)
 	t.hints = make(map[string]bool)
 	t.met = make(map[uint64]bool)
-	t.Self.Incarnation = freshIncarnation()
+	t.Self.Incarnation = t.freshIncarnation()
 	t.Self.State = Alive
 	t.lastTick = t.now()
 	t.freshBy = t.lastTick
