--- a/internal/sagemeasure/membership_test.go
+++ b/internal/sagemeasure/membership_test.go
@@ -4,14 +4,23 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"sagestand.example/sagestand/pkg/sagemember"
 )
 
 func TestMembershipRepeatsItself(t *testing.T) {
-	size := memberSize{nodes: 20, dcs: 3}
-	first, err := memberRun(7, size, 0.3)
-	require.NoError(t, err)
-	second, err := memberRun(7, size, 0.3)
-	require.NoError(t, err)
-	require.Equal(t, first, second)
-	require.NotZero(t, first[1].Value)
+	run := func() ([]Sample, []sagemember.Node) {
+		samples, err := memberRun(7, memberSize{nodes: 20, dcs: 3}, 0.3)
+		require.NoError(t, err)
+		f := NewMemberFleet(7)
+		f.Loss = 0.3
+		require.NoError(t, f.Add(20, 3, sagemember.DefaultLimits()))
+		f.Rounds(30, func() bool { return false })
+		return samples, f.Nodes[5].Table.All()
+	}
+	samples, nodes := run()
+	again, nodesAgain := run()
+	require.Equal(t, samples, again)
+	require.Equal(t, nodes, nodesAgain)
+	require.Len(t, nodes, 20)
 }
