--- a/internal/sageproc/stop_test.go
+++ b/internal/sageproc/stop_test.go
@@ -4,15 +4,18 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"sagestand.example/sagestand/internal/sagecaller"
 	"sagestand.example/sagestand/internal/sagefleet"
 	"sagestand.example/sagestand/internal/sagemembers"
+	"sagestand.example/sagestand/internal/sagenode"
 	"sagestand.example/sagestand/internal/sagesettings"
 	"sagestand.example/sagestand/pkg/sagemember"
 	"sagestand.example/sagestand/pkg/sagewire"
@@ -22,7 +25,7 @@
 // answer names one of them, or whose stream runs there, must not notice.
 func TestTerminateUnderStreamsCutsNothing(t *testing.T) {
 	t.Parallel()
-	f := start(t, func(cfg *sagesettings.Settings) { cfg.Stop.WithinMillis = 12000 })
+	f := start(t, eight, func(cfg *sagesettings.Settings) { cfg.Stop.WithinMillis = 12000 })
 	ctx, cancel := context.WithTimeout(t.Context(), limit)
 	defer cancel()
 	load := &streams{t: t, fleet: f, through: make(map[string]int), refused: make(map[string]int)}
@@ -54,6 +57,38 @@
 	until(t, f, seer, "has dropped both", func(v *sagemembers.View) bool { return serving(v) == 6 })
 }
 
+// A stream runs longer than the stop may take. Its caller takes the part that came for the whole answer,
+// and nothing in the log says that it was cut.
+func TestStopDeadlineCutsWithAnErrorAndALogLine(t *testing.T) {
+	t.Parallel()
+	f := start(t, 2, func(cfg *sagesettings.Settings) { cfg.Stop.WithinMillis = 3000 })
+	ctx, cancel := context.WithTimeout(t.Context(), limit)
+	defer cancel()
+	node := f.Layout.Nodes[1].Listen.Entry
+	c := &sagecaller.Caller{Fixed: node, Key: sagefleet.AccountKey, HTTP: &http.Client{Timeout: limit}}
+	eventually(t, "a chat is answered", func() bool {
+		return c.Chat(ctx, chatOf("hello", 2), sagecaller.Options{}).Outcome == sagewire.Complete
+	})
+	ends := make(chan sagecaller.End, 1)
+	go func() { ends <- c.Chat(ctx, chatOf("a long one", 600), sagecaller.Options{}) }()
+	eventually(t, "the stream runs", func() bool {
+		var s sagenode.Status
+		err := f.Operator(1).Do(ctx, http.MethodGet, "/v1/status", nil, &s)
+		return err == nil && s.InFlight > 0
+	})
+	require.NoError(t, f.Nodes[1].Terminate(ctx))
+	e := <-ends
+	require.NoError(t, e.Lost)
+	require.NotEqual(t, sagewire.Complete, e.Outcome)
+	require.NotNil(t, e.Refusal)
+	log, err := os.ReadFile(f.Nodes[1].Log)
+	require.NoError(t, err)
+	require.Contains(t, string(log), "Cutting requests at the stop deadline.")
+}
+
+// refusedPause keeps a refused caller from asking again at once.
+const refusedPause = 50 * time.Millisecond
+
 // streams is a load of callers that stream one chat after another.
 type streams struct {
 	t     *testing.T
@@ -71,11 +106,22 @@
 func (s *streams) begin(ctx context.Context, callers int) {
 	for i := range callers {
 		s.wait.Go(func() {
-			c := &sagecaller.Caller{Entries: s.fleet.Layout.Entries(), Key: sagefleet.AccountKey, HTTP: &http.Client{Timeout: limit}}
+			client := &http.Client{Timeout: limit}
+			asker := &sagecaller.Caller{Entries: s.fleet.Layout.Entries(), Key: sagefleet.AccountKey, HTTP: client}
 			for n := 0; !s.stop.Load(); n++ {
 				chat := fmt.Sprintf("chat-%d-%d", i, n%4)
+				addrs, err := asker.Locate(ctx, chat)
+				if err != nil {
+					s.fail(err)
+					return
+				}
+				// Only the first address: a caller that may go on to the next would hide a refusal.
+				c := &sagecaller.Caller{Fixed: addrs[0], Key: sagefleet.AccountKey, HTTP: client}
 				e := c.Chat(ctx, chatOf(chat, 40), sagecaller.Options{Chat: chat})
 				s.note(&e)
+				if e.Refusal != nil {
+					time.Sleep(refusedPause)
+				}
 			}
 		})
 	}
