--- a/internal/sagemeasure/allotment.go
+++ b/internal/sagemeasure/allotment.go
@@ -79,7 +79,7 @@
 	sent, last := a.p.instant(), e.last
 	a.p.after(hopDelay, func() {
 		r := sageload.Report{
-			BootID: fmt.Sprint(last.generation), InFlight: last.inFlight, Slots: e.slots, Bears: e.slots,
+			BootID: fmt.Sprint(last.generation), InFlight: last.inFlight, Slots: e.slots, Bears: bears(last.completed),
 			CacheGeneration: last.generation, AsOf: epoch.Add(last.asOf), Completed: uint64(last.completed),
 		}
 		bears := a.ramps[i].Observe(r)
