--- a/pkg/sageplace/width.go
+++ b/pkg/sageplace/width.go
@@ -22,9 +22,9 @@
 // Width implements [Widener].
 func (Narrow) Width(time.Time, *Table, *Loads, uint64) []int32 { return nil }
 
-// ByLoad widens a context by a half when all that it is spread over have come near the bound, and
-// narrows it by one when fewer would carry their load easily. Widening by a part, not by one, lets a
-// rush reach a width of dozens in a few steps; narrowing is in no hurry. Between the two marks, and until
+// ByLoad widens a context by one and a quarter of its width when all that it is spread over have come near the bound, and
+// narrows it by one when fewer would carry their load easily. The quarter lets a rush reach a
+// width of dozens in some steps; a half cost small contexts their caches. Narrowing is in no hurry. Between the two marks, and until
 // Hold has passed since the last change, it stays: reports lag, so an effect is seen late, and each
 // change moves chats. All routers judge by the same reports, so they come to the same width
 // without telling each other.
@@ -71,7 +71,7 @@
 func (r *ByLoad) step(now time.Time, l *Loads, s *spread) {
 	age := now.Sub(s.since)
 	if s.width < s.known && age >= r.Hold && r.crowded(l, s) {
-		s.width = min(s.known, s.width+1+s.width/2)
+		s.width = min(s.known, s.width+1+s.width/4)
 		s.since = now
 		return
 	}
