--- a/internal/sagemeasure/replay.go
+++ b/internal/sagemeasure/replay.go
@@ -8,7 +8,6 @@
 
 	"sagestand.example/sagestand/pkg/sageload"
 	"sagestand.example/sagestand/pkg/sageplace"
-	"sagestand.example/sagestand/pkg/sagewire"
 )
 
 // How late the routers of a replay learn what happens.
@@ -42,39 +41,6 @@
 	allotments *allotments
 }
 
-// result is the end of one request of the trace.
-type result struct {
-	done    bool
-	refused sageplace.Why
-	at      time.Duration // when it ended
-	cached  int
-	engine  *engine
-	started time.Duration
-	tries   int
-}
-
-// router is one entry VM: what it believes, and its decision code.
-type router struct {
-	id     int
-	sees   []bool
-	table  *sageplace.Table
-	at     []int // engine of each place in the table
-	loads  *sageplace.Loads
-	policy sageplace.Policy
-	memory *sageplace.Evidence
-	own    []int
-	last   []report
-	// estimates are the real ones of the daemon, one an engine.
-	estimates []sageload.Estimate
-}
-
-// report is an engine's word on its load.
-type report struct {
-	inFlight, completed int
-	generation          uint64
-	asOf                time.Duration
-}
-
 // feed says how routers learn of loads: how often, and after which delay at most. The least delay is a
 // tenth of it.
 type feed struct{ every, delay time.Duration }
@@ -129,93 +95,6 @@
 	return p
 }
 
-// boot gives a router a new process: it forgets what it remembered.
-func (p *replay) boot(r *router) {
-	r.policy = p.variant.policy(p)
-	r.memory = sageplace.NewEvidence(1 << 14)
-	p.rebuild(r)
-}
-
-// rebuild makes the router's table from what it believes of the engines.
-func (p *replay) rebuild(r *router) {
-	var ups []sageplace.Upstream
-	r.at = r.at[:0]
-	for i, e := range p.engines {
-		if r.sees[i] {
-			ups = append(ups, sageplace.Upstream{Name: e.name, Weight: e.slots})
-			r.at = append(r.at, i)
-		}
-	}
-	r.table = sageplace.NewTable(ups)
-	r.loads = sageplace.NewLoads(len(ups))
-	r.loads.Refresh(func(i int) sageplace.Load { return p.load(r, r.at[i]) })
-}
-
-// load is the router's belief of an engine, by its last report and own requests since.
-func (p *replay) load(r *router, i int) sageplace.Load {
-	last, free := r.last[i], engineSlots
-	if p.allotments != nil {
-		free = p.allotments.free(r.id, i)
-	}
-	return sageplace.Load{
-		InFlight: r.estimates[i].InFlight(),
-		Cap:      bears(last.completed), Free: free,
-		Known: r.estimates[i].Known(p.instant()), CacheGeneration: last.generation,
-	}
-}
-
-func (p *replay) report(i int, e *engine) {
-	if !e.up {
-		return
-	}
-	rep := report{inFlight: e.inFlight(), completed: e.completed, generation: e.generation, asOf: p.now}
-	e.last = rep
-	for _, r := range p.routers {
-		delay := p.variant.feed.delay/10 + time.Duration(p.rand.Int64N(int64(p.variant.feed.delay*9/10)))
-		p.after(delay, func() { p.hear(r, i, rep) })
-	}
-}
-
-func (p *replay) hear(r *router, i int, rep report) {
-	if rep.asOf < r.last[i].asOf {
-		return
-	}
-	r.last[i] = rep
-	r.estimates[i].Observe(p.instant(), sageload.Report{
-		BootID: fmt.Sprint(rep.generation), InFlight: rep.inFlight, AsOf: epoch.Add(rep.asOf),
-	})
-	p.update(r, i)
-	p.after(silentAfter, func() { p.update(r, i) })
-}
-
-func (p *replay) update(r *router, i int) {
-	if k := slices.Index(r.at, i); k >= 0 {
-		r.loads.Set(k, p.load(r, i))
-	}
-}
-
-// see tells a router, after a delay of its own, that an engine is a candidate or none.
-func (p *replay) see(r *router, i int, candidate bool, delay time.Duration) {
-	p.after(delay, func() {
-		if r.sees[i] != candidate {
-			r.sees[i] = candidate
-			// A new one is unknown, and cold.
-			r.last[i], r.estimates[i] = report{}, sageload.Estimate{Silence: silentAfter}
-			for range r.own[i] {
-				r.estimates[i].Dispatched()
-			}
-			p.rebuild(r)
-		}
-	})
-}
-
-// announce tells all routers, each after a delay up to changeDelay.
-func (p *replay) announce(i int, candidate bool) {
-	for _, r := range p.routers {
-		p.see(r, i, candidate, time.Duration(p.rand.Int64N(int64(changeDelay))))
-	}
-}
-
 func (p *replay) arrive(q *request) {
 	n := q.chat % uint64(len(p.routers))
 	if p.rand.Float64() < straying {
@@ -289,17 +168,6 @@
 	return r.at[c.Index], c.Why
 }
 
-// count corrects what the router knows of an engine by n own requests.
-func (p *replay) count(r *router, i, n int) {
-	r.own[i] += n
-	if n > 0 {
-		r.estimates[i].Dispatched()
-	} else {
-		r.estimates[i].Ended()
-	}
-	p.update(r, i)
-}
-
 func (p *replay) place(j *job) sageplace.Place {
 	if p.variant.token {
 		if at, ok := p.sealer.Open(p.tokens[j.chat], "", j.chatName, p.instant()); ok {
@@ -336,51 +204,3 @@
 		r.memory.Stored(j.chat, at.Upstream, at.Generation)
 	}
 }
-
-// reuse returns cached prompt tokens / prompt tokens of the requests from an instant on.
-func (p *replay) reuse(from time.Duration) float64 { return p.reuseBetween(from, p.now) }
-
-func (p *replay) reuseBetween(from, to time.Duration) float64 {
-	cached, prompt := 0, 0
-	for i := range p.trace {
-		if q := &p.trace[i]; q.at >= from && q.at < to && p.results[i].done {
-			cached += p.results[i].cached
-			prompt += q.prompt()
-		}
-	}
-	return float64(cached) / float64(max(prompt, 1))
-}
-
-// inTime returns the part of the requests of a priority from an instant on that completed within
-// their deadline, and how many were refused.
-func (p *replay) inTime(from, to time.Duration, priority sagewire.Priority) (part float64, refused int) {
-	all, good := 0, 0
-	for i := range p.trace {
-		q, res := &p.trace[i], &p.results[i]
-		if q.at < from || q.at >= to || q.priority != priority {
-			continue
-		}
-		all++
-		switch {
-		case !res.done:
-			refused++
-		case res.at <= q.deadline:
-			good++
-		}
-	}
-	return float64(good) / float64(max(all, 1)), refused
-}
-
-// refused returns the part of the requests from an instant on that were refused.
-func (p *replay) refused(from time.Duration) float64 {
-	all, no := 0, 0
-	for i := range p.trace {
-		if p.trace[i].at >= from {
-			all++
-			if !p.results[i].done {
-				no++
-			}
-		}
-	}
-	return float64(no) / float64(max(all, 1))
-}
--- /dev/null
+++ b/internal/sagemeasure/result.go
@@ -0,0 +1,67 @@
+package sagemeasure
+
+import (
+	"time"
+
+	"sagestand.example/sagestand/pkg/sageplace"
+	"sagestand.example/sagestand/pkg/sagewire"
+)
+
+// result is the end of one request of the trace.
+type result struct {
+	done    bool
+	refused sageplace.Why
+	at      time.Duration // when it ended
+	cached  int
+	engine  *engine
+	started time.Duration
+	tries   int
+}
+
+// reuse returns cached prompt tokens / prompt tokens of the requests from an instant on.
+func (p *replay) reuse(from time.Duration) float64 { return p.reuseBetween(from, p.now) }
+
+func (p *replay) reuseBetween(from, to time.Duration) float64 {
+	cached, prompt := 0, 0
+	for i := range p.trace {
+		if q := &p.trace[i]; q.at >= from && q.at < to && p.results[i].done {
+			cached += p.results[i].cached
+			prompt += q.prompt()
+		}
+	}
+	return float64(cached) / float64(max(prompt, 1))
+}
+
+// inTime returns the part of the requests of a priority from an instant on that completed within
+// their deadline, and how many were refused.
+func (p *replay) inTime(from, to time.Duration, priority sagewire.Priority) (part float64, refused int) {
+	all, good := 0, 0
+	for i := range p.trace {
+		q, res := &p.trace[i], &p.results[i]
+		if q.at < from || q.at >= to || q.priority != priority {
+			continue
+		}
+		all++
+		switch {
+		case !res.done:
+			refused++
+		case res.at <= q.deadline:
+			good++
+		}
+	}
+	return float64(good) / float64(max(all, 1)), refused
+}
+
+// refused returns the part of the requests from an instant on that were refused.
+func (p *replay) refused(from time.Duration) float64 {
+	all, no := 0, 0
+	for i := range p.trace {
+		if p.trace[i].at >= from {
+			all++
+			if !p.results[i].done {
+				no++
+			}
+		}
+	}
+	return float64(no) / float64(max(all, 1))
+}
