Count claims' traffic between nodes apart from control traffic

Cause: claims handed to their owners were most of what the demo called control traffic (149 calls and 96 KB of bodies in 4 s at one router of three). Change: claims go over connections of their own, which the server counts apart.

--- a/internal/sagedemo/demo.go
+++ b/internal/sagedemo/demo.go
@@ -34,8 +34,8 @@
 	sageworkload.Audit
 	CacheReuse float64 `json:"cache_reuse"`
 	LoadSkew   float64 `json:"load_skew"`
-	// ControlBytesPerSecond is the mean of a router: all traffic between nodes, claims handed to their
-	// owner included, and with the platform but for claims.
+	// ControlBytesPerSecond is the mean of a router: all traffic with other nodes and the platform but
+	// for claims, which belong to their requests.
 	ControlBytesPerSecond float64 `json:"control_bytes_per_second"`
 	ClaimBytesPerBooking  float64 `json:"claim_bytes_per_booking"`
 }
--- a/internal/sagenode/node.go
+++ b/internal/sagenode/node.go
@@ -63,10 +63,13 @@
 	ready     func() error
 	control   atomic.Int64
 	claims    atomic.Int64
-	peers     [2]interface{ Bytes() int64 }
-	peerKey   string
-	opKey     string
-	tls       *tls.Config
+	// claimPeers carries claims to their owners, on connections that carry nothing else.
+	claimPeers *sagepeer.Client
+	peerServer *sagepeer.Server
+	peers      [2]interface{ Bytes() int64 }
+	peerKey    string
+	opKey      string
+	tls        *tls.Config
 }
 
 // Open reads the keys and opens the listeners; nothing serves before Run.
@@ -164,8 +167,10 @@
 		TokenValid: millis(cfg.Placement.TokenValidMillis), Metrics: n.metrics,
 	}
 	k.Register("placement", placement)
-	claims := n.claimService(n.claimStore(), peers)
-	peerServer.Mount(claim.NewClaimsServer(claims))
+	n.claimPeers = &sagepeer.Client{Key: n.peerKey, TLS: n.tls}
+	claims := n.claimService(n.claimStore(), n.claimPeers)
+	peerServer.MountApart(claim.NewClaimsServer(claims))
+	n.peerServer = peerServer
 	k.Register("claims", claims)
 	k.Register("orders", n.orderService(store, conf))
 	requests := &sagemetrics.Requests{Set: n.metrics}
@@ -257,8 +262,11 @@
 	return &sageobject.Client{URL: n.Settings.Platform.URL, HTTP: &http.Client{Transport: sagepeer.CountedTransport(&n.claims), Timeout: storeTimeout}}
 }
 
-// ClaimBytes returns the bytes exchanged with the platform so far for claims of idempotency keys.
-func (n *Node) ClaimBytes() int64 { return n.claims.Load() }
+// ClaimBytes returns the bytes exchanged so far for claims of idempotency keys, with the platform and
+// with other nodes.
+func (n *Node) ClaimBytes() int64 {
+	return n.claims.Load() + n.claimPeers.Bytes() + n.peerServer.RequestBytes()
+}
 
 // ControlBytes returns the bytes of all traffic with other nodes and the platform so far, both ways,
 // but for [Node.ClaimBytes].
--- a/internal/sagepeer/client.go
+++ b/internal/sagepeer/client.go
@@ -62,7 +62,7 @@
 			if err != nil {
 				return nil, err
 			}
-			return &countedConn{Conn: c, bytes: n}, nil
+			return newCountedConn(c, n), nil
 		},
 	}
 }
@@ -81,23 +81,3 @@
 	r.Header.Set("User-Agent", "")
 	return k.next.RoundTrip(r)
 }
-
-// countedConn counts what passes a connection.
-type countedConn struct {
-	net.Conn
-	bytes *atomic.Int64
-}
-
-// Read implements [net.Conn].
-func (c *countedConn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
-
-// Write implements [net.Conn].
-func (c *countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.bytes.Add(int64(n))
-	return n, err
-}
--- a/internal/sagepeer/peer_test.go
+++ b/internal/sagepeer/peer_test.go
@@ -105,3 +105,19 @@
 	require.NoError(t, err)
 	return cfg
 }
+
+func TestTrafficOfRequestsIsCountedApart(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	s := &Server{Listener: l, Key: "secret"}
+	s.MountApart(echo{})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.Run(ctx) }()
+	_, err = status(t, &Client{Key: "secret"}, l.Addr().String())
+	require.NoError(t, err)
+	cancel()
+	require.NoError(t, <-done)
+	assert.Zero(t, s.Bytes())
+	assert.Positive(t, s.RequestBytes())
+}
--- a/internal/sagepeer/server.go
+++ b/internal/sagepeer/server.go
@@ -40,7 +40,9 @@
 
 	mux   http.ServeMux
 	bytes atomic.Int64
-	parts map[string]*part
+	// requests counts the connections of services mounted apart.
+	requests atomic.Int64
+	parts    map[string]*part
 }
 
 // part counts the calls of one service and the bytes of their bodies.
@@ -48,8 +50,14 @@
 	calls, bytes atomic.Int64
 }
 
+// MountApart adds a service whose traffic belongs to callers' requests, not to coordination: it
+// counts to [Server.RequestBytes]. With TLS it counts to [Server.Bytes] like any other.
+func (s *Server) MountApart(m Mountable) { s.mount(m, countedApart(m, &s.requests)) }
+
 // Mount adds a service.
-func (s *Server) Mount(m Mountable) {
+func (s *Server) Mount(m Mountable) { s.mount(m, m) }
+
+func (s *Server) mount(m Mountable, h http.Handler) {
 	if s.parts == nil {
 		s.parts = make(map[string]*part)
 	}
@@ -59,7 +67,7 @@
 		w.Header()["Date"] = nil // nobody reads it, and it is longer than many answers
 		p.calls.Add(1)
 		p.bytes.Add(max(0, r.ContentLength))
-		m.ServeHTTP(&countedWriter{ResponseWriter: w, bytes: &p.bytes}, r)
+		h.ServeHTTP(&countedWriter{ResponseWriter: w, bytes: &p.bytes}, r)
 	}))
 }
 
@@ -84,9 +92,12 @@
 	return n, err
 }
 
-// Bytes returns how many bytes the listener has read and written.
+// Bytes returns how many bytes the listener has read and written, but for [Server.RequestBytes].
 func (s *Server) Bytes() int64 { return s.bytes.Load() }
 
+// RequestBytes returns how many bytes the connections of services mounted apart have carried.
+func (s *Server) RequestBytes() int64 { return s.requests.Load() }
+
 // Run serves until ctx ends, then finishes the calls in hand.
 func (s *Server) Run(ctx context.Context) error {
 	srv := &http.Server{
@@ -94,6 +105,7 @@
 		ReadHeaderTimeout: readTimeout,
 		ReadTimeout:       readTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnContext:       withConn,
 	}
 	var l net.Listener = &countedListener{Listener: s.Listener, bytes: &s.bytes}
 	if s.TLS != nil {
@@ -130,18 +142,3 @@
 		next.ServeHTTP(w, r)
 	})
 }
-
-// countedListener counts what passes its connections.
-type countedListener struct {
-	net.Listener
-	bytes *atomic.Int64
-}
-
-// Accept implements [net.Listener].
-func (l *countedListener) Accept() (net.Conn, error) {
-	c, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
-	}
-	return &countedConn{Conn: c, bytes: l.bytes}, nil
-}
