--- /dev/null
+++ b/internal/sagemeasure/membership_test.go
@@ -0,0 +1,26 @@
+package sagemeasure
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sagestand.example/sagestand/pkg/sagemember"
+)
+
+func TestMembershipRepeatsItself(t *testing.T) {
+	run := func() ([]Sample, []sagemember.Node) {
+		samples, err := memberRun(7, memberSize{nodes: 20, dcs: 3}, 0.3)
+		require.NoError(t, err)
+		f := NewMemberFleet(7)
+		f.Loss = 0.3
+		require.NoError(t, f.Add(20, 3, sagemember.DefaultLimits()))
+		f.Rounds(30, func() bool { return false })
+		return samples, f.Nodes[5].Table.All()
+	}
+	samples, nodes := run()
+	again, nodesAgain := run()
+	require.Equal(t, samples, again)
+	require.Equal(t, nodes, nodesAgain)
+	require.Len(t, nodes, 20)
+}
--- a/internal/sagenode/node.go
+++ b/internal/sagenode/node.go
@@ -135,6 +135,7 @@
 	k.Register("peer_client", peers)
 	conf := &sageconfigd.Service{
 		Node: cfg.Node.Name, DataCentre: cfg.Node.DataCentre, Store: store, Rule: rule(cfg.Isolated),
+		Roster: n.allSeeds(), Address: cfg.Listen.Peer,
 		Metrics: n.metrics, Log: n.Log.Part("config"),
 	}
 	k.Register("config", conf)
@@ -199,6 +200,7 @@
 	operator.Handle("GET /v1/allotments", load)
 	operator.Handle("GET /v1/unknown", claims)
 	operator.Handle("POST /v1/unknown", claims)
+	peerServer.Export(n.metrics)
 	k.Register("operator", operator)
 	k.Register("entry", entry)
 }
