Serve needs before reserves of in-flight allotments

Cause: on a cold engine there are fewer units than routers. Ruled out: lost promises and homes (the home granted; units were held, in_use 0). Change: an ask says which units are only a reserve; the home fills needs first, then reserves, and what doesn't divide goes round in an order that changes.

--- a/internal/sageloadd/ask.go
+++ b/internal/sageloadd/ask.go
@@ -27,7 +27,8 @@
 			// longer than a round, no answer would ever count.
 			continue
 		}
-		units := u.units(now)
+		units, spare := u.units(now)
+		u.holding.Spare = spare
 		if u.out {
 			units = 0
 		}
@@ -111,7 +112,7 @@
 		}
 		req.Wants = append(req.Wants, &allot.Want{
 			Upstream: w.Upstream, Seq: w.Seq, Echo: echo,
-			Over: uint32(w.Over), Units: uint32(w.Units), Recognise: w.Recognise, Cold: u.cold,
+			Over: uint32(w.Over), Units: uint32(w.Units), Spare: uint32(w.Spare), Recognise: w.Recognise, Cold: u.cold,
 		})
 		u.cold = false
 	}
--- a/internal/sageloadd/home.go
+++ b/internal/sageloadd/home.go
@@ -48,7 +48,7 @@
 		}
 		g := s.grant(u, sageload.Want{
 			Upstream: w.Upstream, Holder: req.Holder, Node: req.Node, Seq: w.Seq, Echo: w.Echo, Home: req.EchoHome,
-			Over: int(w.Over), Units: int(w.Units), Recognise: w.Recognise,
+			Over: int(w.Over), Units: int(w.Units), Spare: int(w.Spare), Recognise: w.Recognise,
 		}, w.Cold)
 		res.Grants = append(res.Grants, encodeGrant(i, g))
 	}
--- a/internal/sageloadd/upstream.go
+++ b/internal/sageloadd/upstream.go
@@ -36,8 +36,8 @@
 	restarted time.Time // when the ramp was last restarted for latency
 }
 
-// spare is how many units beyond those in use a router asks for, so that most requests find one.
-const spare = 2
+// reserve is how many units beyond those in use a router asks for, so that most requests find one.
+const reserve = 2
 
 // coldSpacing is the least time between two restarts of a ramp because routers see cold latency:
 // several see the same one.
@@ -55,14 +55,16 @@
 	return v
 }
 
-// units returns how many units to ask for: what was in use or missed since the last ask, what waits,
-// and some to spare for as long as the upstream is used.
-func (u *upstream) units(now time.Time) int {
-	n := max(u.peak, u.holding.InUse()) + u.missed + u.queued
-	if u.used.IsZero() || now.Sub(u.used) > idleAfter {
-		return n
+// units returns how many units to ask for: what is in use, was missed since the last ask or waits; and
+// spare of them in reserve, up to the most in use since the last ask and a few more, for as long as the
+// upstream is used.
+func (u *upstream) units(now time.Time) (units, spare int) {
+	need := u.holding.InUse() + u.missed + u.queued
+	units = max(need, u.peak+u.missed+u.queued)
+	if !u.used.IsZero() && now.Sub(u.used) <= idleAfter {
+		units += reserve + units/4
 	}
-	return n + spare + n/4
+	return units, units - need
 }
 
 // hasty reports whether an ask can't wait for the next round.
--- a/internal/sageloadd/want_test.go
+++ b/internal/sageloadd/want_test.go
@@ -37,7 +37,7 @@
 	s := &Service{Node: "10.0.0.1:7201", Roster: []sageload.Member{{Name: "10.0.0.1:7201", DataCentre: "derby"}}, Config: c, Limits: testLimits}
 	asked := func() (n int) {
 		for _, u := range s.upstreams {
-			if u.units(s.started) > 0 {
+			if units, _ := u.units(s.started); units > 0 {
 				n++
 			}
 		}
--- a/pkg/sageload/holding.go
+++ b/pkg/sageload/holding.go
@@ -20,6 +20,8 @@
 	Over int
 	// Units is the number the holder would like, beyond the guaranteed share.
 	Units int
+	// Spare says how many of Units are only to be held in reserve; they yield to needs of others.
+	Spare int
 	// Recognise promises to recognise no other home until [Limits.Promise] has passed.
 	Recognise bool
 }
@@ -58,7 +60,9 @@
 	// is divided into guaranteed shares.
 	Guaranteed int
 	Static     bool
-	Limits     Limits
+	// Spare is how many of the units that the next ask wants are only a reserve.
+	Spare  int
+	Limits Limits
 	// AbstainUntil is the end of the first promise period after the start of this process.
 	//
 	// A voter that restarts has forgotten its promise. If it voted at once, two homes could have a
@@ -93,6 +97,7 @@
 		return Want{}, false
 	}
 	w := Want{Upstream: h.Upstream, Holder: h.Holder, Node: h.Node, Over: max(0, h.InUse()-h.own(now)), Units: max(0, units-h.own(now))}
+	w.Spare = min(h.Spare, w.Units)
 	if h.Voter && !now.Before(h.AbstainUntil) {
 		h.promised, h.promise = home, now.Add(h.Limits.Promise)
 		w.Recognise = true
--- a/pkg/sageload/ledger.go
+++ b/pkg/sageload/ledger.go
@@ -1,6 +1,12 @@
 package sageload
 
-import "time"
+import (
+	"strconv"
+	"time"
+)
+
+// turns is how many grant periods an order of holders lasts: long enough to use what it brings.
+const turns = 4
 
 // unbounded is more units than any upstream has, and small enough for sums.
 const unbounded = 1 << 30
@@ -35,6 +41,7 @@
 	grantFrom  time.Time // end of the wait for grants of earlier homes
 	carried    carried
 	holders    map[string]*holder
+	turn       string // names the present order of holders, see part
 }
 
 // holder is the ledger's account of one router process.
@@ -42,8 +49,10 @@
 	seq  uint64
 	over int
 	want int
-	last sent // answered latest, perhaps not adopted
-	echo sent // adopted, as the holder's echo said
+	// spare is the part of want that is only a reserve.
+	spare int
+	last  sent // answered latest, perhaps not adopted
+	echo  sent // adopted, as the holder's echo said
 	// known says that over counts everything the holder has in flight on this boot, see carried.
 	known bool
 }
@@ -80,6 +89,7 @@
 // Ask takes a holder's ask at the instant now and returns the answer.
 func (l *Ledger) Ask(now time.Time, w Want) Grant {
 	l.advance(now)
+	l.turn = strconv.FormatInt(now.UnixNano()/int64(turns*l.Limits.Grant+1), 36)
 	g := Grant{Upstream: w.Upstream, Seq: w.Seq, Home: l.Home, BootID: l.boot, Cap: l.capacity,
 		Report: l.report, Known: l.Known(now), Pending: true, Resigned: l.resigned}
 	h := l.holder(w)
@@ -173,7 +183,7 @@
 	if !now.Before(h.echo.until) {
 		h.echo.units = 0
 	}
-	h.over, h.want = w.Over, w.Units
+	h.over, h.want, h.spare = w.Over, w.Units, min(w.Spare, w.Units)
 	if !l.carried.seen.IsZero() && !h.known && h.echo.at.After(l.carried.seen) {
 		h.known = true
 		l.carried.units = max(0, l.carried.units-h.over)
@@ -200,38 +210,64 @@
 	return max(0, min(l.fair(name, h, left), left-others))
 }
 
-// fair returns the holder's part of left: its want, cut to the level at which the wants of all fill
-// left. What the level leaves over goes one by one to the first holders by name that want more.
+// fair returns the holder's part of left: first the needs of all, then their reserves.
+//
+// It guards against a router that gets nothing while upstreams idle: on a cold upstream there are
+// fewer units than routers, and those that others held in reserve, none in use, were never asked back.
 func (l *Ledger) fair(name string, h *holder, left int) int {
+	need := min(h.want-h.spare, l.part(name, left, (*holder).needs))
+	rest := left - l.filled(unbounded, (*holder).needs)
+	if rest <= 0 {
+		return need
+	}
+	return need + min(h.spare, l.part(name, rest, (*holder).spares))
+}
+
+// needs returns what the holder has in flight or has requests waiting for.
+func (h *holder) needs() int { return max(h.want-h.spare, h.over) }
+
+// spares returns what it would hold in reserve.
+func (h *holder) spares() int { return h.spare }
+
+// part returns the holder's max-min fair part of left: its amount, cut to the level at which the
+// amounts of all fill left. What the level leaves over goes one by one to the first holders that
+// have more, in an order that changes with each turn, so that nobody is last for good.
+func (l *Ledger) part(name string, left int, amount func(*holder) int) int {
 	lo, hi := 0, max(0, left)
 	for lo < hi {
 		mid := (lo + hi + 1) / 2
-		if l.filled(mid) <= left {
+		if l.filled(mid, amount) <= left {
 			lo = mid
 		} else {
 			hi = mid - 1
 		}
 	}
-	if h.want <= lo {
-		return h.want
+	if amount(l.holders[name]) <= lo {
+		return amount(l.holders[name])
 	}
 	before := 0
 	for n, o := range l.holders {
-		if n < name && max(o.want, o.over) > lo {
+		if amount(o) > lo && l.earlier(n, name) {
 			before++
 		}
 	}
-	if before < left-l.filled(lo) {
+	if before < left-l.filled(lo, amount) {
 		return lo + 1
 	}
 	return lo
 }
 
-// filled returns the sum of the wants, each cut to the level.
-func (l *Ledger) filled(level int) int {
+// earlier reports whether holder a comes before b in the present turn.
+func (l *Ledger) earlier(a, b string) bool {
+	x, y := score(l.turn, a), score(l.turn, b)
+	return x > y || x == y && a < b
+}
+
+// filled returns the sum of the amounts of all holders, each cut to the level.
+func (l *Ledger) filled(level int, amount func(*holder) int) int {
 	sum := 0
 	for _, h := range l.holders {
-		sum += min(level, max(h.want, h.over))
+		sum += min(level, amount(h))
 	}
 	return sum
 }
--- /dev/null
+++ b/pkg/sageload/spare_test.go
@@ -0,0 +1,59 @@
+package sageload
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// round lets every router ask the home once; the last one needs a unit, the others only hold reserves.
+func (s *stage) round(l *Ledger, routers []*Holding, needs int) {
+	l.Report(s.now, s.now, Report{BootID: "e1", InFlight: s.inFlight()}, 4)
+	for i, h := range routers {
+		units, spare := 2, 2
+		if i == len(routers)-1 {
+			units, spare = needs, 0
+		}
+		h.Spare = spare
+		if w, ok := h.Ask(s.now, "a", units); ok {
+			h.Answer(l.Ask(s.now, w))
+		}
+	}
+	s.now = s.now.Add(100 * time.Millisecond)
+}
+
+// Eight routers stand before a cold engine that bears four. Seven of them hold what they once used in
+// reserve, nothing is in flight; the eighth gets a chat and is refused as overloaded, minute after
+// minute, since each renewal gives the same routers the same units. Its need must come before their
+// reserves.
+func TestNeedComesBeforeReserves(t *testing.T) {
+	s := newStage("")
+	l := s.homeOf("a")
+	var routers []*Holding
+	for i := range 8 {
+		h := &Holding{Upstream: "u", Holder: fmt.Sprintf("r%d", i), Node: fmt.Sprint("n", i), Limits: s.limits}
+		if i < len(s.voters) {
+			h.Node, h.Voter = s.voters[i], true
+		}
+		routers = append(routers, h)
+	}
+	s.routers = routers
+	for range 70 {
+		s.round(l, routers, 0)
+	}
+	last := routers[len(routers)-1]
+	held := 0
+	for _, h := range routers {
+		held += h.Free(s.now)
+	}
+	require.Equal(t, 4, held, "the reserves fill the engine")
+	require.Zero(t, last.Free(s.now))
+	for range 3 {
+		s.round(l, routers, 1)
+	}
+	assert.Equal(t, 1, last.Free(s.now), "its need is served by the next asks")
+	require.LessOrEqual(t, l.Committed(), 4)
+}
--- a/pkg/sageload/term.go
+++ b/pkg/sageload/term.go
@@ -108,7 +108,7 @@
 	for k, h := range l.holders {
 		end := h.until()
 		if !now.Before(end) {
-			h.want = 0
+			h.want, h.spare = 0, 0
 		}
 		if h.last.at.After(end) {
 			end = h.last.at
