--- a/internal/sagemeasure/allotment.go
+++ b/internal/sagemeasure/allotment.go
@@ -105,6 +105,7 @@
 
 func (a *allotments) ask(r, i int) {
 	h := a.holdings[r][i]
+	h.Spare = a.rule.headroom
 	w, ok := h.Ask(a.p.instant(), routerName(a.homes[i]), h.InUse()+a.rule.headroom)
 	if !ok {
 		return
@@ -130,6 +131,7 @@
 	if !a.rule.onDemand {
 		return false
 	}
+	h.Spare = 0
 	w, ok := h.Ask(now, routerName(a.homes[i]), h.InUse()+1)
 	if !ok {
 		return false
--- a/internal/sagemeasure/allotment_test.go
+++ b/internal/sagemeasure/allotment_test.go
@@ -25,5 +25,6 @@
 	require.Greater(t, standing.refused(20*time.Second), 0.02)
 	onDemand := run(allotRule{multiple: 1.5, onDemand: true})
 	require.Zero(t, onDemand.refused(20*time.Second))
+	require.Less(t, standing.reuse(20*time.Second), onDemand.reuse(20*time.Second))
 	require.NotZero(t, onDemand.allotments.asked)
 }
