Let scale wait for a settled fleet and vary the grants

Cause: at 100 and 150 nodes scale gave 29,069 (default grants), 21,622 and 28,648 bytes/s a node (grants of 16 s) eight seconds after the start, while nodes still tell each other of themselves; the share of the rest is unknown. Conclusion: a run with a settled fleet must follow.

--- a/internal/sagescale/sagescale.go
+++ b/internal/sagescale/sagescale.go
@@ -28,7 +28,6 @@
 
 // Shape of the measurement.
 const (
-	settle     = 8 * time.Second
 	pollEvery  = 50 * time.Millisecond
 	pollAtOnce = 64
 	inForceBy  = 30 * time.Second
@@ -71,6 +70,11 @@
 	Sagebench string
 	Nodes     int
 	Engines   int
+	// GrantMillis is the period of grants and promises of allotments; 0 means the default.
+	GrantMillis int
+	// Settle is how long the fleet is left alone before figures are taken, in seconds: nodes that have
+	// just met tell each other everything.
+	Settle int
 	// Seconds is how long figures at rest are taken.
 	Seconds int
 
@@ -89,6 +93,9 @@
 	l := sagefleet.NewLayout(m.Nodes, m.Engines, dataCentres)
 	for i := range l.Nodes {
 		l.Nodes[i].Load = sagesettings.Default().Load // a layout's own are for quick tests
+		if m.GrantMillis > 0 {
+			l.Nodes[i].Load.GrantMillis, l.Nodes[i].Load.PromiseMillis = m.GrantMillis, m.GrantMillis
+		}
 	}
 	m.fleet = &sagefleet.Fleet{Layout: l, Sagestand: m.Sagestand, Sagebench: m.Sagebench, Dir: dir, Inline: true}
 	defer m.fleet.Stop()
@@ -97,7 +104,7 @@
 	}
 	m.number = 1
 	m.fig.Nodes, m.fig.Upstreams = m.Nodes, len(l.Upstreams)
-	time.Sleep(settle)
+	time.Sleep(time.Duration(m.Settle) * time.Second)
 	for _, step := range []func(context.Context) error{m.rest, m.spread, m.spreadStoreOut} {
 		if err := step(ctx); err != nil {
 			return m.fig, fmt.Errorf("scale: %w", err)
