--- a/cmd/sagebench/scale.go
+++ b/cmd/sagebench/scale.go
@@ -40,6 +40,7 @@
 	c.Flags().IntVar(&m.Nodes, "nodes", 8, "number of routers, each a process")
 	c.Flags().IntVar(&m.Engines, "engines", 48, "number of engines, all inside this process")
 	c.Flags().IntVar(&m.GrantMillis, "grant-millis", 0, "period of grants and promises of allotments; 0 for the default")
+	c.Flags().IntVar(&m.Seeds, "seeds", 0, "nodes in the seeds of the settings; 0 for all")
 	c.Flags().IntVar(&m.Settle, "settle", 8, "seconds to wait before figures are taken")
 	c.Flags().IntVar(&m.Seconds, "seconds", 10, "how long figures at rest are taken")
 	return c
--- a/cmd/sagestand/settings.go
+++ b/cmd/sagestand/settings.go
@@ -49,7 +49,7 @@
 				return perr
 			}
 			if len(faults) > 0 {
-				return fmt.Errorf("%w: %s: %d faults, see above", sagecli.ErrSettings, args[0], len(faults))
+				return fmt.Errorf("%w: %s: %d to mend, see above", sagecli.ErrSettings, args[0], len(faults))
 			}
 			return nil
 		},
--- a/internal/sagescale/sagescale.go
+++ b/internal/sagescale/sagescale.go
@@ -72,6 +72,8 @@
 	Engines   int
 	// GrantMillis is the period of grants and promises of allotments; 0 means the default.
 	GrantMillis int
+	// Seeds is the number of nodes in the settings' seeds, which are the roster; 0 means all.
+	Seeds int
 	// Settle is how long the fleet is left alone before figures are taken, in seconds: nodes that have
 	// just met tell each other everything.
 	Settle int
@@ -93,6 +95,9 @@
 	l := sagefleet.NewLayout(m.Nodes, m.Engines, dataCentres)
 	for i := range l.Nodes {
 		l.Nodes[i].Load = sagesettings.Default().Load // a layout's own are for quick tests
+		if m.Seeds > 0 && m.Seeds < m.Nodes {
+			l.Nodes[i].Seeds = l.Nodes[i].Seeds[:m.Seeds]
+		}
 		if m.GrantMillis > 0 {
 			l.Nodes[i].Load.GrantMillis, l.Nodes[i].Load.PromiseMillis = m.GrantMillis, m.GrantMillis
 		}
