--- /dev/null
+++ b/internal/sageentry/fuzz_test.go
@@ -0,0 +1,23 @@
+package sageentry
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// FuzzDecodeChat: whatever a caller sends, decoding ends with a request that has a route, or with a
+// refusal that can be sent.
+func FuzzDecodeChat(f *testing.F) {
+	f.Add([]byte(chatBodyText))
+	f.Add([]byte(`{"model":"m","messages":[null,{}],"stream":true}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		req := &Request{Body: b}
+		if ref := decodeChat(req); ref != nil {
+			require.NoError(t, ref.Check())
+			return
+		}
+		require.NotEmpty(t, req.Route)
+		require.NotEmpty(t, req.ChatID)
+	})
+}
