Count latencies of the burn report in HdrHistogram

Cause: the house asks for known libraries for histograms; sageburn had buckets of its own, and the module for it stood unused in go.mod.

--- a/internal/sageburnd/service.go
+++ b/internal/sageburnd/service.go
@@ -112,6 +112,9 @@
 	if err := json.Unmarshal(res.Snapshot, &snap); err != nil {
 		return snap, fmt.Errorf("ask %s: decode: %w", addr, err)
 	}
+	if err := snap.Check(); err != nil {
+		return snap, fmt.Errorf("ask %s: %w", addr, err)
+	}
 	return snap, nil
 }
 
--- a/pkg/sageburn/book.go
+++ b/pkg/sageburn/book.go
@@ -2,10 +2,13 @@
 
 import (
 	"cmp"
+	"fmt"
 	"slices"
 	"sync"
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"sagestand.example/sagestand/pkg/sagewire"
 )
 
@@ -25,7 +28,7 @@
 // series holds the counts of one account and priority.
 type series struct {
 	rings   [len(levels)]ring
-	latency [latencyBuckets]uint32
+	latency *hdrhistogram.Histogram
 }
 
 // Book counts the requests of one node. Objectives are set before first use; its methods are safe
@@ -58,7 +61,7 @@
 		}
 	}
 	if fault == FaultNone && !r.FirstByteAt.IsZero() {
-		s.latency[bucket(r.FirstByteAt.Sub(r.ArrivedAt))]++
+		recordLatency(s.latency, r.FirstByteAt.Sub(r.ArrivedAt))
 	}
 }
 
@@ -72,7 +75,7 @@
 		return b.of(seriesKey{account: OtherAccounts, priority: k.priority})
 	}
 	if s == nil {
-		s = new(series)
+		s = &series{latency: newLatency()}
 		b.series[k] = s
 	}
 	return s
@@ -84,8 +87,8 @@
 	Priority sagewire.Priority `json:"priority"`
 	// Slots maps, for each level, the number of a slot to its count.
 	Slots [len(levels)]map[int64]Count `json:"slots"`
-	// Latency counts first bytes by latency bucket, since the node's start.
-	Latency [latencyBuckets]uint32 `json:"latency"`
+	// Latency counts first bytes by latency in milliseconds, since the node's start.
+	Latency *hdrhistogram.Snapshot `json:"latency,omitempty"`
 }
 
 // Snapshot is what a node has counted.
@@ -93,13 +96,23 @@
 	Series []Series `json:"series"`
 }
 
+// Check reports a snapshot whose histograms can't be added up, wrapped around [ErrBadLatency].
+func (s *Snapshot) Check() error {
+	for i := range s.Series {
+		if err := checkLatency(s.Series[i].Latency); err != nil {
+			return fmt.Errorf("%s %s: %w", s.Series[i].Account, s.Series[i].Priority, err)
+		}
+	}
+	return nil
+}
+
 // Snapshot returns a copy of everything counted that is still within a window at now.
 func (b *Book) Snapshot(now time.Time) Snapshot {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out Snapshot
 	for k, s := range b.series {
-		x := Series{Account: k.account, Priority: k.priority, Latency: s.latency}
+		x := Series{Account: k.account, Priority: k.priority, Latency: s.latency.Export()}
 		for i, l := range levels {
 			x.Slots[i] = s.rings[i].recent(l, l.slot(now))
 		}
@@ -162,7 +175,5 @@
 			to.Slots[i][n] = have
 		}
 	}
-	for i, n := range s.Latency {
-		to.Latency[i] += n
-	}
+	to.Latency = addLatency(to.Latency, s.Latency)
 }
--- a/pkg/sageburn/report.go
+++ b/pkg/sageburn/report.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/HdrHistogram/hdrhistogram-go"
+
 	"sagestand.example/sagestand/pkg/sagewire"
 )
 
@@ -61,8 +63,8 @@
 	Objective Objective         `json:"objective"`
 	Burns     []Burn            `json:"burns"`
 	Alert     Alert             `json:"alert,omitempty"`
-	// P50Millis and P95Millis are the upper bounds of the buckets that hold these quantiles of the
-	// time to the first byte since the nodes' start; 0 if there was none.
+	// P50Millis and P95Millis are these quantiles of the time to the first byte since the nodes' start,
+	// to a tenth of their value; 0 if there was none.
 	P50Millis int `json:"p50_millis"`
 	P95Millis int `json:"p95_millis"`
 }
@@ -117,22 +119,12 @@
 	return AlertNone
 }
 
-// quantile returns the upper bound, in milliseconds, of the bucket that holds quantile q.
+// quantile returns quantile q of the time to the first byte, in milliseconds.
 func (s *Series) quantile(q float64) int {
-	var total, sum uint64
-	for _, n := range s.Latency {
-		total += uint64(n)
-	}
-	if total == 0 {
+	if s.Latency == nil {
 		return 0
 	}
-	for i, n := range s.Latency {
-		sum += uint64(n)
-		if float64(sum) >= q*float64(total) && i < len(latencyBounds) {
-			return int(latencyBounds[i] / time.Millisecond)
-		}
-	}
-	return int(latencyBounds[len(latencyBounds)-1] / time.Millisecond)
+	return int(hdrhistogram.Import(s.Latency).ValueAtQuantile(100 * q))
 }
 
 // Point is the burn rate of one slot, for a plot.
--- a/pkg/sageburn/slot.go
+++ b/pkg/sageburn/slot.go
@@ -49,29 +49,3 @@
 	}
 	return &r.counts[n%int64(l.slots)]
 }
-
-// Latency buckets: two to an octave from 5 ms on; the last one is open.
-const latencyBuckets = 28
-
-var latencyBounds = func() [latencyBuckets - 1]time.Duration {
-	var b [latencyBuckets - 1]time.Duration
-	d := 5 * time.Millisecond
-	for i := 0; i < len(b); i += 2 {
-		b[i] = d
-		if i+1 < len(b) {
-			b[i+1] = d * 7 / 5
-		}
-		d *= 2
-	}
-	return b
-}()
-
-// bucket returns the latency bucket of d.
-func bucket(d time.Duration) int {
-	for i, b := range latencyBounds {
-		if d <= b {
-			return i
-		}
-	}
-	return latencyBuckets - 1
-}
