Move connection tracking and event reading into packages of their own

Cause: a second way of requests needs what sagedispatch knew of connections that may have carried a request and of whole events; two copies would drift apart. Conclusion: no change of behaviour in sagedispatch.

--- a/internal/sagedispatch/conn.go
+++ b/internal/sageconn/conn.go
@@ -1,4 +1,4 @@
-package sagedispatch
+package sageconn
 
 import (
 	"net"
@@ -10,13 +10,13 @@
 // errSealed is what a write on a sealed connection returns.
 var errSealed = errors.New("connection sealed: the request was given up before its first byte")
 
-// conn is a connection that knows whether a request may have left through it.
+// Conn is a connection that knows whether a request may have left through it.
 //
 // It guards against calling a request "not run" that was sent after all: when an attempt is given
 // up, the transport's own goroutine may be just about to write. The write and the question "was
 // anything written?" exclude each other by mu, and a no seals the connection, so that the answer
 // stays true.
-type conn struct {
+type Conn struct {
 	net.Conn
 	// boot is the boot of the upstream that the connection leads to, if the dialer found out.
 	boot string
@@ -28,7 +28,7 @@
 }
 
 // Write implements [net.Conn].
-func (c *conn) Write(b []byte) (int, error) {
+func (c *Conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
 	if c.sealed {
 		c.mu.Unlock()
@@ -44,8 +44,9 @@
 	BootID() string
 }
 
-func wrap(c net.Conn) *conn {
-	w := &conn{Conn: c}
+// Wrap returns c as a connection that a [Tracker] can follow.
+func Wrap(c net.Conn) *Conn {
+	w := &Conn{Conn: c}
 	if b, ok := c.(Booted); ok {
 		w.boot = b.BootID()
 	}
@@ -53,7 +54,7 @@
 }
 
 // begin starts a use of the connection by one request and returns its number.
-func (c *conn) begin() uint64 {
+func (c *Conn) begin() uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.use++
@@ -62,7 +63,7 @@
 }
 
 // seal reports whether nothing was written in the given use, and if so forbids every later write.
-func (c *conn) seal(use uint64) bool {
+func (c *Conn) seal(use uint64) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.use != use || c.wrote {
@@ -74,7 +75,7 @@
 }
 
 // closeUse ends the connection unless a later request uses it by now.
-func (c *conn) closeUse(use uint64) {
+func (c *Conn) closeUse(use uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.use == use {
--- a/internal/sagedispatch/dispatcher.go
+++ b/internal/sagedispatch/dispatcher.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"sagestand.example/sagestand/internal/sageconn"
 	"sagestand.example/sagestand/pkg/sagewire"
 )
 
@@ -76,7 +77,7 @@
 		if err != nil {
 			return nil, fmt.Errorf("connect: %w", err)
 		}
-		return wrap(c), nil
+		return sageconn.Wrap(c), nil
 	}
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
@@ -137,9 +138,9 @@
 }
 
 func (x *exchange) run(ctx context.Context) {
-	sent := &tracker{boot: x.a.BootID}
+	sent := &sageconn.Tracker{BootID: x.a.BootID}
 	res, err := x.send(ctx, sent)
-	x.res.Connected = sent.connected()
+	x.res.Connected = sent.Connected()
 	if err != nil {
 		x.lost(ctx, sent, err)
 		return
@@ -147,7 +148,7 @@
 	defer func() { _ = res.Body.Close() }()
 	x.res.Status = res.StatusCode
 	if got := res.Header.Get(sagewire.HeaderRequestID); got != x.a.RequestID {
-		sent.close()
+		sent.Close()
 		x.res.fail(sagewire.Unknown, sagewire.ReasonAnswerLost, "the answer bears the id %q", got)
 		return
 	}
@@ -165,12 +166,12 @@
 }
 
 // lost settles an attempt that brought no answer.
-func (x *exchange) lost(ctx context.Context, sent *tracker, err error) {
+func (x *exchange) lost(ctx context.Context, sent *sageconn.Tracker, err error) {
 	reason := sagewire.ReasonUpstreamFailed
 	if ctx.Err() != nil {
 		reason = sagewire.ReasonDeadline
 	}
-	if sent.seal() {
+	if sent.Seal() {
 		x.res.fail(sagewire.NotRun, reason, "nothing was sent: %v", err)
 		return
 	}
@@ -180,7 +181,7 @@
 	x.res.fail(sagewire.Unknown, reason, "no answer: %v", err)
 }
 
-func (x *exchange) send(ctx context.Context, sent *tracker) (*http.Response, error) {
+func (x *exchange) send(ctx context.Context, sent *sageconn.Tracker) (*http.Response, error) {
 	a := x.a
 	req, err := newRequest(ctx, a.Method, a.Address, a.Path, a.Body, sent)
 	if err != nil {
@@ -200,14 +201,14 @@
 	return t.RoundTrip(req)
 }
 
-func newRequest(ctx context.Context, method, address, path string, body []byte, sent *tracker) (*http.Request, error) {
+func newRequest(ctx context.Context, method, address, path string, body []byte, sent *sageconn.Tracker) (*http.Request, error) {
 	u, err := url.ParseRequestURI(path)
 	if err != nil {
 		return nil, fmt.Errorf("parse path: %w", err)
 	}
 	u.Scheme, u.Host = "http", address
 	if sent != nil {
-		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: sent.got})
+		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: sent.Got})
 	}
 	req, err := http.NewRequestWithContext(ctx, method, u.String(), onceBody{bytes.NewReader(body)})
 	if err != nil {
@@ -238,56 +239,6 @@
 
 func streamPath(id string) string { return "/v1/streams/" + url.PathEscape(id) }
 
-// tracker remembers the connection of one round trip.
-type tracker struct {
-	boot string // of the upstream that the round trip is for; empty means any
-	mu   sync.Mutex
-	c    *conn
-	use  uint64
-}
-
-func (t *tracker) got(info httptrace.GotConnInfo) {
-	c, ok := info.Conn.(*conn)
-	if !ok {
-		return
-	}
-	use := c.begin()
-	t.mu.Lock()
-	t.c, t.use = c, use
-	t.mu.Unlock()
-	// The upstream may have restarted since the request got its unit of the allotment, and the
-	// connection lead to the cold successor. Sealed, it carries nothing, and the request counts as
-	// not run.
-	if t.boot != "" && c.boot != "" && c.boot != t.boot {
-		c.seal(use)
-	}
-}
-
-func (t *tracker) conn() (*conn, uint64) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.c, t.use
-}
-
-func (t *tracker) connected() bool {
-	c, _ := t.conn()
-	return c != nil
-}
-
-// seal reports whether nothing was sent, for good.
-func (t *tracker) seal() bool {
-	c, use := t.conn()
-	return c == nil || c.seal(use)
-}
-
-// close ends the connection, so that nothing that is still on its way can be taken for the answer
-// of a later request.
-func (t *tracker) close() {
-	if c, use := t.conn(); c != nil {
-		c.closeUse(use)
-	}
-}
-
 func notRun(res *http.Response) bool {
 	refused := res.StatusCode == http.StatusTooManyRequests || res.StatusCode == http.StatusServiceUnavailable
 	return refused && res.Header.Get(sagewire.HeaderNotRun) == "true"
--- a/internal/sagedispatch/plain.go
+++ b/internal/sagedispatch/plain.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"sagestand.example/sagestand/internal/sageconn"
 	"sagestand.example/sagestand/pkg/sagewire"
 )
 
@@ -34,14 +35,14 @@
 }
 
 // plain passes on an answer that is not a stream.
-func (x *exchange) plain(ctx context.Context, res *http.Response, sent *tracker) {
+func (x *exchange) plain(ctx context.Context, res *http.Response, sent *sageconn.Tracker) {
 	if !x.a.Once && retriable(res.StatusCode) {
 		x.res.fail(sagewire.Unknown, sagewire.ReasonUpstreamFailed, "upstream status %d", res.StatusCode)
 		x.res.RetryAt = retryAt(res.Header, time.Now())
 		return
 	}
 	if !delimited(res) {
-		sent.close()
+		sent.Close()
 		x.res.fail(sagewire.Unknown, sagewire.ReasonAnswerLost, "the answer has no checkable end")
 		return
 	}
@@ -51,7 +52,7 @@
 		x.res.FirstByteAt = time.Now()
 	}
 	if err != nil {
-		sent.close()
+		sent.Close()
 		x.broken(ctx, err)
 		return
 	}
@@ -99,7 +100,7 @@
 }
 
 // large passes on an answer as it comes. Its outcome stands in the trailer.
-func (x *exchange) large(ctx context.Context, res *http.Response, held []byte, sent *tracker) {
+func (x *exchange) large(ctx context.Context, res *http.Response, held []byte, sent *sageconn.Tracker) {
 	h := x.w.Header()
 	copyHeader(h, res.Header)
 	h.Set("Trailer", sagewire.HeaderOutcome)
@@ -109,7 +110,7 @@
 	part, err := held, error(nil)
 	for {
 		if werr := x.write(part); werr != nil {
-			sent.close()
+			sent.Close()
 			x.res.CallerGone, x.res.Abort = true, true
 			x.res.fail(sagewire.Unknown, sagewire.ReasonAnswerLost, "the caller stopped reading: %v", werr)
 			return
@@ -120,7 +121,7 @@
 			return
 		}
 		if err != nil {
-			sent.close()
+			sent.Close()
 			x.broken(ctx, err)
 			x.res.Abort = true
 			return
--- a/internal/sagedispatch/stream.go
+++ b/internal/sagedispatch/stream.go
@@ -11,6 +11,8 @@
 
 	"github.com/pkg/errors"
 
+	"sagestand.example/sagestand/internal/sageconn"
+	"sagestand.example/sagestand/internal/sagesse"
 	"sagestand.example/sagestand/pkg/sagewire"
 )
 
@@ -25,9 +27,15 @@
 	errForeign     = errors.New("the answer belongs to another request")
 )
 
+// doneData is the data of the event that ends a stream.
+const doneData = "[DONE]"
+
+// done reports the event that ends a stream.
+func done(e *sagesse.Event) bool { return e.Name == "" && string(e.Data) == doneData }
+
 // final reports an error after which resuming is of no use.
 func final(err error) bool {
-	for _, f := range []error{errCallerGone, errUpstreamEnd, errRestarted, errNotResumed, errEventTooLarge, errBadEvent, errNoPosition} {
+	for _, f := range []error{errCallerGone, errUpstreamEnd, errRestarted, errNotResumed, sagesse.ErrTooLarge, sagesse.ErrMalformed, errNoPosition} {
 		if errors.Is(err, f) {
 			return true
 		}
@@ -37,7 +45,7 @@
 
 // stream passes on events up to the end mark, taking a broken stream up again at the same upstream.
 // It never restarts the answer elsewhere: another upstream would continue with other words.
-func (x *exchange) stream(ctx context.Context, res *http.Response, sent *tracker) {
+func (x *exchange) stream(ctx context.Context, res *http.Response, sent *sageconn.Tracker) {
 	var last uint64
 	fruitless := 0
 	for {
@@ -48,7 +56,7 @@
 			x.w.Header().Set(sagewire.HeaderOutcome, string(sagewire.Complete))
 			return
 		}
-		sent.close()
+		sent.Close()
 		_ = res.Body.Close()
 		if last > before {
 			fruitless = 0
@@ -57,7 +65,7 @@
 			pause(ctx, resumePause<<fruitless)
 			fruitless++
 			x.res.Resumes++
-			sent = new(tracker)
+			sent = new(sageconn.Tracker)
 			var rerr error
 			if res, rerr = x.resume(ctx, sent, last); rerr == nil {
 				err = nil
@@ -82,16 +90,16 @@
 }
 
 // events passes on the events of one connection; nil means that the end mark was passed on.
-func (x *exchange) events(res *http.Response, sent *tracker, last *uint64) error {
-	r := &eventReader{r: bufio.NewReader(res.Body), max: orInt(x.d.MaxEvent, DefaultMaxEvent)}
+func (x *exchange) events(res *http.Response, sent *sageconn.Tracker, last *uint64) error {
+	r := &sagesse.Reader{R: bufio.NewReader(res.Body), Max: orInt(x.d.MaxEvent, DefaultMaxEvent)}
 	// A connection that is cut without a word brings no error. The timer closes it, and the read
 	// then fails; it is stopped while the caller is written to, whose slowness isn't the upstream's.
 	stall := orDuration(x.d.StallTimeout, DefaultStallTimeout)
-	watch := time.AfterFunc(stall, sent.close)
+	watch := time.AfterFunc(stall, sent.Close)
 	defer watch.Stop()
 	for {
 		watch.Reset(stall)
-		e, err := r.next()
+		e, err := r.Next()
 		if err != nil {
 			return fmt.Errorf("read event: %w", err)
 		}
@@ -106,10 +114,10 @@
 		if err := x.pass(res, e); err != nil {
 			return err
 		}
-		if e.position > 0 {
-			*last = e.position
+		if e.Position > 0 {
+			*last = e.Position
 		}
-		if e.done() {
+		if done(e) {
 			return nil
 		}
 	}
@@ -118,25 +126,25 @@
 // judge decides whether an event is the one that follows position last. An event that came before
 // is dropped: a resumed stream may repeat some. A gap is never passed: the caller would take an
 // answer with missing words for a whole one.
-func (x *exchange) judge(e *event, last uint64) (bool, error) {
+func (x *exchange) judge(e *sagesse.Event, last uint64) (bool, error) {
 	switch {
-	case e.idle():
+	case e.Idle():
 		return x.res.Started, nil
-	case e.name == "error":
-		return false, fmt.Errorf("%q: %w", e.data, errUpstreamEnd)
-	case e.position == 0:
+	case e.Name == "error":
+		return false, fmt.Errorf("%q: %w", e.Data, errUpstreamEnd)
+	case e.Position == 0:
 		return false, errNoPosition
-	case e.position <= last:
+	case e.Position <= last:
 		x.res.Duplicates++
 		return false, nil
-	case e.position > last+1:
-		return false, fmt.Errorf("position %d after %d: %w", e.position, last, errGap)
+	case e.Position > last+1:
+		return false, fmt.Errorf("position %d after %d: %w", e.Position, last, errGap)
 	}
 	return true, nil
 }
 
 // pass writes one event to the caller; the first one is preceded by the header.
-func (x *exchange) pass(res *http.Response, e *event) error {
+func (x *exchange) pass(res *http.Response, e *sagesse.Event) error {
 	if !x.res.Started {
 		x.res.FirstByteAt = time.Now()
 		x.res.Started = true
@@ -146,7 +154,7 @@
 		x.deadline()
 		x.w.WriteHeader(res.StatusCode)
 	}
-	if err := x.write(e.raw); err != nil {
+	if err := x.write(e.Raw); err != nil {
 		return fmt.Errorf("%v: %w", err, errCallerGone)
 	}
 	if err := http.NewResponseController(x.w).Flush(); err != nil && !errors.Is(err, http.ErrNotSupported) {
@@ -157,7 +165,7 @@
 
 // resume asks the same upstream for the rest of the stream, on a fresh connection: after a break the
 // idle ones are likely broken too.
-func (x *exchange) resume(ctx context.Context, sent *tracker, last uint64) (*http.Response, error) {
+func (x *exchange) resume(ctx context.Context, sent *sageconn.Tracker, last uint64) (*http.Response, error) {
 	if !x.a.Engine {
 		return nil, errNotResumed
 	}
@@ -172,7 +180,7 @@
 		return nil, fmt.Errorf("resume: %w", err)
 	}
 	if err := x.checkResumed(res); err != nil {
-		sent.close()
+		sent.Close()
 		_ = res.Body.Close()
 		return nil, err
 	}
--- a/internal/sagedispatch/stream_test.go
+++ b/internal/sagedispatch/stream_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -267,37 +266,6 @@
 	}
 }
 
-func FuzzEvents(f *testing.F) {
-	f.Add([]byte(ev(1, 2) + end(3)))
-	f.Add([]byte(": c\n\nid: 0\n\nid: x\r\ndata: a\ndata\n\n"))
-	f.Fuzz(func(t *testing.T, b []byte) {
-		r := &eventReader{r: bufio.NewReaderSize(bytes.NewReader(b), 16), max: 64}
-		var passed []byte
-		for {
-			e, err := r.next()
-			if err != nil {
-				break
-			}
-			if len(e.raw) > 64 {
-				t.Fatalf("event of %d bytes", len(e.raw))
-			}
-			passed = append(passed, e.raw...)
-		}
-		if !bytes.Contains(stripBlank(b), stripBlank(passed)) {
-			t.Fatalf("passed %q of %q", passed, b)
-		}
-	})
-}
-
-func stripBlank(b []byte) []byte {
-	return bytes.Map(func(r rune) rune {
-		if r == '\n' || r == '\r' {
-			return -1
-		}
-		return r
-	}, b)
-}
-
 func BenchmarkStream(b *testing.B) {
 	e := &engine{parts: []string{ev(1, 500) + end(501)}, boots: []string{"b"}, canceled: make(chan struct{})}
 	srv := httptest.NewServer(e)
