--- /dev/null
+++ b/pkg/sagechain/placer.go
@@ -0,0 +1,160 @@
+package sagechain
+
+import (
+	"sync"
+
+	"sagestand.example/sagestand/pkg/sageclock"
+)
+
+// The bound on an upstream's load, in requests in flight: boundFactor times the mean and boundSlack
+// more. The platform tolerates twice the mean and three more; the distance covers what other nodes
+// sent since they last told.
+const (
+	boundFactor = 1.5
+	boundSlack  = 2.0
+)
+
+// worthCopying is the least number of tokens for which copying parts from another engine pays: a
+// copy costs some 3 ms to set up, in which an engine reads about 165 tokens.
+const worthCopying = 165
+
+// Candidate is an upstream that may take a request.
+type Candidate struct {
+	ID string
+	// Load is its requests in flight from all nodes, as far as known.
+	Load int
+}
+
+// Why says what decided a choice.
+type Why string
+
+// The reasons of a choice.
+const (
+	WhyHeld  Why = "holds_chain"
+	WhyOrder Why = "order"
+	WhyFull  Why = "all_at_bound"
+)
+
+// Choice is a decision.
+type Choice struct {
+	// Index is the place among the candidates.
+	Index int
+	// Held is how many shared tokens the chosen upstream is believed to hold.
+	Held int
+	// From is the upstream that holds more of the chain and can pass it on; empty if none does.
+	From string
+	Why  Why
+}
+
+// Placer chooses upstreams for chains. The zero value is ready; it is safe for concurrent use.
+type Placer struct {
+	mu   sync.Mutex
+	held held
+}
+
+// Bound returns the greatest load at which an upstream may still be chosen.
+func Bound(cands []Candidate) float64 {
+	total := 0
+	for i := range cands {
+		total += cands[i].Load
+	}
+	return boundFactor*float64(total)/float64(max(1, len(cands))) + boundSlack
+}
+
+// Choose returns where a request with this chain goes, or false if there are no candidates.
+func (p *Placer) Choose(now sageclock.Instant, cands []Candidate, c Chain) (Choice, bool) {
+	if len(cands) == 0 {
+		return Choice{}, false
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	shared, key, bound := c.Shared(), c.Key(), Bound(cands)
+	want := shared.tokens()
+	best, full := Choice{Index: -1, Why: WhyOrder}, false
+	var first uint64
+	for i := range cands {
+		if float64(cands[i].Load) > bound {
+			continue
+		}
+		got := p.held.prefix(now, shared, cands[i].ID)
+		whole, at := want > 0 && got == want, order(key, cands[i].ID)
+		if best.Index >= 0 && (full && !whole || full == whole && at <= first) {
+			continue
+		}
+		best.Index, best.Held, full, first = i, got, whole, at
+	}
+	if full {
+		best.Why = WhyHeld
+	}
+	if best.Index < 0 {
+		best = Choice{Index: least(cands), Why: WhyFull}
+		best.Held = p.held.prefix(now, shared, cands[best.Index].ID)
+	}
+	best.From = p.source(now, shared, cands[best.Index].ID, best.Held)
+	return best, true
+}
+
+// least returns the candidate with the least load.
+func least(cands []Candidate) int {
+	at := 0
+	for i := range cands {
+		if cands[i].Load < cands[at].Load {
+			at = i
+		}
+	}
+	return at
+}
+
+// source returns the upstream that holds most of a chain beyond what the chosen one holds.
+func (p *Placer) source(now sageclock.Instant, shared Chain, chosen string, has int) string {
+	best, from := has+worthCopying, ""
+	if len(shared) == 0 {
+		return from
+	}
+	for _, h := range p.held.parts[shared[0].ID] {
+		if h.upstream == chosen {
+			continue
+		}
+		if n := p.held.prefix(now, shared, h.upstream); n > best || n == best && h.upstream < from {
+			best, from = n, h.upstream
+		}
+	}
+	return from
+}
+
+// Note remembers that an upstream reads the chain of a request.
+func (p *Placer) Note(now sageclock.Instant, upstream string, c Chain) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, part := range c.Shared() {
+		if p.held.note(now, part.ID, upstream) {
+			p.held.news = append(p.held.news, Note{Part: part.ID, Upstream: upstream})
+		}
+	}
+}
+
+// News returns up to n notes that other nodes have not been told, and takes them as told.
+func (p *Placer) News(n int) []Note {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n = min(n, len(p.held.news))
+	out := append([]Note(nil), p.held.news[:n]...)
+	p.held.news = append(p.held.news[:0], p.held.news[n:]...)
+	return out
+}
+
+// Learn takes in what another node told.
+func (p *Placer) Learn(now sageclock.Instant, notes []Note) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, n := range notes {
+		p.held.note(now, n.Part, n.Upstream)
+	}
+}
+
+// Forget drops what is believed of an upstream that has left, crashed or started anew.
+func (p *Placer) Forget(upstream string) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.held.forget(upstream)
+}
--- /dev/null
+++ b/pkg/sagechain/placer_test.go
@@ -0,0 +1,126 @@
+package sagechain
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sagestand.example/sagestand/pkg/sageclock"
+)
+
+func at(s int) sageclock.Instant { return sageclock.Instant(time.Duration(s) * time.Second) }
+
+func candidates(n int) []Candidate {
+	out := make([]Candidate, n)
+	for i := range out {
+		out[i].ID = fmt.Sprintf("e%02d", i)
+	}
+	return out
+}
+
+func chain(thing uint64) Chain {
+	return Chain{{ID: 1, Tokens: 500}, {ID: thing, Tokens: 10_000}, {ID: thing + 1e6, Tokens: 1300}}
+}
+
+func TestNodesAgreeWithoutTalking(t *testing.T) {
+	var a, b Placer
+	for thing := range uint64(100) {
+		x, ok := a.Choose(at(1), candidates(12), chain(thing+10))
+		require.True(t, ok)
+		y, _ := b.Choose(at(1), candidates(12), chain(thing+10))
+		require.Equal(t, x.Index, y.Index)
+	}
+}
+
+// An engine joins, and a tenth of all chains is read again by it although the engines that hold them
+// are idle. A holder below the bound goes first.
+func TestHolderGoesBeforeOrder(t *testing.T) {
+	var p Placer
+	cands := candidates(3)
+	c, _ := p.Choose(at(1), cands, chain(7))
+	p.Note(at(1), cands[c.Index].ID, chain(7))
+	for n := 4; n < 40; n++ {
+		again, _ := p.Choose(at(2), candidates(n), chain(7))
+		require.Equal(t, c.Index, again.Index)
+		require.Equal(t, WhyHeld, again.Why)
+		require.Empty(t, again.From)
+	}
+}
+
+// One key gets a quarter of the traffic: its engine exceeds the bound on the load. The surplus goes
+// to the next in order, which copies the parts from the holder instead of reading them again.
+func TestHotChainSpillsAndCopies(t *testing.T) {
+	var p Placer
+	cands := candidates(4)
+	c, _ := p.Choose(at(1), cands, chain(7))
+	p.Note(at(1), cands[c.Index].ID, chain(7))
+	cands[c.Index].Load = 12
+	spill, _ := p.Choose(at(1), cands, chain(7))
+	require.NotEqual(t, c.Index, spill.Index)
+	require.Equal(t, cands[c.Index].ID, spill.From)
+	p.Note(at(1), cands[spill.Index].ID, chain(7))
+	again, _ := p.Choose(at(1), cands, chain(7))
+	require.Equal(t, spill.Index, again.Index, "the second holder is kept")
+}
+
+func TestAllAtBoundTakesTheLeastLoaded(t *testing.T) {
+	var p Placer
+	cands := []Candidate{{"a", 2}}
+	c, ok := p.Choose(at(1), cands, nil)
+	require.True(t, ok)
+	require.Equal(t, 0, c.Index)
+	_, ok = p.Choose(at(1), nil, nil)
+	require.False(t, ok)
+}
+
+func TestNewsReachesOtherNodes(t *testing.T) {
+	var a, b Placer
+	a.Note(at(1), "e05", chain(7))
+	news := a.News(10)
+	require.Len(t, news, 2)
+	require.Empty(t, a.News(10))
+	a.Note(at(2), "e05", chain(7))
+	require.Empty(t, a.News(10), "known and told a second ago")
+	a.Note(at(20), "e05", chain(7))
+	require.Len(t, a.News(1), 1)
+	require.Len(t, a.News(10), 1)
+	b.Learn(at(1), news)
+	c, _ := b.Choose(at(2), candidates(12), chain(7))
+	require.Equal(t, 5, c.Index)
+	b.Forget("e05")
+	c, _ = b.Choose(at(2), candidates(12), chain(7))
+	require.Equal(t, WhyOrder, c.Why)
+	c, _ = a.Choose(at(200), candidates(12), chain(7))
+	require.Equal(t, WhyOrder, c.Why, "too long ago")
+}
+
+func TestMemoryIsBounded(t *testing.T) {
+	var p Placer
+	for i := range uint64(3 * maxParts) {
+		p.Note(at(1), "e", Chain{{ID: i, Tokens: 1}, {}})
+	}
+	require.LessOrEqual(t, len(p.held.parts), maxParts)
+}
+
+func BenchmarkChoose(b *testing.B) {
+	var p Placer
+	cands := candidates(256)
+	for thing := range uint64(200) {
+		p.Note(at(1), cands[thing].ID, chain(thing))
+	}
+	b.ReportAllocs()
+	for i := uint64(0); b.Loop(); i++ {
+		p.Choose(at(2), cands, chain(i%200))
+	}
+}
+
+func ExamplePlacer() {
+	var p Placer
+	prompt := Chain{{ID: 1, Tokens: 500}, {ID: 2, Tokens: 9000}, {ID: 3, Tokens: 40}}
+	p.Note(at(1), "e2", prompt)
+	c, _ := p.Choose(at(2), []Candidate{{ID: "e1"}, {ID: "e2"}, {ID: "e3"}}, prompt)
+	fmt.Println(c.Index, c.Held, c.Why)
+	// Output: 1 9500 holds_chain
+}
--- /dev/null
+++ b/pkg/sagehealth/book.go
@@ -0,0 +1,125 @@
+package sagehealth
+
+import (
+	"sync"
+	"time"
+
+	"sagestand.example/sagestand/pkg/sageclock"
+)
+
+// Result is how an exchange with an upstream ended.
+type Result int
+
+// The results.
+const (
+	OK Result = iota
+	// Failed is a failure that the upstream answered itself.
+	Failed
+	// Broken is an exchange without a whole answer: refused, reset, cut off or silent.
+	Broken
+)
+
+// How failures weigh.
+const (
+	// weight is the part of the newest result in the moving failure rate; six results decide.
+	weight = 0.15
+	// excess is how far above its service's mean an upstream's failure rate must be to avoid it.
+	// Four of ten requests failing on one upstream pass it after five or six results, a usual rate
+	// of one in seven on all of them does not.
+	excess = 0.25
+	// firstOut and longestOut bound how long a broken upstream is left out. A restart takes one to
+	// three seconds; one request a second then finds out.
+	firstOut   = 700 * time.Millisecond
+	longestOut = 3 * time.Second
+	// trial is how long a failing upstream is left out between two trials.
+	trial = 500 * time.Millisecond
+)
+
+type record struct {
+	rate   float64
+	streak int
+	out    sageclock.Instant
+}
+
+// Book keeps the records of all upstreams. The zero value is ready; it is safe for concurrent use.
+type Book struct {
+	mu       sync.Mutex
+	services map[string]map[string]*record
+}
+
+// Note takes in how an exchange ended.
+func (b *Book) Note(now sageclock.Instant, service, upstream string, res Result) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.record(service, upstream)
+	bad := 1.0
+	if res == OK {
+		bad = 0
+	}
+	r.rate += weight * (bad - r.rate)
+	switch res {
+	case OK:
+		r.streak = 0
+		r.out = 0
+	case Broken:
+		out := min(firstOut<<min(r.streak, 8), longestOut)
+		r.streak++
+		r.out = now.Add(out)
+	}
+}
+
+// Avoid reports whether other upstreams of the service are to be preferred now. A yes for a failing
+// upstream is interrupted by single trials.
+func (b *Book) Avoid(now sageclock.Instant, service, upstream string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.services[service][upstream]
+	if r == nil {
+		return false
+	}
+	if now < r.out {
+		return true
+	}
+	if r.rate <= b.mean(service)+excess {
+		return false
+	}
+	r.out = now.Add(trial)
+	return false
+}
+
+// Keep forgets the upstreams that alive denies.
+func (b *Book) Keep(alive func(upstream string) bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, rs := range b.services {
+		for id := range rs {
+			if !alive(id) {
+				delete(rs, id)
+			}
+		}
+	}
+}
+
+func (b *Book) record(service, upstream string) *record {
+	if b.services == nil {
+		b.services = make(map[string]map[string]*record)
+	}
+	if b.services[service] == nil {
+		b.services[service] = make(map[string]*record)
+	}
+	r := b.services[service][upstream]
+	if r == nil {
+		r = new(record)
+		b.services[service][upstream] = r
+	}
+	return r
+}
+
+// mean returns the failure rate of a service's upstreams.
+func (b *Book) mean(service string) float64 {
+	sum := 0.0
+	for _, r := range b.services[service] {
+		sum += r.rate
+	}
+	return sum / float64(max(1, len(b.services[service])))
+}
--- /dev/null
+++ b/pkg/sagehealth/book_test.go
@@ -0,0 +1,66 @@
+package sagehealth
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sagestand.example/sagestand/pkg/sageclock"
+)
+
+func at(ms int) sageclock.Instant { return sageclock.Instant(time.Duration(ms) * time.Millisecond) }
+
+// An engine crashes: requests go to a dead address until its lease lapses seconds later.
+func TestBrokenUpstreamIsLeftOutAndTriedAgain(t *testing.T) {
+	var b Book
+	b.Note(at(0), "s", "u", Broken)
+	require.True(t, b.Avoid(at(600), "s", "u"))
+	require.False(t, b.Avoid(at(701), "s", "u"), "a trial")
+	b.Note(at(710), "s", "u", Broken)
+	require.True(t, b.Avoid(at(2100), "s", "u"), "twice as long")
+	b.Note(at(2200), "s", "u", OK)
+	require.False(t, b.Avoid(at(2201), "s", "u"))
+}
+
+// One of four upstreams fails four in ten requests while its health check passes.
+func TestGreyUpstreamIsAvoided(t *testing.T) {
+	var b Book
+	avoided := 0
+	for i := range 200 {
+		for _, u := range []string{"a", "b", "c", "grey"} {
+			if b.Avoid(at(i*20), "s", u) {
+				avoided++
+				continue
+			}
+			res := OK
+			if u == "grey" && i%5 < 2 {
+				res = Failed
+			}
+			b.Note(at(i*20), "s", u, res)
+		}
+	}
+	require.Greater(t, avoided, 50, "of 200 on the grey one")
+	require.Less(t, avoided, 200)
+}
+
+// Every upstream of a service fails alike. Avoiding all of them would refuse what could be served.
+func TestWhereAllFailNoneIsAvoided(t *testing.T) {
+	var b Book
+	for i := range 50 {
+		for _, u := range []string{"a", "b", "c"} {
+			require.False(t, b.Avoid(at(i*20), "s", u))
+			b.Note(at(i*20), "s", u, Failed)
+		}
+	}
+	b.Keep(func(u string) bool { return u == "a" })
+	require.Len(t, b.services["s"], 1)
+}
+
+func ExampleBook() {
+	var b Book
+	b.Note(0, "chat", "engine1", Broken)
+	fmt.Println(b.Avoid(0, "chat", "engine1"), b.Avoid(0, "chat", "engine2"))
+	// Output: true false
+}
--- /dev/null
+++ b/pkg/sageupstream/registry.go
@@ -0,0 +1,174 @@
+package sageupstream
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"sagestand.example/sagestand/pkg/sageclock"
+)
+
+// LapseGrace is how long an entry that lapsed during an outage of the store may stay missing after
+// the store's return: the platform promises renewed entries within about two seconds.
+const LapseGrace = 2 * time.Second
+
+// returnWindow is how long after an outage a deletion may still be a lapse: the store drops what
+// lapsed when it comes back, and a watch may deliver that somewhat later.
+const returnWindow = 1500 * time.Millisecond
+
+// Entry is what an upstream says of itself.
+type Entry struct {
+	// ID names one start of an upstream, or several of the same one (see Born).
+	ID         string
+	Service    string
+	Address    string
+	DataCentre string
+	Slots      int
+	Draining   bool
+	// ColdUntil is when the upstream will be warm; zero means that it is.
+	ColdUntil sageclock.Instant
+	// Born distinguishes the starts of one ID; 0 if it isn't told.
+	Born int64
+}
+
+// Set is an immutable view of the upstreams.
+type Set struct {
+	services map[string][]*Entry
+	byID     map[string]*Entry
+	closed   map[string]bool
+}
+
+// Of returns the entries of a service that may get new requests, ordered by ID.
+func (s *Set) Of(service string) []*Entry {
+	if s == nil {
+		return nil
+	}
+	return s.services[service]
+}
+
+// Usable reports whether the very entry may get new requests now.
+func (s *Set) Usable(e *Entry) bool {
+	if s == nil {
+		return false
+	}
+	now, ok := s.byID[e.ID]
+	return ok && now.Address == e.Address && now.Born == e.Born && !now.Draining && !s.closed[now.DataCentre]
+}
+
+// Get returns the entry of an ID, usable or not, or nil.
+func (s *Set) Get(id string) *Entry {
+	if s == nil {
+		return nil
+	}
+	return s.byID[id]
+}
+
+// Len returns the number of entries, usable or not.
+func (s *Set) Len() int { return len(s.byID) }
+
+// Registry collects entries. It is not safe for concurrent use; the sets that it gives are.
+type Registry struct {
+	entries map[string]*Entry
+	lapsed  map[string]sageclock.Instant // deleted, still used until then
+	closed  map[string]bool
+
+	away     bool
+	backAt   sageclock.Instant
+	returned bool
+}
+
+// Put takes an entry in, or replaces the one of the same ID.
+func (r *Registry) Put(e Entry) {
+	if r.entries == nil {
+		r.entries = make(map[string]*Entry)
+	}
+	delete(r.lapsed, e.ID)
+	r.entries[e.ID] = &e
+}
+
+// Delete drops an entry, at once or after [LapseGrace] if it may only have lapsed.
+//
+// It guards against the loss of every upstream after an outage of the store, whose leases lapse
+// together: callers would be refused until the upstreams have registered again.
+func (r *Registry) Delete(now sageclock.Instant, id string) {
+	e, ok := r.entries[id]
+	if !ok {
+		return
+	}
+	lapse := r.away || r.returned && now.Sub(r.backAt) < returnWindow
+	if !lapse || e.Draining {
+		delete(r.entries, id)
+		delete(r.lapsed, id)
+		return
+	}
+	if r.lapsed == nil {
+		r.lapsed = make(map[string]sageclock.Instant)
+	}
+	if _, ok := r.lapsed[id]; !ok {
+		r.lapsed[id] = now.Add(LapseGrace)
+	}
+}
+
+// Keep deletes every entry whose ID the complete listing does not hold.
+func (r *Registry) Keep(now sageclock.Instant, listed map[string]bool) {
+	for id := range r.entries {
+		if !listed[id] {
+			r.Delete(now, id)
+		}
+	}
+}
+
+// Away notes that the store does not answer.
+func (r *Registry) Away() { r.away = true }
+
+// Back notes that the store answers. Lapsed entries get their grace from here on.
+func (r *Registry) Back(now sageclock.Instant) {
+	if !r.away {
+		return
+	}
+	r.away, r.returned, r.backAt = false, true, now
+	for id := range r.lapsed {
+		r.lapsed[id] = now.Add(LapseGrace)
+	}
+}
+
+// Settle drops the lapsed entries whose grace is over, and reports whether there were any.
+func (r *Registry) Settle(now sageclock.Instant) bool {
+	if r.away {
+		return false
+	}
+	dropped := false
+	for id, until := range r.lapsed {
+		if now >= until {
+			delete(r.entries, id)
+			delete(r.lapsed, id)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+// Close takes data centres out of service; those not named are in service.
+func (r *Registry) Close(dataCentres map[string]bool) { r.closed = dataCentres }
+
+// Set returns the present view.
+func (r *Registry) Set() *Set {
+	s := &Set{
+		services: make(map[string][]*Entry),
+		byID:     make(map[string]*Entry, len(r.entries)),
+		closed:   make(map[string]bool, len(r.closed)),
+	}
+	for dc := range r.closed {
+		s.closed[dc] = true
+	}
+	for id, e := range r.entries {
+		s.byID[id] = e
+		if !e.Draining && !s.closed[e.DataCentre] {
+			s.services[e.Service] = append(s.services[e.Service], e)
+		}
+	}
+	for _, es := range s.services {
+		slices.SortFunc(es, func(a, b *Entry) int { return strings.Compare(a.ID, b.ID) })
+	}
+	return s
+}
--- /dev/null
+++ b/pkg/sageupstream/registry_test.go
@@ -0,0 +1,97 @@
+package sageupstream
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sagestand.example/sagestand/pkg/sageclock"
+)
+
+func at(ms int) sageclock.Instant { return sageclock.Instant(time.Duration(ms) * time.Millisecond) }
+
+func entry(id string) Entry {
+	return Entry{ID: id, Service: "s", Address: id + ":80", DataCentre: "north"}
+}
+
+func ids(s *Set) []string {
+	var out []string
+	for _, e := range s.Of("s") {
+		out = append(out, e.ID)
+	}
+	return out
+}
+
+// Callers are refused after a store outage of five seconds though every engine works: the leases
+// lapsed meanwhile, the deletions arrive with the return, and the renewals a second later.
+func TestLapsedEntriesStayUntilTheyCouldBeRenewed(t *testing.T) {
+	r := new(Registry)
+	r.Put(entry("a"))
+	r.Put(entry("b"))
+	r.Away()
+	r.Back(at(5000))
+	r.Delete(at(5010), "a")
+	r.Delete(at(5010), "b")
+	require.Equal(t, []string{"a", "b"}, ids(r.Set()))
+	r.Put(entry("a"))
+	require.False(t, r.Settle(at(6900)))
+	require.True(t, r.Settle(at(7100)))
+	require.Equal(t, []string{"a"}, ids(r.Set()), "b stayed missing and is gone")
+}
+
+// An engine that left gets work for two more seconds after the next outage, or for ever, if its
+// deletion counts as a lapse without one.
+func TestDeletionWithoutOutageTakesEffectAtOnce(t *testing.T) {
+	r := new(Registry)
+	r.Put(entry("a"))
+	r.Away()
+	r.Back(at(1000))
+	r.Delete(at(2600), "a")
+	require.Empty(t, ids(r.Set()))
+}
+
+// A drained engine whose entry goes during an outage has left; it isn't a lapse.
+func TestDrainingEntryNeverLapses(t *testing.T) {
+	r := new(Registry)
+	e := entry("a")
+	e.Draining = true
+	r.Put(e)
+	r.Away()
+	r.Delete(at(0), "a")
+	require.Zero(t, r.Set().Len())
+}
+
+// A request picked an engine, then the address went to another service or the data centre was taken
+// out: the check at the moment of sending has to see it.
+func TestUsableLooksAtTheVeryEntry(t *testing.T) {
+	r := new(Registry)
+	r.Put(entry("a"))
+	old := r.Set().Get("a")
+	require.True(t, r.Set().Usable(old))
+	moved := entry("a")
+	moved.Address = "other:80"
+	r.Put(moved)
+	require.False(t, r.Set().Usable(old))
+	again := entry("a")
+	again.Born = 7
+	r.Put(again)
+	require.False(t, r.Set().Usable(old), "a new start under the same id")
+	r.Put(entry("a"))
+	r.Close(map[string]bool{"north": true})
+	require.False(t, r.Set().Usable(old))
+	require.Empty(t, ids(r.Set()))
+	r.Close(nil)
+	require.Equal(t, []string{"a"}, ids(r.Set()))
+}
+
+func ExampleRegistry() {
+	r := new(Registry)
+	r.Put(Entry{ID: "e1", Service: "chat", Address: "10.0.0.1:80"})
+	r.Put(Entry{ID: "e2", Service: "chat", Address: "10.0.0.2:80", Draining: true})
+	for _, e := range r.Set().Of("chat") {
+		fmt.Println(e.ID)
+	}
+	// Output: e1
+}
