--- a/cmd/sagestand/main.go
+++ b/cmd/sagestand/main.go
@@ -9,6 +9,7 @@
 	"github.com/spf13/cobra"
 
 	"sagestand.example/sagestand/internal/sagecli"
+	"sagestand.example/sagestand/platform"
 )
 
 // version is set by the linker in releases.
@@ -24,6 +25,6 @@
 		Long:  "sagestand routes callers to model engines and application services.\n\n" + sagecli.ExitHelp,
 	}
 	out.AddFlag(c)
-	c.AddCommand(serveCommand(), settingsCommand(out), ticketCommand(out), statusCommand(out), locateCommand(out), reportCommand(out), unknownCommand(out), demoCommand(out), versionCommand(out))
+	c.AddCommand(serveCommand(), settingsCommand(out), ticketCommand(out), statusCommand(out), locateCommand(out), reportCommand(out), unknownCommand(out), demoCommand(out), versionCommand(out), platform.Command())
 	return c
 }
--- a/internal/sagelog/sagelog.go
+++ b/internal/sagelog/sagelog.go
@@ -10,6 +10,7 @@
 
 import (
 	"io"
+	"time"
 
 	"github.com/go-kit/log"
 	"github.com/go-kit/log/level"
@@ -19,18 +20,19 @@
 type Logger struct {
 	base   log.Logger
 	prefix string
+	limits *limiter
 }
 
 // New returns a logger that writes to w for the named node.
 func New(w io.Writer, node string) Logger {
 	l := log.NewLogfmtLogger(log.NewSyncWriter(w))
 	l = log.With(l, "at", log.DefaultTimestampUTC, "node", node)
-	return Logger{base: l}
+	return Logger{base: l, limits: &limiter{start: time.Now()}}
 }
 
 // Part returns a logger whose sentences start with the part's name.
 func (l Logger) Part(name string) Logger {
-	return Logger{base: l.base, prefix: name + ": "}
+	return Logger{base: l.base, prefix: name + ": ", limits: l.limits}
 }
 
 // Info tells what happened in the normal course.
--- /dev/null
+++ b/internal/sagemesh/service.go
@@ -0,0 +1,289 @@
+package sagemesh
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
+	"sagestand.example/sagestand/internal/sagelog"
+	"sagestand.example/sagestand/pkg/sageclock"
+)
+
+// How often and how long.
+const (
+	// shortest is the interval of heartbeats in a small fleet. Loads that are this old let a bound
+	// of one and a half times the mean stay well below twice the mean.
+	shortest = 200 * time.Millisecond
+	// perNode makes the interval grow with the fleet, so that a node handles at most 100 datagrams
+	// a second in and as many out.
+	perNode = 10 * time.Millisecond
+	// missed is how many intervals a node may stay silent before it isn't counted as live.
+	missed = 5
+	// knownPerHeartbeat is how many addresses ride on each heartbeat.
+	knownPerHeartbeat = 3
+	// forgetAfter is when a silent address that isn't a seed gets no more heartbeats.
+	forgetAfter = 5 * time.Minute
+	// maxDatagram is the greatest datagram that is read.
+	maxDatagram = 60 << 10
+)
+
+// ErrAddress reports a node address that isn't an IP address and a port.
+var ErrAddress = errors.New("node address is not ip:port")
+
+type peer struct {
+	addr   *net.UDPAddr
+	member Member
+	stamp  Stamp // the last that came
+	heard  sageclock.Instant
+	added  sageclock.Instant
+	seed   bool
+}
+
+// Service tells and listens. Exported fields are set before Open.
+type Service struct {
+	Name    string
+	Address string
+	Seeds   []string
+	// Fill completes a heartbeat with what this node knows, but for the fields that name the two
+	// nodes and the stamps.
+	Fill func(h *Heartbeat)
+	// Heard is called for each heartbeat. Stamp is the instant that the sender proved to have heard
+	// of, or 0.
+	Heard func(h *Heartbeat, stamp sageclock.Instant)
+	// Joined is called for each node that becomes live, Lost for each that stops being so.
+	Joined, Lost func(m Member)
+	Log          sagelog.Logger
+
+	incarnation uint64
+	conn        net.PacketConn
+	nudge       chan struct{}
+
+	mu    sync.Mutex
+	peers map[string]*peer
+	live  map[string]bool
+	ever  map[string]bool
+}
+
+// Open binds the socket.
+func (s *Service) Open() error {
+	conn, err := net.ListenPacket("udp4", s.Address)
+	if err != nil {
+		return fmt.Errorf("open mesh: %w", err)
+	}
+	s.conn = conn
+	s.incarnation = rand.Uint64()
+	s.nudge = make(chan struct{}, 1)
+	s.peers = make(map[string]*peer)
+	s.live = make(map[string]bool)
+	s.ever = map[string]bool{s.Name: true}
+	for _, a := range s.Seeds {
+		if err := s.add(a, true); err != nil {
+			s.Log.Warn("Seed ignored.", "address", a, "err", err)
+		}
+	}
+	return nil
+}
+
+// Add makes another node's address known.
+func (s *Service) Add(address string) error { return s.add(address, false) }
+
+func (s *Service) add(address string, seed bool) error {
+	if address == s.Address {
+		return nil
+	}
+	addr, err := net.ResolveUDPAddr("udp4", address)
+	if err != nil || addr.IP == nil {
+		return fmt.Errorf("%q: %w", address, ErrAddress)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.peers[address] == nil {
+		s.peers[address] = &peer{addr: addr, seed: seed, added: sageclock.Now()}
+	}
+	return nil
+}
+
+// Nudge sends heartbeats at once.
+func (s *Service) Nudge() {
+	select {
+	case s.nudge <- struct{}{}:
+	default:
+	}
+}
+
+// Run sends and receives until ctx ends; a last round then tells that the node is gone.
+func (s *Service) Run(ctx context.Context) error {
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		s.receive(ctx)
+	}()
+	for ctx.Err() == nil {
+		s.tell()
+		s.sweep()
+		t := time.NewTimer(s.interval())
+		select {
+		case <-ctx.Done():
+		case <-s.nudge:
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	err := s.conn.Close()
+	<-done
+	if err != nil {
+		return fmt.Errorf("close mesh: %w", err)
+	}
+	return nil
+}
+
+func (s *Service) interval() time.Duration {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return max(shortest, time.Duration(len(s.live)+1)*perNode)
+}
+
+// tell sends one heartbeat to each known address.
+func (s *Service) tell() {
+	h := Heartbeat{Node: s.Name, Address: s.Address}
+	s.Fill(&h)
+	h.Stamp = Stamp{Incarnation: s.incarnation, At: sageclock.Now()}
+	type target struct {
+		addr *net.UDPAddr
+		echo Stamp
+	}
+	s.mu.Lock()
+	targets := make([]target, 0, len(s.peers))
+	for a, p := range s.peers {
+		targets = append(targets, target{p.addr, p.stamp})
+		if s.live[a] && len(h.Known) < knownPerHeartbeat {
+			h.Known = append(h.Known, a)
+		}
+	}
+	s.mu.Unlock()
+	for _, t := range targets {
+		h.Echo = t.echo
+		b, err := json.Marshal(&h)
+		if err != nil {
+			s.Log.Error("Heartbeat can't be encoded.", "err", err)
+			return
+		}
+		// A datagram that can't be sent is a lost one: the next follows within the interval.
+		_, _ = s.conn.WriteTo(b, t.addr)
+	}
+}
+
+func (s *Service) receive(ctx context.Context) {
+	b := make([]byte, maxDatagram)
+	for ctx.Err() == nil {
+		n, _, err := s.conn.ReadFrom(b)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			continue // an ICMP error of an earlier send
+		}
+		var h Heartbeat
+		if err := json.Unmarshal(b[:n], &h); err != nil || h.Node == "" || h.Address == s.Address {
+			continue // a damaged or foreign datagram
+		}
+		s.hear(&h)
+	}
+}
+
+// hear takes a heartbeat in.
+func (s *Service) hear(h *Heartbeat) {
+	if err := s.add(h.Address, false); err != nil {
+		return
+	}
+	for _, a := range h.Known {
+		_ = s.add(a, false) // a damaged address is worth no more than no address
+	}
+	now := sageclock.Now()
+	s.mu.Lock()
+	p := s.peers[h.Address]
+	if p.stamp.Incarnation == h.Stamp.Incarnation && h.Stamp.At < p.stamp.At {
+		s.mu.Unlock()
+		return // overtaken by a newer one
+	}
+	p.stamp, p.heard, p.member = h.Stamp, now, h.member()
+	joined := !s.live[h.Address]
+	s.live[h.Address] = true
+	s.ever[h.Node] = true
+	s.mu.Unlock()
+	var stamp sageclock.Instant
+	if h.Echo.Incarnation == s.incarnation {
+		stamp = h.Echo.At
+	}
+	if joined {
+		s.Joined(h.member())
+	}
+	s.Heard(h, stamp)
+}
+
+// sweep drops nodes that fell silent.
+func (s *Service) sweep() {
+	silence := missed * s.interval()
+	now := sageclock.Now()
+	var lost []Member
+	s.mu.Lock()
+	for a, p := range s.peers {
+		if s.live[a] && now.Sub(p.heard) > silence {
+			delete(s.live, a)
+			lost = append(lost, p.member)
+		}
+		if !p.seed && !s.live[a] && now.Sub(max(p.heard, p.added)) > forgetAfter {
+			delete(s.peers, a)
+		}
+	}
+	s.mu.Unlock()
+	for _, m := range lost {
+		s.Lost(m)
+	}
+}
+
+// Live returns the other nodes that were heard of lately, ordered by address.
+func (s *Service) Live() []Member {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]Member, 0, len(s.live))
+	for a := range s.live {
+		out = append(out, s.peers[a].member)
+	}
+	slices.SortFunc(out, func(a, b Member) int { return strings.Compare(a.Address, b.Address) })
+	return out
+}
+
+// Rank returns this node's place in an order of the live nodes that stay, by the hash of their
+// addresses.
+func (s *Service) Rank() int {
+	mine, rank := xxhash.Sum64String(s.Address), 0
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for a := range s.live {
+		if !s.peers[a].member.Leaving && xxhash.Sum64String(a) > mine {
+			rank++
+		}
+	}
+	return rank
+}
+
+// Known returns the names of all nodes that were ever heard of, this one included.
+func (s *Service) Known() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]string, 0, len(s.ever))
+	for n := range s.ever {
+		out = append(out, n)
+	}
+	return out
+}
--- /dev/null
+++ b/internal/sagerelay/exchange.go
@@ -0,0 +1,230 @@
+package sagerelay
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"strconv"
+	"time"
+
+	"sagestand.example/sagestand/internal/sageconn"
+	"sagestand.example/sagestand/pkg/sagehealth"
+)
+
+// Bounds on one exchange.
+const (
+	// maxHeld is the greatest plain answer that is held until it is whole.
+	maxHeld = 4 << 20
+	// silentShare is the part of the objective after which a repeatable request that brought nothing
+	// goes to another upstream, which then still has the rest of the objective.
+	silentShare = 0.6
+	// silentLeast is the least such time: four times the usual work of a plain service, so that a
+	// slow answer isn't taken for a lost one.
+	silentLeast = 200 * time.Millisecond
+)
+
+// errSilent cancels an exchange that brought nothing for too long.
+var errSilent = errors.New("the upstream stays silent")
+
+// exchange is one send of a request to one upstream.
+type exchange struct {
+	j      *job
+	p      *Pick
+	sent   sageconn.Tracker
+	cancel context.CancelCauseFunc
+}
+
+// try sends the request to an upstream and passes its answer on.
+func (j *job) try(ctx context.Context, p *Pick) verdict {
+	if !j.s.Fleet.Usable(p.Upstream) || j.keyed && !j.s.Fleet.Fresh() {
+		j.tried, j.cause = append(j.tried, p.Upstream.ID), "no longer usable"
+		return notSent
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	x := &exchange{j: j, p: p, cancel: cancel}
+	j.sends++
+	j.tried = append(j.tried, p.Upstream.ID)
+	silent := x.watchSilence()
+	if silent != nil {
+		defer silent.Stop()
+	}
+	res, err := x.send(ctx)
+	if err != nil {
+		return x.broken(ctx, err)
+	}
+	defer func() { _ = res.Body.Close() }()
+	return x.reply(ctx, res, silent)
+}
+
+// watchSilence sets a timer that cancels the exchange of a repeatable request if nothing comes in
+// time for another upstream to answer. It asks for the retry first: without one, a late answer is
+// better than none.
+func (x *exchange) watchSilence() *time.Timer {
+	j := x.j
+	if !j.route.Repeatable() || j.runs+1 >= j.route.Attempts || j.sends >= maxSends {
+		return nil
+	}
+	within := max(silentLeast, time.Duration(silentShare*float64(j.route.Objective)))
+	return time.AfterFunc(within, func() {
+		if j.s.Fleet.Again(j.target) {
+			j.granted.Store(true)
+			x.cancel(errSilent)
+		}
+	})
+}
+
+// send makes the round trip up to the header of the answer.
+func (x *exchange) send(ctx context.Context) (*http.Response, error) {
+	j := x.j
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: x.sent.Got})
+	u := *j.r.URL
+	u.Scheme, u.Host = "http", x.p.Upstream.Address
+	req := (&http.Request{Method: j.r.Method, URL: &u, Host: j.r.Host, Header: endToEnd(j.r.Header), ProtoMajor: 1, ProtoMinor: 1}).WithContext(ctx)
+	if len(j.bytes) > 0 {
+		req.Body = io.NopCloser(onceReader{bytes.NewReader(j.bytes)})
+		req.ContentLength = int64(len(j.bytes))
+	}
+	s := Send{Upstream: x.p.Upstream, Deadline: j.until, Priority: j.priority(), From: x.p.From, LastEvent: j.lastEvent}
+	if j.account != nil {
+		s.Account = j.account.Name
+	}
+	j.s.Dialect.Send(req.Header, &s)
+	if req.Header.Get("User-Agent") == "" {
+		req.Header["User-Agent"] = []string{""} // no name that the caller didn't give
+	}
+	if len(j.call.Chain) > 0 {
+		j.s.Fleet.Read(x.p.Upstream, j.call.Chain)
+	}
+	return j.s.upstreams.of(j.route.Repeatable()).RoundTrip(req)
+}
+
+// onceReader hides the reader's type, so that net/http doesn't send the body again by itself.
+type onceReader struct{ io.Reader }
+
+// priority is the account's urgency, or else the route's.
+func (j *job) priority() int {
+	if j.account != nil && j.account.Priority != nil {
+		return *j.account.Priority
+	}
+	return j.route.Priority
+}
+
+// broken settles an exchange that brought no header of an answer.
+func (x *exchange) broken(ctx context.Context, err error) verdict {
+	j := x.j
+	j.cause = err.Error()
+	if j.r.Context().Err() != nil {
+		x.sent.Close()
+		return callerGone
+	}
+	unsent := x.sent.Seal()
+	x.sent.Close()
+	timedOut := ctx.Err() != nil && !errors.Is(context.Cause(ctx), errSilent)
+	if !timedOut {
+		j.ended(x.p, sagehealth.Broken)
+	}
+	if unsent {
+		return notSent
+	}
+	j.runs++
+	return failed
+}
+
+// reply judges the header of an answer and passes the rest on.
+func (x *exchange) reply(ctx context.Context, res *http.Response, silent *time.Timer) verdict {
+	j := x.j
+	rep := j.s.Dialect.Reply(res)
+	if rep.OtherUpstream {
+		j.s.Fleet.Gone(x.p.Upstream)
+		j.cause = "the address belongs to another upstream"
+		return notRun
+	}
+	if rep.NotRun {
+		j.cause = "declined with status " + strconv.Itoa(res.StatusCode)
+		return notRun
+	}
+	if rep.ID != j.call.ID || !rep.Sealed {
+		// The late answer to an earlier request on this connection, or bytes of nobody's.
+		return x.spoilt("the answer is another request's or has no seal")
+	}
+	if res.StatusCode >= http.StatusInternalServerError {
+		return x.failure(ctx, res, silent)
+	}
+	if isStream(res) {
+		return x.stream(ctx, res, silent)
+	}
+	return x.plain(ctx, res, silent)
+}
+
+// spoilt settles an exchange whose answer can't be trusted.
+func (x *exchange) spoilt(cause string) verdict {
+	x.sent.Close()
+	x.j.cause = cause
+	x.j.runs++
+	x.j.ended(x.p, sagehealth.Broken)
+	return failed
+}
+
+// failure settles a failure that the upstream answered itself. It is kept, to be passed on if no
+// other upstream gives a better answer.
+func (x *exchange) failure(ctx context.Context, res *http.Response, silent *time.Timer) verdict {
+	j := x.j
+	h, v := x.hold(ctx, res, silent)
+	if h == nil {
+		return v
+	}
+	j.runs++
+	j.ended(x.p, sagehealth.Failed)
+	j.cause = "upstream status " + strconv.Itoa(res.StatusCode)
+	if !j.started {
+		j.held = h
+	}
+	return failed
+}
+
+// plain passes on an answer that is not a stream, once it is whole.
+func (x *exchange) plain(ctx context.Context, res *http.Response, silent *time.Timer) verdict {
+	h, v := x.hold(ctx, res, silent)
+	if h == nil {
+		return v
+	}
+	x.j.ended(x.p, sagehealth.OK)
+	h.pass(x.j)
+	return answered
+}
+
+// heldAnswer is a whole answer.
+type heldAnswer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// hold reads a whole answer; nil means that it broke, with the verdict on that.
+func (x *exchange) hold(ctx context.Context, res *http.Response, silent *time.Timer) (*heldAnswer, verdict) {
+	b, err := io.ReadAll(io.LimitReader(res.Body, maxHeld+1))
+	if silent != nil {
+		silent.Stop()
+	}
+	if err == nil && len(b) > maxHeld {
+		return nil, x.spoilt("the answer is too large to hold")
+	}
+	if err != nil {
+		return nil, x.broken(ctx, err)
+	}
+	return &heldAnswer{status: res.StatusCode, header: endToEnd(res.Header), body: b}, answered
+}
+
+// pass gives a held answer to the caller.
+func (h *heldAnswer) pass(j *job) {
+	copyInto(j.w.Header(), h.header)
+	if j.r.Method != http.MethodHead {
+		j.w.Header().Set("Content-Length", strconv.Itoa(len(h.body)))
+	}
+	j.w.WriteHeader(h.status)
+	_, _ = j.w.Write(h.body) // a caller that left meanwhile needs no answer
+}
--- /dev/null
+++ b/internal/sagerelay/steps.go
@@ -0,0 +1,123 @@
+package sagerelay
+
+import (
+	"net/http"
+	"time"
+
+	"sagestand.example/sagestand/pkg/sagechain"
+	"sagestand.example/sagestand/pkg/sagehealth"
+	"sagestand.example/sagestand/pkg/sageroute"
+	"sagestand.example/sagestand/pkg/sageupstream"
+)
+
+// Call is what a caller's headers say.
+type Call struct {
+	// ID names this attempt of the caller.
+	ID string
+	// Key is the caller's key; empty if it gave none.
+	Key string
+	// Deadline is when the caller stops waiting; zero if it doesn't say.
+	Deadline time.Time
+	// Chain are the parts of the prompt.
+	Chain sagechain.Chain
+	// LastEvent is the id of the event after which the caller wants a stream to go on.
+	LastEvent string
+}
+
+// Send is what the headers to an upstream say beside the caller's own.
+type Send struct {
+	Upstream *sageupstream.Entry
+	// Account is the client account; empty on public routes.
+	Account  string
+	Deadline time.Time
+	Priority int
+	// From is the address of an upstream that holds more of the prompt; empty if none does.
+	From string
+	// LastEvent is the id of the event after which a stream goes on; empty from its start.
+	LastEvent string
+}
+
+// Reply is what the headers of an upstream's answer say.
+type Reply struct {
+	// ID is the request that the answer belongs to.
+	ID string
+	// Sealed says that the answer bears the upstream's seal.
+	Sealed bool
+	// NotRun says that the upstream did not execute the request and won't.
+	NotRun bool
+	// OtherUpstream says that the address belongs to another upstream by now.
+	OtherUpstream bool
+	// Leaving says that the upstream is about to stop.
+	Leaving bool
+}
+
+// Dialect reads and writes the headers of callers and upstreams.
+type Dialect interface {
+	// Call decodes a caller's request.
+	Call(r *http.Request) (Call, error)
+	// Send sets the headers of a request to an upstream; h holds the caller's end-to-end headers.
+	Send(h http.Header, s *Send)
+	// Reply decodes the headers of an upstream's answer.
+	Reply(res *http.Response) Reply
+	// Refuse sets the headers of an answer that this node gives itself.
+	Refuse(h http.Header, id string, retryAfter time.Duration)
+}
+
+// Reason is why a request was refused or given up.
+type Reason string
+
+// The reasons.
+const (
+	NoConfig     Reason = "no_config"
+	NotFresh     Reason = "not_fresh"
+	BadRequest   Reason = "bad_request"
+	NoRoute      Reason = "no_route"
+	Unauthorized Reason = "unauthorized"
+	TooLarge     Reason = "too_large"
+	NoUpstream   Reason = "no_upstream"
+	UpstreamFull Reason = "upstream_full"
+	AnswerLost   Reason = "answer_lost"
+	TimedOut     Reason = "timed_out"
+	CallerLeft   Reason = "caller_left"
+	Stopping     Reason = "stopping"
+)
+
+// Pick is a chosen upstream. Done must be called when the exchange is over.
+type Pick struct {
+	Upstream *sageupstream.Entry
+	// From is the address of an upstream that holds more of the prompt.
+	From string
+	// Why is what decided, for the log.
+	Why  string
+	Load int
+	Done func()
+}
+
+// Query is a request for an upstream.
+type Query struct {
+	Service string
+	Chain   sagechain.Chain
+	// Tried are the IDs of upstreams that had the request already.
+	Tried []string
+}
+
+// Fleet is what the node knows of configuration and upstreams.
+type Fleet interface {
+	// Table is the configuration in force; nil before the first one.
+	Table() *sageroute.Table
+	// Fresh reports whether the configuration is fresh enough to trust a key.
+	Fresh() bool
+	// Pick chooses an upstream, or nil if none may be used.
+	Pick(q *Query) *Pick
+	// Usable reports whether a picked upstream may still be sent to.
+	Usable(u *sageupstream.Entry) bool
+	// First notes the first send of a request to a service, Again asks for one more.
+	First(service string)
+	Again(service string) bool
+	// Ended notes how an exchange with an upstream ended.
+	Ended(u *sageupstream.Entry, res sagehealth.Result)
+	// Read notes that an upstream reads a chain.
+	Read(u *sageupstream.Entry, c sagechain.Chain)
+	// Gone notes that another upstream has the address by now.
+	Gone(u *sageupstream.Entry)
+}
--- /dev/null
+++ b/internal/sagerelay/stream.go
@@ -0,0 +1,107 @@
+package sagerelay
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"time"
+
+	"sagestand.example/sagestand/internal/sagesse"
+	"sagestand.example/sagestand/pkg/sagehealth"
+)
+
+// Bounds on streams.
+const (
+	// maxEvent is the greatest event.
+	maxEvent = 256 << 10
+	// readAhead is the buffer of one stream, some dozens of usual events.
+	readAhead = 2 << 10
+	// stallGaps is after how many of the longest pauses that callers expect a resumable stream is
+	// taken up elsewhere. One is already late for the caller; a preempted run may need two.
+	stallGaps = 1.6
+)
+
+var errCallerGone = errors.New("the caller stopped reading")
+
+// stream passes on the events of one exchange.
+//
+// Events count only when whole, and only those beyond the last one passed on: a run that goes on
+// elsewhere may repeat some, and an event that is missing would join two answers.
+func (x *exchange) stream(ctx context.Context, res *http.Response, silent *time.Timer) verdict {
+	j := x.j
+	r := &sagesse.Reader{R: bufio.NewReaderSize(res.Body, readAhead), Max: maxEvent}
+	flush := http.NewResponseController(j.w)
+	stall := x.stallAfter()
+	for {
+		e, err := r.Next()
+		if err != nil && r.Ended() {
+			return x.ended(res)
+		}
+		if err != nil {
+			return x.cutOff(ctx, err)
+		}
+		if silent != nil {
+			silent.Reset(stall)
+		}
+		if e.Position > 0 && e.Position <= j.lastPosition {
+			continue
+		}
+		if e.Position > 0 && j.lastPosition > 0 && e.Position != j.lastPosition+1 {
+			return x.cutOff(ctx, fmt.Errorf("event %d follows %d", e.Position, j.lastPosition))
+		}
+		x.begin(res)
+		if err := j.passEvent(e, flush); err != nil {
+			j.cause = err.Error()
+			x.sent.Close()
+			return callerGone
+		}
+	}
+}
+
+// stallAfter is how long a stream may pause before it is taken up elsewhere.
+func (x *exchange) stallAfter() time.Duration {
+	return max(silentLeast, time.Duration(stallGaps*float64(x.j.route.Gap)))
+}
+
+// begin passes the header on, once for all exchanges of a request.
+func (x *exchange) begin(res *http.Response) {
+	j := x.j
+	if j.started {
+		return
+	}
+	j.started = true
+	copyInto(j.w.Header(), endToEnd(res.Header))
+	j.w.WriteHeader(res.StatusCode)
+}
+
+func (j *job) passEvent(e *sagesse.Event, flush *http.ResponseController) error {
+	if _, err := j.w.Write(e.Raw); err != nil {
+		return fmt.Errorf("%v: %w", err, errCallerGone)
+	}
+	if err := flush.Flush(); err != nil {
+		return fmt.Errorf("flush: %v: %w", err, errCallerGone)
+	}
+	if e.Position > 0 {
+		j.lastPosition = e.Position
+		j.lastEvent = fmt.Sprint(e.Position)
+	}
+	return nil
+}
+
+// ended settles a stream that its upstream ended regularly.
+func (x *exchange) ended(res *http.Response) verdict {
+	x.begin(res)
+	x.j.ended(x.p, sagehealth.OK)
+	return answered
+}
+
+// cutOff settles a stream that broke.
+func (x *exchange) cutOff(ctx context.Context, err error) verdict {
+	v := x.broken(ctx, err)
+	if v == failed && x.j.started {
+		return cut
+	}
+	return v
+}
--- /dev/null
+++ b/internal/sagerelay/transport.go
@@ -0,0 +1,67 @@
+package sagerelay
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"sagestand.example/sagestand/internal/sageconn"
+)
+
+// Connections to upstreams.
+const (
+	// connectWithin is how long a new connection may take. Data centres are a few milliseconds
+	// apart; an address that is dark answers never, and the request has to go elsewhere in time.
+	connectWithin = 250 * time.Millisecond
+	// idleFor is how long an unused connection is kept: below the shortest idle timeouts that
+	// upstreams use, so that a reused one is rarely closed at its other end.
+	idleFor = 3 * time.Second
+	// idlePerUpstream is how many are kept for one upstream.
+	idlePerUpstream = 8
+	// probeAfter and probes find connections that went silent without a reset.
+	probeAfter = time.Second
+	probes     = 3
+)
+
+// transports hold the connections to upstreams.
+type transports struct {
+	once   sync.Once
+	reused *http.Transport
+	fresh  *http.Transport
+}
+
+func (t *transports) init() {
+	d := &net.Dialer{
+		Timeout:         connectWithin,
+		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeAfter, Count: probes},
+	}
+	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+		c, err := d.DialContext(ctx, network, address)
+		if err != nil {
+			return nil, fmt.Errorf("connect: %w", err)
+		}
+		return sageconn.Wrap(c), nil
+	}
+	p := new(http.Protocols)
+	p.SetHTTP1(true)
+	t.reused = &http.Transport{
+		DialContext: dial, Protocols: p, DisableCompression: true,
+		MaxIdleConnsPerHost: idlePerUpstream, IdleConnTimeout: idleFor,
+	}
+	t.fresh = &http.Transport{DialContext: dial, Protocols: p, DisableCompression: true, DisableKeepAlives: true}
+}
+
+// of returns the transport for a request.
+//
+// A request that may be executed once gets a connection of its own: on a reused one that the
+// upstream is just closing, it could not be told whether the request was read.
+func (t *transports) of(repeatable bool) *http.Transport {
+	t.once.Do(t.init)
+	if repeatable {
+		return t.reused
+	}
+	return t.fresh
+}
--- /dev/null
+++ b/internal/sagerouter/fleet.go
@@ -0,0 +1,167 @@
+package sagerouter
+
+import (
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"sagestand.example/sagestand/internal/sagerelay"
+	"sagestand.example/sagestand/pkg/sagechain"
+	"sagestand.example/sagestand/pkg/sageclock"
+	"sagestand.example/sagestand/pkg/sageflight"
+	"sagestand.example/sagestand/pkg/sagefresh"
+	"sagestand.example/sagestand/pkg/sagehealth"
+	"sagestand.example/sagestand/pkg/sageroute"
+	"sagestand.example/sagestand/pkg/sageshare"
+	"sagestand.example/sagestand/pkg/sageupstream"
+)
+
+// keyMargin is how much earlier than the bound on keys a node stops trusting them, for clocks that
+// run at slightly different rates.
+const keyMargin = 200 * time.Millisecond
+
+// fleet implements [sagerelay.Fleet] on the node's view.
+type fleet struct {
+	view      *view
+	keyProof  *sagefresh.Proof
+	keyWithin time.Duration
+	known     func() []string
+	placer    *sagechain.Placer
+	flights   sageflight.Counter
+	health    sagehealth.Book
+
+	mu      sync.Mutex
+	cold    sageshare.Cold
+	retries sageshare.Retries
+}
+
+// Table implements [sagerelay.Fleet].
+func (f *fleet) Table() *sageroute.Table { return f.view.table.Load() }
+
+// Fresh implements [sagerelay.Fleet].
+func (f *fleet) Fresh() bool {
+	return f.keyProof.Age(sageclock.Now()) < f.keyWithin-keyMargin
+}
+
+// Usable implements [sagerelay.Fleet].
+func (f *fleet) Usable(u *sageupstream.Entry) bool { return f.view.set.Load().Usable(u) }
+
+// Pick implements [sagerelay.Fleet].
+//
+// Warm and healthy upstreams go first, then those that failed lately, then cold ones as far as this
+// node's share of what they bear allows.
+func (f *fleet) Pick(q *sagerelay.Query) *sagerelay.Pick {
+	now := sageclock.Now()
+	set := f.view.set.Load()
+	var warm, doubtful, cold []*sageupstream.Entry
+	for _, e := range set.Of(q.Service) {
+		switch {
+		case slices.Contains(q.Tried, e.ID):
+		case e.ColdUntil > now:
+			cold = append(cold, e)
+		case f.health.Avoid(now, q.Service, e.ID):
+			doubtful = append(doubtful, e)
+		default:
+			warm = append(warm, e)
+		}
+	}
+	loads := f.flights.Sum(now)
+	if len(warm) == 0 {
+		warm = doubtful
+	}
+	if e, c := f.choose(now, warm, loads, q.Chain); e != nil {
+		return f.picked(set, e, c, loads)
+	}
+	perSecond := f.coldRate(q.Service)
+	for len(cold) > 0 {
+		e, c := f.choose(now, cold, loads, q.Chain)
+		if f.allowCold(now, e.ID, perSecond) {
+			return f.picked(set, e, c, loads)
+		}
+		cold = slices.DeleteFunc(cold, func(o *sageupstream.Entry) bool { return o == e })
+	}
+	return nil
+}
+
+// choose returns one of the entries: by the prompt's chain, or else the least loaded.
+func (f *fleet) choose(now sageclock.Instant, es []*sageupstream.Entry, loads map[string]int, chain sagechain.Chain) (*sageupstream.Entry, sagechain.Choice) {
+	if len(es) == 0 {
+		return nil, sagechain.Choice{}
+	}
+	if len(chain) == 0 {
+		return leastLoaded(es, loads), sagechain.Choice{Why: "least_loaded"}
+	}
+	cands := make([]sagechain.Candidate, len(es))
+	for i, e := range es {
+		cands[i] = sagechain.Candidate{ID: e.ID, Load: loads[e.ID]}
+	}
+	c, _ := f.placer.Choose(now, cands, chain)
+	return es[c.Index], c
+}
+
+// leastLoaded returns an entry with the least load; among equals any, so that the nodes, whose
+// counts lag, don't all choose the same.
+func leastLoaded(es []*sageupstream.Entry, loads map[string]int) *sageupstream.Entry {
+	off := rand.IntN(len(es))
+	best := es[off]
+	for i := range es {
+		if e := es[(off+i)%len(es)]; loads[e.ID] < loads[best.ID] {
+			best = e
+		}
+	}
+	return best
+}
+
+func (f *fleet) picked(set *sageupstream.Set, e *sageupstream.Entry, c sagechain.Choice, loads map[string]int) *sagerelay.Pick {
+	p := &sagerelay.Pick{Upstream: e, Why: string(c.Why), Load: loads[e.ID], Done: f.flights.Start(e.ID)}
+	if from := set.Get(c.From); from != nil {
+		p.From = from.Address
+	}
+	return p
+}
+
+func (f *fleet) coldRate(service string) float64 {
+	if s := f.Table().Services[service]; s != nil {
+		return s.ColdPerSecond
+	}
+	return 0
+}
+
+func (f *fleet) allowCold(now sageclock.Instant, upstream string, perSecond float64) bool {
+	known := f.known()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.cold.Allow(now, known, upstream, perSecond)
+}
+
+// First implements [sagerelay.Fleet].
+func (f *fleet) First(service string) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retries.First(sageclock.Now(), service)
+}
+
+// Again implements [sagerelay.Fleet].
+func (f *fleet) Again(service string) bool {
+	nodes := len(f.known())
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.retries.Allow(sageclock.Now(), service, nodes)
+}
+
+// Ended implements [sagerelay.Fleet].
+func (f *fleet) Ended(u *sageupstream.Entry, res sagehealth.Result) {
+	f.health.Note(sageclock.Now(), u.Service, u.ID, res)
+}
+
+// Read implements [sagerelay.Fleet].
+func (f *fleet) Read(u *sageupstream.Entry, c sagechain.Chain) {
+	f.placer.Note(sageclock.Now(), u.ID, c)
+}
+
+// Gone implements [sagerelay.Fleet].
+func (f *fleet) Gone(u *sageupstream.Entry) {
+	f.health.Note(sageclock.Now(), u.Service, u.ID, sagehealth.Broken)
+	f.placer.Forget(u.ID)
+}
--- /dev/null
+++ b/internal/sagerouter/node.go
@@ -0,0 +1,234 @@
+package sagerouter
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"runtime/debug"
+	"sync/atomic"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+	"github.com/pkg/errors"
+
+	"sagestand.example/sagestand/internal/sagefollow"
+	"sagestand.example/sagestand/internal/sagekernel"
+	"sagestand.example/sagestand/internal/sagelog"
+	"sagestand.example/sagestand/internal/sagemesh"
+	"sagestand.example/sagestand/internal/sagerelay"
+	"sagestand.example/sagestand/pkg/sagechain"
+	"sagestand.example/sagestand/pkg/sageclock"
+	"sagestand.example/sagestand/pkg/sageshare"
+)
+
+// Times of a node.
+const (
+	// configWait and upstreamWait are how long watches wait. A watcher's answers are the fleet's
+	// proof of freshness, which bounds of two seconds build on.
+	configWait   = 700 * time.Millisecond
+	upstreamWait = 2 * time.Second
+	// settleEvery is how often lapsed entries are looked through.
+	settleEvery = 100 * time.Millisecond
+	// awayAfter is the age of the upstreams' proof from which their leases may lapse unseen.
+	awayAfter = 2*upstreamWait + 500*time.Millisecond
+	// AnswerValid is how long callers may keep a directory answer; some keep it three times as long.
+	AnswerValid = time.Second
+	// keptTimes is how many times AnswerValid a leaving node goes on serving new connections.
+	keptTimes = 3
+	// stopMargin is what a process needs to end after its last request.
+	stopMargin = 700 * time.Millisecond
+	// heldNotes is how many facts on prompt parts ride on one heartbeat.
+	heldNotes = 40
+	// headerWithin bounds how long a caller may take for its header, idleWithin how long it may keep
+	// an unused connection: longer than any idle time that callers are promised.
+	headerWithin = 5 * time.Second
+	idleWithin   = 10 * time.Minute
+	// headerBytes bounds a caller's header.
+	headerBytes = 32 << 10
+	// memoryShare is the part of the VM's memory at which the garbage collector works harder.
+	memoryShare = 0.6
+)
+
+// Store is the platform's store.
+type Store interface {
+	sagefollow.Source
+	// Create makes an object; one that exists stays as it is.
+	Create(ctx context.Context, kind, name string, spec json.RawMessage) error
+}
+
+// Node is one daemon. Exported fields are set before Open.
+type Node struct {
+	Settings Settings
+	Store    Store
+	Kinds    Kinds
+	Decoder  Decoder
+	Dialect  sagerelay.Dialect
+	// Readiness and Directory answer on their own addresses; they speak the platform's dialect.
+	Readiness, Directory http.Handler
+	Log                  sagelog.Logger
+
+	kernel  sagekernel.Kernel
+	metrics *metrics.Set
+	mesh    *sagemesh.Service
+	relay   *sagerelay.Service
+	view    *view
+	fleet   *fleet
+	copies  sagemesh.Copies
+	leaving atomic.Bool
+}
+
+// Open opens the listeners and makes the services; nothing serves before Run.
+func (n *Node) Open() error {
+	cfg := &n.Settings
+	if err := cfg.Check(); err != nil {
+		return err
+	}
+	if cfg.MemoryMB > 0 {
+		debug.SetMemoryLimit(int64(memoryShare*float64(cfg.MemoryMB)) << 20)
+	}
+	n.metrics = metrics.NewSet()
+	n.kernel.Log, n.kernel.StopWithin = n.Log.Part("kernel"), seconds(cfg.Bounds.StopWithinSeconds)
+	n.makeMesh()
+	if err := n.mesh.Open(); err != nil {
+		return err
+	}
+	n.makeFleet()
+	n.kernel.Register("mesh", n.mesh)
+	for _, kind := range []string{n.Kinds.Closed, n.Kinds.Upstreams, n.Kinds.Config} {
+		n.kernel.Register("follow_"+kind, n.copies[kind])
+	}
+	n.kernel.Register("members", &members{node: n})
+	n.kernel.Register("settle", &settler{node: n})
+	return n.listen()
+}
+
+func (n *Node) makeMesh() {
+	cfg := &n.Settings
+	n.mesh = &sagemesh.Service{
+		Name: cfg.Node, Address: cfg.Listen.Mesh, Seeds: cfg.meshSeeds(), Fill: n.fill, Heard: n.heard,
+		Joined: func(m sagemesh.Member) {
+			n.Log.Part("mesh").Info("Node joined.", "peer", m.Node, "address", m.Address)
+		},
+		Lost: func(m sagemesh.Member) {
+			n.Log.Part("mesh").Info("Node is silent.", "peer", m.Node, "address", m.Address, "leaving", m.Leaving)
+		},
+		Log: n.Log.Part("mesh"),
+	}
+}
+
+func (n *Node) makeFleet() {
+	cfg := &n.Settings
+	placer := new(sagechain.Placer)
+	n.view = &view{decoder: n.Decoder, log: n.Log.Part("view"), placer: placer}
+	fetcher := &sagemesh.Fetcher{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}}}
+	follow := func(kind string, wait time.Duration, apply func([]sagefollow.Change, bool)) *sagefollow.Follower {
+		return &sagefollow.Follower{
+			Kind: kind, Source: n.Store, Peers: fetcher, Wait: wait, Rank: n.mesh.Rank, Apply: apply,
+			Changed: n.mesh.Nudge, Log: n.Log.Part("follow"),
+		}
+	}
+	n.copies = sagemesh.Copies{
+		n.Kinds.Config:    follow(n.Kinds.Config, configWait, n.view.applyConfig),
+		n.Kinds.Upstreams: follow(n.Kinds.Upstreams, upstreamWait, n.view.applyUpstreams),
+		n.Kinds.Closed:    follow(n.Kinds.Closed, upstreamWait, n.view.applyClosed),
+	}
+	n.fleet = &fleet{
+		view: n.view, keyProof: &n.copies[n.Kinds.Config].Proof, keyWithin: millis(cfg.Bounds.KeyWithinMillis),
+		known: n.mesh.Known, placer: placer, cold: sageshare.Cold{Self: cfg.Node},
+		retries: sageshare.Retries{Ratio: cfg.Bounds.RetryRatio, Slack: cfg.Bounds.RetrySlack, Window: seconds(cfg.Bounds.RetryWindowSeconds)},
+	}
+	n.relay = &sagerelay.Service{
+		Dialect: n.Dialect, Fleet: n.fleet, Metrics: n.metrics, Log: n.Log.Part("relay"), Closing: n.leaving.Load,
+	}
+}
+
+// listen opens the listeners and registers their servers, the entry last, so that it stops first.
+func (n *Node) listen() error {
+	cfg := &n.Settings
+	peers := http.NewServeMux()
+	n.copies.Handle(peers)
+	operator := http.NewServeMux()
+	operator.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.WritePrometheus(w) })
+	for _, l := range []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"peers", cfg.Listen.Mesh, peers},
+		{"operator", cfg.Listen.Operator, operator},
+		{"directory", cfg.Listen.Directory, n.Directory},
+		{"readiness", cfg.Listen.Readiness, n.Readiness},
+		{"entry", cfg.Listen.Entry, n.relay},
+	} {
+		if l.address == "" {
+			continue
+		}
+		ln, err := net.Listen("tcp4", l.address)
+		if err != nil {
+			return fmt.Errorf("listen for %s: %w", l.name, err)
+		}
+		n.kernel.Register(l.name, &server{name: l.name, listener: ln, node: n, http: &http.Server{
+			Handler: l.handler, ReadHeaderTimeout: headerWithin, IdleTimeout: idleWithin, MaxHeaderBytes: headerBytes,
+		}})
+	}
+	return nil
+}
+
+// Run serves until ctx ends and the graceful stop is over.
+func (n *Node) Run(ctx context.Context) error {
+	log := n.Log.Part("node")
+	log.Info("Starting.", "data_centre", n.Settings.DataCentre, "entry", n.Settings.Listen.Entry)
+	if err := n.kernel.Run(ctx); err != nil && !errors.Is(err, sagekernel.ErrStopLate) {
+		return fmt.Errorf("run node: %w", err)
+	}
+	log.Info("Stopped.")
+	return nil
+}
+
+// Ready says whether callers may be sent here.
+func (n *Node) Ready() bool {
+	return !n.leaving.Load() && n.fleet.Table() != nil && n.view.set.Load() != nil && n.fleet.Fresh()
+}
+
+// fill completes a heartbeat.
+func (n *Node) fill(h *sagemesh.Heartbeat) {
+	cfg := &n.Settings
+	h.Entry, h.DataCentre, h.Region = cfg.Listen.Entry, cfg.DataCentre, cfg.Region
+	h.Ready, h.Leaving = n.Ready(), n.leaving.Load()
+	h.Copies = make(map[string]sagefollow.Position, len(n.copies))
+	for kind, f := range n.copies {
+		h.Copies[kind] = f.Position()
+	}
+	h.InFlight = n.fleet.flights.Own()
+	h.Held = n.fleet.placer.News(heldNotes)
+}
+
+// heard takes a heartbeat in.
+func (n *Node) heard(h *sagemesh.Heartbeat, stamp sageclock.Instant) {
+	now := sageclock.Now()
+	n.fleet.flights.Learn(now, h.Node, h.InFlight)
+	n.fleet.placer.Learn(now, h.Held)
+	if stamp == 0 {
+		return
+	}
+	for kind, p := range h.Copies {
+		if f := n.copies[kind]; f != nil {
+			f.Told(context.Background(), h.Address, p, stamp)
+		}
+	}
+}
+
+// Locate returns the entry addresses that a caller may use: this node and the others that serve.
+func (n *Node) Locate() []string {
+	var out []string
+	if n.Ready() {
+		out = append(out, n.Settings.Listen.Entry)
+	}
+	for _, m := range n.mesh.Live() {
+		if m.Ready && !m.Leaving {
+			out = append(out, m.Entry)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/sagerouter/settings.go
@@ -0,0 +1,98 @@
+package sagerouter
+
+import (
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrSettings reports settings with which a node can't run.
+var ErrSettings = errors.New("unusable settings")
+
+// Listen holds the addresses of a node. An empty one is not served.
+type Listen struct {
+	Entry     string `json:"entry"`
+	Readiness string `json:"readiness"`
+	Directory string `json:"directory"`
+	Operator  string `json:"operator"`
+	// Mesh is for the other nodes, by TCP and UDP. All nodes use the same port.
+	Mesh string `json:"mesh"`
+}
+
+// Bounds are what the fleet must keep.
+type Bounds struct {
+	// KeyWithinMillis is the time after which a key that was taken away must be useless everywhere.
+	KeyWithinMillis int `json:"key_within_millis"`
+	// RetryRatio, RetrySlack and RetryWindowSeconds bound the retries of all nodes together.
+	RetryRatio         float64 `json:"retry_ratio"`
+	RetrySlack         float64 `json:"retry_slack"`
+	RetryWindowSeconds float64 `json:"retry_window_seconds"`
+	// StopWithinSeconds is the time from a request to stop until the process must have ended.
+	StopWithinSeconds float64 `json:"stop_within_seconds"`
+}
+
+// Settings of a node.
+type Settings struct {
+	Node       string `json:"node"`
+	DataCentre string `json:"data_centre"`
+	Region     string `json:"region"`
+	Listen     Listen `json:"listen"`
+	// Seeds are addresses of some nodes; only their hosts count, the port is that of Listen.Mesh.
+	Seeds []string `json:"seeds"`
+	// Store is the address of the platform's store.
+	Store    string `json:"store"`
+	Bounds   Bounds `json:"bounds"`
+	MemoryMB int    `json:"memory_mb"`
+}
+
+// ReadSettings decodes and checks settings.
+func ReadSettings(r io.Reader) (Settings, error) {
+	var s Settings
+	d := json.NewDecoder(r)
+	d.DisallowUnknownFields()
+	if err := d.Decode(&s); err != nil {
+		return s, fmt.Errorf("decode: %v: %w", err, ErrSettings)
+	}
+	return s, s.Check()
+}
+
+// Check returns what is wrong, or nil.
+func (s *Settings) Check() error {
+	if s.Node == "" {
+		return fmt.Errorf("node has no name: %w", ErrSettings)
+	}
+	for _, a := range []struct{ name, value string }{{"listen.entry", s.Listen.Entry}, {"listen.mesh", s.Listen.Mesh}, {"store", s.Store}} {
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			return fmt.Errorf("%s: %v: %w", a.name, err, ErrSettings)
+		}
+	}
+	for _, a := range s.Seeds {
+		if _, _, err := net.SplitHostPort(a); err != nil {
+			return fmt.Errorf("seeds: %v: %w", err, ErrSettings)
+		}
+	}
+	b := &s.Bounds
+	if b.KeyWithinMillis <= 0 || b.RetryWindowSeconds <= 0 || b.StopWithinSeconds <= 0 || b.RetryRatio < 0 || b.RetrySlack < 0 {
+		return fmt.Errorf("bounds: times must be above zero and retries not below it: %w", ErrSettings)
+	}
+	return nil
+}
+
+// meshSeeds returns the seeds' mesh addresses.
+func (s *Settings) meshSeeds() []string {
+	_, port, _ := net.SplitHostPort(s.Listen.Mesh) // checked by Check
+	var out []string
+	for _, a := range s.Seeds {
+		host, _, _ := net.SplitHostPort(a) // checked by Check
+		out = append(out, net.JoinHostPort(host, port))
+	}
+	return out
+}
+
+func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+
+func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- /dev/null
+++ b/internal/sagerouter/view.go
@@ -0,0 +1,148 @@
+package sagerouter
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"sagestand.example/sagestand/internal/sagefollow"
+	"sagestand.example/sagestand/internal/sagelog"
+	"sagestand.example/sagestand/pkg/sagechain"
+	"sagestand.example/sagestand/pkg/sageclock"
+	"sagestand.example/sagestand/pkg/sageroute"
+	"sagestand.example/sagestand/pkg/sageupstream"
+)
+
+// Kinds are the names of the kinds of objects in the store.
+type Kinds struct {
+	Config    string
+	Upstreams string
+	// Closed are the data centres that are out of service.
+	Closed string
+	// Nodes are this system's own entries.
+	Nodes string
+}
+
+// Decoder reads the objects of the kinds.
+type Decoder interface {
+	// Config reads the configuration; false if the object is not the configuration.
+	Config(o sagefollow.Object) (*sageroute.Table, bool, error)
+	// Upstream reads an upstream's entry.
+	Upstream(o sagefollow.Object, now sageclock.Instant) (sageupstream.Entry, error)
+}
+
+// view is what the node believes of configuration and upstreams.
+type view struct {
+	decoder Decoder
+	log     sagelog.Logger
+	placer  *sagechain.Placer
+
+	table atomic.Pointer[sageroute.Table]
+	set   atomic.Pointer[sageupstream.Set]
+
+	mu       sync.Mutex
+	registry sageupstream.Registry
+	closed   map[string]bool
+}
+
+// applyConfig takes changes of the configuration in.
+//
+// It guards against a configuration that goes back: versions only rise, whatever the store or a peer
+// answers. One that can't be read leaves the last in force.
+func (v *view) applyConfig(changes []sagefollow.Change, _ bool) {
+	for _, c := range changes {
+		if c.Deleted {
+			continue
+		}
+		t, ok, err := v.decoder.Config(c.Object)
+		if err != nil {
+			v.log.Error("Configuration can't be read; the last one stays in force.", "revision", c.Object.Revision, "err", err)
+			continue
+		}
+		if old := v.table.Load(); !ok || old != nil && t.Version < old.Version {
+			continue
+		}
+		v.table.Store(t)
+		v.log.Info("Configuration in force.", "version", t.Version, "revision", c.Object.Revision)
+	}
+}
+
+// applyUpstreams takes changes of upstreams in.
+func (v *view) applyUpstreams(changes []sagefollow.Change, returned bool) {
+	now := sageclock.Now()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if returned {
+		v.registry.Away()
+		v.registry.Back(now)
+	}
+	for _, c := range changes {
+		if c.Deleted {
+			v.registry.Delete(now, c.Object.Name)
+			v.log.Info("Upstream's entry is gone.", "upstream", c.Object.Name, "revision", c.Object.Revision, "after_outage", returned)
+			continue
+		}
+		e, err := v.decoder.Upstream(c.Object, now)
+		if err != nil {
+			v.registry.Delete(now, c.Object.Name)
+			v.log.Warn("Entry names no upstream.", "name", c.Object.Name, "revision", c.Object.Revision, "err", err)
+			continue
+		}
+		v.put(e, c.Object.Revision)
+	}
+	v.publish()
+}
+
+// put takes one entry in and logs what it changes.
+//
+// It guards against an earlier start of an upstream: a write of it whose answer was lost may be
+// executed seconds later, when the next start has registered itself under the same id.
+func (v *view) put(e sageupstream.Entry, revision uint64) {
+	old := v.set.Load().Get(e.ID)
+	if old != nil && e.Born < old.Born {
+		v.log.Info("Entry of an earlier start ignored.", "upstream", e.ID, "revision", revision)
+		return
+	}
+	if old == nil || old.Born != e.Born || old.Address != e.Address {
+		v.placer.Forget(e.ID) // a new start has an empty cache
+	}
+	if old == nil || old.Draining != e.Draining || (old.ColdUntil == 0) != (e.ColdUntil == 0) {
+		v.log.Info("Upstream.", "upstream", e.ID, "service", e.Service, "address", e.Address, "data_centre", e.DataCentre,
+			"draining", e.Draining, "cold", e.ColdUntil != 0, "revision", revision)
+	}
+	v.registry.Put(e)
+}
+
+// applyClosed takes changes of the data centres out of service in.
+func (v *view) applyClosed(changes []sagefollow.Change, _ bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	closed := make(map[string]bool, len(v.closed)+1)
+	for dc := range v.closed {
+		closed[dc] = true
+	}
+	for _, c := range changes {
+		if c.Deleted {
+			delete(closed, c.Object.Name)
+		} else {
+			closed[c.Object.Name] = true
+		}
+		v.log.Info("Data centre.", "data_centre", c.Object.Name, "in_service", c.Deleted, "revision", c.Object.Revision)
+	}
+	v.closed = closed
+	v.registry.Close(closed)
+	v.publish()
+}
+
+// settle drops entries that lapsed in an outage and stayed missing.
+func (v *view) settle(away bool) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if away {
+		v.registry.Away()
+	}
+	if v.registry.Settle(sageclock.Now()) {
+		v.publish()
+	}
+}
+
+func (v *view) publish() { v.set.Store(v.registry.Set()) }
