--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -24,6 +24,9 @@
 	// silentLeast is the least such time: four times the usual work of a plain service, so that a
 	// slow answer isn't taken for a lost one.
 	silentLeast = 200 * time.Millisecond
+	// silentPerToken is added for each token of the prompt: engines read 55 tokens in a millisecond
+	// when idle, and a run of long prompts side by side takes some times that.
+	silentPerToken = time.Millisecond / 20
 )
 
 // errSilent cancels an exchange that brought nothing for too long.
@@ -68,7 +71,7 @@
 	if !j.route.Repeatable() || j.runs+1 >= j.route.Attempts || j.sends >= maxSends {
 		return nil
 	}
-	within := max(silentLeast, time.Duration(silentShare*float64(j.route.Objective)))
+	within := j.silence()
 	return time.AfterFunc(within, func() {
 		if j.s.Fleet.Again(j.target) {
 			j.granted.Store(true)
@@ -77,6 +80,16 @@
 	})
 }
 
+// silence is how long the first byte of a repeatable request may take.
+//
+// It guards against prompts that are given up while an engine still reads them: the next engine
+// starts from the beginning and is given up as well, and since only a prompt that was read to its end
+// stays in the cache, the same prompt fails again and again.
+func (j *job) silence() time.Duration {
+	within := max(silentLeast, time.Duration(silentShare*float64(j.route.Objective)))
+	return within + time.Duration(j.call.Chain.Tokens())*silentPerToken
+}
+
 // send makes the round trip up to the header of the answer.
 func (x *exchange) send(ctx context.Context) (*http.Response, error) {
 	j := x.j
--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"sagestand.example/sagestand/internal/sagerelay"
@@ -25,7 +26,7 @@
 type fleet struct {
 	view      *view
 	keyProof  *sagefresh.Proof
-	keyWithin time.Duration
+	keyWithin atomic.Int64 // nanoseconds
 	known     func() []string
 	placer    *sagechain.Placer
 	flights   sageflight.Counter
@@ -36,12 +37,20 @@
 	retries sageshare.Retries
 }
 
+// bounds sets the bounds that settings may change.
+func (f *fleet) bounds(b *Bounds) {
+	f.keyWithin.Store(int64(millis(b.KeyWithinMillis)))
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retries.Ratio, f.retries.Slack = b.RetryRatio, b.RetrySlack
+}
+
 // Table implements [sagerelay.Fleet].
 func (f *fleet) Table() *sageroute.Table { return f.view.table.Load() }
 
 // Fresh implements [sagerelay.Fleet].
 func (f *fleet) Fresh() bool {
-	return f.keyProof.Age(sageclock.Now()) < f.keyWithin-keyMargin
+	return f.keyProof.Age(sageclock.Now()) < time.Duration(f.keyWithin.Load())-keyMargin
 }
 
 // Usable implements [sagerelay.Fleet].
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -135,10 +135,11 @@
 		n.Kinds.Closed:    follow(n.Kinds.Closed, upstreamWait, n.view.applyClosed),
 	}
 	n.fleet = &fleet{
-		view: n.view, keyProof: &n.copies[n.Kinds.Config].Proof, keyWithin: millis(cfg.Bounds.KeyWithinMillis),
+		view: n.view, keyProof: &n.copies[n.Kinds.Config].Proof,
 		known: n.mesh.Known, placer: placer, cold: sageshare.Cold{Self: cfg.Node},
-		retries: sageshare.Retries{Ratio: cfg.Bounds.RetryRatio, Slack: cfg.Bounds.RetrySlack, Window: seconds(cfg.Bounds.RetryWindowSeconds)},
+		retries: sageshare.Retries{Window: seconds(cfg.Bounds.RetryWindowSeconds)},
 	}
+	n.fleet.bounds(&cfg.Bounds)
 	n.relay = &sagerelay.Service{
 		Dialect: n.Dialect, Fleet: n.fleet, Metrics: n.metrics, Log: n.Log.Part("relay"), Closing: n.leaving.Load,
 	}
@@ -186,6 +187,17 @@
 	return nil
 }
 
+// Reload takes over what may change while the node runs: the bounds on keys and retries, and seeds.
+// Addresses and names stay until the next start.
+func (n *Node) Reload(cfg Settings) {
+	n.fleet.bounds(&cfg.Bounds)
+	for _, a := range cfg.meshSeeds() {
+		if err := n.mesh.Add(a); err != nil {
+			n.Log.Part("node").Warn("Seed ignored.", "address", a, "err", err)
+		}
+	}
+}
+
 // Ready says whether callers may be sent here.
 func (n *Node) Ready() bool {
 	return !n.leaving.Load() && n.fleet.Table() != nil && n.view.set.Load() != nil && n.fleet.Fresh()
--- a/pkg/sagechain/chain.go
+++ b/pkg/sagechain/chain.go
@@ -35,7 +35,8 @@
 	return c[len(c)-2].ID
 }
 
-func (c Chain) tokens() int {
+// Tokens returns the length of the prompt.
+func (c Chain) Tokens() int {
 	n := 0
 	for _, p := range c {
 		n += p.Tokens
--- a/pkg/sagechain/placer.go
+++ b/pkg/sagechain/placer.go
@@ -69,7 +69,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	shared, key, bound := c.Shared(), c.Key(), Bound(cands)
-	want := shared.tokens()
+	want := shared.Tokens()
 	best, full := Choice{Index: -1, Why: WhyOrder}, false
 	var first uint64
 	for i := range cands {
