Count deletions as lapses only after a real outage; fewer store calls

Change: one proof of the store's reach for all kinds; the outage ends with any answer; a node asks itself when the proof exceeds the watch's wait by 0.9 s; nodes that the store refuses say so and are left out of the ranks.

--- a/internal/sagefollow/follower.go
+++ b/internal/sagefollow/follower.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -19,8 +20,8 @@
 	// watchers is how many nodes always watch: one more than needed, so that a watcher's death is
 	// noticed by nobody.
 	watchers = 2
-	// selfAfter is the age of the proof from which a node asks the store itself. A watcher's proof
-	// is at most Wait and a heartbeat or two old.
+	// selfAfter is by how much the age of the proof has to exceed Wait for a node to ask the store
+	// itself: a watcher's proof is at most Wait, an answer and some heartbeats old.
 	selfAfter = 900 * time.Millisecond
 	// perRank spreads the nodes that do so, so that one of them serves the others in time.
 	perRank = 40 * time.Millisecond
@@ -36,8 +37,10 @@
 	longestPause = 600 * time.Millisecond
 	// peerWithin bounds a fetch from a peer.
 	peerWithin = time.Second
-	// awayAfter is the age of the proof from which leases may have lapsed unseen.
-	awayAfter = 2 * time.Second
+	// AwayAfter is how long the store must have been out of sight for leases to have lapsed unseen.
+	// It lies above the usual age of the proofs and below the shortest lease, three heartbeats of an
+	// upstream.
+	AwayAfter = 2500 * time.Millisecond
 )
 
 // Follower follows one kind. Exported fields but Proof are set before Run.
@@ -52,6 +55,8 @@
 	// Apply takes changes in; returned says that the store had been out of sight for a while. Calls
 	// never overlap.
 	Apply func(changes []Change, returned bool)
+	// Reach is the proof of the store's answers to any kind, shared by all followers of a node.
+	Reach *sagefresh.Proof
 	// Changed is called after a change of the content, to tell the peers; may be nil.
 	Changed func()
 	Log     sagelog.Logger
@@ -61,7 +66,7 @@
 	mu       sync.Mutex
 	content  content
 	fetching bool
-	failing  bool
+	failing  atomic.Bool
 }
 
 // Position returns how far the copy is, for the peers.
@@ -97,7 +102,9 @@
 	if f.content.listed && f.content.asOf >= p.Content {
 		f.content.asOf = max(f.content.asOf, p.AsOf)
 		f.mu.Unlock()
-		f.Proof.Relayed(stamp, time.Duration(p.AgeMillis)*time.Millisecond)
+		age := time.Duration(p.AgeMillis) * time.Millisecond
+		f.Proof.Relayed(stamp, age)
+		f.Reach.Relayed(stamp, age)
 		return
 	}
 	start := !f.fetching
@@ -128,7 +135,7 @@
 // take applies a delta and tells the owner.
 func (f *Follower) take(since uint64, d Delta) {
 	f.mu.Lock()
-	returned := f.Proof.Age(sageclock.Now()) > awayAfter
+	returned := f.content.listed && f.Reach.Age(sageclock.Now()) > AwayAfter
 	fresh := f.content.apply(since, d)
 	if len(fresh) > 0 || returned {
 		f.Apply(fresh, returned)
@@ -177,7 +184,7 @@
 	if !listed || rank < watchers {
 		return true
 	}
-	return f.Proof.Age(sageclock.Now()) > selfAfter+time.Duration(rank)*perRank
+	return f.Proof.Age(sageclock.Now()) > f.Wait+selfAfter+time.Duration(rank)*perRank
 }
 
 // ask makes one call to the store.
@@ -206,6 +213,7 @@
 	}
 	f.take(since, d)
 	f.Proof.Own(sent)
+	f.Reach.Own(sent)
 	return nil
 }
 
@@ -216,18 +224,19 @@
 	return f.Source.Watch(ctx, f.Kind, since, wait)
 }
 
+// Failing reports whether this node's own last call to the store failed.
+func (f *Follower) Failing() bool { return f.failing.Load() }
+
 func (f *Follower) lost(err error) {
-	if !f.failing {
+	if !f.failing.Swap(true) {
 		f.Log.Warn("Store does not answer.", "kind", f.Kind, "err", err)
 	}
-	f.failing = true
 }
 
 func (f *Follower) regained() {
-	if f.failing {
+	if f.failing.Swap(false) {
 		f.Log.Info("Store answers again.", "kind", f.Kind)
 	}
-	f.failing = false
 }
 
 func sleep(ctx context.Context, d time.Duration) {
--- a/internal/sagemesh/heartbeat.go
+++ b/internal/sagemesh/heartbeat.go
@@ -21,9 +21,11 @@
 	DataCentre string `json:"z"`
 	Region     string `json:"g"`
 	// Ready says that the node serves; Leaving that it stops.
-	Ready   bool  `json:"r,omitempty"`
-	Leaving bool  `json:"l,omitempty"`
-	Stamp   Stamp `json:"s"`
+	Ready   bool `json:"r,omitempty"`
+	Leaving bool `json:"l,omitempty"`
+	// Blind says that the store does not answer the sender.
+	Blind bool  `json:"b,omitempty"`
+	Stamp Stamp `json:"s"`
 	// Echo is the receiver's last stamp that the sender has.
 	Echo Stamp `json:"e"`
 	// Copies are the positions of the sender's copies, by kind.
@@ -45,11 +47,12 @@
 	Region     string
 	Ready      bool
 	Leaving    bool
+	Blind      bool
 }
 
 func (h *Heartbeat) member() Member {
 	return Member{
 		Node: h.Node, Address: h.Address, Entry: h.Entry, DataCentre: h.DataCentre, Region: h.Region,
-		Ready: h.Ready, Leaving: h.Leaving,
+		Ready: h.Ready, Leaving: h.Leaving, Blind: h.Blind,
 	}
 }
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -20,6 +20,7 @@
 	"sagestand.example/sagestand/internal/sagerelay"
 	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
+	"sagestand.example/sagestand/pkg/sagefresh"
 	"sagestand.example/sagestand/pkg/sageshare"
 )
 
@@ -31,8 +32,6 @@
 	upstreamWait = 2 * time.Second
 	// settleEvery is how often lapsed entries are looked through.
 	settleEvery = 100 * time.Millisecond
-	// awayAfter is the age of the upstreams' proof from which their leases may lapse unseen.
-	awayAfter = 2*upstreamWait + 500*time.Millisecond
 	// AnswerValid is how long callers may keep a directory answer; some keep it three times as long.
 	AnswerValid = time.Second
 	// keptTimes is how many times AnswerValid a leaving node goes on serving new connections.
@@ -76,6 +75,7 @@
 	view    *view
 	fleet   *fleet
 	copies  sagemesh.Copies
+	reach   sagefresh.Proof // of the store
 	leaving atomic.Bool
 }
 
@@ -126,7 +126,7 @@
 	follow := func(kind string, wait time.Duration, apply func([]sagefollow.Change, bool)) *sagefollow.Follower {
 		return &sagefollow.Follower{
 			Kind: kind, Source: n.Store, Peers: fetcher, Wait: wait, Rank: n.mesh.Rank, Apply: apply,
-			Changed: n.mesh.Nudge, Log: n.Log.Part("follow"),
+			Reach: &n.reach, Changed: n.mesh.Nudge, Log: n.Log.Part("follow"),
 		}
 	}
 	n.copies = sagemesh.Copies{
@@ -211,6 +211,7 @@
 	h.Copies = make(map[string]sagefollow.Position, len(n.copies))
 	for kind, f := range n.copies {
 		h.Copies[kind] = f.Position()
+		h.Blind = h.Blind || f.Failing()
 	}
 	h.InFlight = n.fleet.flights.Own()
 	h.Held = n.fleet.placer.News(heldNotes)
--- a/internal/sagerouter/services.go
+++ b/internal/sagerouter/services.go
@@ -10,6 +10,7 @@
 
 	"github.com/pkg/errors"
 
+	"sagestand.example/sagestand/internal/sagefollow"
 	"sagestand.example/sagestand/pkg/sageclock"
 )
 
@@ -74,7 +75,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-t.C:
-			n.view.settle(n.copies[n.Kinds.Upstreams].Proof.Age(sageclock.Now()) > awayAfter)
+			n.view.settle(n.reach.Age(sageclock.Now()) > sagefollow.AwayAfter)
 		}
 	}
 }
--- a/internal/sagerouter/view.go
+++ b/internal/sagerouter/view.go
@@ -133,14 +133,21 @@
 	v.publish()
 }
 
-// settle drops entries that lapsed in an outage and stayed missing.
+// settle notes whether the store is out of sight, and drops entries that lapsed in an outage and
+// stayed missing.
+//
+// It guards against an outage that never ends: the first answer after it may be one about another
+// kind, and every later deletion of an upstream would count as a lapse.
 func (v *view) settle(away bool) {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	now := sageclock.Now()
 	if away {
 		v.registry.Away()
+	} else {
+		v.registry.Back(now)
 	}
-	if v.registry.Settle(sageclock.Now()) {
+	if v.registry.Settle(now) {
 		v.publish()
 	}
 }
