Copy prompt parts only from engines that run, also just after their entry went

Change: the placer skips holders that don't run or whose exchanges break; an engine whose entry went stays a source for 2 s, for which the platform keeps leaving ones up.

--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -124,12 +124,19 @@
 
 func (f *fleet) picked(set *sageupstream.Set, e *sageupstream.Entry, c sagechain.Choice, loads map[string]int) *sagerelay.Pick {
 	p := &sagerelay.Pick{Upstream: e, Why: string(c.Why), Load: loads[e.ID], Done: f.flights.Start(e.ID)}
-	if from := set.Get(c.From); from != nil {
+	if from := set.Reachable(sageclock.Now(), c.From); from != nil {
 		p.From = from.Address
 	}
 	return p
 }
 
+// passes reports whether an upstream can be copied from: it runs, and its answers don't break.
+func (f *fleet) passes(upstream string) bool {
+	now := sageclock.Now()
+	e := f.view.set.Load().Reachable(now, upstream)
+	return e != nil && !f.health.Out(now, e.Service, upstream)
+}
+
 func (f *fleet) coldRate(service string) float64 {
 	if s := f.Table().Services[service]; s != nil {
 		return s.ColdPerSecond
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -139,6 +139,7 @@
 		known: n.mesh.Known, placer: placer, cold: sageshare.Cold{Self: cfg.Node},
 		retries: sageshare.Retries{Window: seconds(cfg.Bounds.RetryWindowSeconds)},
 	}
+	placer.Passes = n.fleet.passes
 	n.fleet.bounds(&cfg.Bounds)
 	n.relay = &sagerelay.Service{
 		Dialect: n.Dialect, Fleet: n.fleet, Metrics: n.metrics, Log: n.Log.Part("relay"), Closing: n.leaving.Load,
--- a/pkg/sagechain/placer.go
+++ b/pkg/sagechain/placer.go
@@ -46,8 +46,12 @@
 	Why  Why
 }
 
-// Placer chooses upstreams for chains. The zero value is ready; it is safe for concurrent use.
+// Placer chooses upstreams for chains. It is safe for concurrent use.
 type Placer struct {
+	// Passes reports whether an upstream can pass parts on to others; nil means that all can. It is
+	// set before use.
+	Passes func(upstream string) bool
+
 	mu   sync.Mutex
 	held held
 }
@@ -105,7 +109,8 @@
 	return at
 }
 
-// source returns the upstream that holds most of a chain beyond what the chosen one holds.
+// source returns the upstream that holds most of a chain beyond what the chosen one holds, among
+// those that can pass it on.
 func (p *Placer) source(now sageclock.Instant, shared Chain, chosen string, has int) string {
 	best, from := has+worthCopying, ""
 	if len(shared) == 0 {
@@ -115,7 +120,11 @@
 		if h.upstream == chosen {
 			continue
 		}
-		if n := p.held.prefix(now, shared, h.upstream); n > best || n == best && h.upstream < from {
+		n := p.held.prefix(now, shared, h.upstream)
+		if n < best || n == best && h.upstream >= from {
+			continue
+		}
+		if p.Passes == nil || p.Passes(h.upstream) {
 			best, from = n, h.upstream
 		}
 	}
--- a/pkg/sagechain/placer_test.go
+++ b/pkg/sagechain/placer_test.go
@@ -124,3 +124,21 @@
 	fmt.Println(c.Index, c.Held, c.Why)
 	// Output: 1 9500 holds_chain
 }
+
+// An engine leaves during a release, and the requests of its chains name it as the one to copy from
+// for a minute: the copies fail and the chains are read again, though a second engine holds them too.
+func TestCopiesComeFromEnginesThatRun(t *testing.T) {
+	gone := map[string]bool{}
+	p := Placer{Passes: func(u string) bool { return !gone[u] }}
+	p.Note(at(1), "a", chain(7))
+	p.Note(at(1), "b", chain(7))
+	only := []Candidate{{ID: "c"}}
+	c, _ := p.Choose(at(2), only, chain(7))
+	require.Equal(t, "a", c.From)
+	gone["a"] = true
+	c, _ = p.Choose(at(2), only, chain(7))
+	require.Equal(t, "b", c.From)
+	gone["b"] = true
+	c, _ = p.Choose(at(2), only, chain(7))
+	require.Empty(t, c.From)
+}
--- a/pkg/sagehealth/book.go
+++ b/pkg/sagehealth/book.go
@@ -68,6 +68,14 @@
 	}
 }
 
+// Out reports whether an upstream is left out because its exchanges break.
+func (b *Book) Out(now sageclock.Instant, service, upstream string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.services[service][upstream]
+	return r != nil && now < r.out && r.streak > 0
+}
+
 // Avoid reports whether other upstreams of the service are to be preferred now. A yes for a failing
 // upstream is interrupted by single trials.
 func (b *Book) Avoid(now sageclock.Instant, service, upstream string) bool {
--- a/pkg/sageupstream/registry.go
+++ b/pkg/sageupstream/registry.go
@@ -1,6 +1,7 @@
 package sageupstream
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -16,6 +17,10 @@
 // lapsed when it comes back, and a watch may deliver that somewhat later.
 const returnWindow = 1500 * time.Millisecond
 
+// Lingers is how long an upstream whose entry is gone usually goes on running: the shortest time for
+// which the platform keeps leaving upstreams up.
+const Lingers = 2 * time.Second
+
 // Entry is what an upstream says of itself.
 type Entry struct {
 	// ID names one start of an upstream, or several of the same one (see Born).
@@ -36,6 +41,13 @@
 	services map[string][]*Entry
 	byID     map[string]*Entry
 	closed   map[string]bool
+	left     map[string]departed
+}
+
+// departed is an upstream whose entry is gone.
+type departed struct {
+	entry *Entry
+	until sageclock.Instant
 }
 
 // Of returns the entries of a service that may get new requests, ordered by ID.
@@ -63,6 +75,21 @@
 	return s.byID[id]
 }
 
+// Reachable returns the entry of an ID, also for a while after it is gone, or nil. Such an upstream
+// gets no requests, but others can still copy from it.
+func (s *Set) Reachable(now sageclock.Instant, id string) *Entry {
+	if s == nil {
+		return nil
+	}
+	if e := s.byID[id]; e != nil {
+		return e
+	}
+	if d, ok := s.left[id]; ok && now < d.until {
+		return d.entry
+	}
+	return nil
+}
+
 // Len returns the number of entries, usable or not.
 func (s *Set) Len() int { return len(s.byID) }
 
@@ -70,6 +97,7 @@
 type Registry struct {
 	entries map[string]*Entry
 	lapsed  map[string]sageclock.Instant // deleted, still used until then
+	left    map[string]departed
 	closed  map[string]bool
 
 	away     bool
@@ -97,8 +125,7 @@
 	}
 	lapse := r.away || r.returned && now.Sub(r.backAt) < returnWindow
 	if !lapse || e.Draining {
-		delete(r.entries, id)
-		delete(r.lapsed, id)
+		r.drop(now, e)
 		return
 	}
 	if r.lapsed == nil {
@@ -109,6 +136,21 @@
 	}
 }
 
+// drop takes an entry out.
+func (r *Registry) drop(now sageclock.Instant, e *Entry) {
+	delete(r.entries, e.ID)
+	delete(r.lapsed, e.ID)
+	if r.left == nil {
+		r.left = make(map[string]departed)
+	}
+	for id, d := range r.left {
+		if now >= d.until {
+			delete(r.left, id)
+		}
+	}
+	r.left[e.ID] = departed{entry: e, until: now.Add(Lingers)}
+}
+
 // Keep deletes every entry whose ID the complete listing does not hold.
 func (r *Registry) Keep(now sageclock.Instant, listed map[string]bool) {
 	for id := range r.entries {
@@ -140,8 +182,7 @@
 	dropped := false
 	for id, until := range r.lapsed {
 		if now >= until {
-			delete(r.entries, id)
-			delete(r.lapsed, id)
+			r.drop(now, r.entries[id])
 			dropped = true
 		}
 	}
@@ -157,6 +198,7 @@
 		services: make(map[string][]*Entry),
 		byID:     make(map[string]*Entry, len(r.entries)),
 		closed:   make(map[string]bool, len(r.closed)),
+		left:     maps.Clone(r.left),
 	}
 	for dc := range r.closed {
 		s.closed[dc] = true
--- a/pkg/sageupstream/registry_test.go
+++ b/pkg/sageupstream/registry_test.go
@@ -95,3 +95,18 @@
 	}
 	// Output: e1
 }
+
+// Engines whose entry was taken back without notice go on running for seconds; their cache is lost to
+// the fleet if nobody can name their address.
+func TestDepartedStaysReachableForAWhile(t *testing.T) {
+	r := new(Registry)
+	r.Put(entry("a"))
+	r.Delete(at(100), "a")
+	s := r.Set()
+	require.Nil(t, s.Get("a"))
+	require.NotNil(t, s.Reachable(at(2000), "a"))
+	require.Nil(t, s.Reachable(at(2200), "a"))
+	r.Put(entry("b"))
+	r.Delete(at(5000), "b")
+	require.Len(t, r.left, 1, "what is over is forgotten")
+}
