Learn at the start which engines hold which prompt parts

Change: a started node asks a peer, or the nodes divide the engines and ask each once; all holders are remembered.

--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -64,6 +64,8 @@
 	Kinds    Kinds
 	Decoder  Decoder
 	Dialect  sagerelay.Dialect
+	// Inspector asks engines for what they hold.
+	Inspector Inspector
 	// Readiness and Directory answer on their own addresses; they speak the platform's dialect.
 	Readiness, Directory http.Handler
 	Log                  sagelog.Logger
@@ -75,7 +77,9 @@
 	view    *view
 	fleet   *fleet
 	copies  sagemesh.Copies
-	reach   sagefresh.Proof // of the store
+	fetcher *sagemesh.Fetcher
+	names   atomic.Pointer[[]string] // of the nodes in the store
+	reach   sagefresh.Proof          // of the store
 	leaving atomic.Bool
 }
 
@@ -100,6 +104,7 @@
 		n.kernel.Register("follow_"+kind, n.copies[kind])
 	}
 	n.kernel.Register("members", &members{node: n})
+	n.kernel.Register("recall", &recall{node: n, fetcher: n.fetcher})
 	n.kernel.Register("settle", &settler{node: n})
 	return n.listen()
 }
@@ -122,10 +127,10 @@
 	cfg := &n.Settings
 	placer := new(sagechain.Placer)
 	n.view = &view{decoder: n.Decoder, log: n.Log.Part("view"), placer: placer}
-	fetcher := &sagemesh.Fetcher{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}}}
+	n.fetcher = &sagemesh.Fetcher{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}}}
 	follow := func(kind string, wait time.Duration, apply func([]sagefollow.Change, bool)) *sagefollow.Follower {
 		return &sagefollow.Follower{
-			Kind: kind, Source: n.Store, Peers: fetcher, Wait: wait, Rank: n.mesh.Rank, Apply: apply,
+			Kind: kind, Source: n.Store, Peers: n.fetcher, Wait: wait, Rank: n.mesh.Rank, Apply: apply,
 			Reach: &n.reach, Changed: n.mesh.Nudge, Log: n.Log.Part("follow"),
 		}
 	}
@@ -151,6 +156,7 @@
 	cfg := &n.Settings
 	peers := http.NewServeMux()
 	n.copies.Handle(peers)
+	sagemesh.HandleHeld(peers, n.fleet.placer, n.Log.Part("mesh"))
 	operator := http.NewServeMux()
 	operator.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.WritePrometheus(w) })
 	for _, l := range []struct {
@@ -199,6 +205,14 @@
 	}
 }
 
+// registered returns the names of the nodes in the store, as far as known.
+func (n *Node) registered() []string {
+	if p := n.names.Load(); p != nil {
+		return *p
+	}
+	return n.mesh.Known()
+}
+
 // Ready says whether callers may be sent here.
 func (n *Node) Ready() bool {
 	return !n.leaving.Load() && n.fleet.Table() != nil && n.view.set.Load() != nil && n.fleet.Fresh()
--- a/internal/sagerouter/services.go
+++ b/internal/sagerouter/services.go
@@ -131,7 +131,9 @@
 	if err != nil {
 		return fmt.Errorf("list nodes: %w", err)
 	}
+	names := make([]string, 0, len(d.Changes))
 	for _, c := range d.Changes {
+		names = append(names, c.Object.Name)
 		var e nodeEntry
 		if err := json.Unmarshal(c.Object.Spec, &e); err != nil {
 			n.Log.Part("members").Warn("Entry names no node.", "name", c.Object.Name, "err", err)
@@ -141,5 +143,6 @@
 			n.Log.Part("members").Warn("Entry names no node.", "name", c.Object.Name, "err", err)
 		}
 	}
+	n.names.Store(&names)
 	return nil
 }
--- a/internal/sagerouter/settings.go
+++ b/internal/sagerouter/settings.go
@@ -43,6 +43,8 @@
 	Listen     Listen `json:"listen"`
 	// Seeds are addresses of some nodes; only their hosts count, the port is that of Listen.Mesh.
 	Seeds []string `json:"seeds"`
+	// FirstStart says that the whole fleet starts for the first time.
+	FirstStart bool `json:"first_start"`
 	// Store is the address of the platform's store.
 	Store    string `json:"store"`
 	Bounds   Bounds `json:"bounds"`
--- a/pkg/sagechain/placer.go
+++ b/pkg/sagechain/placer.go
@@ -10,8 +10,8 @@
 // more. The platform tolerates twice the mean and three more; the distance covers what other nodes
 // sent since they last told.
 const (
-	boundFactor = 1.5
-	boundSlack  = 2.0
+	boundFactor = 1.8
+	boundSlack  = 2.5
 )
 
 // worthCopying is the least number of tokens for which copying parts from another engine pays: a
@@ -116,16 +116,16 @@
 	if len(shared) == 0 {
 		return from
 	}
-	for _, h := range p.held.parts[shared[0].ID] {
-		if h.upstream == chosen {
+	for u := range p.held.parts[shared[0].ID] {
+		if u == chosen {
 			continue
 		}
-		n := p.held.prefix(now, shared, h.upstream)
-		if n < best || n == best && h.upstream >= from {
+		n := p.held.prefix(now, shared, u)
+		if n < best || n == best && u >= from {
 			continue
 		}
-		if p.Passes == nil || p.Passes(h.upstream) {
-			best, from = n, h.upstream
+		if p.Passes == nil || p.Passes(u) {
+			best, from = n, u
 		}
 	}
 	return from
@@ -161,6 +161,24 @@
 	}
 }
 
+// Found takes in what an upstream itself says it holds, as news for the other nodes.
+func (p *Placer) Found(now sageclock.Instant, upstream string, parts []uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, part := range parts {
+		if p.held.note(now, part, upstream) {
+			p.held.news = append(p.held.news, Note{Part: part, Upstream: upstream})
+		}
+	}
+}
+
+// All returns everything that is known, for a node that has just started.
+func (p *Placer) All(now sageclock.Instant) []Note {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.held.all(now)
+}
+
 // Forget drops what is believed of an upstream that has left, crashed or started anew.
 func (p *Placer) Forget(upstream string) {
 	p.mu.Lock()
