--- /dev/null
+++ b/internal/sagefollow/follow_test.go
@@ -0,0 +1,271 @@
+package sagefollow
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sagestand.example/sagestand/pkg/sageclock"
+	"sagestand.example/sagestand/pkg/sagefresh"
+)
+
+func obj(name string, revision uint64) Change {
+	return Change{Object: Object{Name: name, Revision: revision, Spec: json.RawMessage(fmt.Sprint(revision))}}
+}
+
+func del(name string, revision uint64) Change {
+	c := obj(name, revision)
+	c.Deleted = true
+	return c
+}
+
+func names(c *content) map[string]uint64 {
+	out := make(map[string]uint64)
+	for n, o := range c.objects {
+		out[n] = o.Revision
+	}
+	return out
+}
+
+func TestContentApply(t *testing.T) {
+	full := Delta{Full: true, AsOf: 10, Changes: []Change{obj("a", 3), obj("b", 9)}}
+	for _, tt := range []struct {
+		name  string
+		since uint64
+		delta Delta
+		want  map[string]uint64
+		fresh int
+		asOf  uint64
+	}{
+		{"a change", 10, Delta{AsOf: 12, Changes: []Change{obj("a", 12)}}, map[string]uint64{"a": 12, "b": 9}, 1, 12},
+		{"a deletion", 10, Delta{AsOf: 12, Changes: []Change{del("b", 9)}}, map[string]uint64{"a": 3}, 1, 12},
+		{"nothing", 10, Delta{AsOf: 15}, map[string]uint64{"a": 3, "b": 9}, 0, 15},
+		// An answer that was under way for seconds names what was deleted since.
+		{"an old answer", 5, Delta{AsOf: 8, Changes: []Change{obj("c", 8)}}, map[string]uint64{"a": 3, "b": 9}, 0, 10},
+		{"known already", 5, Delta{AsOf: 12, Changes: []Change{obj("b", 9), obj("a", 11)}}, map[string]uint64{"a": 11, "b": 9}, 1, 12},
+		{"deleted and made anew", 10, Delta{AsOf: 14, Changes: []Change{del("b", 9), obj("b", 14)}}, map[string]uint64{"a": 3, "b": 14}, 2, 14},
+		{"a listing drops what it lacks", 0, Delta{Full: true, AsOf: 20, Changes: []Change{obj("b", 9), obj("d", 18)}}, map[string]uint64{"b": 9, "d": 18}, 2, 20},
+		{"changes from a later revision leave a gap", 30, Delta{AsOf: 40, Changes: []Change{obj("z", 40)}}, map[string]uint64{"a": 3, "b": 9}, 0, 10},
+	} {
+		c := new(content)
+		c.apply(0, full)
+		fresh := c.apply(tt.since, tt.delta)
+		require.Equal(t, tt.want, names(c), tt.name)
+		require.Len(t, fresh, tt.fresh, tt.name)
+		require.Equal(t, tt.asOf, c.asOf, tt.name)
+	}
+}
+
+// A node that was behind asks a peer and is given less than it lacks, whatever revision it has.
+func TestSinceLeadsEveryRevisionToTheSameContent(t *testing.T) {
+	c := new(content)
+	c.apply(0, Delta{Full: true, AsOf: 10, Changes: []Change{obj("a", 3), obj("b", 9)}})
+	var copies []*content
+	for i := uint64(11); i < 200; i++ {
+		behind := new(content)
+		behind.apply(0, c.since(0))
+		copies = append(copies, behind)
+		ch := obj(fmt.Sprintf("n%d", i%7), i)
+		if i%5 == 0 {
+			ch = del(fmt.Sprintf("n%d", i%7), i)
+		}
+		c.apply(c.asOf, Delta{AsOf: i, Changes: []Change{ch}})
+	}
+	for _, b := range copies {
+		b.apply(b.asOf, c.since(b.asOf))
+		require.Equal(t, names(c), names(b), "from %d", b.asOf)
+	}
+}
+
+// store is a source of one kind.
+type store struct {
+	mu    sync.Mutex
+	c     content
+	down  bool
+	gone  bool
+	calls int
+}
+
+var errDown = errors.New("down")
+
+func (s *store) put(ch Change) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.c.apply(s.c.asOf, Delta{AsOf: ch.Object.Revision, Changes: []Change{ch}})
+}
+
+func (s *store) List(context.Context, string) (Delta, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls++
+	if s.down {
+		return Delta{}, errDown
+	}
+	s.gone = false
+	return s.c.all(), nil
+}
+
+func (s *store) Watch(_ context.Context, _ string, since uint64, wait time.Duration) (Delta, error) {
+	until := time.Now().Add(wait)
+	s.mu.Lock()
+	s.calls++
+	s.mu.Unlock()
+	for {
+		s.mu.Lock()
+		d, down, gone := s.c.since(since), s.down, s.gone
+		s.mu.Unlock()
+		switch {
+		case down:
+			return Delta{}, errDown
+		case gone:
+			return Delta{}, fmt.Errorf("watch: %w", ErrGone)
+		case len(d.Changes) > 0 || !time.Now().Before(until):
+			return d, nil
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (s *store) set(f func(s *store)) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	f(s)
+}
+
+// gate refuses one node's calls while it is shut.
+type gate struct {
+	Source
+	shut atomic.Bool
+}
+
+func (g *gate) List(ctx context.Context, kind string) (Delta, error) {
+	if g.shut.Load() {
+		return Delta{}, errDown
+	}
+	return g.Source.List(ctx, kind)
+}
+
+func (g *gate) Watch(ctx context.Context, kind string, since uint64, wait time.Duration) (Delta, error) {
+	if g.shut.Load() {
+		return Delta{}, errDown
+	}
+	return g.Source.Watch(ctx, kind, since, wait)
+}
+
+// fleet is some followers that tell each other their positions.
+type fleet struct {
+	followers []*Follower
+	gates     []*gate
+	applied   []map[string]uint64
+	mu        sync.Mutex
+}
+
+func (f *fleet) Fetch(_ context.Context, peer, _ string, since uint64) (Delta, error) {
+	var i int
+	if _, err := fmt.Sscan(peer, &i); err != nil {
+		return Delta{}, err
+	}
+	return f.followers[i].Since(since), nil
+}
+
+func newFleet(t *testing.T, n int, src Source) *fleet {
+	t.Helper()
+	f := new(fleet)
+	ctx, cancel := context.WithCancel(t.Context())
+	var wg sync.WaitGroup
+	t.Cleanup(func() { cancel(); wg.Wait() })
+	for i := range n {
+		seen := make(map[string]uint64)
+		f.applied = append(f.applied, seen)
+		f.gates = append(f.gates, &gate{Source: src})
+		f.followers = append(f.followers, &Follower{
+			Kind: "k", Source: f.gates[i], Peers: f, Wait: 100 * time.Millisecond, Rank: func() int { return i }, Reach: new(sagefresh.Proof),
+			Apply: func(cs []Change, _ bool) {
+				f.mu.Lock()
+				defer f.mu.Unlock()
+				for _, c := range cs {
+					if c.Deleted {
+						delete(seen, c.Object.Name)
+						continue
+					}
+					if c.Object.Revision < seen[c.Object.Name] {
+						t.Errorf("node %d went back to %d of %s", i, c.Object.Revision, c.Object.Name)
+					}
+					seen[c.Object.Name] = c.Object.Revision
+				}
+			},
+		})
+	}
+	for _, fo := range f.followers {
+		wg.Go(func() { _ = fo.Run(ctx) })
+	}
+	wg.Go(func() {
+		for ctx.Err() == nil {
+			for i, from := range f.followers {
+				for j, to := range f.followers {
+					if i != j {
+						stamp := sageclock.Now()
+						to.Told(ctx, fmt.Sprint(i), from.Position(), stamp)
+					}
+				}
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+	})
+	return f
+}
+
+func (f *fleet) eventually(t *testing.T, what string, ok func(seen map[string]uint64) bool) {
+	t.Helper()
+	require.Eventually(t, func() bool {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		for _, seen := range f.applied {
+			if !ok(seen) {
+				return false
+			}
+		}
+		return true
+	}, 20*time.Second, 5*time.Millisecond, what)
+}
+
+// Callers are served by an old configuration after an outage: all nodes have to get to the newest
+// content after the store was down and after its history went, without ever going back.
+func TestAllNodesFollowThroughOutageAndLostHistory(t *testing.T) {
+	s := new(store)
+	s.c.apply(0, Delta{Full: true, AsOf: 1, Changes: []Change{obj("a", 1)}})
+	f := newFleet(t, 6, s)
+	f.eventually(t, "first content", func(m map[string]uint64) bool { return m["a"] == 1 })
+	s.put(obj("a", 2))
+	f.eventually(t, "a change", func(m map[string]uint64) bool { return m["a"] == 2 })
+	s.set(func(s *store) { s.down = true })
+	s.put(obj("b", 3))
+	require.Eventually(t, func() bool { return f.followers[0].Failing() }, 20*time.Second, 5*time.Millisecond)
+	s.set(func(s *store) { s.down, s.gone = false, true })
+	s.put(del("a", 4))
+	s.put(obj("c", 5))
+	f.eventually(t, "after the return", func(m map[string]uint64) bool { return m["b"] == 3 && m["c"] == 5 && m["a"] == 0 })
+	require.False(t, f.followers[0].Failing())
+}
+
+// The nodes that watch are refused by the store, which serves the others: these have to ask it
+// themselves, and their proof serves all.
+func TestOthersAskWhenTheWatchersAreRefused(t *testing.T) {
+	s := new(store)
+	s.c.apply(0, Delta{Full: true, AsOf: 1, Changes: []Change{obj("a", 1)}})
+	f := newFleet(t, 4, s)
+	f.eventually(t, "first content", func(m map[string]uint64) bool { return m["a"] == 1 })
+	for _, g := range f.gates[:2] {
+		g.shut.Store(true)
+	}
+	s.put(obj("a", 7))
+	f.eventually(t, "a change", func(m map[string]uint64) bool { return m["a"] == 7 })
+	require.Eventually(t, func() bool { return f.followers[0].Proof.Age(sageclock.Now()) < 2*time.Second }, 20*time.Second, time.Millisecond)
+}
--- /dev/null
+++ b/internal/sagemesh/mesh_test.go
@@ -0,0 +1,116 @@
+package sagemesh
+
+import (
+	"context"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sagestand.example/sagestand/internal/sagefollow"
+	"sagestand.example/sagestand/pkg/sageclock"
+)
+
+// node is one service with what it heard.
+type node struct {
+	*Service
+	mu     sync.Mutex
+	stamps int
+	stop   func()
+}
+
+func freePort(t *testing.T) string {
+	t.Helper()
+	c, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = c.Close() }()
+	return c.LocalAddr().String()
+}
+
+func start(t *testing.T, name, address string, seeds ...string) *node {
+	t.Helper()
+	n := new(node)
+	n.Service = &Service{
+		Name: name, Address: address, Seeds: seeds,
+		Fill: func(h *Heartbeat) { h.Ready = true; h.Copies = map[string]sagefollow.Position{"k": {AsOf: 1}} },
+		Heard: func(h *Heartbeat, stamp sageclock.Instant) {
+			n.mu.Lock()
+			defer n.mu.Unlock()
+			if stamp != 0 {
+				n.stamps++
+			}
+		},
+		Joined: func(Member) {}, Lost: func(Member) {},
+	}
+	require.NoError(t, n.Open())
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { defer close(done); _ = n.Run(ctx) }()
+	n.stop = func() { cancel(); <-done }
+	t.Cleanup(n.stop)
+	return n
+}
+
+func (n *node) echoed() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.stamps
+}
+
+const patience = 20 * time.Second
+
+// A node knows one seed only, and the directory names nobody else: all nodes have to hear of each
+// other, and one that dies has to be dropped.
+func TestNodesFindEachOtherThroughOneSeed(t *testing.T) {
+	addrs := []string{freePort(t), freePort(t), freePort(t)}
+	a := start(t, "a", addrs[0])
+	b := start(t, "b", addrs[1], addrs[0])
+	c := start(t, "c", addrs[2], addrs[0])
+	for _, n := range []*node{a, b, c} {
+		require.Eventually(t, func() bool { return len(n.Live()) == 2 }, patience, 10*time.Millisecond)
+		require.Eventually(t, func() bool { return n.echoed() > 0 }, patience, 10*time.Millisecond, "its stamps come back")
+		require.Len(t, n.Known(), 3)
+	}
+	ranks := map[int]bool{a.Rank(): true, b.Rank(): true, c.Rank(): true}
+	require.Len(t, ranks, 3, "one place each")
+	c.stop()
+	require.Eventually(t, func() bool { return len(a.Live()) == 1 && len(b.Live()) == 1 }, patience, 10*time.Millisecond)
+}
+
+// A VM restarts and its clock since boot begins anew. A peer echoes a stamp of the process before,
+// which is later than now, and keys that were taken away seem fresh for hours.
+func TestEchoOfAnEarlierProcessProvesNothing(t *testing.T) {
+	n := start(t, "a", freePort(t))
+	var got []sageclock.Instant
+	n.Heard = func(_ *Heartbeat, stamp sageclock.Instant) { got = append(got, stamp) }
+	other := freePort(t)
+	n.hear(&Heartbeat{Node: "b", Address: other, Stamp: Stamp{1, 5}, Echo: Stamp{n.incarnation + 1, 999}})
+	n.hear(&Heartbeat{Node: "b", Address: other, Stamp: Stamp{1, 6}, Echo: Stamp{n.incarnation, 42}})
+	n.hear(&Heartbeat{Node: "b", Address: other, Stamp: Stamp{1, 4}, Echo: Stamp{n.incarnation, 43}})
+	require.Equal(t, []sageclock.Instant{0, 42}, got, "an overtaken heartbeat is left out")
+	n.hear(&Heartbeat{Node: "b", Address: other, Stamp: Stamp{2, 1}, Echo: Stamp{n.incarnation, 44}})
+	require.Len(t, got, 3, "a new process counts from the start")
+}
+
+// The store refuses a node that is alive otherwise; were it ranked, nobody else would watch.
+func TestBlindAndLeavingNodesAreNotRanked(t *testing.T) {
+	n := start(t, "a", freePort(t))
+	for i := range 20 {
+		addr := freePort(t)
+		n.hear(&Heartbeat{Node: addr, Address: addr, Stamp: Stamp{1, 1}, Blind: i%2 == 0, Leaving: i%2 == 1})
+	}
+	require.Zero(t, n.Rank())
+	n.hear(&Heartbeat{Node: "x", Address: "nonsense", Stamp: Stamp{1, 1}})
+	require.Len(t, n.Known(), 21, "an address that can't be used names no node")
+}
+
+func FuzzHeartbeat(f *testing.F) {
+	f.Add([]byte(`{"n":"a","a":"127.0.0.1:1","s":{"i":1,"t":2},"k":["x"]}`))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		s := &Service{Name: "z", Address: "127.0.0.1:9", Heard: func(*Heartbeat, sageclock.Instant) {}, Joined: func(Member) {}, Lost: func(Member) {}}
+		s.peers, s.live, s.ever = map[string]*peer{}, map[string]bool{}, map[string]bool{}
+		s.take(b)
+	})
+}
--- a/internal/sagemesh/service.go
+++ b/internal/sagemesh/service.go
@@ -192,12 +192,17 @@
 		if err != nil {
 			continue // an ICMP error of an earlier send
 		}
-		var h Heartbeat
-		if err := json.Unmarshal(b[:n], &h); err != nil || h.Node == "" || h.Address == s.Address {
-			continue // a damaged or foreign datagram
-		}
-		s.hear(&h)
+		s.take(b[:n])
+	}
+}
+
+// take decodes a datagram; a damaged or foreign one is left out.
+func (s *Service) take(b []byte) {
+	var h Heartbeat
+	if err := json.Unmarshal(b, &h); err != nil || h.Node == "" || h.Address == s.Address {
+		return
 	}
+	s.hear(&h)
 }
 
 // hear takes a heartbeat in.
--- a/internal/sagerelay/transport.go
+++ b/internal/sagerelay/transport.go
@@ -28,6 +28,8 @@
 
 // transports hold the connections to upstreams.
 type transports struct {
+	// dial connects; nil means TCP.
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
 	once   sync.Once
 	reused *http.Transport
 	fresh  *http.Transport
@@ -38,8 +40,12 @@
 		Timeout:         connectWithin,
 		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: probeAfter, Interval: probeAfter, Count: probes},
 	}
+	connect := t.dial
+	if connect == nil {
+		connect = d.DialContext
+	}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := d.DialContext(ctx, network, address)
+		c, err := connect(ctx, network, address)
 		if err != nil {
 			return nil, fmt.Errorf("connect: %w", err)
 		}
