Spread configurations over a large fleet by data centre, compressed

Change: one node a data centre fetches first, four at a time are served, copies are compressed, only the store's own news are told to all; thresholds grow with the interval; positions are lists; changes of upstreams gather for 150 ms; a new fleet's first listings spread over 2 s.

--- a/internal/sagefollow/follow_test.go
+++ b/internal/sagefollow/follow_test.go
@@ -212,7 +212,7 @@
 				for j, to := range f.followers {
 					if i != j {
 						stamp := sageclock.Now()
-						to.Told(ctx, fmt.Sprint(i), from.Position(), stamp)
+						to.Told(ctx, fmt.Sprint(i), from.Position(), stamp, i%2 == j%2)
 					}
 				}
 			}
--- a/internal/sagefollow/follower.go
+++ b/internal/sagefollow/follower.go
@@ -35,8 +35,11 @@
 	// shortest bound on freshness, two seconds.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 600 * time.Millisecond
-	// peerWithin bounds a fetch from a peer.
-	peerWithin = time.Second
+	// peerWithin bounds a fetch from a peer: some hundred kilobytes over the slowest links.
+	peerWithin = 2 * time.Second
+	// farAfter is how long a node waits for the content to reach its own data centre before it
+	// fetches it from another one.
+	farAfter = 400 * time.Millisecond
 	// AwayAfter is how long the store must have been out of sight for leases to have lapsed unseen.
 	// It lies above the usual age of the proofs and below the shortest lease, three heartbeats of an
 	// upstream.
@@ -57,8 +60,17 @@
 	Apply func(changes []Change, returned bool)
 	// Reach is the proof of the store's answers to any kind, shared by all followers of a node.
 	Reach *sagefresh.Proof
-	// Changed is called after a change of the content, to tell the peers; may be nil.
-	Changed func()
+	// NotBefore is the instant before which a node that has nothing yet leaves the first listing to
+	// others; zero means at once.
+	NotBefore sageclock.Instant
+	// Gather is how long a node waits after changes before it watches on, so that changes that come
+	// close together cost one call.
+	Gather time.Duration
+	// Lag is how old a peer's proof may get on its way, in heartbeats; nil means no time at all.
+	Lag func() time.Duration
+	// Changed is called after a change of the content, to tell the peers. Own says that the store
+	// itself told of it. May be nil.
+	Changed func(own bool)
 	Log     sagelog.Logger
 
 	Proof sagefresh.Proof
@@ -66,6 +78,7 @@
 	mu       sync.Mutex
 	content  content
 	fetching bool
+	lacking  sageclock.Instant // when a peer first had more; 0 if none has
 	failing  atomic.Bool
 }
 
@@ -93,20 +106,34 @@
 	return f.content.since(rev)
 }
 
-// Told takes in the position that a peer stated after it had received stamp from this node.
-func (f *Follower) Told(ctx context.Context, peer string, p Position, stamp sageclock.Instant) {
+// Told takes in the position that a peer stated after it had received stamp from this node. Near says
+// that what the peer has more may be fetched at once: it is in the same data centre, or this node is
+// the one that fetches for its own.
+//
+// It guards against all nodes fetching a large configuration at once from the two that watch, whose
+// links would need seconds for it.
+func (f *Follower) Told(ctx context.Context, peer string, p Position, stamp sageclock.Instant, near bool) {
 	if p.AsOf == 0 || p.AgeMillis < 0 {
 		return
 	}
 	f.mu.Lock()
 	if f.content.listed && f.content.asOf >= p.Content {
 		f.content.asOf = max(f.content.asOf, p.AsOf)
+		f.lacking = 0
 		f.mu.Unlock()
 		age := time.Duration(p.AgeMillis) * time.Millisecond
 		f.Proof.Relayed(stamp, age)
 		f.Reach.Relayed(stamp, age)
 		return
 	}
+	now := sageclock.Now()
+	if f.lacking == 0 {
+		f.lacking = now
+	}
+	if !near && now.Sub(f.lacking) < farAfter {
+		f.mu.Unlock()
+		return
+	}
 	start := !f.fetching
 	f.fetching = true
 	since := f.content.asOf
@@ -128,12 +155,12 @@
 		return
 	}
 	if d.AsOf > 0 {
-		f.take(since, d)
+		f.take(since, d, false)
 	}
 }
 
 // take applies a delta and tells the owner.
-func (f *Follower) take(since uint64, d Delta) {
+func (f *Follower) take(since uint64, d Delta, own bool) {
 	f.mu.Lock()
 	returned := f.content.listed && f.Reach.Age(sageclock.Now()) > AwayAfter
 	fresh := f.content.apply(since, d)
@@ -142,7 +169,7 @@
 	}
 	f.mu.Unlock()
 	if len(fresh) > 0 && f.Changed != nil {
-		f.Changed()
+		f.Changed(own)
 	}
 }
 
@@ -181,10 +208,17 @@
 	listed := f.content.listed
 	f.mu.Unlock()
 	rank := f.Rank()
-	if !listed || rank < watchers {
+	if !listed {
+		return sageclock.Now() >= f.NotBefore
+	}
+	if rank < watchers {
 		return true
 	}
-	return f.Proof.Age(sageclock.Now()) > f.Wait+selfAfter+time.Duration(rank)*perRank
+	late := f.Wait + selfAfter + time.Duration(rank)*perRank
+	if f.Lag != nil {
+		late += f.Lag()
+	}
+	return f.Proof.Age(sageclock.Now()) > late
 }
 
 // ask makes one call to the store.
@@ -211,9 +245,12 @@
 	if err != nil {
 		return fmt.Errorf("follow %s: %w", f.Kind, err)
 	}
-	f.take(since, d)
+	f.take(since, d, true)
 	f.Proof.Own(sent)
 	f.Reach.Own(sent)
+	if listed && len(d.Changes) > 0 && f.Gather > 0 {
+		sleep(ctx, f.Gather)
+	}
 	return nil
 }
 
--- a/internal/sagemesh/doc.go
+++ b/internal/sagemesh/doc.go
@@ -15,7 +15,7 @@
 //	m := &sagemesh.Service{Name: "vm1", Address: "10.0.0.1:7340", Seeds: seeds, Fill: fill, Heard: heard}
 //	if err := m.Open(); err != nil { ... }
 //	go m.Run(ctx)
-//	m.Nudge()          // tell everyone now
+//	m.Nudge(true)      // tell everyone now
 //	m.Live()           // the nodes heard of lately
 //	m.Rank()           // this node's place among them
 package sagemesh
--- a/internal/sagemesh/fetch.go
+++ b/internal/sagemesh/fetch.go
@@ -1,6 +1,7 @@
 package sagemesh
 
 import (
+	"compress/gzip"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -9,6 +10,7 @@
 	"strconv"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sync/semaphore"
 
 	"sagestand.example/sagestand/internal/sagefollow"
 	"sagestand.example/sagestand/internal/sagelog"
@@ -67,8 +69,7 @@
 // HandleHeld answers peers with what this node knows of the holders of prompt parts.
 func HandleHeld(mux *http.ServeMux, placer *sagechain.Placer, log sagelog.Logger) {
 	mux.HandleFunc("GET "+heldPath, func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(placer.All(sageclock.Now())); err != nil {
+		if err := encode(w, placer.All(sageclock.Now())); err != nil {
 			log.Warn("Holders could not be sent to a peer.", "err", err)
 		}
 	})
@@ -77,8 +78,13 @@
 // Copies answers peers. The keys are kinds.
 type Copies map[string]*sagefollow.Follower
 
+// atOnce is how many peers are given copies at a time: on the slowest links more would make all of
+// them late. A peer that is turned away hears of the others that have the content by then.
+const atOnce = 4
+
 // Handle adds the copies to a mux.
 func (c Copies) Handle(mux *http.ServeMux) {
+	slots := semaphore.NewWeighted(atOnce)
 	mux.HandleFunc("GET "+copiesPath+"{kind}", func(w http.ResponseWriter, r *http.Request) {
 		f := c[r.PathValue("kind")]
 		since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
@@ -86,9 +92,31 @@
 			http.Error(w, "no such copy", http.StatusNotFound)
 			return
 		}
-		w.Header().Set("Content-Type", "application/json")
-		if err := json.NewEncoder(w).Encode(f.Since(since)); err != nil {
+		if !slots.TryAcquire(1) {
+			http.Error(w, "too many peers ask", http.StatusServiceUnavailable)
+			return
+		}
+		defer slots.Release(1)
+		if err := encode(w, f.Since(since)); err != nil {
 			f.Log.Warn("Copy could not be sent to a peer.", "kind", f.Kind, "err", err)
 		}
 	})
 }
+
+// encode writes a compressed answer. Configurations shrink to a tenth, and what nodes send each other
+// crosses data centres.
+func encode(w http.ResponseWriter, v any) error {
+	w.Header().Set("Content-Type", "application/json")
+	w.Header().Set("Content-Encoding", "gzip")
+	z, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
+	if err != nil {
+		return fmt.Errorf("compress: %w", err)
+	}
+	if err := json.NewEncoder(z).Encode(v); err != nil {
+		return fmt.Errorf("encode: %w", err)
+	}
+	if err := z.Close(); err != nil {
+		return fmt.Errorf("finish: %w", err)
+	}
+	return nil
+}
--- a/internal/sagemesh/service.go
+++ b/internal/sagemesh/service.go
@@ -66,6 +66,7 @@
 	incarnation uint64
 	conn        net.PacketConn
 	nudge       chan struct{}
+	nudgeNear   chan struct{}
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -82,6 +83,7 @@
 	s.conn = conn
 	s.incarnation = rand.Uint64()
 	s.nudge = make(chan struct{}, 1)
+	s.nudgeNear = make(chan struct{}, 1)
 	s.peers = make(map[string]*peer)
 	s.live = make(map[string]bool)
 	s.ever = map[string]bool{s.Name: true}
@@ -112,10 +114,14 @@
 	return nil
 }
 
-// Nudge sends heartbeats at once.
-func (s *Service) Nudge() {
+// Nudge sends heartbeats at once, to all nodes or only to those of this data centre.
+func (s *Service) Nudge(all bool) {
+	c := s.nudgeNear
+	if all {
+		c = s.nudge
+	}
 	select {
-	case s.nudge <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
@@ -127,17 +133,23 @@
 		defer close(done)
 		s.receive(ctx)
 	}()
+	s.tell(false)
+	t := time.NewTicker(s.Interval())
+	defer t.Stop()
 	for ctx.Err() == nil {
-		s.tell()
-		s.sweep()
-		t := time.NewTimer(s.interval())
 		select {
 		case <-ctx.Done():
 		case <-s.nudge:
+			s.tell(false)
+		case <-s.nudgeNear:
+			s.tell(true)
 		case <-t.C:
+			s.tell(false)
+			s.sweep()
+			t.Reset(s.Interval())
 		}
-		t.Stop()
 	}
+	s.tell(false)
 	err := s.conn.Close()
 	<-done
 	if err != nil {
@@ -146,14 +158,15 @@
 	return nil
 }
 
-func (s *Service) interval() time.Duration {
+// Interval is the time between two heartbeats.
+func (s *Service) Interval() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return max(shortest, time.Duration(len(s.live)+1)*perNode)
 }
 
-// tell sends one heartbeat to each known address.
-func (s *Service) tell() {
+// tell sends one heartbeat to each known address, or only to the nodes of this data centre.
+func (s *Service) tell(near bool) {
 	h := Heartbeat{Node: s.Name, Address: s.Address}
 	s.Fill(&h)
 	h.Stamp = Stamp{Incarnation: s.incarnation, At: sageclock.Now()}
@@ -164,6 +177,9 @@
 	s.mu.Lock()
 	targets := make([]target, 0, len(s.peers))
 	for a, p := range s.peers {
+		if near && p.member.DataCentre != h.DataCentre {
+			continue
+		}
 		targets = append(targets, target{p.addr, p.stamp})
 		if s.live[a] && len(h.Known) < knownPerHeartbeat {
 			h.Known = append(h.Known, a)
@@ -237,7 +253,7 @@
 
 // sweep drops nodes that fell silent.
 func (s *Service) sweep() {
-	silence := missed * s.interval()
+	silence := missed * s.Interval()
 	now := sageclock.Now()
 	var lost []Member
 	s.mu.Lock()
@@ -285,6 +301,19 @@
 	return rank
 }
 
+// First reports whether this node comes first, in the order of [Service.Rank], in its data centre.
+func (s *Service) First(dataCentre string) bool {
+	mine := xxhash.Sum64String(s.Address)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for a := range s.live {
+		if m := &s.peers[a].member; m.DataCentre == dataCentre && !m.Leaving && xxhash.Sum64String(a) > mine {
+			return false
+		}
+	}
+	return true
+}
+
 // Known returns the names of all nodes that were ever heard of, this one included.
 func (s *Service) Known() []string {
 	s.mu.Lock()
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"sagestand.example/sagestand/internal/sagefollow"
@@ -30,12 +31,21 @@
 	// proof of freshness, which bounds of two seconds build on.
 	configWait   = 700 * time.Millisecond
 	upstreamWait = 2 * time.Second
+	// gatherUpstreams is how long changes of upstreams gather, well below the two seconds within which
+	// a leaving one must get nothing more.
+	gatherUpstreams = 150 * time.Millisecond
+	// firstListingWithin is the time over which the first listings of a new fleet spread: the first
+	// nodes' answers serve the others.
+	firstListingWithin = 2 * time.Second
 	// settleEvery is how often lapsed entries are looked through.
 	settleEvery = 100 * time.Millisecond
 	// AnswerValid is how long callers may keep a directory answer; some keep it three times as long.
 	AnswerValid = time.Second
 	// keptTimes is how many times AnswerValid a leaving node goes on serving new connections.
 	keptTimes = 3
+	// mostLag is the part of that age which a follower's own threshold covers: two of the shortest
+	// intervals.
+	mostLag = 400 * time.Millisecond
 	// stopMargin is what a process needs to end after its last request.
 	stopMargin = 700 * time.Millisecond
 	// heldNotes is how many facts on prompt parts ride on one heartbeat, 7 KB at most.
@@ -131,7 +141,7 @@
 	follow := func(kind string, wait time.Duration, apply func([]sagefollow.Change, bool)) *sagefollow.Follower {
 		return &sagefollow.Follower{
 			Kind: kind, Source: n.Store, Peers: n.fetcher, Wait: wait, Rank: n.mesh.Rank, Apply: apply,
-			Reach: &n.reach, Changed: n.mesh.Nudge, Log: n.Log.Part("follow"),
+			Reach: &n.reach, Changed: n.changed, Lag: n.lag, Log: n.Log.Part("follow"),
 		}
 	}
 	n.copies = sagemesh.Copies{
@@ -139,6 +149,8 @@
 		n.Kinds.Upstreams: follow(n.Kinds.Upstreams, upstreamWait, n.view.applyUpstreams),
 		n.Kinds.Closed:    follow(n.Kinds.Closed, upstreamWait, n.view.applyClosed),
 	}
+	n.copies[n.Kinds.Upstreams].Gather = gatherUpstreams
+	n.spreadFirstListing()
 	n.fleet = &fleet{
 		view: n.view, keyProof: &n.copies[n.Kinds.Config].Proof,
 		known: n.mesh.Known, placer: placer, cold: sageshare.Cold{Self: cfg.Node},
@@ -151,6 +163,18 @@
 	}
 }
 
+// spreadFirstListing delays this node's first listings when the whole fleet starts for the first time
+// and no caller waits. At every other start the time until it serves counts.
+func (n *Node) spreadFirstListing() {
+	if !n.Settings.FirstStart {
+		return
+	}
+	late := time.Duration(xxhash.Sum64String(n.Settings.Node) % uint64(firstListingWithin))
+	for _, f := range n.copies {
+		f.NotBefore = sageclock.Now().Add(late)
+	}
+}
+
 // listen opens the listeners and registers their servers, the entry last, so that it stops first.
 func (n *Node) listen() error {
 	cfg := &n.Settings
@@ -240,13 +264,30 @@
 	if stamp == 0 {
 		return
 	}
+	near := h.DataCentre == n.Settings.DataCentre || n.mesh.First(n.Settings.DataCentre)
 	for kind, p := range h.Copies {
 		if f := n.copies[kind]; f != nil {
-			f.Told(context.Background(), h.Address, p, stamp)
+			f.Told(context.Background(), h.Address, p, stamp, near)
 		}
 	}
 }
 
+// changed tells the peers of changed content: all of them if the store told this node, those of its
+// data centre if this node fetched it for them.
+func (n *Node) changed(own bool) {
+	if own || n.mesh.First(n.Settings.DataCentre) {
+		n.mesh.Nudge(own)
+	}
+}
+
+// lag is the age that a proof gets by heartbeats: the peer's own and the stamp that it echoes.
+func (n *Node) lag() time.Duration {
+	if d := 2 * n.mesh.Interval(); d > mostLag {
+		return d - mostLag
+	}
+	return 0
+}
+
 // Locate returns the entry addresses that a caller may use: this node and the others that serve.
 func (n *Node) Locate() []string {
 	var out []string
--- a/internal/sagerouter/services.go
+++ b/internal/sagerouter/services.go
@@ -50,7 +50,7 @@
 	n := s.node
 	by := time.Now().Add(seconds(n.Settings.Bounds.StopWithinSeconds) - stopMargin)
 	n.leaving.Store(true)
-	n.mesh.Nudge()
+	n.mesh.Nudge(true)
 	n.Log.Part("node").Info("Leaving.", "in_flight", n.relay.InFlight())
 	time.Sleep(min(keptTimes*AnswerValid+AnswerValid/2, time.Until(by)))
 	ctx, cancel := context.WithDeadline(context.Background(), by)
