Keep more distance to the cap where counts lag; ask a dead store less; keep callers near

Change: the bound takes half of the arrivals of one interval off; blind nodes rank behind those that see and among themselves, and pause by rank; callers get the nodes of their own data centre where three or more serve.

--- a/internal/sagefollow/follow_test.go
+++ b/internal/sagefollow/follow_test.go
@@ -186,7 +186,7 @@
 		f.applied = append(f.applied, seen)
 		f.gates = append(f.gates, &gate{Source: src})
 		f.followers = append(f.followers, &Follower{
-			Kind: "k", Source: f.gates[i], Peers: f, Wait: 100 * time.Millisecond, Rank: func() int { return i }, Reach: new(sagefresh.Proof),
+			Kind: "k", Source: f.gates[i], Peers: f, Wait: 100 * time.Millisecond, Rank: func(bool) int { return i }, Reach: new(sagefresh.Proof),
 			Apply: func(cs []Change, _ bool) {
 				f.mu.Lock()
 				defer f.mu.Unlock()
--- a/internal/sagefollow/follower.go
+++ b/internal/sagefollow/follower.go
@@ -35,6 +35,9 @@
 	// shortest bound on freshness, two seconds.
 	firstPause   = 100 * time.Millisecond
 	longestPause = 600 * time.Millisecond
+	// perRankFailing is added to it for each place in the ranks: while the store is down for all, the
+	// first two find out when it is back and tell the others.
+	perRankFailing = 75 * time.Millisecond
 	// peerWithin bounds a fetch from a peer: some hundred kilobytes over the slowest links.
 	peerWithin = 2 * time.Second
 	// farAfter is how long a node waits for the content to reach its own data centre before it
@@ -53,8 +56,9 @@
 	Peers  Peers
 	// Wait is how long a watch waits for a change.
 	Wait time.Duration
-	// Rank is this node's place among the live nodes, 0 the first.
-	Rank func() int
+	// Rank is this node's place among the live nodes, 0 the first; blind says that the store does not
+	// answer this one.
+	Rank func(blind bool) int
 	// Apply takes changes in; returned says that the store had been out of sight for a while. Calls
 	// never overlap.
 	Apply func(changes []Change, returned bool)
@@ -196,7 +200,11 @@
 		if sageclock.Now().Sub(began) >= answerWithin {
 			within = slowWithin
 		}
-		sleep(ctx, pause/2+rand.N(pause))
+		wait := pause/2 + rand.N(pause)
+		if rank := f.Rank(true); rank >= watchers {
+			wait += time.Duration(rank) * perRankFailing
+		}
+		sleep(ctx, wait)
 		pause = min(2*pause, longestPause)
 	}
 	return nil
@@ -207,7 +215,7 @@
 	f.mu.Lock()
 	listed := f.content.listed
 	f.mu.Unlock()
-	rank := f.Rank()
+	rank := f.Rank(f.Failing())
 	if !listed {
 		return sageclock.Now() >= f.NotBefore
 	}
--- a/internal/sagemesh/doc.go
+++ b/internal/sagemesh/doc.go
@@ -17,5 +17,5 @@
 //	go m.Run(ctx)
 //	m.Nudge(true)      // tell everyone now
 //	m.Live()           // the nodes heard of lately
-//	m.Rank()           // this node's place among them
+//	m.Rank(false)      // this node's place among them
 package sagemesh
--- a/internal/sagemesh/mesh_test.go
+++ b/internal/sagemesh/mesh_test.go
@@ -73,7 +73,7 @@
 		require.Eventually(t, func() bool { return n.echoed() > 0 }, patience, 10*time.Millisecond, "its stamps come back")
 		require.Len(t, n.Known(), 3)
 	}
-	ranks := map[int]bool{a.Rank(): true, b.Rank(): true, c.Rank(): true}
+	ranks := map[int]bool{a.Rank(false): true, b.Rank(false): true, c.Rank(false): true}
 	require.Len(t, ranks, 3, "one place each")
 	c.stop()
 	require.Eventually(t, func() bool { return len(a.Live()) == 1 && len(b.Live()) == 1 }, patience, 10*time.Millisecond)
@@ -101,9 +101,14 @@
 		addr := freePort(t)
 		n.hear(&Heartbeat{Node: addr, Address: addr, Stamp: Stamp{1, 1}, Blind: i%2 == 0, Leaving: i%2 == 1})
 	}
-	require.Zero(t, n.Rank())
+	require.Zero(t, n.Rank(false))
+	require.LessOrEqual(t, n.Rank(true), 10, "a blind node counts the blind ones")
+	seeing := freePort(t)
+	before := n.Rank(true)
+	n.hear(&Heartbeat{Node: seeing, Address: seeing, Stamp: Stamp{1, 1}})
+	require.Equal(t, before+1, n.Rank(true), "and comes behind those that see")
 	n.hear(&Heartbeat{Node: "x", Address: "nonsense", Stamp: Stamp{1, 1}})
-	require.Len(t, n.Known(), 21, "an address that can't be used names no node")
+	require.Len(t, n.Known(), 22, "an address that can't be used names no node")
 }
 
 func FuzzHeartbeat(f *testing.F) {
--- a/internal/sagemesh/service.go
+++ b/internal/sagemesh/service.go
@@ -284,17 +284,20 @@
 	return out
 }
 
-// Rank returns this node's place in an order of the live nodes that stay and that the store answers,
-// by the hash of their addresses.
+// Rank returns this node's place in an order of the live nodes that stay, by the hash of their
+// addresses. Nodes that the store refuses count only for each other.
 //
 // It guards against watchers that nobody replaces: the store may refuse some nodes and serve others,
-// and a node that it refuses is alive for its peers.
-func (s *Service) Rank() int {
+// and a node that it refuses is alive for its peers. When it refuses all, two of them go on asking.
+func (s *Service) Rank(blind bool) int {
 	mine, rank := xxhash.Sum64String(s.Address), 0
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for a := range s.live {
-		if m := &s.peers[a].member; !m.Leaving && !m.Blind && xxhash.Sum64String(a) > mine {
+		m := &s.peers[a].member
+		switch {
+		case m.Leaving || m.Blind && !blind:
+		case blind && !m.Blind, xxhash.Sum64String(a) > mine:
 			rank++
 		}
 	}
--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -28,6 +28,7 @@
 	keyProof  *sagefresh.Proof
 	keyWithin atomic.Int64 // nanoseconds
 	known     func() []string
+	lag       func() time.Duration // of the other nodes' counts
 	placer    *sagechain.Placer
 	flights   sageflight.Counter
 	health    sagehealth.Book
@@ -103,7 +104,7 @@
 		return leastLoaded(es, loads), sagechain.Choice{Why: "least_loaded"}
 	}
 	cands := make([]sagechain.Candidate, len(es))
-	rest := sagechain.Rest{Upstreams: len(all) - len(es)}
+	rest := sagechain.Rest{Upstreams: len(all) - len(es), Lag: f.lag()}
 	for _, e := range all {
 		rest.Load += loads[e.ID]
 	}
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -153,7 +153,7 @@
 	n.spreadFirstListing()
 	n.fleet = &fleet{
 		view: n.view, keyProof: &n.copies[n.Kinds.Config].Proof,
-		known: n.mesh.Known, placer: placer, cold: sageshare.Cold{Self: cfg.Node},
+		known: n.mesh.Known, lag: n.mesh.Interval, placer: placer, cold: sageshare.Cold{Self: cfg.Node},
 		retries: sageshare.Retries{Window: seconds(cfg.Bounds.RetryWindowSeconds)},
 	}
 	placer.Passes = n.fleet.passes
@@ -288,16 +288,30 @@
 	return 0
 }
 
-// Locate returns the entry addresses that a caller may use: this node and the others that serve.
-func (n *Node) Locate() []string {
-	var out []string
+// enoughNear is how many nodes a data centre needs for its callers to be kept there: with three, the
+// loss of two still leaves one until the callers ask again.
+const enoughNear = 3
+
+// Locate returns the entry addresses that a caller of a data centre may use: those of its own data
+// centre if enough serve there, or else all. Requests and answers then cross data centres once less.
+func (n *Node) Locate(dataCentre string) []string {
+	var all, near []string
+	add := func(entry, at string) {
+		all = append(all, entry)
+		if at == dataCentre {
+			near = append(near, entry)
+		}
+	}
 	if n.Ready() {
-		out = append(out, n.Settings.Listen.Entry)
+		add(n.Settings.Listen.Entry, n.Settings.DataCentre)
 	}
 	for _, m := range n.mesh.Live() {
 		if m.Ready && !m.Leaving {
-			out = append(out, m.Entry)
+			add(m.Entry, m.DataCentre)
 		}
 	}
-	return out
+	if len(near) >= enoughNear {
+		return near
+	}
+	return all
 }
--- a/pkg/sagechain/placer.go
+++ b/pkg/sagechain/placer.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"sagestand.example/sagestand/pkg/sageclock"
 )
@@ -18,6 +19,9 @@
 	capFactor = 2.0
 	capSlack  = 3.0
 	capMargin = 1.5
+	// usualRun is how long a request usually runs: what arrived during the lag of the counts is about
+	// the mean load times half the lag over it.
+	usualRun = time.Second
 	// evenSlack is what an upstream may exceed the candidates' mean by in any case: without it,
 	// nothing could be placed when most upstreams may not be used.
 	evenSlack = 1.0
@@ -70,6 +74,8 @@
 type Rest struct {
 	Upstreams int
 	Load      int
+	// Lag is the time between two statements of the other nodes' counts.
+	Lag time.Duration
 }
 
 // Bound returns the greatest load at which an upstream may still be chosen.
@@ -84,7 +90,8 @@
 	}
 	mean := float64(total) / float64(max(1, len(cands)))
 	all := float64(total+rest.Load) / float64(max(1, len(cands)+rest.Upstreams))
-	tolerated := max(capFactor*all+capSlack-capMargin, mean+evenSlack)
+	unseen := all * float64(rest.Lag) / float64(2*usualRun)
+	tolerated := max(capFactor*all+capSlack-capMargin-unseen, mean+evenSlack)
 	return min(boundFactor*mean+boundSlack, tolerated)
 }
 
--- a/pkg/sagechain/placer_test.go
+++ b/pkg/sagechain/placer_test.go
@@ -160,3 +160,25 @@
 		require.LessOrEqual(t, float64(c.Load), 2*95.0/11+3, c.ID)
 	}
 }
+
+func TestBound(t *testing.T) {
+	loaded := func(n, load int) []Candidate {
+		out := candidates(n)
+		for i := range out {
+			out[i].Load = load
+		}
+		return out
+	}
+	for _, tt := range []struct {
+		name string
+		rest Rest
+		want float64
+	}{
+		{"all usable", Rest{}, 1.8*5 + 2.5},
+		// Ninety nodes tell their counts every 0.9 s: half of that many requests are not in them.
+		{"counts lag", Rest{Lag: 900 * time.Millisecond}, 2*5 + 1.5 - 0.45*5},
+		{"few usable", Rest{Upstreams: 20}, 5 + 1},
+	} {
+		require.InDelta(t, tt.want, Bound(loaded(10, 5), tt.rest), 1e-9, tt.name)
+	}
+}
