--- a/cmd/sagestand/main.go
+++ b/cmd/sagestand/main.go
@@ -25,6 +25,6 @@
 		Long:  "sagestand routes callers to model engines and application services.\n\n" + sagecli.ExitHelp,
 	}
 	out.AddFlag(c)
-	c.AddCommand(serveCommand(), settingsCommand(out), ticketCommand(out), statusCommand(out), locateCommand(out), reportCommand(out), unknownCommand(out), demoCommand(out), versionCommand(out), platform.Command())
+	c.AddCommand(serveCommand(), settingsCommand(out), ticketCommand(out), statusCommand(out), locateCommand(out), reportCommand(out), unknownCommand(out), demoCommand(out), versionCommand(out), platform.Command(), explainCommand(out))
 	return c
 }
--- a/internal/sagedispatch/dispatcher.go
+++ b/internal/sagedispatch/dispatcher.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"sagestand.example/sagestand/internal/sageconn"
+	"sagestand.example/sagestand/internal/sageheader"
 	"sagestand.example/sagestand/pkg/sagewire"
 )
 
@@ -158,7 +159,7 @@
 		x.res.RetryAt = retryAt(res.Header, time.Now())
 		return
 	}
-	if x.a.Stream && isEventStream(res) {
+	if x.a.Stream && sageheader.IsEventStream(res) {
 		x.stream(ctx, res, sent)
 		return
 	}
@@ -187,7 +188,7 @@
 	if err != nil {
 		return nil, err
 	}
-	copyHeader(req.Header, a.Header)
+	sageheader.Copy(req.Header, a.Header)
 	req.Header.Set(sagewire.HeaderRequestID, a.RequestID)
 	req.Header.Set(sagewire.HeaderPriority, a.Priority.String())
 	req.Header.Set(sagewire.HeaderDeadline, a.Deadline.UTC().Format(time.RFC3339Nano))
--- a/internal/sagedispatch/plain.go
+++ b/internal/sagedispatch/plain.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sagestand.example/sagestand/internal/sageconn"
+	"sagestand.example/sagestand/internal/sageheader"
 	"sagestand.example/sagestand/pkg/sagewire"
 )
 
@@ -78,7 +79,7 @@
 		x.res.Answer = &Answer{Status: res.StatusCode, Header: answerHeader(res.Header), Body: body}
 	}
 	h := x.w.Header()
-	copyHeader(h, res.Header)
+	sageheader.Copy(h, res.Header)
 	h.Set(sagewire.HeaderOutcome, string(sagewire.Complete))
 	if len(body) > 0 {
 		h.Set("Content-Length", strconv.Itoa(len(body)))
@@ -102,7 +103,7 @@
 // large passes on an answer as it comes. Its outcome stands in the trailer.
 func (x *exchange) large(ctx context.Context, res *http.Response, held []byte, sent *sageconn.Tracker) {
 	h := x.w.Header()
-	copyHeader(h, res.Header)
+	sageheader.Copy(h, res.Header)
 	h.Set("Trailer", sagewire.HeaderOutcome)
 	x.res.Started = true
 	x.w.WriteHeader(res.StatusCode)
--- a/internal/sagedispatch/stream.go
+++ b/internal/sagedispatch/stream.go
@@ -12,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"sagestand.example/sagestand/internal/sageconn"
+	"sagestand.example/sagestand/internal/sageheader"
 	"sagestand.example/sagestand/internal/sagesse"
 	"sagestand.example/sagestand/pkg/sagewire"
 )
@@ -149,7 +150,7 @@
 		x.res.FirstByteAt = time.Now()
 		x.res.Started = true
 		h := x.w.Header()
-		copyHeader(h, res.Header)
+		sageheader.Copy(h, res.Header)
 		h.Set("Trailer", sagewire.HeaderOutcome)
 		x.deadline()
 		x.w.WriteHeader(res.StatusCode)
@@ -195,7 +196,7 @@
 		return errRestarted
 	case res.StatusCode == http.StatusNotFound, res.StatusCode == http.StatusGone:
 		return errNotResumed
-	case !isEventStream(res):
+	case !sageheader.IsEventStream(res):
 		return fmt.Errorf("resume: status %d", res.StatusCode)
 	}
 	return nil
--- a/internal/sagemesh/mesh_test.go
+++ b/internal/sagemesh/mesh_test.go
@@ -35,7 +35,7 @@
 	n.Service = &Service{
 		Name: name, Address: address, Seeds: seeds,
 		Fill: func(h *Heartbeat) { h.Ready = true; h.Copies = map[string]sagefollow.Position{"k": {AsOf: 1}} },
-		Heard: func(h *Heartbeat, stamp sageclock.Instant) {
+		Heard: func(_ *Heartbeat, stamp sageclock.Instant) {
 			n.mu.Lock()
 			defer n.mu.Unlock()
 			if stamp != 0 {
@@ -113,7 +113,7 @@
 
 func FuzzHeartbeat(f *testing.F) {
 	f.Add([]byte(`{"n":"a","a":"127.0.0.1:1","s":{"i":1,"t":2},"k":["x"]}`))
-	f.Fuzz(func(t *testing.T, b []byte) {
+	f.Fuzz(func(_ *testing.T, b []byte) {
 		s := &Service{Name: "z", Address: "127.0.0.1:9", Heard: func(*Heartbeat, sageclock.Instant) {}, Joined: func(Member) {}, Lost: func(Member) {}}
 		s.peers, s.live, s.ever = map[string]*peer{}, map[string]bool{}, map[string]bool{}
 		s.take(b)
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"sagestand.example/sagestand/internal/sageconn"
+	"sagestand.example/sagestand/internal/sageheader"
 	"sagestand.example/sagestand/pkg/sagehealth"
 )
 
@@ -96,7 +97,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: x.sent.Got})
 	u := *j.r.URL
 	u.Scheme, u.Host = "http", x.p.Upstream.Address
-	req := (&http.Request{Method: j.r.Method, URL: &u, Host: j.r.Host, Header: endToEnd(j.r.Header), ProtoMajor: 1, ProtoMinor: 1}).WithContext(ctx)
+	req := (&http.Request{Method: j.r.Method, URL: &u, Host: j.r.Host, Header: sageheader.EndToEnd(j.r.Header), ProtoMajor: 1, ProtoMinor: 1}).WithContext(ctx)
 	if len(j.bytes) > 0 {
 		req.Body = io.NopCloser(onceReader{bytes.NewReader(j.bytes)})
 		req.ContentLength = int64(len(j.bytes))
@@ -167,7 +168,7 @@
 	if res.StatusCode >= http.StatusInternalServerError {
 		return x.failure(ctx, res, silent)
 	}
-	if isStream(res) {
+	if sageheader.IsEventStream(res) {
 		return x.stream(ctx, res, silent)
 	}
 	return x.plain(ctx, res, silent)
@@ -229,7 +230,7 @@
 	if err != nil {
 		return nil, x.broken(ctx, err)
 	}
-	return &heldAnswer{status: res.StatusCode, header: endToEnd(res.Header), body: b}, answered
+	return &heldAnswer{status: res.StatusCode, header: sageheader.EndToEnd(res.Header), body: b}, answered
 }
 
 // pass gives a held answer to the caller.
@@ -241,3 +242,11 @@
 	j.w.WriteHeader(h.status)
 	_, _ = j.w.Write(h.body) // a caller that left meanwhile needs no answer
 }
+
+// copyInto passes an answer's header on.
+func copyInto(dst, src http.Header) {
+	sageheader.Copy(dst, src)
+	if _, ok := src["Content-Type"]; !ok {
+		dst["Content-Type"] = nil // net/http would guess one
+	}
+}
--- a/internal/sagerelay/stream.go
+++ b/internal/sagerelay/stream.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"time"
 
+	"sagestand.example/sagestand/internal/sageheader"
 	"sagestand.example/sagestand/internal/sagesse"
 	"sagestand.example/sagestand/pkg/sagehealth"
 )
@@ -72,7 +73,7 @@
 		return
 	}
 	j.started = true
-	copyInto(j.w.Header(), endToEnd(res.Header))
+	copyInto(j.w.Header(), sageheader.EndToEnd(res.Header))
 	j.w.WriteHeader(res.StatusCode)
 }
 
