--- a/internal/sagefollow/follower.go
+++ b/internal/sagefollow/follower.go
@@ -75,7 +75,9 @@
 	// Changed is called after a change of the content, to tell the peers. Own says that the store
 	// itself told of it. May be nil.
 	Changed func(own bool)
-	Log     sagelog.Logger
+	// Called is told of each call to the store; may be nil.
+	Called func(ok bool)
+	Log    sagelog.Logger
 
 	Proof sagefresh.Proof
 
@@ -187,6 +189,9 @@
 		}
 		began := sageclock.Now()
 		err := f.ask(ctx, within)
+		if f.Called != nil {
+			f.Called(err == nil)
+		}
 		if err == nil {
 			f.regained()
 			pause = firstPause
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -83,8 +83,10 @@
 		}
 		v := j.try(ctx, p)
 		p.Done()
+		j.s.countSend(j.target, v)
 		if v == answered {
-			j.s.count("answered")
+			j.s.count(Answered)
+			j.s.observe(j)
 			return
 		}
 		j.note(p, v)
--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -158,6 +158,17 @@
 	return j.route.Pick(rand.Float64())
 }
 
+// count counts the end of a request.
 func (s *Service) count(r Reason) {
 	s.Metrics.GetOrCreateCounter(`sagestand_requests_ended_total{reason="` + string(r) + `"}`).Inc()
 }
+
+// countSend counts the end of one exchange with an upstream.
+func (s *Service) countSend(service string, v verdict) {
+	s.Metrics.GetOrCreateCounter(`sagestand_sends_total{service="` + service + `",verdict="` + v.String() + `"}`).Inc()
+}
+
+// observe notes how long an answered request took.
+func (s *Service) observe(j *job) {
+	s.Metrics.GetOrCreateHistogram(`sagestand_request_duration_seconds{kind="` + string(j.route.Kind) + `"}`).UpdateDuration(j.began)
+}
--- a/internal/sagerelay/steps.go
+++ b/internal/sagerelay/steps.go
@@ -63,7 +63,7 @@
 	Refuse(h http.Header, id string, retryAfter time.Duration)
 }
 
-// Reason is why a request was refused or given up.
+// Reason is how or why a request ended.
 type Reason string
 
 // The reasons.
@@ -79,7 +79,7 @@
 	AnswerLost   Reason = "answer_lost"
 	TimedOut     Reason = "timed_out"
 	CallerLeft   Reason = "caller_left"
-	Stopping     Reason = "stopping"
+	Answered     Reason = "answered"
 )
 
 // Pick is a chosen upstream. Done must be called when the exchange is over.
--- /dev/null
+++ b/internal/sagerouter/gauges.go
@@ -0,0 +1,52 @@
+package sagerouter
+
+import (
+	"math"
+	"strconv"
+	"time"
+
+	"sagestand.example/sagestand/pkg/sageclock"
+	"sagestand.example/sagestand/pkg/sagefresh"
+)
+
+// export adds the node's own metrics: how fresh its copies are, whom it knows, what it has in hand.
+func (n *Node) export() {
+	for kind, f := range n.copies {
+		n.metrics.NewGauge(`sagestand_copy_age_seconds{kind="`+kind+`"}`, func() float64 { return age(&f.Proof) })
+		f.Called = n.countCalls(kind)
+	}
+	n.metrics.NewGauge("sagestand_config_version", func() float64 {
+		if t := n.fleet.Table(); t != nil {
+			return float64(t.Version)
+		}
+		return 0
+	})
+	n.metrics.NewGauge("sagestand_requests_in_flight", func() float64 { return float64(n.relay.InFlight()) })
+	n.metrics.NewGauge("sagestand_peers_live", func() float64 { return float64(len(n.mesh.Live())) })
+	n.metrics.NewGauge("sagestand_upstreams_known", func() float64 { return float64(n.view.set.Load().Len()) })
+	n.metrics.NewGauge("sagestand_ready", func() float64 {
+		if n.Ready() {
+			return 1
+		}
+		return 0
+	})
+	if n.Dropped != nil {
+		n.metrics.NewGauge("sagestand_log_lines_dropped_total", func() float64 { return float64(n.Dropped()) })
+	}
+}
+
+// countCalls returns what counts the calls to the store about one kind.
+func (n *Node) countCalls(kind string) func(ok bool) {
+	return func(ok bool) {
+		n.metrics.GetOrCreateCounter(`sagestand_store_calls_total{kind="` + kind + `",ok="` + strconv.FormatBool(ok) + `"}`).Inc()
+	}
+}
+
+// age returns a proof's age in seconds, infinite if there is none.
+func age(p *sagefresh.Proof) float64 {
+	d := p.Age(sageclock.Now())
+	if d == sagefresh.Unproven {
+		return math.Inf(1)
+	}
+	return float64(d) / float64(time.Second)
+}
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -79,6 +79,8 @@
 	// Readiness and Directory answer on their own addresses; they speak the platform's dialect.
 	Readiness, Directory http.Handler
 	Log                  sagelog.Logger
+	// Dropped returns how many lines the log dropped; may be nil.
+	Dropped func() int64
 
 	kernel  sagekernel.Kernel
 	metrics *metrics.Set
@@ -109,6 +111,7 @@
 		return err
 	}
 	n.makeFleet()
+	n.export()
 	n.kernel.Register("mesh", n.mesh)
 	for _, kind := range []string{n.Kinds.Closed, n.Kinds.Upstreams, n.Kinds.Config} {
 		n.kernel.Register("follow_"+kind, n.copies[kind])
--- a/pkg/sageupstream/registry.go
+++ b/pkg/sageupstream/registry.go
@@ -100,7 +100,12 @@
 }
 
 // Len returns the number of entries, usable or not.
-func (s *Set) Len() int { return len(s.byID) }
+func (s *Set) Len() int {
+	if s == nil {
+		return 0
+	}
+	return len(s.byID)
+}
 
 // Registry collects entries. It is not safe for concurrent use; the sets that it gives are.
 type Registry struct {
