--- a/internal/sageexplain/explain.go
+++ b/internal/sageexplain/explain.go
@@ -105,6 +105,7 @@
 	"not_fresh":     "the node had no proof that its configuration was fresh, so it trusted no key; look for the store's or the peers' silence before this line",
 	"bad_request":   "the request had no id",
 	"too_large":     "the body was larger than the configuration allows",
+	"no_memory":     "the bodies of other requests took the memory set aside for them",
 	"no_upstream":   "no upstream of the service might be used, or all had declined",
 	"upstream_full": "every upstream that was asked declined the request",
 	"answer_lost":   "an upstream took the request and gave no whole answer; see the cause of the exchange before",
--- a/internal/sagefollow/follower.go
+++ b/internal/sagefollow/follower.go
@@ -59,7 +59,7 @@
 	// Rank is this node's place among the live nodes, 0 the first; blind says that the store does not
 	// answer this one.
 	Rank func(blind bool) int
-	// Apply takes changes in; returned says that the store had been out of sight for a while. Calls
+	// Apply takes changes in, first the whole content, which may be empty; returned says that the store had been out of sight for a while. Calls
 	// never overlap.
 	Apply func(changes []Change, returned bool)
 	// Reach is the proof of the store's answers to any kind, shared by all followers of a node.
@@ -168,9 +168,10 @@
 // take applies a delta and tells the owner.
 func (f *Follower) take(since uint64, d Delta, own bool) {
 	f.mu.Lock()
-	returned := f.content.listed && f.Reach.Age(sageclock.Now()) > AwayAfter
+	first := !f.content.listed
+	returned := !first && f.Reach.Age(sageclock.Now()) > AwayAfter
 	fresh := f.content.apply(since, d)
-	if len(fresh) > 0 || returned {
+	if len(fresh) > 0 || returned || first && f.content.listed {
 		f.Apply(fresh, returned)
 	}
 	f.mu.Unlock()
--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -174,9 +174,17 @@
 	broken bool
 }
 
-func (f *world) call(ctx context.Context, header map[string]string, body string) outcome {
+func (f *world) service() *Service {
 	s := &Service{Dialect: testDialect{}, Fleet: f, Metrics: metrics.NewSet(), Log: sagelog.Logger{}, Closing: func() bool { return false }}
 	s.upstreams.dial = f.dial
+	return s
+}
+
+func (f *world) call(ctx context.Context, header map[string]string, body string) outcome {
+	return f.callOn(ctx, f.service(), header, body)
+}
+
+func (f *world) callOn(ctx context.Context, s *Service, header map[string]string, body string) outcome {
 	req := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://h.example/x?y=1", strings.NewReader(body))
 	req.Header.Set(testID, "id1")
 	req.Header.Set(testKey, "good")
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -50,6 +50,8 @@
 	account *sageroute.Account
 	keyed   bool
 	bytes   []byte
+	// reserved is the memory taken for the body.
+	reserved int64
 
 	until     time.Time
 	target    string // service
--- a/internal/sagerelay/relay_test.go
+++ b/internal/sagerelay/relay_test.go
@@ -194,3 +194,20 @@
 		require.Len(t, w.sent, 1)
 	})
 }
+
+// Callers send many large bodies at once, and the node ends for lack of memory.
+func TestBodiesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, route(sageroute.Once), map[string]upstream{"a": after(time.Second, reply(200, seal, "fine"))})
+		s := w.service()
+		s.BodyBytes = 100
+		first := make(chan outcome)
+		go func() { first <- w.callOn(t.Context(), s, nil, strings.Repeat("x", 60)) }()
+		synctest.Wait()
+		out := w.callOn(t.Context(), s, nil, strings.Repeat("x", 60))
+		require.Equal(t, 503, out.Code)
+		require.Equal(t, "0.3", out.Header().Get("Retry-After"))
+		require.Equal(t, 200, (<-first).Code)
+		require.Equal(t, 200, w.callOn(t.Context(), s, nil, strings.Repeat("x", 60)).Code, "the memory is free again")
+	})
+}
--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -39,7 +39,10 @@
 	Log     sagelog.Logger
 	// Closing reports whether callers should use another connection next.
 	Closing func() bool
+	// BodyBytes bounds the bodies that are held at a time; 0 means no bound.
+	BodyBytes int64
 
+	bodies    atomic.Int64 // bytes reserved for bodies
 	upstreams transports
 	inFlight  atomic.Int64
 }
@@ -55,6 +58,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	j := &job{s: s, w: w, r: r, began: time.Now()}
+	defer func() { s.bodies.Add(-j.reserved) }()
 	if s.accept(j) {
 		j.serve()
 	}
@@ -120,6 +124,10 @@
 	if j.r.Body == nil || j.r.Body == http.NoBody {
 		return true
 	}
+	if !s.reserve(j, limits) {
+		j.refuse(http.StatusServiceUnavailable, NoMemory, retrySoon)
+		return false
+	}
 	in := j.r.Body
 	if limits.BodyBytes > 0 {
 		in = http.MaxBytesReader(j.w, in, limits.BodyBytes)
@@ -138,6 +146,23 @@
 	return true
 }
 
+// reserve takes memory for a request's body, or reports that there is none.
+//
+// It guards against a node that ends for lack of memory while callers send many large bodies at once:
+// each is held whole, so that it can be sent again.
+func (s *Service) reserve(j *job, limits sageroute.Limits) bool {
+	n := j.r.ContentLength
+	if n < 0 {
+		n = limits.BodyBytes // sent in chunks: it may be as large as allowed
+	}
+	if sum := s.bodies.Add(n); s.BodyBytes > 0 && sum > s.BodyBytes && sum > n {
+		s.bodies.Add(-n)
+		return false
+	}
+	j.reserved = n
+	return true
+}
+
 // deadline returns when the final answer of a request is due.
 func (j *job) deadline() time.Time {
 	at := j.began.Add(defaultDeadline)
--- a/internal/sagerelay/steps.go
+++ b/internal/sagerelay/steps.go
@@ -74,6 +74,7 @@
 	NoRoute      Reason = "no_route"
 	Unauthorized Reason = "unauthorized"
 	TooLarge     Reason = "too_large"
+	NoMemory     Reason = "no_memory"
 	NoUpstream   Reason = "no_upstream"
 	UpstreamFull Reason = "upstream_full"
 	AnswerLost   Reason = "answer_lost"
--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -46,8 +46,13 @@
 	f.retries.Ratio, f.retries.Slack = b.RetryRatio, b.RetrySlack
 }
 
-// Table implements [sagerelay.Fleet].
-func (f *fleet) Table() *sageroute.Table { return f.view.table.Load() }
+// Table implements [sagerelay.Fleet]. A configuration is of no use before the upstreams are known.
+func (f *fleet) Table() *sageroute.Table {
+	if f.view.set.Load() == nil {
+		return nil
+	}
+	return f.view.table.Load()
+}
 
 // Fresh implements [sagerelay.Fleet].
 func (f *fleet) Fresh() bool {
--- a/internal/sagerouter/fleet_test.go
+++ b/internal/sagerouter/fleet_test.go
@@ -31,7 +31,7 @@
 		}
 		v.registry.Put(e)
 	}
-	v.publish()
+	v.applyUpstreams(nil, false)
 	return &fleet{
 		view: v, keyProof: new(sagefresh.Proof), placer: v.placer, lag: func() time.Duration { return 0 },
 		known: func() []string { return []string{"vm1"} }, cold: sageshare.Cold{Self: "vm1"},
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -58,6 +58,9 @@
 	headerBytes = 32 << 10
 	// memoryShare is the part of the VM's memory at which the garbage collector works harder.
 	memoryShare = 0.6
+	// bodyShare is the part of it that bodies of requests may take: what is left between usual use, a
+	// tenth, and memoryShare, halved for what reading and sending copy.
+	bodyShare = 0.25
 )
 
 // Store is the platform's store.
@@ -163,6 +166,7 @@
 	n.fleet.bounds(&cfg.Bounds)
 	n.relay = &sagerelay.Service{
 		Dialect: n.Dialect, Fleet: n.fleet, Metrics: n.metrics, Log: n.Log.Part("relay"), Closing: n.leaving.Load,
+		BodyBytes: int64(bodyShare*float64(cfg.MemoryMB)) << 20,
 	}
 }
 
--- a/internal/sagerouter/services.go
+++ b/internal/sagerouter/services.go
@@ -62,7 +62,11 @@
 	return s.http.Close()
 }
 
-// settler drops upstreams whose entries lapsed in an outage of the store.
+// forgetEvery is how often records of upstreams that are gone are dropped.
+const forgetEvery = 10 * time.Second
+
+// settler drops upstreams whose entries lapsed in an outage of the store, and the records of those
+// that are gone.
 type settler struct{ node *Node }
 
 // Run looks through them until ctx ends.
@@ -70,10 +74,15 @@
 	n := s.node
 	t := time.NewTicker(settleEvery)
 	defer t.Stop()
+	forget := time.NewTicker(forgetEvery)
+	defer forget.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
+		case <-forget.C:
+			set := n.view.set.Load()
+			n.fleet.health.Keep(func(u string) bool { return set.Get(u) != nil })
 		case <-t.C:
 			n.view.settle(n.reach.Age(sageclock.Now()) > sagefollow.AwayAfter)
 		}
--- a/internal/sagerouter/view.go
+++ b/internal/sagerouter/view.go
@@ -41,7 +41,8 @@
 
 	mu       sync.Mutex
 	registry sageupstream.Registry
-	closed   map[string]bool
+	listed   bool            // the upstreams were listed
+	closed   map[string]bool // nil before the data centres were listed
 }
 
 // applyConfig takes changes of the configuration in.
@@ -75,6 +76,7 @@
 		v.registry.Away()
 		v.registry.Back(now)
 	}
+	v.listed = true
 	for _, c := range changes {
 		if c.Deleted {
 			v.registry.Delete(now, c.Object.Name)
@@ -152,4 +154,12 @@
 	}
 }
 
-func (v *view) publish() { v.set.Store(v.registry.Set()) }
+// publish makes the present view the one that requests see.
+//
+// It guards against a started node that sends to a data centre that is out of service: as long as it
+// doesn't know which are, it knows no upstream.
+func (v *view) publish() {
+	if v.listed && v.closed != nil {
+		v.set.Store(v.registry.Set())
+	}
+}
--- a/internal/sagerouter/view_test.go
+++ b/internal/sagerouter/view_test.go
@@ -39,7 +39,23 @@
 	return e, nil
 }
 
-func newView() *view { return &view{decoder: plainDecoder{}, placer: new(sagechain.Placer)} }
+// newView returns a view that knows that all data centres are in service.
+func newView() *view {
+	v := &view{decoder: plainDecoder{}, placer: new(sagechain.Placer)}
+	v.applyClosed(nil, false)
+	return v
+}
+
+// A started node sends to a data centre that operators took out, as long as it has listed the
+// upstreams and not yet the data centres.
+func TestNoUpstreamIsKnownBeforeDataCentresAre(t *testing.T) {
+	v := &view{decoder: plainDecoder{}, placer: new(sagechain.Placer)}
+	v.applyUpstreams([]sagefollow.Change{put("e1", 5, `{"Service":"s","Address":"a:1","DataCentre":"north"}`)}, false)
+	require.Nil(t, v.set.Load())
+	v.applyClosed([]sagefollow.Change{put("north", 6, `{}`)}, false)
+	require.NotNil(t, v.set.Load())
+	require.Empty(t, v.set.Load().Of("s"))
+}
 
 func put(name string, revision uint64, spec string) sagefollow.Change {
 	return sagefollow.Change{Object: sagefollow.Object{Name: name, Revision: revision, Spec: json.RawMessage(spec)}}
--- a/pkg/sagechain/held.go
+++ b/pkg/sagechain/held.go
@@ -38,17 +38,31 @@
 	news  []note
 }
 
-// holds reports whether an upstream holds a part.
-func (h *held) holds(now sageclock.Instant, part uint64, upstream string) bool {
-	o := h.parts[part][upstream]
-	return o != nil && now.Sub(o.used) < remember
+// sight is one chain as seen by the memory: the holders of each part, looked up once for all upstreams.
+type sight struct {
+	now     sageclock.Instant
+	chain   Chain
+	holders []map[string]*holder
 }
 
-// prefix returns how many tokens of a chain an upstream holds, counted up to the first part it lacks.
-func (h *held) prefix(now sageclock.Instant, c Chain, upstream string) int {
-	n := 0
+// usualParts is how many shared parts a chain has at the most, usually.
+const usualParts = 8
+
+// look prepares questions about a chain; room holds the answer's memory.
+func (h *held) look(now sageclock.Instant, c Chain, room *[usualParts]map[string]*holder) sight {
+	s := sight{now: now, chain: c, holders: room[:0]}
 	for _, p := range c {
-		if !h.holds(now, p.ID, upstream) {
+		s.holders = append(s.holders, h.parts[p.ID])
+	}
+	return s
+}
+
+// prefix returns how many tokens of the chain an upstream holds, counted up to the first part it lacks.
+func (s *sight) prefix(upstream string) int {
+	n := 0
+	for i, p := range s.chain {
+		o := s.holders[i][upstream]
+		if o == nil || s.now.Sub(o.used) >= remember {
 			break
 		}
 		n += p.Tokens
--- a/pkg/sagechain/placer.go
+++ b/pkg/sagechain/placer.go
@@ -104,15 +104,21 @@
 	defer p.mu.Unlock()
 	shared, key, bound := c.Shared(), c.Key(), Bound(cands, rest)
 	want := shared.Tokens()
+	var room [usualParts]map[string]*holder
+	seen := p.held.look(now, shared, &room)
 	best, full := Choice{Index: -1, Why: WhyOrder}, false
 	var first uint64
 	for i := range cands {
 		if float64(cands[i].Load) > bound {
 			continue
 		}
-		got := p.held.prefix(now, shared, cands[i].ID)
-		whole, at := want > 0 && got == want, order(key, cands[i].ID)
-		if best.Index >= 0 && (full && !whole || full == whole && at <= first) {
+		got := seen.prefix(cands[i].ID)
+		whole := want > 0 && got == want
+		if full && !whole {
+			continue
+		}
+		at := order(key, cands[i].ID)
+		if best.Index >= 0 && full == whole && at <= first {
 			continue
 		}
 		best.Index, best.Held, full, first = i, got, whole, at
@@ -122,9 +128,9 @@
 	}
 	if best.Index < 0 {
 		best = Choice{Index: least(cands), Why: WhyFull}
-		best.Held = p.held.prefix(now, shared, cands[best.Index].ID)
+		best.Held = seen.prefix(cands[best.Index].ID)
 	}
-	best.From = p.source(now, shared, cands[best.Index].ID, best.Held)
+	best.From = p.source(&seen, cands[best.Index].ID, best.Held)
 	return best, true
 }
 
@@ -141,16 +147,16 @@
 
 // source returns the upstream that holds most of a chain beyond what the chosen one holds, among
 // those that can pass it on.
-func (p *Placer) source(now sageclock.Instant, shared Chain, chosen string, has int) string {
+func (p *Placer) source(seen *sight, chosen string, has int) string {
 	best, from := has+worthCopying, ""
-	if len(shared) == 0 {
+	if seen.chain.Tokens() < best {
 		return from
 	}
-	for u := range p.held.parts[shared[0].ID] {
+	for u := range seen.holders[0] {
 		if u == chosen {
 			continue
 		}
-		n := p.held.prefix(now, shared, u)
+		n := seen.prefix(u)
 		if n < best || n == best && u >= from {
 			continue
 		}
--- a/pkg/sagehealth/book.go
+++ b/pkg/sagehealth/book.go
@@ -41,10 +41,16 @@
 	out    sageclock.Instant
 }
 
+// service are the records of one service's upstreams.
+type service struct {
+	records map[string]*record
+	sum     float64 // of the failure rates
+}
+
 // Book keeps the records of all upstreams. The zero value is ready; it is safe for concurrent use.
 type Book struct {
 	mu       sync.Mutex
-	services map[string]map[string]*record
+	services map[string]*service
 }
 
 // Note takes in how an exchange ended.
@@ -56,7 +62,9 @@
 	if res == OK {
 		bad = 0
 	}
-	r.rate += weight * (bad - r.rate)
+	step := weight * (bad - r.rate)
+	r.rate += step
+	b.services[service].sum += step
 	switch res {
 	case OK:
 		r.streak = 0
@@ -72,7 +80,7 @@
 func (b *Book) Out(now sageclock.Instant, service, upstream string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.services[service][upstream]
+	r := b.find(service, upstream)
 	return r != nil && now < r.out && r.streak > 0
 }
 
@@ -81,14 +89,14 @@
 func (b *Book) Avoid(now sageclock.Instant, service, upstream string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	r := b.services[service][upstream]
+	r := b.find(service, upstream)
 	if r == nil {
 		return false
 	}
 	if now < r.out {
 		return true
 	}
-	if r.rate <= b.mean(service)+excess {
+	if r.rate <= b.services[service].mean()+excess {
 		return false
 	}
 	r.out = now.Add(trial)
@@ -99,35 +107,39 @@
 func (b *Book) Keep(alive func(upstream string) bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for _, rs := range b.services {
-		for id := range rs {
+	for _, s := range b.services {
+		for id, r := range s.records {
 			if !alive(id) {
-				delete(rs, id)
+				s.sum -= r.rate
+				delete(s.records, id)
 			}
 		}
 	}
 }
 
-func (b *Book) record(service, upstream string) *record {
+// find returns an upstream's record, or nil.
+func (b *Book) find(service, upstream string) *record {
+	if s := b.services[service]; s != nil {
+		return s.records[upstream]
+	}
+	return nil
+}
+
+// record returns an upstream's record, a new one if there is none.
+func (b *Book) record(name, upstream string) *record {
 	if b.services == nil {
-		b.services = make(map[string]map[string]*record)
+		b.services = make(map[string]*service)
 	}
-	if b.services[service] == nil {
-		b.services[service] = make(map[string]*record)
+	s := b.services[name]
+	if s == nil {
+		s = &service{records: make(map[string]*record)}
+		b.services[name] = s
 	}
-	r := b.services[service][upstream]
-	if r == nil {
-		r = new(record)
-		b.services[service][upstream] = r
+	if s.records[upstream] == nil {
+		s.records[upstream] = new(record)
 	}
-	return r
+	return s.records[upstream]
 }
 
-// mean returns the failure rate of a service's upstreams.
-func (b *Book) mean(service string) float64 {
-	sum := 0.0
-	for _, r := range b.services[service] {
-		sum += r.rate
-	}
-	return sum / float64(max(1, len(b.services[service])))
-}
+// mean returns the mean failure rate.
+func (s *service) mean() float64 { return s.sum / float64(max(1, len(s.records))) }
--- a/pkg/sagehealth/book_test.go
+++ b/pkg/sagehealth/book_test.go
@@ -55,7 +55,8 @@
 		}
 	}
 	b.Keep(func(u string) bool { return u == "a" })
-	require.Len(t, b.services["s"], 1)
+	require.Len(t, b.services["s"].records, 1)
+	require.InDelta(t, b.services["s"].records["a"].rate, b.services["s"].mean(), 1e-9)
 }
 
 func ExampleBook() {
@@ -64,3 +65,14 @@
 	fmt.Println(b.Avoid(0, "chat", "engine1"), b.Avoid(0, "chat", "engine2"))
 	// Output: true false
 }
+
+func BenchmarkAvoid(b *testing.B) {
+	var book Book
+	for i := range 256 {
+		book.Note(0, "s", fmt.Sprint(i), OK)
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		book.Avoid(1, "s", "7")
+	}
+}
