--- a/internal/sageexplain/explain.go
+++ b/internal/sageexplain/explain.go
@@ -101,15 +101,16 @@
 
 // causes explain the reasons that a line may state.
 var causes = map[string]string{
-	"no_config":     "the node had just started and knew no configuration",
-	"not_fresh":     "the node had no proof that its configuration was fresh, so it trusted no key; look for the store's or the peers' silence before this line",
-	"bad_request":   "the request had no id",
-	"too_large":     "the body was larger than the configuration allows",
-	"no_memory":     "the bodies of other requests took the memory set aside for them",
-	"no_upstream":   "no upstream of the service might be used, or all had declined",
-	"upstream_full": "every upstream that was asked declined the request",
-	"answer_lost":   "an upstream took the request and gave no whole answer; see the cause of the exchange before",
-	"timed_out":     "the upstream was still at work, or silent, at the deadline",
+	"no_config":       "the node had just started and knew no configuration",
+	"not_fresh":       "the node had no proof that its configuration was fresh, so it trusted no key; look for the store's or the peers' silence before this line",
+	"bad_request":     "the request had no id",
+	"too_large":       "the body was larger than the configuration allows",
+	"no_memory":       "the bodies of other requests took the memory set aside for them",
+	"no_upstream":     "no upstream of the service might be used, or all had declined",
+	"upstream_full":   "every upstream that was asked declined the request",
+	"upstream_failed": "the upstream answered with a failure of its own, which was passed on",
+	"answer_lost":     "an upstream took the request and gave no whole answer; see the cause of the exchange before",
+	"timed_out":       "the upstream was still at work, or silent, at the deadline",
 }
 
 func cause(l *Line) string {
--- a/internal/sagelog/limit.go
+++ b/internal/sagelog/limit.go
@@ -13,12 +13,23 @@
 	KindExchange Kind = iota
 	KindRefused
 	KindGivenUp
+	KindServed
 	kinds
 )
 
-// perSecond is how many lines of one kind are written in a second, so that a storm of failures costs
-// no more than a hundredth of a small VM's processor.
-const perSecond = 20
+// How many lines of one kind are written in a second: a storm of failures costs no more than a
+// hundredth of a small VM's processor, and of what goes well samples are enough.
+const (
+	perSecond       = 20
+	servedPerSecond = 2
+)
+
+func (k Kind) limit() int {
+	if k == KindServed {
+		return servedPerSecond
+	}
+	return perSecond
+}
 
 // limiter counts the lines of each kind in the current second.
 type limiter struct {
@@ -36,7 +47,7 @@
 	if s := int64(now.Sub(l.start) / time.Second); s != l.second[k] {
 		l.second[k], l.written[k] = s, 0
 	}
-	if l.written[k] >= perSecond {
+	if l.written[k] >= k.limit() {
 		l.left[k]++
 		return 0, false
 	}
--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -95,6 +95,7 @@
 }
 
 func (f *world) Table() *sageroute.Table { return f.table }
+func (f *world) ProofAge() time.Duration { return 0 }
 func (f *world) Fresh() bool             { return !f.unfresh }
 func (f *world) First(string)            {}
 func (f *world) Again(string) bool {
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -47,6 +47,7 @@
 	began   time.Time
 	call    Call
 	route   *sageroute.Route
+	version uint64 // of the configuration
 	account *sageroute.Account
 	keyed   bool
 	bytes   []byte
@@ -89,6 +90,7 @@
 		if v == answered {
 			j.s.count(Answered)
 			j.s.observe(j)
+			j.logServed(p)
 			return
 		}
 		j.note(p, v)
@@ -117,8 +119,11 @@
 // again reports whether one more upstream may have the request.
 func (j *job) again(ctx context.Context, v verdict) (Reason, bool) {
 	reason := AnswerLost
-	if j.runs == 0 {
+	switch {
+	case j.runs == 0:
 		reason = UpstreamFull
+	case j.held != nil:
+		reason = UpstreamFailed
 	}
 	switch {
 	case ctx.Err() != nil || time.Until(j.until) < leastTime:
@@ -158,14 +163,21 @@
 
 func (j *job) log(reason Reason) {
 	j.s.Log.Limited(sagelog.KindGivenUp, "Request given up.", "id", j.call.ID, "reason", string(reason), "route", j.route.Name, "service", j.target,
-		"sends", j.sends, "runs", j.runs, "cause", j.cause, "age_ms", time.Since(j.began).Milliseconds())
+		"sends", j.sends, "runs", j.runs, "cause", j.cause, "config_version", j.version, "age_ms", time.Since(j.began).Milliseconds())
+}
+
+// logServed tells of an answered request; most of these lines are left out and counted.
+func (j *job) logServed(p *Pick) {
+	j.s.Log.Limited(sagelog.KindServed, "Request answered.", "id", j.call.ID, "route", j.route.Name, "upstream", p.Upstream.ID, "why", p.Why,
+		"load", p.Load, "sends", j.sends, "config_version", j.version, "age_ms", time.Since(j.began).Milliseconds())
 }
 
 // refuse answers for this node itself.
 func (j *job) refuse(status int, reason Reason, after time.Duration) {
 	j.s.count(reason)
 	if status != http.StatusNotFound && status != http.StatusUnauthorized {
-		j.s.Log.Limited(sagelog.KindRefused, "Request refused.", "id", j.call.ID, "status", status, "reason", string(reason), "age_ms", time.Since(j.began).Milliseconds())
+		j.s.Log.Limited(sagelog.KindRefused, "Request refused.", "id", j.call.ID, "status", status, "reason", string(reason),
+			"config_version", j.version, "proof_age_ms", j.s.Fleet.ProofAge().Milliseconds(), "age_ms", time.Since(j.began).Milliseconds())
 	}
 	h := j.w.Header()
 	j.s.Dialect.Refuse(h, j.call.ID, after)
--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -77,6 +77,7 @@
 		j.refuse(http.StatusServiceUnavailable, NoConfig, retrySoon)
 		return false
 	}
+	j.version = t.Version
 	route := t.Match(j.r.Host, j.r.URL.Path)
 	if route == nil {
 		j.refuse(http.StatusNotFound, NoRoute, 0)
--- a/internal/sagerelay/steps.go
+++ b/internal/sagerelay/steps.go
@@ -77,10 +77,12 @@
 	NoMemory     Reason = "no_memory"
 	NoUpstream   Reason = "no_upstream"
 	UpstreamFull Reason = "upstream_full"
-	AnswerLost   Reason = "answer_lost"
-	TimedOut     Reason = "timed_out"
-	CallerLeft   Reason = "caller_left"
-	Answered     Reason = "answered"
+	// UpstreamFailed: the upstream's own failure is the answer.
+	UpstreamFailed Reason = "upstream_failed"
+	AnswerLost     Reason = "answer_lost"
+	TimedOut       Reason = "timed_out"
+	CallerLeft     Reason = "caller_left"
+	Answered       Reason = "answered"
 )
 
 // Pick is a chosen upstream. Done must be called when the exchange is over.
@@ -108,6 +110,8 @@
 	Table() *sageroute.Table
 	// Fresh reports whether the configuration is fresh enough to trust a key.
 	Fresh() bool
+	// ProofAge is the age of the configuration's proof, for the log.
+	ProofAge() time.Duration
 	// Pick chooses an upstream, or nil if none may be used.
 	Pick(q *Query) *Pick
 	// Usable reports whether a picked upstream may still be sent to.
--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -59,6 +59,9 @@
 	return f.keyProof.Age(sageclock.Now()) < time.Duration(f.keyWithin.Load())-keyMargin
 }
 
+// ProofAge implements [sagerelay.Fleet].
+func (f *fleet) ProofAge() time.Duration { return f.keyProof.Age(sageclock.Now()) }
+
 // Usable implements [sagerelay.Fleet].
 func (f *fleet) Usable(u *sageupstream.Entry) bool { return f.view.set.Load().Usable(u) }
 
