Take the stamps to echo before the heartbeat is filled in

Cause: found by reading: a node frozen between filling a heartbeat and reading the stamps to echo would echo a newer stamp with an older age, and a peer's proof would be dated too late by the freeze; a key taken away meanwhile would be trusted that much longer. Change: stamps first, then the content; the echo is never newer than what is told. Measured: TestEchoIsNotNewerThanWhatIsTold fails on the code before and passes now.

--- a/internal/sagefollow/follower.go
+++ b/internal/sagefollow/follower.go
@@ -59,8 +59,8 @@
 	// Rank is this node's place among the live nodes, 0 the first; blind says that the store does not
 	// answer this one.
 	Rank func(blind bool) int
-	// Apply takes changes in, first the whole content, which may be empty; returned says that the store had been out of sight for a while. Calls
-	// never overlap.
+	// Apply takes changes in, first the whole content, which may be empty; returned says that the
+	// store had been out of sight for a while. Calls never overlap.
 	Apply func(changes []Change, returned bool)
 	// Reach is the proof of the store's answers to any kind, shared by all followers of a node.
 	Reach *sagefresh.Proof
--- a/internal/sagemesh/mesh_test.go
+++ b/internal/sagemesh/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"net"
 	"sync"
 	"testing"
@@ -94,6 +95,27 @@
 	require.Len(t, got, 3, "a new process counts from the start")
 }
 
+// A key that was taken away is trusted for seconds too long: a node was frozen while it made a
+// heartbeat, heard a newer stamp when it went on, and echoed that with the age of its proof from before.
+func TestEchoIsNotNewerThanWhatIsTold(t *testing.T) {
+	to, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer func() { _ = to.Close() }()
+	address := to.LocalAddr().String()
+	n := &Service{Name: "a", Address: freePort(t), Heard: func(*Heartbeat, sageclock.Instant) {}, Joined: func(Member) {}, Lost: func(Member) {}}
+	n.Fill = func(*Heartbeat) { n.hear(&Heartbeat{Node: "b", Address: address, Stamp: Stamp{1, 99}}) }
+	require.NoError(t, n.Open())
+	defer func() { _ = n.conn.Close() }()
+	n.hear(&Heartbeat{Node: "b", Address: address, Stamp: Stamp{1, 5}})
+	n.tell(false)
+	b := make([]byte, maxDatagram)
+	size, _, err := to.ReadFrom(b)
+	require.NoError(t, err)
+	var h Heartbeat
+	require.NoError(t, json.Unmarshal(b[:size], &h))
+	require.Equal(t, Stamp{1, 5}, h.Echo)
+}
+
 // The store refuses a node that is alive otherwise; were it ranked, nobody else would watch.
 func TestBlindAndLeavingNodesAreNotRanked(t *testing.T) {
 	n := start(t, "a", freePort(t))
--- a/internal/sagemesh/service.go
+++ b/internal/sagemesh/service.go
@@ -165,28 +165,28 @@
 	return max(shortest, time.Duration(len(s.live)+1)*perNode)
 }
 
+// target is a node that gets a heartbeat, with the stamp to echo.
+type target struct {
+	addr *net.UDPAddr
+	echo Stamp
+	// dataCentre is the node's, empty if it was never heard of.
+	dataCentre string
+}
+
 // tell sends one heartbeat to each known address, or only to the nodes of this data centre.
+//
+// The stamps to echo are taken before the heartbeat is filled in. It guards against a proof that is
+// dated too late: were a stamp taken afterwards, the process could be frozen in between, receive a
+// newer stamp when it goes on, and echo it with an age from before.
 func (s *Service) tell(near bool) {
 	h := Heartbeat{Node: s.Name, Address: s.Address}
+	targets := s.targets(&h)
 	s.Fill(&h)
 	h.Stamp = Stamp{Incarnation: s.incarnation, At: sageclock.Now()}
-	type target struct {
-		addr *net.UDPAddr
-		echo Stamp
-	}
-	s.mu.Lock()
-	targets := make([]target, 0, len(s.peers))
-	for a, p := range s.peers {
-		if near && p.member.DataCentre != h.DataCentre {
+	for _, t := range targets {
+		if near && t.dataCentre != h.DataCentre {
 			continue
 		}
-		targets = append(targets, target{p.addr, p.stamp})
-		if s.live[a] && len(h.Known) < knownPerHeartbeat {
-			h.Known = append(h.Known, a)
-		}
-	}
-	s.mu.Unlock()
-	for _, t := range targets {
 		h.Echo = t.echo
 		b, err := json.Marshal(&h)
 		if err != nil {
@@ -198,6 +198,20 @@
 	}
 }
 
+// targets returns the nodes to tell, and puts some known addresses into the heartbeat.
+func (s *Service) targets(h *Heartbeat) []target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	out := make([]target, 0, len(s.peers))
+	for a, p := range s.peers {
+		out = append(out, target{p.addr, p.stamp, p.member.DataCentre})
+		if s.live[a] && len(h.Known) < knownPerHeartbeat {
+			h.Known = append(h.Known, a)
+		}
+	}
+	return out
+}
+
 func (s *Service) receive(ctx context.Context) {
 	b := make([]byte, maxDatagram)
 	for ctx.Err() == nil {
