--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -3,13 +3,14 @@
 import (
 	"bytes"
 	"context"
-	"errors"
 	"io"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sagestand.example/sagestand/internal/sageconn"
 	"sagestand.example/sagestand/internal/sageheader"
 	"sagestand.example/sagestand/pkg/sagehealth"
--- a/internal/sagerelay/stream.go
+++ b/internal/sagerelay/stream.go
@@ -3,11 +3,12 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"fmt"
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sagestand.example/sagestand/internal/sageheader"
 	"sagestand.example/sagestand/internal/sagesse"
 	"sagestand.example/sagestand/pkg/sagehealth"
