Let six nodes stand by for the watchers of a large fleet

Change: the first six nodes tell each other at the shortest interval and keep the small fleet's threshold; the spread by rank ends at one second.

--- a/internal/sagefollow/follower.go
+++ b/internal/sagefollow/follower.go
@@ -23,8 +23,10 @@
 	// selfAfter is by how much the age of the proof has to exceed Wait for a node to ask the store
 	// itself: a watcher's proof is at most Wait, an answer and some heartbeats old.
 	selfAfter = 900 * time.Millisecond
-	// perRank spreads the nodes that do so, so that one of them serves the others in time.
-	perRank = 40 * time.Millisecond
+	// perRank spreads the nodes that do so, up to spreadRanks of them, so that one of them serves the
+	// others in time.
+	perRank     = 40 * time.Millisecond
+	spreadRanks = 25
 	// checkEvery is how often a node that doesn't watch looks at its proof.
 	checkEvery = 100 * time.Millisecond
 	// answerWithin is what a call may take beyond its wait: many times the store's usual 4 ms.
@@ -228,7 +230,7 @@
 	if rank < watchers {
 		return true
 	}
-	late := f.Wait + selfAfter + time.Duration(rank)*perRank
+	late := f.Wait + selfAfter + time.Duration(min(rank, spreadRanks))*perRank
 	if f.Lag != nil {
 		late += f.Lag()
 	}
--- a/internal/sagemesh/mesh_test.go
+++ b/internal/sagemesh/mesh_test.go
@@ -133,6 +133,25 @@
 	require.Len(t, n.Known(), 22, "an address that can't be used names no node")
 }
 
+// In a large fleet heartbeats are a second apart. The nodes that watch the store are cut off, and a
+// configuration is late everywhere because the next ones notice too late.
+func TestStandbysTellEachOtherQuickly(t *testing.T) {
+	n := start(t, "a", freePort(t))
+	for range 60 {
+		addr := freePort(t)
+		n.hear(&Heartbeat{Node: addr, Address: addr, Stamp: Stamp{1, 1}})
+	}
+	require.Greater(t, n.Interval(), shortest)
+	standby := n.standby()
+	require.Len(t, standby, quick)
+	n.tellQuick()
+	require.Equal(t, n.Rank(false) < quick, n.Quick())
+	n.hear(&Heartbeat{Node: standby[0], Address: standby[0], Stamp: Stamp{1, 2}, Blind: true})
+	if standby[0] != n.Address {
+		require.NotContains(t, n.standby(), standby[0], "one that the store refuses does not stand by")
+	}
+}
+
 func FuzzHeartbeat(f *testing.F) {
 	f.Add([]byte(`{"n":"a","a":"127.0.0.1:1","s":{"i":1,"t":2},"k":["x"]}`))
 	f.Fuzz(func(_ *testing.T, b []byte) {
--- a/internal/sagemesh/service.go
+++ b/internal/sagemesh/service.go
@@ -1,6 +1,7 @@
 package sagemesh
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -9,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -26,6 +28,10 @@
 	// perNode makes the interval grow with the fleet, so that a node handles at most 100 datagrams
 	// a second in and as many out.
 	perNode = 10 * time.Millisecond
+	// quick is how many nodes, the first in the order of ranks, tell each other at the shortest
+	// interval in any fleet: they watch the store or stand by to, and notice within a second and a
+	// half that the watchers are lost. Their datagrams are 150 a second in all.
+	quick = 6
 	// missed is how many intervals a node may stay silent before it isn't counted as live.
 	missed = 5
 	// knownPerHeartbeat is how many addresses ride on each heartbeat.
@@ -67,6 +73,7 @@
 	conn        net.PacketConn
 	nudge       chan struct{}
 	nudgeNear   chan struct{}
+	isQuick     atomic.Bool
 
 	mu    sync.Mutex
 	peers map[string]*peer
@@ -136,9 +143,15 @@
 	s.tell(false)
 	t := time.NewTicker(s.Interval())
 	defer t.Stop()
+	between := time.NewTicker(shortest)
+	defer between.Stop()
 	for ctx.Err() == nil {
 		select {
 		case <-ctx.Done():
+		case <-between.C:
+			if s.Interval() > shortest {
+				s.tellQuick()
+			}
 		case <-s.nudge:
 			s.tell(false)
 		case <-s.nudgeNear:
@@ -182,13 +195,58 @@
 	h := Heartbeat{Node: s.Name, Address: s.Address}
 	targets := s.targets(&h)
 	s.Fill(&h)
+	if near {
+		targets = slices.DeleteFunc(targets, func(t target) bool { return t.dataCentre != h.DataCentre })
+	}
+	s.send(&h, targets)
+}
+
+// tellQuick sends heartbeats to the other nodes that stand by for the store, if this node does.
+func (s *Service) tellQuick() {
+	standby := s.standby()
+	mine := slices.Contains(standby, s.Address)
+	s.isQuick.Store(mine)
+	if !mine {
+		return
+	}
+	h := Heartbeat{Node: s.Name, Address: s.Address}
+	targets := s.targets(&h)
+	s.Fill(&h)
+	s.send(&h, slices.DeleteFunc(targets, func(t target) bool { return !slices.Contains(standby, t.addr.String()) }))
+}
+
+// Quick reports whether this node is one of those that tell each other at the shortest interval of a
+// large fleet.
+func (s *Service) Quick() bool { return s.isQuick.Load() }
+
+// standby returns the addresses of the first nodes in the order of [Service.Rank].
+func (s *Service) standby() []string {
+	type ranked struct {
+		address string
+		hash    uint64
+	}
+	all := []ranked{{s.Address, xxhash.Sum64String(s.Address)}}
+	s.mu.Lock()
+	for a := range s.live {
+		if m := &s.peers[a].member; !m.Leaving && !m.Blind {
+			all = append(all, ranked{a, xxhash.Sum64String(a)})
+		}
+	}
+	s.mu.Unlock()
+	slices.SortFunc(all, func(a, b ranked) int { return cmp.Compare(b.hash, a.hash) })
+	out := make([]string, min(quick, len(all)))
+	for i := range out {
+		out[i] = all[i].address
+	}
+	return out
+}
+
+// send sends a heartbeat to each target with the stamp to echo.
+func (s *Service) send(h *Heartbeat, targets []target) {
 	h.Stamp = Stamp{Incarnation: s.incarnation, At: sageclock.Now()}
 	for _, t := range targets {
-		if near && t.dataCentre != h.DataCentre {
-			continue
-		}
 		h.Echo = t.echo
-		b, err := json.Marshal(&h)
+		b, err := json.Marshal(h)
 		if err != nil {
 			s.Log.Error("Heartbeat can't be encoded.", "err", err)
 			return
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -289,7 +289,7 @@
 
 // lag is the age that a proof gets by heartbeats: the peer's own and the stamp that it echoes.
 func (n *Node) lag() time.Duration {
-	if d := 2 * n.mesh.Interval(); d > mostLag {
+	if d := 2 * n.mesh.Interval(); d > mostLag && !n.mesh.Quick() {
 		return d - mostLag
 	}
 	return 0
