--- a/pkg/sagechain/load_test.go
+++ b/pkg/sagechain/load_test.go
@@ -180,7 +180,7 @@
 }
 
 // plainHash places by the order alone, as the first version of the adapter's trial did.
-func plainHash(p *Placer, _ sageclock.Instant, cands []Candidate, c Chain) Choice {
+func plainHash(_ *Placer, _ sageclock.Instant, cands []Candidate, c Chain) Choice {
 	best := 0
 	for i := range cands {
 		if order(c.Key(), cands[i].ID) > order(c.Key(), cands[best].ID) {
