Tell what engines hold in heartbeats to all nodes only

Cause: found by reading: facts on prompt parts are told once, and the heartbeats to the own data centre or to the standing-by nodes took them out of the list, so that the other nodes never heard of them. Change: such facts are filled in for heartbeats to all nodes only.

--- a/internal/sagemesh/mesh_test.go
+++ b/internal/sagemesh/mesh_test.go
@@ -152,6 +152,22 @@
 	}
 }
 
+// Prompts are read again in other data centres: what engines hold is told only once, and that once was a
+// heartbeat to the nodes nearby or to those that stand by.
+func TestNewsGoesToAllNodesOnly(t *testing.T) {
+	n := &Service{Name: "a", Address: freePort(t), Heard: func(*Heartbeat, sageclock.Instant) {}, Joined: func(Member) {}, Lost: func(Member) {}}
+	told := 0
+	n.Fill = func(*Heartbeat) {}
+	n.FillNews = func(*Heartbeat) { told++ }
+	require.NoError(t, n.Open())
+	defer func() { _ = n.conn.Close() }()
+	n.tell(true)
+	n.tellQuick()
+	require.Zero(t, told)
+	n.tell(false)
+	require.Equal(t, 1, told)
+}
+
 func FuzzHeartbeat(f *testing.F) {
 	f.Add([]byte(`{"n":"a","a":"127.0.0.1:1","s":{"i":1,"t":2},"k":["x"]}`))
 	f.Fuzz(func(_ *testing.T, b []byte) {
--- a/internal/sagemesh/service.go
+++ b/internal/sagemesh/service.go
@@ -62,6 +62,8 @@
 	// Fill completes a heartbeat with what this node knows, but for the fields that name the two
 	// nodes and the stamps.
 	Fill func(h *Heartbeat)
+	// FillNews adds what is told only once. It is called for heartbeats to all nodes only; may be nil.
+	FillNews func(h *Heartbeat)
 	// Heard is called for each heartbeat. Stamp is the instant that the sender proved to have heard
 	// of, or 0.
 	Heard func(h *Heartbeat, stamp sageclock.Instant)
@@ -195,6 +197,9 @@
 	h := Heartbeat{Node: s.Name, Address: s.Address}
 	targets := s.targets(&h)
 	s.Fill(&h)
+	if !near && s.FillNews != nil {
+		s.FillNews(&h)
+	}
 	if near {
 		targets = slices.DeleteFunc(targets, func(t target) bool { return t.dataCentre != h.DataCentre })
 	}
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -128,7 +128,7 @@
 func (n *Node) makeMesh() {
 	cfg := &n.Settings
 	n.mesh = &sagemesh.Service{
-		Name: cfg.Node, Address: cfg.Listen.Mesh, Seeds: cfg.meshSeeds(), Fill: n.fill, Heard: n.heard,
+		Name: cfg.Node, Address: cfg.Listen.Mesh, Seeds: cfg.meshSeeds(), Fill: n.fill, FillNews: n.fillNews, Heard: n.heard,
 		Joined: func(m sagemesh.Member) {
 			n.Log.Part("mesh").Info("Node joined.", "peer", m.Node, "address", m.Address)
 		},
@@ -260,9 +260,11 @@
 		h.Blind = h.Blind || f.Failing()
 	}
 	h.InFlight = n.fleet.flights.Own()
-	h.Held = n.fleet.placer.News(heldNotes)
 }
 
+// fillNews adds what the other nodes have not been told.
+func (n *Node) fillNews(h *sagemesh.Heartbeat) { h.Held = n.fleet.placer.News(heldNotes) }
+
 // heard takes a heartbeat in.
 func (n *Node) heard(h *sagemesh.Heartbeat, stamp sageclock.Instant) {
 	now := sageclock.Now()
