Write no plain answer into a stream that is taken up elsewhere

Cause: found by reading: a stream that goes on at another upstream could get that one's plain answer written into it, if it answered so. Change: such an answer counts as spoilt, and the stream breaks off. Measured: the new case of TestStreamsThatCannotBeCompletedDoNotLookFinished fails before and passes now.

--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -172,6 +172,10 @@
 	if sageheader.IsEventStream(res) {
 		return x.stream(ctx, res, silent)
 	}
+	if j.started {
+		// The caller is in the middle of a stream: a plain answer would be written into it.
+		return x.spoilt("a stream was to go on and came as a plain answer")
+	}
 	return x.plain(ctx, res, silent)
 }
 
--- a/internal/sagerelay/relay_test.go
+++ b/internal/sagerelay/relay_test.go
@@ -111,6 +111,8 @@
 	}{
 		{"cut, not resumable", once, map[string]upstream{"a": events(1, 2, false), "b": events(3, 4, true)}, "id: 1\ndata: w1\n\nid: 2\ndata: w2\n\n"},
 		{"a gap", route(sageroute.Stream), map[string]upstream{"a": events(1, 1, false), "b": events(3, 4, true)}, "id: 1\ndata: w1\n\n"},
+		// The second engine answers the request to go on with a page, which lands in the caller's stream.
+		{"a plain answer in the middle", route(sageroute.Stream), map[string]upstream{"a": events(1, 1, false), "b": reply(200, seal, "page")}, "id: 1\ndata: w1\n\n"},
 		{"cut twice", route(sageroute.Stream), map[string]upstream{"a": events(1, 1, false), "b": events(2, 2, false), "c": events(3, 3, true)}, "id: 1\ndata: w1\n\nid: 2\ndata: w2\n\n"},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
