--- a/internal/sagefollow/follower.go
+++ b/internal/sagefollow/follower.go
@@ -244,10 +244,7 @@
 	f.mu.Unlock()
 	wait := time.Duration(0)
 	if listed {
-		wait = f.Wait
-		if f.Proof.Age(sageclock.Now()) > f.Wait+selfAfter {
-			wait = 0
-		}
+		wait = f.wait()
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+within)
 	defer cancel()
@@ -270,6 +267,20 @@
 	return nil
 }
 
+// wait is how long the next watch waits. The second watcher is a spare that hears of every change at
+// once like the first; it waits twice as long, which saves a quarter of the watchers' calls. A proof
+// that is late already is renewed without a wait.
+func (f *Follower) wait() time.Duration {
+	wait := f.Wait
+	if f.Rank(f.Failing()) == watchers-1 {
+		wait *= 2
+	}
+	if f.Proof.Age(sageclock.Now()) > wait+selfAfter {
+		return 0
+	}
+	return wait
+}
+
 func (f *Follower) call(ctx context.Context, listed bool, since uint64, wait time.Duration) (Delta, error) {
 	if !listed {
 		return f.Source.List(ctx, f.Kind)
