Go on with a listing after a refused page

Cause: the adapter fetched all pages of a listing in one go; a call that the store turned away above its rate threw the pages before it away. On the users' platform pages hold some 500 objects, so it takes a fleet before more upstreams, with all nodes listing at once.

--- a/internal/sagefollow/follow_test.go
+++ b/internal/sagefollow/follow_test.go
@@ -101,15 +101,16 @@
 	s.c.apply(s.c.asOf, Delta{AsOf: ch.Object.Revision, Changes: []Change{ch}})
 }
 
-func (s *store) List(context.Context, string) (Delta, error) {
+func (s *store) List(context.Context, string, string) (Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.calls++
 	if s.down {
-		return Delta{}, errDown
+		return Page{}, errDown
 	}
 	s.gone = false
-	return s.c.all(), nil
+	all := s.c.all()
+	return Page{Changes: all.Changes, AsOf: all.AsOf}, nil
 }
 
 func (s *store) Watch(_ context.Context, _ string, since uint64, wait time.Duration) (Delta, error) {
@@ -145,11 +146,11 @@
 	shut atomic.Bool
 }
 
-func (g *gate) List(ctx context.Context, kind string) (Delta, error) {
+func (g *gate) List(ctx context.Context, kind, after string) (Page, error) {
 	if g.shut.Load() {
-		return Delta{}, errDown
+		return Page{}, errDown
 	}
-	return g.Source.List(ctx, kind)
+	return g.Source.List(ctx, kind, after)
 }
 
 func (g *gate) Watch(ctx context.Context, kind string, since uint64, wait time.Duration) (Delta, error) {
@@ -269,3 +270,69 @@
 	f.eventually(t, "a change", func(m map[string]uint64) bool { return m["a"] == 7 })
 	require.Eventually(t, func() bool { return f.followers[0].Proof.Age(sageclock.Now()) < 2*time.Second }, 20*time.Second, time.Millisecond)
 }
+
+// paged lists one object a page and fails each second call.
+type paged struct {
+	names []string
+	calls int
+}
+
+func (p *paged) List(_ context.Context, _, after string) (Page, error) {
+	p.calls++
+	if p.calls%2 == 0 {
+		return Page{}, errDown
+	}
+	for i, n := range p.names {
+		if n > after {
+			out := Page{Changes: []Change{obj(n, uint64(i+1))}, AsOf: uint64(10 + p.calls)}
+			if i < len(p.names)-1 {
+				out.Next = n
+			}
+			return out, nil
+		}
+	}
+	return Page{AsOf: 10}, nil
+}
+
+func (p *paged) Watch(context.Context, string, uint64, time.Duration) (Delta, error) {
+	return Delta{}, ErrGone
+}
+
+// Engines beyond the first few hundred stay unknown for good: the store refuses some page of a long listing
+// each time, since many nodes list at once, and a listing that begins anew meets the same again.
+func TestListingGoesOnAfterAFailedPage(t *testing.T) {
+	src := &paged{names: []string{"a", "b", "c", "d"}}
+	f := &Follower{Source: src, Kind: "k"}
+	began := sageclock.Now()
+	failed := 0
+	for {
+		d, at, err := f.list(t.Context())
+		if err != nil {
+			require.ErrorIs(t, err, errDown)
+			failed++
+			require.Less(t, failed, 4, "each call brings a page")
+			continue
+		}
+		require.Len(t, d.Changes, 4)
+		require.Equal(t, uint64(11), d.AsOf, "as of the first page")
+		require.Less(t, at.Sub(began), time.Second)
+		break
+	}
+	require.Equal(t, 3, failed)
+	require.False(t, f.unfinished(sageclock.Now()))
+}
+
+// What changed since the first page of an old listing may be gone from the history: it begins anew.
+func TestOldListingBeginsAnew(t *testing.T) {
+	src := &paged{names: []string{"a", "b"}}
+	f := &Follower{Source: src, Kind: "k"}
+	_, _, err := f.list(t.Context())
+	require.ErrorIs(t, err, errDown)
+	require.True(t, f.unfinished(f.listing.began.Add(listingWithin)))
+	require.False(t, f.unfinished(f.listing.began.Add(listingWithin+1)))
+	f.listing.began -= sageclock.Instant(2 * listingWithin)
+	_, _, err = f.list(t.Context())
+	require.ErrorIs(t, err, errDown)
+	require.Equal(t, "a", f.listing.next, "from the first page again")
+	require.Len(t, f.listing.delta.Changes, 1)
+}
--- a/internal/sagefollow/follower.go
+++ b/internal/sagefollow/follower.go
@@ -83,6 +83,8 @@
 
 	Proof sagefresh.Proof
 
+	listing *listing // unfinished; nil if none is. Only Run uses it.
+
 	mu       sync.Mutex
 	content  content
 	fetching bool
@@ -248,13 +250,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+within)
 	defer cancel()
-	sent := sageclock.Now()
-	d, err := f.call(ctx, listed, since, wait)
-	if errors.Is(err, ErrGone) {
-		f.Log.Info("History is gone; listing anew.", "kind", f.Kind, "since", since)
-		sent = sageclock.Now()
-		d, err = f.Source.List(ctx, f.Kind)
-	}
+	d, sent, err := f.call(ctx, listed, since, wait)
 	if err != nil {
 		return fmt.Errorf("follow %s: %w", f.Kind, err)
 	}
@@ -281,11 +277,19 @@
 	return wait
 }
 
-func (f *Follower) call(ctx context.Context, listed bool, since uint64, wait time.Duration) (Delta, error) {
-	if !listed {
-		return f.Source.List(ctx, f.Kind)
+// call watches, or lists what can't be watched, and returns the instant as of which the answer is
+// complete.
+func (f *Follower) call(ctx context.Context, listed bool, since uint64, wait time.Duration) (Delta, sageclock.Instant, error) {
+	if !listed || f.unfinished(sageclock.Now()) {
+		return f.list(ctx)
+	}
+	sent := sageclock.Now()
+	d, err := f.Source.Watch(ctx, f.Kind, since, wait)
+	if errors.Is(err, ErrGone) {
+		f.Log.Info("History is gone; listing anew.", "kind", f.Kind, "since", since)
+		return f.list(ctx)
 	}
-	return f.Source.Watch(ctx, f.Kind, since, wait)
+	return d, sent, err
 }
 
 // Failing reports whether this node's own last call to the store failed.
--- a/internal/sagefollow/source.go
+++ b/internal/sagefollow/source.go
@@ -31,10 +31,18 @@
 	AsOf    uint64   `json:"as_of"`
 }
 
+// Page is a part of a listing.
+type Page struct {
+	Changes []Change
+	AsOf    uint64
+	// Next is the name after which the next page begins; empty if this is the last one.
+	Next string
+}
+
 // Source is the store.
 type Source interface {
-	// List returns all objects of a kind.
-	List(ctx context.Context, kind string) (Delta, error)
+	// List returns the objects of a kind with names after one, in order, or the first of them.
+	List(ctx context.Context, kind, after string) (Page, error)
 	// Watch returns the changes after a revision, at the latest after wait, or [ErrGone].
 	Watch(ctx context.Context, kind string, since uint64, wait time.Duration) (Delta, error)
 }
--- a/internal/sagerouter/services.go
+++ b/internal/sagerouter/services.go
@@ -136,7 +136,7 @@
 	if err := n.Store.Create(ctx, n.Kinds.Nodes, n.Settings.Node, spec); err != nil {
 		return fmt.Errorf("register node: %w", err)
 	}
-	d, err := n.Store.List(ctx, n.Kinds.Nodes)
+	d, err := sagefollow.ListAll(ctx, n.Store, n.Kinds.Nodes)
 	if err != nil {
 		return fmt.Errorf("list nodes: %w", err)
 	}
