Tell the other nodes of broken exchanges

Change: heartbeats name the upstreams with which a node's own exchanges broke in the last two seconds. When two other nodes say so, a node avoids the upstream for about a second from their last word on, unless it got an answer itself within a second (an upstream may fail one data centre only). The nodes whose exchanges broke try again.

--- a/internal/sagemesh/heartbeat.go
+++ b/internal/sagemesh/heartbeat.go
@@ -42,6 +42,8 @@
 	Copies map[string]sagefollow.Position
 	// InFlight counts the sender's requests by upstream.
 	InFlight map[string]int
+	// Broken are upstreams with which the sender's own exchanges broke of late.
+	Broken []string
 	// Sum is set by the node that gathers the counts of its data centre; nil on others.
 	Sum *Sum
 	// Held are parts of prompts that upstreams are newly known to hold.
--- a/internal/sagemesh/mesh_test.go
+++ b/internal/sagemesh/mesh_test.go
@@ -323,7 +323,7 @@
 func TestHeartbeatRoundTrip(t *testing.T) {
 	h := usual(4)
 	h.Held = map[string][]uint64{"e": {1, 1 << 63}}
-	h.Blind, h.Leaving = true, true
+	h.Blind, h.Leaving, h.Broken = true, true, []string{"e"}
 	h.Sum = &Sum{All: true, InFlight: map[string]int{"e": 9}}
 	common, err := h.encode()
 	require.NoError(t, err)
--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -186,6 +186,16 @@
 	f.health.Note(sageclock.Now(), u.Service, u.ID, res)
 }
 
+// told takes in the upstreams with which another node's exchanges broke.
+func (f *fleet) told(now sageclock.Instant, node string, broken []string) {
+	set := f.view.set.Load()
+	for _, id := range broken {
+		if e := set.Get(id); e != nil {
+			f.health.Told(now, e.Service, id, node)
+		}
+	}
+}
+
 // Read implements [sagerelay.Fleet].
 func (f *fleet) Read(u *sageupstream.Entry, c sagechain.Chain) {
 	f.placer.Note(sageclock.Now(), u.ID, c)
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -22,6 +22,7 @@
 	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagefresh"
+	"sagestand.example/sagestand/pkg/sagehealth"
 	"sagestand.example/sagestand/pkg/sageshare"
 )
 
@@ -164,7 +165,7 @@
 	n.fleet = &fleet{
 		view: n.view, keyProof: &n.copies[n.Kinds.Config].Proof,
 		known: n.mesh.Known, lag: n.countsLag, placer: placer, cold: sageshare.Cold{Self: cfg.Node},
-		retries: sageshare.Retries{Window: seconds(cfg.Bounds.RetryWindowSeconds)},
+		retries: sageshare.Retries{Window: seconds(cfg.Bounds.RetryWindowSeconds)}, health: sagehealth.Book{Self: cfg.Node},
 	}
 	placer.Passes = n.fleet.passes
 	n.fleet.bounds(&cfg.Bounds)
@@ -262,6 +263,7 @@
 		h.Blind = h.Blind || f.Failing()
 	}
 	h.InFlight = n.fleet.flights.Tell()
+	h.Broken = n.fleet.health.Broken(sageclock.Now())
 }
 
 // fillNews adds what the other nodes have not been told.
@@ -295,6 +297,7 @@
 	now := sageclock.Now()
 	n.fleet.flights.Learn(now, h.Node, h.DataCentre, h.InFlight)
 	n.hearSum(now, h)
+	n.fleet.told(now, h.Node, h.Broken)
 	n.fleet.placer.Learn(now, h.Held)
 	if stamp == 0 {
 		return
--- a/pkg/sagehealth/book.go
+++ b/pkg/sagehealth/book.go
@@ -39,6 +39,10 @@
 	rate   float64
 	streak int
 	out    sageclock.Instant
+	broke  sageclock.Instant // of the last broken exchange
+	ok     sageclock.Instant // of the last whole answer; 0 if there was none
+	// tellers are the other nodes whose exchanges broke, with when they last said so.
+	tellers map[string]sageclock.Instant
 }
 
 // service are the records of one service's upstreams.
@@ -49,6 +53,9 @@
 
 // Book keeps the records of all upstreams. The zero value is ready; it is safe for concurrent use.
 type Book struct {
+	// Self is the name of this node, by which the nodes spread their trials. It is set before use.
+	Self string
+
 	mu       sync.Mutex
 	services map[string]*service
 }
@@ -69,9 +76,11 @@
 	case OK:
 		r.streak = 0
 		r.out = 0
+		r.ok = now
 	case Broken:
 		out := min(firstOut<<min(r.streak, 8), longestOut)
 		r.streak++
+		r.broke = now
 		r.out = now.Add(out)
 	}
 }
--- a/pkg/sagehealth/doc.go
+++ b/pkg/sagehealth/doc.go
@@ -7,11 +7,17 @@
 // all fail alike, the cause lies in the requests or behind all upstreams, and avoiding one helps
 // nobody.
 //
+// Nodes tell each other of broken exchanges. What two others say takes an upstream out as well, unless
+// this node itself got an answer of late; the nodes whose own exchanges broke are the ones that try
+// again.
+//
 // # Usage
 //
-//	b := &sagehealth.Book{}
+//	b := &sagehealth.Book{Self: "vm1"}
 //	b.Note(now, service, upstream, sagehealth.Broken)
 //	if b.Avoid(now, service, upstream) {
 //		// prefer another one
 //	}
+//	tell(b.Broken(now))                     // to the other nodes
+//	b.Told(now, service, upstream, "vm2")   // what one of them told
 package sagehealth
