Plain names in the mesh, a line for upstreams avoided on others' words

Change: announce and identify, reporters; one bounded line when other nodes' words take an upstream out.

Measured: the tests of the packages concerned pass; no decision changed.

--- a/internal/sagelog/limit.go
+++ b/internal/sagelog/limit.go
@@ -8,12 +8,13 @@
 // Kind groups log lines that share a bound on their rate.
 type Kind int
 
-// The kinds of lines about requests.
+// The kinds of lines about requests, and of beliefs that may change as often.
 const (
 	KindExchange Kind = iota
 	KindRefused
 	KindGivenUp
 	KindServed
+	KindBelief
 	kinds
 )
 
--- a/internal/sagemesh/hear.go
+++ b/internal/sagemesh/hear.go
@@ -47,9 +47,9 @@
 		return // overtaken by a newer one
 	}
 	p.knows = h.Echo.Incarnation == s.incarnation
-	echoed, known := p.knows, s.recognise(p, h)
+	echoed, known := p.knows, s.identify(p, h)
 	if !known || !echoed {
-		s.introduce(now, p, h.Address)
+		s.announce(now, p, h.Address)
 	}
 	if !known {
 		s.mu.Unlock()
@@ -70,13 +70,13 @@
 	s.Heard(h, stamp)
 }
 
-// recognise completes a heartbeat that came without its sender's identity, and reports whether the
+// identify completes a heartbeat that came without its sender's identity, and reports whether the
 // sender is known.
 //
 // It guards against a node that is taken for the one before it at the same address: an identity
 // counts for the incarnation that stated it. A heartbeat that can't be completed is left out and its
 // stamp not echoed, so that its sender states the identity with the next one.
-func (s *Service) recognise(p *peer, h *Heartbeat) bool {
+func (s *Service) identify(p *peer, h *Heartbeat) bool {
 	if h.Node != "" {
 		return true
 	}
@@ -87,17 +87,17 @@
 	return true
 }
 
-// introduce has a heartbeat sent at once to a node that doesn't know this one, or isn't known.
+// announce has a heartbeat sent at once to a node that doesn't know this one, or isn't known.
 //
 // It guards against a restarted node that others can't use: they leave out their identity, which it
 // lacks, until they hear of its new incarnation, a whole interval later.
-func (s *Service) introduce(now sageclock.Instant, p *peer, address string) {
-	if now.Sub(p.introduced) < shortest {
+func (s *Service) announce(now sageclock.Instant, p *peer, address string) {
+	if now.Sub(p.announced) < shortest {
 		return
 	}
-	p.introduced = now
+	p.announced = now
 	select {
-	case s.strangers <- address:
+	case s.announceTo <- address:
 	default: // the next round tells it
 	}
 }
--- a/internal/sagemesh/mesh_test.go
+++ b/internal/sagemesh/mesh_test.go
@@ -209,7 +209,7 @@
 
 	n.hear(&Heartbeat{Address: other, Stamp: Stamp{1, 1}})
 	require.Empty(t, n.Live(), "nobody said who that is")
-	require.Equal(t, other, <-n.strangers, "so it is asked at once")
+	require.Equal(t, other, <-n.announceTo, "so it is asked at once")
 	n.tellOne(other)
 	require.Equal(t, Identity{"a", "entry", "dc"}, told().Identity)
 
--- a/internal/sagemesh/service.go
+++ b/internal/sagemesh/service.go
@@ -36,8 +36,8 @@
 	// only to find nodes that the store did not list.
 	knownPerHeartbeat = 3
 	knownEvery        = 4
-	// mostStrangers is how many nodes wait to be told at once; more are told in the next round.
-	mostStrangers = 64
+	// mostAnnounced is how many nodes wait to be told at once; more are told in the next round.
+	mostAnnounced = 64
 	// forgetAfter is when a silent address that isn't a seed gets no more heartbeats.
 	forgetAfter = 5 * time.Minute
 	// maxDatagram is the greatest datagram that is read.
@@ -53,11 +53,11 @@
 	stamp  Stamp // the last that came
 	// knows says that the node knows this one: it echoed a stamp of this process.
 	knows bool
-	// introduced is when it was last told at once of this node.
-	introduced sageclock.Instant
-	heard      sageclock.Instant
-	added      sageclock.Instant
-	seed       bool
+	// announced is when it was last told at once of this node.
+	announced sageclock.Instant
+	heard     sageclock.Instant
+	added     sageclock.Instant
+	seed      bool
 }
 
 // Service tells and listens. Exported fields are set before Open.
@@ -72,8 +72,8 @@
 	FillSum func(h *Heartbeat, all bool)
 	// FillNews adds what is told only once. It is called for heartbeats to all nodes only; may be nil.
 	FillNews func(h *Heartbeat)
-	// Heard is called for each heartbeat of a node whose identity is known. Stamp is the instant that the sender proved to have heard
-	// of, or 0.
+	// Heard is called for each heartbeat of a node whose identity is known. Stamp is the instant that
+	// the sender proved to have heard of, or 0.
 	Heard func(h *Heartbeat, stamp sageclock.Instant)
 	// Joined is called for each node that becomes live, Lost for each that stops being so.
 	Joined, Lost func(m Member)
@@ -83,7 +83,7 @@
 	conn        net.PacketConn
 	nudge       chan struct{}
 	nudgeNear   chan struct{}
-	strangers   chan string // addresses of nodes to tell at once
+	announceTo  chan string // addresses of nodes to tell at once
 	isQuick     atomic.Bool
 	sent, came  atomic.Int64 // bytes of datagrams
 
@@ -103,7 +103,7 @@
 	s.incarnation = rand.Uint64()
 	s.nudge = make(chan struct{}, 1)
 	s.nudgeNear = make(chan struct{}, 1)
-	s.strangers = make(chan string, mostStrangers)
+	s.announceTo = make(chan string, mostAnnounced)
 	s.peers = make(map[string]*peer)
 	s.live = make(map[string]bool)
 	s.ever = map[string]bool{s.Name: true}
@@ -170,7 +170,7 @@
 			s.tell(false)
 		case <-s.nudgeNear:
 			s.tell(true)
-		case address := <-s.strangers:
+		case address := <-s.announceTo:
 			s.tellOne(address)
 		case <-t.C:
 			s.tell(false)
--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/internal/sagerelay"
 	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
@@ -190,8 +191,8 @@
 func (f *fleet) told(now sageclock.Instant, node string, broken []string) {
 	set := f.view.set.Load()
 	for _, id := range broken {
-		if e := set.Get(id); e != nil {
-			f.health.Told(now, e.Service, id, node)
+		if e := set.Get(id); e != nil && f.health.Told(now, e.Service, id, node) {
+			f.view.log.Limited(sagelog.KindBelief, "Upstream is avoided, as other nodes' exchanges broke.", "upstream", id, "service", e.Service, "last_from", node)
 		}
 	}
 }
--- a/pkg/sagehealth/load_test.go
+++ b/pkg/sagehealth/load_test.go
@@ -91,13 +91,14 @@
 	b := Book{Self: "a"}
 	now := sageclock.Instant(time.Minute)
 	for range 5 {
-		b.Told(now, "s", "e", "b")
+		require.False(t, b.Told(now, "s", "e", "b"))
 	}
 	require.False(t, b.Avoid(now, "s", "e"))
-	b.Told(now, "s", "e", "c")
+	require.True(t, b.Told(now, "s", "e", "c"))
+	require.False(t, b.Told(now, "s", "e", "c"), "it is avoided already")
 	require.True(t, b.Avoid(now, "s", "e"))
 	require.Empty(t, b.Broken(now), "what others say is not told on")
-	require.False(t, b.Avoid(now.Add(2*shunFor), "s", "e"), "it is tried again")
+	require.False(t, b.Avoid(now.Add(2*avoidFor), "s", "e"), "it is tried again")
 	b.Note(now, "s", "e", OK)
 	b.Told(now, "s", "e", "d")
 	require.False(t, b.Avoid(now, "s", "e"), "its own answer counts more")
--- a/pkg/sagehealth/told.go
+++ b/pkg/sagehealth/told.go
@@ -10,9 +10,9 @@
 
 // How much the other nodes' words weigh.
 const (
-	// enoughTellers is how many other nodes must say that an upstream is broken: one may have a link
+	// enoughReporters is how many other nodes must say that an upstream is broken: one may have a link
 	// of its own that broke.
-	enoughTellers = 2
+	enoughReporters = 2
 	// toldFor is how long a statement counts: two heartbeats of a fleet of a hundred nodes.
 	toldFor = 2 * time.Second
 	// ownFor is how long an answer that this node got itself counts more: an upstream may fail the
@@ -20,10 +20,10 @@
 	ownFor = time.Second
 	// mostTold bounds what one heartbeat tells, to a kilobyte.
 	mostTold = 64
-	// shunFor is the mean time for which an upstream is avoided on others' words, from the last of
+	// avoidFor is the mean time for which an upstream is avoided on others' words, from the last of
 	// them on. The nodes' times differ between half and one and a half of it, so that not all try at
 	// once when the words end.
-	shunFor = time.Second
+	avoidFor = time.Second
 )
 
 // Broken returns the upstreams with which this node's own exchanges broke of late, the last one among
@@ -42,29 +42,32 @@
 	return out
 }
 
-// Told takes in that another node's exchanges with an upstream broke.
+// Told takes in that another node's exchanges with an upstream broke, and reports whether the upstream is
+// avoided from now on because of it.
 //
 // It guards against many nodes that each find out by themselves: in a large fleet a node sends an
 // engine a request each ten seconds, so an engine that passes its health check and resets every
 // connection fails one request of each node before all know. In the model of load_test.go, with 27 of
 // 60 engines broken for five seconds, it is the difference between 46 and 20 requests of a hundred.
-func (b *Book) Told(now sageclock.Instant, service, upstream, node string) {
+func (b *Book) Told(now sageclock.Instant, service, upstream, node string) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.record(service, upstream)
-	if r.tellers == nil {
-		r.tellers = make(map[string]sageclock.Instant)
+	if r.reporters == nil {
+		r.reporters = make(map[string]sageclock.Instant)
 	}
-	r.tellers[node] = now
-	for n, at := range r.tellers {
+	r.reporters[node] = now
+	for n, at := range r.reporters {
 		if now.Sub(at) >= toldFor {
-			delete(r.tellers, n)
+			delete(r.reporters, n)
 		}
 	}
 	trusted := r.ok != 0 && now.Sub(r.ok) < ownFor
-	if len(r.tellers) < enoughTellers || r.streak > 0 || trusted {
-		return
+	if len(r.reporters) < enoughReporters || r.streak > 0 || trusted {
+		return false
 	}
-	spread := time.Duration(xxhash.Sum64String(b.Self+upstream) % uint64(shunFor))
-	r.out = max(r.out, now.Add(shunFor/2+spread))
+	spread := time.Duration(xxhash.Sum64String(b.Self+upstream) % uint64(avoidFor))
+	began := r.out <= now
+	r.out = max(r.out, now.Add(avoidFor/2+spread))
+	return began
 }
