--- a/internal/sagemesh/gather.go
+++ b/internal/sagemesh/gather.go
@@ -33,8 +33,8 @@
 // and the nodes of its own the total.
 //
 // It guards against engines that many nodes fill together because they last heard of each other a
-// second ago. In the model of package sagechain, when five of twelve engines come back empty, 0.5 % of
-// requests reach an engine above the platform's cap with counts told each 0.3 s, and 2.7 % with counts
+// second ago. In the model of package sagechain, when five of twelve engines come back empty, 0.4 % of
+// requests reach an engine above the platform's cap with counts told each 0.3 s, and 2.8 % with counts
 // told each 0.9 s.
 func (s *Service) tellSums() {
 	gatherers := s.gatherers()
--- a/pkg/sagechain/bound.go
+++ b/pkg/sagechain/bound.go
@@ -17,8 +17,8 @@
 	capMargin = 1.5
 	// usualRun is how long a request usually runs: what an upstream got during the lag of the counts is
 	// the mean load times the lag over it. In the model, when engines came back empty and counts are
-	// told each 0.3 s, 0.1 % of requests reach an engine above the cap, and 1.5 % if half of the lag is
-	// allowed for; the wider margin moves twice as many tokens.
+	// told each 0.3 s, 0.4 % of requests reach an engine above the cap, and 1.5 % if half of the lag is
+	// allowed for; the wider margin moves a third more tokens.
 	usualRun = time.Second
 	// mostLag is the lag that is allowed for. With older counts a lower bound makes all nodes spill at
 	// once: in the model, at a lag of 0.9 s and a hot thing, it takes 2.2 % of requests above the cap
