Give the mesh's tests peers that differ by construction

Change: addresses on loopback that differ by construction and at which nothing listens. The checks are the same.

--- a/internal/sagemesh/mesh_test.go
+++ b/internal/sagemesh/mesh_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net"
 	"sync"
 	"testing"
@@ -31,6 +32,10 @@
 	return c.LocalAddr().String()
 }
 
+// nobody returns the i-th of some addresses on loopback at which nothing listens. Ports that are free when
+// they are drawn may be drawn again, or be taken by a node of another test.
+func nobody(i int) string { return fmt.Sprintf("127.9.1.%d:9", i+1) }
+
 // prepare returns a node that does not run yet.
 func prepare(name, address string, seeds ...string) *node {
 	n := new(node)
@@ -135,12 +140,12 @@
 func TestBlindAndLeavingNodesAreNotRanked(t *testing.T) {
 	n := start(t, "a", freePort(t))
 	for i := range 20 {
-		addr := freePort(t)
+		addr := nobody(i)
 		n.hear(&Heartbeat{Identity: Identity{Node: addr}, Address: addr, Stamp: Stamp{1, 1}, Blind: i%2 == 0, Leaving: i%2 == 1})
 	}
 	require.Zero(t, n.Rank(false))
 	require.LessOrEqual(t, n.Rank(true), 10, "a blind node counts the blind ones")
-	seeing := freePort(t)
+	seeing := nobody(20)
 	before := n.Rank(true)
 	n.hear(&Heartbeat{Identity: Identity{Node: seeing}, Address: seeing, Stamp: Stamp{1, 1}})
 	require.Equal(t, before+1, n.Rank(true), "and comes behind those that see")
@@ -152,8 +157,8 @@
 // configuration is late everywhere because the next ones notice too late.
 func TestStandbysTellEachOtherQuickly(t *testing.T) {
 	n := start(t, "a", freePort(t))
-	for range 60 {
-		addr := freePort(t)
+	for i := range 60 {
+		addr := nobody(i)
 		n.hear(&Heartbeat{Identity: Identity{Node: addr}, Address: addr, Stamp: Stamp{1, 1}})
 	}
 	require.Greater(t, n.Interval(), shortest)
