--- /dev/null
+++ b/cmd/sagebench/loss.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/spf13/cobra"
+
+	"sagestand.example/sagestand/internal/sagecli"
+	sageloss "sagestand.example/sagestand/platform/loss"
+)
+
+func lossCommand() *cobra.Command {
+	var site, log string
+	c := &cobra.Command{
+		Use:     "loss REPORT...",
+		Short:   "Account for what played days were not worth, by cause",
+		Long:    "loss reads reports of played days and prints, for each, a table of losses that adds up to one less the day's worth,\nthe worst windows with the troubles under way, and the worth if nothing avoidable had been lost.",
+		Example: "  sagebench loss --site further/site.toml day.json\n  sagebench loss --site site.toml --log day.log day.json",
+		Args:    cobra.MinimumNArgs(1),
+		RunE: func(c *cobra.Command, args []string) error {
+			s, err := readSite(site)
+			if err != nil {
+				return err
+			}
+			for _, name := range args {
+				if err := accountFor(c, s, name); err != nil {
+					return fmt.Errorf("%s: %w", name, err)
+				}
+			}
+			if log == "" {
+				return nil
+			}
+			return printGivenUp(c, log)
+		},
+	}
+	c.Flags().StringVar(&site, "site", "", "file of the deployment, for what each kind of request is worth")
+	c.Flags().StringVar(&log, "log", "", "nodes' logs of a day, for the causes of requests that were given up")
+	_ = c.MarkFlagRequired("site") // fails only for a flag that isn't there
+	return c
+}
+
+func readSite(name string) (*sageloss.Site, error) {
+	f, err := os.Open(name)
+	if err != nil {
+		return nil, fmt.Errorf("%w: open site: %v", sagecli.ErrUsage, err)
+	}
+	defer func() { _ = f.Close() }()
+	s, err := sageloss.ReadSite(f)
+	if err != nil {
+		return nil, fmt.Errorf("%w: read site %s: %v", sagecli.ErrUsage, name, err)
+	}
+	return s, nil
+}
+
+func accountFor(c *cobra.Command, s *sageloss.Site, name string) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return fmt.Errorf("%w: open report: %v", sagecli.ErrUsage, err)
+	}
+	defer func() { _ = f.Close() }()
+	d, err := sageloss.ReadDay(f)
+	if err != nil {
+		return fmt.Errorf("%w: read report: %v", sagecli.ErrUsage, err)
+	}
+	a := sageloss.Of(d, s)
+	if _, err := fmt.Fprintf(c.OutOrStdout(), "%s: worth %.3f\n", name, a.Worth); err != nil {
+		return fmt.Errorf("write name: %w", err)
+	}
+	return a.Write(c.OutOrStdout())
+}
+
+func printGivenUp(c *cobra.Command, name string) error {
+	f, err := os.Open(name)
+	if err != nil {
+		return fmt.Errorf("%w: open log: %v", sagecli.ErrUsage, err)
+	}
+	defer func() { _ = f.Close() }()
+	gs, err := sageloss.ReadGivenUp(f)
+	if err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	return sageloss.WriteGivenUp(c.OutOrStdout(), gs)
+}
