Ask only informed peers what engines hold, and recall every engine

A node that had started some milliseconds earlier and sent a few prompts was taken for a peer that knows, so no engine was asked; a node that restarted while the store was away found no peer that was ready and asked only its own part; engines whose part fell to a node that is gone were asked by nobody; and the first listing made a node forget what peers had told it.

Change: heartbeats say whether a node is informed. A started node asks an informed peer, ready or not; if there is none, the nodes divide the engines, tell again when another joins, and those that live ask for what was left by those that don't. What an upstream holds is forgotten when it starts anew or has stopped, not when it is merely new to this node.

--- a/internal/sagemesh/codec.go
+++ b/internal/sagemesh/codec.go
@@ -22,7 +22,7 @@
 		return nil, fmt.Errorf("encode heartbeat: %w", err)
 	}
 	m := &heartbeat.Heartbeat{
-		Address: address, Ready: h.Ready, Leaving: h.Leaving, Blind: h.Blind, Broken: h.Broken,
+		Address: address, Ready: h.Ready, Leaving: h.Leaving, Blind: h.Blind, Informed: h.Informed, Broken: h.Broken,
 		Stamp: &heartbeat.Stamp{Incarnation: h.Stamp.Incarnation, At: int64(h.Stamp.At)},
 	}
 	for kind, p := range h.Copies {
@@ -94,7 +94,8 @@
 	id := m.GetIdentity()
 	h := &Heartbeat{
 		Address: address, Identity: Identity{Node: id.GetNode(), Entry: id.GetEntry(), DataCentre: id.GetDataCentre()},
-		Ready: m.GetReady(), Leaving: m.GetLeaving(), Blind: m.GetBlind(), Broken: m.GetBroken(), Stamp: stamp(m.GetStamp()), Echo: stamp(m.GetEcho()),
+		Ready: m.GetReady(), Leaving: m.GetLeaving(), Blind: m.GetBlind(), Informed: m.GetInformed(), Broken: m.GetBroken(),
+		Stamp: stamp(m.GetStamp()), Echo: stamp(m.GetEcho()),
 		Copies: make(map[string]sagefollow.Position, len(m.GetCopies())), InFlight: counts,
 	}
 	for _, c := range m.GetCopies() {
--- a/internal/sagemesh/heartbeat.go
+++ b/internal/sagemesh/heartbeat.go
@@ -35,7 +35,9 @@
 	Leaving bool
 	// Blind says that the store does not answer the sender.
 	Blind bool
-	Stamp Stamp
+	// Informed says that the sender knows what the engines hold, as far as the fleet does.
+	Informed bool
+	Stamp    Stamp
 	// Echo is the receiver's last stamp that the sender has.
 	Echo Stamp
 	// Copies are the positions of the sender's copies, by kind.
@@ -59,9 +61,11 @@
 	Ready   bool
 	Leaving bool
 	Blind   bool
+	// Informed says that the node can tell a started one what the engines hold.
+	Informed bool
 }
 
 // Member returns the sender as the heartbeat shows it.
 func (h *Heartbeat) Member() Member {
-	return Member{Address: h.Address, Identity: h.Identity, Ready: h.Ready, Leaving: h.Leaving, Blind: h.Blind}
+	return Member{Address: h.Address, Identity: h.Identity, Ready: h.Ready, Leaving: h.Leaving, Blind: h.Blind, Informed: h.Informed}
 }
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -24,6 +24,7 @@
 	"sagestand.example/sagestand/pkg/sagefresh"
 	"sagestand.example/sagestand/pkg/sagehealth"
 	"sagestand.example/sagestand/pkg/sageshare"
+	"sagestand.example/sagestand/pkg/sageupstream"
 )
 
 // Times of a node.
@@ -97,6 +98,7 @@
 	fleet   *fleet
 	copies  sagemesh.Copies
 	fetcher *sagemesh.Fetcher
+	recall  *recall
 	names   atomic.Pointer[[]string] // of the nodes in the store
 	reach   sagefresh.Proof          // of the store
 	leaving atomic.Bool
@@ -118,13 +120,14 @@
 		return err
 	}
 	n.makeFleet()
+	n.makeRecall()
 	n.export()
 	n.kernel.Register("mesh", n.mesh)
 	for _, kind := range []string{n.Kinds.Closed, n.Kinds.Upstreams, n.Kinds.Config} {
 		n.kernel.Register("follow_"+kind, n.copies[kind])
 	}
 	n.kernel.Register("members", &members{node: n})
-	n.kernel.Register("recall", &recall{node: n, fetcher: n.fetcher})
+	n.kernel.Register("recall", n.recall)
 	n.kernel.Register("settle", &settler{node: n})
 	return n.listen()
 }
@@ -175,6 +178,30 @@
 	}
 }
 
+func (n *Node) makeRecall() {
+	n.recall = &recall{
+		Self: n.Settings.Node, DataCentre: n.Settings.DataCentre, FirstStart: n.Settings.FirstStart,
+		Placer: n.fleet.placer, Peers: n.mesh.Live, Engines: n.engines, Named: n.registered, Fetch: n.fetcher.Held,
+		Inspector: n.Inspector, Tell: func() { n.mesh.Nudge(true) }, Interval: n.mesh.Interval, Log: n.Log.Part("recall"),
+	}
+}
+
+// engines returns the engines that may get requests, or false before configuration and upstreams are
+// known.
+func (n *Node) engines() ([]*sageupstream.Entry, bool) {
+	table, set := n.fleet.Table(), n.view.set.Load()
+	if table == nil || set == nil {
+		return nil, false
+	}
+	var out []*sageupstream.Entry
+	for name, s := range table.Services {
+		if s.Engine {
+			out = append(out, set.Of(name)...)
+		}
+	}
+	return out, true
+}
+
 // spreadFirstListing delays this node's first listings when the whole fleet starts for the first time
 // and no caller waits. At every other start the time until it serves counts.
 func (n *Node) spreadFirstListing() {
@@ -256,7 +283,7 @@
 
 // fill completes a heartbeat.
 func (n *Node) fill(h *sagemesh.Heartbeat) {
-	h.Ready, h.Leaving = n.Ready(), n.leaving.Load()
+	h.Ready, h.Leaving, h.Informed = n.Ready(), n.leaving.Load(), n.recall.informed.Load()
 	h.Copies = make(map[string]sagefollow.Position, len(n.copies))
 	for kind, f := range n.copies {
 		h.Copies[kind] = f.Position()
--- a/internal/sagerouter/recall.go
+++ b/internal/sagerouter/recall.go
@@ -1,27 +1,36 @@
 package sagerouter
 
 import (
+	"cmp"
 	"context"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
+	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/internal/sagemesh"
+	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sageupstream"
 )
 
 // Times of a recall.
 const (
-	// peerWithin is how long a started node waits to hear of a peer that has been serving: half a
-	// heartbeat, since requests come in meanwhile.
+	// peerWithin is how long a started node waits to hear of a peer that can tell it everything: half
+	// a heartbeat, since requests come in meanwhile.
 	peerWithin = 120 * time.Millisecond
 	// recallPoll is how often it looks.
 	recallPoll = 10 * time.Millisecond
 	// askWithin bounds one question to a peer or an upstream.
 	askWithin = time.Second
-	// startWithin is how long a node waits for its first view of the upstreams.
-	startWithin = 10 * time.Second
+	// settleLeast is the least time that the other nodes have for telling what their engines said: the
+	// 300 ms within which nodes that were stopped together start again, and as much for the engines'
+	// answers and a heartbeat.
+	settleLeast = 600 * time.Millisecond
 )
 
 // Inspector asks an upstream which prompt parts it holds.
@@ -29,105 +38,189 @@
 	Held(ctx context.Context, u *sageupstream.Entry) ([]uint64, error)
 }
 
-// recall finds out at the start which upstreams hold which prompt parts.
+// recall finds out at the start which upstreams hold which prompt parts. Its exported fields are set
+// before Run.
 //
-// It guards against a fleet that forgets: after all nodes were killed at once, prompts go to other
-// engines than before, which read the shared parts again. A node that starts alone asks a peer; if no
-// peer knows anything, the nodes divide the engines among themselves, ask each once and tell the
-// others. Engines answer such a question at the cost of their work, so nobody asks twice.
+// It guards against a fleet that forgets: after all nodes were stopped at once, prompts go to other
+// engines than before, which read the shared parts again. A node that starts alone asks a peer. Only a
+// peer that is informed counts: one that has started a moment earlier knows no more than the few
+// prompts that it sent itself. If there is none, the nodes divide the engines among themselves, ask
+// each once and tell the others; what nobody told, because the node whose part it was is gone, is
+// asked for by one of those that live. Engines answer such a question at the cost of their work, so
+// each is asked once.
 type recall struct {
-	node    *Node
-	fetcher *sagemesh.Fetcher
+	Self, DataCentre string
+	// FirstStart says that the whole fleet starts for the first time: there is nothing to recall.
+	FirstStart bool
+	Placer     *sagechain.Placer
+	Inspector  Inspector
+	// Peers are the other live nodes.
+	Peers func() []sagemesh.Member
+	// Engines are the engines in service, false before they are known.
+	Engines func() ([]*sageupstream.Entry, bool)
+	// Named are the nodes in the store.
+	Named func() []string
+	// Fetch asks a peer.
+	Fetch func(ctx context.Context, address string) (map[string][]uint64, error)
+	// Tell has the other nodes told at once.
+	Tell func()
+	// Interval is the time between two heartbeats of a node.
+	Interval func() time.Duration
+	Log      sagelog.Logger
+
+	// informed says that this node knows what the fleet knows.
+	informed atomic.Bool
+
+	mu    sync.Mutex
+	found map[string][]uint64 // what engines told this node, by upstream
 }
 
 // Run recalls once and waits for ctx.
 func (r *recall) Run(ctx context.Context) error {
-	if !r.node.Settings.FirstStart && r.wait(ctx, startWithin, func() bool { return r.node.view.set.Load() != nil && r.node.fleet.Table() != nil }) {
+	r.found = make(map[string][]uint64)
+	if !r.FirstStart {
 		r.once(ctx)
 	}
+	r.informed.Store(true)
 	<-ctx.Done()
 	return nil
 }
 
 func (r *recall) once(ctx context.Context) {
-	var peer string
-	r.wait(ctx, peerWithin, func() bool {
-		for _, m := range r.node.mesh.Live() {
-			if m.Ready {
-				peer = m.Address
-			}
-		}
-		return peer != ""
-	})
-	if peer != "" && r.fromPeer(ctx, peer) {
+	r.wait(ctx, peerWithin, r.anyInformed)
+	if r.fromPeer(ctx) {
 		return
 	}
-	r.fromUpstreams(ctx)
+	r.wait(ctx, 0, func() bool { return r.anyInformed() || r.ready() })
+	if r.fromPeer(ctx) || ctx.Err() != nil {
+		return
+	}
+	named := r.Named()
+	r.fromEngines(ctx, func(upstream string) bool { return first(r.Self, named, upstream) })
+	r.settle(ctx)
+	living := r.living()
+	r.fromEngines(ctx, func(upstream string) bool {
+		return !first(r.Self, named, upstream) && !r.asked(named, living, upstream) && first(r.Self, living, upstream)
+	})
+}
+
+// settle gives the other nodes time to tell what their engines said, and tells those that join
+// meanwhile what this node's engines said.
+//
+// It guards against nodes that start some hundred milliseconds after the others: facts on prompt parts
+// are told once, to the nodes that are known then.
+func (r *recall) settle(ctx context.Context) {
+	until := time.Now().Add(max(settleLeast, 2*r.Interval()))
+	for ctx.Err() == nil && time.Now().Before(until) {
+		before := len(r.Peers())
+		r.wait(ctx, r.Interval(), func() bool { return false })
+		if len(r.Peers()) > before {
+			r.tell()
+		}
+	}
+}
+
+// tell tells all nodes what this node's engines said.
+func (r *recall) tell() {
+	r.mu.Lock()
+	for upstream, parts := range r.found {
+		r.Placer.Found(sageclock.Now(), upstream, parts)
+	}
+	r.mu.Unlock()
+	r.Tell()
+}
+
+// asked reports whether the node that comes first among those named for an upstream lives.
+func (r *recall) asked(named, living []string, upstream string) bool {
+	return slices.ContainsFunc(living, func(n string) bool { return first(n, named, upstream) })
 }
 
-// wait polls until done says yes or the time is over, and returns whether it did.
-func (r *recall) wait(ctx context.Context, within time.Duration, done func() bool) bool {
+// wait polls until done says yes or the time is over; no time means that it waits as long as it takes.
+func (r *recall) wait(ctx context.Context, within time.Duration, done func() bool) {
 	until := time.Now().Add(within)
-	for !done() {
-		if ctx.Err() != nil || time.Now().After(until) {
-			return false
+	for ctx.Err() == nil && !done() && (within == 0 || time.Now().Before(until)) {
+		select {
+		case <-ctx.Done():
+		case <-time.After(recallPoll):
 		}
-		time.Sleep(recallPoll)
 	}
-	return true
 }
 
-// fromPeer learns what a peer knows, and reports whether that was anything.
-func (r *recall) fromPeer(ctx context.Context, peer string) bool {
+func (r *recall) anyInformed() bool {
+	return slices.ContainsFunc(r.Peers(), func(m sagemesh.Member) bool { return m.Informed })
+}
+
+// ready reports whether the engines can be asked.
+func (r *recall) ready() bool {
+	_, ok := r.Engines()
+	return ok
+}
+
+// fromPeer learns what an informed peer knows, and reports whether one told it. One of this data centre
+// is asked if there is any, else any.
+func (r *recall) fromPeer(ctx context.Context) bool {
+	peers := slices.DeleteFunc(r.Peers(), func(m sagemesh.Member) bool { return !m.Informed })
+	if len(peers) == 0 {
+		return false
+	}
+	rand.Shuffle(len(peers), func(i, j int) { peers[i], peers[j] = peers[j], peers[i] })
+	near := func(m sagemesh.Member) int {
+		if m.DataCentre == r.DataCentre {
+			return 0
+		}
+		return 1
+	}
+	peer := slices.MinFunc(peers, func(a, b sagemesh.Member) int { return cmp.Compare(near(a), near(b)) }).Address
 	ctx, cancel := context.WithTimeout(ctx, askWithin)
 	defer cancel()
-	held, err := r.fetcher.Held(ctx, peer)
+	held, err := r.Fetch(ctx, peer)
 	if err != nil {
-		r.node.Log.Part("recall").Warn("Peer did not tell what engines hold.", "peer", peer, "err", err)
+		r.Log.Warn("Peer did not tell what engines hold.", "peer", peer, "err", err)
 		return false
 	}
-	r.node.fleet.placer.Learn(sageclock.Now(), held)
-	r.node.Log.Part("recall").Info("Learnt from a peer what engines hold.", "peer", peer, "upstreams", len(held))
-	return len(held) > 0
+	r.Placer.Learn(sageclock.Now(), held)
+	r.Log.Info("Learnt from a peer what engines hold.", "peer", peer, "upstreams", len(held))
+	return true
 }
 
-// fromUpstreams asks this node's part of the engines.
-func (r *recall) fromUpstreams(ctx context.Context) {
-	table, set := r.node.fleet.Table(), r.node.view.set.Load()
-	for name, s := range table.Services {
-		if !s.Engine {
-			continue
-		}
-		for _, e := range set.Of(name) {
-			if r.mine(e.ID) {
-				go r.ask(ctx, e)
-			}
+// fromEngines asks the engines that are this node's to ask, all at once, and tells the others.
+func (r *recall) fromEngines(ctx context.Context, mine func(upstream string) bool) {
+	engines, _ := r.Engines()
+	var asking sync.WaitGroup
+	for _, e := range engines {
+		if mine(e.ID) {
+			asking.Go(func() { r.ask(ctx, e) })
 		}
 	}
+	asking.Wait()
+	r.tell()
 }
 
-// mine reports whether this node is the one to ask an upstream, by rendezvous hashing over the nodes
-// in the store.
-func (r *recall) mine(upstream string) bool {
-	self := r.node.Settings.Node
-	best := xxhash.Sum64String(self + upstream)
-	for _, n := range r.node.registered() {
-		if n != self && xxhash.Sum64String(n+upstream) > best {
-			return false
-		}
+// living returns the names of the nodes that live.
+func (r *recall) living() []string {
+	var out []string
+	for _, m := range r.Peers() {
+		out = append(out, m.Node)
 	}
-	return true
+	return out
+}
+
+// first reports whether a node comes first among others for an upstream, by rendezvous hashing.
+func first(self string, others []string, upstream string) bool {
+	mine := xxhash.Sum64String(self + upstream)
+	return !slices.ContainsFunc(others, func(n string) bool { return n != self && xxhash.Sum64String(n+upstream) > mine })
 }
 
 func (r *recall) ask(ctx context.Context, e *sageupstream.Entry) {
 	ctx, cancel := context.WithTimeout(ctx, askWithin)
 	defer cancel()
-	parts, err := r.node.Inspector.Held(ctx, e)
-	log := r.node.Log.Part("recall")
+	parts, err := r.Inspector.Held(ctx, e)
 	if err != nil {
-		log.Warn("Engine did not tell what it holds.", "upstream", e.ID, "err", err)
+		r.Log.Warn("Engine did not tell what it holds.", "upstream", e.ID, "err", err)
 		return
 	}
-	r.node.fleet.placer.Found(sageclock.Now(), e.ID, parts)
-	log.Info("Engine told what it holds.", "upstream", e.ID, "parts", len(parts))
+	r.mu.Lock()
+	r.found[e.ID] = parts
+	r.mu.Unlock()
+	r.Log.Info("Engine told what it holds.", "upstream", e.ID, "parts", len(parts))
 }
--- a/internal/sagerouter/view.go
+++ b/internal/sagerouter/view.go
@@ -97,14 +97,16 @@
 // put takes one entry in and logs what it changes.
 //
 // It guards against an earlier start of an upstream: a write of it whose answer was lost may be
-// executed seconds later, when the next start has registered itself under the same id.
+// executed seconds later, when the next start has registered itself under the same id. And it guards
+// against prompts that are read again because this node forgot who holds them: an upstream that is
+// merely new to it, at the first listing or after a lapse, holds what the other nodes said it does.
 func (v *view) put(e sageupstream.Entry, revision uint64) {
 	old := v.set.Load().Get(e.ID)
 	if old != nil && e.Born < old.Born {
 		v.log.Info("Entry of an earlier start ignored.", "upstream", e.ID, "revision", revision)
 		return
 	}
-	if old == nil || old.Born != e.Born || old.Address != e.Address {
+	if last := v.set.Load().Reachable(sageclock.Now(), e.ID); last != nil && (last.Born != e.Born || last.Address != e.Address) {
 		v.placer.Forget(e.ID) // a new start has an empty cache
 	}
 	if old == nil || old.Draining != e.Draining || (old.ColdUntil == 0) != (e.ColdUntil == 0) {
@@ -152,6 +154,9 @@
 	if v.registry.Settle(now) {
 		v.publish()
 	}
+	for _, id := range v.registry.Ended(now) {
+		v.placer.Forget(id)
+	}
 }
 
 // publish makes the present view the one that requests see.
--- a/internal/sagerouter/view_test.go
+++ b/internal/sagerouter/view_test.go
@@ -109,3 +109,28 @@
 	v.applyClosed([]sagefollow.Change{gone("north", 7)}, false)
 	require.Len(t, v.set.Load().Of("s"), 1)
 }
+
+// A started node hears from its peers what engines hold before it has listed the engines. The first
+// listing made it forget all of that, and the prompts were read again elsewhere.
+func TestFirstListingKeepsWhatPeersTold(t *testing.T) {
+	v := newView()
+	now := sageclock.Now()
+	v.placer.Learn(now, map[string][]uint64{"e1": {1, 2}})
+	v.applyUpstreams([]sagefollow.Change{put("e1", 5, `{"Service":"s","Address":"a:1","Born":7}`)}, false)
+	require.Len(t, v.placer.All(now)["e1"], 2)
+	v.applyUpstreams([]sagefollow.Change{put("e1", 6, `{"Service":"s","Address":"a:1","Born":8}`)}, false)
+	require.Empty(t, v.placer.All(now)["e1"], "a new start has an empty cache")
+}
+
+// An upstream's entry lapses while the store is away and comes back with the same start.
+func TestLapsedAndRenewedEntryKeepsWhatItHolds(t *testing.T) {
+	v := newView()
+	now := sageclock.Now()
+	v.applyUpstreams([]sagefollow.Change{put("e1", 5, `{"Service":"s","Address":"a:1","Born":7}`)}, false)
+	v.placer.Learn(now, map[string][]uint64{"e1": {1, 2}})
+	gone := put("e1", 6, `{}`)
+	gone.Deleted = true
+	v.applyUpstreams([]sagefollow.Change{gone}, false)
+	v.applyUpstreams([]sagefollow.Change{put("e1", 7, `{"Service":"s","Address":"a:1","Born":7}`)}, false)
+	require.Len(t, v.placer.All(now)["e1"], 2)
+}
--- a/pkg/sagechain/placer.go
+++ b/pkg/sagechain/placer.go
@@ -138,14 +138,14 @@
 	return out
 }
 
-// Found takes in what an upstream itself says it holds, as news for the other nodes.
+// Found takes in what an upstream itself says it holds, as news for the other nodes, each time anew:
+// nodes that joined since have not been told.
 func (p *Placer) Found(now sageclock.Instant, upstream string, parts []uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, part := range parts {
-		if p.held.note(now, part, upstream) {
-			p.held.news = append(p.held.news, note{part: part, upstream: upstream})
-		}
+		p.held.note(now, part, upstream)
+		p.held.news = append(p.held.news, note{part: part, upstream: upstream})
 	}
 }
 
--- a/pkg/sageupstream/registry.go
+++ b/pkg/sageupstream/registry.go
@@ -112,6 +112,7 @@
 	entries map[string]*Entry
 	lapsed  map[string]sageclock.Instant // deleted, still used until then
 	left    map[string]departed
+	ended   []string // stopped, not yet told by Ended
 	closed  map[string]bool
 
 	away     bool
@@ -157,12 +158,29 @@
 	if r.left == nil {
 		r.left = make(map[string]departed)
 	}
+	r.sweep(now)
+	r.left[e.ID] = departed{entry: e, until: now.Add(Lingers)}
+}
+
+// sweep takes note of the departed upstreams that have stopped.
+func (r *Registry) sweep(now sageclock.Instant) {
 	for id, d := range r.left {
-		if now >= d.until {
-			delete(r.left, id)
+		if now < d.until {
+			continue
+		}
+		delete(r.left, id)
+		if r.entries[id] == nil {
+			r.ended = append(r.ended, id)
 		}
 	}
-	r.left[e.ID] = departed{entry: e, until: now.Add(Lingers)}
+}
+
+// Ended returns the IDs of departed upstreams that have stopped since it was last called.
+func (r *Registry) Ended(now sageclock.Instant) []string {
+	r.sweep(now)
+	out := r.ended
+	r.ended = nil
+	return out
 }
 
 // Keep deletes every entry whose ID the complete listing does not hold.
--- a/pkg/sageupstream/registry_test.go
+++ b/pkg/sageupstream/registry_test.go
@@ -110,3 +110,19 @@
 	r.Delete(at(5000), "b")
 	require.Len(t, r.left, 1, "what is over is forgotten")
 }
+
+// What an upstream held is forgotten when it has stopped; one that lapsed and came back has not.
+func TestEndedNamesEachStoppedUpstreamOnce(t *testing.T) {
+	r := new(Registry)
+	for _, id := range []string{"a", "b", "c"} {
+		r.Put(entry(id))
+	}
+	r.Delete(at(100), "a")
+	r.Delete(at(100), "b")
+	require.Empty(t, r.Ended(at(2000)), "they still run")
+	r.Put(entry("b"))
+	r.Delete(at(2200), "c") // sweeps as well
+	require.Equal(t, []string{"a"}, r.Ended(at(2300)))
+	require.Empty(t, r.Ended(at(2400)))
+	require.Equal(t, []string{"c"}, r.Ended(at(9000)))
+}
