Watch for news, poll for proof, and let no call hold a node up

Cause: (1) after a call that took too long the next one might take 6 s, and a node made no other meanwhile: after a silence of the store of 3.5 s all nodes refused keyed requests for five seconds more. The bounds on changes did not reach the program.

Change: the first node by rank watches (4 s), the second polls at 0.4 of the kind's bound, which comes with the settings; others poll when a proof is 0.5 s late, by rank. A call without an answer for 0.4 s gets a fresh one beside it on a connection of its own; one call at a time may take 6 s, for a slow store. A node whose last call failed looks again after 2 s. Tests in virtual time: silences of 1 to 20 s, eight phases each, 1, 2 and 7 nodes: serving within 1 s; a store that needs 0.24, 0.32, 1 and 3 s; both askers cut at 41 phases of their calls: news within 1.8 s; three pairs in a row; a peer that tells and answers nothing; calls of a calm minute. Taken back one by one (no fresh call, no patient one, 0.8 of the bound, 1.2 s late) each fails its test. Tried and left out: asking another peer beside a mute one; the polls keep that test already.

--- a/internal/sagefollow/follow_test.go
+++ b/internal/sagefollow/follow_test.go
@@ -134,6 +134,8 @@
 	}
 }
 
+func (s *store) Renew() {}
+
 func (s *store) set(f func(s *store)) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -187,7 +189,7 @@
 		f.applied = append(f.applied, seen)
 		f.gates = append(f.gates, &gate{Source: src})
 		f.followers = append(f.followers, &Follower{
-			Kind: "k", Source: f.gates[i], Peers: f, Wait: 100 * time.Millisecond, Rank: func(bool) int { return i }, Reach: new(sagefresh.Proof),
+			Kind: "k", Source: f.gates[i], Peers: f, Within: 250 * time.Millisecond, Rank: func(bool) int { return i }, Reach: new(sagefresh.Proof),
 			Apply: func(cs []Change, _ bool) {
 				f.mu.Lock()
 				defer f.mu.Unlock()
@@ -298,6 +300,8 @@
 	return Delta{}, ErrGone
 }
 
+func (p *paged) Renew() {}
+
 // Engines beyond the first few hundred stay unknown for good: the store refuses some page of a long listing
 // each time, since many nodes list at once, and a listing that begins anew meets the same again.
 func TestListingGoesOnAfterAFailedPage(t *testing.T) {
--- a/internal/sagefollow/follower.go
+++ b/internal/sagefollow/follower.go
@@ -2,44 +2,17 @@
 
 import (
 	"context"
-	"fmt"
-	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagefresh"
 )
 
-// Who asks the store, and when.
+// Times of a copy.
 const (
-	// watchers is how many nodes always watch: one more than needed, so that a watcher's death is
-	// noticed by nobody.
-	watchers = 2
-	// selfAfter is by how much the age of the proof has to exceed Wait for a node to ask the store
-	// itself: a watcher's proof is at most Wait, an answer and some heartbeats old.
-	selfAfter = 900 * time.Millisecond
-	// perRank spreads the nodes that do so, up to spreadRanks of them, so that one of them serves the
-	// others in time.
-	perRank     = 40 * time.Millisecond
-	spreadRanks = 25
-	// checkEvery is how often a node that doesn't watch looks at its proof.
-	checkEvery = 100 * time.Millisecond
-	// answerWithin is what a call may take beyond its wait: many times the store's usual 4 ms.
-	answerWithin = 1500 * time.Millisecond
-	// slowWithin is the same after a call took too long, for a store that answers slowly.
-	slowWithin = 6 * time.Second
-	// firstPause and longestPause bound the pause after a failed call. It must stay well below the
-	// shortest bound on freshness, two seconds.
-	firstPause   = 100 * time.Millisecond
-	longestPause = 600 * time.Millisecond
-	// perRankFailing is added to it for each place in the ranks: while the store is down for all, the
-	// first two find out when it is back and tell the others.
-	perRankFailing = 75 * time.Millisecond
 	// peerWithin bounds a fetch from a peer: some hundred kilobytes over the slowest links.
 	peerWithin = 2 * time.Second
 	// farAfter is how long a node waits for the content to reach its own data centre before it
@@ -56,8 +29,9 @@
 	Kind   string
 	Source Source
 	Peers  Peers
-	// Wait is how long a watch waits for a change.
-	Wait time.Duration
+	// Within is how old what a node knows may get before it must not be acted upon any more: the
+	// shortest bound that the platform sets on changes of this kind.
+	Within time.Duration
 	// Rank is this node's place among the live nodes, 0 the first; blind says that the store does not
 	// answer this one.
 	Rank func(blind bool) int
@@ -79,13 +53,15 @@
 	Changed func(own bool)
 	// Called is told of each call to the store; may be nil.
 	Called func(ok bool)
-	Log    sagelog.Logger
+	// Now is the clock; nil means [sageclock.Now].
+	Now func() sageclock.Instant
+	Log sagelog.Logger
 
 	Proof sagefresh.Proof
 
-	listing *listing // unfinished; nil if none is. Only Run uses it.
-
 	mu       sync.Mutex
+	listing  *listing          // unfinished and in nobody's hands; nil if none is
+	answered sageclock.Instant // when the last call that was answered began
 	content  content
 	fetching bool
 	lacking  sageclock.Instant // when a peer first had more; 0 if none has
@@ -100,7 +76,7 @@
 	if !f.content.listed {
 		return p
 	}
-	if age := f.Proof.Age(sageclock.Now()); age != sagefresh.Unproven {
+	if age := f.Proof.Age(f.now()); age != sagefresh.Unproven {
 		p.AgeMillis = age.Milliseconds() + 1
 	}
 	return p
@@ -120,8 +96,9 @@
 // that what the peer has more may be fetched at once: it is in the same data centre, or this node is
 // the one that fetches for its own.
 //
-// It guards against all nodes fetching a large configuration at once from the two that watch, whose
-// links would need seconds for it.
+// It guards against all nodes fetching a large configuration at once from the ones that ask the store,
+// whose links would need seconds for it. A peer that tells of a change and then answers nothing holds
+// this node up no longer than until its proof is too old, when it asks the store itself.
 func (f *Follower) Told(ctx context.Context, peer string, p Position, stamp sageclock.Instant, near bool) {
 	if p.AsOf == 0 || p.AgeMillis < 0 {
 		return
@@ -136,7 +113,7 @@
 		f.Reach.Relayed(stamp, age)
 		return
 	}
-	now := sageclock.Now()
+	now := f.now()
 	if f.lacking == 0 {
 		f.lacking = now
 	}
@@ -173,7 +150,7 @@
 func (f *Follower) take(since uint64, d Delta, own bool) {
 	f.mu.Lock()
 	first := !f.content.listed
-	returned := !first && f.Reach.Age(sageclock.Now()) > AwayAfter
+	returned := !first && f.Reach.Age(f.now()) > AwayAfter
 	fresh := f.content.apply(since, d)
 	if len(fresh) > 0 || returned || first && f.content.listed {
 		f.Apply(fresh, returned)
@@ -186,122 +163,45 @@
 
 // Run follows the kind until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	pause, within := firstPause, answerWithin
-	for ctx.Err() == nil {
-		if !f.due() {
-			sleep(ctx, checkEvery)
-			continue
-		}
-		began := sageclock.Now()
-		err := f.ask(ctx, within)
-		if f.Called != nil {
-			f.Called(err == nil)
-		}
-		if err == nil {
-			f.regained()
-			pause = firstPause
-			continue
-		}
-		if ctx.Err() != nil {
-			return nil
-		}
-		f.lost(err)
-		within = answerWithin
-		if sageclock.Now().Sub(began) >= answerWithin {
-			within = slowWithin
-		}
-		wait := pause/2 + rand.N(pause)
-		if rank := f.Rank(true); rank >= watchers {
-			wait += time.Duration(rank) * perRankFailing
-		}
-		sleep(ctx, wait)
-		pause = min(2*pause, longestPause)
-	}
+	var loops sync.WaitGroup
+	loops.Go(func() { f.watch(ctx) })
+	loops.Go(func() { f.poll(ctx) })
+	loops.Wait()
 	return nil
 }
 
-// due reports whether this node has to ask the store itself.
-func (f *Follower) due() bool {
-	f.mu.Lock()
-	listed := f.content.listed
-	f.mu.Unlock()
-	rank := f.Rank(f.Failing())
-	if !listed {
-		return sageclock.Now() >= f.NotBefore
-	}
-	if rank < watchers {
-		return true
-	}
-	late := f.Wait + selfAfter + time.Duration(min(rank, spreadRanks))*perRank
-	if f.Lag != nil {
-		late += f.Lag()
+func (f *Follower) now() sageclock.Instant {
+	if f.Now != nil {
+		return f.Now()
 	}
-	return f.Proof.Age(sageclock.Now()) > late
+	return sageclock.Now()
 }
 
-// ask makes one call to the store.
-func (f *Follower) ask(ctx context.Context, within time.Duration) error {
+func (f *Follower) listed() bool {
 	f.mu.Lock()
-	since, listed := f.content.asOf, f.content.listed
-	f.mu.Unlock()
-	wait := time.Duration(0)
-	if listed {
-		wait = f.wait()
-	}
-	ctx, cancel := context.WithTimeout(ctx, wait+within)
-	defer cancel()
-	d, sent, err := f.call(ctx, listed, since, wait)
-	if err != nil {
-		return fmt.Errorf("follow %s: %w", f.Kind, err)
-	}
-	f.take(since, d, true)
-	f.Proof.Own(sent)
-	f.Reach.Own(sent)
-	if listed && len(d.Changes) > 0 && f.Gather > 0 {
-		sleep(ctx, f.Gather)
-	}
-	return nil
-}
-
-// wait is how long the next watch waits. The second watcher is a spare that hears of every change at
-// once like the first; it waits twice as long, which saves a quarter of the watchers' calls. A proof
-// that is late already is renewed without a wait.
-func (f *Follower) wait() time.Duration {
-	wait := f.Wait
-	if f.Rank(f.Failing()) == watchers-1 {
-		wait *= 2
-	}
-	if f.Proof.Age(sageclock.Now()) > wait+selfAfter {
-		return 0
-	}
-	return wait
-}
-
-// call watches, or lists what can't be watched, and returns the instant as of which the answer is
-// complete.
-func (f *Follower) call(ctx context.Context, listed bool, since uint64, wait time.Duration) (Delta, sageclock.Instant, error) {
-	if !listed || f.unfinished(sageclock.Now()) {
-		return f.list(ctx)
-	}
-	sent := sageclock.Now()
-	d, err := f.Source.Watch(ctx, f.Kind, since, wait)
-	if errors.Is(err, ErrGone) {
-		f.Log.Info("History is gone; listing anew.", "kind", f.Kind, "since", since)
-		return f.list(ctx)
-	}
-	return d, sent, err
+	defer f.mu.Unlock()
+	return f.content.listed
 }
 
 // Failing reports whether this node's own last call to the store failed.
 func (f *Follower) Failing() bool { return f.failing.Load() }
 
-func (f *Follower) lost(err error) {
-	if !f.failing.Swap(true) {
+// lost notes that a call that began at an instant was not answered. One that was overtaken by an
+// answered call says nothing.
+func (f *Follower) lost(began sageclock.Instant, err error) {
+	f.mu.Lock()
+	overtaken := f.answered > began
+	f.mu.Unlock()
+	if !overtaken && !f.failing.Swap(true) {
 		f.Log.Warn("Store does not answer.", "kind", f.Kind, "err", err)
 	}
 }
 
-func (f *Follower) regained() {
+// regained notes that a call that began at an instant was answered.
+func (f *Follower) regained(began sageclock.Instant) {
+	f.mu.Lock()
+	f.answered = max(f.answered, began)
+	f.mu.Unlock()
 	if f.failing.Swap(false) {
 		f.Log.Info("Store answers again.", "kind", f.Kind)
 	}
--- a/internal/sagefollow/listing.go
+++ b/internal/sagefollow/listing.go
@@ -26,23 +26,45 @@
 // some page of a long listing each time, and a listing that began anew would meet the same again. It
 // goes on where it stopped.
 func (f *Follower) list(ctx context.Context) (Delta, sageclock.Instant, error) {
-	now := sageclock.Now()
-	if !f.unfinished(now) {
-		f.listing = &listing{delta: Delta{Full: true}, began: now}
-	}
-	l := f.listing
+	l := f.takeListing(f.now())
 	if err := l.finish(ctx, f.Source, f.Kind); err != nil {
+		f.keepListing(l)
 		return Delta{}, 0, err
 	}
-	f.listing = nil
 	return l.delta, l.began, nil
 }
 
+// takeListing returns the unfinished listing, or a new one. Calls that overlap each have their own.
+func (f *Follower) takeListing(now sageclock.Instant) *listing {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	l := f.listing
+	f.listing = nil
+	if l == nil || !l.fresh(now) {
+		l = &listing{delta: Delta{Full: true}, began: now}
+	}
+	return l
+}
+
+// keepListing puts an unfinished listing back, unless one that is further stands there.
+func (f *Follower) keepListing(l *listing) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.listing == nil || f.listing.next < l.next {
+		f.listing = l
+	}
+}
+
 // unfinished reports whether there is a listing to go on with.
 func (f *Follower) unfinished(now sageclock.Instant) bool {
-	return f.listing != nil && now.Sub(f.listing.began) <= listingWithin
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.listing != nil && f.listing.fresh(now)
 }
 
+// fresh reports whether the listing may be continued.
+func (l *listing) fresh(now sageclock.Instant) bool { return now.Sub(l.began) <= listingWithin }
+
 // finish gets the pages that are left.
 func (l *listing) finish(ctx context.Context, s Source, kind string) error {
 	for {
--- a/internal/sagefollow/source.go
+++ b/internal/sagefollow/source.go
@@ -45,6 +45,8 @@
 	List(ctx context.Context, kind, after string) (Page, error)
 	// Watch returns the changes after a revision, at the latest after wait, or [ErrGone].
 	Watch(ctx context.Context, kind string, since uint64, wait time.Duration) (Delta, error)
+	// Renew has the next calls use connections that no call has used before.
+	Renew()
 }
 
 // Peers are the other nodes.
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -29,10 +29,6 @@
 
 // Times of a node.
 const (
-	// configWait and upstreamWait are how long watches wait. A watcher's answers are the fleet's
-	// proof of freshness, which bounds of two seconds build on.
-	configWait   = 700 * time.Millisecond
-	upstreamWait = 2 * time.Second
 	// gatherUpstreams is how long changes of upstreams gather, well below the two seconds within which
 	// a leaving one must get nothing more.
 	gatherUpstreams = 150 * time.Millisecond
@@ -152,16 +148,16 @@
 	placer := new(sagechain.Placer)
 	n.view = &view{decoder: n.Decoder, log: n.Log.Part("view"), placer: placer}
 	n.fetcher = &sagemesh.Fetcher{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}}}
-	follow := func(kind string, wait time.Duration, apply func([]sagefollow.Change, bool)) *sagefollow.Follower {
+	follow := func(kind string, within int, apply func([]sagefollow.Change, bool)) *sagefollow.Follower {
 		return &sagefollow.Follower{
-			Kind: kind, Source: n.Store, Peers: n.fetcher, Wait: wait, Rank: n.mesh.Rank, Apply: apply,
+			Kind: kind, Source: n.Store, Peers: n.fetcher, Within: millis(within), Rank: n.mesh.Rank, Apply: apply,
 			Reach: &n.reach, Changed: n.changed, Lag: n.lag, Log: n.Log.Part("follow"),
 		}
 	}
 	n.copies = sagemesh.Copies{
-		n.Kinds.Config:    follow(n.Kinds.Config, configWait, n.view.applyConfig),
-		n.Kinds.Upstreams: follow(n.Kinds.Upstreams, upstreamWait, n.view.applyUpstreams),
-		n.Kinds.Closed:    follow(n.Kinds.Closed, upstreamWait, n.view.applyClosed),
+		n.Kinds.Config:    follow(n.Kinds.Config, cfg.Bounds.ConfigWithinMillis, n.view.applyConfig),
+		n.Kinds.Upstreams: follow(n.Kinds.Upstreams, cfg.Bounds.UpstreamWithinMillis, n.view.applyUpstreams),
+		n.Kinds.Closed:    follow(n.Kinds.Closed, cfg.Bounds.ClosedWithinMillis, n.view.applyClosed),
 	}
 	n.copies[n.Kinds.Upstreams].Gather = gatherUpstreams
 	n.spreadFirstListing()
--- a/internal/sagerouter/settings.go
+++ b/internal/sagerouter/settings.go
@@ -27,6 +27,12 @@
 type Bounds struct {
 	// KeyWithinMillis is the time after which a key that was taken away must be useless everywhere.
 	KeyWithinMillis int `json:"key_within_millis"`
+	// ConfigWithinMillis, UpstreamWithinMillis and ClosedWithinMillis are the times after which a new
+	// configuration, an upstream's leaving, and a data centre's going out of service must be in force
+	// on all nodes that reach the store.
+	ConfigWithinMillis   int `json:"config_within_millis"`
+	UpstreamWithinMillis int `json:"upstream_within_millis"`
+	ClosedWithinMillis   int `json:"closed_within_millis"`
 	// RetryRatio, RetrySlack and RetryWindowSeconds bound the retries of all nodes together.
 	RetryRatio         float64 `json:"retry_ratio"`
 	RetrySlack         float64 `json:"retry_slack"`
@@ -78,6 +84,9 @@
 		}
 	}
 	b := &s.Bounds
+	if b.ConfigWithinMillis <= 0 || b.UpstreamWithinMillis <= 0 || b.ClosedWithinMillis <= 0 {
+		return fmt.Errorf("bounds: what is in force must be so after some time: %w", ErrSettings)
+	}
 	if b.KeyWithinMillis <= 0 || b.RetryWindowSeconds <= 0 || b.StopWithinSeconds <= 0 || b.RetryRatio < 0 || b.RetrySlack < 0 {
 		return fmt.Errorf("bounds: times must be above zero and retries not below it: %w", ErrSettings)
 	}
