Remember what engines list apart from what requests share, and hear of peers at once

Two reasons: sixty engines list some 300 parts each, most of them of single requests; as facts on shared parts they filled the memory of 8,192 parts, which is emptied when it is full. And a node whose seeds were gone heard of no peer within 40 ms, as it told the nodes that the store named only with its next heartbeat; it asked its own engines and never a peer.

Change: listed parts are kept and told apart, as 32-bit hashes in a sorted list an engine, 64 Ki at the most. A node tells its peers of itself as soon as the store has named them, waits 25 ms from then on, and takes an informed peer's word also while it waits for the others' lists, as long as nobody who started with it can be informed.

--- a/cmd/sagebench/loss.go
+++ b/cmd/sagebench/loss.go
@@ -25,7 +25,7 @@
 			}
 			for _, name := range args {
 				if err := accountFor(c, s, name); err != nil {
-					return fmt.Errorf("%s: %w", name, err)
+					return err
 				}
 			}
 			if log == "" {
@@ -54,14 +54,9 @@
 }
 
 func accountFor(c *cobra.Command, s *sageloss.Site, name string) error {
-	f, err := os.Open(name)
-	if err != nil {
-		return fmt.Errorf("%w: open report: %v", sagecli.ErrUsage, err)
-	}
-	defer func() { _ = f.Close() }()
-	d, err := sageloss.ReadDay(f)
+	d, err := readDay(name)
 	if err != nil {
-		return fmt.Errorf("%w: read report: %v", sagecli.ErrUsage, err)
+		return err
 	}
 	a := sageloss.Of(d, s)
 	if _, err := fmt.Fprintf(c.OutOrStdout(), "%s: worth %.3f\n", name, a.Worth); err != nil {
--- a/cmd/sagebench/main.go
+++ b/cmd/sagebench/main.go
@@ -20,6 +20,6 @@
 		Long:  "sagebench holds the stand-ins for platform, engines and applications, and measures the system.\n\n" + sagecli.ExitHelp,
 	}
 	out.AddFlag(c)
-	c.AddCommand(standinCommand(), pathCommand(out), chaosCommand(out), confirmCommand(out), costCommand(out), scaleCommand(out), measureCommand(out), recordCommand(out), replayCommand(out), soakCommand(out), lossCommand())
+	c.AddCommand(standinCommand(), pathCommand(out), chaosCommand(out), confirmCommand(out), costCommand(out), scaleCommand(out), measureCommand(out), recordCommand(out), replayCommand(out), soakCommand(out), lossCommand(), pairsCommand())
 	return c
 }
--- a/internal/sagemesh/codec.go
+++ b/internal/sagemesh/codec.go
@@ -9,6 +9,7 @@
 
 	"sagestand.example/sagestand/internal/sagefollow"
 	"sagestand.example/sagestand/internal/sagerpc/heartbeat"
+	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
 )
 
@@ -36,6 +37,9 @@
 	for u, parts := range h.Held {
 		m.Held = append(m.Held, &heartbeat.Held{Upstream: u, Parts: parts})
 	}
+	for u, parts := range h.Listed {
+		m.Listed = append(m.Listed, &heartbeat.Listed{Upstream: u, Hashes: plain[uint32](parts)})
+	}
 	b, err := proto.Marshal(m)
 	if err != nil {
 		return nil, fmt.Errorf("encode heartbeat: %w", err)
@@ -114,6 +118,12 @@
 	for _, p := range m.GetHeld() {
 		h.Held[p.GetUpstream()] = p.GetParts()
 	}
+	if len(m.GetListed()) > 0 {
+		h.Listed = make(map[string][]sagechain.PartHash, len(m.GetListed()))
+	}
+	for _, p := range m.GetListed() {
+		h.Listed[p.GetUpstream()] = plain[sagechain.PartHash](p.GetHashes())
+	}
 	for _, k := range m.GetKnown() {
 		a, err := unpackAddress(k)
 		if err != nil {
@@ -145,6 +155,15 @@
 	return counts, nil
 }
 
+// plain converts a list of numbers to another name of their type.
+func plain[To, From ~uint32](in []From) []To {
+	out := make([]To, len(in))
+	for i, n := range in {
+		out[i] = To(n)
+	}
+	return out
+}
+
 func stamp(s *heartbeat.Stamp) Stamp {
 	return Stamp{Incarnation: s.GetIncarnation(), At: sageclock.Instant(s.GetAt())}
 }
--- a/internal/sagemesh/fetch.go
+++ b/internal/sagemesh/fetch.go
@@ -39,9 +39,17 @@
 	return d, err
 }
 
+// Holders are prompt parts by the upstreams that hold them.
+type Holders struct {
+	// Told is what nodes saw.
+	Told map[string][]uint64 `json:"told"`
+	// Listed is what upstreams listed themselves.
+	Listed map[string][]sagechain.PartHash `json:"listed"`
+}
+
 // Held returns the prompt parts that a peer knows each upstream to hold.
-func (f *Fetcher) Held(ctx context.Context, peer string) (map[string][]uint64, error) {
-	var held map[string][]uint64
+func (f *Fetcher) Held(ctx context.Context, peer string) (Holders, error) {
+	var held Holders
 	err := f.get(ctx, peer, heldPath, &held)
 	return held, err
 }
@@ -69,7 +77,8 @@
 // HandleHeld answers peers with what this node knows of the holders of prompt parts.
 func HandleHeld(mux *http.ServeMux, placer *sagechain.Placer, log sagelog.Logger) {
 	mux.HandleFunc("GET "+heldPath, func(w http.ResponseWriter, _ *http.Request) {
-		if err := encode(w, placer.All(sageclock.Now())); err != nil {
+		now := sageclock.Now()
+		if err := encode(w, Holders{Told: placer.All(now), Listed: placer.AllListed(now)}); err != nil {
 			log.Warn("Holders could not be sent to a peer.", "err", err)
 		}
 	})
--- a/internal/sagemesh/heartbeat.go
+++ b/internal/sagemesh/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"sagestand.example/sagestand/internal/sagefollow"
+	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
 )
 
@@ -50,6 +51,8 @@
 	Sum *Sum
 	// Held are parts of prompts that upstreams are newly known to hold.
 	Held map[string][]uint64
+	// Listed are parts of prompts that upstreams themselves listed.
+	Listed map[string][]sagechain.PartHash
 	// Known are addresses of some nodes, for those that know few.
 	Known []string
 }
--- a/internal/sagemesh/mesh_test.go
+++ b/internal/sagemesh/mesh_test.go
@@ -13,6 +13,7 @@
 
 	"sagestand.example/sagestand/internal/sagefollow"
 	"sagestand.example/sagestand/internal/sagerpc/heartbeat"
+	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
 )
 
@@ -328,6 +329,7 @@
 func TestHeartbeatRoundTrip(t *testing.T) {
 	h := usual(4)
 	h.Held = map[string][]uint64{"e": {1, 1 << 63}}
+	h.Listed = map[string][]sagechain.PartHash{"f": {7, 1 << 31}}
 	h.Blind, h.Leaving, h.Broken = true, true, []string{"e"}
 	h.Sum = &Sum{All: true, InFlight: map[string]int{"e": 9}}
 	common, err := h.encode()
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -51,6 +51,8 @@
 	stopMargin = 700 * time.Millisecond
 	// heldNotes is how many facts on prompt parts ride on one heartbeat, 7 KB at most.
 	heldNotes = 400
+	// listedNotes is the same for parts that upstreams listed, 4 KB at most.
+	listedNotes = 1000
 	// headerWithin bounds how long a caller may take for its header, idleWithin how long it may keep
 	// an unused connection: longer than any idle time that callers are promised.
 	headerWithin = 5 * time.Second
@@ -177,7 +179,8 @@
 func (n *Node) makeRecall() {
 	n.recall = &recall{
 		Self: n.Settings.Node, DataCentre: n.Settings.DataCentre, FirstStart: n.Settings.FirstStart,
-		Placer: n.fleet.placer, Peers: n.mesh.Live, Engines: n.engines, Named: n.registered, Fetch: n.fetcher.Held,
+		Placer: n.fleet.placer, Peers: n.mesh.Live, Engines: n.engines, Named: n.registered,
+		Registered: func() bool { return n.names.Load() != nil }, Fetch: n.fetcher.Held,
 		Inspector: n.Inspector, Tell: func() { n.mesh.Nudge(true) }, Interval: n.mesh.Interval, Log: n.Log.Part("recall"),
 	}
 }
@@ -290,7 +293,9 @@
 }
 
 // fillNews adds what the other nodes have not been told.
-func (n *Node) fillNews(h *sagemesh.Heartbeat) { h.Held = n.fleet.placer.News(heldNotes) }
+func (n *Node) fillNews(h *sagemesh.Heartbeat) {
+	h.Held, h.Listed = n.fleet.placer.News(heldNotes), n.fleet.placer.NewsListed(listedNotes)
+}
 
 // fillSum adds the requests in flight from this data centre's nodes, or from all.
 func (n *Node) fillSum(h *sagemesh.Heartbeat, all bool) {
@@ -322,6 +327,7 @@
 	n.hearSum(now, h)
 	n.fleet.told(now, h.Node, h.Broken)
 	n.fleet.placer.Learn(now, h.Held)
+	n.fleet.placer.LearnListed(now, h.Listed)
 	if stamp == 0 {
 		return
 	}
--- a/internal/sagerouter/recall.go
+++ b/internal/sagerouter/recall.go
@@ -20,20 +20,24 @@
 
 // Times of a recall.
 const (
-	// peerWithin is how long a started node waits to hear of a peer that can tell it everything: a
-	// heartbeat and the one that answers it at once, over the longest way between data centres
-	// (an estimate, 12 ms), and as much for their handling. Meanwhile requests come in whose prompts are
-	// read again: with 120 ms it was 37,000 prompt tokens more in a restart of seven nodes, in the mean
-	// of fifteen.
-	peerWithin = 40 * time.Millisecond
+	// peerWithin is how long a started node that knows its peers waits to hear of one that can tell it
+	// everything: its heartbeat and the answer to it over the longest way between data centres (an
+	// estimate, 12 ms each). Meanwhile requests come in whose prompts are read again: of 120 ms, 80 cost
+	// 37,000 prompt tokens in a restart of seven nodes, in the mean of fifteen.
+	peerWithin = 25 * time.Millisecond
+	// registerPatience is how long a node waits to be registered before it takes the nodes that it
+	// heard of for all: the store may refuse writes and answer reads.
+	registerPatience = time.Second
 	// recallPoll is how often it looks.
 	recallPoll = 10 * time.Millisecond
 	// askWithin bounds one question to a peer or an upstream.
 	askWithin = time.Second
-	// settleLeast is the least time that the other nodes have for telling what their engines said: the
-	// 300 ms within which nodes that were stopped together start again, and as much for the engines'
-	// answers and a heartbeat.
-	settleLeast = 600 * time.Millisecond
+	// startsWithin is the time within which nodes that were stopped together start again, as the
+	// platform states it.
+	startsWithin = 300 * time.Millisecond
+	// settleLeast is the least time that the other nodes have for telling what their engines said:
+	// startsWithin, and as much for the engines' answers and a heartbeat.
+	settleLeast = 2 * startsWithin
 )
 
 // Inspector asks an upstream which prompt parts it holds.
@@ -61,10 +65,12 @@
 	Peers func() []sagemesh.Member
 	// Engines are the engines in service, false before they are known.
 	Engines func() ([]*sageupstream.Entry, bool)
-	// Named are the nodes in the store.
-	Named func() []string
+	// Named are the nodes in the store, as far as known; Registered says that they are, and were told of
+	// this node.
+	Named      func() []string
+	Registered func() bool
 	// Fetch asks a peer.
-	Fetch func(ctx context.Context, address string) (map[string][]uint64, error)
+	Fetch func(ctx context.Context, address string) (sagemesh.Holders, error)
 	// Tell has the other nodes told at once.
 	Tell func()
 	// Interval is the time between two heartbeats of a node.
@@ -74,12 +80,15 @@
 	// informed says that this node knows what the fleet knows.
 	informed atomic.Bool
 
+	began time.Time
+
 	mu    sync.Mutex
 	found map[string][]uint64 // what engines told this node, by upstream
 }
 
 // Run recalls once and waits for ctx.
 func (r *recall) Run(ctx context.Context) error {
+	r.began = time.Now()
 	r.found = make(map[string][]uint64)
 	if !r.FirstStart {
 		r.once(ctx)
@@ -90,17 +99,16 @@
 }
 
 func (r *recall) once(ctx context.Context) {
-	r.wait(ctx, peerWithin, r.anyInformed)
-	if r.fromPeer(ctx) {
-		return
-	}
 	r.wait(ctx, 0, func() bool { return r.anyInformed() || r.ready() })
+	r.wait(ctx, peerWithin, r.anyInformed)
 	if r.fromPeer(ctx) || ctx.Err() != nil {
 		return
 	}
 	named := r.Named()
 	r.fromEngines(ctx, func(upstream string) bool { return first(r.Self, named, upstream) })
-	r.settle(ctx)
+	if r.settle(ctx) {
+		return
+	}
 	living := r.living()
 	r.fromEngines(ctx, func(upstream string) bool {
 		return !first(r.Self, named, upstream) && !r.asked(named, living, upstream) && first(r.Self, living, upstream)
@@ -108,26 +116,35 @@
 }
 
 // settle gives the other nodes time to tell what their engines said, and tells those that join
-// meanwhile what this node's engines said.
+// meanwhile what this node's engines said. It reports whether a peer told everything instead.
 //
 // It guards against nodes that start some hundred milliseconds after the others: facts on prompt parts
-// are told once, to the nodes that are known then.
-func (r *recall) settle(ctx context.Context) {
-	until := time.Now().Add(max(settleLeast, 2*r.Interval()))
+// are told once, to the nodes that are known then. And it guards against a node that starts alone in a
+// large fleet and hears of no peer at first, because its seeds are gone: it would know its own part of the
+// engines only. A peer that is informed this early has been so before; later, nodes that started
+// together are, and have nothing to add.
+func (r *recall) settle(ctx context.Context) bool {
+	began := time.Now()
+	until := began.Add(max(settleLeast, 2*r.Interval()))
+	early := began.Add(settleLeast - startsWithin)
 	for ctx.Err() == nil && time.Now().Before(until) {
 		before := len(r.Peers())
-		r.wait(ctx, r.Interval(), func() bool { return false })
+		r.wait(ctx, r.Interval(), func() bool { return time.Now().Before(early) && r.anyInformed() })
+		if time.Now().Before(early) && r.fromPeer(ctx) {
+			return true
+		}
 		if len(r.Peers()) > before {
 			r.tell()
 		}
 	}
+	return false
 }
 
 // tell tells all nodes what this node's engines said.
 func (r *recall) tell() {
 	r.mu.Lock()
 	for upstream, parts := range r.found {
-		r.Placer.Found(sageclock.Now(), upstream, parts)
+		r.Placer.List(sageclock.Now(), upstream, parts)
 	}
 	r.mu.Unlock()
 	r.Tell()
@@ -153,10 +170,10 @@
 	return slices.ContainsFunc(r.Peers(), func(m sagemesh.Member) bool { return m.Informed })
 }
 
-// ready reports whether the engines can be asked.
+// ready reports whether the engines can be asked and divided among the nodes.
 func (r *recall) ready() bool {
 	_, ok := r.Engines()
-	return ok
+	return ok && (r.Registered() || time.Since(r.began) > registerPatience)
 }
 
 // fromPeer learns what an informed peer knows, and reports whether one told it. One of this data centre
@@ -181,8 +198,9 @@
 		r.Log.Warn("Peer did not tell what engines hold.", "peer", peer, "err", err)
 		return false
 	}
-	r.Placer.Learn(sageclock.Now(), held)
-	r.Log.Info("Learnt from a peer what engines hold.", "peer", peer, "upstreams", len(held))
+	r.Placer.Learn(sageclock.Now(), held.Told)
+	r.Placer.LearnListed(sageclock.Now(), held.Listed)
+	r.Log.Info("Learnt from a peer what engines hold.", "peer", peer, "told", len(held.Told), "listed", len(held.Listed))
 	return true
 }
 
--- a/internal/sagerouter/recall_test.go
+++ b/internal/sagerouter/recall_test.go
@@ -27,6 +27,7 @@
 	*recall
 	dataCentre string
 	live       bool
+	hearsAt    time.Time // of other nodes
 }
 
 // recallFleet is a fleet whose nodes recall, in virtual time: heartbeats, engines that tell what they
@@ -77,10 +78,11 @@
 			defer f.mu.Unlock()
 			return f.engines, f.known
 		},
-		Named:    func() []string { return f.named },
-		Fetch:    f.fetch,
-		Tell:     func() { f.tell(name) },
-		Interval: func() time.Duration { return heartbeatEvery },
+		Named:      func() []string { return f.named },
+		Registered: func() bool { return f.known },
+		Fetch:      f.fetch,
+		Tell:       func() { f.tell(name) },
+		Interval:   func() time.Duration { return heartbeatEvery },
 	}
 	f.mu.Lock()
 	f.nodes[name] = n
@@ -94,6 +96,9 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	var out []sagemesh.Member
+	if time.Now().Before(f.nodes[self].hearsAt) {
+		return nil
+	}
 	for name, n := range f.nodes {
 		if name != self && n.live {
 			out = append(out, sagemesh.Member{Address: name, Identity: sagemesh.Identity{Node: name, DataCentre: n.dataCentre}, Informed: n.informed.Load()})
@@ -103,24 +108,25 @@
 }
 
 // fetch answers as the peer would.
-func (f *recallFleet) fetch(_ context.Context, address string) (map[string][]uint64, error) {
+func (f *recallFleet) fetch(_ context.Context, address string) (sagemesh.Holders, error) {
 	f.mu.Lock()
 	n := f.nodes[address]
 	f.mu.Unlock()
 	if n == nil || !n.live {
-		return nil, errors.New("no such peer")
+		return sagemesh.Holders{}, errors.New("no such peer")
 	}
-	return n.Placer.All(sageclock.Now()), nil
+	return sagemesh.Holders{Told: n.Placer.All(sageclock.Now()), Listed: n.Placer.AllListed(sageclock.Now())}, nil
 }
 
 // tell sends one heartbeat with the node's news to all that live.
 func (f *recallFleet) tell(name string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	told := f.nodes[name].Placer.News(heldNotes)
+	told, listed := f.nodes[name].Placer.News(heldNotes), f.nodes[name].Placer.NewsListed(listedNotes)
 	for other, n := range f.nodes {
 		if other != name && n.live {
 			n.Placer.Learn(sageclock.Now(), told)
+			n.Placer.LearnListed(sageclock.Now(), listed)
 		}
 	}
 }
@@ -128,10 +134,14 @@
 // requireAllKnown checks that a node knows what each engine holds.
 func (f *recallFleet) requireAllKnown(n *recallNode) {
 	f.t.Helper()
-	known := n.Placer.All(sageclock.Now())
+	told, listed := n.Placer.All(sageclock.Now()), n.Placer.AllListed(sageclock.Now())
 	for id, parts := range f.holds {
-		have := slices.Clone(known[id])
+		have := slices.Clone(told[id])
+		for _, h := range listed[id] {
+			have = append(have, uint64(h)) // the parts here are small numbers, which are their own hashes
+		}
 		slices.Sort(have)
+		have = slices.Compact(have)
 		have = slices.DeleteFunc(have, func(p uint64) bool { return !slices.Contains(parts, p) })
 		require.Equal(f.t, parts, have, "%s of %s", id, n.Self)
 	}
@@ -183,6 +193,28 @@
 	})
 }
 
+// One node of a fleet restarts while its seeds are gone: it hears of the others a heartbeat later, when it
+// has asked its own engine already. It was content with that, and read all other prompts again.
+func TestNodeThatHearsOfItsPeersLateAsksOneOfThem(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		f := newRecallFleet(t, 12, "n0", "n1", "n2", "n3", "n4", "n5")
+		old := f.start(ctx, "n0", "dc0")
+		time.Sleep(2 * time.Second)
+		old.Placer.Learn(sageclock.Now(), f.holds)
+		clear(f.asks)
+		late := f.start(ctx, "n1", "dc0")
+		f.mu.Lock()
+		late.hearsAt = time.Now().Add(250 * time.Millisecond)
+		f.mu.Unlock()
+		time.Sleep(300 * time.Millisecond)
+		f.requireAllKnown(late)
+		require.Less(t, len(f.asks), 6, "only its own part")
+		require.True(t, late.informed.Load())
+	})
+}
+
 // Two of five nodes never come back after all lost power. The engines that were theirs to ask were
 // asked by nobody, and what they hold was read again elsewhere.
 func TestEnginesOfNodesThatAreGoneAreAskedByOthers(t *testing.T) {
--- a/internal/sagerouter/services.go
+++ b/internal/sagerouter/services.go
@@ -153,5 +153,7 @@
 		}
 	}
 	n.names.Store(&names)
+	// A started node is told what the others know as soon as they hear of it, not a heartbeat later.
+	n.mesh.Nudge(true)
 	return nil
 }
--- a/pkg/sagechain/held.go
+++ b/pkg/sagechain/held.go
@@ -43,14 +43,15 @@
 	now     sageclock.Instant
 	chain   Chain
 	holders []map[string]*holder
+	listed  *listed
 }
 
 // usualParts is how many shared parts a chain has at the most, usually.
 const usualParts = 8
 
 // look prepares questions about a chain; room holds the answer's memory.
-func (h *held) look(now sageclock.Instant, c Chain, room *[usualParts]map[string]*holder) sight {
-	s := sight{now: now, chain: c, holders: room[:0]}
+func (h *held) look(now sageclock.Instant, c Chain, l *listed, room *[usualParts]map[string]*holder) sight {
+	s := sight{now: now, chain: c, holders: room[:0], listed: l}
 	for _, p := range c {
 		s.holders = append(s.holders, h.parts[p.ID])
 	}
@@ -62,7 +63,7 @@
 	n := 0
 	for i, p := range s.chain {
 		o := s.holders[i][upstream]
-		if o == nil || s.now.Sub(o.used) >= remember {
+		if (o == nil || s.now.Sub(o.used) >= remember) && !s.listed.holds(s.now, upstream, p.ID) {
 			break
 		}
 		n += p.Tokens
--- a/pkg/sagechain/placer.go
+++ b/pkg/sagechain/placer.go
@@ -1,6 +1,7 @@
 package sagechain
 
 import (
+	"slices"
 	"sync"
 
 	"sagestand.example/sagestand/pkg/sageclock"
@@ -44,8 +45,9 @@
 	// set before use.
 	Passes func(upstream string) bool
 
-	mu   sync.Mutex
-	held held
+	mu     sync.Mutex
+	held   held
+	listed listed
 }
 
 // Choose returns where a request with this chain goes, or false if there are no candidates.
@@ -58,7 +60,7 @@
 	shared, bound := c.Shared(), Bound(cands, rest)
 	want := shared.Tokens()
 	var room [usualParts]map[string]*holder
-	seen := p.held.look(now, shared, &room)
+	seen := p.held.look(now, shared, &p.listed, &room)
 	holders, others := split(cands, &seen, want, bound, c)
 	best := Choice{Index: holders.lesser(cands), Why: WhyHeld}
 	if best.Index < 0 {
@@ -79,18 +81,21 @@
 	if seen.chain.Tokens() < best {
 		return from
 	}
-	for u := range seen.holders[0] {
-		if u == chosen {
-			continue
-		}
+	better := func(u string) {
 		n := seen.prefix(u)
-		if n < best || n == best && u >= from {
-			continue
+		if u == chosen || n < best || n == best && u >= from {
+			return
 		}
 		if p.Passes == nil || p.Passes(u) {
 			best, from = n, u
 		}
 	}
+	for u := range seen.holders[0] {
+		better(u)
+	}
+	for u := range p.listed.upstreams {
+		better(u)
+	}
 	return from
 }
 
@@ -138,17 +143,58 @@
 	return out
 }
 
-// Found takes in what an upstream itself says it holds, as news for the other nodes, each time anew:
-// nodes that joined since have not been told.
-func (p *Placer) Found(now sageclock.Instant, upstream string, parts []uint64) {
+// List takes in what an upstream itself says it holds, and has it told to the other nodes, each time
+// anew: nodes that joined since have not been told.
+func (p *Placer) List(now sageclock.Instant, upstream string, parts []uint64) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	hashes := make([]PartHash, len(parts))
+	for i, part := range parts {
+		hashes[i] = hash(part)
+	}
+	p.listed.add(now, upstream, hashes)
+	p.listed.tell(upstream, hashes)
+}
+
+// NewsListed returns up to n parts that upstreams listed and other nodes have not been told, by upstream,
+// and takes them as told.
+func (p *Placer) NewsListed(n int) map[string][]PartHash {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	from := max(0, len(p.listed.news)-n)
+	var out map[string][]PartHash
+	for _, n := range p.listed.news[from:] {
+		if out == nil {
+			out = make(map[string][]PartHash)
+		}
+		out[n.upstream] = append(out[n.upstream], n.part)
+	}
+	p.listed.news = p.listed.news[:from]
+	return out
+}
+
+// LearnListed takes in parts that upstreams listed, by upstream, as another node told.
+func (p *Placer) LearnListed(now sageclock.Instant, told map[string][]PartHash) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, part := range parts {
-		p.held.note(now, part, upstream)
-		p.held.news = append(p.held.news, note{part: part, upstream: upstream})
+	for u, parts := range told {
+		p.listed.add(now, u, parts)
 	}
 }
 
+// AllListed returns what upstreams listed, for a node that has just started.
+func (p *Placer) AllListed(now sageclock.Instant) map[string][]PartHash {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	out := make(map[string][]PartHash)
+	for u, x := range p.listed.upstreams {
+		if now.Sub(x.at) < listedFor {
+			out[u] = slices.Clone(x.parts)
+		}
+	}
+	return out
+}
+
 // All returns everything that is known as parts by upstream, for a node that has just started.
 func (p *Placer) All(now sageclock.Instant) map[string][]uint64 {
 	p.mu.Lock()
@@ -161,4 +207,5 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.held.forget(upstream)
+	p.listed.forget(sageclock.Now(), upstream)
 }
