Leave it to one kind's calls to find out when the store is back

Change: while the calls for the configuration fail as well as a kind's own, the kind is asked for each 3 s only, and at once when the configuration has an answer. Test in virtual time: silent and refusing for ten seconds, five nodes; both kinds are back within a second.

--- a/internal/sagefollow/follower.go
+++ b/internal/sagefollow/follower.go
@@ -43,6 +43,10 @@
 	// NotBefore is the instant before which a node that has nothing yet leaves the first listing to
 	// others; zero means at once.
 	NotBefore sageclock.Instant
+	// Scout follows another kind of the same store. While its calls fail as well as this one's, the store
+	// is away altogether, and it is left to the scout to find out when it is back; nil if this is the
+	// scout.
+	Scout *Follower
 	// Gather is how long a node waits after changes before it watches on, so that changes that come
 	// close together cost one call.
 	Gather time.Duration
--- a/internal/sagefollow/poll.go
+++ b/internal/sagefollow/poll.go
@@ -35,6 +35,9 @@
 	// perRankFailing is added to it for each place in the ranks: while the store is down for all, the
 	// first two find out when it is back and tell the others.
 	perRankFailing = 75 * time.Millisecond
+	// scoutedAfter is how often a kind is asked for whose scout finds the store away: the scout may be
+	// wrong about it, as the store may refuse calls of one kind.
+	scoutedAfter = 3 * time.Second
 	// seeAgainAfter is how often a node whose last call failed tries again although others' proofs
 	// reach it: until then it neither watches nor polls for the others.
 	seeAgainAfter = 2 * time.Second
@@ -76,7 +79,13 @@
 }
 
 // untilDue returns the time until this node has to poll, zero or less if that is now.
+//
+// It guards against an outage in which every node asks for every kind over and over: of three kinds two
+// wait for what the scout finds.
 func (f *Follower) untilDue(now, last sageclock.Instant) time.Duration {
+	if f.Scout != nil && f.Failing() && f.Scout.Failing() {
+		return last.Add(scoutedAfter).Sub(now)
+	}
 	if !f.listed() {
 		return f.NotBefore.Sub(now)
 	}
--- a/internal/sagefollow/silence_test.go
+++ b/internal/sagefollow/silence_test.go
@@ -33,12 +33,13 @@
 
 // remoteStore is a store at the end of a network, in virtual time.
 type remoteStore struct {
-	mu     sync.Mutex
-	c      content
-	silent bool            // swallows all calls, also those under way
-	takes  time.Duration   // of an answer
-	cut    map[string]bool // nodes whose calls are swallowed
-	calls  int
+	mu      sync.Mutex
+	c       content
+	silent  bool            // swallows all calls, also those under way
+	refuses bool            // answers all calls with an error
+	takes   time.Duration   // of an answer
+	cut     map[string]bool // nodes whose calls are swallowed
+	calls   int
 }
 
 // link is one node's way to the store.
@@ -77,8 +78,11 @@
 	case <-time.After(d):
 	}
 	l.mu.Lock()
-	lost := l.silent || l.cut[l.node]
+	lost, refused := l.silent || l.cut[l.node], l.refuses
 	l.mu.Unlock()
+	if refused {
+		return errDown
+	}
 	if lost {
 		<-ctx.Done()
 		return ctx.Err()
@@ -417,3 +421,35 @@
 		require.True(t, f.fresh())
 	})
 }
+
+// The store refuses everything for ten seconds. Each node asked for each kind over and over; now the other
+// kinds wait for the scout, and are asked for as soon as it has an answer.
+func TestOtherKindsWaitForTheScout(t *testing.T) {
+	for _, kind := range []string{"silent", "refused"} {
+		t.Run(kind, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				ctx, cancel := context.WithCancel(t.Context())
+				defer time.Sleep(10 * time.Second) // a bubble ends when all that sleeps in it has ended
+				defer cancel()
+				scoutStore, store := newRemoteStore(), newRemoteStore()
+				scouts, others := startFleet(ctx, scoutStore, 5), startFleet(ctx, store, 5)
+				for i, x := range others.nodes {
+					x.Scout = scouts.nodes[i].Follower
+				}
+				time.Sleep(6 * time.Second)
+				away := func(on bool) {
+					for _, s := range []*remoteStore{scoutStore, store} {
+						s.set(func(s *remoteStore) { s.silent, s.refuses = on && kind == "silent", on && kind == "refused" })
+					}
+				}
+				away(true)
+				time.Sleep(3 * time.Second)
+				before := store.asked()
+				time.Sleep(7 * time.Second)
+				require.LessOrEqual(t, store.asked()-before, 5*(int(7*time.Second/scoutedAfter)+1))
+				away(false)
+				require.Less(t, timeUntil(10*time.Second, func() bool { return scouts.fresh() && others.fresh() }), time.Second)
+			})
+		})
+	}
+}
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -162,6 +162,7 @@
 		n.Kinds.Closed:    follow(n.Kinds.Closed, cfg.Bounds.ClosedWithinMillis, n.view.applyClosed),
 	}
 	n.copies[n.Kinds.Upstreams].Gather = gatherUpstreams
+	n.copies[n.Kinds.Upstreams].Scout, n.copies[n.Kinds.Closed].Scout = n.copies[n.Kinds.Config], n.copies[n.Kinds.Config]
 	n.spreadFirstListing()
 	n.fleet = &fleet{
 		view: n.view, keyProof: &n.copies[n.Kinds.Config].Proof,
