Observe how long runs take and how fast engines read, in place of two constants

Cause: the load bound took a run for one second and the wait for a first event took engines to read 20 tokens a millisecond at the least, figures of the first customers' engines.

The model's tests state the run time that they play.

--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -26,9 +26,9 @@
 	// silentLeast is the least such time: four times the usual work of a plain service, so that a
 	// slow answer isn't taken for a lost one.
 	silentLeast = 200 * time.Millisecond
-	// silentPerToken is added for each token of the prompt: engines read 55 tokens in a millisecond
-	// when idle, and a run of long prompts side by side takes some times that.
-	silentPerToken = time.Millisecond / 20
+	// silentReads is how many times the time that an idle engine reads the prompt is added: it may read
+	// other long ones first.
+	silentReads = 2.75
 )
 
 // errSilent cancels an exchange that brought nothing for too long.
@@ -38,6 +38,7 @@
 type exchange struct {
 	j      *job
 	p      *Pick
+	began  time.Time
 	sent   sageconn.Tracker
 	cancel context.CancelCauseFunc
 }
@@ -50,7 +51,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	x := &exchange{j: j, p: p, cancel: cancel}
+	x := &exchange{j: j, p: p, began: time.Now(), cancel: cancel}
 	j.sends++
 	j.tried = append(j.tried, p.Upstream.ID)
 	silent := x.watchSilence()
@@ -89,7 +90,7 @@
 // stays in the cache, the same prompt fails again and again.
 func (j *job) silence() time.Duration {
 	within := max(silentLeast, time.Duration(silentShare*float64(j.route.Objective)))
-	return within + time.Duration(j.call.Chain.Tokens())*silentPerToken
+	return within + time.Duration(silentReads*float64(j.s.Fleet.Reads(j.target, j.call.Chain.Tokens())))
 }
 
 // send makes the round trip up to the header of the answer.
--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -91,6 +91,8 @@
 	sent    []*http.Request
 	results []sagehealth.Result
 	gone    []string
+	begun   []int // tokens to read of streams that began
+	ran     int
 	picks   func() // called before each pick
 }
 
@@ -117,9 +119,17 @@
 	return nil
 }
 
-func (f *world) Usable(*sageupstream.Entry) bool                  { return true }
-func (f *world) Read(*sageupstream.Entry, sagechain.Chain)        {}
-func (f *world) Gone(u *sageupstream.Entry)                       { f.gone = append(f.gone, u.ID) }
+func (f *world) Usable(*sageupstream.Entry) bool           { return true }
+func (f *world) Read(*sageupstream.Entry, sagechain.Chain) {}
+func (f *world) Gone(u *sageupstream.Entry)                { f.gone = append(f.gone, u.ID) }
+func (f *world) Began(p *Pick, _ time.Duration)            { f.begun = append(f.begun, p.Unread) }
+
+func (f *world) Ran(string, time.Duration) { f.ran++ }
+
+func (f *world) Reads(_ string, tokens int) time.Duration {
+	return time.Duration(tokens) * 18 * time.Microsecond
+}
+
 func (f *world) Ended(_ *sageupstream.Entry, r sagehealth.Result) { f.results = append(f.results, r) }
 
 func (f *world) dial(_ context.Context, _, address string) (net.Conn, error) {
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -84,10 +84,12 @@
 			j.finish(ctx, NoUpstream)
 			return
 		}
+		began := time.Now()
 		v := j.try(ctx, p)
 		p.Done()
 		j.s.countSend(j.target, v)
 		if v == answered {
+			j.s.Fleet.Ran(j.target, time.Since(began))
 			j.s.count(Answered)
 			j.s.observe(j)
 			j.logServed(p)
--- a/internal/sagerelay/steps.go
+++ b/internal/sagerelay/steps.go
@@ -93,7 +93,9 @@
 	// Why is what decided, for the log.
 	Why  string
 	Load int
-	Done func()
+	// Unread are the tokens of the prompt that the upstream has to read.
+	Unread int
+	Done   func()
 }
 
 // Query is a request for an upstream.
@@ -119,6 +121,12 @@
 	// First notes the first send of a request to a service, Again asks for one more.
 	First(service string)
 	Again(service string) bool
+	// Began notes how long the first event of a stream took.
+	Began(p *Pick, took time.Duration)
+	// Ran notes how long an exchange took that was answered to the end.
+	Ran(service string, took time.Duration)
+	// Reads is how long engines of a service read that many tokens when nothing else waits.
+	Reads(service string, tokens int) time.Duration
 	// Ended notes how an exchange with an upstream ended.
 	Ended(u *sageupstream.Entry, res sagehealth.Result)
 	// Read notes that an upstream reads a chain.
--- a/internal/sagerelay/stream.go
+++ b/internal/sagerelay/stream.go
@@ -36,7 +36,7 @@
 	r := &sagesse.Reader{R: bufio.NewReaderSize(res.Body, readAhead), Max: maxEvent}
 	flush := http.NewResponseController(j.w)
 	stall := x.stallAfter()
-	for {
+	for first := true; ; first = false {
 		e, err := r.Next()
 		if err != nil && r.Ended() {
 			return x.ended(res)
@@ -44,6 +44,9 @@
 		if err != nil {
 			return x.cutOff(ctx, err)
 		}
+		if first {
+			j.s.Fleet.Began(x.p, time.Since(x.began))
+		}
 		if silent != nil {
 			silent.Reset(stall)
 		}
--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -33,6 +33,7 @@
 	placer    *sagechain.Placer
 	flights   sageflight.Counter
 	health    sagehealth.Book
+	paces     paces
 
 	mu      sync.Mutex
 	cold    sageshare.Cold
@@ -90,14 +91,14 @@
 		warm = doubtful
 	}
 	all := set.All(q.Service)
-	if e, c := f.choose(now, warm, all, loads, q.Chain); e != nil {
-		return f.picked(set, e, c, loads)
+	if e, c := f.choose(now, warm, all, loads, q); e != nil {
+		return f.picked(set, e, c, loads, q)
 	}
 	perSecond := f.coldRate(q.Service)
 	for len(cold) > 0 {
-		e, c := f.choose(now, cold, all, loads, q.Chain)
+		e, c := f.choose(now, cold, all, loads, q)
 		if f.allowCold(now, e.ID, perSecond) {
-			return f.picked(set, e, c, loads)
+			return f.picked(set, e, c, loads, q)
 		}
 		cold = slices.DeleteFunc(cold, func(o *sageupstream.Entry) bool { return o == e })
 	}
@@ -105,15 +106,15 @@
 }
 
 // choose returns one of the entries, which are among all of the service: by the prompt's chain, or else the least loaded.
-func (f *fleet) choose(now sageclock.Instant, es, all []*sageupstream.Entry, loads map[string]int, chain sagechain.Chain) (*sageupstream.Entry, sagechain.Choice) {
+func (f *fleet) choose(now sageclock.Instant, es, all []*sageupstream.Entry, loads map[string]int, q *sagerelay.Query) (*sageupstream.Entry, sagechain.Choice) {
 	if len(es) == 0 {
 		return nil, sagechain.Choice{}
 	}
-	if len(chain) == 0 {
+	if len(q.Chain) == 0 {
 		return leastLoaded(es, loads), sagechain.Choice{Why: "least_loaded"}
 	}
 	cands := make([]sagechain.Candidate, len(es))
-	rest := sagechain.Rest{Upstreams: len(all) - len(es), Lag: f.lag()}
+	rest := sagechain.Rest{Upstreams: len(all) - len(es), Lag: f.lag(), Run: f.paces.of(q.Service).run.Value()}
 	for _, e := range all {
 		rest.Load += loads[e.ID]
 	}
@@ -121,7 +122,7 @@
 		cands[i] = sagechain.Candidate{ID: e.ID, Load: loads[e.ID]}
 		rest.Load -= loads[e.ID]
 	}
-	c, _ := f.placer.Choose(now, cands, rest, chain)
+	c, _ := f.placer.Choose(now, cands, rest, q.Chain)
 	return es[c.Index], c
 }
 
@@ -138,8 +139,10 @@
 	return best
 }
 
-func (f *fleet) picked(set *sageupstream.Set, e *sageupstream.Entry, c sagechain.Choice, loads map[string]int) *sagerelay.Pick {
-	p := &sagerelay.Pick{Upstream: e, Why: string(c.Why), Load: loads[e.ID], Done: f.flights.Start(e.ID)}
+func (f *fleet) picked(set *sageupstream.Set, e *sageupstream.Entry, c sagechain.Choice, loads map[string]int, q *sagerelay.Query) *sagerelay.Pick {
+	p := &sagerelay.Pick{
+		Upstream: e, Why: string(c.Why), Load: loads[e.ID], Unread: q.Chain.Tokens() - max(c.Held, c.Copied), Done: f.flights.Start(e.ID),
+	}
 	if from := set.Reachable(sageclock.Now(), c.From); from != nil {
 		p.From = from.Address
 	}
@@ -182,6 +185,21 @@
 	return f.retries.Allow(sageclock.Now(), service, nodes)
 }
 
+// Began implements [sagerelay.Fleet].
+func (f *fleet) Began(p *sagerelay.Pick, took time.Duration) {
+	if p.Unread > 0 {
+		f.paces.of(p.Upstream.Service).read.Add(float64(p.Unread), took)
+	}
+}
+
+// Ran implements [sagerelay.Fleet].
+func (f *fleet) Ran(service string, took time.Duration) { f.paces.of(service).run.Add(took) }
+
+// Reads implements [sagerelay.Fleet].
+func (f *fleet) Reads(service string, tokens int) time.Duration {
+	return time.Duration(tokens) * f.paces.of(service).read.Slope()
+}
+
 // Ended implements [sagerelay.Fleet].
 func (f *fleet) Ended(u *sageupstream.Entry, res sagehealth.Result) {
 	f.health.Note(sageclock.Now(), u.Service, u.ID, res)
--- a/pkg/sagechain/bound.go
+++ b/pkg/sagechain/bound.go
@@ -15,11 +15,6 @@
 	capFactor = 2.0
 	capSlack  = 3.0
 	capMargin = 1.5
-	// usualRun is how long a request usually runs: what an upstream got during the lag of the counts is
-	// the mean load times the lag over it. In the model, when engines came back empty and counts are
-	// told each 0.3 s, 0.4 % of requests reach an engine above the cap, and 1.5 % if half of the lag is
-	// allowed for; the wider margin moves a third more tokens.
-	usualRun = time.Second
 	// mostLag is the lag that is allowed for. With older counts a lower bound makes all nodes spill at
 	// once: in the model, at a lag of 0.9 s and a hot thing, it takes 2.2 % of requests above the cap
 	// instead of 1.5 %.
@@ -36,6 +31,11 @@
 	Load      int
 	// Lag is the time between two statements of the other nodes' counts.
 	Lag time.Duration
+	// Run is how long a request runs in the mean. What an upstream got during the lag is the mean load
+	// times the lag over it. In the model, when engines came back empty and counts are told each 0.3 s,
+	// 0.4 % of requests reach an engine above the cap, and 1.5 % if half of the lag is allowed for; the
+	// wider margin moves a third more tokens.
+	Run time.Duration
 }
 
 // Bound returns the greatest load at which an upstream may still be chosen.
@@ -50,7 +50,10 @@
 	}
 	mean := float64(total) / float64(max(1, len(cands)))
 	all := float64(total+rest.Load) / float64(max(1, len(cands)+rest.Upstreams))
-	unseen := all * float64(min(rest.Lag, mostLag)) / float64(usualRun)
+	unseen := 0.0
+	if rest.Run > 0 {
+		unseen = all * float64(min(rest.Lag, mostLag)) / float64(rest.Run)
+	}
 	tolerated := max(capFactor*all+capSlack-capMargin-unseen, mean+evenSlack)
 	return min(boundFactor*mean+boundSlack, tolerated)
 }
--- a/pkg/sagechain/load_test.go
+++ b/pkg/sagechain/load_test.go
@@ -57,7 +57,7 @@
 		gone: make(map[string]bool), seen: make(map[uint64]bool),
 	}
 	m.choose = func(p *Placer, now sageclock.Instant, cands []Candidate, c Chain) Choice {
-		ch, _ := p.Choose(now, cands, Rest{Lag: m.tell}, c)
+		ch, _ := p.Choose(now, cands, Rest{Lag: m.tell, Run: runFor}, c)
 		return ch
 	}
 	for i := range m.own {
--- a/pkg/sagechain/placer.go
+++ b/pkg/sagechain/placer.go
@@ -34,9 +34,11 @@
 	Index int
 	// Held is how many shared tokens the chosen upstream is believed to hold.
 	Held int
-	// From is the upstream that holds more of the chain and can pass it on; empty if none does.
-	From string
-	Why  Why
+	// From is the upstream that holds more of the chain and can pass it on; empty if none does. Copied is
+	// how many shared tokens it is believed to hold.
+	From   string
+	Copied int
+	Why    Why
 }
 
 // Placer chooses upstreams for chains. It is safe for concurrent use.
@@ -70,7 +72,9 @@
 		best = Choice{Index: anyTwo(cands, c).lesser(cands), Why: WhyFull}
 	}
 	best.Held = seen.prefix(cands[best.Index].ID)
-	best.From = p.source(&seen, cands[best.Index].ID, best.Held)
+	if best.From = p.source(&seen, cands[best.Index].ID, best.Held); best.From != "" {
+		best.Copied = seen.prefix(best.From)
+	}
 	return best, true
 }
 
--- a/pkg/sagechain/placer_test.go
+++ b/pkg/sagechain/placer_test.go
@@ -176,8 +176,9 @@
 	}{
 		{"all usable", Rest{}, 1.8*5 + 2.5},
 		// Sums of counts arrive each 0.3 s: that many requests are not in them.
-		{"counts lag", Rest{Lag: 300 * time.Millisecond}, 2*5 + 1.5 - 0.3*5},
-		{"counts lag more than can be allowed for", Rest{Lag: 900 * time.Millisecond}, 2*5 + 1.5 - 0.3*5},
+		{"counts lag", Rest{Lag: 300 * time.Millisecond, Run: time.Second}, 2*5 + 1.5 - 0.3*5},
+		{"counts lag more than can be allowed for", Rest{Lag: 900 * time.Millisecond, Run: time.Second}, 2*5 + 1.5 - 0.3*5},
+		{"runs are long", Rest{Lag: 300 * time.Millisecond, Run: 3 * time.Second}, 2*5 + 1.5 - 0.1*5},
 		{"few usable", Rest{Upstreams: 20}, 5 + 1},
 	} {
 		require.InDelta(t, tt.want, Bound(loaded(10, 5), tt.rest), 1e-9, tt.name)
