One bound on loads, with the cap from the settings

The cap itself, 2, is a bound that the platform states and stood in the code.

Change: the tighter bound is gone; the cap comes as bounds.load_cap, 2 if it is left out.

--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -28,6 +28,7 @@
 	view      *view
 	keyProof  *sagefresh.Proof
 	keyWithin atomic.Int64 // nanoseconds
+	loadCap   atomic.Pointer[float64]
 	known     func() []string
 	lag       func() time.Duration // of the other nodes' counts
 	placer    *sagechain.Placer
@@ -46,6 +47,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.retries.Ratio, f.retries.Slack = b.RetryRatio, b.RetrySlack
+	f.loadCap.Store(&b.LoadCap)
 }
 
 // Table implements [sagerelay.Fleet]. A configuration is of no use before the upstreams are known.
@@ -115,6 +117,9 @@
 	}
 	cands := make([]sagechain.Candidate, len(es))
 	rest := sagechain.Rest{Upstreams: len(all) - len(es), Lag: f.lag(), Run: f.paces.of(q.Service).run.Value()}
+	if limit := f.loadCap.Load(); limit != nil {
+		rest.Cap = *limit
+	}
 	for _, e := range all {
 		rest.Load += loads[e.ID]
 	}
--- a/internal/sagerouter/settings.go
+++ b/internal/sagerouter/settings.go
@@ -33,6 +33,9 @@
 	ConfigWithinMillis   int `json:"config_within_millis"`
 	UpstreamWithinMillis int `json:"upstream_within_millis"`
 	ClosedWithinMillis   int `json:"closed_within_millis"`
+	// LoadCap is how many times the mean load of a service's upstreams one of them may have; 0 means the
+	// usual cap.
+	LoadCap float64 `json:"load_cap"`
 	// RetryRatio, RetrySlack and RetryWindowSeconds bound the retries of all nodes together.
 	RetryRatio         float64 `json:"retry_ratio"`
 	RetrySlack         float64 `json:"retry_slack"`
@@ -87,6 +90,9 @@
 	if b.ConfigWithinMillis <= 0 || b.UpstreamWithinMillis <= 0 || b.ClosedWithinMillis <= 0 {
 		return fmt.Errorf("bounds: what is in force must be so after some time: %w", ErrSettings)
 	}
+	if b.LoadCap != 0 && b.LoadCap < 1 {
+		return fmt.Errorf("bounds.load_cap %v: no upstream could have the mean load: %w", b.LoadCap, ErrSettings)
+	}
 	if b.KeyWithinMillis <= 0 || b.RetryWindowSeconds <= 0 || b.StopWithinSeconds <= 0 || b.RetryRatio < 0 || b.RetrySlack < 0 {
 		return fmt.Errorf("bounds: times must be above zero and retries not below it: %w", ErrSettings)
 	}
--- a/pkg/sagechain/bound.go
+++ b/pkg/sagechain/bound.go
@@ -4,15 +4,8 @@
 
 // The bound on an upstream's load, in requests in flight.
 const (
-	// boundFactor and boundSlack set it from the mean of the candidates. Below it, holding a chain
-	// counts more than an idle engine: a step takes 3 % longer for each run beside it, while reading
-	// a usual chain again takes a hundred steps.
-	boundFactor = 1.8
-	boundSlack  = 2.5
-	// capFactor and capSlack are what the platform tolerates, from the mean of all upstreams of the
-	// service; capMargin covers one request that another node sends at the same moment, and half of
-	// one for counts that are rounded.
-	capFactor = 2.0
+	// capSlack is what the platform tolerates beyond [Rest.Cap] times the mean; capMargin covers one request
+	// that another node sends at the same moment, and half of one for counts that are rounded.
 	capSlack  = 3.0
 	capMargin = 1.5
 	// mostLag is the lag that is allowed for. With older counts a lower bound makes all nodes spill at
@@ -24,9 +17,15 @@
 	evenSlack = 1.0
 )
 
+// UsualCap is the cap of the known platforms.
+const UsualCap = 2.0
+
 // Rest are the upstreams of the service that may not be chosen: cold ones, those of data centres out
 // of service, those that failed.
 type Rest struct {
+	// Cap is how many times the mean load of all upstreams of the service the platform tolerates at one;
+	// 0 means [UsualCap].
+	Cap       float64
 	Upstreams int
 	Load      int
 	// Lag is the time between two statements of the other nodes' counts.
@@ -38,7 +37,10 @@
 	Run time.Duration
 }
 
-// Bound returns the greatest load at which an upstream may still be chosen.
+// Bound returns the greatest load at which an upstream may still be chosen. Below the cap, holding a chain
+// counts more than an idle engine: a step takes some hundredths longer for each run beside it, while reading
+// a usual chain again takes a hundred steps. Tighter bounds for their own sake were worth nothing in any
+// deployment that was measured.
 //
 // It guards against engines above the platform's cap when others may not be used: an idle engine that
 // is out of service lowers the mean that the cap is taken from, and the fewer are left, the more
@@ -54,6 +56,9 @@
 	if rest.Run > 0 {
 		unseen = all * float64(min(rest.Lag, mostLag)) / float64(rest.Run)
 	}
-	tolerated := max(capFactor*all+capSlack-capMargin-unseen, mean+evenSlack)
-	return min(boundFactor*mean+boundSlack, tolerated)
+	factor := rest.Cap
+	if factor == 0 {
+		factor = UsualCap
+	}
+	return max(factor*all+capSlack-capMargin-unseen, mean+evenSlack)
 }
