Copy prompts from sound engines first, of several from the one used last

Change: an upstream is doubtful as a source for four seconds after an exchange of this node or another one broke, unless this node got a whole answer since; sound ones go first, then the ones that hold most, then the one used last.

--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -154,11 +154,17 @@
 	return p
 }
 
-// passes reports whether an upstream can be copied from: it runs, and its answers don't break.
-func (f *fleet) passes(upstream string) bool {
+// source judges whether an upstream can be copied from: it runs, and its answers don't break.
+func (f *fleet) source(upstream string) sagechain.Source {
 	now := sageclock.Now()
 	e := f.view.set.Load().Reachable(now, upstream)
-	return e != nil && !f.health.Out(now, e.Service, upstream)
+	switch {
+	case e == nil || f.health.Out(now, e.Service, upstream):
+		return sagechain.NoSource
+	case f.health.Doubtful(now, e.Service, upstream):
+		return sagechain.DoubtfulSource
+	}
+	return sagechain.SoundSource
 }
 
 func (f *fleet) coldRate(service string) float64 {
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -169,7 +169,7 @@
 		known: n.mesh.Known, lag: n.countsLag, placer: placer, cold: sageshare.Cold{Self: cfg.Node},
 		retries: sageshare.Retries{Window: seconds(cfg.Bounds.RetryWindowSeconds)}, health: sagehealth.Book{Self: cfg.Node},
 	}
-	placer.Passes = n.fleet.passes
+	placer.Source = n.fleet.source
 	n.fleet.bounds(&cfg.Bounds)
 	n.relay = &sagerelay.Service{
 		Dialect: n.Dialect, Fleet: n.fleet, Metrics: n.metrics, Log: n.Log.Part("relay"), Closing: n.leaving.Load,
--- a/pkg/sagechain/held.go
+++ b/pkg/sagechain/held.go
@@ -71,6 +71,14 @@
 	return n
 }
 
+// used returns when an upstream was last seen to use the last part of the chain; 0 if it was never.
+func (s *sight) used(upstream string) sageclock.Instant {
+	if o := s.holders[len(s.holders)-1][upstream]; o != nil {
+		return o.used
+	}
+	return 0
+}
+
 // note remembers a holder and reports whether other nodes should hear of it.
 func (h *held) note(now sageclock.Instant, part uint64, upstream string) bool {
 	if o := h.parts[part][upstream]; o != nil {
--- a/pkg/sagechain/placer.go
+++ b/pkg/sagechain/placer.go
@@ -1,7 +1,9 @@
 package sagechain
 
 import (
+	"cmp"
 	"slices"
+	"strings"
 	"sync"
 
 	"sagestand.example/sagestand/pkg/sageclock"
@@ -41,11 +43,21 @@
 	Why    Why
 }
 
+// Source says how well an upstream serves as the source of a copy.
+type Source int
+
+// What is thought of a source. One that stopped passes nothing on, and the parts are read again.
+const (
+	NoSource Source = iota
+	DoubtfulSource
+	SoundSource
+)
+
 // Placer chooses upstreams for chains. It is safe for concurrent use.
 type Placer struct {
-	// Passes reports whether an upstream can pass parts on to others; nil means that all can. It is
-	// set before use.
-	Passes func(upstream string) bool
+	// Source judges whether an upstream can pass parts on to others; nil means that all can. It is set
+	// before use.
+	Source func(upstream string) Source
 
 	mu     sync.Mutex
 	held   held
@@ -78,20 +90,30 @@
 	return best, true
 }
 
-// source returns the upstream that holds most of a chain beyond what the chosen one holds, among
-// those that can pass it on.
+// source returns the upstream to copy a chain from: the soundest of those that hold more of it than the
+// chosen one does, of these the one that holds most, and of several the one that was used last: it has
+// had the least time to stop unnoticed.
+//
+// It guards against copies from engines that crashed: their leases last some seconds, and an engine that is
+// told to copy from one reads everything itself, although another one that read it since could have
+// passed it on.
 func (p *Placer) source(seen *sight, chosen string, has int) string {
-	best, from := has+worthCopying, ""
-	if seen.chain.Tokens() < best {
+	from, most, trust, used := "", 0, NoSource, sageclock.Instant(0)
+	if seen.chain.Tokens() < has+worthCopying {
 		return from
 	}
 	better := func(u string) {
 		n := seen.prefix(u)
-		if u == chosen || n < best || n == best && u >= from {
+		if u == chosen || n < has+worthCopying {
 			return
 		}
-		if p.Passes == nil || p.Passes(u) {
-			best, from = n, u
+		t := SoundSource
+		if p.Source != nil {
+			t = p.Source(u)
+		}
+		at := seen.used(u)
+		if cmp.Or(cmp.Compare(t, trust), cmp.Compare(n, most), cmp.Compare(at, used), strings.Compare(from, u)) > 0 && t > NoSource {
+			from, most, trust, used = u, n, t, at
 		}
 	}
 	for u := range seen.holders[0] {
--- a/pkg/sagechain/placer_test.go
+++ b/pkg/sagechain/placer_test.go
@@ -129,7 +129,12 @@
 // for a minute: the copies fail and the chains are read again, though a second engine holds them too.
 func TestCopiesComeFromEnginesThatRun(t *testing.T) {
 	gone := map[string]bool{}
-	p := Placer{Passes: func(u string) bool { return !gone[u] }}
+	p := Placer{Source: func(u string) Source {
+		if gone[u] {
+			return NoSource
+		}
+		return SoundSource
+	}}
 	p.Note(at(1), "a", chain(7))
 	p.Note(at(1), "b", chain(7))
 	only := []Candidate{{ID: "c"}}
@@ -185,3 +190,31 @@
 		require.InDelta(t, tt.want, Bound(loaded(10, 5), tt.rest), 1e-9, tt.name)
 	}
 }
+
+// Thirteen of sixty engines crash, and their leases last some seconds. Each of their chains is read again by
+// one engine; the next ones were told to copy from the crashed one, which came first by name, and read the
+// chain again as well, two or three times for each chain.
+func TestCopiesComeFromSoundEnginesFirst(t *testing.T) {
+	trust := map[string]Source{"a": DoubtfulSource, "b": SoundSource}
+	p := Placer{Source: func(u string) Source { return trust[u] }}
+	p.Note(at(1), "a", chain(7))
+	only := []Candidate{{ID: "c"}}
+	c, _ := p.Choose(at(2), only, Rest{}, chain(7))
+	require.Equal(t, "a", c.From, "it may still run")
+	p.Note(at(2), "b", chain(7))
+	c, _ = p.Choose(at(3), only, Rest{}, chain(7))
+	require.Equal(t, "b", c.From)
+	require.Equal(t, chain(7).Shared().Tokens(), c.Copied)
+	short := chain(7)[:1]
+	p.Note(at(3), "d", append(Chain(nil), short[0], Part{ID: 99}))
+	trust["d"], trust["b"] = SoundSource, DoubtfulSource
+	c, _ = p.Choose(at(4), only, Rest{}, chain(7))
+	require.Equal(t, "d", c.From, "less, but surely")
+	p = Placer{}
+	for i, u := range []string{"x", "y", "z"} {
+		p.Note(at(i+1), u, chain(7))
+	}
+	p.Note(at(5), "y", chain(7))
+	c, _ = p.Choose(at(6), only, Rest{}, chain(7))
+	require.Equal(t, "y", c.From, "used last, so that it runs is known best")
+}
--- a/pkg/sagehealth/told.go
+++ b/pkg/sagehealth/told.go
@@ -18,6 +18,9 @@
 	// ownFor is how long an answer that this node got itself counts more: an upstream may fail the
 	// nodes of one data centre only.
 	ownFor = time.Second
+	// doubtFor is how long a broken exchange without a whole answer since casts doubt on an upstream: the time
+	// in which the lease of one that crashed lapses.
+	doubtFor = 4 * time.Second
 	// mostTold bounds what one heartbeat tells, to a kilobyte.
 	mostTold = 64
 	// avoidFor is the mean time for which an upstream is avoided on others' words, from the last of
@@ -58,12 +61,12 @@
 	}
 	r.reporters[node] = now
 	for n, at := range r.reporters {
-		if now.Sub(at) >= toldFor {
+		if now.Sub(at) >= doubtFor {
 			delete(r.reporters, n)
 		}
 	}
 	trusted := r.ok != 0 && now.Sub(r.ok) < ownFor
-	if len(r.reporters) < enoughReporters || r.streak > 0 || trusted {
+	if r.reportedSince(now.Add(-toldFor)) < enoughReporters || r.streak > 0 || trusted {
 		return false
 	}
 	spread := time.Duration(xxhash.Sum64String(b.Self+upstream) % uint64(avoidFor))
@@ -71,3 +74,34 @@
 	r.out = max(r.out, now.Add(avoidFor/2+spread))
 	return began
 }
+
+// reportedSince returns how many other nodes said after an instant that the upstream is broken.
+func (r *record) reportedSince(at sageclock.Instant) int {
+	n := 0
+	for _, told := range r.reporters {
+		if told > at {
+			n++
+		}
+	}
+	return n
+}
+
+// Doubtful reports whether an upstream may have stopped: an exchange of this node or of another one broke
+// lately, and this node got no whole answer since.
+func (b *Book) Doubtful(now sageclock.Instant, service, upstream string) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	r := b.find(service, upstream)
+	if r == nil {
+		return false
+	}
+	if r.streak > 0 && now.Sub(r.broke) < doubtFor {
+		return true
+	}
+	for _, at := range r.reporters {
+		if at > r.ok && now.Sub(at) < doubtFor {
+			return true
+		}
+	}
+	return false
+}
