--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -26,8 +26,8 @@
 	// silentLeast is the least such time: four times the usual work of a plain service, so that a
 	// slow answer isn't taken for a lost one.
 	silentLeast = 200 * time.Millisecond
-	// silentReads is how many times the time that an idle engine reads the prompt is added: it may read
-	// other long ones first.
+	// silentReads is how many times the time in which an idle engine reads the prompt is added: it may read
+	// one or two others first (an estimate).
 	silentReads = 2.75
 )
 
--- a/internal/sagerouter/recall.go
+++ b/internal/sagerouter/recall.go
@@ -98,8 +98,9 @@
 	return nil
 }
 
+// once asks a peer, or the engines.
 func (r *recall) once(ctx context.Context) {
-	r.wait(ctx, 0, func() bool { return r.anyInformed() || r.ready() })
+	r.until(ctx, func() bool { return r.anyInformed() || r.ready() })
 	r.wait(ctx, peerWithin, r.anyInformed)
 	if r.fromPeer(ctx) || ctx.Err() != nil {
 		return
@@ -155,13 +156,22 @@
 	return slices.ContainsFunc(living, func(n string) bool { return first(n, named, upstream) })
 }
 
-// wait polls until done says yes or the time is over; no time means that it waits as long as it takes.
+// wait polls until done says yes or the time is over.
 func (r *recall) wait(ctx context.Context, within time.Duration, done func() bool) {
-	until := time.Now().Add(within)
-	for ctx.Err() == nil && !done() && (within == 0 || time.Now().Before(until)) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	r.until(ctx, done)
+}
+
+// until polls until done says yes or ctx ends.
+func (r *recall) until(ctx context.Context, done func() bool) {
+	t := time.NewTicker(recallPoll)
+	defer t.Stop()
+	for !done() {
 		select {
 		case <-ctx.Done():
-		case <-time.After(recallPoll):
+			return
+		case <-t.C:
 		}
 	}
 }
--- /dev/null
+++ b/internal/sagerouter/tell.go
@@ -0,0 +1,107 @@
+package sagerouter
+
+import (
+	"context"
+	"time"
+
+	"sagestand.example/sagestand/internal/sagefollow"
+	"sagestand.example/sagestand/internal/sagemesh"
+	"sagestand.example/sagestand/pkg/sageclock"
+)
+
+// What heartbeats carry, and how old it gets on its way.
+const (
+	// mostLag is the part of the age that proofs get by heartbeats which a follower's own threshold covers: two of the shortest
+	// intervals.
+	mostLag = 400 * time.Millisecond
+	// sumLag is how far sums of counts lag: they pass two or three nodes that each wait up to 200 ms,
+	// half of it on average.
+	sumLag = 300 * time.Millisecond
+	// heldNotes is how many facts on prompt parts ride on one heartbeat, 7 KB at most.
+	heldNotes = 400
+	// listedNotes is the same for parts that upstreams listed, 4 KB at most.
+	listedNotes = 1000
+)
+
+// fill completes a heartbeat.
+func (n *Node) fill(h *sagemesh.Heartbeat) {
+	h.Ready, h.Leaving, h.Informed = n.Ready(), n.leaving.Load(), n.recall.informed.Load()
+	h.Copies = make(map[string]sagefollow.Position, len(n.copies))
+	for kind, f := range n.copies {
+		h.Copies[kind] = f.Position()
+		h.Blind = h.Blind || f.Failing()
+	}
+	h.InFlight = n.fleet.flights.Tell()
+	h.Broken = n.fleet.health.Broken(sageclock.Now())
+}
+
+// fillNews adds what the other nodes have not been told.
+func (n *Node) fillNews(h *sagemesh.Heartbeat) {
+	h.Held, h.Listed = n.fleet.placer.News(heldNotes), n.fleet.placer.NewsListed(listedNotes)
+}
+
+// fillSum adds the requests in flight from this data centre's nodes, or from all.
+func (n *Node) fillSum(h *sagemesh.Heartbeat, all bool) {
+	now := sageclock.Now()
+	counts := n.fleet.flights.SumOf(now, n.Settings.DataCentre)
+	if all {
+		counts = n.fleet.flights.Sum(now)
+	}
+	h.Sum = &sagemesh.Sum{All: all, InFlight: counts}
+}
+
+// hearSum takes the sum in that comes with a heartbeat, if its sender is the one to make it.
+func (n *Node) hearSum(now sageclock.Instant, h *sagemesh.Heartbeat) {
+	m := h.Member()
+	near := h.DataCentre == n.Settings.DataCentre
+	switch {
+	case h.Sum == nil || !n.mesh.Gathers(&m):
+	case h.Sum.All && near:
+		n.fleet.flights.LearnTotal(now, h.Sum.InFlight)
+	case !h.Sum.All && !near:
+		n.fleet.flights.LearnGroup(now, h.DataCentre, h.Sum.InFlight)
+	}
+}
+
+// heard takes a heartbeat in.
+func (n *Node) heard(h *sagemesh.Heartbeat, stamp sageclock.Instant) {
+	now := sageclock.Now()
+	n.fleet.flights.Learn(now, h.Node, h.DataCentre, h.InFlight)
+	n.hearSum(now, h)
+	n.fleet.told(now, h.Node, h.Broken)
+	n.fleet.placer.Learn(now, h.Held)
+	n.fleet.placer.LearnListed(now, h.Listed)
+	if stamp == 0 {
+		return
+	}
+	near := h.DataCentre == n.Settings.DataCentre || n.mesh.First()
+	for kind, p := range h.Copies {
+		if f := n.copies[kind]; f != nil {
+			f.Told(context.Background(), h.Address, p, stamp, near)
+		}
+	}
+}
+
+// countsLag is the time between two statements of the other nodes' counts.
+func (n *Node) countsLag() time.Duration {
+	if n.fleet.flights.Summed(sageclock.Now()) {
+		return sumLag
+	}
+	return n.mesh.Interval()
+}
+
+// changed tells the peers of changed content: all of them if the store told this node, those of its
+// data centre if this node fetched it for them.
+func (n *Node) changed(own bool) {
+	if own || n.mesh.First() {
+		n.mesh.Nudge(own)
+	}
+}
+
+// lag is the age that a proof gets by heartbeats: the peer's own and the stamp that it echoes.
+func (n *Node) lag() time.Duration {
+	if d := 2 * n.mesh.Interval(); d > mostLag && !n.mesh.Quick() {
+		return d - mostLag
+	}
+	return 0
+}
