--- a/internal/sagefollow/silence_test.go
+++ b/internal/sagefollow/silence_test.go
@@ -164,8 +164,9 @@
 	return f.nodes[i].Since(since), nil
 }
 
-// startFleet starts n nodes in a bubble; they stop with ctx.
-func startFleet(ctx context.Context, s *remoteStore, n int) *remoteFleet {
+// startFleet starts n nodes in a bubble, with the followers of another kind as their scouts if there are
+// any; they stop with ctx.
+func startFleet(ctx context.Context, s *remoteStore, n int, scouts *remoteFleet) *remoteFleet {
 	f := &remoteFleet{dark: -1}
 	for i := range n {
 		x := &remoteNode{stamps: make(map[int]sageclock.Instant), blind: make(map[int]bool), seen: make(map[string]uint64)}
@@ -175,6 +176,9 @@
 			Apply:   x.apply,
 			Changed: func(bool) { go f.beat(ctx, i) },
 		}
+		if scouts != nil {
+			x.Scout = scouts.nodes[i].Follower
+		}
 		f.nodes = append(f.nodes, x)
 	}
 	for i, x := range f.nodes {
@@ -269,7 +273,7 @@
 		ctx, cancel := context.WithCancel(t.Context())
 		defer time.Sleep(10 * time.Second) // a bubble ends when all that sleeps in it has ended
 		defer cancel()
-		play(t, startFleet(ctx, s, n))
+		play(t, startFleet(ctx, s, n, nil))
 	})
 }
 
@@ -432,10 +436,8 @@
 				defer time.Sleep(10 * time.Second) // a bubble ends when all that sleeps in it has ended
 				defer cancel()
 				scoutStore, store := newRemoteStore(), newRemoteStore()
-				scouts, others := startFleet(ctx, scoutStore, 5), startFleet(ctx, store, 5)
-				for i, x := range others.nodes {
-					x.Scout = scouts.nodes[i].Follower
-				}
+				scouts := startFleet(ctx, scoutStore, 5, nil)
+				others := startFleet(ctx, store, 5, scouts)
 				time.Sleep(6 * time.Second)
 				away := func(on bool) {
 					for _, s := range []*remoteStore{scoutStore, store} {
