End the grace for lapsed entries two seconds after the store's return

Change: what lapsed is back two seconds after the store's return, so the grace ends then. Test first: it failed, the upstream stayed until 4.3 s where 3 s is right.

--- a/pkg/sageupstream/registry.go
+++ b/pkg/sageupstream/registry.go
@@ -132,7 +132,9 @@
 // Delete drops an entry, at once or after [LapseGrace] if it may only have lapsed.
 //
 // It guards against the loss of every upstream after an outage of the store, whose leases lapse
-// together: callers would be refused until the upstreams have registered again.
+// together: callers would be refused until the upstreams have registered again. What lapsed is back two
+// seconds after the store's return, so the grace ends then, however late the removal is seen: a node that
+// was merely cut off sees upstreams leave that did not lapse.
 func (r *Registry) Delete(now sageclock.Instant, id string) {
 	e, ok := r.entries[id]
 	if !ok {
@@ -146,9 +148,14 @@
 	if r.lapsed == nil {
 		r.lapsed = make(map[string]sageclock.Instant)
 	}
-	if _, ok := r.lapsed[id]; !ok {
-		r.lapsed[id] = now.Add(LapseGrace)
+	if _, ok := r.lapsed[id]; ok {
+		return
+	}
+	from := now
+	if !r.away {
+		from = r.backAt
 	}
+	r.lapsed[id] = from.Add(LapseGrace)
 }
 
 // drop takes an entry out.
--- a/pkg/sageupstream/registry_test.go
+++ b/pkg/sageupstream/registry_test.go
@@ -126,3 +126,23 @@
 	require.Empty(t, r.Ended(at(2400)))
 	require.Equal(t, []string{"c"}, r.Ended(at(9000)))
 }
+
+// A node was cut off from the store, which went on serving the others, and is back for more than a second
+// when an upstream leaves. Its entry's removal was taken for a lapse in an outage and the upstream used
+// for two more seconds from the removal on, 41 ms longer than a leaving one may be.
+func TestRemovalSomeTimeAfterTheReturnIsNoNewGrace(t *testing.T) {
+	r := new(Registry)
+	r.Put(entry("a"))
+	r.Put(entry("b"))
+	r.Away()
+	r.Delete(at(900), "b")
+	r.Back(at(1000))
+	r.Delete(at(2300), "a")
+	require.Equal(t, []string{"a", "b"}, ids(r.Set()), "both may only have lapsed")
+	require.False(t, r.Settle(at(2900)))
+	require.True(t, r.Settle(at(3000)), "what lapsed is back two seconds after the store's return")
+	require.Empty(t, ids(r.Set()))
+	r.Put(entry("c"))
+	r.Delete(at(3100), "c")
+	require.Empty(t, ids(r.Set()))
+}
