--- a/internal/sagerouter/services.go
+++ b/internal/sagerouter/services.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
@@ -88,72 +87,3 @@
 		}
 	}
 }
-
-// Pauses of the registration.
-const (
-	registerWithin = 2 * time.Second
-	registerPause  = 500 * time.Millisecond
-)
-
-// nodeEntry is this system's own object in the store: where other nodes reach this one.
-type nodeEntry struct {
-	Mesh       string `json:"mesh"`
-	DataCentre string `json:"data_centre"`
-}
-
-// members registers this node in the store and learns of the nodes that did.
-//
-// Each node registers before it lists, so of two that start at once at least one sees the other,
-// and hearing of a node is enough to answer it.
-type members struct{ node *Node }
-
-// Run tries until it succeeded, then waits for ctx.
-func (m *members) Run(ctx context.Context) error {
-	log := m.node.Log.Part("members")
-	for ctx.Err() == nil {
-		err := m.register(ctx)
-		if err == nil {
-			break
-		}
-		log.Warn("Registration failed.", "err", err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(registerPause):
-		}
-	}
-	<-ctx.Done()
-	return nil
-}
-
-func (m *members) register(ctx context.Context) error {
-	n := m.node
-	ctx, cancel := context.WithTimeout(ctx, registerWithin)
-	defer cancel()
-	spec, err := json.Marshal(nodeEntry{Mesh: n.Settings.Listen.Mesh, DataCentre: n.Settings.DataCentre})
-	if err != nil {
-		return fmt.Errorf("encode entry: %w", err)
-	}
-	if err := n.Store.Create(ctx, n.Kinds.Nodes, n.Settings.Node, spec); err != nil {
-		return fmt.Errorf("register node: %w", err)
-	}
-	d, err := sagefollow.ListAll(ctx, n.Store, n.Kinds.Nodes)
-	if err != nil {
-		return fmt.Errorf("list nodes: %w", err)
-	}
-	names := make([]string, 0, len(d.Changes))
-	for _, c := range d.Changes {
-		names = append(names, c.Object.Name)
-		var e nodeEntry
-		if err := json.Unmarshal(c.Object.Spec, &e); err != nil {
-			n.Log.Part("members").Warn("Entry names no node.", "name", c.Object.Name, "err", err)
-			continue
-		}
-		if err := n.mesh.Add(e.Mesh); err != nil {
-			n.Log.Part("members").Warn("Entry names no node.", "name", c.Object.Name, "err", err)
-		}
-	}
-	n.names.Store(&names)
-	// A started node is told what the others know as soon as they hear of it, not a heartbeat later.
-	n.mesh.Nudge(true)
-	return nil
-}
