Make rounds to all rarer, gather broken upstreams by hubs, find nodes again after cuts

Cause: with hubs, the rounds to all carry little that is urgent, yet are most of the datagrams: a hundred a second and node. What still came by them only: with which upstreams exchanges broke, that a started node serves, that a node is back after a cut, and that a hub and its deputy died together.

Change: rounds come 0.2 s and 30 ms for each node beyond twenty apart (8.5 s at 295), from one ticker. Hubs add up with how many nodes each upstream is broken, as they add up requests in flight; a node tells all at once when it begins or ceases to serve and when it hears the others again after a cut. A node knows who has to tell it soon, so a hub that takes over asks those who died with the last one, and when a hub is dropped its nodes ask each other. The lag that followers allow for is that of the hubs' path. Two other nodes' words still make an upstream avoided.

--- a/internal/sagemesh/bench_test.go
+++ b/internal/sagemesh/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	"sagestand.example/sagestand/internal/sagefollow"
 )
@@ -45,3 +46,35 @@
 		})
 	}
 }
+
+// BenchmarkSizes plays fleets of several sizes in virtual time and reports what a node sends, how old news
+// gets and how long a dead node stays known.
+func BenchmarkSizes(b *testing.B) {
+	for _, n := range []int{8, 30, 100, 300} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			for b.Loop() {
+				v := newVirtual(b, 1, n, min(n/2, manyCentres))
+				v.play(5 * time.Second)
+				sent := make([]int, n)
+				bytes := make([]int, n)
+				for i, x := range v.nodes {
+					sent[i], bytes[i] = x.sent, x.bytes
+				}
+				const plays = 5
+				v.play(plays * time.Second)
+				total, most, size, largest := 0, 0, 0, 0
+				for i, x := range v.nodes {
+					total, most = total+x.sent-sent[i], max(most, x.sent-sent[i])
+					size, largest = size+x.bytes-bytes[i], max(largest, x.bytes-bytes[i])
+				}
+				v.nodes[n/2].dark = true
+				gone := v.until(inTime, func() bool { return v.naming() == 0 })
+				b.ReportMetric(float64(total)/plays/float64(n), "datagrams/s")
+				b.ReportMetric(float64(most)/plays, "most_datagrams/s")
+				b.ReportMetric(float64(size)/plays/float64(n), "B/s")
+				b.ReportMetric(float64(largest)/plays, "most_B/s")
+				b.ReportMetric(gone.Seconds(), "s_until_gone")
+			}
+		})
+	}
+}
--- a/internal/sagemesh/codec.go
+++ b/internal/sagemesh/codec.go
@@ -36,6 +36,7 @@
 	if h.Sum != nil {
 		m.Sum = &heartbeat.Sum{All: h.Sum.All}
 		m.Sum.Upstreams, m.Sum.InFlight = columns(h.Sum.InFlight)
+		m.Sum.BrokenUpstreams, m.Sum.Broken = columns(h.Sum.Broken)
 	}
 	for u, parts := range h.Held {
 		m.Held = append(m.Held, &heartbeat.Held{Upstream: u, Parts: parts})
@@ -113,7 +114,11 @@
 		if err != nil {
 			return nil, err
 		}
-		h.Sum = &Sum{All: sum.GetAll(), InFlight: counts}
+		broken, err := fromColumns(sum.GetBrokenUpstreams(), sum.GetBroken())
+		if err != nil {
+			return nil, err
+		}
+		h.Sum = &Sum{All: sum.GetAll(), InFlight: counts, Broken: broken}
 	}
 	if len(m.GetHeld()) > 0 {
 		h.Held = make(map[string][]uint64, len(m.GetHeld()))
--- a/internal/sagemesh/hear.go
+++ b/internal/sagemesh/hear.go
@@ -59,6 +59,10 @@
 	s.passOn(h)
 	s.hearSilent(now, h)
 	joined := !s.live[h.Address]
+	if joined {
+		s.announce(now, p, h.Address)
+		s.rejoin(now)
+	}
 	s.live[h.Address] = true
 	s.ever[h.Node] = true
 	s.mu.Unlock()
@@ -72,6 +76,18 @@
 	s.Heard(h, stamp)
 }
 
+// rejoin has all nodes told at once that this one is heard again, after it had lost most of them. mu is held.
+//
+// It guards against nodes that get no callers for seconds after a cut: each of the others would hear of them
+// with their next round only.
+func (s *Service) rejoin(now sageclock.Instant) {
+	if 2*len(s.live) > len(s.peers) || now.Sub(s.rejoined) < leastSilence {
+		return
+	}
+	s.rejoined = now
+	s.Nudge(true)
+}
+
 // identify completes a heartbeat that came without its sender's identity, and reports whether the
 // sender is known.
 //
--- a/internal/sagemesh/heartbeat.go
+++ b/internal/sagemesh/heartbeat.go
@@ -21,11 +21,12 @@
 	LinkMbps int
 }
 
-// Sum are requests in flight from several nodes, the sender among them.
+// Sum adds up what several nodes count by upstream, the sender among them.
 type Sum struct {
 	// All says that the nodes are all of the fleet, not only those of the sender's data centre.
-	All      bool
-	InFlight map[string]int
+	All bool
+	// InFlight are requests in flight, Broken the nodes whose own exchanges broke of late.
+	InFlight, Broken map[string]int
 }
 
 // Heartbeat is what a node tells another.
--- a/internal/sagemesh/hub.go
+++ b/internal/sagemesh/hub.go
@@ -75,6 +75,7 @@
 	mine := hubs[s.DataCentre]
 	fresh := s.freshNews()
 	if mine.first != s.Address {
+		s.expect(map[string]bool{mine.first: true})
 		s.soonTo = map[string]bool{mine.first: true, mine.deputy: true}
 		s.tellThose(round{
 			fill: func(h *Heartbeat) { h.Pass, h.Held = true, fresh },
@@ -84,6 +85,7 @@
 	}
 	near := func(t *target) bool { return t.dataCentre == s.DataCentre }
 	others := func(t *target) bool { return !near(t) && hubs[t.dataCentre].has(t.address) }
+	s.expect(s.addresses(func(t *target) bool { return near(t) || t.address == hubs[t.dataCentre].first }))
 	forHubs, forNear, silent := s.passed(fresh)
 	s.soonTo = s.addresses(func(t *target) bool { return near(t) || others(t) })
 	s.tellThose(round{
--- a/internal/sagemesh/service.go
+++ b/internal/sagemesh/service.go
@@ -22,9 +22,11 @@
 	// shortest is the interval of heartbeats in a small fleet. Loads that are this old let a bound
 	// of one and a half times the mean stay well below twice the mean.
 	shortest = 200 * time.Millisecond
-	// perNode makes the interval grow with the fleet, so that a node handles at most 100 datagrams
-	// a second in and as many out.
-	perNode = 10 * time.Millisecond
+	// smallFleet is how many nodes tell all others at the shortest interval: a hundred datagrams a second in
+	// and as many out. perNode is by how much each further one makes the interval longer, so that a node
+	// of a large fleet handles some thirty: what is urgent comes by the hubs.
+	smallFleet = 20
+	perNode    = 30 * time.Millisecond
 	// quick is how many nodes, the first in the order of ranks, tell each other at the shortest
 	// interval in any fleet: they watch the store or stand by to, and notice within a second and a
 	// half that the watchers are lost. Their datagrams are 150 a second in all.
@@ -98,13 +100,21 @@
 
 	// Of the loop of Run: the source of chance, facts that hubs were told and the next round to all has to
 	// tell, and the nodes that are told at the shortest interval.
-	rnd    *rand.Rand
-	untold backlog
-	soonTo map[string]bool
+	rnd       *rand.Rand
+	untold    backlog
+	soonTo    map[string]bool
+	nextRound sageclock.Instant
+	// saidReady is what the others were last told of this node, saidAt when that changed.
+	saidReady bool
+	saidAt    sageclock.Instant
+	// expected are the nodes that have to tell this one at the shortest interval, with since when.
+	expected map[string]sageclock.Instant
 
 	mu sync.Mutex
 	// Facts that this node, as a hub, has to pass on.
 	forHubs, forNear backlog
+	// rejoined is when this node last told all that it hears them again.
+	rejoined sageclock.Instant
 	// silentFar are nodes that other hubs called silent, with when they last did.
 	silentFar map[string]sageclock.Instant
 	peers     map[string]*peer
@@ -139,6 +149,7 @@
 	s.peers = make(map[string]*peer)
 	s.live = make(map[string]bool)
 	s.ever = map[string]bool{s.Name: true}
+	s.expected = make(map[string]sageclock.Instant)
 	s.silentFar = make(map[string]sageclock.Instant)
 	for _, a := range s.Seeds {
 		if err := s.add(a, true); err != nil {
@@ -193,8 +204,6 @@
 		s.receive(ctx)
 	}()
 	s.tell(false)
-	t := time.NewTicker(s.untilRound())
-	defer t.Stop()
 	often := time.NewTicker(shortest)
 	defer often.Stop()
 	for ctx.Err() == nil {
@@ -208,9 +217,6 @@
 			s.tell(true)
 		case address := <-s.announceTo:
 			s.tellAnnounced(address)
-		case <-t.C:
-			s.tell(false)
-			t.Reset(s.untilRound())
 		}
 	}
 	s.tell(false)
@@ -222,20 +228,35 @@
 	return nil
 }
 
-// Interval is the time between two heartbeats.
+// Lag is how long what one node tells takes to reach all others while nothing is lost, and what they prove to
+// each other with it: a datagram and the stamp that it echoes a hop, by the hubs three hops.
+func (s *Service) Lag() time.Duration {
+	if s.Interval() > shortest {
+		return 3 * 2 * shortest
+	}
+	return 2 * shortest
+}
+
+// Interval is the time between two rounds of heartbeats to all, in the mean.
 func (s *Service) Interval() time.Duration {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return max(shortest, time.Duration(len(s.live)+1)*perNode)
+	return shortest + time.Duration(max(0, len(s.peers)+1-smallFleet))*perNode
 }
 
-// between does what comes at the shortest interval, beside the rounds to all.
+// between does what comes at the shortest interval, a round to all among it if one is due.
 func (s *Service) between() {
 	s.sweep()
 	s.soonTo = nil
 	if s.Interval() > shortest {
 		s.tellHubs()
 		s.tellQuick()
+	} else {
+		clear(s.expected)
+	}
+	if now := s.now(); now >= s.nextRound {
+		s.nextRound = now.Add(s.untilRound())
+		s.tell(false)
 	}
 }
 
@@ -245,10 +266,10 @@
 // rounds are seconds apart their datagrams would come at once over the small links, and then none for long.
 func (s *Service) untilRound() time.Duration {
 	d := s.Interval()
-	if d > shortest {
-		d = d/2 + time.Duration(s.rnd.Int64N(int64(d)))
+	if d == shortest {
+		return 0
 	}
-	return d
+	return d/2 + time.Duration(s.rnd.Int64N(int64(d)))
 }
 
 // Live returns the other nodes that were heard of lately, ordered by address.
--- a/internal/sagemesh/silence.go
+++ b/internal/sagemesh/silence.go
@@ -18,7 +18,7 @@
 	enoughExpected = 4
 	// answerWithin is how long a node that is in doubt has for an answer, and is asked at the shortest interval:
 	// two datagrams over the longest way between data centres, and a slow node's time to make one.
-	answerWithin = 300 * time.Millisecond
+	answerWithin = 500 * time.Millisecond
 	// wordsFor is how long a hub tells that a node of its data centre fell silent, some datagrams long.
 	wordsFor = time.Second
 )
@@ -39,9 +39,30 @@
 	case p.soon, p.told > p.heard, quiet[p.member.DataCentre]:
 		return true
 	}
+	if since, ok := s.expected[p.member.Address]; ok {
+		return now.Sub(max(p.heard, since)) > leastSilence
+	}
 	return silence > missedRounds*interval
 }
 
+// expect sets the nodes that have to tell this one at the shortest interval, as far as it knows.
+//
+// It guards against nodes that died together with a hub: the deputy that takes over was not told soon by
+// them, or died as well and never says that it took over, and until their rounds to all are overdue
+// everybody would take them for live.
+func (s *Service) expect(nodes map[string]bool) {
+	for a := range s.expected {
+		if !nodes[a] {
+			delete(s.expected, a)
+		}
+	}
+	for a := range nodes {
+		if s.expected[a] == 0 {
+			s.expected[a] = s.now()
+		}
+	}
+}
+
 // quietCentres returns the data centres that seem to be gone or cut off: nothing came from any of their
 // nodes for so long that several heartbeats are missing. mu is held.
 //
@@ -71,6 +92,7 @@
 // is dropped on another's word or because of one lost datagram: a hub may hear nothing and still be heard.
 func (s *Service) sweep() {
 	now, interval := s.now(), s.Interval()
+	hub := s.hubs()[s.DataCentre].first
 	var lost []Member
 	ask := make(map[string]bool)
 	s.mu.Lock()
@@ -83,8 +105,7 @@
 				s.order = slices.DeleteFunc(s.order, func(o string) bool { return o == a })
 			}
 		case p.asked > p.heard && now.Sub(p.asked) > answerWithin:
-			delete(s.live, a)
-			p.lost = now
+			s.drop(now, a, a == hub)
 			lost = append(lost, p.member)
 		case p.asked > p.heard:
 			ask[a] = true
@@ -105,6 +126,23 @@
 	}
 }
 
+// drop takes a node for dead. mu is held.
+//
+// It guards against nodes that died together with their hub, the next hubs among them: nobody is left who was
+// told soon by all of the others, so each node of the data centre finds out who answers.
+func (s *Service) drop(now sageclock.Instant, address string, hub bool) {
+	delete(s.live, address)
+	s.peers[address].lost = now
+	if !hub {
+		return
+	}
+	for a := range s.live {
+		if p := s.peers[a]; p.member.DataCentre == s.DataCentre {
+			p.told = now
+		}
+	}
+}
+
 // silentWords returns the nodes of which this one, as a hub, has to tell. mu is held.
 func (s *Service) silentWords(now sageclock.Instant) words {
 	var w words
--- a/internal/sagemesh/tell.go
+++ b/internal/sagemesh/tell.go
@@ -78,12 +78,27 @@
 		return
 	}
 	s.Fill(&h)
+	s.noteReady(h.Ready)
 	if r.fill != nil {
 		r.fill(&h)
 	}
 	s.send(&h, targets)
 }
 
+// noteReady has all nodes told at once that this node serves from now on, or no longer does, but not over and
+// over.
+//
+// It guards against started nodes that get no callers: where rounds to all are seconds apart, the directory's
+// nodes would hear that late.
+func (s *Service) noteReady(ready bool) {
+	now := s.now()
+	if ready == s.saidReady || now.Sub(s.saidAt) < leastSilence {
+		return
+	}
+	s.saidReady, s.saidAt = ready, now
+	s.Nudge(true)
+}
+
 // send sends a heartbeat to each target. What all of them get is encoded once.
 func (s *Service) send(h *Heartbeat, targets []target) {
 	h.Stamp = Stamp{Incarnation: s.incarnation, At: s.now()}
--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -33,6 +33,7 @@
 	lag       func() time.Duration // of the other nodes' counts
 	placer    *sagechain.Placer
 	flights   sageflight.Counter
+	broken    sageflight.Counter // nodes whose own exchanges broke
 	health    sagehealth.Book
 	paces     paces
 
@@ -216,12 +217,12 @@
 	f.health.Note(sageclock.Now(), u.Service, u.ID, res)
 }
 
-// told takes in the upstreams with which another node's exchanges broke.
-func (f *fleet) told(now sageclock.Instant, node string, broken []string) {
+// told takes in with how many other nodes' exchanges each upstream broke.
+func (f *fleet) told(now sageclock.Instant) {
 	set := f.view.set.Load()
-	for _, id := range broken {
-		if e := set.Get(id); e != nil && f.health.Told(now, e.Service, id, node) {
-			f.view.log.Limited(sagelog.KindBelief, "Upstream is avoided, as other nodes' exchanges broke.", "upstream", id, "service", e.Service, "last_from", node)
+	for id, nodes := range f.broken.Others(now) {
+		if e := set.Get(id); e != nil && f.health.Told(now, e.Service, id, nodes) {
+			f.view.log.Limited(sagelog.KindBelief, "Upstream is avoided, as other nodes' exchanges broke.", "upstream", id, "service", e.Service, "nodes", nodes)
 		}
 	}
 }
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -173,7 +173,7 @@
 		Self: n.Settings.Node, DataCentre: n.Settings.DataCentre, FirstStart: n.Settings.FirstStart,
 		Placer: n.fleet.placer, Peers: n.mesh.Live, Engines: n.engines, Named: n.registered,
 		Registered: func() bool { return n.names.Load() != nil }, Fetch: n.fetcher.Held,
-		Inspector: n.Inspector, Tell: func() { n.mesh.Nudge(true) }, Interval: n.mesh.Interval, Log: n.Log.Part("recall"),
+		Inspector: n.Inspector, Tell: func() { n.mesh.Nudge(true) }, Interval: n.mesh.Lag, Log: n.Log.Part("recall"),
 	}
 }
 
--- a/internal/sagerouter/recall.go
+++ b/internal/sagerouter/recall.go
@@ -73,7 +73,7 @@
 	Fetch func(ctx context.Context, address string) (sagemesh.Holders, error)
 	// Tell has the other nodes told at once.
 	Tell func()
-	// Interval is the time between two heartbeats of a node.
+	// Interval is the time within which a node that joins is heard of.
 	Interval func() time.Duration
 	Log      sagelog.Logger
 
--- a/internal/sagerouter/tell.go
+++ b/internal/sagerouter/tell.go
@@ -7,6 +7,7 @@
 	"sagestand.example/sagestand/internal/sagefollow"
 	"sagestand.example/sagestand/internal/sagemesh"
 	"sagestand.example/sagestand/pkg/sageclock"
+	"sagestand.example/sagestand/pkg/sageflight"
 )
 
 // What heartbeats carry, and how old it gets on its way.
@@ -33,6 +34,8 @@
 	}
 	h.InFlight = n.fleet.flights.Tell()
 	h.Broken = n.fleet.health.Broken(sageclock.Now())
+	n.fleet.broken.Set(ones(h.Broken))
+	n.fleet.broken.Tell()
 }
 
 // fillNews adds what the other nodes have not been told, for all of them with what upstreams listed.
@@ -43,14 +46,16 @@
 	}
 }
 
-// fillSum adds the requests in flight from this data centre's nodes, or from all.
+// fillSum adds what this data centre's nodes count, or what all do.
 func (n *Node) fillSum(h *sagemesh.Heartbeat, all bool) {
 	now := sageclock.Now()
-	counts := n.fleet.flights.SumOf(now, n.Settings.DataCentre)
-	if all {
-		counts = n.fleet.flights.Sum(now)
+	of := func(c *sageflight.Counter) sageflight.Counts {
+		if all {
+			return c.Sum(now)
+		}
+		return c.SumOf(now, n.Settings.DataCentre)
 	}
-	h.Sum = &sagemesh.Sum{All: all, InFlight: counts}
+	h.Sum = &sagemesh.Sum{All: all, InFlight: of(&n.fleet.flights), Broken: of(&n.fleet.broken)}
 }
 
 // hearSum takes the sum in that comes with a heartbeat, if its sender is the one to make it.
@@ -61,8 +66,10 @@
 	case h.Sum == nil || !n.mesh.IsHub(&m):
 	case h.Sum.All && near:
 		n.fleet.flights.LearnTotal(now, h.Sum.InFlight)
+		n.fleet.broken.LearnTotal(now, h.Sum.Broken)
 	case !h.Sum.All && !near:
 		n.fleet.flights.LearnGroup(now, h.DataCentre, h.Sum.InFlight)
+		n.fleet.broken.LearnGroup(now, h.DataCentre, h.Sum.Broken)
 	}
 }
 
@@ -70,8 +77,11 @@
 func (n *Node) heard(h *sagemesh.Heartbeat, stamp sageclock.Instant) {
 	now := sageclock.Now()
 	n.fleet.flights.Learn(now, h.Node, h.DataCentre, h.InFlight)
+	n.fleet.broken.Learn(now, h.Node, h.DataCentre, ones(h.Broken))
 	n.hearSum(now, h)
-	n.fleet.told(now, h.Node, h.Broken)
+	if len(h.Broken) > 0 || h.Sum != nil {
+		n.fleet.told(now)
+	}
 	n.fleet.placer.Learn(now, h.Held)
 	n.fleet.placer.LearnListed(now, h.Listed)
 	if stamp == 0 {
@@ -85,6 +95,15 @@
 	}
 }
 
+// ones counts each upstream once.
+func ones(upstreams []string) sageflight.Counts {
+	out := make(sageflight.Counts, len(upstreams))
+	for _, u := range upstreams {
+		out[u] = 1
+	}
+	return out
+}
+
 // countsLag is the time between two statements of the other nodes' counts.
 func (n *Node) countsLag() time.Duration {
 	if n.fleet.flights.Summed(sageclock.Now()) {
@@ -103,8 +122,8 @@
 
 // lag is the age that a proof gets by heartbeats: the peer's own and the stamp that it echoes.
 func (n *Node) lag() time.Duration {
-	if d := 2 * n.mesh.Interval(); d > mostLag && !n.mesh.Quick() {
-		return d - mostLag
+	if n.mesh.Quick() {
+		return 0
 	}
-	return 0
+	return max(0, n.mesh.Lag()-mostLag)
 }
--- a/pkg/sageflight/flight.go
+++ b/pkg/sageflight/flight.go
@@ -63,6 +63,13 @@
 	}
 }
 
+// Set replaces this node's counts, for things that aren't counted by starting and ending.
+func (c *Counter) Set(counts Counts) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.own = counts
+}
+
 // Tell returns a copy of this node's counts, to be told to the others.
 func (c *Counter) Tell() Counts {
 	c.mu.Lock()
@@ -125,6 +132,23 @@
 func (c *Counter) Sum(now sageclock.Instant) Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	return c.all(now)
+}
+
+// Others is [Counter.Sum] without this node's own counts.
+func (c *Counter) Others(now sageclock.Instant) Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	out := c.all(now)
+	for u, n := range c.own {
+		if out[u] -= n; out[u] <= 0 {
+			delete(out, u)
+		}
+	}
+	return out
+}
+
+func (c *Counter) all(now sageclock.Instant) Counts {
 	if c.total.fresh(now, sumStale) {
 		return c.corrected()
 	}
--- a/pkg/sagehealth/told.go
+++ b/pkg/sagehealth/told.go
@@ -13,7 +13,7 @@
 	// enoughReporters is how many other nodes must say that an upstream is broken: one may have a link
 	// of its own that broke.
 	enoughReporters = 2
-	// toldFor is how long a statement counts: two heartbeats of a fleet of a hundred nodes.
+	// toldFor is how long a node tells of an exchange that broke.
 	toldFor = 2 * time.Second
 	// ownFor is how long an answer that this node got itself counts more: an upstream may fail the
 	// nodes of one data centre only.
@@ -45,28 +45,21 @@
 	return out
 }
 
-// Told takes in that another node's exchanges with an upstream broke, and reports whether the upstream is
-// avoided from now on because of it.
+// Told takes in with how many other nodes exchanges of an upstream broke of late, and reports whether the
+// upstream is avoided from now on because of it.
 //
 // It guards against many nodes that each find out by themselves: in a large fleet a node sends an
-// engine a request each ten seconds, so an engine that passes its health check and resets every
-// connection fails one request of each node before all know. In the model of load_test.go, with 27 of
-// 60 engines broken for five seconds, it is the difference between 46 and 20 requests of a hundred.
-func (b *Book) Told(now sageclock.Instant, service, upstream, node string) bool {
+// engine a request each ten seconds or more, so an engine that passes its health check and resets every
+// connection fails one request of each node before all know.
+func (b *Book) Told(now sageclock.Instant, service, upstream string, nodes int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.record(service, upstream)
-	if r.reporters == nil {
-		r.reporters = make(map[string]sageclock.Instant)
-	}
-	r.reporters[node] = now
-	for n, at := range r.reporters {
-		if now.Sub(at) >= doubtFor {
-			delete(r.reporters, n)
-		}
+	if nodes > 0 {
+		r.told = now
 	}
 	trusted := r.ok != 0 && now.Sub(r.ok) < ownFor
-	if r.reportedSince(now.Add(-toldFor)) < enoughReporters || r.streak > 0 || trusted {
+	if nodes < enoughReporters || r.streak > 0 || trusted {
 		return false
 	}
 	spread := time.Duration(xxhash.Sum64String(b.Self+upstream) % uint64(avoidFor))
@@ -75,17 +68,6 @@
 	return began
 }
 
-// reportedSince returns how many other nodes said after an instant that the upstream is broken.
-func (r *record) reportedSince(at sageclock.Instant) int {
-	n := 0
-	for _, told := range r.reporters {
-		if told > at {
-			n++
-		}
-	}
-	return n
-}
-
 // Doubtful reports whether an upstream may have stopped: an exchange of this node or of another one broke
 // lately, and this node got no whole answer since.
 func (b *Book) Doubtful(now sageclock.Instant, service, upstream string) bool {
@@ -98,10 +80,5 @@
 	if r.streak > 0 && now.Sub(r.broke) < doubtFor {
 		return true
 	}
-	for _, at := range r.reporters {
-		if at > r.ok && now.Sub(at) < doubtFor {
-			return true
-		}
-	}
-	return false
+	return r.told > r.ok && now.Sub(r.told) < doubtFor
 }
