--- a/internal/sagemesh/mesh_test.go
+++ b/internal/sagemesh/mesh_test.go
@@ -70,6 +70,15 @@
 	return n
 }
 
+// listen lets a node hear until the test ends; what it tells is up to the test.
+func (n *node) listen(t *testing.T) {
+	t.Helper()
+	require.NoError(t, n.Open())
+	done := make(chan struct{})
+	go func() { defer close(done); n.receive(t.Context()) }()
+	t.Cleanup(func() { _ = n.conn.Close(); <-done })
+}
+
 func start(t *testing.T, name, address string, seeds ...string) *node {
 	t.Helper()
 	return prepare(name, address, seeds...).run(t)
@@ -277,11 +286,16 @@
 				told[n.Address] = append(told[n.Address], sum{h.Address, h.Sum.All})
 			}
 		}
-		n.run(t)
-	}
-	for _, n := range nodes {
-		require.Eventually(t, func() bool { return len(n.Live()) == len(addrs)-1 }, patience, 10*time.Millisecond)
+		n.listen(t)
 	}
+	require.Eventually(t, func() bool {
+		known := true
+		for _, n := range nodes {
+			n.tell(false)
+			known = known && len(n.Live()) == len(addrs)-1
+		}
+		return known
+	}, patience, 10*time.Millisecond)
 	first := nodes[addrs[0]].hubs()
 	require.Len(t, first, 2)
 	for _, n := range nodes {
--- a/internal/sagemesh/size_test.go
+++ b/internal/sagemesh/size_test.go
@@ -24,6 +24,7 @@
 // Callers of a large fleet are sent to nodes without power for many seconds, since nobody was due to
 // hear from these sooner: a fifth of the nodes goes dark, hubs among them.
 func TestDeadNodesAreSoonUnknownInALargeFleet(t *testing.T) {
+	t.Parallel()
 	v := newVirtual(t, 1, manyNodes, manyCentres)
 	v.play(4 * time.Second)
 	v.falsely = 0
@@ -37,6 +38,7 @@
 // More than half of a data centre's nodes lose power, its hub and the hub's deputy among them. The third in
 // order was never told soon by those that died, and takes them for live until their rounds are long over.
 func TestDeadNodesAreSoonUnknownWithoutHubAndDeputy(t *testing.T) {
+	t.Parallel()
 	v := newVirtual(t, 6, manyNodes, manyCentres)
 	v.play(4 * time.Second)
 	v.falsely = 0
@@ -56,6 +58,7 @@
 // A node that starts is ready some seconds later, and gets no callers for as long again: the nodes that
 // answer for the directory were told that it is there, and with the next round to all that it serves.
 func TestReadinessIsKnownAtOnce(t *testing.T) {
+	t.Parallel()
 	v := newVirtual(t, 7, manyNodes, manyCentres)
 	late := v.nodes[17]
 	ready := false
@@ -73,6 +76,7 @@
 // A data centre loses power, its hub with it. Its callers ask nodes elsewhere, which name only nodes of
 // that data centre, all of them dead.
 func TestALostDataCentreIsSoonUnknown(t *testing.T) {
+	t.Parallel()
 	v := newVirtual(t, 2, manyNodes, manyCentres)
 	v.play(4 * time.Second)
 	v.falsely = 0
@@ -86,6 +90,7 @@
 // A hub hears nothing any more and is still heard. It calls all its nodes silent, and callers are sent to
 // nobody else although all of them serve.
 func TestAHubThatHearsNothingIsNotBelieved(t *testing.T) {
+	t.Parallel()
 	v := newVirtual(t, 3, manyNodes, manyCentres)
 	v.play(4 * time.Second)
 	v.falsely = 0
@@ -104,6 +109,7 @@
 // A data centre is cut off from the others for a while. When the cut is over, its nodes get no callers from
 // elsewhere and know no others until the next rounds to all, which are seconds apart.
 func TestNodesAreKnownAgainSoonAfterACut(t *testing.T) {
+	t.Parallel()
 	v := newVirtual(t, 8, manyNodes, manyCentres)
 	v.play(4 * time.Second)
 	whole := v.cut
@@ -119,6 +125,7 @@
 // Links lose packets, and living nodes vanish from the directory's answers one moment and are back the
 // next, which moves callers and the nodes that watch the store to and fro.
 func TestLostDatagramsDropNobody(t *testing.T) {
+	t.Parallel()
 	for _, nodes := range []int{8, 60, manyNodes} {
 		v := newVirtual(t, 4, nodes, 3)
 		v.play(4 * time.Second)
@@ -132,6 +139,7 @@
 // An engine is left by one node, and the others of a large fleet read its prompts again on engines of their
 // own, because they hear seconds later who holds them now.
 func TestNewsReachesALargeFleetWithinASecond(t *testing.T) {
+	t.Parallel()
 	const facts = 200
 	for _, nodes := range []int{8, 60, manyNodes} {
 		v := newVirtual(t, 5, nodes, min(nodes/2, manyCentres))
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -81,6 +81,7 @@
 	kernel  sagekernel.Kernel
 	metrics *metrics.Set
 	mesh    *sagemesh.Service
+	peers   *peerLog
 	relay   *sagerelay.Service
 	view    *view
 	fleet   *fleet
@@ -122,16 +123,12 @@
 
 func (n *Node) makeMesh() {
 	cfg := &n.Settings
+	n.peers = &peerLog{DataCentre: cfg.DataCentre, Log: n.Log.Part("mesh")}
 	n.mesh = &sagemesh.Service{
 		Name: cfg.Node, Address: cfg.Listen.Mesh, Entry: cfg.Listen.Entry, DataCentre: cfg.DataCentre, Seeds: cfg.meshSeeds(),
 		LinkMbps: int(cfg.LinkMbps),
 		Fill:     n.fill, FillNews: n.fillNews, FillSum: n.fillSum, Heard: n.heard,
-		Joined: func(m sagemesh.Member) {
-			n.Log.Part("mesh").Info("Node joined.", "peer", m.Node, "address", m.Address)
-		},
-		Lost: func(m sagemesh.Member) {
-			n.Log.Part("mesh").Info("Node is silent.", "peer", m.Node, "address", m.Address, "leaving", m.Leaving)
-		},
+		Joined: n.peers.Joined, Lost: n.peers.Lost,
 		Log: n.Log.Part("mesh"),
 	}
 }
--- /dev/null
+++ b/internal/sagerouter/peerlog_test.go
@@ -0,0 +1,32 @@
+package sagerouter
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"sagestand.example/sagestand/internal/sagelog"
+	"sagestand.example/sagestand/internal/sagemesh"
+)
+
+// Three hundred nodes start and each writes a line about each other one: ninety thousand lines before the first
+// request, among which nobody finds anything.
+func TestAStartOfManyNodesWritesFewLines(t *testing.T) {
+	var b bytes.Buffer
+	p := &peerLog{DataCentre: "dc0", Log: sagelog.New(&b, "vm0")}
+	for i := range 300 {
+		m := sagemesh.Member{Address: fmt.Sprint(i), Identity: sagemesh.Identity{Node: fmt.Sprint("vm", i), DataCentre: fmt.Sprint("dc", i%6)}}
+		p.Joined(m)
+		if i < 12 {
+			p.Lost(m)
+		}
+	}
+	p.Flush()
+	p.Flush()
+	require.Equal(t, 50+2+5, strings.Count(b.String(), "\n"))
+	require.Contains(t, b.String(), `peer=vm6`, "those nearby one by one")
+	require.Contains(t, b.String(), "data_centre=dc3 joined=50 silent=2")
+}
--- a/internal/sagerouter/services.go
+++ b/internal/sagerouter/services.go
@@ -83,6 +83,7 @@
 			set := n.view.set.Load()
 			n.fleet.health.Keep(func(u string) bool { return set.Get(u) != nil })
 		case <-t.C:
+			n.peers.Flush()
 			n.view.settle(n.reach.Age(sageclock.Now()) > sagefollow.AwayAfter)
 		}
 	}
