--- a/internal/sagerouter/pace.go
+++ b/internal/sagerouter/pace.go
@@ -31,8 +31,7 @@
 //
 // It guards against figures that fit some engines and not others: runs of three seconds, taken for one,
 // make the load bound too low, and engines that read slowly are given up in the middle of a prompt that
-// they would have read. With engines three times slower than those that the start is taken from it
-// is worth 0.014 of a day (nine pairs, standard error 0.004), with the usual ones nothing that was measured.
+// they would have read.
 type paces struct {
 	mu       sync.Mutex
 	services map[string]*pace
--- a/internal/sagerouter/recall.go
+++ b/internal/sagerouter/recall.go
@@ -21,9 +21,8 @@
 // Times of a recall.
 const (
 	// peerWithin is how long a started node that knows its peers waits to hear of one that can tell it
-	// everything: its heartbeat and the answer to it over the longest way between data centres (an
-	// estimate, 12 ms each). Meanwhile requests come in whose prompts are read again: of 120 ms, 80 cost
-	// 37,000 prompt tokens in a restart of seven nodes, in the mean of fifteen.
+	// everything: its heartbeat and the answer to it over the longest way between data centres, an
+	// estimate. Meanwhile requests come in whose prompts are read again.
 	peerWithin = 25 * time.Millisecond
 	// registerPatience is how long a node waits to be registered before it takes the nodes that it
 	// heard of for all: the store may refuse writes and answer reads.
--- a/pkg/sagechain/bound.go
+++ b/pkg/sagechain/bound.go
@@ -9,8 +9,7 @@
 	capSlack  = 3.0
 	capMargin = 1.5
 	// mostLag is the lag that is allowed for. With older counts a lower bound makes all nodes spill at
-	// once: in the model, at a lag of 0.9 s and a hot thing, it takes 2.2 % of requests above the cap
-	// instead of 1.5 %.
+	// once, which takes more requests above the cap than it keeps below.
 	mostLag = 300 * time.Millisecond
 	// evenSlack is what an upstream may exceed the candidates' mean by in any case: without it,
 	// nothing could be placed when most upstreams may not be used.
@@ -31,16 +30,13 @@
 	// Lag is the time between two statements of the other nodes' counts.
 	Lag time.Duration
 	// Run is how long a request runs in the mean. What an upstream got during the lag is the mean load
-	// times the lag over it. In the model, when engines came back empty and counts are told each 0.3 s,
-	// 0.4 % of requests reach an engine above the cap, and 1.5 % if half of the lag is allowed for; the
-	// wider margin moves a third more tokens.
+	// times the lag over it.
 	Run time.Duration
 }
 
 // Bound returns the greatest load at which an upstream may still be chosen. Below the cap, holding a chain
 // counts more than an idle engine: a step takes some hundredths longer for each run beside it, while reading
-// a usual chain again takes a hundred steps. Tighter bounds for their own sake were worth nothing in any
-// deployment that was measured.
+// a usual chain again takes a hundred steps.
 //
 // It guards against engines above the platform's cap when others may not be used: an idle engine that
 // is out of service lowers the mean that the cap is taken from, and the fewer are left, the more
--- a/pkg/sagechain/listed.go
+++ b/pkg/sagechain/listed.go
@@ -18,8 +18,8 @@
 // lookups takes another part for it, which costs one more read of a prompt.
 type PartHash uint32
 
-// hash returns a part's hash. It halves the bytes that a large fleet tells after a restart: in one of 66
-// nodes before 60 engines each link carries 80 KB instead of 160, where the smallest ones need 60 ms for that.
+// hash returns a part's hash. It halves the bytes that a large fleet tells after a restart, which the smallest
+// links need some ten milliseconds for.
 func hash(part uint64) PartHash { return PartHash(part ^ part>>32) }
 
 // list is what one upstream said that it holds.
--- a/pkg/sagechain/spread.go
+++ b/pkg/sagechain/spread.go
@@ -38,10 +38,7 @@
 // It guards against nodes that fill the same engine together: their counts of each other lag, so to
 // all of them the same engine looks free, and an order that depends on the chain alone, or on the
 // loads alone, sends all of a hot chain's requests there until the counts arrive. The order of a
-// request's own part differs from request to request; the lesser of two then evens the rest out. In
-// the model of load_test.go, with a quarter of the requests about one thing and one bound for both, 0.2 %
-// of them reach an engine above the platform's cap where 2.4 % did before (eight nodes, counts told each
-// 0.2 s) and 0.3 % where 3.8 % did (ninety nodes, 0.25 s).
+// request's own part differs from request to request; the lesser of two then evens the rest out.
 func split(cands []Candidate, seen *sight, want int, bound float64, c Chain) (holders, others pair) {
 	own, key := c.Own(), c.Key()
 	var first pair
