--- a/internal/sagerouter/settings_test.go
+++ b/internal/sagerouter/settings_test.go
@@ -1,6 +1,7 @@
 package sagerouter
 
 import (
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -32,3 +33,24 @@
 		require.ErrorIs(t, s.Check(), ErrSettings, name)
 	}
 }
+
+// An operator writes a link's width in bits: the node must not start as the hub of its data centre.
+func TestSettingsCheckTheLink(t *testing.T) {
+	const rest = `"node": "n", "listen": {"entry": "127.0.0.1:1", "mesh": "127.0.0.1:2"}, "store": "127.0.0.1:3", "memory_mb": 100,
+		"bounds": {"key_within_millis": 1, "config_within_millis": 1, "upstream_within_millis": 1, "closed_within_millis": 1,
+		"retry_ratio": 0, "retry_slack": 0, "retry_window_seconds": 1, "stop_within_seconds": 1}`
+	for _, tt := range []struct {
+		link string
+		want error
+	}{
+		{"", nil},
+		{`"link_mbps": 0,`, nil},
+		{`"link_mbps": 20.5,`, nil},
+		{`"link_mbps": -1,`, ErrSettings},
+		{`"link_mbps": 20000000,`, ErrSettings},
+		{`"link_mbps": "20",`, ErrSettings},
+	} {
+		_, err := ReadSettings(strings.NewReader("{" + tt.link + rest + "}"))
+		require.ErrorIs(t, err, tt.want, tt.link)
+	}
+}
