--- a/internal/sagemesh/hub.go
+++ b/internal/sagemesh/hub.go
@@ -8,7 +8,7 @@
 
 // hubHash orders nodes with equal links. It differs from the order of [Service.Rank], so that the nodes
 // that watch the store aren't hubs as well.
-func hubHash(address string) uint64 { return xxhash.Sum64String(address + "/gather") }
+func hubHash(address string) uint64 { return xxhash.Sum64String(address + "/hub") }
 
 // hub is who passes news on in a data centre.
 type hub struct {
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -170,10 +170,14 @@
 		Self: n.Settings.Node, DataCentre: n.Settings.DataCentre, FirstStart: n.Settings.FirstStart,
 		Placer: n.fleet.placer, Peers: n.mesh.Live, Engines: n.engines, Named: n.registered,
 		Registered: func() bool { return n.names.Load() != nil }, Fetch: n.fetcher.Held,
-		Inspector: n.Inspector, Tell: func() { n.mesh.Nudge(true) }, Interval: n.mesh.Lag, Log: n.Log.Part("recall"),
+		Inspector: n.Inspector, Tell: func() { n.mesh.Nudge(true) }, Interval: n.settleInterval, Log: n.Log.Part("recall"),
 	}
 }
 
+// settleInterval is how often a started node looks whether others joined to which it has to tell what its
+// engines said.
+func (n *Node) settleInterval() time.Duration { return min(n.mesh.Interval(), mostSettleInterval) }
+
 // engines returns the engines that may get requests, or false before configuration and upstreams are
 // known.
 func (n *Node) engines() ([]*sageupstream.Entry, bool) {
--- a/internal/sagerouter/recall.go
+++ b/internal/sagerouter/recall.go
@@ -34,6 +34,9 @@
 	// startsWithin is the time within which nodes that were stopped together start again, as the
 	// platform states it.
 	startsWithin = 300 * time.Millisecond
+	// mostSettleInterval bounds how long a started node waits until it looks whether others joined: nodes
+	// are heard of as soon as they start, in a fleet of any size.
+	mostSettleInterval = time.Second
 	// settleLeast is the least time that the other nodes have for telling what their engines said:
 	// startsWithin, and as much for the engines' answers and a heartbeat.
 	settleLeast = 2 * startsWithin
@@ -72,7 +75,7 @@
 	Fetch func(ctx context.Context, address string) (sagemesh.Holders, error)
 	// Tell has the other nodes told at once.
 	Tell func()
-	// Interval is the time within which a node that joins is heard of.
+	// Interval is how long this node waits between two looks whether others joined.
 	Interval func() time.Duration
 	Log      sagelog.Logger
 
