--- a/internal/sagemesh/news.go
+++ b/internal/sagemesh/news.go
@@ -12,6 +12,8 @@
 	mostListedPassed = 8000
 	// mostListedKept is how many listed parts wait to be passed on: what a node remembers.
 	mostListedKept = 64 << 10
+	// listedRoom is how many bytes of the greatest datagram counts and listed parts may fill together.
+	listedRoom = 45 << 10
 	// listedBytes is what a listed part takes on the wire, with its part of the upstream's name.
 	listedBytes = 5
 	// countBytes is what a count by upstream takes on the wire.
@@ -54,7 +56,7 @@
 	s.forHub.add(h.Held, h.Listed)
 }
 
-// listedFor returns how many listed parts a hub passes on at a time to a number of nodes, beside some counts.
+// listedFor returns how many listed parts a hub passes on at a time to each of some nodes, beside some counts.
 func (s *Service) listedFor(nodes, counts int) int {
 	link := s.LinkMbps
 	if link == 0 {
@@ -62,6 +64,6 @@
 	}
 	const bytesPerMbit = 1e6 / 8
 	bytes := listedShare * float64(link) * bytesPerMbit * shortest.Seconds() / float64(max(1, nodes))
-	room := maxDatagram/2 + maxDatagram/4 - countBytes*counts
+	room := listedRoom - countBytes*counts
 	return min(mostListedPassed, max(0, min(int(bytes), room)/listedBytes))
 }
--- a/internal/sagemesh/service.go
+++ b/internal/sagemesh/service.go
@@ -19,20 +19,12 @@
 
 // How often and how long.
 const (
-	// shortest is the interval of heartbeats in a small fleet. Loads that are this old let a bound
-	// of one and a half times the mean stay well below twice the mean.
-	shortest = 200 * time.Millisecond
-	// smallFleet is how many nodes tell all others at the shortest interval: a hundred datagrams a second in
-	// and as many out. perNode is by how much each further one makes the interval longer, so that a node
-	// of a large fleet handles some thirty: what is urgent comes by the hubs.
-	smallFleet = 20
-	perNode    = 30 * time.Millisecond
 	// quick is how many nodes, the first in the order of ranks, tell each other at the shortest
 	// interval in any fleet: they watch the store or stand by to, and notice within a second and a
 	// half that the watchers are lost. Their datagrams are 150 a second in all.
 	quick = 6
 	// knownPerHeartbeat is how many addresses ride on a heartbeat. Each receiver that knows this node
-	// gets them with every knownEvery-th on average, since targets come in no order: it needs them
+	// gets them with every knownEvery-th on average, since targets come in turn from any one on: it needs them
 	// only to find nodes that the store did not list.
 	knownPerHeartbeat = 3
 	knownEvery        = 4
@@ -228,50 +220,6 @@
 	return nil
 }
 
-// Lag is how long what one node tells takes to reach all others while nothing is lost, and what they prove to
-// each other with it: a datagram and the stamp that it echoes a hop, by the hubs three hops.
-func (s *Service) Lag() time.Duration {
-	if s.Interval() > shortest {
-		return 3 * 2 * shortest
-	}
-	return 2 * shortest
-}
-
-// Interval is the time between two rounds of heartbeats to all, in the mean.
-func (s *Service) Interval() time.Duration {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return shortest + time.Duration(max(0, len(s.peers)+1-smallFleet))*perNode
-}
-
-// between does what comes at the shortest interval, a round to all among it if one is due.
-func (s *Service) between() {
-	s.sweep()
-	s.soonTo = nil
-	if s.Interval() > shortest {
-		s.tellHubs()
-		s.tellQuick()
-	} else {
-		clear(s.expected)
-	}
-	if now := s.now(); now >= s.nextRound {
-		s.nextRound = now.Add(s.untilRound())
-		s.tell(false)
-	}
-}
-
-// untilRound returns the time until the next round to all.
-//
-// It guards against rounds that fall together: the nodes of a fleet start at the same moment, and where
-// rounds are seconds apart their datagrams would come at once over the small links, and then none for long.
-func (s *Service) untilRound() time.Duration {
-	d := s.Interval()
-	if d == shortest {
-		return 0
-	}
-	return d/2 + time.Duration(s.rnd.Int64N(int64(d)))
-}
-
 // Live returns the other nodes that were heard of lately, ordered by address.
 func (s *Service) Live() []Member {
 	s.mu.Lock()
--- a/internal/sagemesh/size_test.go
+++ b/internal/sagemesh/size_test.go
@@ -88,6 +88,24 @@
 	require.Zero(t, v.falsely)
 }
 
+// The store refuses every node when the fleet starts, and each knows one seed. Nodes that are never told on
+// stay unknown to most others, and callers aren't sent to them.
+func TestNodesFindEachOtherWithoutTheStore(t *testing.T) {
+	t.Parallel()
+	for _, nodes := range []int{8, 40} {
+		v := newVirtual(t, 10, nodes, 4)
+		seed := v.nodes[0].Address
+		for _, n := range v.nodes {
+			n.peers, n.order = make(map[string]*peer), nil
+			require.NoError(t, n.add(seed, true))
+		}
+		took := v.until(20*time.Second, func() bool {
+			return !slices.ContainsFunc(v.nodes, func(n *vnode) bool { return len(n.Live()) < nodes-1 })
+		})
+		t.Log(nodes, took)
+	}
+}
+
 // A hub hears nothing any more and is still heard. It calls all its nodes silent, and callers are sent to
 // nobody else although all of them serve.
 func TestAHubThatHearsNothingIsNotBelieved(t *testing.T) {
--- a/internal/sagemesh/tell.go
+++ b/internal/sagemesh/tell.go
@@ -132,12 +132,24 @@
 	return out
 }
 
+// rotated returns the addresses of all peers in turn from any one on. mu is held.
+//
+// It guards against nodes that stay unknown: some receivers of a heartbeat get some known addresses, and in a
+// fixed order these would be the same receivers and addresses each time.
+func (s *Service) rotated() []string {
+	if len(s.order) == 0 {
+		return nil
+	}
+	from := s.rnd.IntN(len(s.order))
+	return slices.Concat(s.order[from:], s.order[:from])
+}
+
 // targets returns the nodes to tell, and puts some known addresses into the heartbeat.
 func (s *Service) targets(h *Heartbeat, want func(t *target) bool) []target {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	var out []target
-	for _, a := range s.order {
+	for _, a := range s.rotated() {
 		p := s.peers[a]
 		t := target{address: a, addr: p.addr, echo: p.stamp, knows: p.knows, dataCentre: p.member.DataCentre}
 		if want == nil || want(&t) {
