Weigh other nodes' words on an engine by its requests in flight

The rest gets their load while counts lag by three to seven requests, and what the engines left out hold is read again. Change: an engine is left out on others' words only if, beside two nodes, three for each four requests in flight there say so. An engine that is down has few, or many whose ends are reported. Plain upstreams, which hold no prompts, as before.

--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -241,14 +241,27 @@
 
 // told takes in with how many other nodes' exchanges each upstream broke.
 func (f *fleet) told(now sageclock.Instant) {
-	set := f.view.set.Load()
+	set, table, loads := f.view.set.Load(), f.view.table.Load(), f.flights.Sum(now)
 	for id, nodes := range f.broken.Others(now) {
-		if e := set.Get(id); e != nil && f.health.Told(now, e.Service, id, nodes) {
-			f.view.log.Limited(sagelog.KindBelief, "Upstream is avoided, as other nodes' exchanges broke.", "upstream", id, "service", e.Service, "nodes", nodes)
+		e := set.Get(id)
+		if e == nil {
+			continue
+		}
+		load := 0
+		if holdsPrompts(table, e.Service) {
+			load = loads[id]
+		}
+		if f.health.Told(now, e.Service, id, nodes, load) {
+			f.view.log.Limited(sagelog.KindBelief, "Upstream is avoided, as other nodes' exchanges broke.", "upstream", id, "service", e.Service, "nodes", nodes, "load", load)
 		}
 	}
 }
 
+// holdsPrompts reports whether the upstreams of a service hold prompts, which ejecting one costs.
+func holdsPrompts(t *sageroute.Table, service string) bool {
+	return t != nil && t.Services[service] != nil && t.Services[service].Engine
+}
+
 // Read implements [sagerelay.Fleet].
 func (f *fleet) Read(u *sageupstream.Entry, c sagechain.Chain) {
 	f.placer.Note(sageclock.Now(), u.ID, c)
--- a/pkg/sagehealth/doc.go
+++ b/pkg/sagehealth/doc.go
@@ -19,5 +19,5 @@
 //		// prefer another one
 //	}
 //	tell(b.Broken(now))                     // to the other nodes
-//	b.Told(now, service, upstream, "vm2")   // what one of them told
+//	b.Told(now, service, upstream, 2, 1)    // two others say so, one request is in flight there
 package sagehealth
--- a/pkg/sagehealth/told.go
+++ b/pkg/sagehealth/told.go
@@ -1,6 +1,7 @@
 package sagehealth
 
 import (
+	"math"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -11,8 +12,9 @@
 // How much the other nodes' words weigh.
 const (
 	// enoughReporters is how many other nodes must say that an upstream is broken: one may have a link
-	// of its own that broke.
+	// of its own that broke. loadReporters is how many more must for each request in flight there.
 	enoughReporters = 2
+	loadReporters   = 0.75
 	// toldFor is how long a node tells of an exchange that broke.
 	toldFor = 2 * time.Second
 	// ownFor is how long an answer that this node got itself counts more: an upstream may fail the
@@ -45,13 +47,18 @@
 	return out
 }
 
-// Told takes in with how many other nodes exchanges of an upstream broke of late, and reports whether the
-// upstream is avoided from now on because of it.
+// Told takes in with how many other nodes exchanges of an upstream broke of late, and how many requests are in
+// flight there from all nodes, and reports whether the upstream is avoided from now on because of it.
+//
+// It guards against an ejection of half of a service while its upstreams lose some answers in a hundred: the
+// others get their load as well, beyond the cap, and read again what the ejected ones hold. An upstream that is
+// down has no requests in flight, or none that end well; of one that loses few answers, fewer nodes say so than
+// there are requests.
 //
 // It guards against many nodes that each find out by themselves: in a large fleet a node sends an
 // engine a request each ten seconds or more, so an engine that passes its health check and resets every
 // connection fails one request of each node before all know.
-func (b *Book) Told(now sageclock.Instant, service, upstream string, nodes int) bool {
+func (b *Book) Told(now sageclock.Instant, service, upstream string, nodes, load int) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	r := b.record(service, upstream)
@@ -59,7 +66,8 @@
 		r.told = now
 	}
 	trusted := r.ok != 0 && now.Sub(r.ok) < ownFor
-	if nodes < enoughReporters || r.streak > 0 || trusted {
+	need := max(enoughReporters, int(math.Ceil(loadReporters*float64(load))))
+	if nodes < need || r.streak > 0 || trusted {
 		return false
 	}
 	spread := time.Duration(xxhash.Sum64String(b.Self+upstream) % uint64(avoidFor))
