Requests of a started node wait for the recall, at most as long as reading takes

Change: a request whose shared parts nobody is known to hold waits until somebody is, until the recall is over, or for the time in which an engine would read those parts (rent or buy), whichever comes first.

--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -184,7 +184,7 @@
 	return x.plain(ctx, res, silent)
 }
 
-// answered tells the fleet how the upstream answered.
+// answered reports to the fleet how the upstream answered.
 func (x *exchange) answered(a Answer) { x.j.s.Fleet.Answered(x.p, x.j.route.Name, a) }
 
 // spoilt settles an exchange whose answer can't be trusted.
--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -131,6 +131,8 @@
 	return time.Duration(tokens) * 18 * time.Microsecond
 }
 
+func (f *world) Await(context.Context, string, sagechain.Chain) {}
+
 func (f *world) Answered(_ *Pick, route string, a Answer) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -162,7 +164,7 @@
 	return a, nil
 }
 
-// noted is an answer that the fleet was told of.
+// noted is an answer that was reported to the fleet.
 type noted struct {
 	route string
 	Answer
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -78,6 +78,7 @@
 	defer cancel()
 	j.writeUntil()
 	j.s.Fleet.First(j.target)
+	j.s.Fleet.Await(ctx, j.target, j.call.Chain)
 	for {
 		p := j.s.Fleet.Pick(&Query{Service: j.target, Route: j.route.Name, Chain: j.call.Chain, Tried: j.tried})
 		if p == nil {
--- a/internal/sagerelay/relay_test.go
+++ b/internal/sagerelay/relay_test.go
@@ -214,9 +214,8 @@
 	})
 }
 
-// A version of a service that fails, stays silent or is slow can't be told from a good one if answers aren't
-// reported, or if a crash counts as an answer.
-func TestFleetIsToldHowUpstreamsAnswer(t *testing.T) {
+// Guards against bad versions that pass for good ones because answers aren't reported, or crashes are.
+func TestAnswersAreReportedToTheFleet(t *testing.T) {
 	for _, tt := range []struct {
 		name   string
 		kind   sageroute.Kind
--- a/internal/sagerelay/steps.go
+++ b/internal/sagerelay/steps.go
@@ -1,6 +1,7 @@
 package sagerelay
 
 import (
+	"context"
 	"net/http"
 	"time"
 
@@ -126,6 +127,8 @@
 	Fresh() bool
 	// ProofAge is the age of the configuration's proof, for the log.
 	ProofAge() time.Duration
+	// Await waits a moment for knowledge of who holds a chain, on a node that has just started.
+	Await(ctx context.Context, service string, c sagechain.Chain)
 	// Pick chooses an upstream, or nil if none may be used.
 	Pick(q *Query) *Pick
 	// Usable reports whether a picked upstream may still be sent to.
--- a/pkg/sagechain/placer.go
+++ b/pkg/sagechain/placer.go
@@ -49,7 +49,7 @@
 // What is thought of a source. One that stopped passes nothing on, and the parts are read again.
 const (
 	NoSource Source = iota
-	DoubtfulSource
+	SuspectSource
 	SoundSource
 )
 
@@ -90,6 +90,29 @@
 	return best, true
 }
 
+// Known reports whether some upstream is believed to hold all shared parts of a chain.
+func (p *Placer) Known(now sageclock.Instant, c Chain) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	shared := c.Shared()
+	if len(shared) == 0 {
+		return true
+	}
+	var room [usualParts]map[string]*holder
+	seen, want := p.held.look(now, shared, &p.listed, &room), shared.Tokens()
+	for u := range seen.holders[len(shared)-1] {
+		if seen.prefix(u) == want {
+			return true
+		}
+	}
+	for u := range p.listed.upstreams {
+		if seen.prefix(u) == want {
+			return true
+		}
+	}
+	return false
+}
+
 // source returns the upstream to copy a chain from: the soundest of those that hold more of it than the
 // chosen one does, of these the one that holds most, and of several the one that was used last: it has
 // had the least time to stop unnoticed.
