Few nodes list rollout orders, and a controller that takes over keeps the order's time

Change: nothing waits for the orders after a start: a node that knows none serves with the most common version, and has the orders from its peers; the copy may get twelve times as old as the bound, as new orders come by a watch. The time of an order counts from when a node first saw it, not from when it became the controller; promotion waits longer where the bound then holds for any version. sagehealth: reports and ejection in the field's words.

--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -33,10 +33,12 @@
 	known     func() []string
 	lag       func() time.Duration // of the other nodes' counts
 	placer    *sagechain.Placer
-	flights   sageflight.Counter
-	broken    sageflight.Counter // nodes whose own exchanges broke
-	health    sagehealth.Book
-	paces     paces
+	// recalled says that the node knows what the engines hold, as far as the fleet does.
+	recalled func() bool
+	flights  sageflight.Counter
+	broken   sageflight.Counter // nodes whose own exchanges broke
+	health   sagehealth.Book
+	paces    paces
 	// rollouts is nil if the fleet carries none out; answers are the counts of their answers by key.
 	rollouts     *sagerollout.Book
 	rolloutPaces sagerollout.Paces
@@ -96,21 +98,21 @@
 // Warm and healthy upstreams go first, then those that failed lately, then cold ones as far as this
 // node's share of what they bear allows.
 func (f *fleet) pickFrom(now sageclock.Instant, set *sageupstream.Set, arm sagerollout.Arm, q *sagerelay.Query) *sagerelay.Pick {
-	var warm, doubtful, cold []*sageupstream.Entry
+	var warm, failing, cold []*sageupstream.Entry
 	for _, e := range f.versionsOf(set, q.Service, arm) {
 		switch {
 		case slices.Contains(q.Tried, e.ID):
 		case e.ColdUntil > now:
 			cold = append(cold, e)
 		case f.health.Avoid(now, q.Service, e.ID):
-			doubtful = append(doubtful, e)
+			failing = append(failing, e)
 		default:
 			warm = append(warm, e)
 		}
 	}
 	loads := f.flights.Sum(now)
 	if len(warm) == 0 {
-		warm = doubtful
+		warm = failing
 	}
 	if arm == sagerollout.Target {
 		warm = f.canary(q.Service, warm)
@@ -184,8 +186,8 @@
 	switch {
 	case e == nil || f.health.Out(now, e.Service, upstream):
 		return sagechain.NoSource
-	case f.health.Doubtful(now, e.Service, upstream):
-		return sagechain.DoubtfulSource
+	case f.health.Suspect(now, e.Service, upstream):
+		return sagechain.SuspectSource
 	}
 	return sagechain.SoundSource
 }
@@ -251,7 +253,7 @@
 		if holdsPrompts(table, e.Service) {
 			load = loads[id]
 		}
-		if f.health.Told(now, e.Service, id, nodes, load) {
+		if f.health.Reported(now, e.Service, id, nodes, load) {
 			f.view.log.Limited(sagelog.KindBelief, "Upstream is avoided, as other nodes' exchanges broke.", "upstream", id, "service", e.Service, "nodes", nodes, "load", load)
 		}
 	}
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -52,9 +52,9 @@
 	headerBytes = 32 << 10
 	// memoryShare is the part of the VM's memory at which the garbage collector works harder.
 	memoryShare = 0.6
-	// orderTimes is how many times as old as a rollout's own bound the copy of the orders may get: nodes tell each
-	// other of versions that are taken back, and a version whose order is not known yet gets nothing.
-	orderTimes = 3
+	// orderTimes is how many times as old as a rollout's own bound the copy of the orders may get: plans that take
+	// a version back come with heartbeats, and a version whose order is not known yet gets nothing.
+	orderTimes = 12
 	// bodyShare is the part of it that bodies of requests may take: what is left between usual use, a
 	// tenth, and memoryShare, halved for what reading and sending copy.
 	bodyShare = 0.25
@@ -174,6 +174,7 @@
 		n.fleet.rollouts = new(sagerollout.Book)
 	}
 	placer.Source = n.fleet.source
+	n.fleet.recalled = func() bool { return n.recall.informed.Load() }
 	n.fleet.bounds(&cfg.Bounds)
 	n.relay = &sagerelay.Service{
 		Dialect: n.Dialect, Fleet: n.fleet, Metrics: n.metrics, Log: n.Log.Part("relay"), Closing: n.leaving.Load,
@@ -181,10 +182,12 @@
 	}
 }
 
-// followRollouts makes the copy of the rollout orders, for a fleet that is to carry them out.
+// followRollouts makes the copy of the rollout orders, for a fleet that is to carry them out. No request waits for it
+// after a start, see [view.hold].
 func (n *Node) followRollouts(follow func(kind string, within int, apply func([]sagefollow.Change, bool)) *sagefollow.Follower) {
 	f := follow(n.Kinds.Rollouts, orderTimes*n.Settings.Bounds.Rollouts.UndoWithinMillis, n.applyRollouts)
 	f.Scout = n.copies[n.Kinds.Config]
+	f.NotBefore = n.firstListing()
 	n.copies[n.Kinds.Rollouts] = f
 	n.view.known = make(versions)
 	n.view.ordersAsOf = f.AsOf
@@ -224,12 +227,17 @@
 	if !n.Settings.FirstStart {
 		return
 	}
-	late := time.Duration(xxhash.Sum64String(n.Settings.Node) % uint64(firstListingWithin))
 	for _, f := range n.copies {
-		f.NotBefore = sageclock.Now().Add(late)
+		f.NotBefore = n.firstListing()
 	}
 }
 
+// firstListing is when this node makes a first listing that nothing waits for: later than some other nodes do, whose
+// answers it then has from their heartbeats.
+func (n *Node) firstListing() sageclock.Instant {
+	return sageclock.Now().Add(time.Duration(xxhash.Sum64String(n.Settings.Node) % uint64(firstListingWithin)))
+}
+
 // listen opens the listeners and registers their servers, the entry last, so that it stops first.
 func (n *Node) listen() error {
 	cfg := &n.Settings
--- a/internal/sagerouter/rollouts.go
+++ b/internal/sagerouter/rollouts.go
@@ -43,7 +43,6 @@
 				"left_ms", o.Deadline.Sub(now).Milliseconds(), "revision", o.Revision)
 		}
 	}
-	n.view.ordersListed()
 }
 
 // learnPlan takes in a plan from any node.
--- a/internal/sagerouter/versions.go
+++ b/internal/sagerouter/versions.go
@@ -13,7 +13,7 @@
 }
 
 // hold keeps upstreams of a new version without requests until this node knows all orders that were written
-// before they registered.
+// before they registered. As long as it knows no orders at all, only the most common version serves.
 //
 // It guards against a version that gets its share by load on nodes to which the order that started it is not
 // known yet: the copies of orders and of upstreams are proven by different calls. mu is held.
--- a/internal/sagerouter/view.go
+++ b/internal/sagerouter/view.go
@@ -53,7 +53,6 @@
 	registry sageupstream.Registry
 	listed   bool            // the upstreams were listed
 	closed   map[string]bool // nil before the data centres were listed
-	ordered  bool            // the rollout orders were listed
 	known    versions
 	holding  bool // upstreams are held back for their version
 }
@@ -176,22 +175,12 @@
 	}
 }
 
-// ordersListed notes that the rollout orders are known.
-func (v *view) ordersListed() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if !v.ordered {
-		v.ordered = true
-		v.publish()
-	}
-}
-
 // publish makes the present view the one that requests see.
 //
 // It guards against a started node that sends to a data centre that is out of service: as long as it
-// doesn't know which are, it knows no upstream. The same holds for the versions that rollouts move or bar.
+// doesn't know which are, it knows no upstream.
 func (v *view) publish() {
-	if v.listed && v.closed != nil && (v.ordersAsOf == nil || v.ordered) {
+	if v.listed && v.closed != nil {
 		v.hold()
 		v.set.Store(v.registry.Set())
 	}
--- a/pkg/sagehealth/book.go
+++ b/pkg/sagehealth/book.go
@@ -41,8 +41,8 @@
 	out    sageclock.Instant
 	broke  sageclock.Instant // of the last broken exchange
 	ok     sageclock.Instant // of the last whole answer; 0 if there was none
-	// told is when another node last said that its exchanges break.
-	told sageclock.Instant
+	// reported is when another node last reported broken exchanges.
+	reported sageclock.Instant
 }
 
 // service are the records of one service's upstreams.
--- a/pkg/sagehealth/doc.go
+++ b/pkg/sagehealth/doc.go
@@ -7,9 +7,8 @@
 // all fail alike, the cause lies in the requests or behind all upstreams, and avoiding one helps
 // nobody.
 //
-// Nodes tell each other of broken exchanges. What two others say takes an upstream out as well, unless
-// this node itself got an answer of late; the nodes whose own exchanges broke are the ones that try
-// again.
+// Nodes report broken exchanges to each other. Enough reports eject an upstream as well, unless this node
+// itself got an answer of late; the nodes whose own exchanges broke are the ones that try again.
 //
 // # Usage
 //
@@ -18,6 +17,6 @@
 //	if b.Avoid(now, service, upstream) {
 //		// prefer another one
 //	}
-//	tell(b.Broken(now))                     // to the other nodes
-//	b.Told(now, service, upstream, 2, 1)    // two others say so, one request is in flight there
+//	send(b.Broken(now))                      // to the other nodes
+//	b.Reported(now, service, upstream, 2, 1) // two others report it, one request is in flight there
 package sagehealth
--- a/pkg/sagerollout/book.go
+++ b/pkg/sagerollout/book.go
@@ -27,7 +27,7 @@
 	tally map[Key]int
 }
 
-// Put takes an order in as the store shows it, and reports whether that is news. An order that takes the
+// Put takes an order in as the store shows it, and reports whether it or its state is new. An order that takes the
 // place of one that was not completed leaves the earlier target without requests.
 func (b *Book) Put(o Order) (fresh bool) {
 	b.mu.Lock()
@@ -42,7 +42,7 @@
 		b.services[o.Service] = &rollout{order: o, split: Splitter{Begin: b.chance()}, tally: make(map[Key]int)}
 		return true
 	}
-	o.Deadline = r.order.Deadline
+	o.Given, o.Deadline = r.order.Given, r.order.Deadline
 	fresh = o.State != r.order.State
 	r.order = o
 	return fresh
@@ -204,7 +204,7 @@
 	return out
 }
 
-// Learn takes in a plan, and reports whether its phase is news.
+// Learn takes in a plan, and reports whether its phase is new.
 func (b *Book) Learn(p Plan) (fresh bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/pkg/sagerollout/controller.go
+++ b/pkg/sagerollout/controller.go
@@ -11,8 +11,9 @@
 	// canaryPart is the least part of the time from order to deadline that is left to the canary.
 	canaryPart = 0.45
 	// completeWithin is how long it takes from the ramp until the baseline is idle: the longest usual answers
-	// and what counts and plans lag.
+	// and what counts and plans lag. completeLeast is enough for usual answers.
 	completeWithin = 8 * time.Second
+	completeLeast  = 5500 * time.Millisecond
 	// react is how long the fleet needs to notice a bad version and to stop sending to it: counts pass
 	// three nodes that each wait up to a fifth of a second, and so does the plan.
 	react = 800 * time.Millisecond
@@ -57,7 +58,6 @@
 
 // watched is what a controller remembers of an order.
 type watched struct {
-	began sageclock.Instant // when this node first saw it
 	busy  sageclock.Instant // when its baseline last had requests
 	judge Judge
 }
@@ -77,21 +77,21 @@
 		return next
 	}
 	v, _ := c.weigh(w, e)
-	if v == Unknown && requestRate(now.Sub(w.began), e)*o.Deadline.Sub(w.began).Seconds() < slackPart*c.Bounds.Slack {
+	if v == Unknown && requestRate(now.Sub(o.Given), e)*o.Deadline.Sub(o.Given).Seconds() < slackPart*c.Bounds.Slack {
 		v = Sound // all requests until the deadline are fewer than the bound leaves to a bad version
 	}
-	promote := c.promoteAt(now, o, w.began, e)
+	promote := c.promoteAt(now, o, e)
 	switch {
 	case v == Bad:
 		next.enter(Undone, 0, now)
 	case now >= o.Deadline && p.Phase < Full:
 		next.enter(Undone, 0, now)
 	case p.Phase == Pending && f.bears():
-		next.enter(Canary, c.canaryShare(now, o, w.began, promote, e), now)
+		next.enter(Canary, c.canaryShare(now, o, promote, e), now)
 	case p.Phase == Canary && now >= promote && now.Sub(p.Since) >= react && v == Sound && f.bears():
 		next.enter(Ramp, rampShare, now)
 	case p.Phase == Canary:
-		next.Share = c.canaryShare(now, o, w.began, promote, e)
+		next.Share = c.canaryShare(now, o, promote, e)
 	case p.Phase == Ramp && now.Sub(p.Since) >= react && v == Sound:
 		w.busy = now
 		next.enter(Full, 1, now)
@@ -129,7 +129,7 @@
 	}
 	w := c.orders[order]
 	if w == nil {
-		w = &watched{began: now, busy: now}
+		w = &watched{busy: now}
 		c.orders[order] = w
 	}
 	return w
@@ -145,25 +145,28 @@
 }
 
 // promoteAt returns when the target is promoted: so late that even a bad version keeps within the bound if it
-// gets everything from then on, if that leaves time to complete the order, and else as late as that time
-// allows. It gives the canary the longest time to find a version that turns bad.
-func (c *Controller) promoteAt(now sageclock.Instant, o Order, began sageclock.Instant, e Evidence) sageclock.Instant {
-	whole := o.Deadline.Sub(began)
+// gets everything from then on, if that leaves time to complete the order, and else so that the longest usual answers
+// end in time. It gives the canary the longest time to find a version that turns bad.
+func (c *Controller) promoteAt(now sageclock.Instant, o Order, e Evidence) sageclock.Instant {
+	whole := o.Deadline.Sub(o.Given)
 	earliest := time.Duration(canaryPart * float64(whole))
 	at := time.Duration((1 - c.Bounds.Share) * float64(whole))
-	if rate := requestRate(now.Sub(began), e); rate > 0 {
+	if rate := requestRate(now.Sub(o.Given), e); rate > 0 {
 		at -= time.Duration((1 - slackPart) * c.Bounds.Slack / rate * float64(time.Second))
 	}
-	return began.Add(max(earliest, min(at, whole-completeWithin)))
+	if at > whole-completeLeast {
+		at = whole - completeWithin
+	}
+	return o.Given.Add(max(earliest, at))
 }
 
 // canaryShare returns the share at which the canary uses the part of the bound that is left when the ramp
 // and the reaction to a version that turns bad at full share are taken off.
-func (c *Controller) canaryShare(now sageclock.Instant, o Order, began, promote sageclock.Instant, e Evidence) float64 {
-	whole, canary := o.Deadline.Sub(began).Seconds(), promote.Sub(began).Seconds()
+func (c *Controller) canaryShare(now sageclock.Instant, o Order, promote sageclock.Instant, e Evidence) float64 {
+	whole, canary := o.Deadline.Sub(o.Given).Seconds(), promote.Sub(o.Given).Seconds()
 	spent := react.Seconds() * (1 + rampShare)
 	share := max(0, c.Bounds.Share*whole-spent) / max(spent, canary)
-	if rate := requestRate(now.Sub(began), e); rate > 0 {
+	if rate := requestRate(now.Sub(o.Given), e); rate > 0 {
 		share += slackPart * c.Bounds.Slack / max(1, canary) / rate
 	}
 	return min(max(share, leastShare), mostShare)
--- a/pkg/sagerollout/order.go
+++ b/pkg/sagerollout/order.go
@@ -30,15 +30,15 @@
 
 // Order asks that a service's traffic be moved to a version.
 type Order struct {
-	// ID tells orders about the same service from each other, on all nodes alike.
+	// ID distinguishes orders about the same service, on all nodes alike.
 	ID uint64
 	// Name is the order's name in the store.
 	Name    string
 	Service string
 	// Target is the version that the traffic is to be moved to.
 	Target string
-	// Deadline is when the order has to be completed or rolled back, by this node's clock.
-	Deadline sageclock.Instant
+	// Given is when this node first saw the order, Deadline when it has to be completed or rolled back.
+	Given, Deadline sageclock.Instant
 	// Revision is that of the order's object; a status is written under the condition that it holds.
 	Revision uint64
 	// State is what the store shows.
