Responses that announce a leave or ask for no requests are logged and counted

Cause: no line said what an upstream announced in a response, so that the logs of the incident couldn't separate announcements that nobody reads from such that are read and lost.

Nothing is decided by them yet.

--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -13,6 +13,8 @@
 
 	"sagestand.example/sagestand/internal/sageconn"
 	"sagestand.example/sagestand/internal/sageheader"
+	"sagestand.example/sagestand/internal/sagelog"
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagehealth"
 )
 
@@ -173,6 +175,7 @@
 		j.cause = "the address belongs to another upstream"
 		return notRun
 	}
+	x.observeAnnouncements(res.StatusCode, &meta)
 	if meta.NotRun {
 		j.cause = "declined with status " + strconv.Itoa(res.StatusCode)
 		return notRun
@@ -194,6 +197,20 @@
 	return x.forwardPlain(ctx, res, stallTimer)
 }
 
+// observeAnnouncements logs and counts what a response says about its upstream.
+func (x *exchange) observeAnnouncements(status int, meta *ResponseMetadata) {
+	j, u := x.j, x.p.Upstream
+	if meta.Leaving {
+		j.s.countAnnouncement(u.Service, "leaving")
+		j.s.Log.Limited(sagelog.KindStateChange, "Response announces that its upstream leaves.", "id", j.meta.ID, "upstream", u.ID, "status", status)
+	}
+	if meta.RetryAt != 0 {
+		j.s.countAnnouncement(u.Service, "retry_after")
+		j.s.Log.Limited(sagelog.KindStateChange, "Response asks for no requests.", "id", j.meta.ID, "upstream", u.ID, "status", status,
+			"retry_after_ms", meta.RetryAt.Sub(sageclock.Now()).Milliseconds())
+	}
+}
+
 // recordResponse records the result of the response for the upstream and the route.
 func (x *exchange) recordResponse(a ResponseResult) {
 	x.j.s.Fleet.RecordResponse(x.p, x.j.route.Name, a)
--- a/internal/sagerelay/interfaces.go
+++ b/internal/sagerelay/interfaces.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sagestand.example/sagestand/pkg/sagechain"
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagehealth"
 	"sagestand.example/sagestand/pkg/sageroute"
 	"sagestand.example/sagestand/pkg/sageupstream"
@@ -51,6 +52,9 @@
 	Misdirected bool
 	// Leaving is set if the upstream is about to stop.
 	Leaving bool
+	// RetryAt is the time before which the upstream wants no further requests of this node; zero if
+	// it doesn't say.
+	RetryAt sageclock.Instant
 }
 
 // Dialect reads and writes the platform's headers.
--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -204,6 +204,11 @@
 	s.Metrics.GetOrCreateCounter(`sagestand_sends_total{service="` + service + `",verdict="` + v.String() + `"}`).Inc()
 }
 
+// countAnnouncement counts a response that says something about its upstream.
+func (s *Service) countAnnouncement(service, announcement string) {
+	s.Metrics.GetOrCreateCounter(`sagestand_upstream_announcements_total{service="` + service + `",announcement="` + announcement + `"}`).Inc()
+}
+
 // observeDuration records the duration of an answered request.
 func (s *Service) observeDuration(j *job) {
 	s.Metrics.GetOrCreateHistogram(`sagestand_request_duration_seconds{kind="` + string(j.route.Kind) + `"}`).UpdateDuration(j.start)
