An upstream that announces in a response that it leaves gets no further requests

Callers saw: requests sent to upstreams that were about to stop, up to 12.6 s after a response of theirs had said so.

Cause: a node learned that an upstream leaves from its entry in the store only. The upstream's own responses say it too, and nobody read that; with the store out, the entry stays ready until the outage ends.

Change: the relay passes the announcement of any response (success, stream, error, refusal, also one that is dropped) to the registry of upstreams, which keeps it by start (id, address, birth) and shows the start as draining. So picks, the check right before a send, the crash check and the cache sources follow without a case of their own. A response with status 421 says nothing about the upstream that was asked.

--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -197,12 +197,14 @@
 	return x.forwardPlain(ctx, res, stallTimer)
 }
 
-// observeAnnouncements logs and counts what a response says about its upstream.
+// observeAnnouncements records what a response says about its upstream.
 func (x *exchange) observeAnnouncements(status int, meta *ResponseMetadata) {
 	j, u := x.j, x.p.Upstream
 	if meta.Leaving {
 		j.s.countAnnouncement(u.Service, "leaving")
-		j.s.Log.Limited(sagelog.KindStateChange, "Response announces that its upstream leaves.", "id", j.meta.ID, "upstream", u.ID, "status", status)
+		if j.s.Fleet.RecordLeaving(u) {
+			j.s.Log.Limited(sagelog.KindStateChange, "Response announces that its upstream leaves.", "id", j.meta.ID, "upstream", u.ID, "born", u.Born, "status", status)
+		}
 	}
 	if meta.RetryAt != 0 {
 		j.s.countAnnouncement(u.Service, "retry_after")
--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -36,6 +36,7 @@
 	testLast     = "Last-Event-Id"
 	testSeal     = "Test-Seal"
 	testNotRun   = "Test-Not-Run"
+	testLeaving  = "Test-Leaving"
 )
 
 type testDialect struct{}
@@ -68,6 +69,7 @@
 		ID: res.Header.Get(testID), Sealed: res.Header.Get(testSeal) != "",
 		NotRun:      res.Header.Get(testNotRun) != "" || res.StatusCode == http.StatusMisdirectedRequest,
 		Misdirected: res.StatusCode == http.StatusMisdirectedRequest,
+		Leaving:     res.Header.Get(testLeaving) != "",
 	}
 }
 
@@ -95,7 +97,8 @@
 	sent           []*http.Request
 	results        []sagehealth.Result
 	misdirected    []string
-	uncachedTokens []int // UncachedTokens of each stream's first event
+	left           []string // upstreams that announced that they leave
+	uncachedTokens []int    // UncachedTokens of each stream's first event
 	responses      []recordedResponse
 	served         int
 	stopped        []string // upstreams that no longer listen
@@ -129,6 +132,11 @@
 func (f *fakeFleet) Leaving(*sageupstream.Entry) bool { return f.leaving }
 
 func (f *fakeFleet) RecordPrompt(*sageupstream.Entry, sagechain.Chain) {}
+func (f *fakeFleet) RecordLeaving(u *sageupstream.Entry) bool {
+	f.left = append(f.left, u.ID)
+	return true
+}
+
 func (f *fakeFleet) RecordMisdirected(u *sageupstream.Entry) {
 	f.misdirected = append(f.misdirected, u.ID)
 }
--- a/internal/sagerelay/interfaces.go
+++ b/internal/sagerelay/interfaces.go
@@ -161,6 +161,9 @@
 	RecordResponse(p *Pick, route string, a ResponseResult)
 	// RecordPrompt records that an upstream is sent a chain, which will then be in its cache.
 	RecordPrompt(u *sageupstream.Entry, c sagechain.Chain)
+	// RecordLeaving records that this start of an upstream announced that it leaves, and reports whether that is
+	// new. It gets no further requests.
+	RecordLeaving(u *sageupstream.Entry) bool
 	// RecordMisdirected records that the upstream's address now belongs to another one.
 	RecordMisdirected(u *sageupstream.Entry)
 }
--- a/internal/sagerelay/relay_test.go
+++ b/internal/sagerelay/relay_test.go
@@ -246,3 +246,32 @@
 		})
 	}
 }
+
+// An upstream announces that it leaves in whatever it answers, also if the response is dropped. Only a response of
+// another upstream, which has taken over the address, says nothing about it.
+func TestLeaveIsReadFromAnyResponse(t *testing.T) {
+	const leaving = testLeaving + ": 1\r\n"
+	for _, tt := range []struct {
+		name string
+		up   upstream
+		want []string
+	}{
+		{"success", respond(200, sealHeader+leaving, "fine"), []string{"a"}},
+		{"not announced", respond(200, sealHeader, "fine"), nil},
+		{"error", respond(500, sealHeader+leaving, "no"), []string{"a"}},
+		{"declined", respond(503, testNotRun+": 1\r\n"+leaving, ""), []string{"a"}},
+		{"without seal", respond(200, leaving, "who"), []string{"a"}},
+		{"misdirected", respond(421, leaving, ""), nil},
+		{"cut off", func(c net.Conn, r *http.Request) {
+			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n" + testID + ": id1\r\n" + sealHeader + leaving + "Content-Length: 9\r\n\r\nhalf"))
+		}, []string{"a"}},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newFakeFleet(t, testRoute(sageroute.Once), map[string]upstream{"a": tt.up})
+				fleet.call(t.Context(), nil, "body")
+				require.Equal(t, tt.want, fleet.left)
+			})
+		})
+	}
+}
--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -279,6 +279,9 @@
 	f.placer.Record(sageclock.Now(), u.ID, c)
 }
 
+// RecordLeaving implements [sagerelay.Fleet].
+func (f *fleet) RecordLeaving(u *sageupstream.Entry) bool { return f.view.recordLeaving(u) }
+
 // RecordMisdirected implements [sagerelay.Fleet].
 func (f *fleet) RecordMisdirected(u *sageupstream.Entry) {
 	f.health.Record(sageclock.Now(), u.Service, u.ID, sagehealth.Broken)
--- a/internal/sagerouter/view.go
+++ b/internal/sagerouter/view.go
@@ -125,6 +125,7 @@
 	if reachable := v.upstreams.Load().Reachable(sageclock.Now(), e.ID); reachable != nil && (reachable.Born != e.Born || reachable.Address != e.Address) {
 		v.placer.Forget(e.ID) // a new start has an empty cache
 	}
+	e.Draining = e.Draining || v.registry.LeaveAnnounced(&e)
 	if old == nil || old.Draining != e.Draining || (old.ColdUntil == 0) != (e.ColdUntil == 0) {
 		v.log.Info("Upstream.", "upstream", e.ID, "service", e.Service, "address", e.Address, "data_centre", e.DataCentre, "version", e.Version,
 			"draining", e.Draining, "cold", e.ColdUntil != 0, "revision", revision)
@@ -136,6 +137,20 @@
 	v.registry.Put(e)
 }
 
+// recordLeaving applies an upstream's announcement that it leaves, and reports whether it is new.
+func (v *view) recordLeaving(start *sageupstream.Entry) bool {
+	if v.upstreams.Load().LeaveAnnounced(start) {
+		return false
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	if !v.registry.AnnounceLeaving(sageclock.Now(), start) {
+		return false
+	}
+	v.publish()
+	return true
+}
+
 // applyClosed applies changes of the data centres that are out of service.
 func (v *view) applyClosed(changes []sagefollow.Change, _ bool) {
 	v.mu.Lock()
--- a/pkg/sageupstream/registry.go
+++ b/pkg/sageupstream/registry.go
@@ -34,12 +34,20 @@
 	Revision uint64
 	Slots    int
 	Draining bool
+	// LeaveAnnounced is set by the [Registry] if this start of the upstream announced in a response that it leaves.
+	// Draining is set as well.
+	LeaveAnnounced bool
 	// ColdUntil is the time at which the upstream will be warm; zero if it is warm.
 	ColdUntil sageclock.Instant
 	// Born distinguishes the starts of one ID, later ones having greater values; 0 if unknown.
 	Born int64
 }
 
+// sameStart reports whether two entries are of the same start of an upstream.
+func (e *Entry) sameStart(o *Entry) bool {
+	return e.ID == o.ID && e.Address == o.Address && e.Born == o.Born
+}
+
 // Set is an immutable snapshot of the upstreams.
 type Set struct {
 	available         map[string][]*Entry
@@ -79,7 +87,13 @@
 		return false
 	}
 	current, ok := s.byID[e.ID]
-	return ok && current.Address == e.Address && current.Born == e.Born && !current.Draining && !s.closedDataCentres[current.DataCentre] && !s.excluded[current.ID]
+	return ok && current.sameStart(e) && !current.Draining && !s.closedDataCentres[current.DataCentre] && !s.excluded[current.ID]
+}
+
+// LeaveAnnounced reports whether the set already shows that this start of an upstream announced that it leaves.
+func (s *Set) LeaveAnnounced(start *Entry) bool {
+	current := s.Get(start.ID)
+	return current != nil && current.LeaveAnnounced && current.sameStart(start)
 }
 
 // Get returns the entry with the ID, usable or not; nil if there is none.
@@ -118,6 +132,7 @@
 	entries           map[string]*Entry
 	lapsed            map[string]sageclock.Instant // end of the grace period of deleted entries
 	departed          map[string]departedEntry
+	leaving           leavingStarts
 	stopped           []string // not yet returned by TakeStopped
 	closedDataCentres map[string]bool
 	excluded          map[string]bool
@@ -127,15 +142,39 @@
 	hadOutage        bool
 }
 
-// Put adds an entry or replaces the one with the same ID.
+// Put adds an entry or replaces the one with the same ID. A start that announced that it leaves is
+// draining, whatever its entry says.
 func (r *Registry) Put(e Entry) {
 	if r.entries == nil {
 		r.entries = make(map[string]*Entry)
 	}
 	delete(r.lapsed, e.ID)
+	if r.leaving.contains(&e) {
+		e.Draining, e.LeaveAnnounced = true, true
+	}
 	r.entries[e.ID] = &e
 }
 
+// AnnounceLeaving records that a start of an upstream announced in a response that it leaves, and
+// reports whether that changed its entry.
+//
+// The store may not show it: it may be out, or not have accepted the upstream's write. The
+// announcement ends with the start, since a process that leaves doesn't change its mind.
+func (r *Registry) AnnounceLeaving(now sageclock.Instant, start *Entry) bool {
+	r.leaving.add(now, start)
+	current := r.entries[start.ID]
+	if current == nil || !current.sameStart(start) || current.LeaveAnnounced {
+		return false
+	}
+	e := *current // snapshots share the present one
+	e.Draining, e.LeaveAnnounced = true, true
+	r.entries[e.ID] = &e
+	return true
+}
+
+// LeaveAnnounced reports whether this start of an upstream announced that it leaves.
+func (r *Registry) LeaveAnnounced(start *Entry) bool { return r.leaving.contains(start) }
+
 // Delete removes an entry immediately, or after [LapseGrace] if it may have lapsed during a store
 // outage.
 //
@@ -171,6 +210,9 @@
 func (r *Registry) remove(now sageclock.Instant, e *Entry) {
 	delete(r.entries, e.ID)
 	delete(r.lapsed, e.ID)
+	if e.Born == 0 {
+		r.leaving.forget(e) // the next start can't be told from this one
+	}
 	if r.departed == nil {
 		r.departed = make(map[string]departedEntry)
 	}
@@ -229,6 +271,7 @@
 	if r.storeUnreachable {
 		return false
 	}
+	r.leaving.sweep(now, r.entries)
 	dropped := false
 	for id, until := range r.lapsed {
 		if now >= until {
