An upstream that answers 503 with Retry-After gets no requests of that node before its end

Callers saw: refusals (upstream_full) while other engines were idle, since their requests were placed again and again on engines that had asked for seconds without requests, and each decline used up a retry.

Cause: a 503 ended the exchange and nothing more. No result of it was kept: declines are neither recorded as failures nor as load, so that a declining upstream looks healthy and has the least load.

Change: sagebackoff.Tracker keeps the end of the longest pause by start of an upstream (id, address, birth). If all upstreams of a service are paused, the request is refused at once with the end of the first pause and the reason upstreams_paused.

--- a/internal/sageexplain/explain.go
+++ b/internal/sageexplain/explain.go
@@ -101,17 +101,18 @@
 
 // causes maps the reasons in log lines to explanations.
 var causes = map[string]string{
-	"no_config":       "the node had just started and had no configuration",
-	"not_fresh":       "the node had no proof that its configuration was fresh, so it accepted no API key; look for lost contact with the store or the peers before this line",
-	"bad_request":     "the request had no id",
-	"too_large":       "the body was larger than the configuration allows",
-	"no_memory":       "the bodies of other requests used all the memory reserved for bodies",
-	"no_upstream":     "no upstream of the service could be used, or all had declined the request",
-	"upstream_full":   "every upstream that was asked declined the request",
-	"upstream_failed": "the upstream returned an error of its own, which was passed on",
-	"answer_lost":     "an upstream accepted the request and returned no complete response; see the cause of the preceding exchange",
-	"quarantined":     "upstreams had crashed under requests with the same fingerprint; search for it in the log lines of the crashes",
-	"timed_out":       "the upstream was still working or unresponsive at the deadline",
+	"no_config":        "the node had just started and had no configuration",
+	"not_fresh":        "the node had no proof that its configuration was fresh, so it accepted no API key; look for lost contact with the store or the peers before this line",
+	"bad_request":      "the request had no id",
+	"too_large":        "the body was larger than the configuration allows",
+	"no_memory":        "the bodies of other requests used all the memory reserved for bodies",
+	"no_upstream":      "no upstream of the service could be used, or all had declined the request",
+	"upstream_full":    "every upstream that was asked declined the request",
+	"upstreams_paused": "all upstreams of the service had declined requests and asked for none for some time",
+	"upstream_failed":  "the upstream returned an error of its own, which was passed on",
+	"answer_lost":      "an upstream accepted the request and returned no complete response; see the cause of the preceding exchange",
+	"quarantined":      "upstreams had crashed under requests with the same fingerprint; search for it in the log lines of the crashes",
+	"timed_out":        "the upstream was still working or unresponsive at the deadline",
 }
 
 func cause(l *Line) string {
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -206,10 +206,12 @@
 			j.s.Log.Limited(sagelog.KindStateChange, "Response announces that its upstream leaves.", "id", j.meta.ID, "upstream", u.ID, "born", u.Born, "status", status)
 		}
 	}
-	if meta.RetryAt != 0 {
+	if meta.PauseUntil != 0 {
 		j.s.countAnnouncement(u.Service, "retry_after")
-		j.s.Log.Limited(sagelog.KindStateChange, "Response asks for no requests.", "id", j.meta.ID, "upstream", u.ID, "status", status,
-			"retry_after_ms", meta.RetryAt.Sub(sageclock.Now()).Milliseconds())
+		if j.s.Fleet.RecordPause(u, meta.PauseUntil) {
+			j.s.Log.Limited(sagelog.KindStateChange, "Response asks for no requests.", "id", j.meta.ID, "upstream", u.ID, "born", u.Born, "status", status,
+				"retry_after_ms", meta.PauseUntil.Sub(sageclock.Now()).Milliseconds())
+		}
 	}
 }
 
--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -20,7 +20,9 @@
 	"github.com/VictoriaMetrics/metrics"
 
 	"sagestand.example/sagestand/internal/sagelog"
+	"sagestand.example/sagestand/pkg/sagebackoff"
 	"sagestand.example/sagestand/pkg/sagechain"
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagehealth"
 	"sagestand.example/sagestand/pkg/sagequarantine"
 	"sagestand.example/sagestand/pkg/sageroute"
@@ -37,6 +39,7 @@
 	testSeal     = "Test-Seal"
 	testNotRun   = "Test-Not-Run"
 	testLeaving  = "Test-Leaving"
+	testPause    = "Test-Pause"
 )
 
 type testDialect struct{}
@@ -70,9 +73,19 @@
 		NotRun:      res.Header.Get(testNotRun) != "" || res.StatusCode == http.StatusMisdirectedRequest,
 		Misdirected: res.StatusCode == http.StatusMisdirectedRequest,
 		Leaving:     res.Header.Get(testLeaving) != "",
+		PauseUntil:  pauseOf(res),
 	}
 }
 
+// pauseOf returns the end of the pause that a response asks for.
+func pauseOf(res *http.Response) sageclock.Instant {
+	d, err := time.ParseDuration(res.Header.Get(testPause))
+	if err != nil {
+		return 0
+	}
+	return sageclock.Now().Add(d)
+}
+
 func (testDialect) SetRefusalHeader(h http.Header, _ string, retryAfter time.Duration) {
 	if retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
@@ -97,6 +110,8 @@
 	sent           []*http.Request
 	results        []sagehealth.Result
 	misdirected    []string
+	pauses         sagebackoff.Tracker[string]
+	allPausedUntil sageclock.Instant
 	left           []string // upstreams that announced that they leave
 	uncachedTokens []int    // UncachedTokens of each stream's first event
 	responses      []recordedResponse
@@ -137,6 +152,12 @@
 	return true
 }
 
+func (f *fakeFleet) RecordPause(u *sageupstream.Entry, until sageclock.Instant) bool {
+	return f.pauses.Pause(sageclock.Now(), u.ID, until)
+}
+
+func (f *fakeFleet) PausedUntil(string) sageclock.Instant { return f.allPausedUntil }
+
 func (f *fakeFleet) RecordMisdirected(u *sageupstream.Entry) {
 	f.misdirected = append(f.misdirected, u.ID)
 }
--- a/internal/sagerelay/interfaces.go
+++ b/internal/sagerelay/interfaces.go
@@ -52,9 +52,9 @@
 	Misdirected bool
 	// Leaving is set if the upstream is about to stop.
 	Leaving bool
-	// RetryAt is the time before which the upstream wants no further requests of this node; zero if
+	// PauseUntil is the time before which the upstream wants no further requests of this node; zero if
 	// it doesn't say.
-	RetryAt sageclock.Instant
+	PauseUntil sageclock.Instant
 }
 
 // Dialect reads and writes the platform's headers.
@@ -84,6 +84,8 @@
 	NoMemory     Reason = "no_memory"
 	NoUpstream   Reason = "no_upstream"
 	UpstreamFull Reason = "upstream_full"
+	// UpstreamsPaused: all upstreams of the service want no requests for some time.
+	UpstreamsPaused Reason = "upstreams_paused"
 	// UpstreamFailed: the caller gets an error response that an upstream returned.
 	UpstreamFailed Reason = "upstream_failed"
 	AnswerLost     Reason = "answer_lost"
@@ -164,6 +166,12 @@
 	// RecordLeaving records that this start of an upstream announced that it leaves, and reports whether that is
 	// new. It gets no further requests.
 	RecordLeaving(u *sageupstream.Entry) bool
+	// RecordPause records that this start of an upstream wants no requests of this node before a time, and reports
+	// whether that extends its pause.
+	RecordPause(u *sageupstream.Entry, until sageclock.Instant) bool
+	// PausedUntil returns the end of the first pause if all upstreams of the service that could get requests are
+	// paused, otherwise zero.
+	PausedUntil(service string) sageclock.Instant
 	// RecordMisdirected records that the upstream's address now belongs to another one.
 	RecordMisdirected(u *sageupstream.Entry)
 }
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -174,10 +174,23 @@
 	case reason == Quarantined:
 		j.refuseQuarantined()
 	default:
-		j.refuse(http.StatusServiceUnavailable, reason, shortRetryAfter)
+		j.refuseNotRun(reason)
 	}
 }
 
+// refuseNotRun refuses a request that no upstream has executed. If all upstreams are paused, the
+// caller is asked to return when the first pause ends.
+func (j *job) refuseNotRun(reason Reason) {
+	retryAfter := shortRetryAfter
+	if until := j.s.Fleet.PausedUntil(j.serviceName); until != 0 {
+		retryAfter = max(0, until.Sub(sageclock.Now())).Truncate(time.Millisecond) + time.Millisecond
+		if reason == NoUpstream || reason == UpstreamFull {
+			reason = UpstreamsPaused
+		}
+	}
+	j.refuse(http.StatusServiceUnavailable, reason, retryAfter)
+}
+
 func (j *job) logGivenUp(reason Reason) {
 	j.s.Log.Limited(sagelog.KindAbandoned, "Request given up.", "id", j.meta.ID, "reason", string(reason), "route", j.route.Name, "service", j.serviceName,
 		"sends", j.sends, "runs", j.possibleRuns, "cause", j.cause, "fingerprint", j.fingerprint().String(), "config_version", j.version, "age_ms", time.Since(j.start).Milliseconds())
--- a/internal/sagerelay/relay_test.go
+++ b/internal/sagerelay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"testing/synctest"
@@ -11,6 +12,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sageroute"
 )
 
@@ -275,3 +277,41 @@
 		})
 	}
 }
+
+// A pause must be known before the request is sent to another upstream, and a response of another upstream says
+// nothing about the one that was asked.
+func TestPauseIsReadFromAnyResponse(t *testing.T) {
+	const pause = testPause + ": 1m\r\n"
+	for _, tt := range []struct {
+		name   string
+		up     upstream
+		paused bool
+	}{
+		{"declined", respond(503, testNotRun+": 1\r\n"+pause, ""), true},
+		{"error", respond(503, sealHeader+pause, "no"), true},
+		{"without seal", respond(503, pause, "who"), true},
+		{"misdirected", respond(421, pause, ""), false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				fleet := newFakeFleet(t, testRoute(sageroute.Idempotent), map[string]upstream{"a": tt.up, "b": respond(200, sealHeader, "fine")})
+				require.Equal(t, 200, fleet.call(t.Context(), nil, "body").Code)
+				require.Equal(t, tt.paused, fleet.pauses.PausedUntil(sageclock.Now(), "a") != 0)
+			})
+		})
+	}
+}
+
+// All upstreams are paused. The caller must be refused at once, and not be asked to return before the first pause ends.
+func TestRefusalNamesEndOfFirstPause(t *testing.T) {
+	fleet := newFakeFleet(t, testRoute(sageroute.Once), map[string]upstream{})
+	fleet.allPausedUntil = sageclock.Now().Add(time.Minute)
+	out := fleet.call(t.Context(), nil, "body")
+	require.Equal(t, 503, out.Code)
+	require.Equal(t, `{"reason":"upstreams_paused"}`, out.Body.String())
+	seconds, err := strconv.ParseFloat(out.Header().Get("Retry-After"), 64)
+	require.NoError(t, err)
+	require.GreaterOrEqual(t, sageclock.Now().Add(time.Duration(seconds*float64(time.Second))), fleet.allPausedUntil)
+	require.LessOrEqual(t, seconds, 60.001)
+	require.Empty(t, fleet.sent)
+}
--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -9,6 +9,7 @@
 
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/internal/sagerelay"
+	"sagestand.example/sagestand/pkg/sagebackoff"
 	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sageflight"
@@ -37,6 +38,7 @@
 	inFlight    sageflight.Counter
 	brokenNodes sageflight.Counter // number of nodes whose own exchanges broke
 	health      sagehealth.Tracker
+	pauses      sagebackoff.Tracker[sageupstream.Start]
 	latencies   latencyEstimates
 	// rollouts is nil if rollouts are disabled. rolloutAnswers counts their responses by [sagerollout.CountKey].
 	rollouts         *sagerollout.Tracker
@@ -74,7 +76,9 @@
 func (f *fleet) ProofAge() time.Duration { return f.keyProof.Age(sageclock.Now()) }
 
 // Usable implements [sagerelay.Fleet].
-func (f *fleet) Usable(u *sageupstream.Entry) bool { return f.view.upstreams.Load().Usable(u) }
+func (f *fleet) Usable(u *sageupstream.Entry) bool {
+	return f.view.upstreams.Load().Usable(u) && f.pauses.PausedUntil(sageclock.Now(), u.Start()) == 0
+}
 
 // Leaving implements [sagerelay.Fleet].
 func (f *fleet) Leaving(u *sageupstream.Entry) bool {
@@ -101,12 +105,13 @@
 // pickFromArm chooses among the upstreams that the arm may use, or returns nil.
 //
 // It prefers warm and healthy upstreams, then those that failed recently, then cold ones, which are limited to
-// this node's share of their capacity.
+// this node's share of their capacity. Paused ones get nothing, even if no other is left.
 func (f *fleet) pickFromArm(now sageclock.Instant, set *sageupstream.Set, arm sagerollout.Arm, q *sagerelay.Query) *sagerelay.Pick {
 	var warm, failing, cold []*sageupstream.Entry
 	for _, e := range f.armUpstreams(set, q.Service, arm) {
 		switch {
 		case slices.Contains(q.Tried, e.ID):
+		case f.pauses.PausedUntil(now, e.Start()) != 0:
 		case e.ColdUntil > now:
 			cold = append(cold, e)
 		case f.health.Avoid(now, q.Service, e.ID):
@@ -282,6 +287,27 @@
 // RecordLeaving implements [sagerelay.Fleet].
 func (f *fleet) RecordLeaving(u *sageupstream.Entry) bool { return f.view.recordLeaving(u) }
 
+// RecordPause implements [sagerelay.Fleet].
+func (f *fleet) RecordPause(u *sageupstream.Entry, until sageclock.Instant) bool {
+	return f.pauses.Pause(sageclock.Now(), u.Start(), until)
+}
+
+// PausedUntil implements [sagerelay.Fleet].
+func (f *fleet) PausedUntil(service string) sageclock.Instant {
+	now := sageclock.Now()
+	var first sageclock.Instant
+	for _, e := range f.view.upstreams.Load().Available(service) {
+		until := f.pauses.PausedUntil(now, e.Start())
+		if until == 0 {
+			return 0
+		}
+		if first == 0 || until < first {
+			first = until
+		}
+	}
+	return first
+}
+
 // RecordMisdirected implements [sagerelay.Fleet].
 func (f *fleet) RecordMisdirected(u *sageupstream.Entry) {
 	f.health.Record(sageclock.Now(), u.Service, u.ID, sagehealth.Broken)
--- a/internal/sagerouter/fleet_test.go
+++ b/internal/sagerouter/fleet_test.go
@@ -128,3 +128,27 @@
 		f.Pick(&sagerelay.Query{Service: "s", Chain: chain(i % 200)}).Done()
 	}
 }
+
+// An upstream that asked for a pause must get nothing before its end, even if no other is left, neither by a new pick
+// nor by one made before. A new start of it is not paused.
+func TestPausedUpstreamGetsNothing(t *testing.T) {
+	f := newFleet(t, 2, 0)
+	picked := f.Pick(&sagerelay.Query{Service: "s", Tried: []string{"u1"}}).Upstream
+	require.True(t, f.Usable(picked))
+	until := sageclock.Now().Add(time.Minute)
+	require.True(t, f.RecordPause(picked, until))
+	require.False(t, f.Usable(picked))
+	require.Nil(t, f.Pick(&sagerelay.Query{Service: "s", Tried: []string{"u1"}}))
+	require.Equal(t, "u1", f.Pick(&sagerelay.Query{Service: "s"}).Upstream.ID)
+	require.Zero(t, f.PausedUntil("s"), "u1 takes requests")
+	f.RecordPause(f.view.upstreams.Load().Get("u1"), until.Add(time.Second))
+	require.Nil(t, f.Pick(&sagerelay.Query{Service: "s"}))
+	require.Equal(t, until, f.PausedUntil("s"))
+	require.Zero(t, f.PausedUntil("none"))
+
+	restarted := *picked
+	restarted.Born++
+	f.view.registry.Put(restarted)
+	f.view.publish()
+	require.Equal(t, "u0", f.Pick(&sagerelay.Query{Service: "s"}).Upstream.ID)
+}
--- a/internal/sagerouter/gauges.go
+++ b/internal/sagerouter/gauges.go
@@ -26,6 +26,7 @@
 	n.metrics.NewGauge(`sagestand_heartbeat_bytes_total{direction="out"}`, func() float64 { out, _ := n.mesh.Bytes(); return float64(out) })
 	n.metrics.NewGauge(`sagestand_heartbeat_bytes_total{direction="in"}`, func() float64 { _, in := n.mesh.Bytes(); return float64(in) })
 	n.metrics.NewGauge("sagestand_upstreams_known", func() float64 { return float64(n.view.upstreams.Load().Len()) })
+	n.metrics.NewGauge("sagestand_upstreams_paused", func() float64 { return float64(n.fleet.pauses.Len(sageclock.Now())) })
 	n.metrics.NewGauge("sagestand_ready", func() float64 {
 		if n.Ready() {
 			return 1
--- a/pkg/sageupstream/leaving.go
+++ b/pkg/sageupstream/leaving.go
@@ -13,42 +13,34 @@
 // maxUnlistedLeaving limits the announcements of starts that aren't listed.
 const maxUnlistedLeaving = 4096
 
-// startKey identifies a start of an upstream.
-type startKey struct {
-	id, address string
-	born        int64
-}
-
-func startKeyOf(e *Entry) startKey { return startKey{e.ID, e.Address, e.Born} }
-
 // leavingStarts holds the starts of upstreams that announced that they leave, each with the time at which it was last
 // listed.
 type leavingStarts struct {
-	lastListed map[startKey]sageclock.Instant
+	lastListed map[Start]sageclock.Instant
 }
 
 func (l *leavingStarts) add(now sageclock.Instant, e *Entry) {
 	if l.lastListed == nil {
-		l.lastListed = make(map[startKey]sageclock.Instant)
+		l.lastListed = make(map[Start]sageclock.Instant)
 	}
-	l.lastListed[startKeyOf(e)] = now
+	l.lastListed[e.Start()] = now
 }
 
 func (l *leavingStarts) contains(e *Entry) bool {
-	_, ok := l.lastListed[startKeyOf(e)]
+	_, ok := l.lastListed[e.Start()]
 	return ok
 }
 
-func (l *leavingStarts) forget(e *Entry) { delete(l.lastListed, startKeyOf(e)) }
+func (l *leavingStarts) forget(e *Entry) { delete(l.lastListed, e.Start()) }
 
 // sweep drops the announcements of starts that have not been among the listed entries for leavingRetention, and the
 // oldest ones above maxUnlistedLeaving.
 func (l *leavingStarts) sweep(now sageclock.Instant, listed map[string]*Entry) {
 	unlisted := 0
 	for k, at := range l.lastListed {
-		e := listed[k.id]
+		e := listed[k.ID]
 		switch {
-		case e != nil && startKeyOf(e) == k:
+		case e != nil && e.Start() == k:
 			l.lastListed[k] = now
 		case now.Sub(at) >= leavingRetention:
 			delete(l.lastListed, k)
@@ -62,10 +54,10 @@
 }
 
 func (l *leavingStarts) dropOldest(listed map[string]*Entry) {
-	var oldest startKey
+	var oldest Start
 	found := false
 	for k, at := range l.lastListed {
-		if e := listed[k.id]; e != nil && startKeyOf(e) == k {
+		if e := listed[k.ID]; e != nil && e.Start() == k {
 			continue
 		}
 		if !found || at < l.lastListed[oldest] {
--- a/pkg/sageupstream/registry.go
+++ b/pkg/sageupstream/registry.go
@@ -43,11 +43,15 @@
 	Born int64
 }
 
-// sameStart reports whether two entries are of the same start of an upstream.
-func (e *Entry) sameStart(o *Entry) bool {
-	return e.ID == o.ID && e.Address == o.Address && e.Born == o.Born
+// Start identifies one start of an upstream. What an upstream says of itself ends with its start.
+type Start struct {
+	ID, Address string
+	Born        int64
 }
 
+// Start returns the start that the entry describes.
+func (e *Entry) Start() Start { return Start{e.ID, e.Address, e.Born} }
+
 // Set is an immutable snapshot of the upstreams.
 type Set struct {
 	available         map[string][]*Entry
@@ -87,13 +91,13 @@
 		return false
 	}
 	current, ok := s.byID[e.ID]
-	return ok && current.sameStart(e) && !current.Draining && !s.closedDataCentres[current.DataCentre] && !s.excluded[current.ID]
+	return ok && current.Start() == e.Start() && !current.Draining && !s.closedDataCentres[current.DataCentre] && !s.excluded[current.ID]
 }
 
 // LeaveAnnounced reports whether the set already shows that this start of an upstream announced that it leaves.
 func (s *Set) LeaveAnnounced(start *Entry) bool {
 	current := s.Get(start.ID)
-	return current != nil && current.LeaveAnnounced && current.sameStart(start)
+	return current != nil && current.LeaveAnnounced && current.Start() == start.Start()
 }
 
 // Get returns the entry with the ID, usable or not; nil if there is none.
@@ -163,7 +167,7 @@
 func (r *Registry) AnnounceLeaving(now sageclock.Instant, start *Entry) bool {
 	r.leaving.add(now, start)
 	current := r.entries[start.ID]
-	if current == nil || !current.sameStart(start) || current.LeaveAnnounced {
+	if current == nil || current.Start() != start.Start() || current.LeaveAnnounced {
 		return false
 	}
 	e := *current // snapshots share the present one
