A node backs off from upstreams that decline without saying for how long

Callers saw: with two of six upstreams answering 503 at once, half or more of the requests were refused (upstream_full) while four upstreams were idle.

A declining upstream has no requests in flight, so that least_loaded prefers it and it holds its place in the order of prompts; each request that it declines takes one of the few retries, and when those are used up the request is refused.

Change: sagebackoff.Declines. Then one trial is sent, if the trials of the last window have used less than half of the node's retries. An accepted request ends it. It stays a preference: with no other upstream left, the declining ones are asked.

--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -177,6 +177,9 @@
 	}
 	x.observeAnnouncements(res.StatusCode, &meta)
 	if meta.NotRun {
+		if isOverload(res.StatusCode) && meta.PauseUntil == 0 {
+			j.s.Fleet.RecordDecline(x.p.Upstream)
+		}
 		j.cause = "declined with status " + strconv.Itoa(res.StatusCode)
 		return notRun
 	}
@@ -184,6 +187,7 @@
 		// A late response to an earlier request on this connection, or unrelated data.
 		return x.rejectResponse("response has the id of another request or no seal")
 	}
+	j.s.Fleet.RecordAccept(x.p.Upstream)
 	if res.StatusCode >= http.StatusInternalServerError {
 		return x.handleFailure(ctx, res, stallTimer)
 	}
@@ -197,6 +201,11 @@
 	return x.forwardPlain(ctx, res, stallTimer)
 }
 
+// isOverload reports whether a status says that the upstream has too much to do.
+func isOverload(status int) bool {
+	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
+}
+
 // observeAnnouncements records what a response says about its upstream.
 func (x *exchange) observeAnnouncements(status int, meta *ResponseMetadata) {
 	j, u := x.j, x.p.Upstream
--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -110,7 +110,9 @@
 	sent           []*http.Request
 	results        []sagehealth.Result
 	misdirected    []string
-	pauses         sagebackoff.Tracker[string]
+	accepted       []string
+	declined       []string // upstreams that declined a request without asking for a pause
+	pauses         sagebackoff.Pauses[string]
 	allPausedUntil sageclock.Instant
 	left           []string // upstreams that announced that they leave
 	uncachedTokens []int    // UncachedTokens of each stream's first event
@@ -152,6 +154,10 @@
 	return true
 }
 
+func (f *fakeFleet) RecordDecline(u *sageupstream.Entry) { f.declined = append(f.declined, u.ID) }
+
+func (f *fakeFleet) RecordAccept(u *sageupstream.Entry) { f.accepted = append(f.accepted, u.ID) }
+
 func (f *fakeFleet) RecordPause(u *sageupstream.Entry, until sageclock.Instant) bool {
 	return f.pauses.Pause(sageclock.Now(), u.ID, until)
 }
--- a/internal/sagerelay/interfaces.go
+++ b/internal/sagerelay/interfaces.go
@@ -166,6 +166,10 @@
 	// RecordLeaving records that this start of an upstream announced that it leaves, and reports whether that is
 	// new. It gets no further requests.
 	RecordLeaving(u *sageupstream.Entry) bool
+	// RecordDecline records that an upstream declined a request because of its load.
+	RecordDecline(u *sageupstream.Entry)
+	// RecordAccept records that an upstream accepted a request.
+	RecordAccept(u *sageupstream.Entry)
 	// RecordPause records that this start of an upstream wants no requests of this node before a time, and reports
 	// whether that extends its pause.
 	RecordPause(u *sageupstream.Entry, until sageclock.Instant) bool
--- a/internal/sagerelay/relay_test.go
+++ b/internal/sagerelay/relay_test.go
@@ -283,19 +283,24 @@
 func TestPauseIsReadFromAnyResponse(t *testing.T) {
 	const pause = testPause + ": 1m\r\n"
 	for _, tt := range []struct {
-		name   string
-		up     upstream
-		paused bool
+		name     string
+		up       upstream
+		paused   bool
+		declined []string
 	}{
-		{"declined", respond(503, testNotRun+": 1\r\n"+pause, ""), true},
-		{"error", respond(503, sealHeader+pause, "no"), true},
-		{"without seal", respond(503, pause, "who"), true},
-		{"misdirected", respond(421, pause, ""), false},
+		{"declined", respond(503, testNotRun+": 1\r\n"+pause, ""), true, nil},
+		{"declined without a pause", respond(503, testNotRun+": 1\r\n", ""), false, []string{"a"}},
+		{"declined because of a rate limit", respond(429, testNotRun+": 1\r\n", ""), false, []string{"a"}},
+		{"declined because of the request", respond(400, testNotRun+": 1\r\n", ""), false, nil},
+		{"error", respond(503, sealHeader+pause, "no"), true, nil},
+		{"without seal", respond(503, pause, "who"), true, nil},
+		{"misdirected", respond(421, pause, ""), false, nil},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				fleet := newFakeFleet(t, testRoute(sageroute.Idempotent), map[string]upstream{"a": tt.up, "b": respond(200, sealHeader, "fine")})
 				require.Equal(t, 200, fleet.call(t.Context(), nil, "body").Code)
+				require.Equal(t, tt.declined, fleet.declined)
 				require.Equal(t, tt.paused, fleet.pauses.PausedUntil(sageclock.Now(), "a") != 0)
 			})
 		})
--- /dev/null
+++ b/internal/sagerouter/declines.go
@@ -0,0 +1,41 @@
+package sagerouter
+
+import (
+	"sagestand.example/sagestand/pkg/sagebackoff"
+	"sagestand.example/sagestand/pkg/sageclock"
+	"sagestand.example/sagestand/pkg/sageupstream"
+)
+
+// declines holds the back-off from declining upstreams of all services.
+type declines struct {
+	services byService[sagebackoff.Declines[sageupstream.Start]]
+}
+
+func (d *declines) of(service string) *sagebackoff.Declines[sageupstream.Start] {
+	return d.services.get(service, func() *sagebackoff.Declines[sageupstream.Start] {
+		return new(sagebackoff.Declines[sageupstream.Start])
+	})
+}
+
+// RecordDecline implements [sagerelay.Fleet].
+func (f *fleet) RecordDecline(u *sageupstream.Entry) {
+	f.declines.of(u.Service).RecordDecline(sageclock.Now(), u.Start())
+}
+
+// RecordAccept implements [sagerelay.Fleet].
+func (f *fleet) RecordAccept(u *sageupstream.Entry) { f.declines.of(u.Service).RecordAccept(u.Start()) }
+
+// backsOff reports whether other upstreams should be preferred to one that has declined requests. Its next request is
+// a trial, which has to leave retries for other failures.
+func (f *fleet) backsOff(now sageclock.Instant, e *sageupstream.Entry) bool {
+	switch f.declines.of(e.Service).State(now, e.Start()) {
+	case sagebackoff.BackingOff:
+		return true
+	case sagebackoff.TrialDue:
+		nodes := len(f.knownNodes())
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return !f.retryLimiter.AllowTrial(now, e.Service, nodes)
+	}
+	return false
+}
--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -38,7 +38,8 @@
 	inFlight    sageflight.Counter
 	brokenNodes sageflight.Counter // number of nodes whose own exchanges broke
 	health      sagehealth.Tracker
-	pauses      sagebackoff.Tracker[sageupstream.Start]
+	pauses      sagebackoff.Pauses[sageupstream.Start]
+	declines    declines
 	latencies   latencyEstimates
 	// rollouts is nil if rollouts are disabled. rolloutAnswers counts their responses by [sagerollout.CountKey].
 	rollouts         *sagerollout.Tracker
@@ -104,10 +105,10 @@
 
 // pickFromArm chooses among the upstreams that the arm may use, or returns nil.
 //
-// It prefers warm and healthy upstreams, then those that failed recently, then cold ones, which are limited to
+// It prefers warm and healthy upstreams, then those that declined requests, then those that failed recently, then cold ones, which are limited to
 // this node's share of their capacity. Paused ones get nothing, even if no other is left.
 func (f *fleet) pickFromArm(now sageclock.Instant, set *sageupstream.Set, arm sagerollout.Arm, q *sagerelay.Query) *sagerelay.Pick {
-	var warm, failing, cold []*sageupstream.Entry
+	var warm, declining, failing, cold []*sageupstream.Entry
 	for _, e := range f.armUpstreams(set, q.Service, arm) {
 		switch {
 		case slices.Contains(q.Tried, e.ID):
@@ -116,11 +117,16 @@
 			cold = append(cold, e)
 		case f.health.Avoid(now, q.Service, e.ID):
 			failing = append(failing, e)
+		case f.backsOff(now, e):
+			declining = append(declining, e)
 		default:
 			warm = append(warm, e)
 		}
 	}
 	loads := f.inFlight.Sum(now)
+	if len(warm) == 0 {
+		warm = declining
+	}
 	if len(warm) == 0 {
 		warm = failing
 	}
@@ -181,6 +187,7 @@
 }
 
 func (f *fleet) newPick(set *sageupstream.Set, e *sageupstream.Entry, c sagechain.Choice, loads map[string]int, q *sagerelay.Query) *sagerelay.Pick {
+	f.declines.of(e.Service).BeginTrial(sageclock.Now(), e.Start())
 	p := &sagerelay.Pick{
 		Upstream: e, Rule: string(c.Reason), Load: loads[e.ID], UncachedTokens: q.Chain.Tokens() - max(c.HeldTokens, c.CopyTokens), Done: f.inFlight.Start(e.ID),
 	}
--- a/internal/sagerouter/latency.go
+++ b/internal/sagerouter/latency.go
@@ -1,7 +1,6 @@
 package sagerouter
 
 import (
-	"sync"
 	"time"
 
 	"sagestand.example/sagestand/pkg/sagepace"
@@ -32,23 +31,14 @@
 // Fixed values don't fit all engines: a service time of one second where exchanges take three makes the load bound
 // too low, and on engines with slow prefill requests would be abandoned before the prompt is processed.
 type latencyEstimates struct {
-	mu       sync.Mutex
-	services map[string]*serviceLatency
+	services byService[serviceLatency]
 }
 
 func (l *latencyEstimates) of(service string) *serviceLatency {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if l.services == nil {
-		l.services = make(map[string]*serviceLatency)
-	}
-	s := l.services[service]
-	if s == nil {
-		s = &serviceLatency{
+	return l.services.get(service, func() *serviceLatency {
+		return &serviceLatency{
 			serviceTime: sagepace.Mean{Initial: initialServiceTime, Max: maxSampleTime},
 			prefill:     sagepace.Line{InitialSlope: initialPrefillPerToken, TypicalSize: typicalPromptTokens, Max: maxSampleTime},
 		}
-		l.services[service] = s
-	}
-	return s
+	})
 }
--- a/pkg/sageshare/retries.go
+++ b/pkg/sageshare/retries.go
@@ -13,6 +13,9 @@
 	slackFraction = 0.7
 )
 
+// trialFraction is the fraction of a node's retries that trials may use.
+const trialFraction = 0.5
+
 // windowBuckets is the number of buckets into which the window of a [RetryLimiter] is divided.
 const windowBuckets = 20
 
@@ -39,15 +42,26 @@
 // known nodes, including this one.
 func (r *RetryLimiter) Allow(now sageclock.Instant, service string, nodes int) bool {
 	w := r.currentWindow(now, service)
-	first, retries := w.totals()
-	limit := ratioFraction*r.Ratio*float64(first) + slackFraction*r.Slack/float64(max(1, nodes))
-	if float64(retries+1) > limit {
+	if used, limit := r.usage(w, nodes); used+1 > limit {
 		return false
 	}
 	w.retries[0]++
 	return true
 }
 
+// AllowTrial reports whether a request may be sent to an upstream that will probably decline it, which
+// takes a retry. Half of the retries are left for other failures.
+func (r *RetryLimiter) AllowTrial(now sageclock.Instant, service string, nodes int) bool {
+	used, limit := r.usage(r.currentWindow(now, service), nodes)
+	return used+1 <= limit*trialFraction
+}
+
+// usage returns the number of retries in the window and its limit.
+func (r *RetryLimiter) usage(w *sendWindow, nodes int) (used, limit float64) {
+	first, retries := w.totals()
+	return float64(retries), ratioFraction*r.Ratio*float64(first) + slackFraction*r.Slack/float64(max(1, nodes))
+}
+
 func (r *RetryLimiter) currentWindow(now sageclock.Instant, service string) *sendWindow {
 	if r.services == nil {
 		r.services = make(map[string]*sendWindow)
