serve: an upstream that refuses with Retry-After gets no requests before its end; the soak checks announcements

Cause: sagedispatch read whole seconds of Retry-After into the result, which went to the caller's refusal only; placement chose the same upstream again for the next request. Fractions of a second were dropped.

Change: sageplacement keeps a pause by upstream and boot id (sagebackoff.Pauses), leaves paused upstreams out, and refuses at once with the end of the first pause if all of a set are paused. Fractions are read, senseless values ignored.

The soak: a declining upstream asks for no, 0.8, 2 or 3.5 s, half of the drains are announced in responses only, and the ledger checks both rules by node; a restart or freeze of the node and a broken path to the upstream excuse it. Other faults of a seed stay, the new draws come from a stream of their own.

Measured: TestUpstreamGetsNothingBeforeRetryAfter and TestRefusedUntilFirstUpstreamWantsRequests fail on the code before and pass now.

--- a/internal/sagedispatch/dispatcher.go
+++ b/internal/sagedispatch/dispatcher.go
@@ -245,10 +245,15 @@
 	return refused && res.Header.Get(sagewire.HeaderNotRun) == "true"
 }
 
+// maxRetryAfter limits the pause that an upstream may ask for.
+const maxRetryAfter = 24 * time.Hour
+
+// parseRetryAfter returns the end of the pause that an upstream asks for, in seconds or a fraction of them, or the zero
+// time if there is no valid one.
 func parseRetryAfter(h http.Header, now time.Time) time.Time {
-	s, err := strconv.Atoi(h.Get("Retry-After"))
-	if err != nil || s < 0 {
+	s, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
+	if err != nil || !(s >= 0) {
 		return time.Time{}
 	}
-	return now.Add(time.Duration(s) * time.Second)
+	return now.Add(time.Duration(min(s, maxRetryAfter.Seconds()) * float64(time.Second)))
 }
--- a/internal/sagedispatch/dispatcher_test.go
+++ b/internal/sagedispatch/dispatcher_test.go
@@ -261,3 +261,13 @@
 	require.NotNil(t, res.Response)
 	assert.Equal(t, "booked", string(res.Response.Body))
 }
+
+// A pause of a fraction of a second must be understood, and a senseless one must not keep an upstream out of use.
+func TestRetryAfterOfUpstream(t *testing.T) {
+	now := time.Now()
+	for value, want := range map[string]time.Time{
+		"": {}, "2": now.Add(2 * time.Second), "0.25": now.Add(250 * time.Millisecond), "-1": {}, "soon": {}, "NaN": {}, "1e300": now.Add(maxRetryAfter),
+	} {
+		require.Equal(t, want, parseRetryAfter(http.Header{"Retry-After": {value}}, now), value)
+	}
+}
--- a/internal/sageplacement/group.go
+++ b/internal/sageplacement/group.go
@@ -31,6 +31,7 @@
 	table       *sageplace.Table
 	upstreams   []*sageconfig.Upstream
 	loads       *sageplace.Loads
+	boots       []string // boot ids of the upstreams when the loads were read
 	loadsReadAt time.Time
 	lastUse     uint64
 	// releasesAtRead is Service.releases at the time the loads were read.
@@ -54,7 +55,7 @@
 		ups = append(ups, sageplace.Upstream{Name: name, Weight: u.MaxInFlight})
 		g.upstreams = append(g.upstreams, u)
 	}
-	g.table, g.loads = sageplace.NewTable(ups), sageplace.NewLoads(len(ups))
+	g.table, g.loads, g.boots = sageplace.NewTable(ups), sageplace.NewLoads(len(ups)), make([]string, len(ups))
 	return g
 }
 
@@ -102,6 +103,7 @@
 	g.loadsReadAt, g.releasesAtRead = now, releases
 	g.loads.Refresh(func(i int) sageplace.Load {
 		v := load.View(g.table.Upstreams[i].Name)
+		g.boots[i] = v.BootID
 		return sageplace.Load{
 			InFlight: v.InFlight, Cap: v.Cap, Free: v.Free, Known: v.Known, CacheGeneration: cacheGeneration(v),
 		}
--- /dev/null
+++ b/internal/sageplacement/pause_test.go
@@ -0,0 +1,59 @@
+package sageplacement
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sagestand.example/sagestand/internal/sagedispatch"
+	"sagestand.example/sagestand/pkg/sagewire"
+)
+
+func refusedFor(d time.Duration) *sagedispatch.Result {
+	return &sagedispatch.Result{Outcome: sagewire.NotRun, Reason: sagewire.ReasonUpstreamRefused, RetryAt: time.Now().Add(d)}
+}
+
+// refuse places chats until every upstream in pauses was picked, and releases each with a refusal for that time.
+func refuse(t *testing.T, s *Service, pauses map[string]time.Duration) {
+	t.Helper()
+	var tried []string
+	for {
+		p, ref := s.Pick(context.Background(), chat("a", "m", "x"), tried)
+		if ref != nil {
+			return
+		}
+		tried = append(tried, p.Upstream)
+		if d, ok := pauses[p.Upstream]; ok {
+			p.Release(refusedFor(d))
+		} else {
+			p.Release(&sagedispatch.Result{Outcome: sagewire.Complete})
+		}
+	}
+}
+
+// An upstream refused a request and said when it wants the next one. It must get none before, neither chats nor calls
+// with another preference, and the refusal must not outlive its end.
+func TestUpstreamGetsNothingBeforeRetryAfter(t *testing.T) {
+	s, _, _ := testService()
+	refuse(t, s, map[string]time.Duration{"d1": time.Hour})
+	require.Equal(t, nameSet("d2", "l1"), pickedUpstreams(t, s, "a", "m"))
+
+	s, _, _ = testService()
+	refuse(t, s, map[string]time.Duration{"d1": time.Nanosecond})
+	time.Sleep(time.Millisecond)
+	require.Equal(t, nameSet("d1", "d2", "l1"), pickedUpstreams(t, s, "a", "m"))
+}
+
+// All upstreams asked for a pause. Callers must be refused at once and learn when the first one ends.
+func TestRefusedUntilFirstUpstreamWantsRequests(t *testing.T) {
+	s, _, _ := testService()
+	refuse(t, s, map[string]time.Duration{"d1": time.Hour, "d2": time.Minute, "l1": time.Hour})
+	p, ref := s.Pick(context.Background(), chat("a", "m", "y"), nil)
+	require.Nil(t, p)
+	require.Equal(t, sagewire.ReasonOverloaded, ref.Reason)
+	require.Equal(t, sagewire.NotRun, ref.Outcome)
+	require.Greater(t, time.Until(ref.RetryAt), 50*time.Second)
+	require.Less(t, time.Until(ref.RetryAt), time.Minute+minRetryAfter)
+}
--- a/internal/sageplacement/service.go
+++ b/internal/sageplacement/service.go
@@ -10,6 +10,7 @@
 
 	"sagestand.example/sagestand/internal/sagedispatch"
 	"sagestand.example/sagestand/internal/sageentry"
+	"sagestand.example/sagestand/pkg/sagebackoff"
 	"sagestand.example/sagestand/pkg/sageconfig"
 	"sagestand.example/sagestand/pkg/sageplace"
 	"sagestand.example/sagestand/pkg/sagewire"
@@ -54,6 +55,7 @@
 	releases  uint64 // units released so far
 	placer    *sageplace.Placer[*sageplace.WidthByLoad]
 	locations *sageplace.PrefixLocations
+	pauses    sagebackoff.Pauses[upstreamBoot]
 }
 
 // Pick implements [sageentry.Placement]. It waits for a unit while an upstream has spare capacity for which this
@@ -90,7 +92,11 @@
 	g := s.group(state, key)
 	g.refresh(now, s.Load, s.releases)
 	q := s.query(now, r, key)
-	q.Tried = g.indexes(tried)
+	paused, firstEnd := s.pausedUpstreams(g)
+	if len(paused) > 0 && len(paused) == len(g.upstreams) {
+		return nil, pausedRefusal(now, r, firstEnd), false
+	}
+	q.Tried = append(g.indexes(tried), paused...)
 	if c := s.preferredWithoutUnit(now, g, q); c.Index >= 0 {
 		name := g.table.Upstreams[c.Index].Name
 		if s.Load.Acquire(name, now) {
@@ -254,8 +260,14 @@
 	if p.Engine {
 		p.PlacementToken = s.TokenSigner.Sign(r.Account, r.ChatID, location, now.Add(s.TokenTTL))
 	}
+	boot := g.bootOf(i)
 	var once sync.Once
-	p.Release = func(res *sagedispatch.Result) { once.Do(func() { s.release(r, g, i, location, res) }) }
+	p.Release = func(res *sagedispatch.Result) {
+		once.Do(func() {
+			s.recordPause(time.Now(), boot, res)
+			s.release(r, g, i, location, res)
+		})
+	}
 	return p
 }
 
@@ -279,8 +291,7 @@
 // sent for the attempt. Retry times are spread by request id, and are later for less urgent requests.
 func newRefusal(now time.Time, r *sageentry.Request, g *group, allTried bool) *sagewire.Refusal {
 	wait := minRetryAfter * time.Duration(1+2*int(r.Priority))
-	wait += time.Duration(sageplace.Key(r.ID) % uint64(wait))
-	at := now.Add(wait)
+	at := now.Add(wait + spreadByID(r, wait))
 	switch {
 	case len(g.upstreams) == 0:
 		return sagewire.Refuse(sagewire.ReasonNoUpstream, "no upstream of the set is in service for this route", at)
@@ -290,6 +301,11 @@
 	return sagewire.Refuse(sagewire.ReasonOverloaded, "every upstream of the set is at its bound", at)
 }
 
+// spreadByID returns a time below limit that depends on the request id.
+func spreadByID(r *sageentry.Request, limit time.Duration) time.Duration {
+	return time.Duration(sageplace.Key(r.ID) % uint64(limit))
+}
+
 // ruleNames holds the value of the metric label "rule" for each reason.
 var ruleNames = [...]string{
 	sageplace.ReasonNoCandidate: "empty", sageplace.ReasonAllAtBound: "over", sageplace.ReasonCachedPrefix: "kept",
--- a/internal/sagesoak/doc.go
+++ b/internal/sagesoak/doc.go
@@ -9,7 +9,8 @@
 //
 // The checks: a booking runs at most once, a refused request didn't run, responses are complete and belong to
 // their request, streams are complete and in order, revoked keys are rejected within a time limit, upstreams
-// that left receive no requests, planned stops cut no streams, a request that crashes upstreams is stopped, and
+// that left, or announced in a response that they leave, receive no requests, declining upstreams that asked for a
+// pause receive at most two in it from each node, planned stops cut no streams, a request that crashes upstreams is stopped, and
 // the system serves requests again after the last fault.
 //
 // # Usage
--- a/internal/sagesoak/soak.go
+++ b/internal/sagesoak/soak.go
@@ -55,6 +55,7 @@
 
 	sys            *standin.System
 	rng            *rand.Rand
+	announceRNG    *rand.Rand // draws what upstreams announce in responses
 	enabled        [numFamilies]bool
 	mu             sync.Mutex
 	proxies        []*proxy
@@ -68,6 +69,7 @@
 // Run runs the soak and returns the violations that it found. It returns an error if the soak can't be run.
 func (s *Soak) Run(ctx context.Context) (Result, error) {
 	s.rng = rand.New(rand.NewPCG(s.Seed, 0))
+	s.announceRNG = rand.New(rand.NewPCG(s.Seed, 2))
 	s.faultyNodes = make(map[int]bool)
 	for f := range s.enabled {
 		s.enabled[f] = s.rng.IntN(5) < 3
@@ -193,6 +195,10 @@
 		s.sys.RotateKey()
 		return "revoke", nil
 	case 2:
+		if s.announceRNG.IntN(2) == 0 {
+			r.AnnounceLeaving()
+			return "announce leaving " + r.ID, r.MarkReady
+		}
 		r.Drain(standin.MaxDrainDelay, s.delayBoundsApply())
 		return "drain " + r.ID, r.MarkReady
 	case 3:
@@ -206,9 +212,15 @@
 	return s.signalNode("term", syscall.SIGTERM)
 }
 
+// declinePauses are the values of Retry-After in responses of a declining upstream; 0 means none.
+var declinePauses = [...]float64{0, 0.8, 2, 3.5}
+
 func (s *Soak) injectUpstream() (string, func()) {
 	r := s.randomRunner()
 	faults := [...]standin.RunnerFaults{{Errors: 0.4}, {Hang: 0.3}, {Cut: 0.4}, {Lost: 0.3}, {Declined: 0.5}, {Foreign: 0.2}, {SlowTimes: 5}}[s.rng.IntN(7)]
+	if faults.Declined > 0 {
+		faults.RetryAfter = declinePauses[s.announceRNG.IntN(len(declinePauses))]
+	}
 	r.InjectFaults(faults)
 	return fmt.Sprintf("%s %+v", r.ID, faults), func() { r.InjectFaults(standin.RunnerFaults{}) }
 }
@@ -216,9 +228,10 @@
 func (s *Soak) injectNetwork() (string, func()) {
 	i := s.rng.IntN(len(s.sys.Runners))
 	mode := 1 + linkMode(s.rng.IntN(int(numLinkModes)-1))
-	p := s.proxy(i)
+	p, r := s.proxy(i), s.sys.Runner(i)
+	r.SetUnreachable(true)
 	p.setMode(mode)
-	return fmt.Sprintf("network path to %s: mode %d", s.sys.Runner(i).ID, mode), func() { p.setMode(linkOpen) }
+	return fmt.Sprintf("network path to %s: mode %d", r.ID, mode), func() { p.setMode(linkOpen); r.SetUnreachable(false) }
 }
 
 func (s *Soak) injectStore() (string, func()) {
@@ -259,9 +272,11 @@
 	s.sys.Signal(i, sig)
 	return fmt.Sprintf("%s %d", name, i), func() {
 		if sig == syscall.SIGSTOP {
+			s.sys.ForgetAnnouncements(i)
 			s.sys.Signal(i, syscall.SIGCONT)
 		} else {
 			<-s.sys.Exited(i)
+			s.sys.ForgetAnnouncements(i)
 			if err := s.sys.StartNode(i); err != nil {
 				s.sys.Ledger.RecordViolation("node %d was not restarted: %v", i, err)
 			}
