Announcements in the answers to a node's own queries are read

Cause: as of responses to callers' requests: the query for cached parts, which a started node sends to engines, read the list only. A node that starts while the store is out would send requests to an engine whose answer had said that it leaves.

--- a/internal/sagerouter/cacheresync.go
+++ b/internal/sagerouter/cacheresync.go
@@ -41,9 +41,16 @@
 	minPropagationTime = 2 * maxStartSkew
 )
 
+// CacheList is an upstream's answer to the query for its cached prompt parts.
+type CacheList struct {
+	Parts []uint64
+	// Leaving is set if the answer announces that the upstream leaves, also if the query failed.
+	Leaving bool
+}
+
 // Inspector queries an upstream for the prompt parts in its cache.
 type Inspector interface {
-	CachedParts(ctx context.Context, u *sageupstream.Entry) ([]uint64, error)
+	CachedParts(ctx context.Context, u *sageupstream.Entry) (CacheList, error)
 }
 
 // cacheResync finds out after the start which upstreams have which prompt parts in their caches. Its exported
@@ -74,6 +81,8 @@
 	FetchHolders func(ctx context.Context, address string) (sagemesh.Holders, error)
 	// Broadcast sends heartbeats to all peers immediately.
 	Broadcast func()
+	// OnLeaving is called if an engine's answer announces that it leaves.
+	OnLeaving func(e *sageupstream.Entry)
 	// PropagationInterval returns the time within which nodes that start together discover each other.
 	PropagationInterval func() time.Duration
 	Log                 sagelog.Logger
@@ -250,13 +259,16 @@
 func (r *cacheResync) queryEngine(ctx context.Context, e *sageupstream.Entry) {
 	ctx, cancel := context.WithTimeout(ctx, queryTimeout)
 	defer cancel()
-	parts, err := r.Inspector.CachedParts(ctx, e)
+	list, err := r.Inspector.CachedParts(ctx, e)
+	if list.Leaving {
+		r.OnLeaving(e)
+	}
 	if err != nil {
 		r.Log.Warn("Engine did not answer the query for cached parts.", "upstream", e.ID, "err", err)
 		return
 	}
 	r.mu.Lock()
-	r.listedParts[e.ID] = parts
+	r.listedParts[e.ID] = list.Parts
 	r.mu.Unlock()
-	r.Log.Info("Engine listed its cached parts.", "upstream", e.ID, "parts", len(parts))
+	r.Log.Info("Engine listed its cached parts.", "upstream", e.ID, "parts", len(list.Parts), "leaving", list.Leaving)
 }
--- a/internal/sagerouter/cacheresync_test.go
+++ b/internal/sagerouter/cacheresync_test.go
@@ -58,12 +58,12 @@
 }
 
 // CachedParts implements [Inspector].
-func (f *resyncFleet) CachedParts(_ context.Context, u *sageupstream.Entry) ([]uint64, error) {
+func (f *resyncFleet) CachedParts(_ context.Context, u *sageupstream.Entry) (CacheList, error) {
 	time.Sleep(2 * time.Millisecond)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.queries[u.ID]++
-	return f.cachedParts[u.ID], nil
+	return CacheList{Parts: f.cachedParts[u.ID]}, nil
 }
 
 // start starts a node that knows the live nodes from the beginning.
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -215,7 +215,7 @@
 		Self: n.Settings.Node, DataCentre: n.Settings.DataCentre, FirstStart: n.Settings.FirstStart,
 		Placer: n.fleet.placer, Peers: n.mesh.Live, Engines: n.engines, RegisteredNodes: n.registeredNodes,
 		RegistrationDone: func() bool { return n.registeredNames.Load() != nil }, FetchHolders: n.fetcher.FetchHolders,
-		Inspector: n.Inspector, Broadcast: func() { n.mesh.TriggerHeartbeats(true) }, PropagationInterval: n.propagationInterval, Log: n.Log.Component("recall"),
+		Inspector: n.Inspector, Broadcast: func() { n.mesh.TriggerHeartbeats(true) }, OnLeaving: func(e *sageupstream.Entry) { n.fleet.RecordLeaving(e) }, PropagationInterval: n.propagationInterval, Log: n.Log.Component("recall"),
 	}
 }
 
