An announced leave covers earlier starts at the same address

Cause: an entry of an earlier start can appear after the announcing one was removed, when a write of its is executed late; it would have been taken for another start. Found by reading. The records shrink to one for each id and address.

Measured: TestLeaveAnnouncementEndsWithTheStart with the case 'earlier start listed after its deletion'.

--- a/pkg/sageupstream/leaving.go
+++ b/pkg/sageupstream/leaving.go
@@ -13,37 +13,49 @@
 // maxUnlistedLeaving limits the announcements of starts that aren't listed.
 const maxUnlistedLeaving = 4096
 
-// leavingStarts holds the starts of upstreams that announced that they leave, each with the time at which it was last
-// listed.
+// location is an upstream's ID at an address, which successive starts may share.
+type location struct{ id, address string }
+
+func locationOf(e *Entry) location { return location{e.ID, e.Address} }
+
+// leavingStart is a start that announced that it leaves.
+type leavingStart struct {
+	born       int64
+	lastListed sageclock.Instant
+}
+
+// leavingStarts holds the latest start of each upstream that announced that it leaves.
 type leavingStarts struct {
-	lastListed map[Start]sageclock.Instant
+	starts map[location]leavingStart
 }
 
 func (l *leavingStarts) add(now sageclock.Instant, e *Entry) {
-	if l.lastListed == nil {
-		l.lastListed = make(map[Start]sageclock.Instant)
+	if l.starts == nil {
+		l.starts = make(map[location]leavingStart)
 	}
-	l.lastListed[e.Start()] = now
+	born := max(e.Born, l.starts[locationOf(e)].born)
+	l.starts[locationOf(e)] = leavingStart{born, now}
 }
 
+// contains reports whether the start, or a later one at the same address, announced that it leaves. The store may
+// show an earlier start after the later one was removed.
 func (l *leavingStarts) contains(e *Entry) bool {
-	_, ok := l.lastListed[e.Start()]
-	return ok
+	s, ok := l.starts[locationOf(e)]
+	return ok && e.Born <= s.born
 }
 
-func (l *leavingStarts) forget(e *Entry) { delete(l.lastListed, e.Start()) }
+func (l *leavingStarts) forget(e *Entry) { delete(l.starts, locationOf(e)) }
 
 // sweep drops the announcements of starts that have not been among the listed entries for leavingRetention, and the
 // oldest ones above maxUnlistedLeaving.
 func (l *leavingStarts) sweep(now sageclock.Instant, listed map[string]*Entry) {
 	unlisted := 0
-	for k, at := range l.lastListed {
-		e := listed[k.ID]
+	for at, s := range l.starts {
 		switch {
-		case e != nil && e.Start() == k:
-			l.lastListed[k] = now
-		case now.Sub(at) >= leavingRetention:
-			delete(l.lastListed, k)
+		case isListed(at, listed):
+			l.starts[at] = leavingStart{s.born, now}
+		case now.Sub(s.lastListed) >= leavingRetention:
+			delete(l.starts, at)
 		default:
 			unlisted++
 		}
@@ -53,16 +65,22 @@
 	}
 }
 
+// isListed reports whether an upstream is listed with this address.
+func isListed(at location, listed map[string]*Entry) bool {
+	e := listed[at.id]
+	return e != nil && e.Address == at.address
+}
+
 func (l *leavingStarts) dropOldest(listed map[string]*Entry) {
-	var oldest Start
+	var oldest location
 	found := false
-	for k, at := range l.lastListed {
-		if e := listed[k.ID]; e != nil && e.Start() == k {
+	for at, s := range l.starts {
+		if isListed(at, listed) {
 			continue
 		}
-		if !found || at < l.lastListed[oldest] {
-			oldest, found = k, true
+		if !found || s.lastListed < l.starts[oldest].lastListed {
+			oldest, found = at, true
 		}
 	}
-	delete(l.lastListed, oldest)
+	delete(l.starts, oldest)
 }
--- a/pkg/sageupstream/leaving_test.go
+++ b/pkg/sageupstream/leaving_test.go
@@ -45,6 +45,12 @@
 			r.AnnounceLeaving(at(1).Add(time.Minute), &leaving)
 			r.Put(leaving)
 		}, false},
+		{"earlier start listed after its deletion", func(r *Registry) {
+			r.Delete(at(1), "a")
+			e := leaving
+			e.Born = 4
+			r.Put(e)
+		}, false},
 		{"new start", func(r *Registry) { e := leaving; e.Born = 6; r.Put(e) }, true},
 		{"new address", func(r *Registry) { e := leaving; e.Address = "b:80"; r.Put(e) }, true},
 	} {
@@ -106,8 +112,8 @@
 	listed.Born = 1
 	r.Put(listed)
 	r.ExpireLapsed(at(maxUnlistedLeaving + 10))
-	require.Len(t, r.leaving.lastListed, maxUnlistedLeaving+1)
+	require.Len(t, r.leaving.starts, maxUnlistedLeaving+1)
 	require.Empty(t, ids(r.Snapshot()), "the listed one is kept")
 	r.ExpireLapsed(at(maxUnlistedLeaving + 10).Add(leavingRetention))
-	require.Len(t, r.leaving.lastListed, 1)
+	require.Len(t, r.leaving.starts, 1)
 }
