Callers that were refused during a pause return one after another; records of ended pauses are dropped in time

Cause: all callers that were refused while every upstream was paused were named the same instant, and would have come back together at the end of the pause, which an upstream that has just been overloaded declines again. Each pick took two locks for each upstream of the service, also with nothing to look up, and ended records stayed until others pushed them out.

Change: up to an eighth of the pause, half a second at most, is added at random; never less than the pause. Without records the lookups take no lock; ended ones are dropped every 10 s.

--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -22,6 +23,10 @@
 	// minRemaining is the minimum time before the deadline at which a request is still sent. No
 	// upstream can respond in less.
 	minRemaining = 5 * time.Millisecond
+	// maxReturnSpread and 1/returnSpreadDivisor of a pause limit the time over which callers return
+	// after it.
+	maxReturnSpread     = 500 * time.Millisecond
+	returnSpreadDivisor = 8
 )
 
 // verdict is the outcome of one exchange.
@@ -178,12 +183,19 @@
 	}
 }
 
+// spreadReturn returns a random time after a pause of the given length, so that the callers that were
+// refused meanwhile don't all return at its end.
+func spreadReturn(left time.Duration) time.Duration {
+	return rand.N(min(left/returnSpreadDivisor, maxReturnSpread) + 1)
+}
+
 // refuseNotRun refuses a request that no upstream has executed. If all upstreams are paused, the
-// caller is asked to return when the first pause ends.
+// caller is asked to return soon after the first pause ends.
 func (j *job) refuseNotRun(reason Reason) {
 	retryAfter := shortRetryAfter
 	if until := j.s.Fleet.PausedUntil(j.serviceName); until != 0 {
-		retryAfter = max(0, until.Sub(sageclock.Now())).Truncate(time.Millisecond) + time.Millisecond
+		left := max(0, until.Sub(sageclock.Now()))
+		retryAfter = (left + spreadReturn(left)).Truncate(time.Millisecond) + time.Millisecond
 		if reason == NoUpstream || reason == UpstreamFull {
 			reason = UpstreamsPaused
 		}
--- a/internal/sagerouter/byservice.go
+++ b/internal/sagerouter/byservice.go
@@ -23,3 +23,12 @@
 	b.values[service] = v
 	return v
 }
+
+// each calls visit for each value, in no particular order.
+func (b *byService[T]) each(visit func(v *T)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, v := range b.values {
+		visit(v)
+	}
+}
--- a/internal/sagerouter/declines.go
+++ b/internal/sagerouter/declines.go
@@ -17,6 +17,11 @@
 	})
 }
 
+// sweep drops the records of streaks that are over.
+func (d *declines) sweep(now sageclock.Instant) {
+	d.services.each(func(v *sagebackoff.Declines[sageupstream.Start]) { v.Sweep(now) })
+}
+
 // RecordDecline implements [sagerelay.Fleet].
 func (f *fleet) RecordDecline(u *sageupstream.Entry) {
 	f.declines.of(u.Service).RecordDecline(sageclock.Now(), u.Start())
@@ -27,8 +32,8 @@
 
 // backsOff reports whether other upstreams should be preferred to one that has declined requests. Its next request is
 // a trial, which has to leave retries for other failures.
-func (f *fleet) backsOff(now sageclock.Instant, e *sageupstream.Entry) bool {
-	switch f.declines.of(e.Service).State(now, e.Start()) {
+func (f *fleet) backsOff(now sageclock.Instant, d *sagebackoff.Declines[sageupstream.Start], e *sageupstream.Entry) bool {
+	switch d.State(now, e.Start()) {
 	case sagebackoff.BackingOff:
 		return true
 	case sagebackoff.TrialDue:
--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -105,10 +105,11 @@
 
 // pickFromArm chooses among the upstreams that the arm may use, or returns nil.
 //
-// It prefers warm and healthy upstreams, then those that declined requests, then those that failed recently, then cold ones, which are limited to
-// this node's share of their capacity. Paused ones get nothing, even if no other is left.
+// It prefers warm and healthy upstreams, then those that declined requests, then those that failed recently, then cold
+// ones, which are limited to this node's share of their capacity. Paused ones get nothing, even if no other is left.
 func (f *fleet) pickFromArm(now sageclock.Instant, set *sageupstream.Set, arm sagerollout.Arm, q *sagerelay.Query) *sagerelay.Pick {
 	var warm, declining, failing, cold []*sageupstream.Entry
+	declines := f.declines.of(q.Service)
 	for _, e := range f.armUpstreams(set, q.Service, arm) {
 		switch {
 		case slices.Contains(q.Tried, e.ID):
@@ -117,7 +118,7 @@
 			cold = append(cold, e)
 		case f.health.Avoid(now, q.Service, e.ID):
 			failing = append(failing, e)
-		case f.backsOff(now, e):
+		case f.backsOff(now, declines, e):
 			declining = append(declining, e)
 		default:
 			warm = append(warm, e)
--- a/internal/sagerouter/services.go
+++ b/internal/sagerouter/services.go
@@ -59,7 +59,7 @@
 	return s.http.Close()
 }
 
-// recordCleanupInterval is how often health records of removed upstreams are dropped.
+// recordCleanupInterval is how often health records of removed upstreams, and ended pauses and back-offs, are dropped.
 const recordCleanupInterval = 10 * time.Second
 
 // expirer drops upstreams whose entries lapsed during an outage of the store, and health records of removed ones.
@@ -80,6 +80,9 @@
 		case <-cleanup.C:
 			set := n.view.upstreams.Load()
 			n.fleet.health.Retain(func(u string) bool { return set.Get(u) != nil })
+			now := sageclock.Now()
+			n.fleet.pauses.Sweep(now)
+			n.fleet.declines.sweep(now)
 		case <-t.C:
 			n.peers.Flush()
 			n.view.expireLapsed(n.storeProof.Age(sageclock.Now()) > sagefollow.LongOutage)
--- a/pkg/sagebackoff/declines.go
+++ b/pkg/sagebackoff/declines.go
@@ -88,6 +88,9 @@
 
 // State returns whether an upstream may be sent a request now.
 func (d *Declines[K]) State(now sageclock.Instant, upstream K) State {
+	if d.streaks.isEmpty() {
+		return Accepting
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.streaks.get(now, upstream)
@@ -100,9 +103,19 @@
 	return TrialDue
 }
 
+// Sweep drops the records of streaks that are over.
+func (d *Declines[K]) Sweep(now sageclock.Instant) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.streaks.sweep(now)
+}
+
 // BeginTrial records that the upstream is sent a trial request, so that others wait for its result. It does nothing
 // unless a trial is due.
 func (d *Declines[K]) BeginTrial(now sageclock.Instant, upstream K) {
+	if d.streaks.isEmpty() {
+		return
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	s := d.streaks.get(now, upstream)
--- a/pkg/sagebackoff/pauses.go
+++ b/pkg/sagebackoff/pauses.go
@@ -26,11 +26,21 @@
 
 // PausedUntil returns the end of the upstream's pause, or zero if it may get requests now.
 func (p *Pauses[K]) PausedUntil(now sageclock.Instant, upstream K) sageclock.Instant {
+	if p.ends.isEmpty() {
+		return 0
+	}
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	return p.ends.get(now, upstream)
 }
 
+// Sweep drops the records of pauses that have ended.
+func (p *Pauses[K]) Sweep(now sageclock.Instant) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.ends.sweep(now)
+}
+
 // Len returns the number of upstreams that are paused now.
 func (p *Pauses[K]) Len(now sageclock.Instant) int {
 	p.mu.Lock()
--- a/pkg/sagebackoff/records.go
+++ b/pkg/sagebackoff/records.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"sync/atomic"
 
 	"sagestand.example/sagestand/pkg/sageclock"
 )
@@ -9,11 +10,17 @@
 // maxRecords limits the records of one kind. It is well above the number of upstreams of a large fleet.
 const maxRecords = 16384
 
-// records holds values that expire. The zero value is ready to use. It is not safe for concurrent use.
+// records holds values that expire. The zero value is ready to use. Only isEmpty is safe for concurrent use.
 type records[K comparable, V any] struct {
 	entries map[K]expiring[V]
+	count   atomic.Int32 // number of entries
 }
 
+// isEmpty reports whether there are no values, expired ones included.
+func (r *records[K, V]) isEmpty() bool { return r.count.Load() == 0 }
+
+func (r *records[K, V]) updateCount() { r.count.Store(int32(len(r.entries))) }
+
 type expiring[V any] struct {
 	value   V
 	expires sageclock.Instant
@@ -37,12 +44,14 @@
 		r.makeRoom(now)
 	}
 	r.entries[key] = expiring[V]{value, expires}
+	r.updateCount()
 }
 
 // delete deletes the value of a key and reports whether there was one.
 func (r *records[K, V]) delete(key K) bool {
 	_, ok := r.entries[key]
 	delete(r.entries, key)
+	r.updateCount()
 	return ok
 }
 
@@ -55,6 +64,7 @@
 // sweep drops the values that have expired.
 func (r *records[K, V]) sweep(now sageclock.Instant) {
 	maps.DeleteFunc(r.entries, func(_ K, e expiring[V]) bool { return e.expires <= now })
+	r.updateCount()
 }
 
 // makeRoom drops the values that have expired, or else the one that expires first.
