serve: a pause holds for upstreams whose boot id is known from the refusal only

Cause: the pause was kept under the boot id of the refusal, and looked up under that of the load reports, which applications don't send. Found by reading.

Measured: TestPauseOfUpstreamWithoutKnownBoot.

--- a/internal/sageplacement/pause.go
+++ b/internal/sageplacement/pause.go
@@ -16,12 +16,13 @@
 	return upstreamBoot{g.table.Upstreams[i].Name, g.boots[i]}
 }
 
-// recordPause records the pause that an upstream asked for when it refused a request.
+// recordPause records the pause that an upstream asked for when it refused a request. The boot id in the response counts
+// only for upstreams whose boot id is known otherwise, since the pause would not be found under it.
 func (s *Service) recordPause(now time.Time, u upstreamBoot, res *sagedispatch.Result) {
 	if res == nil || res.Reason != sagewire.ReasonUpstreamRefused || res.RetryAt.IsZero() {
 		return
 	}
-	if res.BootID != "" {
+	if u.boot != "" && res.BootID != "" {
 		u.boot = res.BootID
 	}
 	at := sageclock.Now()
--- a/internal/sageplacement/pause_test.go
+++ b/internal/sageplacement/pause_test.go
@@ -46,6 +46,17 @@
 	require.Equal(t, nameSet("d1", "d2", "l1"), pickedUpstreams(t, s, "a", "m"))
 }
 
+// Applications report no boot id in advance, but may name one in the refusal. Their pause must hold nevertheless.
+func TestPauseOfUpstreamWithoutKnownBoot(t *testing.T) {
+	s, _, _ := testService()
+	p, ref := s.Pick(context.Background(), chat("a", "m", "x"), nil)
+	require.Nil(t, ref)
+	res := refusedFor(time.Hour)
+	res.BootID = "boot"
+	p.Release(res)
+	require.NotContains(t, pickedUpstreams(t, s, "a", "m"), p.Upstream)
+}
+
 // All upstreams asked for a pause. Callers must be refused at once and learn when the first one ends.
 func TestRefusedUntilFirstUpstreamWantsRequests(t *testing.T) {
 	s, _, _ := testService()
--- a/internal/sagerouter/fleet_test.go
+++ b/internal/sagerouter/fleet_test.go
@@ -146,6 +146,11 @@
 	require.Equal(t, until, f.PausedUntil("s"))
 	require.Zero(t, f.PausedUntil("none"))
 
+	f.view.registry.Delete(sageclock.Now(), "u0")
+	f.view.registry.Put(*picked)
+	f.view.publish()
+	require.Nil(t, f.Pick(&sagerelay.Query{Service: "s"}), "listed again, the same start")
+
 	restarted := *picked
 	restarted.Born++
 	f.view.registry.Put(restarted)
