--- a/cmd/sagebench/soak.go
+++ b/cmd/sagebench/soak.go
@@ -23,6 +23,7 @@
 		seconds     float64
 		nodes       int
 		calm        bool
+		series      bool
 		program     string
 		self, dir   string
 	)
@@ -39,7 +40,7 @@
 				if err := os.MkdirAll(seedDir, 0o700); err != nil {
 					return fmt.Errorf("make directory for logs: %w", err)
 				}
-				s := &sagesoak.Soak{Seed: n, Program: program, Dir: seedDir, Nodes: nodes, Duration: time.Duration(seconds * float64(time.Second)), NoFaults: calm}
+				s := &sagesoak.Soak{Seed: n, Program: program, Dir: seedDir, Nodes: nodes, Duration: time.Duration(seconds * float64(time.Second)), NoFaults: calm, Series: series}
 				report, err := s.Run(c.Context())
 				if err != nil {
 					return fmt.Errorf("seed %d: %w", n, err)
@@ -69,6 +70,7 @@
 	f.Float64Var(&seconds, "seconds", 8, "seconds during which faults are injected")
 	f.IntVar(&nodes, "nodes", 4, "number of nodes")
 	f.BoolVar(&calm, "calm", false, "inject no faults")
+	f.BoolVar(&series, "series", false, "inject faults in series of one family, so that more of them overlap")
 	f.StringVar(&dir, "dir", filepath.Join(os.TempDir(), "sagestand-soak"), "directory for the nodes' settings and logs")
 	addProgramFlag(c, &program, &self)
 	return c
--- a/internal/sagesoak/soak.go
+++ b/internal/sagesoak/soak.go
@@ -17,6 +17,8 @@
 	requestInterval  = 30 * time.Millisecond // mean time between two requests of a caller
 	maxFaultGap      = 900 * time.Millisecond
 	maxFaultDuration = 3 * time.Second
+	maxSeries        = 5 // faults in a series
+	seriesInterval   = 150 * time.Millisecond
 	settleTime       = 6 * time.Second // between the end of all faults and the recovery check
 	recoveryRequests = 60              // number of requests in the recovery check
 	minServedShare   = 0.9             // minimum share of them that must be served
@@ -52,6 +54,8 @@
 	Duration time.Duration
 	// NoFaults disables the injection of faults. Callers still send requests.
 	NoFaults bool
+	// Series injects faults in series of one family, so that more of them overlap.
+	Series bool
 
 	sys            *standin.System
 	rng            *rand.Rand
@@ -143,15 +147,27 @@
 func (s *Soak) injectFaults(ctx context.Context) {
 	for time.Since(s.start) < s.Duration && ctx.Err() == nil {
 		if !s.NoFaults {
-			s.injectFault()
+			s.injectSeries(ctx)
 		}
 		pause(ctx, time.Duration(s.rng.Int64N(int64(maxFaultGap))))
 	}
 }
 
-// injectFault injects one fault and schedules its end.
-func (s *Soak) injectFault() {
+// injectSeries injects a fault, or a series of faults of one family.
+func (s *Soak) injectSeries(ctx context.Context) {
 	f := faultFamily(s.rng.IntN(int(numFamilies)))
+	s.injectFault(f)
+	if !s.Series {
+		return
+	}
+	for range s.rng.IntN(maxSeries) {
+		pause(ctx, seriesInterval)
+		s.injectFault(f)
+	}
+}
+
+// injectFault injects one fault of a family and schedules its end.
+func (s *Soak) injectFault(f faultFamily) {
 	duration := maxFaultDuration/6 + time.Duration(s.rng.Int64N(int64(maxFaultDuration)))
 	if !s.enabled[f] {
 		return
