--- a/internal/sagerelay/relay_test.go
+++ b/internal/sagerelay/relay_test.go
@@ -264,7 +264,7 @@
 		{"declined", respond(503, testNotRun+": 1\r\n"+leaving, ""), []string{"a"}},
 		{"without seal", respond(200, leaving, "who"), []string{"a"}},
 		{"misdirected", respond(421, leaving, ""), nil},
-		{"cut off", func(c net.Conn, r *http.Request) {
+		{"cut off", func(c net.Conn, _ *http.Request) {
 			_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\n" + testID + ": id1\r\n" + sealHeader + leaving + "Content-Length: 9\r\n\r\nhalf"))
 		}, []string{"a"}},
 	} {
