--- a/pkg/sageupstream/doc.go
+++ b/pkg/sageupstream/doc.go
@@ -11,6 +11,12 @@
 // deletion that arrives then is therefore applied only after a grace period. Without it, a store
 // outage of a few seconds would take all upstreams out of use at the same time.
 //
+// # Upstreams that announce that they leave
+//
+// An upstream may say in its responses that it is about to stop, before its entry says so or while the
+// store can't show it. The announcement makes that start of the upstream draining for good, whatever its
+// entry says later; another start is not affected.
+//
 // # Usage
 //
 //	r := &sageupstream.Registry{}
@@ -18,6 +24,7 @@
 //	r.StoreUnreachable()
 //	r.StoreReachable(now)
 //	r.Delete(now, id)   // delayed shortly after an outage
+//	r.AnnounceLeaving(now, entry)
 //	r.ExpireLapsed(now) // removes entries that were not renewed
 //	set := r.Snapshot()
 package sageupstream
