--- a/internal/sagesoak/doc.go
+++ b/internal/sagesoak/doc.go
@@ -3,9 +3,9 @@
 //
 // The seed of a [Soak] determines which families of faults it injects, when, and for how long. Faults may
 // overlap. Signals kill, stop, freeze or reload the processes that the soak itself started. The store and the
-// upstreams are stand-ins that fail on demand. With Series, faults of one family follow each other closely. A proxy on loopback in front of each upstream delays or resets
-// connections, or drops data in one or both directions. Callers continue to use open connections until the
-// process exits.
+// upstreams are stand-ins that fail on demand. With Series, faults of one family follow each other closely. A proxy
+// on loopback in front of each upstream delays or resets connections, or drops data in one or both directions.
+// Callers continue to use open connections until the process exits.
 //
 // The checks: a booking runs at most once, a refused request didn't run, responses are complete and belong to
 // their request, streams are complete and in order, revoked keys are rejected within a time limit, upstreams
