serve: a node backs off from upstreams that refuse without saying for how long

Cause: as on the users' platform; a refusal counted as a success of the circuit and left no trace in placement, so that an upstream that refuses at once stayed the least loaded and first in the order.

Change: sagebackoff.Declines by set of upstreams. Others are tried first; with none of them able to take the request, the declining ones are asked as before.

Measured: TestDecliningUpstreamIsAvoided, which fails on the code before.

--- a/internal/sageplacement/group.go
+++ b/internal/sageplacement/group.go
@@ -6,6 +6,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"sagestand.example/sagestand/pkg/sagebackoff"
 	"sagestand.example/sagestand/pkg/sageconfig"
 	"sagestand.example/sagestand/pkg/sageload"
 	"sagestand.example/sagestand/pkg/sageplace"
@@ -32,6 +33,7 @@
 	upstreams   []*sageconfig.Upstream
 	loads       *sageplace.Loads
 	boots       []string // boot ids of the upstreams when the loads were read
+	declines    sagebackoff.Declines[upstreamBoot]
 	loadsReadAt time.Time
 	lastUse     uint64
 	// releasesAtRead is Service.releases at the time the loads were read.
--- a/internal/sageplacement/pause.go
+++ b/internal/sageplacement/pause.go
@@ -5,6 +5,7 @@
 
 	"sagestand.example/sagestand/internal/sagedispatch"
 	"sagestand.example/sagestand/internal/sageentry"
+	"sagestand.example/sagestand/pkg/sagebackoff"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagewire"
 )
@@ -48,6 +49,29 @@
 	return paused, firstEnd
 }
 
+// recordDecline records whether an upstream refused a request without asking for a pause.
+func (g *group) recordDecline(u upstreamBoot, res *sagedispatch.Result) {
+	switch {
+	case res == nil:
+	case res.Outcome == sagewire.Complete:
+		g.declines.RecordAccept(u)
+	case res.Reason == sagewire.ReasonUpstreamRefused && res.RetryAt.IsZero():
+		g.declines.RecordDecline(sageclock.Now(), u)
+	}
+}
+
+// decliningUpstreams returns the indexes of the upstreams to which others should be preferred.
+func (g *group) decliningUpstreams() []int {
+	now := sageclock.Now()
+	var out []int
+	for i := range g.upstreams {
+		if g.declines.State(now, g.bootOf(i)) == sagebackoff.BackingOff {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 // pausedRefusal returns the refusal of a request while all upstreams of its group are paused. Retry times are spread by
 // request id.
 func pausedRefusal(now time.Time, r *sageentry.Request, firstEnd time.Duration) *sagewire.Refusal {
--- a/internal/sageplacement/pause_test.go
+++ b/internal/sageplacement/pause_test.go
@@ -8,6 +8,8 @@
 	"github.com/stretchr/testify/require"
 
 	"sagestand.example/sagestand/internal/sagedispatch"
+	"sagestand.example/sagestand/pkg/sagebackoff"
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagewire"
 )
 
@@ -57,6 +59,36 @@
 	require.NotContains(t, pickedUpstreams(t, s, "a", "m"), p.Upstream)
 }
 
+// An upstream that refuses requests at once has the least load. Others must be preferred to it, but it must be asked if no
+// other is left.
+func TestDecliningUpstreamIsAvoided(t *testing.T) {
+	s, _, _ := testService()
+	p, ref := s.Pick(context.Background(), chat("a", "m", "x"), nil)
+	require.Nil(t, ref)
+	declining := p.Upstream
+	p.Release(&sagedispatch.Result{Outcome: sagewire.NotRun, Reason: sagewire.ReasonUpstreamRefused})
+	for _, g := range s.groups {
+		boot := upstreamBoot{name: declining}
+		require.NotEqual(t, sagebackoff.Accepting, g.declines.State(sageclock.Now(), boot))
+		g.declines.RecordDecline(sageclock.Now().Add(time.Hour), boot) // keeps the back-off for the whole test
+	}
+	var others []string
+	for range 2 {
+		p, ref = s.Pick(context.Background(), chat("a", "m", "x"), others)
+		require.Nil(t, ref)
+		require.NotEqual(t, declining, p.Upstream)
+		others = append(others, p.Upstream)
+		p.Release(&sagedispatch.Result{})
+	}
+	p, ref = s.Pick(context.Background(), chat("a", "m", "x"), others)
+	require.Nil(t, ref)
+	require.Equal(t, declining, p.Upstream)
+	p.Release(&sagedispatch.Result{Outcome: sagewire.Complete})
+	p, ref = s.Pick(context.Background(), chat("a", "m", "x"), nil)
+	require.Nil(t, ref)
+	require.Equal(t, declining, p.Upstream, "accepted again, so its place in the order counts")
+}
+
 // All upstreams asked for a pause. Callers must be refused at once and learn when the first one ends.
 func TestRefusedUntilFirstUpstreamWantsRequests(t *testing.T) {
 	s, _, _ := testService()
--- a/internal/sageplacement/service.go
+++ b/internal/sageplacement/service.go
@@ -11,6 +11,7 @@
 	"sagestand.example/sagestand/internal/sagedispatch"
 	"sagestand.example/sagestand/internal/sageentry"
 	"sagestand.example/sagestand/pkg/sagebackoff"
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sageconfig"
 	"sagestand.example/sagestand/pkg/sageplace"
 	"sagestand.example/sagestand/pkg/sagewire"
@@ -96,7 +97,19 @@
 	if len(paused) > 0 && len(paused) == len(g.upstreams) {
 		return nil, pausedRefusal(now, r, firstEnd), false
 	}
-	q.Tried = append(g.indexes(tried), paused...)
+	excluded := append(g.indexes(tried), paused...)
+	if declining := g.decliningUpstreams(); len(declining) > 0 {
+		q.Tried = append(declining, excluded...)
+		if p, _, _ := s.place(now, r, g, q, preferUntil); p != nil {
+			return p, nil, false
+		}
+	}
+	q.Tried = excluded
+	return s.place(now, r, g, q, preferUntil)
+}
+
+// place selects one of the upstreams that aren't in q.Tried. The results are those of tryPick.
+func (s *Service) place(now time.Time, r *sageentry.Request, g *group, q *sageplace.Query, preferUntil time.Time) (p *sageentry.Pick, ref *sagewire.Refusal, wait bool) {
 	if c := s.preferredWithoutUnit(now, g, q); c.Index >= 0 {
 		name := g.table.Upstreams[c.Index].Name
 		if s.Load.Acquire(name, now) {
@@ -261,10 +274,12 @@
 		p.PlacementToken = s.TokenSigner.Sign(r.Account, r.ChatID, location, now.Add(s.TokenTTL))
 	}
 	boot := g.bootOf(i)
+	g.declines.BeginTrial(sageclock.Now(), boot)
 	var once sync.Once
 	p.Release = func(res *sagedispatch.Result) {
 		once.Do(func() {
 			s.recordPause(time.Now(), boot, res)
+			g.recordDecline(boot, res)
 			s.release(r, g, i, location, res)
 		})
 	}
