--- a/internal/sagepath/sagepath.go
+++ b/internal/sagepath/sagepath.go
@@ -75,7 +75,7 @@
 		run  func(context.Context) (string, error)
 	}{
 		{"standins", c.startStandins}, {"routers", c.startRouters}, {"ticket", c.firstTicket}, {"locate", c.locate},
-		{"chat", c.chat}, {"stream", c.stream}, {"booking", c.booking}, {"repeat", c.repeat}, {"refusal", c.refusal}, {"burn", c.burn}, {"stop", c.stop},
+		{"chat", c.chat}, {"stream", c.stream}, {"declines", c.declines}, {"booking", c.booking}, {"repeat", c.repeat}, {"refusal", c.refusal}, {"burn", c.burn}, {"stop", c.stop},
 	} {
 		detail, err := s.run(ctx)
 		step := Step{Name: s.name, OK: err == nil, Detail: detail}
@@ -147,6 +147,28 @@
 	return fmt.Sprintf("complete stream of %s, %d of %d prompt tokens cached", result.Upstream, result.CachedTokens, result.PromptTokens), requireComplete(result)
 }
 
+// declinedChats is the number of chats sent while an engine declines everything. It exceeds the retries that a router
+// may use without first requests.
+const declinedChats = 60
+
+// declines checks that no chat is refused while one engine declines all requests at once and without Retry-After.
+func (c *Check) declines(ctx context.Context) (string, error) {
+	engine := c.fleet.Layout.Upstreams[0]
+	set := func(faults ...sagestandin.Fault) error {
+		return sagefleet.SetFaults(ctx, engine.Address, sagestandin.FaultPlan{Faults: faults})
+	}
+	if err := set(sagestandin.Fault{Kind: sagestandin.FaultNotRun}); err != nil {
+		return "", err
+	}
+	for i := range declinedChats {
+		result := c.caller.Chat(ctx, &sagestandin.ChatRequest{Model: sagefleet.Model, Messages: messages("Is batch 19 cleared?")}, sagecaller.Options{ChatID: fmt.Sprint("declined-", i)})
+		if err := requireComplete(result); err != nil {
+			return "", fmt.Errorf("chat %d: %w", i, err)
+		}
+	}
+	return fmt.Sprintf("%d chats complete while %s declines", declinedChats, engine.Name), set()
+}
+
 // bookingKey is the idempotency key that the steps booking and repeat share.
 var bookingKey = uuid.Must(uuid.NewV7()).String()
 
