--- a/internal/sagemesh/service.go
+++ b/internal/sagemesh/service.go
@@ -76,7 +76,10 @@
 	OnHeartbeat func(h *Heartbeat, stamp sageclock.Instant)
 	// OnJoined is called for each node that becomes live, OnLost for each that is dropped.
 	OnJoined, OnLost func(m Member)
-	Log              sagelog.Logger
+	// Listen opens the socket; nil means UDP. Now is the clock; nil means [sageclock.Now].
+	Listen func(address string) (net.PacketConn, error)
+	Now    func() sageclock.Instant
+	Log    sagelog.Logger
 
 	// now is the clock and write sends a datagram; tests replace both to simulate a network in virtual time.
 	now   func() sageclock.Instant
@@ -118,12 +121,19 @@
 
 // Open binds the socket.
 func (s *Service) Open() error {
-	conn, err := net.ListenPacket("udp4", s.Address)
+	listen, now := s.Listen, s.Now
+	if listen == nil {
+		listen = listenUDP
+	}
+	if now == nil {
+		now = sageclock.Now
+	}
+	conn, err := listen(s.Address)
 	if err != nil {
 		return fmt.Errorf("open mesh: %w", err)
 	}
 	s.conn = conn
-	s.now = sageclock.Now
+	s.now = now
 	s.write = func(b []byte, to *net.UDPAddr) {
 		// A datagram that can't be sent counts as lost; the next one follows within the interval.
 		_, _ = conn.WriteTo(b, to)
@@ -132,6 +142,8 @@
 	return nil
 }
 
+func listenUDP(address string) (net.PacketConn, error) { return net.ListenPacket("udp4", address) }
+
 // initState initializes the internal state and adds the seeds.
 func (s *Service) initState(rnd *rand.Rand) {
 	s.rnd = rnd
