sagefollow: the history of a copy begins after its first listing

Cause: the first listing was the first entry of the history, and any peer was sent everything as long as that entry was in it, for the first 64 changes of a process: at ten thousand upstreams 2.4 MB of JSON for one change. Change: the history begins at the revision of the first listing. TestFirstChangesAreSentAlone fails before.

--- a/internal/sagefollow/copy.go
+++ b/internal/sagefollow/copy.go
@@ -3,19 +3,15 @@
 // historyLength is the number of recent deltas kept for peers. A peer with an older copy gets all objects.
 const historyLength = 64
 
-// historyEntry is a delta and the revision that it starts from.
-type historyEntry struct {
-	from  uint64
-	delta Delta
-}
-
 // content is a copy of the objects of a kind.
 type content struct {
 	listed    bool
 	asOf      uint64 // revision up to which the copy is complete
 	changedAt uint64 // revision as of which the content last changed
 	objects   map[string]Object
-	history   []historyEntry
+	// history holds the latest changes that took effect after historyFrom, oldest first.
+	history     []Delta
+	historyFrom uint64
 }
 
 // apply applies a delta that starts from the revision since, and returns the changes that took effect.
@@ -41,9 +37,12 @@
 			applied = append(applied, ch)
 		}
 	}
-	if len(applied) > 0 || !c.listed {
+	switch {
+	case !c.listed:
+		c.changedAt, c.historyFrom = d.AsOf, d.AsOf
+	case len(applied) > 0:
 		c.changedAt = d.AsOf
-		c.appendHistory(historyEntry{from: c.asOf, delta: Delta{Changes: applied, AsOf: d.AsOf}})
+		c.appendHistory(Delta{Changes: applied, AsOf: d.AsOf})
 	}
 	c.listed, c.asOf = true, d.AsOf
 	return applied
@@ -82,32 +81,33 @@
 	return true
 }
 
-func (c *content) appendHistory(e historyEntry) {
+func (c *content) appendHistory(d Delta) {
 	if len(c.history) >= historyLength {
+		c.historyFrom = c.history[0].AsOf
 		c.history = append(c.history[:0], c.history[1:]...)
 	}
-	c.history = append(c.history, e)
+	c.history = append(c.history, d)
 }
 
 // deltaSince returns the changes after a revision, or all objects if the history doesn't reach back to it.
 func (c *content) deltaSince(rev uint64) Delta {
-	if rev >= c.changedAt && rev > 0 {
+	switch {
+	case rev >= c.changedAt && rev > 0:
 		return Delta{AsOf: c.asOf}
+	case rev < c.historyFrom || rev == 0:
+		return c.fullDelta()
 	}
 	out := Delta{AsOf: c.asOf}
-	for i, e := range c.history {
-		if i == 0 && (e.from > rev || e.from == 0) {
-			return c.fullDelta()
-		}
-		if e.delta.AsOf > rev {
-			out.Changes = append(out.Changes, e.delta.Changes...)
+	for _, d := range c.history {
+		if d.AsOf > rev {
+			out.Changes = append(out.Changes, d.Changes...)
 		}
 	}
 	return out
 }
 
 func (c *content) fullDelta() Delta {
-	out := Delta{Full: true, AsOf: c.asOf}
+	out := Delta{Full: true, AsOf: c.asOf, Changes: make([]Change, 0, len(c.objects))}
 	for _, o := range c.objects {
 		out.Changes = append(out.Changes, Change{Object: o})
 	}
--- a/internal/sagefollow/follow_test.go
+++ b/internal/sagefollow/follow_test.go
@@ -84,6 +84,17 @@
 	}
 }
 
+// Prevents each change after the first listing from being sent to the peers with a copy of everything.
+func TestFirstChangesAreSentAlone(t *testing.T) {
+	c := new(content)
+	c.apply(0, Delta{Full: true, AsOf: 10, Changes: []Change{obj("a", 3), obj("b", 9)}})
+	c.apply(10, Delta{AsOf: 20, Changes: []Change{obj("c", 20)}})
+	require.Equal(t, Delta{AsOf: 20, Changes: []Change{obj("c", 20)}}, c.deltaSince(10))
+	require.Equal(t, Delta{AsOf: 20, Changes: []Change{obj("c", 20)}}, c.deltaSince(15))
+	require.True(t, c.deltaSince(9).Full, "the history begins at the first listing")
+	require.True(t, c.deltaSince(0).Full)
+}
+
 // memoryStore is a [Source] that holds one kind in memory.
 type memoryStore struct {
 	mu          sync.Mutex
