sagemesh: ranks, standby nodes and aggregators are computed after changes only, targets looked up by address

Cause: each node computed its rank for each kind ten times a second, the aggregators several times a heartbeat round and for each sum, and went through all nodes for each batch of heartbeats, all with the fleet's size. Change: roles are computed once after a change of the live nodes; a batch to named nodes looks them up. The aggregator fetches for its data centre in place of a node of its own, which may have a slow link.

--- a/internal/sagemesh/aggregator.go
+++ b/internal/sagemesh/aggregator.go
@@ -1,10 +1,6 @@
 package sagemesh
 
-import (
-	"cmp"
-
-	"github.com/cespare/xxhash/v2"
-)
+import "github.com/cespare/xxhash/v2"
 
 // aggregatorHash orders nodes with equal link bandwidths. The order differs from that of [Service.Rank], so that the
 // nodes that watch the store aren't aggregators as well.
@@ -22,43 +18,15 @@
 	return address == p.primary || address == p.backup
 }
 
+// addresses returns the addresses of the aggregator and its backup.
+func (p aggregatorPair) addresses() []string { return []string{p.primary, p.backup} }
+
 // aggregators returns the aggregator and its backup by data centre. They are the two nodes with the fastest links
 // among those that aren't leaving; aggregatorHash decides between equal links.
 //
 // The aggregator of fifty nodes handles some five hundred datagrams a second. In many fleets most nodes have slow
 // links, over which an aggregator would send updates late.
-func (s *Service) aggregators() map[string]aggregatorPair {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	out := map[string]aggregatorPair{s.DataCentre: {primary: s.Address}}
-	for _, a := range s.order {
-		m := &s.peers[a].member
-		if !s.live[a] || m.Leaving {
-			continue
-		}
-		pair := out[m.DataCentre]
-		switch {
-		case pair.primary == "" || s.precedes(a, pair.primary):
-			pair.primary, pair.backup = a, pair.primary
-		case pair.backup == "" || s.precedes(a, pair.backup):
-			pair.backup = a
-		}
-		out[m.DataCentre] = pair
-	}
-	return out
-}
-
-// precedes reports whether node a precedes node b in the order of aggregators. mu is held.
-func (s *Service) precedes(a, b string) bool {
-	return cmp.Or(cmp.Compare(s.linkMbpsOf(a), s.linkMbpsOf(b)), cmp.Compare(aggregatorHash(a), aggregatorHash(b))) > 0
-}
-
-func (s *Service) linkMbpsOf(address string) int {
-	if address == s.Address {
-		return s.LinkMbps
-	}
-	return s.peers[address].member.LinkMbps
-}
+func (s *Service) aggregators() map[string]aggregatorPair { return s.currentRoles().aggregators }
 
 // IsAggregator reports whether a node is the aggregator of its data centre in this node's view. Sums from other
 // nodes must not be used, since more than one node may consider itself the aggregator.
@@ -90,8 +58,8 @@
 		s.setExpected(map[string]bool{own.primary: true})
 		s.shortIntervalTo = map[string]bool{own.primary: true, own.backup: true}
 		s.sendBatch(batch{
-			fill:    func(h *Heartbeat) { h.Forward = true; s.updatesForAggregator.moveTo(h, maxListedForwarded) },
-			include: func(t *target) bool { return own.contains(t.address) },
+			fill: func(h *Heartbeat) { h.Forward = true; s.updatesForAggregator.moveTo(h, maxListedForwarded) },
+			to:   own.addresses(),
 		})
 		return
 	}
--- a/internal/sagemesh/liveness.go
+++ b/internal/sagemesh/liveness.go
@@ -96,7 +96,7 @@
 	now, interval := s.now(), s.Interval()
 	aggregator := s.aggregators()[s.DataCentre].primary
 	var dropped []Member
-	probed := make(map[string]bool)
+	var probed []string
 	s.mu.Lock()
 	unresponsiveCentres := s.unresponsiveCentres(now, interval)
 	for a, p := range s.peers {
@@ -110,17 +110,17 @@
 			s.drop(now, a, a == aggregator)
 			dropped = append(dropped, p.member)
 		case p.probedAt > p.lastContact:
-			probed[a] = true
+			probed = append(probed, a)
 		case s.suspected(now, p, interval, unresponsiveCentres):
 			p.probedAt = now
-			probed[a] = true
+			probed = append(probed, a)
 		}
 	}
 	s.mu.Unlock()
 	if len(probed) > 0 {
 		s.sendBatch(batch{
-			fill:    func(h *Heartbeat) { h.ReplyRequested = true },
-			include: func(t *target) bool { return probed[t.address] },
+			fill: func(h *Heartbeat) { h.ReplyRequested = true },
+			to:   probed,
 		})
 	}
 	for _, m := range dropped {
@@ -135,6 +135,7 @@
 // heartbeats from all of them at the shortest interval and could report them.
 func (s *Service) drop(now sageclock.Instant, address string, isAggregator bool) {
 	delete(s.live, address)
+	s.roles = nil
 	s.peers[address].droppedAt = now
 	if !isAggregator {
 		return
--- a/internal/sagemesh/receive.go
+++ b/internal/sagemesh/receive.go
@@ -56,7 +56,7 @@
 		s.mu.Unlock()
 		return
 	}
-	p.stamp, p.lastContact, p.member, p.shortInterval = h.Stamp, now, h.Member(), h.ShortInterval
+	p.stamp, p.lastContact, p.shortInterval = h.Stamp, now, h.ShortInterval
 	s.queueForwarded(h)
 	s.recordUnresponsive(now, h)
 	joined := !s.live[h.Address]
@@ -64,7 +64,7 @@
 		s.announce(now, p, h.Address)
 		s.announceRejoin(now)
 	}
-	s.live[h.Address] = true
+	s.updateMember(p, h.Member())
 	s.everSeen[h.Node] = true
 	s.mu.Unlock()
 	var stamp sageclock.Instant
--- /dev/null
+++ b/internal/sagemesh/roles.go
@@ -0,0 +1,103 @@
+package sagemesh
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
+
+// rankHash orders nodes for [Service.Rank].
+func rankHash(address string) uint64 { return xxhash.Sum64String(address) }
+
+// roles are what the live nodes and their states imply for this node. They are computed once after each change and
+// not modified afterwards.
+type roles struct {
+	// rank is this node's rank among the nodes that reach the store, rankUnreachable its rank if it doesn't.
+	rank, rankUnreachable int
+	// standby are the addresses of the standby nodes.
+	standby []string
+	// aggregators are the aggregators by data centre.
+	aggregators map[string]aggregatorPair
+}
+
+// currentRoles returns the present roles. In a fleet at rest nothing changes them, and a pass over all nodes for each
+// use would cost more than the heartbeats.
+func (s *Service) currentRoles() *roles {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.roles == nil {
+		s.roles = s.computeRoles()
+	}
+	return s.roles
+}
+
+// candidate is a node in the orders that decide the roles.
+type candidate struct {
+	address                  string
+	linkMbps                 int
+	rankHash, aggregatorHash uint64
+}
+
+// computeRoles computes the roles. mu is held.
+func (s *Service) computeRoles() *roles {
+	self := candidate{s.Address, s.LinkMbps, rankHash(s.Address), aggregatorHash(s.Address)}
+	r := &roles{aggregators: make(map[string]aggregatorPair)}
+	standby := []candidate{self}
+	first := map[string][2]candidate{s.DataCentre: {self}}
+	for a := range s.live {
+		p := s.peers[a]
+		m := &p.member
+		if m.Leaving {
+			continue
+		}
+		c := candidate{a, m.LinkMbps, p.rankHash, p.aggregatorHash}
+		first[m.DataCentre] = insert(first[m.DataCentre], c)
+		before := c.rankHash > self.rankHash
+		switch {
+		case m.StoreUnreachable && before:
+			r.rankUnreachable++
+		case m.StoreUnreachable:
+		default:
+			r.rankUnreachable++
+			standby = append(standby, c)
+			if before {
+				r.rank++
+			}
+		}
+	}
+	for dc, pair := range first {
+		r.aggregators[dc] = aggregatorPair{primary: pair[0].address, backup: pair[1].address}
+	}
+	slices.SortFunc(standby, func(a, b candidate) int { return cmp.Compare(b.rankHash, a.rankHash) })
+	for _, c := range standby[:min(standbyCount, len(standby))] {
+		r.standby = append(r.standby, c.address)
+	}
+	return r
+}
+
+// insert adds a candidate to the first two in the order of aggregators.
+func insert(pair [2]candidate, c candidate) [2]candidate {
+	switch {
+	case pair[0].address == "" || c.precedes(pair[0]):
+		return [2]candidate{c, pair[0]}
+	case pair[1].address == "" || c.precedes(pair[1]):
+		return [2]candidate{pair[0], c}
+	}
+	return pair
+}
+
+// precedes reports whether a candidate precedes another one in the order of aggregators.
+func (c candidate) precedes(o candidate) bool {
+	return cmp.Or(cmp.Compare(c.linkMbps, o.linkMbps), cmp.Compare(c.aggregatorHash, o.aggregatorHash)) > 0
+}
+
+// updateMember stores a node's state and discards the roles if they depend on what changed. mu is held.
+func (s *Service) updateMember(p *peer, m Member) {
+	old := &p.member
+	if !s.live[m.Address] || old.Leaving != m.Leaving || old.StoreUnreachable != m.StoreUnreachable || old.DataCentre != m.DataCentre || old.LinkMbps != m.LinkMbps {
+		s.roles = nil
+	}
+	p.member = m
+	s.live[m.Address] = true
+}
--- a/internal/sagemesh/send.go
+++ b/internal/sagemesh/send.go
@@ -21,7 +21,8 @@
 type batch struct {
 	// fill sets the fields that are specific to this batch; may be nil.
 	fill func(h *Heartbeat)
-	// include selects the targets; nil means all.
+	// to are the addresses of the targets. If it is nil, include selects them; if that is nil too, all peers are targets.
+	to      []string
 	include func(t *target) bool
 }
 
@@ -46,21 +47,22 @@
 	for _, a := range nodes {
 		s.shortIntervalTo[a] = true
 	}
-	s.sendBatch(batch{include: func(t *target) bool { return slices.Contains(nodes, t.address) }})
+	s.sendBatch(batch{to: nodes})
 }
 
 // sendAnnouncements sends a heartbeat to the given node and all others in the announce queue.
 func (s *Service) sendAnnouncements(address string) {
-	waiting := map[string]bool{address: true}
+	waiting := []string{address}
 	for more := true; more; {
 		select {
 		case a := <-s.announceQueue:
-			waiting[a] = true
+			waiting = append(waiting, a)
 		default:
 			more = false
 		}
 	}
-	s.sendBatch(batch{include: func(t *target) bool { return waiting[t.address] }})
+	slices.Sort(waiting)
+	s.sendBatch(batch{to: slices.Compact(waiting)})
 }
 
 // sendBatch sends a heartbeat to each target of a batch.
@@ -70,7 +72,7 @@
 // consider the proof fresher than it is.
 func (s *Service) sendBatch(b batch) {
 	h := Heartbeat{Address: s.Address, Identity: Identity{Node: s.Name, Entry: s.Entry, DataCentre: s.DataCentre, LinkMbps: s.LinkMbps}}
-	targets := s.targets(&h, b.include)
+	targets := s.targets(&h, &b)
 	if len(targets) == 0 {
 		return
 	}
@@ -126,38 +128,57 @@
 // targetAddresses returns the addresses of the selected nodes.
 func (s *Service) targetAddresses(include func(t *target) bool) map[string]bool {
 	out := make(map[string]bool)
-	for _, t := range s.targets(new(Heartbeat), include) {
+	for _, t := range s.targets(new(Heartbeat), &batch{include: include}) {
 		out[t.address] = true
 	}
 	return out
 }
 
-// rotatedPeers returns the addresses of all peers in order, starting at a random one. mu is held.
+// targets returns the targets of a batch, and adds some known addresses to the heartbeat.
+func (s *Service) targets(h *Heartbeat, b *batch) []target {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.addKnownAddresses(h)
+	if b.to != nil {
+		var out []target
+		for _, a := range b.to {
+			if p := s.peers[a]; p != nil {
+				out = append(out, p.target(a))
+			}
+		}
+		return out
+	}
+	var out []target
+	for i := range s.order {
+		a := s.order[(s.firstTarget+i)%len(s.order)]
+		t := s.peers[a].target(a)
+		if b.include == nil || b.include(&t) {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+func (p *peer) target(address string) target {
+	return target{address: address, addr: p.addr, echo: p.stamp, knowsSelf: p.knowsSelf, dataCentre: p.member.DataCentre}
+}
+
+// addKnownAddresses adds the addresses of some live nodes to a heartbeat, and chooses the first target at random. mu is
+// held.
 //
 // Only some receivers of a heartbeat get known addresses, and only a few of these. In a fixed order they would be
 // the same each time, and some nodes would never become known to others.
-func (s *Service) rotatedPeers() []string {
+func (s *Service) addKnownAddresses(h *Heartbeat) {
 	if len(s.order) == 0 {
-		return nil
+		return
 	}
-	start := s.rnd.IntN(len(s.order))
-	return slices.Concat(s.order[start:], s.order[:start])
-}
-
-// targets returns the selected nodes, and adds some known addresses to the heartbeat.
-func (s *Service) targets(h *Heartbeat, include func(t *target) bool) []target {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []target
-	for _, a := range s.rotatedPeers() {
-		p := s.peers[a]
-		t := target{address: a, addr: p.addr, echo: p.stamp, knowsSelf: p.knowsSelf, dataCentre: p.member.DataCentre}
-		if include == nil || include(&t) {
-			out = append(out, t)
+	s.firstTarget = s.rnd.IntN(len(s.order))
+	for i := range s.order {
+		if len(h.KnownAddresses) == addressesPerHeartbeat {
+			return
 		}
-		if s.live[a] && len(h.KnownAddresses) < addressesPerHeartbeat {
+		if a := s.order[(s.firstTarget+i)%len(s.order)]; s.live[a] {
 			h.KnownAddresses = append(h.KnownAddresses, a)
 		}
 	}
-	return out
 }
--- a/internal/sagemesh/service.go
+++ b/internal/sagemesh/service.go
@@ -42,7 +42,9 @@
 type peer struct {
 	addr   *net.UDPAddr
 	member Member
-	stamp  Stamp // the last one received
+	// rankHash and aggregatorHash are the hashes of the address that decide the roles.
+	rankHash, aggregatorHash uint64
+	stamp                    Stamp // the last one received
 	// knowsSelf says that the peer knows this node's identity: it echoed a stamp of this process.
 	knowsSelf bool
 	// lastAnnounced is when an immediate heartbeat to the peer was last queued.
@@ -99,6 +101,8 @@
 	// shortIntervalTo are the nodes that get heartbeats at the shortest interval.
 	shortIntervalTo map[string]bool
 	nextBroadcast   sageclock.Instant
+	// firstTarget is the index in order of the first target of the current batch.
+	firstTarget int
 	// announcedReady is the readiness last announced to the other nodes, readyAnnouncedAt when it changed.
 	announcedReady   bool
 	readyAnnouncedAt sageclock.Instant
@@ -116,6 +120,7 @@
 	peers              map[string]*peer
 	order              []string // the addresses of peers, in the order they were added
 	live               map[string]bool
+	roles              *roles          // nil after a change of the live nodes or their states
 	everSeen           map[string]bool // names of nodes
 }
 
@@ -178,7 +183,7 @@
 	defer s.mu.Unlock()
 	if s.peers[address] == nil {
 		s.order = append(s.order, address)
-		s.peers[address] = &peer{addr: addr, seed: seed, addedAt: s.now()}
+		s.peers[address] = &peer{addr: addr, rankHash: rankHash(address), aggregatorHash: aggregatorHash(address), seed: seed, addedAt: s.now()}
 	}
 	return nil
 }
--- a/internal/sagerouter/heartbeat.go
+++ b/internal/sagerouter/heartbeat.go
@@ -100,7 +100,7 @@
 	if stamp == 0 {
 		return
 	}
-	fetchNow := h.DataCentre == n.Settings.DataCentre || n.mesh.IsFirstInDataCentre()
+	fetchNow := h.DataCentre == n.Settings.DataCentre || n.mesh.FetchesForDataCentre()
 	for kind, p := range h.Copies {
 		if f := n.copies[kind]; f != nil {
 			f.HandlePosition(context.Background(), h.Address, p, stamp, fetchNow)
@@ -128,7 +128,7 @@
 // contentChanged sends heartbeats after a copy changed: to all peers if this node read the change from the store
 // (fromStore is true), or to those of this data centre if it came from a peer and this node fetches for them.
 func (n *Node) contentChanged(fromStore bool) {
-	if fromStore || n.mesh.IsFirstInDataCentre() {
+	if fromStore || n.mesh.FetchesForDataCentre() {
 		n.mesh.TriggerHeartbeats(fromStore)
 	}
 }
--- a/internal/sagesim/wiring_test.go
+++ b/internal/sagesim/wiring_test.go
@@ -22,14 +22,14 @@
 	if stamp == 0 {
 		return
 	}
-	fetchNow := h.DataCentre == n.dataCentre || n.mesh.IsFirstInDataCentre()
+	fetchNow := h.DataCentre == n.dataCentre || n.mesh.FetchesForDataCentre()
 	for kind, p := range h.Copies {
 		n.copies[kind].HandlePosition(n.fleet.ctx, h.Address, p, stamp, fetchNow)
 	}
 }
 
 func (n *node) contentChanged(fromStore bool) {
-	if fromStore || n.mesh.IsFirstInDataCentre() {
+	if fromStore || n.mesh.FetchesForDataCentre() {
 		n.mesh.TriggerHeartbeats(fromStore)
 	}
 }
