After a start of all nodes a few list the store, the others copy from them over the aggregators

Cause: each started node listed each kind for itself: nodes times pages of calls. Change: the registered nodes are read from a list that may be outdated (a tenth of the price, no rate); a node lists 30 ms after the one before it in the order of links, or not at all once a peer announces a copy; copies are encoded once, a node serves as many at a time as its link bears, and the aggregators come first (distribution tree).

--- a/internal/sagefollow/follower.go
+++ b/internal/sagefollow/follower.go
@@ -38,9 +38,9 @@
 	Apply func(changes []Change, afterOutage bool)
 	// StoreProof is the proof that the store answers calls for any kind, shared by all followers of a node.
 	StoreProof *sagefresh.Proof
-	// ListNotBefore is the instant before which a node without a copy doesn't list the kind itself but
-	// waits for its peers to do so. Zero means no wait.
-	ListNotBefore sageclock.Instant
+	// ListNotBefore returns the instant before which a node without a copy doesn't list the kind itself but waits
+	// for its peers to do so. It may change while the node waits. Nil means no wait.
+	ListNotBefore func() sageclock.Instant
 	// Prober follows another kind of the same store. While the calls of both followers fail, the store
 	// is considered down, and only the prober retries at the usual rate until the store answers again.
 	// It is nil if this follower is the prober.
@@ -104,11 +104,11 @@
 
 // HandlePosition handles the position that a peer announced after it had received stamp from this node. If this
 // copy lacks nothing that the peer has, this node adopts the peer's proof, dated by the stamp. Otherwise it
-// fetches what it lacks: immediately if fetchNow is set, because the peer is in the same data centre or this
-// node fetches on behalf of its own, else after remoteFetchDelay.
+// fetches what it lacks: immediately if fetchNow is set, because the peer distributes content in this data centre
+// or this node does, else after remoteFetchDelay.
 //
-// The delay prevents all nodes from fetching a large configuration at the same time from the nodes that query
-// the store, whose links would need seconds for it. A peer that announces a change and then doesn't answer
+// The delay prevents all nodes from fetching a large copy at the same time from the nodes that query the store,
+// whose links would need seconds for it. A peer that announces a change and then doesn't answer
 // delays this node only until its proof is too old and it calls the store itself.
 func (f *Follower) HandlePosition(ctx context.Context, peer string, p Position, stamp sageclock.Instant, fetchNow bool) {
 	if p.AsOf == 0 || p.ProofAgeMillis < 0 {
--- a/internal/sagefollow/listing.go
+++ b/internal/sagefollow/listing.go
@@ -26,7 +26,7 @@
 // of a long listing each time, so a listing that restarted from the first page might never finish.
 func (f *Follower) list(ctx context.Context) (Delta, sageclock.Instant, error) {
 	l := f.resumeListing(f.now())
-	if err := l.fetchPages(ctx, f.Source, f.Kind); err != nil {
+	if err := l.fetchPages(ctx, f.Source.List, f.Kind); err != nil {
 		f.saveListing(l)
 		return Delta{}, 0, err
 	}
@@ -64,10 +64,13 @@
 // resumable reports whether the listing is young enough to be resumed.
 func (l *listing) resumable(now sageclock.Instant) bool { return now.Sub(l.started) <= maxListingAge }
 
+// PageReader reads one page of a listing, like [Source.List].
+type PageReader func(ctx context.Context, kind, after string) (Page, error)
+
 // fetchPages fetches the remaining pages.
-func (l *listing) fetchPages(ctx context.Context, s Source, kind string) error {
+func (l *listing) fetchPages(ctx context.Context, read PageReader, kind string) error {
 	for {
-		p, err := s.List(ctx, kind, l.next)
+		p, err := read(ctx, kind, l.next)
 		if err != nil {
 			return fmt.Errorf("list after %q: %w", l.next, err)
 		}
@@ -83,9 +86,9 @@
 }
 
 // ListAll returns all objects of a kind.
-func ListAll(ctx context.Context, s Source, kind string) (Delta, error) {
+func ListAll(ctx context.Context, read PageReader, kind string) (Delta, error) {
 	l := listing{delta: Delta{Full: true}}
-	if err := l.fetchPages(ctx, s, kind); err != nil {
+	if err := l.fetchPages(ctx, read, kind); err != nil {
 		return Delta{}, err
 	}
 	return l.delta, nil
--- a/internal/sagefollow/poll.go
+++ b/internal/sagefollow/poll.go
@@ -23,6 +23,9 @@
 	// the answer to one node usually reaches the others before they poll.
 	pollDelayPerRank = 40 * time.Millisecond
 	maxDelayedRanks  = 25
+	// peerCopyTimeout is how long a node without a copy tries to fetch it from peers before it lists the kind itself.
+	// It is longer than peerFetchTimeout, so that one stalled fetch doesn't end the attempts.
+	peerCopyTimeout = 3 * time.Second
 	// hedgeDelay is the time after which an unanswered call is hedged with a second one: a hundred times
 	// the store's usual 4 ms.
 	hedgeDelay = 400 * time.Millisecond
@@ -86,7 +89,7 @@
 		return lastStarted.Add(deferredPollInterval).Sub(now)
 	}
 	if !f.listed() {
-		return f.ListNotBefore.Sub(now)
+		return f.untilFirstListing(now)
 	}
 	rank := f.Rank(f.Failing())
 	allowed := time.Duration(pollFraction * float64(f.MaxStaleness))
@@ -103,6 +106,24 @@
 	return wait
 }
 
+// untilFirstListing returns the time until this node lists the kind for the first time; zero or less means now.
+//
+// If each node of a large fleet listed a kind after a restart of all, the calls to the store would grow with the number of
+// nodes and the number of objects. Once a peer has a copy, it is fetched from there.
+func (f *Follower) untilFirstListing(now sageclock.Instant) time.Duration {
+	f.mu.Lock()
+	behindSince := f.behindSince
+	f.mu.Unlock()
+	var at sageclock.Instant
+	if f.ListNotBefore != nil {
+		at = f.ListNotBefore()
+	}
+	if behindSince != 0 {
+		at = max(at, behindSince.Add(peerCopyTimeout))
+	}
+	return at.Sub(now)
+}
+
 // startCall starts one call.
 func (p *poller) startCall(ctx context.Context) {
 	r := result{started: p.f.now(), slow: !p.slowCallPending}
--- a/internal/sagemesh/fetch.go
+++ b/internal/sagemesh/fetch.go
@@ -1,13 +1,17 @@
 package sagemesh
 
 import (
+	"bytes"
 	"compress/gzip"
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 	"golang.org/x/sync/semaphore"
@@ -87,15 +91,27 @@
 // Copies serves the copies of a node to its peers. The keys are kinds.
 type Copies map[string]*sagefollow.Follower
 
-// maxConcurrentCopies is the number of copies sent at a time; on the slowest links more would delay all of them.
-// A refused peer fetches the content later from another node that has it by then and announces it.
-const maxConcurrentCopies = 4
+const (
+	// minConcurrentCopies is the least number of copies sent at a time; on the slowest links more would delay all of
+	// them. A refused peer fetches the content later from another node that has it by then and announces it.
+	minConcurrentCopies = 4
+	// mbpsPerCopy is the bandwidth of a link for each further copy.
+	mbpsPerCopy = 25
+)
+
+// MaxConcurrentCopies returns the number of copies that a node with a link of the given bandwidth sends at a time.
+func MaxConcurrentCopies(linkMbps int) int { return max(minConcurrentCopies, linkMbps/mbpsPerCopy) }
 
-// Handle adds a handler for the copies to a mux.
-func (c Copies) Handle(mux *http.ServeMux) {
-	slots := semaphore.NewWeighted(maxConcurrentCopies)
+// Handle adds a handler for the copies to a mux, for a node with a link of the given bandwidth.
+func (c Copies) Handle(mux *http.ServeMux, linkMbps int) {
+	slots := semaphore.NewWeighted(int64(MaxConcurrentCopies(linkMbps)))
+	caches := make(map[string]*encodedCopy, len(c))
+	for kind := range c {
+		caches[kind] = new(encodedCopy)
+	}
 	mux.HandleFunc("GET "+copiesPath+"{kind}", func(w http.ResponseWriter, r *http.Request) {
-		f := c[r.PathValue("kind")]
+		kind := r.PathValue("kind")
+		f := c[kind]
 		since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
 		if f == nil || err != nil {
 			http.Error(w, "no such copy", http.StatusNotFound)
@@ -106,17 +122,81 @@
 			return
 		}
 		defer slots.Release(1)
-		if err := writeCompressed(w, f.DeltaSince(since)); err != nil {
+		if since == 0 {
+			err = caches[kind].writeTo(w, f)
+		} else {
+			err = writeCompressed(w, f.DeltaSince(since))
+		}
+		if err != nil {
 			f.Log.Warn("Copy could not be sent to a peer.", "kind", f.Kind, "err", err)
 		}
 	})
 }
 
+// encodedCopyTTL is how long an encoded copy is kept after its last use.
+const encodedCopyTTL = 10 * time.Second
+
+// encodedCopy is the encoded content of a kind, for many peers that have none. Encoding ten thousand objects takes longer
+// than sending them.
+type encodedCopy struct {
+	mu       sync.Mutex
+	revision uint64 // content revision of data
+	data     []byte
+	expiry   *time.Timer
+}
+
+// writeTo sends the content of a copy.
+func (e *encodedCopy) writeTo(w http.ResponseWriter, f *sagefollow.Follower) error {
+	data, err := e.encode(f)
+	if err != nil {
+		return err
+	}
+	setCompressedHeader(w)
+	if _, err := w.Write(data); err != nil {
+		return fmt.Errorf("write: %w", err)
+	}
+	return nil
+}
+
+// encode returns the encoded content, which is the same for all peers until it changes.
+func (e *encodedCopy) encode(f *sagefollow.Follower) ([]byte, error) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	revision := f.Position().ContentRevision
+	if e.data != nil && e.revision == revision {
+		e.expiry.Reset(encodedCopyTTL)
+		return e.data, nil
+	}
+	var b bytes.Buffer
+	if err := compress(&b, f.DeltaSince(0)); err != nil {
+		return nil, err
+	}
+	if revision != 0 {
+		e.revision, e.data = revision, b.Bytes()
+		e.expiry = time.AfterFunc(encodedCopyTTL, e.drop)
+	}
+	return b.Bytes(), nil
+}
+
+func (e *encodedCopy) drop() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.data = nil
+}
+
 // writeCompressed writes v as compressed JSON. Copies are sent between data centres, and compression reduces
 // configurations to a tenth.
 func writeCompressed(w http.ResponseWriter, v any) error {
+	setCompressedHeader(w)
+	return compress(w, v)
+}
+
+func setCompressedHeader(w http.ResponseWriter) {
 	w.Header().Set("Content-Type", "application/json")
 	w.Header().Set("Content-Encoding", "gzip")
+}
+
+func compress(w io.Writer, v any) error {
 	z, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
 	if err != nil {
 		return fmt.Errorf("compress: %w", err)
--- a/internal/sagerouter/heartbeat.go
+++ b/internal/sagerouter/heartbeat.go
@@ -100,7 +100,8 @@
 	if stamp == 0 {
 		return
 	}
-	fetchNow := h.DataCentre == n.Settings.DataCentre || n.mesh.FetchesForDataCentre()
+	m := h.Member()
+	fetchNow := n.mesh.FetchesForDataCentre() || h.DataCentre == n.Settings.DataCentre && n.mesh.IsAggregator(&m)
 	for kind, p := range h.Copies {
 		if f := n.copies[kind]; f != nil {
 			f.HandlePosition(context.Background(), h.Address, p, stamp, fetchNow)
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -12,7 +12,6 @@
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
-	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
 	"sagestand.example/sagestand/internal/sagefollow"
@@ -35,9 +34,13 @@
 	// upstreamBatchDelay is how long changes of upstreams are batched. It is well below the two seconds after which a
 	// removed upstream must not receive requests.
 	upstreamBatchDelay = 150 * time.Millisecond
-	// firstListingSpread is the time over which the first store listings of a new fleet are spread. Nodes that come
-	// later get the content from the first ones instead of the store.
-	firstListingSpread = 2 * time.Second
+	// listDelayPerRank is the time between the first listings of two nodes that start together, in the order of their
+	// links, and maxListDelay the longest wait. Most nodes get the content from the first ones instead of the store.
+	listDelayPerRank = 30 * time.Millisecond
+	maxListDelay     = 2 * time.Second
+	// maxFirstStartWait is how long a node of a new fleet waits for the list of registered nodes before it lists the
+	// kinds. No callers wait yet.
+	maxFirstStartWait = 6 * time.Second
 	// expiryInterval is how often lapsed upstream entries are expired.
 	expiryInterval = 100 * time.Millisecond
 	// DirectoryTTL is how long callers may cache a directory answer. Some cache it three times as long.
@@ -68,6 +71,8 @@
 // Store is the platform's store.
 type Store interface {
 	sagefollow.Source
+	// ListStale is like List, but the page may be some seconds old.
+	ListStale(ctx context.Context, kind, after string) (sagefollow.Page, error)
 	// Create creates an object. An existing one is left unchanged, without an error.
 	Create(ctx context.Context, kind, name string, spec json.RawMessage) error
 	// SetStatus replaces an object's status if the object is still at the revision.
@@ -102,7 +107,9 @@
 	fetcher         *sagemesh.Fetcher
 	cacheResync     *cacheResync
 	registeredNames atomic.Pointer[[]string] // nodes registered in the store
-	storeProof      sagefresh.Proof          // proof of the store's answers for any kind of object
+	startedAt       sageclock.Instant
+	listAt          atomic.Int64    // when this node lists the kinds for the first time; 0 if not known yet
+	storeProof      sagefresh.Proof // proof of the store's answers for any kind of object
 	// quarantine tracks the requests that crash upstreams.
 	quarantine sagequarantine.Tracker
 	leaving    atomic.Bool
@@ -117,6 +124,7 @@
 	if cfg.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(memoryLimitFraction*float64(cfg.MemoryMB)) << 20)
 	}
+	n.startedAt = sageclock.Now()
 	n.metrics = metrics.NewSet()
 	n.kernel.Log, n.kernel.StopTimeout = n.Log.Component("kernel"), seconds(cfg.Bounds.StopWithinSeconds)
 	n.makeMesh()
@@ -164,7 +172,7 @@
 	follow := func(kind string, maxStalenessMillis int, apply func([]sagefollow.Change, bool)) *sagefollow.Follower {
 		return &sagefollow.Follower{
 			Kind: kind, Source: n.Store, Peers: n.fetcher, MaxStaleness: millis(maxStalenessMillis), Rank: n.mesh.Rank, Apply: apply,
-			StoreProof: &n.storeProof, OnChange: n.contentChanged, PeerProofDelay: n.peerProofDelay, Log: n.Log.Component("follow"),
+			StoreProof: &n.storeProof, ListNotBefore: n.listNotBefore, OnChange: n.contentChanged, PeerProofDelay: n.peerProofDelay, Log: n.Log.Component("follow"),
 		}
 	}
 	n.copies = sagemesh.Copies{
@@ -180,7 +188,6 @@
 	for _, kind := range []string{n.Kinds.Upstreams, n.Kinds.ClosedDataCentres, n.Kinds.Quarantines} {
 		n.copies[kind].Prober = n.copies[n.Kinds.Config]
 	}
-	n.spreadFirstListing()
 	n.fleet = &fleet{
 		view: n.view, keyProof: &n.copies[n.Kinds.Config].Proof,
 		knownNodes: n.mesh.KnownNodes, countLag: n.countLag, placer: placer, coldLimiter: sageshare.ColdLimiter{Self: cfg.Node},
@@ -204,7 +211,6 @@
 func (n *Node) followRollouts(follow func(kind string, maxStalenessMillis int, apply func([]sagefollow.Change, bool)) *sagefollow.Follower) {
 	f := follow(n.Kinds.Rollouts, orderStalenessFactor*n.Settings.Bounds.Rollouts.UndoWithinMillis, n.applyRollouts)
 	f.Prober = n.copies[n.Kinds.Config]
-	f.ListNotBefore = n.firstListing()
 	n.copies[n.Kinds.Rollouts] = f
 	n.view.admittedVersions = make(versions)
 	n.view.ordersRevision = f.AsOf
@@ -240,21 +246,16 @@
 	return out, true
 }
 
-// spreadFirstListing delays this node's first listings when the whole fleet starts for the first time and no
-// callers wait yet. At any other start the node has to serve as soon as possible.
-func (n *Node) spreadFirstListing() {
-	if !n.Settings.FirstStart {
-		return
+// listNotBefore returns the instant before which this node doesn't list a kind for the first time. Once the registered
+// nodes are known, it follows from this node's position among them.
+func (n *Node) listNotBefore() sageclock.Instant {
+	if at := n.listAt.Load(); at != 0 {
+		return sageclock.Instant(at)
 	}
-	for _, f := range n.copies {
-		f.ListNotBefore = n.firstListing()
+	if n.Settings.FirstStart {
+		return n.startedAt.Add(maxFirstStartWait)
 	}
-}
-
-// firstListing returns the time of a first listing that nothing waits for. It differs between nodes, so that most
-// of them can get the content from a peer that has listed earlier.
-func (n *Node) firstListing() sageclock.Instant {
-	return sageclock.Now().Add(time.Duration(xxhash.Sum64String(n.Settings.Node) % uint64(firstListingSpread)))
+	return n.startedAt.Add(registrationTimeout)
 }
 
 // listen opens the listeners and registers their servers. The entry server comes last, since the kernel stops
@@ -262,7 +263,7 @@
 func (n *Node) listen() error {
 	cfg := &n.Settings
 	peers := http.NewServeMux()
-	n.copies.Handle(peers)
+	n.copies.Handle(peers, int(cfg.LinkMbps))
 	sagemesh.HandleHeld(peers, n.fleet.placer, n.Log.Component("mesh"))
 	operator := http.NewServeMux()
 	operator.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.WritePrometheus(w) })
--- a/internal/sagerouter/registrar.go
+++ b/internal/sagerouter/registrar.go
@@ -1,81 +1,137 @@
 package sagerouter
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
+
 	"sagestand.example/sagestand/internal/sagefollow"
+	"sagestand.example/sagestand/pkg/sageclock"
 )
 
-// Time-out and retry delay of the registration.
+// Times of the registration.
 const (
 	registerTimeout    = 2 * time.Second
 	registerRetryDelay = 500 * time.Millisecond
+	// firstListDelay is how long a node of a new fleet waits after its registration for the others to register.
+	firstListDelay = time.Second
+	// maxStaleLists is how many times such a node accepts a list without its own entry as outdated. Then it asks for the
+	// present one, which costs ten times as much.
+	maxStaleLists = 6
 )
 
+// errOutdatedList reports a list of the registered nodes from before this node's registration.
+var errOutdatedList = errors.New("list of nodes is outdated")
+
 // nodeEntry is the store object by which nodes find each other.
 type nodeEntry struct {
 	Mesh       string `json:"mesh"`
 	DataCentre string `json:"data_centre"`
+	LinkMbps   int    `json:"link_mbps,omitempty"`
 }
 
 // registrar registers this node in the store and lists the other registered nodes.
 //
-// Each node registers before it lists. Of two that start at the same time, at least one therefore finds the other
-// in the list and sends it a heartbeat, by which the other one discovers it. A restarted node is usually still
-// registered and finds that out from the list alone, which saves one call per node when a large fleet restarts.
-type registrar struct{ node *Node }
+// A restarted node is usually still registered and finds that out from an outdated list, which costs little when a large
+// fleet restarts. A node that isn't registered lists again after its registration: of two that start at the same time,
+// at least one finds the other in the list and sends it a heartbeat, by which the other one discovers it.
+type registrar struct {
+	node       *Node
+	staleLists int
+}
 
 // Run registers the node, with retries, and returns when ctx ends.
 func (r *registrar) Run(ctx context.Context) error {
-	log := r.node.Log.Component("members")
-	for ctx.Err() == nil {
-		err := r.register(ctx)
-		if err == nil {
-			break
-		}
-		log.Warn("Registration failed.", "err", err)
-		select {
-		case <-ctx.Done():
-		case <-time.After(registerRetryDelay):
-		}
+	if r.node.Settings.FirstStart {
+		r.retry(ctx, r.create)
+		sleep(ctx, firstListDelay)
 	}
+	r.retry(ctx, r.register)
 	<-ctx.Done()
 	return nil
 }
 
-// register makes one attempt to register this node and to list the others.
-func (r *registrar) register(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, registerTimeout)
-	defer cancel()
-	if !r.node.Settings.FirstStart {
-		names, registered, err := r.list(ctx)
-		if err != nil {
-			return err
-		}
-		if registered {
-			r.applyNames(names)
-			return nil
+// retry calls f until it succeeds or ctx ends.
+func (r *registrar) retry(ctx context.Context, f func(ctx context.Context) error) {
+	for ctx.Err() == nil {
+		err := withTimeout(ctx, registerTimeout, f)
+		if err == nil {
+			return
 		}
+		r.node.Log.Component("members").Warn("Registration failed.", "err", err)
+		sleep(ctx, registerRetryDelay)
 	}
-	if err := r.create(ctx); err != nil {
-		return err
+}
+
+func withTimeout(ctx context.Context, d time.Duration, f func(ctx context.Context) error) error {
+	ctx, cancel := context.WithTimeout(ctx, d)
+	defer cancel()
+	return f(ctx)
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	select {
+	case <-ctx.Done():
+	case <-time.After(d):
 	}
-	names, _, err := r.list(ctx)
+}
+
+// register makes one attempt to list the registered nodes, and to register this one if it isn't among them.
+func (r *registrar) register(ctx context.Context) error {
+	n := r.node
+	entries, err := r.list(ctx, n.Store.ListStale)
 	if err != nil {
 		return err
 	}
-	r.applyNames(names)
+	if !r.isRegistered(entries) {
+		if r.staleLists++; n.Settings.FirstStart && r.staleLists <= maxStaleLists {
+			return errOutdatedList
+		}
+		if err := r.create(ctx); err != nil {
+			return err
+		}
+		if entries, err = r.list(ctx, n.Store.List); err != nil {
+			return err
+		}
+	}
+	r.apply(entries)
 	return nil
 }
 
-// applyNames stores the names of the registered nodes. It sends them a heartbeat immediately, since their replies
-// would otherwise come up to one interval later.
-func (r *registrar) applyNames(names []string) {
-	r.node.registeredNames.Store(&names)
-	r.node.mesh.TriggerHeartbeats(true)
+// apply adds the registered nodes as peers. It sends them a heartbeat immediately, since their replies would otherwise
+// come up to one interval later.
+func (r *registrar) apply(entries map[string]nodeEntry) {
+	n := r.node
+	for name, e := range entries {
+		if err := n.mesh.AddPeer(e.Mesh); err != nil {
+			n.Log.Component("members").Warn("Node entry has an invalid address.", "name", name, "err", err)
+		}
+	}
+	delay := min(time.Duration(r.position(entries))*listDelayPerRank, maxListDelay)
+	n.listAt.Store(int64(sageclock.Now().Add(delay)))
+	names := slices.Collect(maps.Keys(entries))
+	n.registeredNames.Store(&names)
+	n.mesh.TriggerHeartbeats(true)
+}
+
+// position returns the number of registered nodes that list the kinds before this one after a start of all: those with
+// faster links, over which the others fetch the content, and some of those with equal links.
+func (r *registrar) position(entries map[string]nodeEntry) int {
+	self := r.node.Settings.Node
+	before := 0
+	for name, e := range entries {
+		if name != self && cmp.Or(cmp.Compare(e.LinkMbps, r.entry().LinkMbps), cmp.Compare(xxhash.Sum64String(name), xxhash.Sum64String(self))) > 0 {
+			before++
+		}
+	}
+	return before
 }
 
 // create writes this node's entry to the store.
@@ -92,29 +148,29 @@
 }
 
 func (r *registrar) entry() nodeEntry {
-	return nodeEntry{Mesh: r.node.Settings.Listen.Mesh, DataCentre: r.node.Settings.DataCentre}
+	cfg := &r.node.Settings
+	return nodeEntry{Mesh: cfg.Listen.Mesh, DataCentre: cfg.DataCentre, LinkMbps: int(cfg.LinkMbps)}
 }
 
-// list adds the registered nodes as peers and returns their names. registered reports whether this node is among
-// them with its present address.
-func (r *registrar) list(ctx context.Context) (names []string, registered bool, err error) {
-	n := r.node
-	d, err := sagefollow.ListAll(ctx, n.Store, n.Kinds.Nodes)
+// isRegistered reports whether this node is among the entries with its present address.
+func (r *registrar) isRegistered(entries map[string]nodeEntry) bool {
+	e, ok := entries[r.node.Settings.Node]
+	return ok && e.Mesh == r.entry().Mesh && e.DataCentre == r.entry().DataCentre
+}
+
+// list returns the entries of the registered nodes by name. Those that can't be decoded are empty.
+func (r *registrar) list(ctx context.Context, read sagefollow.PageReader) (map[string]nodeEntry, error) {
+	d, err := sagefollow.ListAll(ctx, read, r.node.Kinds.Nodes)
 	if err != nil {
-		return nil, false, fmt.Errorf("list nodes: %w", err)
+		return nil, fmt.Errorf("list nodes: %w", err)
 	}
-	log := n.Log.Component("members")
+	entries := make(map[string]nodeEntry, len(d.Changes))
 	for _, c := range d.Changes {
-		names = append(names, c.Object.Name)
 		var e nodeEntry
 		if err := json.Unmarshal(c.Object.Spec, &e); err != nil {
-			log.Warn("Node entry can't be decoded.", "name", c.Object.Name, "err", err)
-			continue
-		}
-		if err := n.mesh.AddPeer(e.Mesh); err != nil {
-			log.Warn("Node entry has an invalid address.", "name", c.Object.Name, "err", err)
+			r.node.Log.Component("members").Warn("Node entry can't be decoded.", "name", c.Object.Name, "err", err)
 		}
-		registered = registered || c.Object.Name == n.Settings.Node && e == r.entry()
+		entries[c.Object.Name] = e
 	}
-	return names, registered, nil
+	return entries, nil
 }
--- a/internal/sagerouter/registrar_test.go
+++ b/internal/sagerouter/registrar_test.go
@@ -32,6 +32,10 @@
 	return sagefollow.Page{Changes: s.changes, AsOf: 1}, nil
 }
 
+func (s *entryStore) ListStale(ctx context.Context, kind, after string) (sagefollow.Page, error) {
+	return s.List(ctx, kind, after)
+}
+
 func (s *entryStore) Watch(context.Context, string, uint64, time.Duration) (sagefollow.Delta, error) {
 	return sagefollow.Delta{}, nil
 }
@@ -69,7 +73,9 @@
 func TestRegisteredNodeOnlyListsAtStart(t *testing.T) {
 	store := new(entryStore)
 	for i := range 5 {
-		require.NoError(t, newRegistrar(t, i, true, store).register(t.Context()))
+		m := newRegistrar(t, i, true, store)
+		require.NoError(t, m.create(t.Context()))
+		require.NoError(t, m.register(t.Context()))
 	}
 	require.Equal(t, 10, store.calls, "at the first start a node registers before it lists")
 	store.calls = 0
--- a/internal/sagesim/fleet_test.go
+++ b/internal/sagesim/fleet_test.go
@@ -73,6 +73,9 @@
 	copies     map[string]*sagefollow.Follower
 	storeProof sagefresh.Proof
 	serving    *semaphore.Weighted
+	encoded    atomic.Bool // the full content of the upstreams has been encoded
+	listAt     atomic.Int64
+	startedAt  sageclock.Instant
 	stop       context.CancelFunc
 
 	mu       sync.Mutex
@@ -150,8 +153,8 @@
 	n.mu.Lock()
 	n.readyAt, n.known = 0, make(map[string]sageclock.Instant)
 	n.mu.Unlock()
-	n.serving = semaphore.NewWeighted(maxConcurrentCopies)
-	n.storeProof = sagefresh.Proof{}
+	n.serving = semaphore.NewWeighted(int64(sagemesh.MaxConcurrentCopies(int(n.mbps))))
+	n.storeProof, n.startedAt = sagefresh.Proof{}, virtualNow()
 	seeds := []string{n.fleet.nodes[0].address, n.fleet.nodes[n.fleet.size.nodes/2].address}
 	n.mesh = &sagemesh.Service{
 		Name: n.name, Address: n.address, Entry: n.address, DataCentre: n.dataCentre, LinkMbps: int(n.mbps), Seeds: seeds,
@@ -168,11 +171,10 @@
 	for _, kind := range []string{kindConfig, kindUpstreams} {
 		n.copies[kind] = &sagefollow.Follower{
 			Kind: kind, Source: storeLink{n.fleet.store, n}, Peers: peers{n}, MaxStaleness: maxStaleness, Rank: n.mesh.Rank, Apply: n.apply,
-			StoreProof: &n.storeProof, OnChange: n.contentChanged, PeerProofDelay: n.peerProofDelay, Now: virtualNow,
+			StoreProof: &n.storeProof, OnChange: n.contentChanged, PeerProofDelay: n.peerProofDelay, ListNotBefore: n.listNotBefore, Now: virtualNow,
 		}
 	}
 	n.copies[kindUpstreams].Prober = n.copies[kindConfig]
-	n.configureStart()
 }
 
 func (n *node) fill(h *sagemesh.Heartbeat) {
@@ -205,20 +207,6 @@
 	}
 }
 
-// register lists the registered nodes, as a restarted node does.
-func (n *node) register(ctx context.Context) {
-	for ctx.Err() == nil {
-		if n.fleet.store.admit(ctx) == nil {
-			for _, o := range n.fleet.nodes {
-				_ = n.mesh.AddPeer(o.address) // all addresses are valid
-			}
-			n.mesh.TriggerHeartbeats(true)
-			return
-		}
-		time.Sleep(500 * time.Millisecond)
-	}
-}
-
 // shutdown ends the simulation.
 func (f *fleet) shutdown() {
 	f.stop()
--- a/internal/sagesim/sim_test.go
+++ b/internal/sagesim/sim_test.go
@@ -81,10 +81,10 @@
 	gone := f.await(30*time.Second, func() bool { return f.stale() == 0 })
 	perSecond := 1 / rest.Seconds()
 	t.Logf("nodes %d, upstreams %d\n"+
-		"  start: ready ms %s; store calls %d, refused %d; cpu s %s; KB out %s, in %s; copies from peers %d, refused %d\n"+
+		"  start: ready ms %s; store calls %d, refused %d, stale %d; cpu s %s; KB out %s, in %s; copies from peers %d, refused %d\n"+
 		"  rest: cpu %% of a core %s; KB/s out %s, in %s; datagrams/s %s; store calls/s %.1f; dropped %d\n"+
 		"  config ms %s; upstream ms %s; dead node gone ms %d",
-		sz.nodes, sz.upstreams, ready, startCalls, startRefused,
+		sz.nodes, sz.upstreams, ready, startCalls, startRefused, f.store.staleCalls,
 		costsOf(append([]float64(nil), start.cpu...)), costsOf(difference(make([]float64, len(start.out)), start.out, 1e-3)), costsOf(difference(make([]float64, len(start.in)), start.in, 1e-3)), f.total(func(n *node) int { return n.fetched }), f.total(func(n *node) int { return n.rejected }),
 		costsOf(difference(before.cpu, after.cpu, 100*perSecond)), costsOf(difference(before.out, after.out, 1e-3*perSecond)), costsOf(difference(before.in, after.in, 1e-3*perSecond)),
 		costsOf(difference(before.datagrams, after.datagrams, perSecond)), float64(restCalls)*perSecond, f.total(func(n *node) int { return int(n.socket.dropped.Load()) }),
--- a/internal/sagesim/store_test.go
+++ b/internal/sagesim/store_test.go
@@ -44,6 +44,8 @@
 	out      bool
 	calls    int
 	refused  int
+	// staleCalls are calls that may be answered with outdated data, which cost a tenth.
+	staleCalls int
 }
 
 func newStore(readsPerSecond float64) *store {
@@ -108,6 +110,14 @@
 	return nil
 }
 
+// admitStale counts a call that may be answered with outdated data. It doesn't count toward the rate.
+func (s *store) admitStale() {
+	time.Sleep(storeLatency)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.staleCalls++
+}
+
 // storeLink is one node's path to the store. It implements [sagefollow.Source].
 type storeLink struct {
 	*store
--- a/internal/sagesim/wiring_test.go
+++ b/internal/sagesim/wiring_test.go
@@ -1,10 +1,13 @@
 package sagesim
 
 import (
+	"cmp"
 	"context"
 	"net/netip"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sagestand.example/sagestand/internal/sagefollow"
 	"sagestand.example/sagestand/internal/sagemesh"
 	"sagestand.example/sagestand/pkg/sageclock"
@@ -14,15 +17,17 @@
 
 const (
 	coveredProofDelay   = 400 * time.Millisecond
-	maxConcurrentCopies = 4
-	firstListingSpread  = 2 * time.Second
+	registrationTimeout = time.Second
+	listDelayPerRank    = 30 * time.Millisecond
+	maxListDelay        = 2 * time.Second
 )
 
 func (n *node) handleHeartbeat(h *sagemesh.Heartbeat, stamp sageclock.Instant) {
 	if stamp == 0 {
 		return
 	}
-	fetchNow := h.DataCentre == n.dataCentre || n.mesh.FetchesForDataCentre()
+	m := h.Member()
+	fetchNow := n.mesh.FetchesForDataCentre() || h.DataCentre == n.dataCentre && n.mesh.IsAggregator(&m)
 	for kind, p := range h.Copies {
 		n.copies[kind].HandlePosition(n.fleet.ctx, h.Address, p, stamp, fetchNow)
 	}
@@ -41,8 +46,31 @@
 	return max(0, n.mesh.PropagationDelay()-coveredProofDelay)
 }
 
-// configureStart sets when the node lists the kinds for the first time.
-func (n *node) configureStart() {}
+// listNotBefore returns when the node lists the kinds for the first time.
+func (n *node) listNotBefore() sageclock.Instant {
+	if at := n.listAt.Load(); at != 0 {
+		return sageclock.Instant(at)
+	}
+	return n.startedAt.Add(registrationTimeout)
+}
+
+// register lists the registered nodes, as a restarted node does.
+func (n *node) register(ctx context.Context) {
+	pages := (len(n.fleet.nodes) + pageSize - 1) / pageSize
+	for range pages {
+		n.fleet.store.admitStale()
+		storeLink{n.fleet.store, n}.receive(min(pageSize, len(n.fleet.nodes)))
+	}
+	before := 0
+	for _, o := range n.fleet.nodes {
+		_ = n.mesh.AddPeer(o.address) // all addresses are valid
+		if cmp.Or(cmp.Compare(o.mbps, n.mbps), cmp.Compare(xxhash.Sum64String(o.name), xxhash.Sum64String(n.name))) > 0 {
+			before++
+		}
+	}
+	n.listAt.Store(int64(virtualNow().Add(min(time.Duration(before)*listDelayPerRank, maxListDelay))))
+	n.mesh.TriggerHeartbeats(true)
+}
 
 // peers fetches copies from other nodes. It implements [sagefollow.Peers].
 type peers struct{ node *node }
@@ -61,7 +89,9 @@
 		return sagefollow.Delta{}, errTooMany
 	}
 	d := from.copies[kind].DeltaSince(since)
-	from.cpu.run(time.Duration(len(d.Changes)+1) * (objectEncodeTime + compressTime))
+	if !d.Full || !from.encoded.Swap(true) {
+		from.cpu.run(time.Duration(len(d.Changes)+1) * (objectEncodeTime + compressTime))
+	}
 	transfer(from, p.node, (len(d.Changes)+1)*copiedBytes)
 	from.serving.Release(1)
 	p.node.cpu.run(time.Duration(len(d.Changes)+1) * objectDecodeTime)
