--- a/internal/sagerouter/services.go
+++ b/internal/sagerouter/services.go
@@ -63,7 +63,7 @@
 const recordCleanupInterval = 10 * time.Second
 
 // expirer drops upstreams whose entries lapsed during an outage of the store, and health records of removed ones.
-// It also flushes the log of peers.
+// It also flushes the log of peers and adapts the garbage collector.
 type expirer struct{ node *Node }
 
 // Run works until ctx ends.
@@ -83,6 +83,7 @@
 			now := sageclock.Now()
 			n.fleet.pauses.Sweep(now)
 			n.fleet.declines.sweep(now)
+			tuneGC()
 		case <-t.C:
 			n.peers.Flush()
 			n.view.expireLapsed(n.storeProof.Age(sageclock.Now()) > sagefollow.LongOutage)
