--- a/internal/sagerouter/fleet_test.go
+++ b/internal/sagerouter/fleet_test.go
@@ -117,15 +117,19 @@
 }
 
 func BenchmarkPick(b *testing.B) {
-	f := newFleet(&testing.T{}, 64, 0)
-	for prompt := range uint64(200) {
-		p := f.Pick(&sagerelay.Query{Service: "s", Chain: chain(prompt)})
-		f.RecordPrompt(p.Upstream, chain(prompt))
-		p.Done()
-	}
-	b.ReportAllocs()
-	for i := uint64(0); b.Loop(); i++ {
-		f.Pick(&sagerelay.Query{Service: "s", Chain: chain(i % 200)}).Done()
+	for _, upstreams := range []int{64, 10000} {
+		b.Run(fmt.Sprint(upstreams), func(b *testing.B) {
+			f := newFleet(&testing.T{}, upstreams, 0)
+			for prompt := range uint64(200) {
+				p := f.Pick(&sagerelay.Query{Service: "s", Chain: chain(prompt)})
+				f.RecordPrompt(p.Upstream, chain(prompt))
+				p.Done()
+			}
+			b.ReportAllocs()
+			for i := uint64(0); b.Loop(); i++ {
+				f.Pick(&sagerelay.Query{Service: "s", Chain: chain(i % 200)}).Done()
+			}
+		})
 	}
 }
 
--- a/internal/sagerouter/locate.go
+++ b/internal/sagerouter/locate.go
@@ -1,5 +1,14 @@
 package sagerouter
 
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sagestand.example/sagestand/internal/sagemesh"
+)
+
 // minLocalNodes is how many nodes a data centre needs for its callers to get only local addresses: with three, one
 // is still left if two are lost before the callers query the directory again.
 const minLocalNodes = 3
@@ -7,20 +16,33 @@
 // EntryAddresses returns the entry addresses for callers in a data centre: those of the same data centre if at
 // least three nodes serve there, otherwise all. Local addresses save each request and response a path between data
 // centres.
+//
+// Nodes with faster links come first, the others in an order that is the same for all answers. A platform that limits the
+// length of an answer thus leaves out the smallest nodes, and callers keep their connections from one answer to the next.
 func (n *Node) EntryAddresses(dataCentre string) []string {
-	var all, local []string
-	add := func(entry, entryDataCentre string) {
-		all = append(all, entry)
-		if entryDataCentre == dataCentre {
-			local = append(local, entry)
-		}
-	}
+	var serving []sagemesh.Member
 	if n.Ready() {
-		add(n.Settings.Listen.Entry, n.Settings.DataCentre)
+		cfg := &n.Settings
+		serving = append(serving, sagemesh.Member{Identity: sagemesh.Identity{Entry: cfg.Listen.Entry, DataCentre: cfg.DataCentre, LinkMbps: int(cfg.LinkMbps)}})
 	}
 	for _, m := range n.mesh.Live() {
 		if m.Ready && !m.Leaving {
-			add(m.Entry, m.DataCentre)
+			serving = append(serving, m)
+		}
+	}
+	return entryAddresses(serving, dataCentre)
+}
+
+// entryAddresses returns the entry addresses of the given nodes for callers in a data centre, in their order.
+func entryAddresses(serving []sagemesh.Member, dataCentre string) []string {
+	slices.SortFunc(serving, func(a, b sagemesh.Member) int {
+		return cmp.Or(cmp.Compare(b.LinkMbps, a.LinkMbps), cmp.Compare(xxhash.Sum64String(a.Entry), xxhash.Sum64String(b.Entry)))
+	})
+	var all, local []string
+	for i := range serving {
+		all = append(all, serving[i].Entry)
+		if serving[i].DataCentre == dataCentre {
+			local = append(local, serving[i].Entry)
 		}
 	}
 	if len(local) >= minLocalNodes {
--- a/internal/sagesim/fleet_test.go
+++ b/internal/sagesim/fleet_test.go
@@ -68,6 +68,7 @@
 	cpu        *processor
 	out, in    *link
 	socket     *socket
+	removed    bool // registered, but never started
 	down       atomic.Bool
 	mesh       *sagemesh.Service
 	copies     map[string]*sagefollow.Follower
@@ -87,6 +88,13 @@
 
 // newFleet starts a fleet before a store with its configuration and upstreams.
 func newFleet(t testing.TB, sz size) *fleet {
+	f := prepareFleet(t, sz)
+	f.startAll()
+	return f
+}
+
+// prepareFleet returns a fleet that has not been started.
+func prepareFleet(t testing.TB, sz size) *fleet {
 	f := &fleet{t: t, size: sz, store: newStore(16000), byAddress: make(map[string]*node), started: virtualNow()}
 	f.ctx, f.stop = context.WithCancel(context.Background())
 	f.store.fill(kindUpstreams, sz.upstreams)
@@ -97,7 +105,6 @@
 	for _, n := range f.nodes {
 		f.byAddress[n.address] = n
 	}
-	f.startAll()
 	return f
 }
 
@@ -117,6 +124,9 @@
 func (f *fleet) startAll() {
 	rnd := rand.New(rand.NewPCG(1, 2))
 	for _, n := range f.nodes {
+		if n.removed {
+			continue
+		}
 		delay := time.Duration(rnd.Int64N(int64(300 * time.Millisecond)))
 		f.running.Go(func() {
 			time.Sleep(delay)
--- a/internal/sagesim/sim_test.go
+++ b/internal/sagesim/sim_test.go
@@ -66,15 +66,15 @@
 	defer f.shutdown()
 	f.await(startLimit, func() bool { return f.readyCount() == len(f.nodes) })
 	ready := f.readyTimes(f.started, startLimit)
-	startCalls, startRefused := f.store.calls, f.store.refused
+	startCalls, startRefused := f.store.callCount(), f.store.refused
 	start := f.usage()
 	time.Sleep(3 * time.Second)
-	calls := f.store.calls
+	calls := f.store.callCount()
 	before := f.usage()
 	const rest = 5 * time.Second
 	time.Sleep(rest)
 	after := f.usage()
-	restCalls := f.store.calls - calls
+	restCalls := f.store.callCount() - calls
 	change := f.propagate(kindConfig, "main", changeLimit)
 	leave := f.propagate(kindUpstreams, "i-00000003", changeLimit)
 	f.nodes[len(f.nodes)/2].kill()
--- a/internal/sagesim/store_test.go
+++ b/internal/sagesim/store_test.go
@@ -110,6 +110,12 @@
 	return nil
 }
 
+func (s *store) callCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.calls
+}
+
 // admitStale counts a call that may be answered with outdated data. It doesn't count toward the rate.
 func (s *store) admitStale() {
 	time.Sleep(storeLatency)
