Copies are sent and read one change at a time; memory is released after the first listing

Cause: a copy of ten thousand upstreams is 2.4 MB of JSON, which sender and receiver held as a whole, beside the objects; the heap kept that size.

--- a/internal/sagemesh/fetch.go
+++ b/internal/sagemesh/fetch.go
@@ -39,7 +39,11 @@
 // Fetch implements [sagefollow.Peers].
 func (f *Fetcher) Fetch(ctx context.Context, peer, kind string, since uint64) (sagefollow.Delta, error) {
 	var d sagefollow.Delta
-	err := f.get(ctx, peer, copiesPath+url.PathEscape(kind)+"?since="+strconv.FormatUint(since, 10), &d)
+	path := copiesPath + url.PathEscape(kind) + "?since=" + strconv.FormatUint(since, 10)
+	err := f.get(ctx, peer, path, func(r io.Reader) (err error) {
+		d, err = decodeDelta(r)
+		return err
+	})
 	return d, err
 }
 
@@ -54,12 +58,12 @@
 // FetchHolders returns the prompt parts that each upstream has cached in the view of a peer.
 func (f *Fetcher) FetchHolders(ctx context.Context, peer string) (Holders, error) {
 	var held Holders
-	err := f.get(ctx, peer, heldPath, &held)
+	err := f.get(ctx, peer, heldPath, func(r io.Reader) error { return json.NewDecoder(r).Decode(&held) })
 	return held, err
 }
 
-// get sends a request to a peer and decodes the response into out.
-func (f *Fetcher) get(ctx context.Context, peer, path string, out any) error {
+// get sends a request to a peer and decodes the response.
+func (f *Fetcher) get(ctx context.Context, peer, path string, decode func(r io.Reader) error) error {
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer+path, nil)
 	if err != nil {
 		return fmt.Errorf("make request: %w", err)
@@ -72,7 +76,7 @@
 	if res.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %d: %w", res.StatusCode, ErrStatus)
 	}
-	if err := json.NewDecoder(res.Body).Decode(out); err != nil {
+	if err := decode(res.Body); err != nil {
 		return fmt.Errorf("decode response of peer: %w", err)
 	}
 	return nil
@@ -82,7 +86,8 @@
 func HandleHeld(mux *http.ServeMux, placer *sagechain.Placer, log sagelog.Logger) {
 	mux.HandleFunc("GET "+heldPath, func(w http.ResponseWriter, _ *http.Request) {
 		now := sageclock.Now()
-		if err := writeCompressed(w, Holders{Observed: placer.All(now), Listed: placer.AllListed(now)}); err != nil {
+		held := Holders{Observed: placer.All(now), Listed: placer.AllListed(now)}
+		if err := writeCompressed(w, func(w io.Writer) error { return json.NewEncoder(w).Encode(held) }); err != nil {
 			log.Warn("Cache holders could not be sent to a peer.", "err", err)
 		}
 	})
@@ -125,7 +130,7 @@
 		if since == 0 {
 			err = caches[kind].writeTo(w, f)
 		} else {
-			err = writeCompressed(w, f.DeltaSince(since))
+			err = writeCompressed(w, func(w io.Writer) error { return encodeDelta(w, f.DeltaSince(since)) })
 		}
 		if err != nil {
 			f.Log.Warn("Copy could not be sent to a peer.", "kind", f.Kind, "err", err)
@@ -168,7 +173,7 @@
 		return e.data, nil
 	}
 	var b bytes.Buffer
-	if err := compress(&b, f.DeltaSince(0)); err != nil {
+	if err := compress(&b, func(w io.Writer) error { return encodeDelta(w, f.DeltaSince(0)) }); err != nil {
 		return nil, err
 	}
 	if revision != 0 {
@@ -184,11 +189,11 @@
 	e.data = nil
 }
 
-// writeCompressed writes v as compressed JSON. Copies are sent between data centres, and compression reduces
+// writeCompressed compresses what encode writes. Copies are sent between data centres, and compression reduces
 // configurations to a tenth.
-func writeCompressed(w http.ResponseWriter, v any) error {
+func writeCompressed(w http.ResponseWriter, encode func(w io.Writer) error) error {
 	setCompressedHeader(w)
-	return compress(w, v)
+	return compress(w, encode)
 }
 
 func setCompressedHeader(w http.ResponseWriter) {
@@ -196,12 +201,12 @@
 	w.Header().Set("Content-Encoding", "gzip")
 }
 
-func compress(w io.Writer, v any) error {
+func compress(w io.Writer, encode func(w io.Writer) error) error {
 	z, err := gzip.NewWriterLevel(w, gzip.BestSpeed)
 	if err != nil {
 		return fmt.Errorf("compress: %w", err)
 	}
-	if err := json.NewEncoder(z).Encode(v); err != nil {
+	if err := encode(z); err != nil {
 		return fmt.Errorf("encode: %w", err)
 	}
 	if err := z.Close(); err != nil {
--- a/internal/sagerouter/services.go
+++ b/internal/sagerouter/services.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"runtime/debug"
 	"time"
 
 	"github.com/pkg/errors"
@@ -73,6 +74,7 @@
 	defer t.Stop()
 	cleanup := time.NewTicker(recordCleanupInterval)
 	defer cleanup.Stop()
+	released := false
 	for {
 		select {
 		case <-ctx.Done():
@@ -87,6 +89,11 @@
 		case <-t.C:
 			n.peers.Flush()
 			n.view.expireLapsed(n.storeProof.Age(sageclock.Now()) > sagefollow.LongOutage)
+			if !released && n.view.upstreams.Load() != nil {
+				released = true
+				tuneGC()
+				debug.FreeOSMemory() // the first listing needs several times the memory of its result
+			}
 		}
 	}
 }
