--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -108,7 +108,10 @@
 // It prefers warm and healthy upstreams, then those that declined requests, then those that failed recently, then cold
 // ones, which are limited to this node's share of their capacity. Paused ones get nothing, even if no other is left.
 func (f *fleet) pickFromArm(now sageclock.Instant, set *sageupstream.Set, arm sagerollout.Arm, q *sagerelay.Query) *sagerelay.Pick {
-	var warm, declining, failing, cold []*sageupstream.Entry
+	buf := pickBuffers.Get().(*pickBuffer)
+	defer pickBuffers.Put(buf)
+	warm := buf.warm[:0]
+	var declining, failing, cold []*sageupstream.Entry
 	declines := f.declines.of(q.Service)
 	for _, e := range f.armUpstreams(set, q.Service, arm) {
 		switch {
@@ -124,6 +127,7 @@
 			warm = append(warm, e)
 		}
 	}
+	buf.warm = warm
 	loads := f.inFlight.Sum(now)
 	if len(warm) == 0 {
 		warm = declining
@@ -135,12 +139,12 @@
 		warm = f.canaryUpstreams(q.Service, warm)
 	}
 	all := set.All(q.Service)
-	if e, c := f.choose(now, warm, all, loads, q); e != nil {
+	if e, c := f.choose(now, buf, warm, all, loads, q); e != nil {
 		return f.newPick(set, e, c, loads, q)
 	}
 	perSecond := f.coldPerSecond(q.Service)
 	for len(cold) > 0 {
-		e, c := f.choose(now, cold, all, loads, q)
+		e, c := f.choose(now, buf, cold, all, loads, q)
 		if f.allowCold(now, e.ID, perSecond) {
 			return f.newPick(set, e, c, loads, q)
 		}
@@ -149,16 +153,26 @@
 	return nil
 }
 
+// pickBuffer holds the slices of one pick. Allocated for each, they would be most of the garbage of a node before ten
+// thousand upstreams.
+type pickBuffer struct {
+	warm       []*sageupstream.Entry
+	candidates []sagechain.Candidate
+}
+
+var pickBuffers = sync.Pool{New: func() any { return new(pickBuffer) }}
+
 // choose selects one of es by the prompt's chain, or the least loaded one if there is no chain. all are the
 // service's upstreams, es among them; the load of the others enters the load bound.
-func (f *fleet) choose(now sageclock.Instant, es, all []*sageupstream.Entry, loads map[string]int, q *sagerelay.Query) (*sageupstream.Entry, sagechain.Choice) {
+func (f *fleet) choose(now sageclock.Instant, buf *pickBuffer, es, all []*sageupstream.Entry, loads map[string]int, q *sagerelay.Query) (*sageupstream.Entry, sagechain.Choice) {
 	if len(es) == 0 {
 		return nil, sagechain.Choice{}
 	}
 	if len(q.Chain) == 0 {
 		return leastLoaded(es, loads), sagechain.Choice{Reason: "least_loaded"}
 	}
-	cands := make([]sagechain.Candidate, len(es))
+	cands := slices.Grow(buf.candidates[:0], len(es))[:len(es)]
+	buf.candidates = cands
 	params := sagechain.BoundParams{ExcludedUpstreams: len(all) - len(es), CountLag: f.countLag(), MeanRunTime: f.latencies.of(q.Service).serviceTime.Value()}
 	if limit := f.loadCap.Load(); limit != nil {
 		params.CapFactor = *limit
