--- a/internal/sagesim/fleet_test.go
+++ b/internal/sagesim/fleet_test.go
@@ -34,8 +34,6 @@
 	nodes, upstreams, centres int
 	// wide is the number of nodes in each data centre with a fast link and a larger share of a core.
 	wide int
-	// firstStart says that no node was up before and that callers come later.
-	firstStart bool
 }
 
 // fleetOf returns the description of a fleet like the largest one known: ten upstreams for each node, six data centres, and
@@ -147,7 +145,7 @@
 	for _, c := range n.copies {
 		n.fleet.running.Go(func() { _ = c.Run(ctx) })
 	}
-	n.fleet.running.Go(func() { n.register(ctx) })
+	n.fleet.running.Go(n.register)
 }
 
 // kill ends the node's process without a farewell.
--- a/internal/sagesim/store_test.go
+++ b/internal/sagesim/store_test.go
@@ -159,9 +159,8 @@
 		l.mu.Lock()
 		d := sagefollow.Delta{AsOf: l.revision}
 		log := l.log[kind]
-		for _, c := range log[sort.Search(len(log), func(i int) bool { return log[i].Object.Revision > since }):] {
-			d.Changes = append(d.Changes, c)
-		}
+		from := sort.Search(len(log), func(i int) bool { return log[i].Object.Revision > since })
+		d.Changes = append(d.Changes, log[from:]...)
 		changed := l.changed
 		l.mu.Unlock()
 		if len(d.Changes) > 0 || !time.Now().Before(until) {
--- a/internal/sagesim/wiring_test.go
+++ b/internal/sagesim/wiring_test.go
@@ -55,7 +55,7 @@
 }
 
 // register lists the registered nodes, as a restarted node does.
-func (n *node) register(ctx context.Context) {
+func (n *node) register() {
 	pages := (len(n.fleet.nodes) + pageSize - 1) / pageSize
 	for range pages {
 		n.fleet.store.admitStale()
