--- a/internal/sagemesh/send.go
+++ b/internal/sagemesh/send.go
@@ -26,14 +26,19 @@
 	include func(t *target) bool
 }
 
-// broadcast sends a heartbeat to all known addresses, or only to the nodes of this data centre.
+// broadcast sends a heartbeat to all known addresses, or only to the nodes of this data centre. In a large fleet all nodes
+// get it in a paced round.
 func (s *Service) broadcast(localOnly bool) {
-	if localOnly {
+	switch {
+	case localOnly:
 		s.sendBatch(batch{include: func(t *target) bool { return t.dataCentre == s.DataCentre }})
-		return
+	case s.Interval() == shortestInterval:
+		s.collectUpdates()
+		s.sendBatch(batch{fill: func(h *Heartbeat) { s.updatesForAll.moveTo(h, maxListedPerDatagram) }})
+	default:
+		s.startRound()
+		s.continueRound()
 	}
-	s.collectUpdates()
-	s.sendBatch(batch{fill: func(h *Heartbeat) { s.updatesForAll.moveTo(h, maxListedPerDatagram) }})
 }
 
 // sendToStandbyNodes sends a heartbeat to the other standby nodes, if this node is one of them.
@@ -120,6 +125,9 @@
 			s.Log.Error("Heartbeat can't be encoded.", "err", err)
 			return
 		}
+		if len(s.round.waiting) > 0 {
+			s.round.reached[t.address] = true
+		}
 		s.sent.Add(int64(len(data)))
 		s.write(data, t.addr)
 	}
--- a/internal/sagemesh/service.go
+++ b/internal/sagemesh/service.go
@@ -101,6 +101,7 @@
 	// shortIntervalTo are the nodes that get heartbeats at the shortest interval.
 	shortIntervalTo map[string]bool
 	nextBroadcast   sageclock.Instant
+	round           round
 	// firstTarget is the index in order of the first target of the current batch.
 	firstTarget int
 	// announcedReady is the readiness last announced to the other nodes, readyAnnouncedAt when it changed.
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -190,7 +191,7 @@
 	}
 	n.fleet = &fleet{
 		view: n.view, keyProof: &n.copies[n.Kinds.Config].Proof,
-		knownNodes: n.mesh.KnownNodes, countLag: n.countLag, placer: placer, coldLimiter: sageshare.ColdLimiter{Self: cfg.Node},
+		knownNodes: n.knownNodes, countLag: n.countLag, placer: placer, coldLimiter: sageshare.ColdLimiter{Self: cfg.Node},
 		retryLimiter: sageshare.RetryLimiter{Window: seconds(cfg.Bounds.RetryWindowSeconds)}, health: sagehealth.Tracker{Self: cfg.Node},
 	}
 	if cfg.Bounds.Rollouts != nil {
@@ -322,6 +323,18 @@
 	return n.mesh.KnownNodes()
 }
 
+// knownNodes returns the names of the discovered nodes and of those in the store. Limits of the whole fleet are divided by
+// their number; after a start of all nodes it takes seconds until each has discovered all others.
+func (n *Node) knownNodes() []string {
+	names := n.mesh.KnownNodes()
+	if p := n.registeredNames.Load(); p != nil && len(names) < len(*p) {
+		names = append(names, *p...)
+		slices.Sort(names)
+		names = slices.Compact(names)
+	}
+	return names
+}
+
 // Ready reports whether this node can serve callers.
 func (n *Node) Ready() bool {
 	return !n.leaving.Load() && n.fleet.Table() != nil && n.view.upstreams.Load() != nil && n.fleet.Fresh()
