An isolated node polls and doesn't watch; lines on upstreams are limited

Change: such a node polls at 0.6 of the bound and doesn't watch. Lines on single upstreams share the limit of state changes: at a first start 10,000 entries arrive within seconds at each node. Measured: TestIsolatedNodePollsRarely, fewer calls, the proof never older than the bound.

--- a/internal/sagefollow/follower.go
+++ b/internal/sagefollow/follower.go
@@ -33,6 +33,8 @@
 	// Rank returns this node's rank among the live nodes, 0 being the first. The argument says whether
 	// the store is unreachable from this node.
 	Rank func(storeUnreachable bool) int
+	// Isolated reports whether this node has lost contact with all peers. Nil means that it hasn't.
+	Isolated func() bool
 	// Apply handles changes. The first call gets the complete content, which may be empty. The flag
 	// afterOutage is set if the store had been unreachable for longer than [LongOutage]. Calls never overlap.
 	Apply func(changes []Change, afterOutage bool)
--- a/internal/sagefollow/outage_test.go
+++ b/internal/sagefollow/outage_test.go
@@ -457,3 +457,31 @@
 		})
 	}
 }
+
+// Prevents many nodes that are cut off from the fleet, each of which ranks first in its own view, from watching and polling
+// the store as often as the nodes that query it for all.
+func TestIsolatedNodePollsRarely(t *testing.T) {
+	calls := func(isolated bool) int {
+		count := 0
+		synctest.Test(t, func(t *testing.T) {
+			s := newRemoteStore()
+			f := &Follower{
+				Kind: "k", Source: &storeLink{s, "n"}, MaxStaleness: contentBound, Rank: func(bool) int { return 0 }, StoreProof: new(sagefresh.Proof),
+				Apply: func([]Change, bool) {}, Isolated: func() bool { return isolated }, Now: virtualNow,
+			}
+			ctx, cancel := context.WithCancel(t.Context())
+			var wg sync.WaitGroup
+			wg.Go(func() { _ = f.Run(ctx) })
+			for range 200 {
+				time.Sleep(50 * time.Millisecond)
+				require.Less(t, f.Proof.Age(virtualNow()), contentBound)
+			}
+			count = s.callCount()
+			cancel()
+			wg.Wait()
+		})
+		return count
+	}
+	require.Less(t, calls(true), calls(false))
+	require.LessOrEqual(t, calls(true), 1+10*int(time.Second)/int(isolatedPollFraction*float64(contentBound)))
+}
--- a/internal/sagefollow/poll.go
+++ b/internal/sagefollow/poll.go
@@ -13,6 +13,8 @@
 	// pollFraction is the fraction of MaxStaleness after which the proof is renewed. It leaves room for
 	// pollGrace, the delay of three ranks, a call and a heartbeat to all nodes within a bound of two seconds.
 	pollFraction = 0.4
+	// isolatedPollFraction is the same for a node without peers, whose proof nobody else has to receive.
+	isolatedPollFraction = 0.6
 	// pollRank is the rank of the node that polls. It differs from watchRank, so that changes still reach
 	// the fleet, though later, while one of the two nodes is lost or cut off and this has not been noticed.
 	pollRank = 1
@@ -93,7 +95,10 @@
 	}
 	rank := f.Rank(f.Failing())
 	allowed := time.Duration(pollFraction * float64(f.MaxStaleness))
-	if rank != pollRank {
+	switch {
+	case f.isolated():
+		allowed = time.Duration(isolatedPollFraction * float64(f.MaxStaleness))
+	case rank != pollRank:
 		allowed += pollGrace + time.Duration(min(rank, maxDelayedRanks))*pollDelayPerRank
 		if f.PeerProofDelay != nil {
 			allowed += f.PeerProofDelay()
@@ -106,6 +111,8 @@
 	return wait
 }
 
+func (f *Follower) isolated() bool { return f.Isolated != nil && f.Isolated() }
+
 // untilFirstListing returns the time until this node lists the kind for the first time; zero or less means now.
 //
 // If each node of a large fleet listed a kind after a restart of all, the calls to the store would grow with the number of
--- a/internal/sagefollow/watch.go
+++ b/internal/sagefollow/watch.go
@@ -23,10 +23,11 @@
 	checkInterval = 100 * time.Millisecond
 )
 
-// watch watches the store while this node has the rank of the watcher.
+// watch watches the store while this node has the rank of the watcher. An isolated node only polls: each of many nodes that
+// are cut off from the fleet would have that rank.
 func (f *Follower) watch(ctx context.Context) {
 	for ctx.Err() == nil {
-		if !f.listed() || f.Failing() || f.Rank(false) != watchRank {
+		if !f.listed() || f.Failing() || f.isolated() || f.Rank(false) != watchRank {
 			sleep(ctx, checkInterval)
 			continue
 		}
--- a/internal/sagemesh/service.go
+++ b/internal/sagemesh/service.go
@@ -251,6 +251,20 @@
 	return out
 }
 
+// LiveCount returns the number of other live nodes.
+func (s *Service) LiveCount() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.live)
+}
+
+// Peers returns the number of known addresses of other nodes.
+func (s *Service) Peers() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.peers)
+}
+
 // Bytes returns how many bytes of heartbeats this node has sent and received.
 func (s *Service) Bytes() (sent, received int64) { return s.sent.Load(), s.received.Load() }
 
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -173,7 +173,7 @@
 	follow := func(kind string, maxStalenessMillis int, apply func([]sagefollow.Change, bool)) *sagefollow.Follower {
 		return &sagefollow.Follower{
 			Kind: kind, Source: n.Store, Peers: n.fetcher, MaxStaleness: millis(maxStalenessMillis), Rank: n.mesh.Rank, Apply: apply,
-			StoreProof: &n.storeProof, ListNotBefore: n.listNotBefore, OnChange: n.contentChanged, PeerProofDelay: n.peerProofDelay, Log: n.Log.Component("follow"),
+			StoreProof: &n.storeProof, ListNotBefore: n.listNotBefore, Isolated: n.isolated, OnChange: n.contentChanged, PeerProofDelay: n.peerProofDelay, Log: n.Log.Component("follow"),
 		}
 	}
 	n.copies = sagemesh.Copies{
@@ -323,6 +323,9 @@
 	return n.mesh.KnownNodes()
 }
 
+// isolated reports whether this node has no contact with the others of its fleet.
+func (n *Node) isolated() bool { return n.mesh.Peers() > 0 && n.mesh.LiveCount() == 0 }
+
 // knownNodes returns the names of the discovered nodes and of those in the store. Limits of the whole fleet are divided by
 // their number; after a start of all nodes it takes seconds until each has discovered all others.
 func (n *Node) knownNodes() []string {
--- a/internal/sagerouter/view.go
+++ b/internal/sagerouter/view.go
@@ -90,7 +90,6 @@
 		v.registry.StoreUnreachable()
 		v.registry.StoreReachable(now)
 	}
-	first := !v.upstreamsListed
 	v.upstreamsListed = true
 	for _, c := range changes {
 		if c.Deleted {
@@ -104,15 +103,14 @@
 			v.log.Warn("Upstream entry can't be decoded.", "name", c.Object.Name, "revision", c.Object.Revision, "err", err)
 			continue
 		}
-		v.putUpstream(e, c.Object.Revision, !first)
-	}
-	if first {
-		v.log.Info("Upstreams listed.", "upstreams", len(changes))
+		v.putUpstream(e, c.Object.Revision)
 	}
+	v.log.Info("Upstreams changed.", "changes", len(changes), "after_outage", afterOutage)
 	v.publish()
 }
 
-// putUpstream applies one upstream's entry and logs the change, if logged is set.
+// putUpstream applies one upstream's entry and logs the change. When a large fleet starts, thousands of entries arrive in a
+// second, so the lines are limited.
 //
 // Entries of an earlier start of the upstream are ignored: a write whose answer was lost may be executed seconds
 // later, after the next start has registered under the same ID.
@@ -120,7 +118,7 @@
 // The cached parts of an upstream are dropped only if a new start or address replaces a known one. One that is
 // merely new to this node, at the first listing or after a lapse, keeps the parts that peers have reported;
 // otherwise its prompts would be processed again elsewhere.
-func (v *view) putUpstream(e sageupstream.Entry, revision uint64, logged bool) {
+func (v *view) putUpstream(e sageupstream.Entry, revision uint64) {
 	old := v.upstreams.Load().Get(e.ID)
 	if old != nil && e.Born < old.Born {
 		v.log.Info("Upstream entry of an earlier start ignored.", "upstream", e.ID, "revision", revision)
@@ -130,8 +128,8 @@
 		v.placer.Forget(e.ID) // a new start has an empty cache
 	}
 	e.Draining = e.Draining || v.registry.LeaveAnnounced(&e)
-	if logged && (old == nil || old.Draining != e.Draining || (old.ColdUntil == 0) != (e.ColdUntil == 0)) {
-		v.log.Info("Upstream.", "upstream", e.ID, "service", e.Service, "address", e.Address, "data_centre", e.DataCentre, "version", e.Version,
+	if old == nil || old.Draining != e.Draining || (old.ColdUntil == 0) != (e.ColdUntil == 0) {
+		v.log.Limited(sagelog.KindStateChange, "Upstream.", "upstream", e.ID, "service", e.Service, "address", e.Address, "data_centre", e.DataCentre, "version", e.Version,
 			"draining", e.Draining, "cold", e.ColdUntil != 0, "revision", revision)
 	}
 	e.Revision = revision
