sagemesh: registered nodes count for the ranks while they are discovered

Cause: after a start of all, each node ranked first among the few that it had discovered, and watched the store: seen in the logs of twelve nodes of the fleet, of which most watched within 0.6 s of their first listing. Change: an address counts as live for the ranks for 3 s after it was added. TestFewNodesRankFirstDuringStart fails before.

--- a/internal/sagemesh/large_fleet_test.go
+++ b/internal/sagemesh/large_fleet_test.go
@@ -75,6 +75,25 @@
 	}
 }
 
+// All nodes of a large fleet start together. If only those from which something has been received counted for the ranks,
+// each node would be the first one in its own view and query the store.
+func TestFewNodesRankFirstDuringStart(t *testing.T) {
+	t.Parallel()
+	v := newVirtualFleet(t, 11, largeFleetSize, largeFleetCentres)
+	v.advance(20 * time.Millisecond)
+	first := 0
+	for _, n := range v.nodes {
+		if n.Rank(false) == 0 {
+			first++
+		}
+	}
+	require.Equal(t, 1, first)
+	down := slices.MinFunc(v.nodes, func(a, b *virtualNode) int { return a.Rank(false) - b.Rank(false) })
+	down.down = true
+	v.advance(discoveryTime + time.Second)
+	require.True(t, slices.ContainsFunc(v.nodes, func(n *virtualNode) bool { return n != down && n.Rank(false) == 0 }), "another node takes over")
+}
+
 // A data centre loses power, including its aggregator. Until nodes elsewhere drop its nodes, they direct its
 // callers to dead nodes only.
 func TestLostDataCentreIsDropped(t *testing.T) {
--- a/internal/sagemesh/roles.go
+++ b/internal/sagemesh/roles.go
@@ -3,16 +3,26 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"sagestand.example/sagestand/pkg/sageclock"
 )
 
 // rankHash orders nodes for [Service.Rank].
 func rankHash(address string) uint64 { return xxhash.Sum64String(address) }
 
+// discoveryTime is how long an address that was added counts as a live node for the ranks although nothing has been received
+// from it. After a start of all nodes, the first ones to query the store would otherwise be all that have not discovered the
+// others yet.
+const discoveryTime = 3 * time.Second
+
 // roles are what the live nodes and their states imply for this node. They are computed once after each change and
 // not modified afterwards.
 type roles struct {
+	// validUntil is when the time to discover a node ends; 0 if there is none to be discovered.
+	validUntil sageclock.Instant
 	// rank is this node's rank among the nodes that reach the store, rankUnreachable its rank if it doesn't.
 	rank, rankUnreachable int
 	// standby are the addresses of the standby nodes.
@@ -26,7 +36,7 @@
 func (s *Service) currentRoles() *roles {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.roles == nil {
+	if s.roles == nil || s.roles.validUntil != 0 && s.now() >= s.roles.validUntil {
 		s.roles = s.computeRoles()
 	}
 	return s.roles
@@ -45,14 +55,21 @@
 	r := &roles{aggregators: make(map[string]aggregatorPair)}
 	standby := []candidate{self}
 	first := map[string][2]candidate{s.DataCentre: {self}}
-	for a := range s.live {
-		p := s.peers[a]
+	now := s.now()
+	for a, p := range s.peers {
 		m := &p.member
-		if m.Leaving {
+		c := candidate{a, m.LinkMbps, p.rankHash, p.aggregatorHash}
+		discoverUntil := p.addedAt.Add(discoveryTime)
+		switch {
+		case s.live[a] && !m.Leaving:
+			first[m.DataCentre] = insert(first[m.DataCentre], c)
+		case p.lastContact == 0 && now < discoverUntil:
+			if r.validUntil == 0 || discoverUntil < r.validUntil {
+				r.validUntil = discoverUntil
+			}
+		default:
 			continue
 		}
-		c := candidate{a, m.LinkMbps, p.rankHash, p.aggregatorHash}
-		first[m.DataCentre] = insert(first[m.DataCentre], c)
 		before := c.rankHash > self.rankHash
 		switch {
 		case m.StoreUnreachable && before:
--- a/internal/sagemesh/service.go
+++ b/internal/sagemesh/service.go
@@ -184,6 +184,7 @@
 	defer s.mu.Unlock()
 	if s.peers[address] == nil {
 		s.order = append(s.order, address)
+		s.roles = nil
 		s.peers[address] = &peer{addr: addr, rankHash: rankHash(address), aggregatorHash: aggregatorHash(address), seed: seed, addedAt: s.now()}
 	}
 	return nil
