TestFewNodesRankFirstDuringStart looks before the first heartbeat

The test as committed with the change did not fail without it at its first check, contrary to that message: a few nodes had exchanged heartbeats. It now looks before any has: without the change 120 nodes of 120 rank first (run with a discovery time of zero), with it one.

--- a/internal/sagemesh/large_fleet_test.go
+++ b/internal/sagemesh/large_fleet_test.go
@@ -80,18 +80,16 @@
 func TestFewNodesRankFirstDuringStart(t *testing.T) {
 	t.Parallel()
 	v := newVirtualFleet(t, 11, largeFleetSize, largeFleetCentres)
-	v.advance(20 * time.Millisecond)
-	first := 0
+	var first []*virtualNode
 	for _, n := range v.nodes {
 		if n.Rank(false) == 0 {
-			first++
+			first = append(first, n)
 		}
 	}
-	require.Equal(t, 1, first)
-	down := slices.MinFunc(v.nodes, func(a, b *virtualNode) int { return a.Rank(false) - b.Rank(false) })
-	down.down = true
+	require.Len(t, first, 1)
+	first[0].down = true
 	v.advance(discoveryTime + time.Second)
-	require.True(t, slices.ContainsFunc(v.nodes, func(n *virtualNode) bool { return n != down && n.Rank(false) == 0 }), "another node takes over")
+	require.True(t, slices.ContainsFunc(v.nodes, func(n *virtualNode) bool { return !n.down && n.Rank(false) == 0 }), "another node takes over")
 }
 
 // A data centre loses power, including its aggregator. Until nodes elsewhere drop its nodes, they direct its
