--- a/internal/sagerouter/view.go
+++ b/internal/sagerouter/view.go
@@ -109,8 +109,8 @@
 	v.publish()
 }
 
-// putUpstream applies one upstream's entry and logs the change. When a large fleet starts, thousands of entries arrive in a
-// second, so the lines are limited.
+// putUpstream applies one upstream's entry and logs the change. Lines on new upstreams are limited: when a large fleet
+// starts, thousands of entries arrive in a second.
 //
 // Entries of an earlier start of the upstream are ignored: a write whose answer was lost may be executed seconds
 // later, after the next start has registered under the same ID.
@@ -129,8 +129,13 @@
 	}
 	e.Draining = e.Draining || v.registry.LeaveAnnounced(&e)
 	if old == nil || old.Draining != e.Draining || (old.ColdUntil == 0) != (e.ColdUntil == 0) {
-		v.log.Limited(sagelog.KindStateChange, "Upstream.", "upstream", e.ID, "service", e.Service, "address", e.Address, "data_centre", e.DataCentre, "version", e.Version,
-			"draining", e.Draining, "cold", e.ColdUntil != 0, "revision", revision)
+		kv := []any{"upstream", e.ID, "service", e.Service, "address", e.Address, "data_centre", e.DataCentre, "version", e.Version,
+			"draining", e.Draining, "cold", e.ColdUntil != 0, "revision", revision}
+		if old == nil {
+			v.log.Limited(sagelog.KindStateChange, "Upstream.", kv...)
+		} else {
+			v.log.Info("Upstream.", kv...)
+		}
 	}
 	e.Revision = revision
 	if old != nil && old.Born == e.Born {
