sagemesh: a data centre counts as silent only if many of its heartbeats are missing

Cause: a node probed all nodes of a data centre when none had reached it for 0.8 s and four heartbeats were expected in that time. Their broadcast rounds are independent: at any size above some hundred nodes none is due for so long by chance every few seconds, and after a start of all, whose next rounds were half an interval or more away, for up to 14 s at 985 nodes. Each node then probed 820 others and answered as many each 0.8 s: n squared. Change: the silence has to be as long as ten expected heartbeats; the second round follows the first within an interval.

--- a/internal/sagemesh/large_fleet_test.go
+++ b/internal/sagemesh/large_fleet_test.go
@@ -92,6 +92,27 @@
 	require.True(t, slices.ContainsFunc(v.nodes, func(n *virtualNode) bool { return !n.down && n.Rank(false) == 0 }), "another node takes over")
 }
 
+// After a start of all nodes their broadcast rounds are some time apart. If a data centre counted as lost whenever none of
+// its rounds is due for a moment, each node would probe all others again and again.
+func TestNodesProbeNobodyAfterStart(t *testing.T) {
+	t.Parallel()
+	v := newVirtualFleet(t, 12, 3*largeFleetSize, largeFleetCentres)
+	v.advance(2 * time.Second)
+	before := 0
+	for _, n := range v.nodes {
+		before += n.sent
+	}
+	const period = 4
+	v.advance(period * time.Second)
+	sent := -before
+	for _, n := range v.nodes {
+		sent += n.sent
+	}
+	perSecond := float64(sent) / period / float64(len(v.nodes))
+	t.Log("datagrams a second and node", perSecond)
+	require.Less(t, perSecond, 80.0, "two aggregators five times a second, a round each ten seconds, and their replies")
+}
+
 // A data centre loses power, including its aggregator. Until nodes elsewhere drop its nodes, they direct its
 // callers to dead nodes only.
 func TestLostDataCentreIsDropped(t *testing.T) {
--- a/internal/sagemesh/liveness.go
+++ b/internal/sagemesh/liveness.go
@@ -13,9 +13,10 @@
 	minContactTimeout = 4 * shortestInterval
 	// maxMissedBroadcasts is the number of broadcast rounds that a node may miss before it is suspected.
 	maxMissedBroadcasts = 3
-	// minMissedHeartbeats is how many heartbeats must be expected from a data centre within minContactTimeout
-	// for all of its nodes to be suspected when none of them arrives.
-	minMissedHeartbeats = 4
+	// minMissedHeartbeats is how many heartbeats must have been expected from a data centre since the last one for all
+	// of its nodes to be suspected. Their broadcast rounds are independent, so in one of twenty thousand such periods none
+	// arrives by chance.
+	minMissedHeartbeats = 10
 	// replyTimeout is how long a suspected node has to reply. Meanwhile it is probed at the shortest interval.
 	// The time covers a round trip between the most distant data centres and a slow node's processing.
 	replyTimeout = 500 * time.Millisecond
@@ -79,8 +80,7 @@
 	}
 	unresponsive := make(map[string]bool)
 	for dc, n := range nodes {
-		expected := float64(n) * float64(minContactTimeout) / float64(interval)
-		unresponsive[dc] = now.Sub(lastContact[dc]) > minContactTimeout && expected >= minMissedHeartbeats
+		unresponsive[dc] = now.Sub(lastContact[dc]) > max(minContactTimeout, minMissedHeartbeats*interval/time.Duration(n))
 	}
 	return unresponsive
 }
--- a/internal/sagemesh/rounds.go
+++ b/internal/sagemesh/rounds.go
@@ -121,11 +121,15 @@
 // untilNextBroadcast returns the time until the next broadcast round.
 //
 // In a large fleet it is random. The nodes start at the same moment, and with rounds that are seconds apart, their
-// datagrams would otherwise arrive over the slow links in bursts.
+// datagrams would otherwise arrive over the slow links in bursts. The second round follows the first one within an
+// interval: if all nodes of a data centre were silent for longer, they would be suspected.
 func (s *Service) untilNextBroadcast() time.Duration {
 	d := s.Interval()
-	if d == shortestInterval {
+	switch {
+	case d == shortestInterval:
 		return 0
+	case s.nextBroadcast == 0:
+		return time.Duration(s.rnd.Int64N(int64(d)))
 	}
 	return d/2 + time.Duration(s.rnd.Int64N(int64(d)))
 }
