A fetch from a peer fails when the peer stalls, not after two seconds

A copy of ten thousand upstreams was dropped if it took longer than 2 s in all; a fifth of a core needs longer to decode it beside the rest of a start, and the node began anew, for ever. Change: a fetch fails after 2 s without data (15 s in all), and a node doesn't list a kind while it fetches it.

--- a/internal/sagefollow/follower.go
+++ b/internal/sagefollow/follower.go
@@ -12,8 +12,9 @@
 )
 
 const (
-	// peerFetchTimeout is long enough for a few hundred kilobytes over the slowest links.
-	peerFetchTimeout = 2 * time.Second
+	// peerFetchTimeout limits a fetch from a peer. The smallest nodes need seconds to decode the copy of a large fleet's
+	// upstreams, so a stalled fetch has to be ended by [Peers].
+	peerFetchTimeout = 15 * time.Second
 	// remoteFetchDelay is how long a node waits for new content to reach its own data centre before it
 	// fetches the content from another one.
 	remoteFetchDelay = 400 * time.Millisecond
--- a/internal/sagefollow/poll.go
+++ b/internal/sagefollow/poll.go
@@ -25,8 +25,8 @@
 	// the answer to one node usually reaches the others before they poll.
 	pollDelayPerRank = 40 * time.Millisecond
 	maxDelayedRanks  = 25
-	// peerCopyTimeout is how long a node without a copy tries to fetch it from peers before it lists the kind itself.
-	// It is longer than peerFetchTimeout, so that one stalled fetch doesn't end the attempts.
+	// peerCopyTimeout is how long a node without a copy tries to fetch it from peers before it lists the kind itself,
+	// unless a fetch is in progress.
 	peerCopyTimeout = 3 * time.Second
 	// hedgeDelay is the time after which an unanswered call is hedged with a second one: a hundred times
 	// the store's usual 4 ms.
@@ -119,8 +119,11 @@
 // nodes and the number of objects. Once a peer has a copy, it is fetched from there.
 func (f *Follower) untilFirstListing(now sageclock.Instant) time.Duration {
 	f.mu.Lock()
-	behindSince := f.behindSince
+	behindSince, fetching := f.behindSince, f.fetching
 	f.mu.Unlock()
+	if fetching {
+		return checkInterval
+	}
 	var at sageclock.Instant
 	if f.ListNotBefore != nil {
 		at = f.ListNotBefore()
--- a/internal/sagefollow/source.go
+++ b/internal/sagefollow/source.go
@@ -59,7 +59,7 @@
 
 // Peers are the other nodes.
 type Peers interface {
-	// Fetch returns the changes of a kind after a revision that a peer knows.
+	// Fetch returns the changes of a kind after a revision that a peer knows. It fails if the peer stalls.
 	Fetch(ctx context.Context, peer, kind string, since uint64) (Delta, error)
 }
 
--- a/internal/sagemesh/copies_test.go
+++ b/internal/sagemesh/copies_test.go
@@ -87,3 +87,18 @@
 		require.Equal(t, tt.want, MaxConcurrentCopies(tt.mbps), fmt.Sprint(tt.mbps))
 	}
 }
+
+// Prevents a fetch from a peer that has stalled from blocking the next one.
+func TestStalledFetchFails(t *testing.T) {
+	release := make(chan struct{})
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = w.Write([]byte(`{"full":true,"changes":[`))
+		w.(http.Flusher).Flush()
+		<-release
+	}))
+	defer srv.Close()
+	defer close(release)
+	f := &Fetcher{HTTP: srv.Client(), StallTimeout: 20 * time.Millisecond}
+	_, err := f.Fetch(t.Context(), strings.TrimPrefix(srv.URL, "http://"), "k", 0)
+	require.Error(t, err)
+}
--- a/internal/sagemesh/fetch.go
+++ b/internal/sagemesh/fetch.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"compress/gzip"
 	"context"
 	"encoding/json"
@@ -31,9 +32,28 @@
 // ErrStatus reports a peer's response with a status other than 200.
 var ErrStatus = errors.New("peer refused")
 
-// Fetcher fetches copies and cache holders from peers. HTTP is set before use.
+// defaultStallTimeout is the longest time without data from a peer, many times that of a path between data centres.
+const defaultStallTimeout = 2 * time.Second
+
+// Fetcher fetches copies and cache holders from peers. Its fields are set before use.
 type Fetcher struct {
 	HTTP *http.Client
+	// StallTimeout is the time without data after which a fetch fails; 0 means the default.
+	StallTimeout time.Duration
+}
+
+// progressReader calls onRead after each read that returned data.
+type progressReader struct {
+	io.Reader
+	onRead func()
+}
+
+func (r progressReader) Read(b []byte) (int, error) {
+	n, err := r.Reader.Read(b)
+	if n > 0 {
+		r.onRead()
+	}
+	return n, err
 }
 
 // Fetch implements [sagefollow.Peers].
@@ -63,7 +83,15 @@
 }
 
 // get sends a request to a peer and decodes the response.
+//
+// It fails if the peer sends nothing for too long. The whole fetch isn't limited: on a small node it may take seconds to
+// decode what has arrived.
 func (f *Fetcher) get(ctx context.Context, peer, path string, decode func(r io.Reader) error) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timeout := cmp.Or(f.StallTimeout, defaultStallTimeout)
+	stalled := time.AfterFunc(timeout, cancel)
+	defer stalled.Stop()
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+peer+path, nil)
 	if err != nil {
 		return fmt.Errorf("make request: %w", err)
@@ -76,7 +104,7 @@
 	if res.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %d: %w", res.StatusCode, ErrStatus)
 	}
-	if err := decode(res.Body); err != nil {
+	if err := decode(progressReader{res.Body, func() { stalled.Reset(timeout) }}); err != nil {
 		return fmt.Errorf("decode response of peer: %w", err)
 	}
 	return nil
--- a/internal/sagesim/start_test.go
+++ b/internal/sagesim/start_test.go
@@ -63,3 +63,20 @@
 		require.Less(t, sent.max, float64(f.size.upstreams*copiedBytes*testNodes/10), "no node sends copies of everything")
 	})
 }
+
+// Prevents nodes that need seconds to decode a copy from dropping it, again and again: after a start of all nodes, only those
+// with a large share of a core would serve.
+func TestSlowNodesGetTheirCopies(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		sz := fleetOf(24)
+		sz.upstreams = 10000
+		sz.decodeTime = 40 * time.Microsecond // two seconds of a fifth of a core
+		f := newFleet(t, sz)
+		defer f.shutdown()
+		const limit = 6 * time.Second
+		took := f.await(2*limit, func() bool { return f.readyCount() == sz.nodes })
+		require.LessOrEqual(t, took, limit)
+		pages := sz.upstreams/pageSize + 1
+		require.LessOrEqual(t, f.store.callCount(), listingNodes*pages, "a listing by each node takes %d", sz.nodes*pages)
+	})
+}
