--- a/internal/sagemesh/rounds.go
+++ b/internal/sagemesh/rounds.go
@@ -120,9 +120,7 @@
 
 // untilNextBroadcast returns the time until the next broadcast round.
 //
-// In a large fleet it is random. The nodes start at the same moment, and with rounds that are seconds apart, their
-// datagrams would otherwise arrive over the slow links in bursts. The second round follows the first one within an
-// interval: if all nodes of a data centre were silent for longer, they would be suspected.
+// In a large fleet it is random, since nodes that start together would otherwise send in bursts.
 func (s *Service) untilNextBroadcast() time.Duration {
 	d := s.Interval()
 	switch {
