Log and count answers of the store that are ignored as older than the copy; the store's era

Cause: when the store came back from a copy, the logs showed neither what a listing held nor that it was thrown away, so the incident's hypotheses couldn't be told apart. No decision changes.

--- a/internal/sagefollow/follower.go
+++ b/internal/sagefollow/follower.go
@@ -59,6 +59,8 @@
 	OnChange func(fromStore bool)
 	// OnCall is called after each call to the store; may be nil.
 	OnCall func(ok bool)
+	// OnIgnored is called after an answer of the store was ignored because it is older than the copy; may be nil.
+	OnIgnored func()
 	// Now is the clock; nil means [sageclock.Now].
 	Now func() sageclock.Instant
 	Log sagelog.Logger
@@ -74,6 +76,7 @@
 	behindSince    sageclock.Instant // when a peer first announced content that this copy lacks; 0 if none did
 	failing        atomic.Bool
 	asOf           atomic.Uint64 // content.asOf, readable while Apply runs with mu held
+	era            atomic.Uint64 // era of the last answer of the store
 }
 
 // Position returns the state of the copy that is announced to the peers.
@@ -94,6 +97,9 @@
 // [Follower.Apply] runs.
 func (f *Follower) AsOf() uint64 { return f.asOf.Load() }
 
+// Era returns the era of the last answer of the store.
+func (f *Follower) Era() uint64 { return f.era.Load() }
+
 // DeltaSince returns what a peer lacks whose copy is complete up to a revision, or the zero Delta before the
 // kind has been listed.
 func (f *Follower) DeltaSince(rev uint64) Delta {
@@ -166,6 +172,9 @@
 	f.mu.Lock()
 	firstListing := !f.content.listed
 	afterOutage := !firstListing && f.StoreProof.Age(f.now()) > LongOutage
+	if fromStore {
+		f.observeAnswer(d)
+	}
 	applied := f.content.apply(since, d)
 	f.asOf.Store(f.content.asOf)
 	if len(applied) > 0 || afterOutage || firstListing && f.content.listed {
@@ -177,6 +186,21 @@
 	}
 }
 
+// observeAnswer logs an answer of another era, and one that is older than the copy. mu is held.
+func (f *Follower) observeAnswer(d Delta) {
+	if era := f.era.Swap(d.Era); era != d.Era {
+		f.Log.Info("Store answers in another era.", "kind", f.Kind, "era", d.Era, "last_era", era, "as_of", d.AsOf, "copy_as_of", f.content.asOf)
+	}
+	if !f.content.listed || d.AsOf >= f.content.asOf {
+		return
+	}
+	f.Log.Limited(sagelog.KindStateChange, "Answer is older than the copy; ignored.", "kind", f.Kind, "era", d.Era, "as_of", d.AsOf,
+		"copy_as_of", f.content.asOf, "objects", len(d.Changes), "full", d.Full)
+	if f.OnIgnored != nil {
+		f.OnIgnored()
+	}
+}
+
 // Run follows the kind until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
 	var loops sync.WaitGroup
--- a/internal/sagefollow/listing.go
+++ b/internal/sagefollow/listing.go
@@ -76,7 +76,7 @@
 		}
 		l.delta.Changes = append(l.delta.Changes, p.Changes...)
 		if l.delta.AsOf == 0 {
-			l.delta.AsOf = p.AsOf
+			l.delta.AsOf, l.delta.Era = p.AsOf, p.Era
 		}
 		if p.Next == "" {
 			return nil
--- a/internal/sagefollow/source.go
+++ b/internal/sagefollow/source.go
@@ -34,6 +34,8 @@
 	Full    bool     `json:"full,omitempty"`
 	Changes []Change `json:"changes,omitempty"`
 	AsOf    uint64   `json:"as_of"`
+	// Era counts how often the store has been restored from a copy. Its revisions start again at that of the copy.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // Page is one page of a listing.
@@ -41,6 +43,8 @@
 	Changes []Change
 	// AsOf is the store's revision at which the page was read.
 	AsOf uint64
+	// Era is the store's era in which the page was read.
+	Era uint64
 	// Next is the name after which the next page begins; empty if this is the last one.
 	Next string
 }
