A copy's revisions are ordered within an era of the store; confirmed changes outlive a restore

What callers saw: after the store came back from a copy, revoked keys were accepted and upstreams that leave got requests, as no change whose revision had been given out before was followed. Cause: revisions were compared as if they only grew. The listing after the return was thrown away as a delayed answer and yet proved freshness; the node that watches listed 152 times a second.

Change (sagefollow): points in the store's history are an era and a revision, in copies, positions in heartbeats, fetches and deltas between nodes. A complete listing of a later era replaces the copy; answers, positions and deltas of earlier eras are ignored and prove nothing; a watch answered in another era, or a listing whose pages are of two, is not used. What the restored store lacks stays in force by kind: a newer configuration, leaving and later starts of upstreams, data centres out of service, orders; what had been deleted stays deleted for some seconds. Nodes announce up to which point of the earlier era they keep changes (base), so that nodes started or cut off meanwhile adopt it.

--- a/internal/sagefollow/follow_test.go
+++ b/internal/sagefollow/follow_test.go
@@ -55,8 +55,8 @@
 		{"changes after a gap are ignored", 30, Delta{AsOf: 40, Changes: []Change{obj("z", 40)}}, map[string]uint64{"a": 3, "b": 9}, 0, 10},
 	} {
 		c := new(content)
-		c.apply(0, full)
-		applied := c.apply(tt.since, tt.delta)
+		c.apply(0, Point{}, full)
+		applied := c.apply(0, Point{Revision: tt.since}, tt.delta)
 		require.Equal(t, tt.want, revisions(c), tt.name)
 		require.Len(t, applied, tt.applied, tt.name)
 		require.Equal(t, tt.asOf, c.asOf, tt.name)
@@ -66,20 +66,20 @@
 // A delta from a peer must not leave out changes, whatever revision the receiver's copy has.
 func TestDeltaSinceBringsAnyRevisionUpToDate(t *testing.T) {
 	c := new(content)
-	c.apply(0, Delta{Full: true, AsOf: 10, Changes: []Change{obj("a", 3), obj("b", 9)}})
+	c.apply(0, Point{}, Delta{Full: true, AsOf: 10, Changes: []Change{obj("a", 3), obj("b", 9)}})
 	var staleCopies []*content
 	for i := uint64(11); i < 200; i++ {
 		stale := new(content)
-		stale.apply(0, c.deltaSince(0))
+		stale.apply(0, Point{}, c.deltaSince(Point{Revision: 0}))
 		staleCopies = append(staleCopies, stale)
 		ch := obj(fmt.Sprintf("n%d", i%7), i)
 		if i%5 == 0 {
 			ch = del(fmt.Sprintf("n%d", i%7), i)
 		}
-		c.apply(c.asOf, Delta{AsOf: i, Changes: []Change{ch}})
+		c.apply(0, c.point(), Delta{AsOf: i, Changes: []Change{ch}})
 	}
 	for _, stale := range staleCopies {
-		stale.apply(stale.asOf, c.deltaSince(stale.asOf))
+		stale.apply(0, stale.point(), c.deltaSince(stale.point()))
 		require.Equal(t, revisions(c), revisions(stale), "from %d", stale.asOf)
 	}
 }
@@ -87,12 +87,12 @@
 // Prevents each change after the first listing from being sent to the peers with a copy of everything.
 func TestFirstChangesAreSentAlone(t *testing.T) {
 	c := new(content)
-	c.apply(0, Delta{Full: true, AsOf: 10, Changes: []Change{obj("a", 3), obj("b", 9)}})
-	c.apply(10, Delta{AsOf: 20, Changes: []Change{obj("c", 20)}})
-	require.Equal(t, Delta{AsOf: 20, Changes: []Change{obj("c", 20)}}, c.deltaSince(10))
-	require.Equal(t, Delta{AsOf: 20, Changes: []Change{obj("c", 20)}}, c.deltaSince(15))
-	require.True(t, c.deltaSince(9).Full, "the history begins at the first listing")
-	require.True(t, c.deltaSince(0).Full)
+	c.apply(0, Point{}, Delta{Full: true, AsOf: 10, Changes: []Change{obj("a", 3), obj("b", 9)}})
+	c.apply(0, Point{Revision: 10}, Delta{AsOf: 20, Changes: []Change{obj("c", 20)}})
+	require.Equal(t, Delta{AsOf: 20, Changes: []Change{obj("c", 20)}}, c.deltaSince(Point{Revision: 10}))
+	require.Equal(t, Delta{AsOf: 20, Changes: []Change{obj("c", 20)}}, c.deltaSince(Point{Revision: 15}))
+	require.True(t, c.deltaSince(Point{Revision: 9}).Full, "the history begins at the first listing")
+	require.True(t, c.deltaSince(Point{Revision: 0}).Full)
 }
 
 // memoryStore is a [Source] that holds one kind in memory.
@@ -109,7 +109,7 @@
 func (s *memoryStore) put(ch Change) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.content.apply(s.content.asOf, Delta{AsOf: ch.Object.Revision, Changes: []Change{ch}})
+	s.content.apply(0, s.content.point(), Delta{AsOf: ch.Object.Revision, Changes: []Change{ch}})
 }
 
 func (s *memoryStore) List(context.Context, string, string) (Page, error) {
@@ -131,7 +131,7 @@
 	s.mu.Unlock()
 	for {
 		s.mu.Lock()
-		d, down, historyGone := s.content.deltaSince(since), s.down, s.historyGone
+		d, down, historyGone := s.content.deltaSince(Point{s.content.era, since}), s.down, s.historyGone
 		s.mu.Unlock()
 		switch {
 		case down:
@@ -181,7 +181,7 @@
 	mu        sync.Mutex
 }
 
-func (f *fleet) Fetch(_ context.Context, peer, _ string, since uint64) (Delta, error) {
+func (f *fleet) Fetch(_ context.Context, peer, _ string, since Point) (Delta, error) {
 	var i int
 	if _, err := fmt.Sscan(peer, &i); err != nil {
 		return Delta{}, err
@@ -254,7 +254,7 @@
 // going back to an older revision. Otherwise callers are served with an old configuration.
 func TestAllNodesCatchUpAfterOutageAndLostHistory(t *testing.T) {
 	s := new(memoryStore)
-	s.content.apply(0, Delta{Full: true, AsOf: 1, Changes: []Change{obj("a", 1)}})
+	s.content.apply(0, Point{}, Delta{Full: true, AsOf: 1, Changes: []Change{obj("a", 1)}})
 	f := newFleet(t, 6, s)
 	f.eventually(t, "first content", func(m map[string]uint64) bool { return m["a"] == 1 })
 	s.put(obj("a", 2))
@@ -273,7 +273,7 @@
 // nodes have to adopt their proof.
 func TestOtherNodesPollWhenWatchersAreRefused(t *testing.T) {
 	s := new(memoryStore)
-	s.content.apply(0, Delta{Full: true, AsOf: 1, Changes: []Change{obj("a", 1)}})
+	s.content.apply(0, Point{}, Delta{Full: true, AsOf: 1, Changes: []Change{obj("a", 1)}})
 	f := newFleet(t, 4, s)
 	f.eventually(t, "first content", func(m map[string]uint64) bool { return m["a"] == 1 })
 	for _, g := range f.gates[:2] {
--- a/internal/sagefollow/follower.go
+++ b/internal/sagefollow/follower.go
@@ -37,7 +37,8 @@
 	// Isolated reports whether this node has lost contact with all peers. Nil means that it hasn't.
 	Isolated func() bool
 	// Apply handles changes. The first call gets the complete content, which may be empty. The flag
-	// afterOutage is set if the store had been unreachable for longer than [LongOutage]. Calls never overlap.
+	// afterOutage is set if the store had been unreachable for longer than [LongOutage], or was restored. Calls never
+	// overlap.
 	Apply func(changes []Change, afterOutage bool)
 	// StoreProof is the proof that the store answers calls for any kind, shared by all followers of a node.
 	StoreProof *sagefresh.Proof
@@ -59,7 +60,12 @@
 	OnChange func(fromStore bool)
 	// OnCall is called after each call to the store; may be nil.
 	OnCall func(ok bool)
-	// OnIgnored is called after an answer of the store was ignored because it is older than the copy; may be nil.
+	// Restore decides what stays in force after the store was restored from a copy.
+	Restore RestorePolicy
+	// OnRestored is called when the copy follows a restored store, with the new era; may be nil.
+	OnRestored func(era uint64)
+	// OnIgnored is called after an answer of the store was ignored because it is older than the copy; may be
+	// nil.
 	OnIgnored func()
 	// Now is the clock; nil means [sageclock.Now].
 	Now func() sageclock.Instant
@@ -75,15 +81,14 @@
 	fetching       bool
 	behindSince    sageclock.Instant // when a peer first announced content that this copy lacks; 0 if none did
 	failing        atomic.Bool
-	asOf           atomic.Uint64 // content.asOf, readable while Apply runs with mu held
-	era            atomic.Uint64 // era of the last answer of the store
+	point          atomic.Pointer[Point] // content.point(), readable while Apply runs with mu held
 }
 
 // Position returns the state of the copy that is announced to the peers.
 func (f *Follower) Position() Position {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := Position{AsOf: f.content.asOf, ContentRevision: f.content.changedAt, ProofAgeMillis: -1}
+	p := Position{AsOf: f.content.asOf, Era: f.content.era, Base: f.content.base, ContentRevision: f.content.changedAt, ProofAgeMillis: -1}
 	if !f.content.listed {
 		return p
 	}
@@ -93,22 +98,59 @@
 	return p
 }
 
+// Point returns the point up to which the copy is complete, the zero Point before it is listed. It may be called while
+// [Follower.Apply] runs.
+func (f *Follower) Point() Point {
+	if p := f.point.Load(); p != nil {
+		return *p
+	}
+	return Point{}
+}
+
 // AsOf returns the revision up to which the copy is complete, 0 before it is listed. It may be called while
 // [Follower.Apply] runs.
-func (f *Follower) AsOf() uint64 { return f.asOf.Load() }
+func (f *Follower) AsOf() uint64 { return f.Point().Revision }
 
-// Era returns the era of the last answer of the store.
-func (f *Follower) Era() uint64 { return f.era.Load() }
+// State returns the point up to which the copy is complete, and a number that differs from that of any other content that
+// this copy had.
+func (f *Follower) State() (Point, uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.content.point(), f.content.version
+}
 
-// DeltaSince returns what a peer lacks whose copy is complete up to a revision, or the zero Delta before the
+// KeptObjects returns the number of objects that stay in force, or stay deleted, against what the restored store has.
+func (f *Follower) KeptObjects() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := len(f.content.hidden)
+	for _, o := range f.content.objects {
+		if o.Era < f.content.era {
+			n++
+		}
+	}
+	return n
+}
+
+// DeltaSince returns what a peer lacks whose copy is complete up to a point, or the zero Delta before the
 // kind has been listed.
-func (f *Follower) DeltaSince(rev uint64) Delta {
+func (f *Follower) DeltaSince(since Point) Delta {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.content.listed {
 		return Delta{}
 	}
-	return f.content.deltaSince(rev)
+	return f.content.deltaSince(since)
+}
+
+// FullDelta returns the whole content and its number as in [Follower.State], or zero before the kind has been listed.
+func (f *Follower) FullDelta() (d Delta, version uint64) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.content.listed {
+		return Delta{}, 0
+	}
+	return f.content.fullDelta(), f.content.version
 }
 
 // HandlePosition handles the position that a peer announced after it had received stamp from this node. If this
@@ -124,9 +166,14 @@
 		return
 	}
 	f.mu.Lock()
-	if f.content.listed && f.content.asOf >= p.ContentRevision {
+	since, complete := f.content.compare(&p)
+	if !complete && since == nil {
+		f.mu.Unlock()
+		return
+	}
+	if complete {
 		f.content.asOf = max(f.content.asOf, p.AsOf)
-		f.asOf.Store(f.content.asOf)
+		f.storePoint()
 		f.behindSince = 0
 		f.mu.Unlock()
 		age := time.Duration(p.ProofAgeMillis) * time.Millisecond
@@ -144,14 +191,13 @@
 	}
 	startFetch := !f.fetching
 	f.fetching = true
-	since := f.content.asOf
 	f.mu.Unlock()
 	if startFetch {
-		go f.fetch(ctx, peer, since)
+		go f.fetch(ctx, peer, *since)
 	}
 }
 
-func (f *Follower) fetch(ctx context.Context, peer string, since uint64) {
+func (f *Follower) fetch(ctx context.Context, peer string, since Point) {
 	ctx, cancel := context.WithTimeout(ctx, peerFetchTimeout)
 	defer cancel()
 	d, err := f.Peers.Fetch(ctx, peer, f.Kind, since)
@@ -159,7 +205,7 @@
 	f.fetching = false
 	f.mu.Unlock()
 	if err != nil {
-		f.Log.Warn("Fetch from peer failed.", "kind", f.Kind, "peer", peer, "since", since, "err", err)
+		f.Log.Warn("Fetch from peer failed.", "kind", f.Kind, "peer", peer, "since", since.Revision, "era", since.Era, "err", err)
 		return
 	}
 	if d.AsOf > 0 {
@@ -167,45 +213,88 @@
 	}
 }
 
-// applyDelta applies a delta to the copy and calls Apply and OnChange as needed.
-func (f *Follower) applyDelta(since uint64, d Delta, fromStore bool) {
+// applyDelta applies a delta to the copy and calls Apply and OnChange as needed. It returns false if the delta is from an
+// earlier era than the copy.
+func (f *Follower) applyDelta(since Point, d Delta, fromStore bool) bool {
 	f.mu.Lock()
+	last := f.content.point()
+	if f.content.listed && d.Era < last.Era {
+		f.mu.Unlock()
+		return false
+	}
 	firstListing := !f.content.listed
 	afterOutage := !firstListing && f.StoreProof.Age(f.now()) > LongOutage
-	if fromStore {
-		f.observeAnswer(d)
+	applied := f.content.apply(f.now(), since, d)
+	restored := !firstListing && f.content.era > last.Era
+	f.storePoint()
+	if restored {
+		f.logRestore(last, applied, fromStore)
 	}
-	applied := f.content.apply(since, d)
-	f.asOf.Store(f.content.asOf)
-	if len(applied) > 0 || afterOutage || firstListing && f.content.listed {
-		f.Apply(applied, afterOutage)
+	if len(applied) > 0 || afterOutage || restored || firstListing && f.content.listed {
+		f.Apply(applied, afterOutage || restored)
 	}
 	f.mu.Unlock()
-	if len(applied) > 0 && f.OnChange != nil {
+	if restored && f.OnRestored != nil {
+		f.OnRestored(d.Era)
+	}
+	if (len(applied) > 0 || restored) && f.OnChange != nil {
 		f.OnChange(fromStore)
 	}
+	return true
 }
 
-// observeAnswer logs an answer of another era, and one that is older than the copy. mu is held.
-func (f *Follower) observeAnswer(d Delta) {
-	if era := f.era.Swap(d.Era); era != d.Era {
-		f.Log.Info("Store answers in another era.", "kind", f.Kind, "era", d.Era, "last_era", era, "as_of", d.AsOf, "copy_as_of", f.content.asOf)
+// logRestore logs that the copy follows a restored store. mu is held.
+func (f *Follower) logRestore(last Point, applied []Change, fromStore bool) {
+	c := &f.content
+	kept := 0
+	for name, o := range c.objects {
+		if o.Era < c.era {
+			kept++
+			f.Log.Limited(sagelog.KindStateChange, "Object stays in force until it is written again.", "kind", f.Kind, "name", name, "era", o.Era, "revision", o.Revision)
+		}
 	}
-	if !f.content.listed || d.AsOf >= f.content.asOf {
-		return
+	lost := 0
+	for i := range applied {
+		if applied[i].Lost {
+			lost++
+		}
 	}
-	f.Log.Limited(sagelog.KindStateChange, "Answer is older than the copy; ignored.", "kind", f.Kind, "era", d.Era, "as_of", d.AsOf,
-		"copy_as_of", f.content.asOf, "objects", len(d.Changes), "full", d.Full)
-	if f.OnIgnored != nil {
-		f.OnIgnored()
+	f.Log.Info("Store was restored from a copy.", "kind", f.Kind, "era", c.era, "as_of", c.asOf, "last_era", last.Era, "last_as_of", last.Revision,
+		"from_store", fromStore, "changes", len(applied), "kept", kept, "hidden", len(c.hidden), "lost", lost)
+}
+
+// expireKept ends what was kept over a restore for too long.
+func (f *Follower) expireKept() {
+	f.mu.Lock()
+	applied := f.content.expire(f.now())
+	if len(applied) > 0 {
+		f.content.version++
+		f.Log.Info("Kept objects were not written again.", "kind", f.Kind, "changes", len(applied), "era", f.content.era)
+		f.Apply(applied, false)
 	}
+	f.mu.Unlock()
+}
+
+// storePoint publishes the point of the copy. mu is held.
+func (f *Follower) storePoint() {
+	p := f.content.point()
+	f.point.Store(&p)
 }
 
 // Run follows the kind until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
+	f.mu.Lock()
+	f.content.policy = f.Restore
+	f.mu.Unlock()
 	var loops sync.WaitGroup
 	loops.Go(func() { f.watch(ctx) })
 	loops.Go(func() { f.poll(ctx) })
+	loops.Go(func() {
+		for ctx.Err() == nil {
+			sleep(ctx, checkInterval)
+			f.expireKept()
+		}
+	})
 	loops.Wait()
 	return nil
 }
--- a/internal/sagefollow/listing.go
+++ b/internal/sagefollow/listing.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sagestand.example/sagestand/pkg/sageclock"
 )
 
@@ -12,6 +14,9 @@
 // store's history, which reaches back four times as long.
 const maxListingAge = 5 * time.Second
 
+// errRestored reports that the store was restored while it was listed.
+var errRestored = errors.New("store was restored meanwhile")
+
 // listing is a listing in progress that may have several pages. It has the revision of its first page; the
 // watch that starts there delivers later changes again.
 type listing struct {
@@ -27,7 +32,9 @@
 func (f *Follower) list(ctx context.Context) (Delta, sageclock.Instant, error) {
 	l := f.resumeListing(f.now())
 	if err := l.fetchPages(ctx, f.Source.List, f.Kind); err != nil {
-		f.saveListing(l)
+		if !errors.Is(err, errRestored) {
+			f.saveListing(l)
+		}
 		return Delta{}, 0, err
 	}
 	return l.delta, l.started, nil
@@ -74,10 +81,16 @@
 		if err != nil {
 			return fmt.Errorf("list after %q: %w", l.next, err)
 		}
-		l.delta.Changes = append(l.delta.Changes, p.Changes...)
+		if l.next != "" && p.Era != l.delta.Era {
+			return fmt.Errorf("list after %q: %w", l.next, errRestored)
+		}
 		if l.delta.AsOf == 0 {
 			l.delta.AsOf, l.delta.Era = p.AsOf, p.Era
 		}
+		for _, ch := range p.Changes {
+			ch.Object.Era = p.Era
+			l.delta.Changes = append(l.delta.Changes, ch)
+		}
 		if p.Next == "" {
 			return nil
 		}
--- a/internal/sagefollow/outage_test.go
+++ b/internal/sagefollow/outage_test.go
@@ -49,7 +49,7 @@
 
 func newRemoteStore() *remoteStore {
 	s := &remoteStore{latency: storeLatency, cutOff: make(map[string]bool)}
-	s.content.apply(0, Delta{Full: true, AsOf: 1, Changes: []Change{obj("a", 1)}})
+	s.content.apply(0, Point{}, Delta{Full: true, AsOf: 1, Changes: []Change{obj("a", 1)}})
 	return s
 }
 
@@ -61,7 +61,7 @@
 
 func (s *remoteStore) put(ch Change) {
 	s.set(func(s *remoteStore) {
-		s.content.apply(s.content.asOf, Delta{AsOf: ch.Object.Revision, Changes: []Change{ch}})
+		s.content.apply(0, s.content.point(), Delta{AsOf: ch.Object.Revision, Changes: []Change{ch}})
 	})
 }
 
@@ -122,7 +122,7 @@
 	until := time.Now().Add(wait)
 	for {
 		l.mu.Lock()
-		d := l.content.deltaSince(since)
+		d := l.content.deltaSince(Point{l.content.era, since})
 		l.mu.Unlock()
 		if len(d.Changes) > 0 || !time.Now().Before(until) {
 			return d, l.transit(ctx, l.oneWayLatency())
@@ -152,7 +152,7 @@
 }
 
 // Fetch implements [Peers].
-func (f *remoteFleet) Fetch(ctx context.Context, peer, _ string, since uint64) (Delta, error) {
+func (f *remoteFleet) Fetch(ctx context.Context, peer, _ string, since Point) (Delta, error) {
 	time.Sleep(2 * time.Millisecond)
 	var i int
 	if _, err := fmt.Sscan(peer, &i); err != nil {
--- a/internal/sagemesh/codec.go
+++ b/internal/sagemesh/codec.go
@@ -31,7 +31,9 @@
 		return nil, fmt.Errorf("encode heartbeat: %w", err)
 	}
 	for kind, p := range h.Copies {
-		m.Copies = append(m.Copies, &heartbeat.Copy{Kind: kind, AsOf: p.AsOf, Content: p.ContentRevision, AgeMillis: p.ProofAgeMillis})
+		m.Copies = append(m.Copies, &heartbeat.Copy{
+			Kind: kind, AsOf: p.AsOf, Era: p.Era, Content: p.ContentRevision, AgeMillis: p.ProofAgeMillis, BaseEra: p.Base.Era, BaseRevision: p.Base.Revision,
+		})
 	}
 	m.Upstreams, m.InFlight = toColumns(h.InFlight)
 	if h.Sum != nil {
@@ -115,7 +117,10 @@
 		ShortInterval: m.GetSoon(), ReplyRequested: m.GetAsk(), Forward: m.GetPass(),
 	}
 	for _, c := range m.GetCopies() {
-		h.Copies[c.GetKind()] = sagefollow.Position{AsOf: c.GetAsOf(), ContentRevision: c.GetContent(), ProofAgeMillis: c.GetAgeMillis()}
+		h.Copies[c.GetKind()] = sagefollow.Position{
+			AsOf: c.GetAsOf(), Era: c.GetEra(), Base: sagefollow.Point{Era: c.GetBaseEra(), Revision: c.GetBaseRevision()},
+			ContentRevision: c.GetContent(), ProofAgeMillis: c.GetAgeMillis(),
+		}
 	}
 	if sum := m.GetSum(); sum != nil {
 		counts, err := fromColumns(sum.GetUpstreams(), sum.GetInFlight())
--- a/internal/sagemesh/copies_test.go
+++ b/internal/sagemesh/copies_test.go
@@ -62,7 +62,7 @@
 	srv := httptest.NewServer(mux)
 	defer srv.Close()
 	fetch := func(since uint64) sagefollow.Delta {
-		d, err := (&Fetcher{HTTP: srv.Client()}).Fetch(t.Context(), strings.TrimPrefix(srv.URL, "http://"), "k", since)
+		d, err := (&Fetcher{HTTP: srv.Client()}).Fetch(t.Context(), strings.TrimPrefix(srv.URL, "http://"), "k", sagefollow.Point{Revision: since})
 		require.NoError(t, err)
 		return d
 	}
@@ -99,6 +99,6 @@
 	defer srv.Close()
 	defer close(release)
 	f := &Fetcher{HTTP: srv.Client(), StallTimeout: 20 * time.Millisecond}
-	_, err := f.Fetch(t.Context(), strings.TrimPrefix(srv.URL, "http://"), "k", 0)
+	_, err := f.Fetch(t.Context(), strings.TrimPrefix(srv.URL, "http://"), "k", sagefollow.Point{})
 	require.Error(t, err)
 }
--- a/internal/sagemesh/delta.go
+++ b/internal/sagemesh/delta.go
@@ -18,7 +18,11 @@
 // need more memory than it occupies afterwards.
 func encodeDelta(w io.Writer, d sagefollow.Delta) error {
 	b := bufio.NewWriter(w)
-	_, _ = fmt.Fprintf(b, `{"full":%t,"as_of":%d,"changes":[`, d.Full, d.AsOf) // Flush reports errors
+	base, err := json.Marshal(d.Base)
+	if err != nil {
+		return fmt.Errorf("encode base: %w", err)
+	}
+	_, _ = fmt.Fprintf(b, `{"full":%t,"as_of":%d,"era":%d,"base":%s,"changes":[`, d.Full, d.AsOf, d.Era, base) // Flush reports errors
 	for i := range d.Changes {
 		if i > 0 {
 			_ = b.WriteByte(',')
@@ -50,6 +54,10 @@
 			err = dec.Decode(&d.Full)
 		case "as_of":
 			err = dec.Decode(&d.AsOf)
+		case "era":
+			err = dec.Decode(&d.Era)
+		case "base":
+			err = dec.Decode(&d.Base)
 		case "changes":
 			err = decodeChanges(dec, &d)
 		default:
--- a/internal/sagemesh/fetch.go
+++ b/internal/sagemesh/fetch.go
@@ -29,6 +29,9 @@
 // heldPath is the path at which a node serves the cache holders of prompt parts to its peers.
 const heldPath = "/v1/held"
 
+// asOfHeader holds the revision up to which a copy is complete. The one in an encoded copy is that of its last change.
+const asOfHeader = "Sagestand-As-Of"
+
 // ErrStatus reports a peer's response with a status other than 200.
 var ErrStatus = errors.New("peer refused")
 
@@ -57,12 +60,19 @@
 }
 
 // Fetch implements [sagefollow.Peers].
-func (f *Fetcher) Fetch(ctx context.Context, peer, kind string, since uint64) (sagefollow.Delta, error) {
+func (f *Fetcher) Fetch(ctx context.Context, peer, kind string, since sagefollow.Point) (sagefollow.Delta, error) {
 	var d sagefollow.Delta
-	path := copiesPath + url.PathEscape(kind) + "?since=" + strconv.FormatUint(since, 10)
-	err := f.get(ctx, peer, path, func(r io.Reader) (err error) {
-		d, err = decodeDelta(r)
-		return err
+	path := copiesPath + url.PathEscape(kind) + "?since=" + strconv.FormatUint(since.Revision, 10) + "&era=" + strconv.FormatUint(since.Era, 10)
+	err := f.get(ctx, peer, path, func(h http.Header, r io.Reader) (err error) {
+		if d, err = decodeDelta(r); err != nil {
+			return err
+		}
+		if s := h.Get(asOfHeader); s != "" {
+			if d.AsOf, err = strconv.ParseUint(s, 10, 64); err != nil {
+				return fmt.Errorf("parse revision: %w", err)
+			}
+		}
+		return nil
 	})
 	return d, err
 }
@@ -78,7 +88,7 @@
 // FetchHolders returns the prompt parts that each upstream has cached in the view of a peer.
 func (f *Fetcher) FetchHolders(ctx context.Context, peer string) (Holders, error) {
 	var held Holders
-	err := f.get(ctx, peer, heldPath, func(r io.Reader) error { return json.NewDecoder(r).Decode(&held) })
+	err := f.get(ctx, peer, heldPath, func(_ http.Header, r io.Reader) error { return json.NewDecoder(r).Decode(&held) })
 	return held, err
 }
 
@@ -86,7 +96,7 @@
 //
 // It fails if the peer sends nothing for too long. The whole fetch isn't limited: on a small node it may take seconds to
 // decode what has arrived.
-func (f *Fetcher) get(ctx context.Context, peer, path string, decode func(r io.Reader) error) error {
+func (f *Fetcher) get(ctx context.Context, peer, path string, decode func(h http.Header, r io.Reader) error) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	timeout := cmp.Or(f.StallTimeout, defaultStallTimeout)
@@ -104,7 +114,7 @@
 	if res.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %d: %w", res.StatusCode, ErrStatus)
 	}
-	if err := decode(progressReader{res.Body, func() { stalled.Reset(timeout) }}); err != nil {
+	if err := decode(res.Header, progressReader{res.Body, func() { stalled.Reset(timeout) }}); err != nil {
 		return fmt.Errorf("decode response of peer: %w", err)
 	}
 	return nil
@@ -145,7 +155,7 @@
 	mux.HandleFunc("GET "+copiesPath+"{kind}", func(w http.ResponseWriter, r *http.Request) {
 		kind := r.PathValue("kind")
 		f := c[kind]
-		since, err := strconv.ParseUint(r.URL.Query().Get("since"), 10, 64)
+		since, err := parsePoint(r.URL.Query())
 		if f == nil || err != nil {
 			http.Error(w, "no such copy", http.StatusNotFound)
 			return
@@ -155,7 +165,7 @@
 			return
 		}
 		defer slots.Release(1)
-		if since == 0 {
+		if since.Revision == 0 {
 			err = caches[kind].writeTo(w, f)
 		} else {
 			err = writeCompressed(w, func(w io.Writer) error { return encodeDelta(w, f.DeltaSince(since)) })
@@ -166,49 +176,66 @@
 	})
 }
 
+// parsePoint decodes the point from which a peer wants the changes. A peer that knows no eras sends none.
+func parsePoint(q url.Values) (sagefollow.Point, error) {
+	var p sagefollow.Point
+	var err error
+	if p.Revision, err = strconv.ParseUint(q.Get("since"), 10, 64); err != nil {
+		return p, fmt.Errorf("parse revision: %w", err)
+	}
+	if s := q.Get("era"); s != "" {
+		if p.Era, err = strconv.ParseUint(s, 10, 64); err != nil {
+			return p, fmt.Errorf("parse era: %w", err)
+		}
+	}
+	return p, nil
+}
+
 // encodedCopyTTL is how long an encoded copy is kept after its last use.
 const encodedCopyTTL = 10 * time.Second
 
 // encodedCopy is the encoded content of a kind, for many peers that have none. Encoding ten thousand objects takes longer
 // than sending them.
 type encodedCopy struct {
-	mu       sync.Mutex
-	revision uint64 // content revision of data
-	data     []byte
-	expiry   *time.Timer
+	mu      sync.Mutex
+	version uint64 // version of the content in data
+	data    []byte
+	expiry  *time.Timer
 }
 
 // writeTo sends the content of a copy.
 func (e *encodedCopy) writeTo(w http.ResponseWriter, f *sagefollow.Follower) error {
-	data, err := e.encode(f)
+	data, asOf, err := e.encode(f)
 	if err != nil {
 		return err
 	}
 	setCompressedHeader(w)
+	w.Header().Set(asOfHeader, strconv.FormatUint(asOf, 10))
 	if _, err := w.Write(data); err != nil {
 		return fmt.Errorf("write: %w", err)
 	}
 	return nil
 }
 
-// encode returns the encoded content, which is the same for all peers until it changes.
-func (e *encodedCopy) encode(f *sagefollow.Follower) ([]byte, error) {
+// encode returns the encoded content, which is the same for all peers until it changes, and the revision up to which it
+// is complete.
+func (e *encodedCopy) encode(f *sagefollow.Follower) (data []byte, asOf uint64, err error) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	revision := f.Position().ContentRevision
-	if e.data != nil && e.revision == revision {
+	if at, version := f.State(); e.data != nil && e.version == version {
 		e.expiry.Reset(encodedCopyTTL)
-		return e.data, nil
+		return e.data, at.Revision, nil
 	}
+	d, version := f.FullDelta()
 	var b bytes.Buffer
-	if err := compress(&b, func(w io.Writer) error { return encodeDelta(w, f.DeltaSince(0)) }); err != nil {
-		return nil, err
+	if err := compress(&b, func(w io.Writer) error { return encodeDelta(w, d) }); err != nil {
+		return nil, 0, err
 	}
-	if revision != 0 {
-		e.revision, e.data = revision, b.Bytes()
+	if version != 0 {
+		e.version, e.data = version, b.Bytes()
 		e.expiry = time.AfterFunc(encodedCopyTTL, e.drop)
 	}
-	return b.Bytes(), nil
+	return b.Bytes(), d.AsOf, nil
 }
 
 func (e *encodedCopy) drop() {
--- a/internal/sagerouter/gauges.go
+++ b/internal/sagerouter/gauges.go
@@ -15,7 +15,8 @@
 		n.metrics.NewGauge(`sagestand_copy_age_seconds{kind="`+kind+`"}`, func() float64 { return ageSeconds(&f.Proof) })
 		f.OnCall = n.countCalls(kind)
 		f.OnIgnored = n.metrics.NewCounter(`sagestand_store_answers_ignored_total{kind="` + kind + `"}`).Inc
-		n.metrics.NewGauge(`sagestand_store_era{kind="`+kind+`"}`, func() float64 { return float64(f.Era()) })
+		n.metrics.NewGauge(`sagestand_store_era{kind="`+kind+`"}`, func() float64 { return float64(f.Point().Era) })
+		n.metrics.NewGauge(`sagestand_store_kept_objects{kind="`+kind+`"}`, func() float64 { return float64(f.KeptObjects()) })
 	}
 	n.metrics.NewGauge("sagestand_config_version", func() float64 {
 		if t := n.fleet.Table(); t != nil {
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -109,6 +109,8 @@
 	cacheResync     *cacheResync
 	registeredNames atomic.Pointer[[]string] // nodes registered in the store
 	startedAt       sageclock.Instant
+	storeEra        atomic.Uint64   // the highest era of a restored store
+	restored        chan struct{}   // receives a value after a restore of the store
 	listAt          atomic.Int64    // when this node lists the kinds for the first time; 0 if not known yet
 	storeProof      sagefresh.Proof // proof of the store's answers for any kind of object
 	// quarantine tracks the requests that crash upstreams.
@@ -170,10 +172,13 @@
 	placer := new(sagechain.Placer)
 	n.view = &view{decoder: n.Decoder, log: n.Log.Component("view"), placer: placer}
 	n.fetcher = &sagemesh.Fetcher{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}}}
+	n.restored = make(chan struct{}, 1)
+	policies := n.restorePolicies()
 	follow := func(kind string, maxStalenessMillis int, apply func([]sagefollow.Change, bool)) *sagefollow.Follower {
 		return &sagefollow.Follower{
 			Kind: kind, Source: n.Store, Peers: n.fetcher, MaxStaleness: millis(maxStalenessMillis), Rank: n.mesh.Rank, Apply: apply,
-			StoreProof: &n.storeProof, ListNotBefore: n.listNotBefore, Isolated: n.isolated, OnChange: n.contentChanged, PeerProofDelay: n.peerProofDelay, Log: n.Log.Component("follow"),
+			StoreProof: &n.storeProof, ListNotBefore: n.listNotBefore, Isolated: n.isolated, OnChange: n.contentChanged, PeerProofDelay: n.peerProofDelay,
+			Restore: policies[kind], OnRestored: n.handleRestore, Log: n.Log.Component("follow"),
 		}
 	}
 	n.copies = sagemesh.Copies{
@@ -214,7 +219,7 @@
 	f.Prober = n.copies[n.Kinds.Config]
 	n.copies[n.Kinds.Rollouts] = f
 	n.view.admittedVersions = make(versions)
-	n.view.ordersRevision = f.AsOf
+	n.view.ordersPoint = f.Point
 }
 
 func (n *Node) makeCacheResync() {
--- a/internal/sagerouter/versions.go
+++ b/internal/sagerouter/versions.go
@@ -1,6 +1,9 @@
 package sagerouter
 
-import "sagestand.example/sagestand/pkg/sageupstream"
+import (
+	"sagestand.example/sagestand/internal/sagefollow"
+	"sagestand.example/sagestand/pkg/sageupstream"
+)
 
 // versions is the set of versions that may receive requests, by service.
 type versions map[string]map[string]bool
@@ -18,17 +21,17 @@
 // Orders and upstreams are read by different store calls. Without the exclusion, a node that sees the upstreams
 // before the order that started them would send the new version a full share of the load. The caller holds mu.
 func (v *view) holdBackVersions() {
-	if v.ordersRevision == nil {
+	if v.ordersPoint == nil {
 		return
 	}
-	asOf := v.ordersRevision()
+	known := v.ordersPoint()
 	counts := make(map[string]map[string]int)
 	v.registry.Each(func(e *sageupstream.Entry) {
 		if counts[e.Service] == nil {
 			counts[e.Service] = make(map[string]int)
 		}
 		counts[e.Service][e.Version]++
-		if e.Revision <= asOf {
+		if !known.Before(sagefollow.Point{Era: e.Era, Revision: e.Revision}) {
 			v.admittedVersions.add(e.Service, e.Version)
 		}
 	})
--- a/internal/sagerouter/view.go
+++ b/internal/sagerouter/view.go
@@ -45,8 +45,8 @@
 	decoder Decoder
 	log     sagelog.Logger
 	placer  *sagechain.Placer
-	// ordersRevision returns the revision up to which the rollout orders are known; nil if rollouts are disabled.
-	ordersRevision func() uint64
+	// ordersPoint returns the point up to which the rollout orders are known; nil if rollouts are disabled.
+	ordersPoint func() sagefollow.Point
 
 	table     atomic.Pointer[sageroute.Table]
 	upstreams atomic.Pointer[sageupstream.Set]
@@ -77,7 +77,7 @@
 			continue
 		}
 		v.table.Store(t)
-		v.log.Info("Configuration in force.", "version", t.Version, "revision", c.Object.Revision)
+		v.log.Info("Configuration in force.", "version", t.Version, "revision", c.Object.Revision, "era", c.Object.Era)
 	}
 }
 
@@ -94,7 +94,7 @@
 	for _, c := range changes {
 		if c.Deleted {
 			v.registry.Delete(now, c.Object.Name)
-			v.log.Info("Upstream entry deleted.", "upstream", c.Object.Name, "revision", c.Object.Revision, "after_outage", afterOutage)
+			v.log.Info("Upstream entry deleted.", "upstream", c.Object.Name, "revision", c.Object.Revision, "era", c.Object.Era, "after_outage", afterOutage, "lost", c.Lost)
 			continue
 		}
 		e, err := v.decoder.Upstream(c.Object, now)
@@ -103,7 +103,7 @@
 			v.log.Warn("Upstream entry can't be decoded.", "name", c.Object.Name, "revision", c.Object.Revision, "err", err)
 			continue
 		}
-		v.putUpstream(e, c.Object.Revision)
+		v.putUpstream(e, c.Object.Point())
 	}
 	v.log.Info("Upstreams changed.", "changes", len(changes), "after_outage", afterOutage)
 	v.publish()
@@ -118,10 +118,10 @@
 // The cached parts of an upstream are dropped only if a new start or address replaces a known one. One that is
 // merely new to this node, at the first listing or after a lapse, keeps the parts that peers have reported;
 // otherwise its prompts would be processed again elsewhere.
-func (v *view) putUpstream(e sageupstream.Entry, revision uint64) {
+func (v *view) putUpstream(e sageupstream.Entry, at sagefollow.Point) {
 	old := v.upstreams.Load().Get(e.ID)
 	if old != nil && e.Born < old.Born {
-		v.log.Info("Upstream entry of an earlier start ignored.", "upstream", e.ID, "revision", revision)
+		v.log.Info("Upstream entry of an earlier start ignored.", "upstream", e.ID, "revision", at.Revision)
 		return
 	}
 	if reachable := v.upstreams.Load().Reachable(sageclock.Now(), e.ID); reachable != nil && (reachable.Born != e.Born || reachable.Address != e.Address) {
@@ -130,16 +130,16 @@
 	e.Draining = e.Draining || v.registry.LeaveAnnounced(&e)
 	if old == nil || old.Draining != e.Draining || (old.ColdUntil == 0) != (e.ColdUntil == 0) {
 		kv := []any{"upstream", e.ID, "service", e.Service, "address", e.Address, "data_centre", e.DataCentre, "version", e.Version,
-			"draining", e.Draining, "cold", e.ColdUntil != 0, "revision", revision}
+			"draining", e.Draining, "cold", e.ColdUntil != 0, "revision", at.Revision, "era", at.Era}
 		if old == nil {
 			v.log.Limited(sagelog.KindStateChange, "Upstream.", kv...)
 		} else {
 			v.log.Info("Upstream.", kv...)
 		}
 	}
-	e.Revision = revision
+	e.Era, e.Revision = at.Era, at.Revision
 	if old != nil && old.Born == e.Born {
-		e.Revision = old.Revision
+		e.Era, e.Revision = old.Era, old.Revision
 	}
 	v.registry.Put(e)
 }
@@ -172,7 +172,7 @@
 		} else {
 			closed[c.Object.Name] = true
 		}
-		v.log.Info("Data centre changed.", "data_centre", c.Object.Name, "in_service", c.Deleted, "revision", c.Object.Revision)
+		v.log.Info("Data centre changed.", "data_centre", c.Object.Name, "in_service", c.Deleted, "revision", c.Object.Revision, "era", c.Object.Era)
 	}
 	v.closedDataCentres = closed
 	v.registry.SetClosedDataCentres(closed)
--- a/internal/sagesim/wiring_test.go
+++ b/internal/sagesim/wiring_test.go
@@ -75,7 +75,7 @@
 // peers fetches copies from other nodes. It implements [sagefollow.Peers].
 type peers struct{ node *node }
 
-func (p peers) Fetch(ctx context.Context, address, kind string, since uint64) (sagefollow.Delta, error) {
+func (p peers) Fetch(ctx context.Context, address, kind string, since sagefollow.Point) (sagefollow.Delta, error) {
 	from := p.node.fleet.byAddress[address]
 	time.Sleep(2 * oneWayLatency)
 	if from.down.Load() {
--- a/pkg/sageupstream/registry.go
+++ b/pkg/sageupstream/registry.go
@@ -30,10 +30,10 @@
 	DataCentre string
 	// Version is the version of the upstream's software.
 	Version string
-	// Revision is the store revision at which this start of the upstream was first observed.
-	Revision uint64
-	Slots    int
-	Draining bool
+	// Era and Revision are the point in the store's history at which this start of the upstream was first observed.
+	Era, Revision uint64
+	Slots         int
+	Draining      bool
 	// LeaveAnnounced is set by the [Registry] if this start of the upstream announced in a response that it leaves.
 	// Draining is set as well.
 	LeaveAnnounced bool
