Nodes register again and write their quarantines again after a restore of the store

What users saw: a quarantine that the restored store lacked counted as released by an operator, so that the request could crash upstreams again; one that had been released came back; nodes registered after the copy was made stayed unregistered, so that nodes started later didn't find them. Cause: an object missing after a restore was taken for a deletion, one that reappeared for a new one, and a node registers only at its start. Change: the copies mark such changes (Lost, Revived); the quarantine tracker then only records what the store has, and the reconciler writes the difference; nodes register again once for each era, spread over the rate of writes.

--- a/internal/sagerouter/quarantine.go
+++ b/internal/sagerouter/quarantine.go
@@ -44,6 +44,11 @@
 			log.Warn("Quarantine object's name is not a fingerprint.", "name", c.Object.Name, "revision", c.Object.Revision, "err", err)
 			continue
 		}
+		if c.Lost || c.Revived {
+			n.quarantine.RecordStored(f, c.Revived)
+			log.Info("Restored store differs.", "fingerprint", f.String(), "stored", c.Revived, "revision", c.Object.Revision)
+			continue
+		}
 		if c.Deleted {
 			n.quarantine.Release(f)
 			log.Info("Request released.", "fingerprint", f.String(), "revision", c.Object.Revision)
--- a/internal/sagerouter/registrar.go
+++ b/internal/sagerouter/registrar.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"time"
 
@@ -25,6 +26,9 @@
 	// maxStaleLists is how many times such a node accepts a list without its own entry as outdated. Then it asks for the
 	// present one, which costs ten times as much.
 	maxStaleLists = 6
+	// registrationInterval is the mean time between the writes of two nodes that register again at the same time, within
+	// the usual rate of the store.
+	registrationInterval = 2500 * time.Microsecond
 )
 
 // errOutdatedList reports a list of the registered nodes from before this node's registration.
@@ -54,8 +58,21 @@
 		sleep(ctx, firstListDelay)
 	}
 	r.retry(ctx, r.register)
-	<-ctx.Done()
-	return nil
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-r.node.restored:
+			sleep(ctx, rand.N(r.restoreSpread()))
+			r.retry(ctx, r.create)
+			r.node.Log.Component("members").Info("Registered after a restore of the store.")
+		}
+	}
+}
+
+// restoreSpread returns the time over which the nodes of the fleet register again after a restore of the store.
+func (r *registrar) restoreSpread() time.Duration {
+	return max(1, time.Duration(len(r.node.knownNodes()))*registrationInterval)
 }
 
 // retry calls f until it succeeds or ctx ends.
--- a/pkg/sagequarantine/store.go
+++ b/pkg/sagequarantine/store.go
@@ -40,6 +40,21 @@
 	return true
 }
 
+// RecordStored records whether the store contains a request, without a decision of anybody: the store was restored from a
+// copy. What the Tracker quarantines doesn't change, and [Tracker.Differences] reports what has to be written again.
+func (t *Tracker) RecordStored(f Fingerprint, stored bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !stored {
+		delete(t.store.quarantined, f)
+		return
+	}
+	if t.store.quarantined == nil {
+		t.store.quarantined = make(map[Fingerprint]bool)
+	}
+	t.store.quarantined[f] = true
+}
+
 // Release records that the store no longer contains a request, which ends its quarantine.
 func (t *Tracker) Release(f Fingerprint) {
 	t.mu.Lock()
