A rollout's outcome outlives a restore of the store

What callers saw: a version that had been rolled back got its canary share again after the store lost the order's status, or the order itself, which was written again. Cause: an order's identity has the revision at which it was created, which changes when it is written again, and a node that knew the outcome from the store alone took the missing status for an unfinished order. Change: a rewritten order continues the known one under its new ID; a final state that the store lost becomes the plan's phase, which the controller writes again. Result: TestRolledBackVersionStaysOutAfterRestore failed before (12 requests where 10 are allowed, and the state was judged anew), passes; TestOutcomeLostByTheStoreIsKept is new.

--- a/internal/sagerouter/rollouts.go
+++ b/internal/sagerouter/rollouts.go
@@ -39,8 +39,9 @@
 			n.fleet.rollouts.Delete(c.Object.Name)
 			continue
 		}
+		o.Rewritten = c.Rewritten
 		if n.fleet.rollouts.Put(o) {
-			log.Info("Rollout order received.", "name", o.Name, "service", o.Service, "target", o.Target, "state", string(o.State),
+			log.Info("Rollout order received.", "name", o.Name, "rewritten", o.Rewritten, "service", o.Service, "target", o.Target, "state", string(o.State),
 				"left_ms", o.Deadline.Sub(now).Milliseconds(), "revision", o.Revision)
 		}
 	}
--- a/pkg/sagerollout/order.go
+++ b/pkg/sagerollout/order.go
@@ -43,6 +43,8 @@
 	Revision uint64
 	// State is the state in the store.
 	State State
+	// Rewritten says that the order was written again after the store had lost it. Its ID may be a new one.
+	Rewritten bool
 }
 
 // OrderID returns the ID of an order. created distinguishes orders with the same content.
--- a/pkg/sagerollout/rollout_test.go
+++ b/pkg/sagerollout/rollout_test.go
@@ -258,3 +258,29 @@
 	fmt.Println(p.Phase, p.Sequence, p.Share < 0.1)
 	// Output: canary 1 true
 }
+
+// Prevents an order from starting over on a node that knows its outcome from the store alone, after the store has lost it.
+func TestOutcomeLostByTheStoreIsKept(t *testing.T) {
+	for _, tt := range []struct {
+		state State
+		phase Phase
+		arm   Arm
+	}{{StateCompleted, PhaseDone, ArmTarget}, {StateRolledBack, PhaseRolledBack, ArmBaseline}} {
+		tr := new(Tracker)
+		o := order(1, "v2")
+		o.State = tt.state
+		tr.Put(o)
+		require.Empty(t, tr.Plans())
+		o.State = StateUnstarted
+		require.True(t, tr.Put(o))
+		require.Equal(t, tt.phase, tr.Plans()[0].Phase)
+		require.Equal(t, tt.arm, tr.Arm(at(5000), "chat", "r"))
+		o.ID, o.Rewritten = 2, true
+		tr.Put(o)
+		require.Equal(t, uint64(2), tr.Plans()[0].OrderID)
+		require.Equal(t, tt.arm, tr.Arm(at(5000), "chat", "r"), "written again with another ID")
+		o.ID, o.Rewritten = 3, false
+		tr.Put(o)
+		require.Empty(t, tr.Plans(), "a new order starts over")
+	}
+}
--- a/pkg/sagerollout/tracker.go
+++ b/pkg/sagerollout/tracker.go
@@ -33,6 +33,9 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.services[o.Service]
+	if r != nil && o.Rewritten && r.order.Name == o.Name && r.order.Target == o.Target {
+		r.rename(o.ID)
+	}
 	if r == nil || r.order.ID != o.ID {
 		t.retire(o.Service)
 		if t.services == nil {
@@ -44,10 +47,36 @@
 	}
 	o.FirstSeen, o.Deadline = r.order.FirstSeen, r.order.Deadline
 	changed = o.State != r.order.State
+	if r.order.State.Final() && !o.State.Final() {
+		r.recoverOutcome()
+	}
 	r.order = o
 	return changed
 }
 
+// rename continues the rollout under another ID. Its answers are counted anew, as other nodes count them by ID.
+func (r *rollout) rename(id uint64) {
+	if r.order.ID == id {
+		return
+	}
+	r.order.ID, r.plan.OrderID = id, id
+	r.counts = make(map[CountKey]int)
+}
+
+// recoverOutcome makes the plan end as the order's final state says, which the store has lost. The controller writes it
+// again.
+func (r *rollout) recoverOutcome() {
+	if r.plan.Phase.Final() {
+		return
+	}
+	r.plan.OrderID = r.order.ID
+	r.plan.Sequence++
+	r.plan.enter(PhaseRolledBack, 0, r.order.FirstSeen)
+	if r.order.State == StateCompleted {
+		r.plan.enter(PhaseDone, 1, r.order.FirstSeen)
+	}
+}
+
 func (t *Tracker) random() float64 {
 	if t.Rand != nil {
 		return t.Rand()
