Restores of the store in series, in virtual time; what a node alone keeps isn't dropped; slow fetches are hedged

What callers would see: after several returns of the store in a row a node could go back to an older configuration, and a node that the store turns away waited 15 s for a peer that announces changes and doesn't answer. Change: the policy decides also while adopting, except for the era that the peer's base covers; a peer's kept objects count as present; a fetch without result after 0.5 s is hedged with one from another peer, not on nodes that start.

--- a/internal/sagefollow/follower.go
+++ b/internal/sagefollow/follower.go
@@ -15,6 +15,10 @@
 	// peerFetchTimeout limits a fetch from a peer. The smallest nodes need seconds to decode the copy of a large fleet's
 	// upstreams, so a stalled fetch has to be ended by [Peers].
 	peerFetchTimeout = 15 * time.Second
+	// fetchHedgeDelay is the time after which an unfinished fetch is hedged, many times that of a small delta. maxFetches
+	// is the number of fetches at a time.
+	fetchHedgeDelay = 500 * time.Millisecond
+	maxFetches      = 2
 	// remoteFetchDelay is how long a node waits for new content to reach its own data centre before it
 	// fetches the content from another one.
 	remoteFetchDelay = 400 * time.Millisecond
@@ -78,7 +82,7 @@
 	pendingListing *listing          // unfinished and not in use by a call; may be nil
 	lastAnswered   sageclock.Instant // start of the latest call that was answered
 	content        content
-	fetching       bool
+	fetches        map[string]sageclock.Instant // starts of the fetches in progress by peer
 	behindSince    sageclock.Instant // when a peer first announced content that this copy lacks; 0 if none did
 	failing        atomic.Bool
 	point          atomic.Pointer[Point] // content.point(), readable while Apply runs with mu held
@@ -189,20 +193,40 @@
 		f.mu.Unlock()
 		return
 	}
-	startFetch := !f.fetching
-	f.fetching = true
+	startFetch := f.mayFetch(now, peer)
+	if startFetch {
+		f.fetches[peer] = now
+	}
 	f.mu.Unlock()
 	if startFetch {
 		go f.fetch(ctx, peer, *since)
 	}
 }
 
+// mayFetch reports whether a fetch from a peer may start. A fetch that takes long is hedged with one from another peer: the
+// first one may be silent, and a node that the store turns away has nothing else. Nodes that start don't hedge, since
+// all of them fetch everything at the same time. mu is held.
+func (f *Follower) mayFetch(now sageclock.Instant, peer string) bool {
+	if f.fetches == nil {
+		f.fetches = make(map[string]sageclock.Instant)
+	}
+	if _, ok := f.fetches[peer]; ok || len(f.fetches) >= maxFetches {
+		return false
+	}
+	for _, started := range f.fetches {
+		if !f.content.listed || now.Sub(started) < fetchHedgeDelay {
+			return false
+		}
+	}
+	return true
+}
+
 func (f *Follower) fetch(ctx context.Context, peer string, since Point) {
 	ctx, cancel := context.WithTimeout(ctx, peerFetchTimeout)
 	defer cancel()
 	d, err := f.Peers.Fetch(ctx, peer, f.Kind, since)
 	f.mu.Lock()
-	f.fetching = false
+	delete(f.fetches, peer)
 	f.mu.Unlock()
 	if err != nil {
 		f.Log.Warn("Fetch from peer failed.", "kind", f.Kind, "peer", peer, "since", since.Revision, "era", since.Era, "err", err)
--- a/internal/sagefollow/outage_test.go
+++ b/internal/sagefollow/outage_test.go
@@ -39,6 +39,7 @@
 	latency  time.Duration   // of a call, half of it in each direction
 	cutOff   map[string]bool // nodes whose calls remain unanswered
 	calls    int
+	policy   RestorePolicy // of the nodes
 }
 
 // storeLink is one node's network path to the store.
@@ -111,7 +112,7 @@
 	l.mu.Lock()
 	all := l.content.fullDelta()
 	l.mu.Unlock()
-	return Page{Changes: all.Changes, AsOf: all.AsOf}, l.transit(ctx, l.oneWayLatency())
+	return Page{Changes: all.Changes, AsOf: all.AsOf, Era: all.Era}, l.transit(ctx, l.oneWayLatency())
 }
 
 func (l *storeLink) Watch(ctx context.Context, _ string, since uint64, wait time.Duration) (Delta, error) {
@@ -122,8 +123,14 @@
 	until := time.Now().Add(wait)
 	for {
 		l.mu.Lock()
-		d := l.content.deltaSince(Point{l.content.era, since})
+		d, gone := l.content.deltaSince(Point{l.content.era, since}), since > l.content.asOf
 		l.mu.Unlock()
+		if gone || d.Full {
+			if err := l.transit(ctx, l.oneWayLatency()); err != nil {
+				return Delta{}, err
+			}
+			return Delta{}, ErrGone
+		}
 		if len(d.Changes) > 0 || !time.Now().Before(until) {
 			return d, l.transit(ctx, l.oneWayLatency())
 		}
@@ -142,6 +149,8 @@
 	peerStamps       map[int]sageclock.Instant // last stamp received from each other node
 	storeUnreachable map[int]bool              // as reported by each other node
 	seen             map[string]uint64
+	specs            map[string]string // specs in force
+	onSpec           func(name, spec string)
 }
 
 // remoteFleet is a set of nodes that follow a store and exchange heartbeats.
@@ -170,11 +179,12 @@
 func startFleet(ctx context.Context, s *remoteStore, n int, probers *remoteFleet) *remoteFleet {
 	f := &remoteFleet{unresponsive: -1}
 	for i := range n {
-		x := &remoteNode{peerStamps: make(map[int]sageclock.Instant), storeUnreachable: make(map[int]bool), seen: make(map[string]uint64)}
+		x := &remoteNode{peerStamps: make(map[int]sageclock.Instant), storeUnreachable: make(map[int]bool), seen: make(map[string]uint64), specs: make(map[string]string)}
 		x.Follower = &Follower{
 			Kind: "k", Source: &storeLink{remoteStore: s, node: fmt.Sprint(i)}, Peers: f, MaxStaleness: contentBound, Now: virtualNow, StoreProof: new(sagefresh.Proof),
 			Rank:     func(storeUnreachable bool) int { return x.rank(i, n, storeUnreachable) },
 			Apply:    x.apply,
+			Restore:  s.policy,
 			OnChange: func(bool) { go f.sendHeartbeat(ctx, i) },
 		}
 		if probers != nil {
@@ -216,6 +226,14 @@
 	defer x.mu.Unlock()
 	for _, c := range cs {
 		x.seen[c.Object.Name] = c.Object.Revision
+		spec := string(c.Object.Spec)
+		if c.Deleted {
+			spec = ""
+		}
+		if x.onSpec != nil {
+			x.onSpec(c.Object.Name, spec)
+		}
+		x.specs[c.Object.Name] = spec
 	}
 }
 
--- a/internal/sagefollow/poll.go
+++ b/internal/sagefollow/poll.go
@@ -119,7 +119,7 @@
 // nodes and the number of objects. Once a peer has a copy, it is fetched from there.
 func (f *Follower) untilFirstListing(now sageclock.Instant) time.Duration {
 	f.mu.Lock()
-	behindSince, fetching := f.behindSince, f.fetching
+	behindSince, fetching := f.behindSince, len(f.fetches) > 0
 	f.mu.Unlock()
 	if fetching {
 		return checkInterval
--- a/internal/sagefollow/restore.go
+++ b/internal/sagefollow/restore.go
@@ -72,11 +72,12 @@
 // isRewritten reports whether an object has the same content as one of an earlier era.
 func isRewritten(known, o *Object) bool { return known.Era < o.Era && bytes.Equal(known.Spec, o.Spec) }
 
-// replace replaces the content by a complete listing. What is known from earlier eras stays in force as the policy says.
+// replace replaces the content by a complete listing, of the store or of a peer that kept less over the last restore. What
+// is known from earlier eras stays in force as the policy says.
 func (c *content) replace(d Delta, now sageclock.Instant) []Change {
 	listed := make(map[string]*Object, len(d.Changes))
 	for i := range d.Changes {
-		if ch := &d.Changes[i]; !ch.Deleted && ch.Object.Era == d.Era {
+		if ch := &d.Changes[i]; !ch.Deleted && !ch.Missing {
 			listed[ch.Object.Name] = &ch.Object
 		}
 	}
@@ -88,15 +89,14 @@
 			if o == nil {
 				applied = append(applied, c.remove(known, now, false))
 			}
-		case o != nil && sameState(&known.Object, o):
+		case o != nil && c.era < d.Era && sameState(&known.Object, o):
 			known.Object, known.keepUntil = *o, 0
 			c.objects[name] = known
 			delete(listed, name)
 		case known.recent(now) && c.policy.outlives(&known.Object, o):
-			if o == nil && known.keepUntil == 0 {
-				known.keepUntil = now.Add(maxKeepTime)
+			if o == nil {
+				c.keep(known, now)
 			}
-			c.objects[name] = known
 			delete(listed, name)
 		case o == nil:
 			applied = append(applied, c.remove(known, now, known.recent(now)))
@@ -132,7 +132,8 @@
 	return ch, ok
 }
 
-// adopt replaces the content by that of a peer which kept at least as much over the last restore.
+// adopt replaces the content by that of a peer which kept at least as much over the last restore. What this copy alone kept
+// over earlier ones stays in force as the policy says.
 func (c *content) adopt(d Delta, now sageclock.Instant) []Change {
 	theirs := make(map[string]bool, len(d.Changes))
 	clear(c.hidden)
@@ -149,9 +150,12 @@
 		}
 		theirs[o.Name] = true
 		known, ok := c.objects[o.Name]
-		if ok && sameState(&known.Object, o) {
+		switch {
+		case ok && sameState(&known.Object, o):
 			known.Era = o.Era
-		} else {
+		case ok && c.keptAlone(&known, o, &d, now):
+			continue
+		default:
 			deleted, wasDeleted := c.deleted[o.Name]
 			applied = append(applied, Change{
 				Object: *o, Rewritten: ok && isRewritten(&known.Object, o), Revived: !ok && wasDeleted && c.policy.revives(&deleted.Object, o),
@@ -166,13 +170,37 @@
 		c.objects[o.Name] = known
 	}
 	for name, known := range c.objects {
-		if !theirs[name] {
+		switch {
+		case theirs[name]:
+		case c.keptAlone(&known, nil, &d, now):
+			c.keep(known, now)
+		default:
 			applied = append(applied, c.remove(known, now, known.Era < d.Era && known.recent(now)))
 		}
 	}
 	return applied
 }
 
+// keep keeps an object that the restored store lacks.
+func (c *content) keep(o heldObject, now sageclock.Instant) {
+	if o.keepUntil == 0 {
+		o.keepUntil = now.Add(maxKeepTime)
+	}
+	c.objects[o.Name] = o
+}
+
+// keptAlone reports whether a known object stays in force against the object o of a peer's copy, nil if it has none. The
+// peer knows better what was confirmed in the era of its base, and what has been deleted.
+func (c *content) keptAlone(known *heldObject, o *Object, d *Delta, now sageclock.Instant) bool {
+	if known.Era == d.Base.Era || known.Era == d.Era || !known.recent(now) {
+		return false
+	}
+	if deleted, ok := c.deleted[known.Name]; ok && !deleted.Point().Before(known.Point()) {
+		return false
+	}
+	return c.policy.outlives(&known.Object, o)
+}
+
 // expire ends what is kept or hidden after a restore for too long, and returns the changes.
 func (c *content) expire(now sageclock.Instant) []Change {
 	var applied []Change
