Tests of restores: shared test state is synchronised

Cause: the race detector reported test-only races (the silent peer, a callback, the store's content). Change: atomic or locked.

--- a/internal/sagefollow/follower.go
+++ b/internal/sagefollow/follower.go
@@ -83,7 +83,7 @@
 	lastAnswered   sageclock.Instant // start of the latest call that was answered
 	content        content
 	fetches        map[string]sageclock.Instant // starts of the fetches in progress by peer
-	behindSince    sageclock.Instant // when a peer first announced content that this copy lacks; 0 if none did
+	behindSince    sageclock.Instant            // when a peer first announced content that this copy lacks; 0 if none did
 	failing        atomic.Bool
 	point          atomic.Pointer[Point] // content.point(), readable while Apply runs with mu held
 }
--- a/internal/sagefollow/outage_test.go
+++ b/internal/sagefollow/outage_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -157,7 +158,7 @@
 type remoteFleet struct {
 	nodes []*remoteNode
 	// unresponsive is a node that sends heartbeats but doesn't answer fetches; -1 for none.
-	unresponsive int
+	unresponsive atomic.Int64
 }
 
 // Fetch implements [Peers].
@@ -167,7 +168,7 @@
 	if _, err := fmt.Sscan(peer, &i); err != nil {
 		return Delta{}, err
 	}
-	if i == f.unresponsive {
+	if int64(i) == f.unresponsive.Load() {
 		<-ctx.Done()
 		return Delta{}, ctx.Err()
 	}
@@ -177,7 +178,8 @@
 // startFleet starts n nodes in a synctest bubble, which stop with ctx. Their probers are the followers of the given
 // fleet, if it isn't nil.
 func startFleet(ctx context.Context, s *remoteStore, n int, probers *remoteFleet) *remoteFleet {
-	f := &remoteFleet{unresponsive: -1}
+	f := new(remoteFleet)
+	f.unresponsive.Store(-1)
 	for i := range n {
 		x := &remoteNode{peerStamps: make(map[int]sageclock.Instant), storeUnreachable: make(map[int]bool), seen: make(map[string]uint64), specs: make(map[string]string)}
 		x.Follower = &Follower{
@@ -416,7 +418,7 @@
 	s := newRemoteStore()
 	inVirtualTime(t, 7, s, func(t *testing.T, f *remoteFleet) {
 		time.Sleep(6 * time.Second)
-		f.unresponsive = 0
+		f.unresponsive.Store(0)
 		for rev := uint64(2); rev < 12; rev++ {
 			s.put(obj("a", rev))
 			all := func() bool {
--- a/internal/sagefollow/restore_test.go
+++ b/internal/sagefollow/restore_test.go
@@ -124,7 +124,7 @@
 					}
 					require.Less(t, timeUntil(5*time.Second, func() bool { return f.allHave("lost", 5) }), contentBound-handlingMargin)
 					time.Sleep(time.Duration(phase) * 137 * time.Millisecond)
-					f.unresponsive = tt.unresponsive
+					f.unresponsive.Store(int64(tt.unresponsive))
 					s.set(func(s *remoteStore) {
 						s.latency, s.stalled = tt.latency, true
 						for _, n := range tt.cutOff {
@@ -157,11 +157,13 @@
 			s.policy = keepVersions
 			inVirtualTime(t, 6, s, func(t *testing.T, f *remoteFleet) {
 				for i, x := range f.nodes {
+					x.mu.Lock()
 					x.onSpec = func(name, spec string) {
-						if old, v := x.specs[name], versionOf([]byte(spec)); versionOf([]byte(old)) > v && name != "gone" {
+						if old, v := x.specs[name], versionOf([]byte(spec)); versionOf([]byte(old)) > v {
 							t.Errorf("node %d went back from version %s of %s to %d", i, old, name, v)
 						}
 					}
+					x.mu.Unlock()
 				}
 				time.Sleep(3 * time.Second)
 				names, written := []string{"a", "b", "c"}, make(map[string]int)
@@ -186,13 +188,13 @@
 							s.cutOff = map[string]bool{fmt.Sprint(rnd.IntN(6)): true, fmt.Sprint(rnd.IntN(6)): true}
 						})
 					case 3:
-						f.unresponsive = rnd.IntN(7) - 1
+						f.unresponsive.Store(int64(rnd.IntN(7) - 1))
 					case 4:
 						s.set(func(s *remoteStore) { s.latency = []time.Duration{storeLatency, 400 * time.Millisecond}[rnd.IntN(2)] })
 					}
 				}
 				s.set(func(s *remoteStore) { s.cutOff, s.latency = make(map[string]bool), storeLatency })
-				f.unresponsive = -1
+				f.unresponsive.Store(-1)
 				for name, v := range written {
 					s.write(name, v)
 				}
@@ -200,8 +202,10 @@
 					require.Less(t, timeUntil(10*time.Second, func() bool { return f.allHave(name, written[name]) }), contentBound, name)
 				}
 				require.Less(t, timeUntil(10*time.Second, f.allFresh), time.Second)
+				var last Point
+				s.set(func(s *remoteStore) { last = s.content.point() })
 				followed := func() bool {
-					return !slices.ContainsFunc(f.nodes, func(x *remoteNode) bool { return x.Point() != s.content.point() })
+					return !slices.ContainsFunc(f.nodes, func(x *remoteNode) bool { return x.Point() != last })
 				}
 				require.Less(t, timeUntil(10*time.Second, followed), contentBound)
 				for i, x := range f.nodes {
