Soak: the store is restored from earlier copies, in series and beside the other faults

Cause: no fault of the soak made the store lose what it had confirmed. The random numbers are separate, so the other faults of a seed don't change. Checks: the limits of revoked keys and leaves hold over a restore for what the nodes had a second to follow; all nodes are registered 2 s after the last restore.

--- a/cmd/sagebench/soak.go
+++ b/cmd/sagebench/soak.go
@@ -24,6 +24,7 @@
 		nodes       int
 		calm        bool
 		series      bool
+		restores    bool
 		program     string
 		self, dir   string
 	)
@@ -40,7 +41,7 @@
 				if err := os.MkdirAll(seedDir, 0o700); err != nil {
 					return fmt.Errorf("make directory for logs: %w", err)
 				}
-				s := &sagesoak.Soak{Seed: n, Program: program, Dir: seedDir, Nodes: nodes, Duration: time.Duration(seconds * float64(time.Second)), NoFaults: calm, Series: series}
+				s := &sagesoak.Soak{Seed: n, Program: program, Dir: seedDir, Nodes: nodes, Duration: time.Duration(seconds * float64(time.Second)), NoFaults: calm, Series: series, Restores: restores}
 				report, err := s.Run(c.Context())
 				if err != nil {
 					return fmt.Errorf("seed %d: %w", n, err)
@@ -71,6 +72,7 @@
 	f.IntVar(&nodes, "nodes", 4, "number of nodes")
 	f.BoolVar(&calm, "calm", false, "inject no faults")
 	f.BoolVar(&series, "series", false, "inject faults in series of one family, so that more of them overlap")
+	f.BoolVar(&restores, "restores", false, "restore the store from earlier copies, beside the other faults")
 	f.StringVar(&dir, "dir", filepath.Join(os.TempDir(), "sagestand-soak"), "directory for the nodes' settings and logs")
 	addProgramFlag(c, &program, &self)
 	return c
--- a/internal/sagesoak/soak.go
+++ b/internal/sagesoak/soak.go
@@ -56,6 +56,8 @@
 	NoFaults bool
 	// Series injects faults in series of one family, so that more of them overlap.
 	Series bool
+	// Restores replaces the store's content by earlier copies, beside the other faults.
+	Restores bool
 
 	sys            *standin.System
 	rng            *rand.Rand
@@ -68,6 +70,7 @@
 	pendingReverts sync.WaitGroup
 	start          time.Time
 	fatal          *fatalRequest // nil if no request crashes upstreams
+	restorer       *restorer     // nil without restores of the store
 }
 
 // Run runs the soak and returns the violations that it found. It returns an error if the soak can't be run.
@@ -79,6 +82,7 @@
 		s.enabled[f] = s.rng.IntN(5) < 3
 	}
 	s.fatal = s.newFatalRequest()
+	s.restorer = s.newRestorer()
 	s.sys = &standin.System{FatalBody: fatalBody, OnFatalCrash: s.handleCrash, Nodes: s.Nodes, Engines: 4, Apps: 3, Program: s.Program, Dir: s.Dir, Subnet: int(s.Seed%200) + 20, Advertise: s.advertise}
 	defer s.sys.Stop()
 	if err := s.sys.Start(ctx); err != nil {
@@ -94,8 +98,17 @@
 	if s.fatal != nil {
 		wg.Go(func() { s.fatal.sendLoop(loadCtx) })
 	}
+	var restores sync.WaitGroup
+	if s.restorer != nil {
+		restores.Go(func() { s.restorer.run(ctx) })
+	}
 	s.injectFaults(ctx)
 	s.pendingReverts.Wait()
+	restores.Wait()
+	if s.restorer != nil {
+		s.restorer.pending.Wait()
+		s.restorer.checkRegistered(ctx)
+	}
 	pause(ctx, settleTime)
 	if s.fatal != nil {
 		s.fatal.checkStopped()
@@ -189,7 +202,9 @@
 	if name == "" {
 		return
 	}
+	s.mu.Lock()
 	s.injected = append(s.injected, fmt.Sprintf("%.1fs %s for %.1fs", time.Since(s.start).Seconds(), name, duration.Seconds()))
+	s.mu.Unlock()
 	if revert != nil {
 		s.pendingReverts.Go(func() { time.Sleep(duration); revert() })
 	}
@@ -215,10 +230,10 @@
 			r.AnnounceLeaving()
 			return "announce leaving " + r.ID, r.MarkReady
 		}
-		r.Drain(standin.MaxDrainDelay, s.delayBoundsApply())
+		s.leave(func() { r.Drain(standin.MaxDrainDelay, s.delayBoundsApply()) })
 		return "drain " + r.ID, r.MarkReady
 	case 3:
-		r.Deregister(standin.MaxDrainDelay, s.delayBoundsApply())
+		s.leave(func() { r.Deregister(standin.MaxDrainDelay, s.delayBoundsApply()) })
 		return "withdraw " + r.ID, r.MarkReady
 	case 4:
 		i := s.rng.IntN(s.Nodes)
@@ -228,6 +243,15 @@
 	return s.signalNode("term", syscall.SIGTERM)
 }
 
+// leave lets a runner leave, once the store isn't away for a restore.
+func (s *Soak) leave(f func()) {
+	if s.restorer != nil {
+		s.restorer.away.RLock()
+		defer s.restorer.away.RUnlock()
+	}
+	f()
+}
+
 // declinePauses are the values of Retry-After in responses of a declining upstream; 0 means none.
 var declinePauses = [...]float64{0, 0.8, 2, 3.5}
 
