--- a/internal/sagesoak/restore.go
+++ b/internal/sagesoak/restore.go
@@ -17,6 +17,7 @@
 	maxCopyAge        = 3 * time.Second
 	maxAwayTime       = 800 * time.Millisecond
 	maxRestoreSeries  = 3
+	maxLostChanges    = 6 // changes that the store loses beside those of the other faults
 	restoreInterval   = 300 * time.Millisecond // between the restores of a series
 	maxWriteDelay     = 1500 * time.Millisecond
 	noticeTime        = time.Second     // within which the nodes have followed a change before the store goes away
@@ -55,11 +56,45 @@
 			return
 		}
 		c := s.sys.Store.Copy()
+		for range r.rng.IntN(maxLostChanges) {
+			s.sys.Configure()
+		}
 		pause(ctx, r.randomTime(maxCopyAge))
 		for range 1 + r.rng.IntN(maxRestoreSeries) {
 			r.restore(ctx, c)
 			pause(ctx, r.randomTime(restoreInterval))
 		}
+		r.changeAtOnce()
+	}
+}
+
+// changeAtOnce revokes a key and lets a runner leave right after a restore, so that the changes get revisions which the store
+// had given out before.
+func (r *restorer) changeAtOnce() {
+	s := r.soak
+	if r.rng.IntN(2) == 0 {
+		key := s.sys.Key(0)
+		s.sys.RotateKey()
+		caller := r.rng.IntN(s.Nodes)
+		r.pending.Go(func() { s.probe(caller, key) })
+	}
+	if leaving := s.sys.Runner(r.rng.IntN(len(s.sys.Runners))); r.rng.IntN(2) == 0 {
+		leaving.RegisterDraining()
+		leaving.SetDrainLimit(standin.MaxDrainDelay, s.delayBoundsApply())
+		r.pending.Go(func() {
+			time.Sleep(maxFaultDuration)
+			leaving.MarkReady()
+		})
+	}
+}
+
+// probe sends requests with a revoked key until its limit has passed for long.
+func (s *Soak) probe(caller int, key string) {
+	c := s.sys.Caller(caller)
+	c.Key = func() string { return key }
+	defer c.Close()
+	for end := time.Now().Add(2 * standin.MaxRevocationDelay); time.Now().Before(end); time.Sleep(requestInterval) {
+		c.Do(context.Background(), standin.Lookup)
 	}
 }
 
