--- a/internal/sagesoak/restore.go
+++ b/internal/sagesoak/restore.go
@@ -17,7 +17,7 @@
 	maxCopyAge        = 3 * time.Second
 	maxAwayTime       = 800 * time.Millisecond
 	maxRestoreSeries  = 3
-	maxLostChanges    = 6 // changes that the store loses beside those of the other faults
+	maxLostChanges    = 6                      // changes that the store loses beside those of the other faults
 	restoreInterval   = 300 * time.Millisecond // between the restores of a series
 	maxWriteDelay     = 1500 * time.Millisecond
 	noticeTime        = time.Second     // within which the nodes have followed a change before the store goes away
