Kept objects are looked through only when one may end; the policy holds from the first copy on

Cause, found by reading: each copy walked all its objects ten times a second to end what was kept over a restore, and a copy adopted from a peer before Run had no policy. Change: the next end is stored; the policy is set with each delta.

--- a/internal/sagefollow/copy.go
+++ b/internal/sagefollow/copy.go
@@ -24,6 +24,7 @@
 	version     uint64                // number of times that the content changed
 	deleted     map[string]heldObject // last states of recently deleted objects
 	hidden      map[string]hiddenObject
+	nextExpiry  sageclock.Instant // when the first kept or hidden object ends, or earlier; 0 if there is none
 }
 
 func (c *content) point() Point { return Point{c.era, c.asOf} }
--- a/internal/sagefollow/doc.go
+++ b/internal/sagefollow/doc.go
@@ -13,11 +13,16 @@
 // An unanswered call doesn't block a node: a second call is made beside it, and the first answer that any
 // node of the fleet receives serves all nodes.
 //
+// The store may be restored from a copy some seconds old. It then gives out revisions again, in another era, and lacks
+// changes that it has confirmed. A [Point] is an era and a revision; answers and peers' positions of earlier eras are
+// ignored. Which changes stay in force until they are written again follows from the kind's [RestorePolicy]. Nodes announce up
+// to which point they keep such changes, and a node that kept less adopts the copy of one that kept more.
+//
 // # Usage
 //
 //	f := &sagefollow.Follower{Kind: "servers", Source: store, Peers: peers, Rank: rank, Apply: apply, ...}
 //	go f.Run(ctx)
 //	f.HandlePosition(ctx, peer, position, stamp, fetchNow) // from a peer's heartbeat
-//	f.DeltaSince(revision)                                 // requested by a peer
+//	f.DeltaSince(point)                                 // requested by a peer
 //	f.Proof.Age(sageclock.Now())
 package sagefollow
--- a/internal/sagefollow/follower.go
+++ b/internal/sagefollow/follower.go
@@ -248,6 +248,7 @@
 	}
 	firstListing := !f.content.listed
 	afterOutage := !firstListing && f.StoreProof.Age(f.now()) > LongOutage
+	f.content.policy = f.Restore
 	applied := f.content.apply(f.now(), since, d)
 	restored := !firstListing && f.content.era > last.Era
 	f.storePoint()
@@ -307,9 +308,6 @@
 
 // Run follows the kind until ctx ends.
 func (f *Follower) Run(ctx context.Context) error {
-	f.mu.Lock()
-	f.content.policy = f.Restore
-	f.mu.Unlock()
 	var loops sync.WaitGroup
 	loops.Go(func() { f.watch(ctx) })
 	loops.Go(func() { f.poll(ctx) })
--- a/internal/sagefollow/restore.go
+++ b/internal/sagefollow/restore.go
@@ -162,11 +162,11 @@
 			})
 			known.Object, known.since = *o, now
 		}
-		if !d.Changes[i].Missing {
-			known.keepUntil = 0
-		} else if known.keepUntil == 0 {
-			known.keepUntil = now.Add(maxKeepTime)
+		if d.Changes[i].Missing {
+			c.keep(known, now)
+			continue
 		}
+		known.keepUntil = 0
 		c.objects[o.Name] = known
 	}
 	for name, known := range c.objects {
@@ -187,6 +187,14 @@
 		o.keepUntil = now.Add(maxKeepTime)
 	}
 	c.objects[o.Name] = o
+	c.expireBy(o.keepUntil)
+}
+
+// expireBy makes expire look for something that ends at an instant.
+func (c *content) expireBy(at sageclock.Instant) {
+	if c.nextExpiry == 0 || at < c.nextExpiry {
+		c.nextExpiry = at
+	}
 }
 
 // keptAlone reports whether a known object stays in force against the object o of a peer's copy, nil if it has none. The
@@ -203,14 +211,23 @@
 
 // expire ends what is kept or hidden after a restore for too long, and returns the changes.
 func (c *content) expire(now sageclock.Instant) []Change {
+	if c.nextExpiry == 0 || now < c.nextExpiry {
+		return nil
+	}
+	c.nextExpiry = 0
 	var applied []Change
 	for _, known := range c.objects {
-		if known.keepUntil != 0 && now >= known.keepUntil {
+		switch {
+		case known.keepUntil == 0:
+		case now >= known.keepUntil:
 			applied = append(applied, c.remove(known, now, false))
+		default:
+			c.expireBy(known.keepUntil)
 		}
 	}
 	for name, h := range c.hidden {
 		if now < h.until {
+			c.expireBy(h.until)
 			continue
 		}
 		delete(c.hidden, name)
@@ -227,6 +244,7 @@
 		c.hidden = make(map[string]hiddenObject)
 	}
 	c.hidden[o.Name] = hiddenObject{*o, until}
+	c.expireBy(until)
 }
 
 // rememberDeletion records the last state of a deleted object.
