Log the spread of unanswered exchanges, and whether the upstreams answer other nodes

Cause: the logs of the incident show neither how many different upstreams failed at once nor whether they answered other nodes, which tells the failure of a path from that of upstreams. Change: package sagereach records answers and unanswered exchanges by upstream; heartbeats name reported upstreams that answered the sender after the report; one line and a gauge show the spread. No decision reads it yet.

--- a/internal/sagemesh/codec.go
+++ b/internal/sagemesh/codec.go
@@ -24,7 +24,7 @@
 		return nil, fmt.Errorf("encode heartbeat: %w", err)
 	}
 	m := &heartbeat.Heartbeat{
-		Address: address, Ready: h.Ready, Leaving: h.Leaving, Blind: h.StoreUnreachable, Informed: h.Synced, Broken: h.Broken,
+		Address: address, Ready: h.Ready, Leaving: h.Leaving, Blind: h.StoreUnreachable, Informed: h.Synced, Broken: h.Broken, Answered: h.Answered,
 		Stamp: &heartbeat.Stamp{Incarnation: h.Stamp.Incarnation, At: int64(h.Stamp.At)}, Ask: h.ReplyRequested, Pass: h.Forward,
 	}
 	if m.Silent, err = packAddresses(h.Unresponsive); err != nil {
@@ -40,6 +40,7 @@
 		m.Sum = &heartbeat.Sum{All: h.Sum.FleetWide}
 		m.Sum.Upstreams, m.Sum.InFlight = toColumns(h.Sum.InFlight)
 		m.Sum.BrokenUpstreams, m.Sum.Broken = toColumns(h.Sum.Broken)
+		m.Sum.AnsweredUpstreams, m.Sum.Answered = toColumns(h.Sum.Answered)
 		m.Sum.AnswerKeys, m.Sum.Answers = toColumns(h.Sum.Answers)
 	}
 	m.AnswerKeys, m.Answers = toColumns(h.Answers)
@@ -111,7 +112,7 @@
 	id := m.GetIdentity()
 	h := &Heartbeat{
 		Address: address, Identity: Identity{Node: id.GetNode(), Entry: id.GetEntry(), DataCentre: id.GetDataCentre(), LinkMbps: int(id.GetLinkMbps())},
-		Ready: m.GetReady(), Leaving: m.GetLeaving(), StoreUnreachable: m.GetBlind(), Synced: m.GetInformed(), Broken: m.GetBroken(),
+		Ready: m.GetReady(), Leaving: m.GetLeaving(), StoreUnreachable: m.GetBlind(), Synced: m.GetInformed(), Broken: m.GetBroken(), Answered: m.GetAnswered(),
 		Stamp: decodeStamp(m.GetStamp()), Echo: decodeStamp(m.GetEcho()),
 		Copies: make(map[string]sagefollow.Position, len(m.GetCopies())), InFlight: counts,
 		ShortInterval: m.GetSoon(), ReplyRequested: m.GetAsk(), Forward: m.GetPass(),
@@ -131,11 +132,15 @@
 		if err != nil {
 			return nil, err
 		}
+		answered, err := fromColumns(sum.GetAnsweredUpstreams(), sum.GetAnswered())
+		if err != nil {
+			return nil, err
+		}
 		answers, err := fromColumns(sum.GetAnswerKeys(), sum.GetAnswers())
 		if err != nil {
 			return nil, err
 		}
-		h.Sum = &Sum{FleetWide: sum.GetAll(), InFlight: counts, Broken: broken, Answers: answers}
+		h.Sum = &Sum{FleetWide: sum.GetAll(), InFlight: counts, Broken: broken, Answered: answered, Answers: answers}
 	}
 	if h.Answers, err = fromColumns(m.GetAnswerKeys(), m.GetAnswers()); err != nil {
 		return nil, err
--- a/internal/sagemesh/heartbeat.go
+++ b/internal/sagemesh/heartbeat.go
@@ -28,8 +28,8 @@
 	// FleetWide says that the sums are over all nodes of the fleet, not only those of the sender's data centre.
 	FleetWide bool
 	// InFlight counts requests in flight by upstream, Broken the nodes whose exchanges with an upstream recently
-	// broke.
-	InFlight, Broken map[string]int
+	// broke, Answered the nodes that an upstream answered after it was reported as broken.
+	InFlight, Broken, Answered map[string]int
 	// Answers counts the answers in rollouts by key.
 	Answers map[string]int
 }
@@ -56,6 +56,8 @@
 	InFlight map[string]int
 	// Broken are upstreams with which the sender's own exchanges recently broke.
 	Broken []string
+	// Answered are upstreams that others report as broken and that answered the sender since.
+	Answered []string
 	// Sum is set by the aggregator of a data centre; nil from other nodes.
 	Sum *Sum
 	// Held are cached prompt parts by upstream that were newly observed in requests.
--- a/internal/sagemesh/mesh_test.go
+++ b/internal/sagemesh/mesh_test.go
@@ -362,6 +362,7 @@
 		{"counts without upstreams", func(m *heartbeat.Heartbeat) { m.InFlight = []uint32{1} }, ErrHeartbeat},
 		{"sum without upstreams", func(m *heartbeat.Heartbeat) { m.Sum = &heartbeat.Sum{InFlight: []uint32{1}} }, ErrHeartbeat},
 		{"sum of broken exchanges without upstreams", func(m *heartbeat.Heartbeat) { m.Sum = &heartbeat.Sum{Broken: []uint32{1}} }, ErrHeartbeat},
+		{"sum of answered upstreams without upstreams", func(m *heartbeat.Heartbeat) { m.Sum = &heartbeat.Sum{Answered: []uint32{1}} }, ErrHeartbeat},
 		{"malformed unresponsive address", func(m *heartbeat.Heartbeat) { m.Silent = [][]byte{{1}} }, ErrHeartbeat},
 		{"answers without keys", func(m *heartbeat.Heartbeat) { m.Answers = []uint32{1} }, ErrHeartbeat},
 		{"sum of answers without keys", func(m *heartbeat.Heartbeat) { m.Sum = &heartbeat.Sum{Answers: []uint32{1}} }, ErrHeartbeat},
@@ -385,7 +386,7 @@
 	h.Held = map[string][]uint64{"e": {1, 1 << 63}}
 	h.Listed = map[string][]sagechain.PartHash{"f": {7, 1 << 31}}
 	h.StoreUnreachable, h.Leaving, h.Broken = true, true, []string{"e"}
-	h.Sum = &Sum{FleetWide: true, InFlight: map[string]int{"e": 9}, Broken: map[string]int{"f": 2}, Answers: map[string]int{"2/1/0/r": 4}}
+	h.Sum = &Sum{FleetWide: true, InFlight: map[string]int{"e": 9}, Broken: map[string]int{"f": 2}, Answered: map[string]int{"f": 1}, Answers: map[string]int{"2/1/0/r": 4}}
 	h.Answers = map[string]int{"2/2/1/r": 3}
 	h.Plans = []sagerollout.Plan{{OrderID: 2, Phase: sagerollout.PhaseRamp, Share: 0.25, Sequence: 7, Controller: "vm1", IssuedAt: h.Stamp.At.Add(-time.Second), PhaseSince: h.Stamp.At.Add(-2 * time.Second)}}
 	h.ShortInterval, h.ReplyRequested, h.Forward, h.Unresponsive = true, true, true, h.KnownAddresses[:1]
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -148,6 +148,7 @@
 	stalled := errors.Is(context.Cause(ctx), errStalled)
 	timedOut := ctx.Err() != nil && !stalled
 	if !timedOut {
+		j.s.Fleet.RecordUnanswered(x.p.Upstream)
 		j.recordExchange(x.p, sagehealth.Broken)
 	}
 	if unsent {
@@ -169,6 +170,7 @@
 // handleResponse checks the response header and forwards the response.
 func (x *exchange) handleResponse(ctx context.Context, res *http.Response, stallTimer *time.Timer) verdict {
 	j := x.j
+	j.s.Fleet.RecordAnswer(x.p.Upstream)
 	meta := j.s.Dialect.ParseResponse(res)
 	if meta.Misdirected {
 		j.s.Fleet.RecordMisdirected(x.p.Upstream)
--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -120,6 +120,8 @@
 	served         int
 	stopped        []string // upstreams that no longer listen
 	beforePick     func()   // called before each pick
+	// answers and unanswered are the upstreams of recorded evidence, in order.
+	answers, unanswered []string
 }
 
 func (f *fakeFleet) Table() *sageroute.Table { return f.table }
@@ -185,6 +187,18 @@
 	f.responses = append(f.responses, recordedResponse{route, a})
 }
 
+func (f *fakeFleet) RecordAnswer(u *sageupstream.Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.answers = append(f.answers, u.ID)
+}
+
+func (f *fakeFleet) RecordUnanswered(u *sageupstream.Entry) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unanswered = append(f.unanswered, u.ID)
+}
+
 func (f *fakeFleet) RecordExchange(_ *sageupstream.Entry, r sagehealth.Result) {
 	f.results = append(f.results, r)
 }
--- a/internal/sagerelay/interfaces.go
+++ b/internal/sagerelay/interfaces.go
@@ -157,6 +157,10 @@
 	RecordServiceTime(service string, took time.Duration)
 	// PrefillTime returns the time in which an idle engine of the service prefills that many tokens.
 	PrefillTime(service string, tokens int) time.Duration
+	// RecordAnswer records that an upstream answered a request, whatever the answer was.
+	RecordAnswer(u *sageupstream.Entry)
+	// RecordUnanswered records an exchange that broke or stalled before its answer was complete.
+	RecordUnanswered(u *sageupstream.Entry)
 	// RecordExchange records the result of an exchange with an upstream.
 	RecordExchange(u *sageupstream.Entry, res sagehealth.Result)
 	// RecordResponse records the result of an upstream's response to a request of a route.
--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -15,6 +15,7 @@
 	"sagestand.example/sagestand/pkg/sageflight"
 	"sagestand.example/sagestand/pkg/sagefresh"
 	"sagestand.example/sagestand/pkg/sagehealth"
+	"sagestand.example/sagestand/pkg/sagereach"
 	"sagestand.example/sagestand/pkg/sagerollout"
 	"sagestand.example/sagestand/pkg/sageroute"
 	"sagestand.example/sagestand/pkg/sageshare"
@@ -37,10 +38,14 @@
 	cacheSynced func() bool
 	inFlight    sageflight.Counter
 	brokenNodes sageflight.Counter // number of nodes whose own exchanges broke
-	health      sagehealth.Tracker
-	pauses      sagebackoff.Pauses[sageupstream.Start]
-	declines    declines
-	latencies   latencyEstimates
+	// answeredNodes is the number of nodes that got an answer after the upstream was reported as broken.
+	answeredNodes sageflight.Counter
+	reach         sagereach.Tracker
+	reachLog      reachLog
+	health        sagehealth.Tracker
+	pauses        sagebackoff.Pauses[sageupstream.Start]
+	declines      declines
+	latencies     latencyEstimates
 	// rollouts is nil if rollouts are disabled. rolloutAnswers counts their responses by [sagerollout.CountKey].
 	rollouts         *sagerollout.Tracker
 	rolloutLatencies sagerollout.LatencyTracker
--- a/internal/sagerouter/gauges.go
+++ b/internal/sagerouter/gauges.go
@@ -30,6 +30,7 @@
 	n.metrics.NewGauge(`sagestand_heartbeat_bytes_total{direction="in"}`, func() float64 { _, in := n.mesh.Bytes(); return float64(in) })
 	n.metrics.NewGauge("sagestand_upstreams_known", func() float64 { return float64(n.view.upstreams.Load().Len()) })
 	n.metrics.NewGauge("sagestand_upstreams_paused", func() float64 { return float64(n.fleet.pauses.Len(sageclock.Now())) })
+	n.metrics.NewGauge("sagestand_upstreams_unanswered", func() float64 { return float64(n.fleet.reach.Unanswered(sageclock.Now())) })
 	n.metrics.NewGauge("sagestand_ready", func() float64 {
 		if n.Ready() {
 			return 1
--- a/internal/sagerouter/heartbeat.go
+++ b/internal/sagerouter/heartbeat.go
@@ -36,6 +36,9 @@
 	h.Broken = n.fleet.health.RecentlyBroken(sageclock.Now())
 	n.fleet.brokenNodes.Set(onePerUpstream(h.Broken))
 	n.fleet.brokenNodes.Report()
+	h.Answered = n.fleet.reach.Contradicted(sageclock.Now())
+	n.fleet.answeredNodes.Set(onePerUpstream(h.Answered))
+	n.fleet.answeredNodes.Report()
 	n.fillCrashes(h)
 	if n.fleet.rollouts != nil {
 		n.fleet.rolloutAnswers.Set(n.fleet.rollouts.Counts())
@@ -57,7 +60,7 @@
 		}
 		return c.SumGroup(now, n.Settings.DataCentre)
 	}
-	h.Sum = &sagemesh.Sum{FleetWide: fleetWide, InFlight: sumOf(&n.fleet.inFlight), Broken: sumOf(&n.fleet.brokenNodes), Answers: sumOf(&n.fleet.rolloutAnswers)}
+	h.Sum = &sagemesh.Sum{FleetWide: fleetWide, InFlight: sumOf(&n.fleet.inFlight), Broken: sumOf(&n.fleet.brokenNodes), Answered: sumOf(&n.fleet.answeredNodes), Answers: sumOf(&n.fleet.rolloutAnswers)}
 }
 
 // mergeSum updates the counters from the sum in an aggregator's heartbeat. Totals of the fleet are used only from
@@ -70,10 +73,12 @@
 	case h.Sum.FleetWide && local:
 		n.fleet.inFlight.UpdateTotal(now, h.Sum.InFlight)
 		n.fleet.brokenNodes.UpdateTotal(now, h.Sum.Broken)
+		n.fleet.answeredNodes.UpdateTotal(now, h.Sum.Answered)
 		n.fleet.rolloutAnswers.UpdateTotal(now, h.Sum.Answers)
 	case !h.Sum.FleetWide && !local:
 		n.fleet.inFlight.UpdateGroup(now, h.DataCentre, h.Sum.InFlight)
 		n.fleet.brokenNodes.UpdateGroup(now, h.DataCentre, h.Sum.Broken)
+		n.fleet.answeredNodes.UpdateGroup(now, h.DataCentre, h.Sum.Answered)
 		n.fleet.rolloutAnswers.UpdateGroup(now, h.DataCentre, h.Sum.Answers)
 	}
 }
@@ -84,6 +89,8 @@
 	now := sageclock.Now()
 	n.fleet.inFlight.UpdateNode(now, h.Node, h.DataCentre, h.InFlight)
 	n.fleet.brokenNodes.UpdateNode(now, h.Node, h.DataCentre, onePerUpstream(h.Broken))
+	n.fleet.answeredNodes.UpdateNode(now, h.Node, h.DataCentre, onePerUpstream(h.Answered))
+	n.fleet.recordReports(now, h)
 	if n.fleet.rollouts != nil {
 		n.fleet.rolloutAnswers.UpdateNode(now, h.Node, h.DataCentre, h.Answers)
 		for _, p := range h.Plans {
--- a/internal/sagerouter/services.go
+++ b/internal/sagerouter/services.go
@@ -81,7 +81,9 @@
 			return nil
 		case <-cleanup.C:
 			set := n.view.upstreams.Load()
-			n.fleet.health.Retain(func(u string) bool { return set.Get(u) != nil })
+			alive := func(u string) bool { return set.Get(u) != nil }
+			n.fleet.health.Retain(alive)
+			n.fleet.reach.Retain(alive)
 			now := sageclock.Now()
 			n.fleet.pauses.Sweep(now)
 			n.fleet.declines.sweep(now)
