--- a/internal/sagerelay/crash.go
+++ b/internal/sagerelay/crash.go
@@ -84,7 +84,7 @@
 func (s *Service) probeStopped(u *sageupstream.Entry) bool {
 	stopped, _, _ := s.crashProbes.Do(u.ID, func() (any, error) {
 		time.Sleep(crashProbeDelay)
-		return s.transports.refusesConnections(context.Background(), u.Address), nil
+		return s.openTransports().refusesConnections(context.Background(), u.Address), nil
 	})
 	return stopped.(bool)
 }
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -119,7 +119,7 @@
 	if len(j.meta.Chain) > 0 {
 		j.s.Fleet.RecordPrompt(x.p.Upstream, j.meta.Chain)
 	}
-	return j.s.transports.forRequest(j.route.Repeatable()).RoundTrip(req)
+	return j.s.transportFor(j.route.Repeatable()).RoundTrip(req)
 }
 
 // onceReader hides the type of the reader, so that net/http can't resend the body on its own.
--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -269,7 +269,7 @@
 func (f *fakeFleet) service() *Service {
 	s := &Service{Dialect: testDialect{}, Fleet: f, Metrics: metrics.NewSet(), Log: sagelog.Logger{}, Closing: func() bool { return false }, Quarantine: new(sagequarantine.Tracker),
 		SendsTrials: func() bool { return f.sendsTrials }}
-	s.transports.dial = f.dial
+	s.Dial = f.dial
 	return s
 }
 
@@ -293,7 +293,7 @@
 		}()
 		s.ServeHTTP(out, req)
 	}()
-	s.transports.forRequest(true).CloseIdleConnections()
+	s.transportFor(true).CloseIdleConnections()
 	return out
 }
 
--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -4,6 +4,7 @@
 	"context"
 	"io"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -45,6 +46,8 @@
 	Quarantine *sagequarantine.Tracker
 	// SendsTrials reports whether this node sends the trials of quarantined requests.
 	SendsTrials func() bool
+	// Dial opens connections to upstreams; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// MaxBufferedBytes limits the total size of buffered request bodies; 0 means no limit.
 	MaxBufferedBytes int64
 
--- a/internal/sagerelay/transport.go
+++ b/internal/sagerelay/transport.go
@@ -37,25 +37,25 @@
 
 // upstreamTransports holds the connections to upstreams.
 type upstreamTransports struct {
-	// dial opens a connection; nil means TCP with the parameters above.
-	dial     func(ctx context.Context, network, address string) (net.Conn, error)
 	once     sync.Once
 	pooled   *http.Transport
 	unpooled *http.Transport
-	// connect is dial or its default, without the tracking of sageconn.
+	// connect opens a connection within connectTimeout, without the tracking of sageconn.
 	connect func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-func (t *upstreamTransports) init() {
-	d := &net.Dialer{
-		Timeout:         connectTimeout,
-		KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes},
+// init creates the transports. dial opens connections; nil means TCP with the parameters above.
+func (t *upstreamTransports) init(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+	if dial == nil {
+		d := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes}}
+		dial = d.DialContext
 	}
-	t.connect = t.dial
-	if t.connect == nil {
-		t.connect = d.DialContext
+	t.connect = func(ctx context.Context, network, address string) (net.Conn, error) {
+		ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+		defer cancel()
+		return dial(ctx, network, address)
 	}
-	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
+	trackedDial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		c, err := t.connect(ctx, network, address)
 		if err != nil {
 			return nil, fmt.Errorf("connect: %w", err)
@@ -65,30 +65,33 @@
 	p := new(http.Protocols)
 	p.SetHTTP1(true)
 	t.pooled = &http.Transport{
-		DialContext: dial, Protocols: p, DisableCompression: true,
+		DialContext: trackedDial, Protocols: p, DisableCompression: true,
 		MaxIdleConnsPerHost: maxIdlePerUpstream, IdleConnTimeout: idleTimeout,
 	}
-	t.unpooled = &http.Transport{DialContext: dial, Protocols: p, DisableCompression: true, DisableKeepAlives: true}
+	t.unpooled = &http.Transport{DialContext: trackedDial, Protocols: p, DisableCompression: true, DisableKeepAlives: true}
 }
 
-// forRequest returns the transport for a request.
+// transportFor returns the transport for a request.
 //
 // A request that must be executed at most once gets a new connection. If the upstream closes a reused
 // connection at that moment, it is unknown whether it has read the request.
-func (t *upstreamTransports) forRequest(repeatable bool) *http.Transport {
-	t.once.Do(t.init)
+func (s *Service) transportFor(repeatable bool) *http.Transport {
+	t := s.openTransports()
 	if repeatable {
 		return t.pooled
 	}
 	return t.unpooled
 }
 
+// openTransports returns the transports, which the first call creates.
+func (s *Service) openTransports() *upstreamTransports {
+	s.transports.once.Do(func() { s.transports.init(s.Dial) })
+	return &s.transports
+}
+
 // refusesConnections reports whether nothing listens at an address. A timeout isn't taken for a
 // refusal: the address may be unreachable from here.
 func (t *upstreamTransports) refusesConnections(ctx context.Context, address string) bool {
-	t.once.Do(t.init)
-	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
-	defer cancel()
 	c, err := t.connect(ctx, "tcp", address)
 	if err == nil {
 		_ = c.Close() // opened only for the probe
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -91,6 +91,8 @@
 	Dialect  sagerelay.Dialect
 	// Inspector queries engines for the prompt parts in their caches.
 	Inspector Inspector
+	// Dial opens connections to upstreams; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Readiness and Directory are the platform's handlers for the two addresses in Settings.Listen.
 	Readiness, Directory http.Handler
 	Log                  sagelog.Logger
@@ -206,7 +208,7 @@
 	n.fleet.cacheSynced = func() bool { return n.cacheResync.synced.Load() }
 	n.fleet.setBounds(&cfg.Bounds)
 	n.relay = &sagerelay.Service{
-		Dialect: n.Dialect, Fleet: n.fleet, Metrics: n.metrics, Log: n.Log.Component("relay"), Closing: n.leaving.Load, Quarantine: &n.quarantine,
+		Dialect: n.Dialect, Fleet: n.fleet, Dial: n.Dial, Metrics: n.metrics, Log: n.Log.Component("relay"), Closing: n.leaving.Load, Quarantine: &n.quarantine,
 		SendsTrials:      func() bool { return n.quarantineRank() == 0 },
 		MaxBufferedBytes: int64(bodyMemoryFraction*float64(cfg.MemoryMB)) << 20,
 	}
