Nodes detect the loss of their own path, and serve their callers over one hop through peers

What callers saw: at nodes partitioned from all upstreams 12 of 316 first attempts served, 195 of 197 at the others; refusals after a second. Cause: exchanges without an answer counted against each upstream, one by one; nothing looked at their spread, and there was no other way to the upstreams. Change: when two upstreams of a service stop answering, new connections to others are probed; without any answer the path counts as lost (at once if other nodes get answers, after 1.2 s of silence otherwise). Callers are then served through the nearest peer with a path, one hop only, with the same id, deadline, attempts and retry budget; a peer refuses at once what it can't carry. Evidence from the cut is withheld from peers, held back from rollouts and crash reports until the path is verified, and dropped with the loss. A prompt counts as cached once there is a connection. The directory prefers nodes with a path.

--- a/internal/sagemesh/codec.go
+++ b/internal/sagemesh/codec.go
@@ -25,6 +25,7 @@
 	}
 	m := &heartbeat.Heartbeat{
 		Address: address, Ready: h.Ready, Leaving: h.Leaving, Blind: h.StoreUnreachable, Informed: h.Synced, Broken: h.Broken, Answered: h.Answered,
+		Unanswered: h.Unanswered, Unreachable: h.Unreachable,
 		Stamp: &heartbeat.Stamp{Incarnation: h.Stamp.Incarnation, At: int64(h.Stamp.At)}, Ask: h.ReplyRequested, Pass: h.Forward,
 	}
 	if m.Silent, err = packAddresses(h.Unresponsive); err != nil {
@@ -113,6 +114,7 @@
 	h := &Heartbeat{
 		Address: address, Identity: Identity{Node: id.GetNode(), Entry: id.GetEntry(), DataCentre: id.GetDataCentre(), LinkMbps: int(id.GetLinkMbps())},
 		Ready: m.GetReady(), Leaving: m.GetLeaving(), StoreUnreachable: m.GetBlind(), Synced: m.GetInformed(), Broken: m.GetBroken(), Answered: m.GetAnswered(),
+		Unanswered: m.GetUnanswered(), Unreachable: m.GetUnreachable(),
 		Stamp: decodeStamp(m.GetStamp()), Echo: decodeStamp(m.GetEcho()),
 		Copies: make(map[string]sagefollow.Position, len(m.GetCopies())), InFlight: counts,
 		ShortInterval: m.GetSoon(), ReplyRequested: m.GetAsk(), Forward: m.GetPass(),
--- a/internal/sagemesh/heartbeat.go
+++ b/internal/sagemesh/heartbeat.go
@@ -58,6 +58,11 @@
 	Broken []string
 	// Answered are upstreams that others report as broken and that answered the sender since.
 	Answered []string
+	// Unanswered are upstreams that don't answer the sender, whose path to them may be lost. They are no evidence
+	// against the upstreams.
+	Unanswered []string
+	// Unreachable are services none of whose upstreams the sender reaches, while the path is lost.
+	Unreachable []string
 	// Sum is set by the aggregator of a data centre; nil from other nodes.
 	Sum *Sum
 	// Held are cached prompt parts by upstream that were newly observed in requests.
@@ -91,11 +96,13 @@
 	Ready            bool
 	Leaving          bool
 	StoreUnreachable bool
+	// Unreachable are services none of whose upstreams the node reaches.
+	Unreachable []string
 	// Synced says that a started node can fetch the cache holders of prompt parts from this one.
 	Synced bool
 }
 
 // Member returns the state of the sender.
 func (h *Heartbeat) Member() Member {
-	return Member{Address: h.Address, Identity: h.Identity, Ready: h.Ready, Leaving: h.Leaving, StoreUnreachable: h.StoreUnreachable, Synced: h.Synced}
+	return Member{Address: h.Address, Identity: h.Identity, Ready: h.Ready, Leaving: h.Leaving, StoreUnreachable: h.StoreUnreachable, Unreachable: h.Unreachable, Synced: h.Synced}
 }
--- a/internal/sagerelay/crash.go
+++ b/internal/sagerelay/crash.go
@@ -62,6 +62,9 @@
 // checkCrash probes in the background whether the upstream crashed while it handled the request. An
 // upstream that was leaving has stopped as planned.
 func (x *exchange) checkCrash() {
+	if x.helper != nil {
+		return
+	}
 	j, u := x.j, x.p.Upstream
 	if j.s.Fleet.Leaving(u) {
 		return
@@ -69,14 +72,41 @@
 	f := j.fingerprint()
 	go func() {
 		if j.s.probeStopped(u) {
-			j.s.recordCrash(u, f)
+			j.s.Fleet.WhenPathVerified(u, func() { j.s.recordCrash(u, f) })
 		}
 	}()
 }
 
+// recordUnanswered records that the exchange got no complete answer.
+func (x *exchange) recordUnanswered() {
+	if x.helper == nil {
+		x.j.s.Fleet.RecordUnanswered(x.p.Upstream)
+	}
+}
+
+// recordUnsent records that the request was not written. A refused connection shows that the upstream has stopped, if
+// this node's path is sound.
+func (x *exchange) recordUnsent(err error) {
+	x.j.unreached++
+	if x.helper == nil && isConnRefused(err) {
+		u := x.p.Upstream
+		x.j.s.Fleet.WhenPathVerified(u, func() { x.j.s.recordCrash(u) })
+	}
+}
+
+// recordFailedResponse records that the exchange stalled or timed out, if this node's path is sound.
+func (x *exchange) recordFailedResponse() {
+	if x.helper == nil {
+		x.j.s.Fleet.WhenPathVerified(x.p.Upstream, func() { x.recordResponse(ResponseResult{Failed: true}) })
+	}
+}
+
 // recordAbandoned records that this node cancelled the request. The upstream may still be executing
 // it.
 func (x *exchange) recordAbandoned() {
+	if x.helper != nil {
+		return
+	}
 	x.j.s.Quarantine.RecordAbandoned(sageclock.Now(), crashIDOf(x.p.Upstream), x.j.fingerprint())
 }
 
@@ -84,7 +114,7 @@
 func (s *Service) probeStopped(u *sageupstream.Entry) bool {
 	stopped, _, _ := s.crashProbes.Do(u.ID, func() (any, error) {
 		time.Sleep(crashProbeDelay)
-		return s.openTransports().refusesConnections(context.Background(), u.Address), nil
+		return s.toUpstreams().refusesConnections(context.Background(), u.Address), nil
 	})
 	return stopped.(bool)
 }
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -40,11 +40,15 @@
 
 // exchange is one attempt to send a request to one upstream.
 type exchange struct {
-	j       *job
-	p       *Pick
-	start   time.Time
-	tracker sageconn.Tracker
-	cancel  context.CancelCauseFunc
+	j     *job
+	p     *Pick
+	start time.Time
+	// helper is the peer that the request is sent to; nil if it is sent to the upstream of p.
+	helper *Helper
+	// freshConn is set if the connection was opened for this exchange.
+	freshConn bool
+	tracker   sageconn.Tracker
+	cancel    context.CancelCauseFunc
 }
 
 // sendTo sends the request to an upstream and forwards the response.
@@ -75,10 +79,13 @@
 // retry: without one, a late response is better than none.
 func (x *exchange) startStallTimer() *time.Timer {
 	j := x.j
-	if !j.route.Repeatable() || j.possibleRuns+1 >= j.route.MaxAttempts || j.sends >= maxSends {
+	if !j.route.Repeatable() || j.relay.earlierRuns+j.possibleRuns+1 >= j.route.MaxAttempts || j.sends >= maxSends {
 		return nil
 	}
 	timeout := j.firstByteTimeout()
+	if x.helper != nil {
+		timeout *= helperStallFactor
+	}
 	return time.AfterFunc(timeout, func() {
 		if j.s.Fleet.AllowRetry(j.serviceName) {
 			j.retryGranted.Store(true)
@@ -100,14 +107,19 @@
 // send sends the request and returns when the response header has arrived.
 func (x *exchange) send(ctx context.Context) (*http.Response, error) {
 	j := x.j
-	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: x.tracker.GotConn})
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: x.handleConn})
 	u := *j.r.URL
-	u.Scheme, u.Host = "http", x.p.Upstream.Address
+	u.Scheme, u.Host = "http", x.address()
 	req := (&http.Request{Method: j.r.Method, URL: &u, Host: j.r.Host, Header: sageheader.EndToEnd(j.r.Header), ProtoMajor: 1, ProtoMinor: 1}).WithContext(ctx)
 	if len(j.body) > 0 {
 		req.Body = io.NopCloser(onceReader{bytes.NewReader(j.body)})
 		req.ContentLength = int64(len(j.body))
 	}
+	removeRelayHeader(req.Header)
+	if x.helper != nil {
+		j.setRelayHeader(req.Header)
+		return j.s.toPeers().forRequest(j.route.Repeatable()).RoundTrip(req)
+	}
 	s := ForwardMetadata{Upstream: x.p.Upstream, Deadline: j.deadline, Priority: j.priority(), CacheSource: x.p.CacheSource, LastEventID: j.lastEventID}
 	if j.account != nil {
 		s.Account = j.account.Name
@@ -116,10 +128,25 @@
 	if req.Header.Get("User-Agent") == "" {
 		req.Header["User-Agent"] = []string{""} // suppresses the default of net/http
 	}
-	if len(j.meta.Chain) > 0 {
-		j.s.Fleet.RecordPrompt(x.p.Upstream, j.meta.Chain)
+	return j.s.toUpstreams().forRequest(j.route.Repeatable()).RoundTrip(req)
+}
+
+// address returns the address of the exchange's other end.
+func (x *exchange) address() string {
+	if x.helper != nil {
+		return x.helper.Address
+	}
+	return x.p.Upstream.Address
+}
+
+// handleConn is called when the exchange has a connection. The prompt counts as cached by the upstream from here on, so
+// that requests with the same prompt follow it.
+func (x *exchange) handleConn(info httptrace.GotConnInfo) {
+	x.tracker.GotConn(info)
+	x.freshConn = !info.Reused
+	if x.helper == nil && len(x.j.meta.Chain) > 0 {
+		x.j.s.Fleet.RecordPrompt(x.p.Upstream, x.j.meta.Chain)
 	}
-	return j.s.transportFor(j.route.Repeatable()).RoundTrip(req)
 }
 
 // onceReader hides the type of the reader, so that net/http can't resend the body on its own.
@@ -148,18 +175,16 @@
 	stalled := errors.Is(context.Cause(ctx), errStalled)
 	timedOut := ctx.Err() != nil && !stalled
 	if !timedOut {
-		j.s.Fleet.RecordUnanswered(x.p.Upstream)
-		j.recordExchange(x.p, sagehealth.Broken)
+		x.recordUnanswered()
+		x.recordExchange(sagehealth.Broken)
 	}
 	if unsent {
-		if isConnRefused(err) {
-			j.s.recordCrash(x.p.Upstream)
-		}
+		x.recordUnsent(err)
 		return notSent
 	}
 	if stalled || timedOut {
 		x.recordAbandoned()
-		x.recordResponse(ResponseResult{Failed: true})
+		x.recordFailedResponse()
 	} else {
 		x.checkCrash()
 	}
@@ -170,8 +195,12 @@
 // handleResponse checks the response header and forwards the response.
 func (x *exchange) handleResponse(ctx context.Context, res *http.Response, stallTimer *time.Timer) verdict {
 	j := x.j
-	j.s.Fleet.RecordAnswer(x.p.Upstream)
+	j.unreached = 0
 	meta := j.s.Dialect.ParseResponse(res)
+	if x.helper != nil {
+		return x.handleHelperResponse(ctx, res, &meta, stallTimer)
+	}
+	j.s.Fleet.RecordAnswer(x.p.Upstream, x.freshConn)
 	if meta.Misdirected {
 		j.s.Fleet.RecordMisdirected(x.p.Upstream)
 		j.cause = "the address belongs to another upstream"
@@ -190,7 +219,13 @@
 		return x.rejectResponse("response has the id of another request or no seal")
 	}
 	j.s.Fleet.RecordAccept(x.p.Upstream)
-	if res.StatusCode >= http.StatusInternalServerError {
+	return x.forwardResponse(ctx, res, stallTimer)
+}
+
+// forwardResponse forwards an upstream's response to this request.
+func (x *exchange) forwardResponse(ctx context.Context, res *http.Response, stallTimer *time.Timer) verdict {
+	j := x.j
+	if res.StatusCode >= http.StatusInternalServerError && x.helper == nil {
 		return x.handleFailure(ctx, res, stallTimer)
 	}
 	if sageheader.IsEventStream(res) {
@@ -228,7 +263,9 @@
 
 // recordResponse records the result of the response for the upstream and the route.
 func (x *exchange) recordResponse(a ResponseResult) {
-	x.j.s.Fleet.RecordResponse(x.p, x.j.route.Name, a)
+	if x.helper == nil {
+		x.j.s.Fleet.RecordResponse(x.p, x.j.route.Name, a)
+	}
 }
 
 // rejectResponse handles an exchange whose response can't be trusted.
@@ -236,7 +273,7 @@
 	x.tracker.Close()
 	x.j.cause = cause
 	x.j.possibleRuns++
-	x.j.recordExchange(x.p, sagehealth.Broken)
+	x.recordExchange(sagehealth.Broken)
 	return failed
 }
 
@@ -249,7 +286,7 @@
 		return v
 	}
 	j.possibleRuns++
-	j.recordExchange(x.p, sagehealth.Failed)
+	x.recordExchange(sagehealth.Failed)
 	x.recordResponse(ResponseResult{Failed: true})
 	j.cause = "upstream status " + strconv.Itoa(res.StatusCode)
 	if !j.headerSent {
@@ -264,7 +301,7 @@
 	if h == nil {
 		return v
 	}
-	x.j.recordExchange(x.p, sagehealth.OK)
+	x.recordExchange(sagehealth.OK)
 	x.recordResponse(ResponseResult{Duration: time.Since(x.start)})
 	h.writeTo(x.j)
 	return answered
--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -25,6 +25,7 @@
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagehealth"
 	"sagestand.example/sagestand/pkg/sagequarantine"
+	"sagestand.example/sagestand/pkg/sagereach"
 	"sagestand.example/sagestand/pkg/sageroute"
 	"sagestand.example/sagestand/pkg/sageupstream"
 )
@@ -67,6 +68,13 @@
 	}
 }
 
+func (testDialect) SetRelayHeader(h http.Header, m *RelayMetadata) {
+	h.Set(testDeadline, strconv.FormatInt(time.Until(m.Deadline).Milliseconds(), 10))
+	if m.LastEventID != "" {
+		h.Set(testLast, m.LastEventID)
+	}
+}
+
 func (testDialect) ParseResponse(res *http.Response) ResponseMetadata {
 	return ResponseMetadata{
 		ID: res.Header.Get(testID), Sealed: res.Header.Get(testSeal) != "",
@@ -106,20 +114,26 @@
 	leaving     bool // the upstreams are about to stop
 	retryBudget int
 
-	mu             sync.Mutex
-	sent           []*http.Request
-	results        []sagehealth.Result
-	misdirected    []string
-	accepted       []string
-	declined       []string // upstreams that declined a request without asking for a pause
-	pauses         sagebackoff.Pauses[string]
-	allPausedUntil sageclock.Instant
-	left           []string // upstreams that announced that they leave
-	uncachedTokens []int    // UncachedTokens of each stream's first event
-	responses      []recordedResponse
-	served         int
-	stopped        []string // upstreams that no longer listen
-	beforePick     func()   // called before each pick
+	mu              sync.Mutex
+	sent            []*http.Request
+	results         []sagehealth.Result
+	misdirected     []string
+	accepted        []string
+	declined        []string // upstreams that declined a request without asking for a pause
+	pauses          sagebackoff.Pauses[string]
+	allPausedUntil  sageclock.Instant
+	left            []string // upstreams that announced that they leave
+	uncachedTokens  []int    // UncachedTokens of each stream's first event
+	responses       []recordedResponse
+	served          int
+	stopped         []string // upstreams that no longer listen
+	beforePick      func()   // called before each pick
+	path            sagereach.PathState
+	helpers         []string // peers, picked in this order
+	refusedBy       []string // peers that could not take a request
+	saturated       bool
+	firstSends      int
+	reachedByOthers bool
 	// answers and unanswered are the upstreams of recorded evidence, in order.
 	answers, unanswered []string
 }
@@ -127,7 +141,7 @@
 func (f *fakeFleet) Table() *sageroute.Table { return f.table }
 func (f *fakeFleet) ProofAge() time.Duration { return 0 }
 func (f *fakeFleet) Fresh() bool             { return !f.stale }
-func (f *fakeFleet) RecordFirstSend(string)  {}
+func (f *fakeFleet) RecordFirstSend(string)  { f.firstSends++ }
 func (f *fakeFleet) AllowRetry(string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -187,7 +201,7 @@
 	f.responses = append(f.responses, recordedResponse{route, a})
 }
 
-func (f *fakeFleet) RecordAnswer(u *sageupstream.Entry) {
+func (f *fakeFleet) RecordAnswer(u *sageupstream.Entry, _ bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.answers = append(f.answers, u.ID)
@@ -199,6 +213,33 @@
 	f.unanswered = append(f.unanswered, u.ID)
 }
 
+func (f *fakeFleet) PathState(string) sagereach.PathState { return f.path }
+
+func (f *fakeFleet) ReachedByOthers(string) bool { return f.reachedByOthers }
+
+func (f *fakeFleet) PathReturn(string) time.Duration { return time.Second }
+
+func (f *fakeFleet) PickHelper(_ string, tried []string) *Helper {
+	for _, n := range f.helpers {
+		if !slices.Contains(tried, n) {
+			return &Helper{Node: n, Address: n + ":80", Done: func(refused bool) {
+				if refused {
+					f.refusedBy = append(f.refusedBy, n)
+				}
+			}}
+		}
+	}
+	return nil
+}
+
+func (f *fakeFleet) RelaySaturated() bool { return f.saturated }
+
+func (f *fakeFleet) WhenPathVerified(_ *sageupstream.Entry, commit func()) {
+	if f.path == sagereach.Open {
+		commit()
+	}
+}
+
 func (f *fakeFleet) RecordExchange(_ *sageupstream.Entry, r sagehealth.Result) {
 	f.results = append(f.results, r)
 }
@@ -267,9 +308,10 @@
 }
 
 func (f *fakeFleet) service() *Service {
-	s := &Service{Dialect: testDialect{}, Fleet: f, Metrics: metrics.NewSet(), Log: sagelog.Logger{}, Closing: func() bool { return false }, Quarantine: new(sagequarantine.Tracker),
+	s := &Service{Node: "vm1", Dialect: testDialect{}, Fleet: f, Metrics: metrics.NewSet(), Log: sagelog.Logger{}, Closing: func() bool { return false }, Quarantine: new(sagequarantine.Tracker),
 		SendsTrials: func() bool { return f.sendsTrials }}
 	s.Dial = f.dial
+	s.peers.once.Do(func() { s.peers.init(f.dial) })
 	return s
 }
 
@@ -293,7 +335,7 @@
 		}()
 		s.ServeHTTP(out, req)
 	}()
-	s.transportFor(true).CloseIdleConnections()
+	s.toUpstreams().forRequest(true).CloseIdleConnections()
 	return out
 }
 
--- a/internal/sagerelay/interfaces.go
+++ b/internal/sagerelay/interfaces.go
@@ -8,6 +8,7 @@
 	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagehealth"
+	"sagestand.example/sagestand/pkg/sagereach"
 	"sagestand.example/sagestand/pkg/sageroute"
 	"sagestand.example/sagestand/pkg/sageupstream"
 )
@@ -57,8 +58,17 @@
 	PauseUntil sageclock.Instant
 }
 
+// RelayMetadata is the information that a node adds to the headers of a request that it sends to a peer.
+type RelayMetadata struct {
+	Deadline time.Time
+	// LastEventID is the ID of the event after which a stream is resumed; empty for a new stream.
+	LastEventID string
+}
+
 // Dialect reads and writes the platform's headers.
 type Dialect interface {
+	// SetRelayHeader sets the headers of a request to a peer; h holds the caller's end-to-end headers.
+	SetRelayHeader(h http.Header, m *RelayMetadata)
 	// ParseRequest reads the headers of a caller's request.
 	ParseRequest(r *http.Request) (RequestMetadata, error)
 	// SetForwardHeader sets the headers of a request to an upstream; h holds the caller's end-to-end
@@ -84,6 +94,12 @@
 	NoMemory     Reason = "no_memory"
 	NoUpstream   Reason = "no_upstream"
 	UpstreamFull Reason = "upstream_full"
+	// NoPath: this node reaches no upstream of the service, and no peer takes the request.
+	NoPath Reason = "no_path"
+	// RelayBusy: this node relays as many requests of peers as it can.
+	RelayBusy Reason = "relay_busy"
+	// RelayOutdated: the peer that sent the request has a newer configuration.
+	RelayOutdated Reason = "relay_outdated"
 	// UpstreamsPaused: all upstreams of the service want no requests for some time.
 	UpstreamsPaused Reason = "upstreams_paused"
 	// UpstreamFailed: the caller gets an error response that an upstream returned.
@@ -109,6 +125,15 @@
 	Done           func()
 }
 
+// Helper is a peer that sends a request to an upstream for this node. Done must be called when the exchange is over.
+type Helper struct {
+	Node string
+	// Address is the peer's address for other nodes.
+	Address string
+	// Done ends the exchange. refused says that the peer could not take the request.
+	Done func(refused bool)
+}
+
 // Query describes a request that needs an upstream.
 type Query struct {
 	Service string
@@ -158,9 +183,24 @@
 	// PrefillTime returns the time in which an idle engine of the service prefills that many tokens.
 	PrefillTime(service string, tokens int) time.Duration
 	// RecordAnswer records that an upstream answered a request, whatever the answer was.
-	RecordAnswer(u *sageupstream.Entry)
+	// fresh says that the connection was new.
+	RecordAnswer(u *sageupstream.Entry, fresh bool)
 	// RecordUnanswered records an exchange that broke or stalled before its answer was complete.
 	RecordUnanswered(u *sageupstream.Entry)
+	// PathState returns the state of the path between this node and the upstreams of a service.
+	PathState(service string) sagereach.PathState
+	// ReachedByOthers reports whether upstreams of a service that don't answer this node answer other nodes.
+	ReachedByOthers(service string) bool
+	// PathReturn returns after which time the path to the upstreams of a service, which is lost, may be open again.
+	PathReturn(service string) time.Duration
+	// PickHelper chooses a peer that has a path to the upstreams of the service; nil if there is none. tried are the
+	// names of peers that were already chosen for the request.
+	PickHelper(service string, tried []string) *Helper
+	// RelaySaturated reports whether this node has no processor time left for requests of peers.
+	RelaySaturated() bool
+	// WhenPathVerified calls commit once it is known that an unanswered exchange with an upstream wasn't caused by
+	// this node's path, and never if the path was lost.
+	WhenPathVerified(u *sageupstream.Entry, commit func())
 	// RecordExchange records the result of an exchange with an upstream.
 	RecordExchange(u *sageupstream.Entry, res sagehealth.Result)
 	// RecordResponse records the result of an upstream's response to a request of a route.
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -74,8 +74,11 @@
 	upstreamFailure *bufferedResponse
 	retryGranted    atomic.Bool // a retry was granted before the exchange was cancelled
 	cause           string      // of the last failed exchange, for the log
-	fp              *sagequarantine.Fingerprint
-	quarantineEnd   sageclock.Instant // end of the request's quarantine
+	// unreached counts the sends in a row that got no connection to an upstream.
+	unreached     int
+	relay         relayState
+	fp            *sagequarantine.Fingerprint
+	quarantineEnd sageclock.Instant // end of the request's quarantine
 }
 
 // serve sends the request to upstreams until one responds or no further attempt is allowed.
@@ -83,17 +86,29 @@
 	j.deadline = j.finalDeadline()
 	j.lastEventID = j.meta.LastEventID
 	j.lastEventNumber, _ = strconv.ParseUint(j.meta.LastEventID, 10, 64) // 0 if not numeric
-	j.serviceName = j.pickService()
+	if j.serviceName = j.relay.service; j.serviceName == "" {
+		j.serviceName = j.pickService()
+	}
 	ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline)
 	defer cancel()
 	j.setWriteDeadline()
-	j.s.Fleet.RecordFirstSend(j.serviceName)
+	if j.relay.from == "" { // otherwise the peer has counted it
+		j.s.Fleet.RecordFirstSend(j.serviceName)
+	}
 	j.s.Fleet.AwaitCacheSync(ctx, j.serviceName, j.meta.Chain)
 	if j.quarantined() {
 		j.finish(ctx, Quarantined)
 		return
 	}
 	for {
+		if j.needsHelper() {
+			j.serveByHelper(ctx)
+			return
+		}
+		if j.relay.from != "" && j.unreachable() {
+			j.finish(ctx, NoPath)
+			return
+		}
 		p := j.s.Fleet.Pick(&Query{Service: j.serviceName, Route: j.route.Name, Chain: j.meta.Chain, Tried: j.tried})
 		if p == nil {
 			j.finish(ctx, NoUpstream)
@@ -113,8 +128,7 @@
 		}
 		j.logFailure(p, v)
 		if v == callerGone {
-			j.s.countEnd(CallerLeft)
-			panic(http.ErrAbortHandler)
+			j.abandon()
 		}
 		if reason, ok := j.mayResend(ctx, v); !ok {
 			j.finish(ctx, reason)
@@ -123,6 +137,12 @@
 	}
 }
 
+// abandon ends a request whose caller has disconnected.
+func (j *job) abandon() {
+	j.s.countEnd(CallerLeft)
+	panic(http.ErrAbortHandler)
+}
+
 // logFailure logs an exchange that produced no final response.
 func (j *job) logFailure(p *Pick, v verdict) {
 	j.s.Log.Limited(sagelog.KindExchange, "Exchange failed.", "id", j.meta.ID, "upstream", p.Upstream.ID, "verdict", v.String(),
@@ -152,7 +172,7 @@
 		return Quarantined, false
 	case v == notSent:
 		return "", true
-	case v != notRun && !(j.route.Repeatable() && j.possibleRuns < j.route.MaxAttempts):
+	case v != notRun && !(j.route.Repeatable() && j.relay.earlierRuns+j.possibleRuns < j.route.MaxAttempts):
 		return reason, false
 	case !j.retryGranted.Swap(false) && !j.s.Fleet.AllowRetry(j.serviceName):
 		return reason, false
@@ -193,6 +213,15 @@
 // caller is asked to return soon after the first pause ends.
 func (j *job) refuseNotRun(reason Reason) {
 	retryAfter := shortRetryAfter
+	if until := j.relay.pauseUntil; until != 0 && reason == j.relay.refusal {
+		j.refuse(http.StatusServiceUnavailable, reason, max(time.Millisecond, until.Sub(sageclock.Now())))
+		return
+	}
+	if reason == NoPath {
+		left := j.s.Fleet.PathReturn(j.serviceName)
+		j.refuse(http.StatusServiceUnavailable, reason, left+spreadReturn(left).Truncate(time.Millisecond))
+		return
+	}
 	if until := j.s.Fleet.PausedUntil(j.serviceName); until != 0 {
 		left := max(0, until.Sub(sageclock.Now()))
 		retryAfter = (left + spreadReturn(left)).Truncate(time.Millisecond) + time.Millisecond
@@ -205,13 +234,13 @@
 
 func (j *job) logGivenUp(reason Reason) {
 	j.s.Log.Limited(sagelog.KindAbandoned, "Request given up.", "id", j.meta.ID, "reason", string(reason), "route", j.route.Name, "service", j.serviceName,
-		"sends", j.sends, "runs", j.possibleRuns, "cause", j.cause, "fingerprint", j.fingerprint().String(), "config_version", j.version, "age_ms", time.Since(j.start).Milliseconds())
+		"sends", j.sends, "runs", j.possibleRuns, "hops", len(j.relay.tried), "from", j.relay.from, "cause", j.cause, "fingerprint", j.fingerprint().String(), "config_version", j.version, "age_ms", time.Since(j.start).Milliseconds())
 }
 
 // logAnswered logs an answered request. The logger drops and counts most of these lines.
 func (j *job) logAnswered(p *Pick) {
 	j.s.Log.Limited(sagelog.KindServed, "Request answered.", "id", j.meta.ID, "route", j.route.Name, "upstream", p.Upstream.ID, "why", p.Rule,
-		"load", p.Load, "sends", j.sends, "config_version", j.version, "age_ms", time.Since(j.start).Milliseconds())
+		"load", p.Load, "sends", j.sends, "from", j.relay.from, "config_version", j.version, "age_ms", time.Since(j.start).Milliseconds())
 }
 
 // refuse writes a response that this node generates itself.
@@ -222,6 +251,7 @@
 			"config_version", j.version, "proof_age_ms", j.s.Fleet.ProofAge().Milliseconds(), "age_ms", time.Since(j.start).Milliseconds())
 	}
 	h := j.w.Header()
+	j.setRelayRefusal(h, status, reason)
 	j.s.Dialect.SetRefusalHeader(h, j.meta.ID, retryAfter)
 	body := `{"reason":` + strconv.Quote(string(reason)) + `}`
 	h.Set("Content-Type", "application/json")
@@ -238,6 +268,8 @@
 
 // recordExchange records the result of an exchange. It isn't called for exchanges that ended because
 // the caller left or its deadline passed, which say nothing about the upstream.
-func (j *job) recordExchange(p *Pick, res sagehealth.Result) {
-	j.s.Fleet.RecordExchange(p.Upstream, res)
+func (x *exchange) recordExchange(res sagehealth.Result) {
+	if x.helper == nil {
+		x.j.s.Fleet.RecordExchange(x.p.Upstream, res)
+	}
 }
--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -36,6 +36,8 @@
 
 // Service forwards requests. Exported fields must be set before it serves.
 type Service struct {
+	// Node is the name of this node.
+	Node    string
 	Dialect Dialect
 	Fleet   Fleet
 	Metrics *metrics.Set
@@ -50,24 +52,34 @@
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
 	// MaxBufferedBytes limits the total size of buffered request bodies; 0 means no limit.
 	MaxBufferedBytes int64
+	// MaxRelayed limits the requests of peers in progress; 0 means no limit.
+	MaxRelayed int64
 
 	bufferedBytes atomic.Int64 // reserved for request bodies
-	transports    upstreamTransports
+	upstreams     transports
+	peers         transports
 	crashProbes   singleflight.Group
 	inFlight      atomic.Int64
+	relayed       atomic.Int64 // requests of peers in progress
 }
 
+// Relayed returns the number of requests of peers in progress.
+func (s *Service) Relayed() int64 { return s.relayed.Load() }
+
 // InFlight returns the number of requests in progress.
 func (s *Service) InFlight() int64 { return s.inFlight.Load() }
 
 // ServeHTTP implements [http.Handler].
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.serveJob(&job{s: s, w: w, r: r, start: time.Now()})
+}
+
+func (s *Service) serveJob(j *job) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
 	if s.Closing() {
-		w.Header().Set("Connection", "close")
+		j.w.Header().Set("Connection", "close")
 	}
-	j := &job{s: s, w: w, r: r, start: time.Now()}
 	defer func() { s.bufferedBytes.Add(-j.reservedBytes) }()
 	if s.accept(j) {
 		j.serve()
@@ -89,12 +101,20 @@
 		return false
 	}
 	j.version = t.Version
+	if j.relay.version > t.Version {
+		j.refuse(http.StatusServiceUnavailable, RelayOutdated, shortRetryAfter)
+		return false
+	}
 	route := t.Match(j.r.Host, j.r.URL.Path)
 	if route == nil {
 		j.refuse(http.StatusNotFound, NoRoute, 0)
 		return false
 	}
 	j.route = route
+	if j.relay.from != "" && !j.servesService() {
+		j.refuse(http.StatusServiceUnavailable, NoRoute, 0)
+		return false
+	}
 	if !j.authorize(t) {
 		return false
 	}
@@ -169,7 +189,11 @@
 	if n < 0 {
 		n = limits.BodyBytes // chunked: up to the maximum size
 	}
-	if sum := s.bufferedBytes.Add(n); s.MaxBufferedBytes > 0 && sum > s.MaxBufferedBytes && sum > n {
+	limit := s.MaxBufferedBytes
+	if j.relay.from != "" {
+		limit /= 2 // keeps room for this node's own callers
+	}
+	if sum := s.bufferedBytes.Add(n); limit > 0 && sum > limit && sum > n {
 		s.bufferedBytes.Add(-n)
 		return false
 	}
--- a/internal/sagerelay/stream.go
+++ b/internal/sagerelay/stream.go
@@ -48,7 +48,7 @@
 		if err != nil {
 			return x.failStream(ctx, err)
 		}
-		if times.add(time.Now()); times.count == 1 {
+		if times.add(time.Now()); times.count == 1 && x.helper == nil {
 			j.s.Fleet.RecordFirstEvent(x.p, times.first.Sub(x.start))
 		}
 		if stallTimer != nil {
@@ -128,7 +128,7 @@
 // finishStream handles a stream that the upstream ended properly.
 func (x *exchange) finishStream(res *http.Response) verdict {
 	x.writeHeaderOnce(res)
-	x.j.recordExchange(x.p, sagehealth.OK)
+	x.recordExchange(sagehealth.OK)
 	return answered
 }
 
--- a/internal/sagerelay/transport.go
+++ b/internal/sagerelay/transport.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -12,6 +13,7 @@
 	"github.com/pkg/errors"
 
 	"sagestand.example/sagestand/internal/sageconn"
+	"sagestand.example/sagestand/pkg/sagereach"
 )
 
 // Parameters of the connections to upstreams.
@@ -35,8 +37,8 @@
 // process that exits closes its listener and its connections within milliseconds, in any order.
 const crashProbeDelay = 20 * time.Millisecond
 
-// upstreamTransports holds the connections to upstreams.
-type upstreamTransports struct {
+// transports holds the connections to upstreams or peers.
+type transports struct {
 	once     sync.Once
 	pooled   *http.Transport
 	unpooled *http.Transport
@@ -45,7 +47,7 @@
 }
 
 // init creates the transports. dial opens connections; nil means TCP with the parameters above.
-func (t *upstreamTransports) init(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
+func (t *transports) init(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
 	if dial == nil {
 		d := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes}}
 		dial = d.DialContext
@@ -71,27 +73,32 @@
 	t.unpooled = &http.Transport{DialContext: trackedDial, Protocols: p, DisableCompression: true, DisableKeepAlives: true}
 }
 
-// transportFor returns the transport for a request.
+// forRequest returns the transport for a request.
 //
 // A request that must be executed at most once gets a new connection. If the upstream closes a reused
 // connection at that moment, it is unknown whether it has read the request.
-func (s *Service) transportFor(repeatable bool) *http.Transport {
-	t := s.openTransports()
+func (t *transports) forRequest(repeatable bool) *http.Transport {
 	if repeatable {
 		return t.pooled
 	}
 	return t.unpooled
 }
 
-// openTransports returns the transports, which the first call creates.
-func (s *Service) openTransports() *upstreamTransports {
-	s.transports.once.Do(func() { s.transports.init(s.Dial) })
-	return &s.transports
+// toUpstreams returns the transports to upstreams, which the first call creates.
+func (s *Service) toUpstreams() *transports {
+	s.upstreams.once.Do(func() { s.upstreams.init(s.Dial) })
+	return &s.upstreams
+}
+
+// toPeers is like toUpstreams for the other nodes.
+func (s *Service) toPeers() *transports {
+	s.peers.once.Do(func() { s.peers.init(nil) })
+	return &s.peers
 }
 
 // refusesConnections reports whether nothing listens at an address. A timeout isn't taken for a
 // refusal: the address may be unreachable from here.
-func (t *upstreamTransports) refusesConnections(ctx context.Context, address string) bool {
+func (t *transports) refusesConnections(ctx context.Context, address string) bool {
 	c, err := t.connect(ctx, "tcp", address)
 	if err == nil {
 		_ = c.Close() // opened only for the probe
@@ -100,5 +107,42 @@
 	return isConnRefused(err)
 }
 
+// probeTimeout limits a probe of a path.
+const probeTimeout = 2 * connectTimeout
+
+// ProbePath sends a health check to an upstream over a new connection. Any response shows that the path is open. Without
+// a health check, the connection alone has to do.
+func (s *Service) ProbePath(ctx context.Context, address, healthPath string) sagereach.ProbeResult {
+	ctx, cancel := context.WithTimeout(ctx, probeTimeout)
+	defer cancel()
+	t := s.toUpstreams()
+	if healthPath == "" {
+		c, err := t.connect(ctx, "tcp", address)
+		if err == nil {
+			_ = c.Close() // opened only for the probe
+		}
+		return probeResult(err)
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+healthPath, nil)
+	if err != nil {
+		return sagereach.ProbeSilent
+	}
+	res, err := t.unpooled.RoundTrip(req)
+	if err == nil {
+		_ = res.Body.Close() // the content doesn't matter
+	}
+	return probeResult(err)
+}
+
+func probeResult(err error) sagereach.ProbeResult {
+	switch {
+	case err == nil:
+		return sagereach.ProbeAnswered
+	case isConnRefused(err), errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.Is(err, io.EOF):
+		return sagereach.ProbeRefused
+	}
+	return sagereach.ProbeSilent
+}
+
 // isConnRefused reports whether an error says that nothing listens at the address.
 func isConnRefused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sagestand.example/sagestand/internal/sagelog"
+	"sagestand.example/sagestand/internal/sagemesh"
 	"sagestand.example/sagestand/internal/sagerelay"
 	"sagestand.example/sagestand/pkg/sagebackoff"
 	"sagestand.example/sagestand/pkg/sagechain"
@@ -42,6 +43,14 @@
 	answeredNodes sageflight.Counter
 	reach         sagereach.Tracker
 	reachLog      reachLog
+	evidence      evidenceQueue
+	helpers       sagereach.Helpers
+	helperCache   helperCache
+	saturation    saturation
+	// pathSuspected receives a value when a path is suspected.
+	pathSuspected chan struct{}
+	dataCentre    string
+	livePeers     func() []sagemesh.Member
 	health        sagehealth.Tracker
 	pauses        sagebackoff.Pauses[sageupstream.Start]
 	declines      declines
@@ -279,6 +288,9 @@
 
 // RecordExchange implements [sagerelay.Fleet].
 func (f *fleet) RecordExchange(u *sageupstream.Entry, res sagehealth.Result) {
+	if res == sagehealth.Broken && f.reach.State(u.Service) == sagereach.Lost {
+		return // says nothing about the upstream
+	}
 	f.health.Record(sageclock.Now(), u.Service, u.ID, res)
 }
 
@@ -286,10 +298,11 @@
 // upstream.
 func (f *fleet) applyPeerReports(now sageclock.Instant) {
 	set, table, loads := f.view.upstreams.Load(), f.view.table.Load(), f.inFlight.Sum(now)
+	answered := f.answeredNodes.SumOthers(now)
 	for id, nodes := range f.brokenNodes.SumOthers(now) {
 		e := set.Get(id)
-		if e == nil {
-			continue
+		if e == nil || answered[id] > 0 {
+			continue // an upstream that answers some nodes may be out of reach of the others
 		}
 		load := 0
 		if cachesPrompts(table, e.Service) {
--- a/internal/sagerouter/heartbeat.go
+++ b/internal/sagerouter/heartbeat.go
@@ -8,6 +8,7 @@
 	"sagestand.example/sagestand/internal/sagemesh"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sageflight"
+	"sagestand.example/sagestand/pkg/sagereach"
 )
 
 // Limits and delays of the content of heartbeats.
@@ -33,7 +34,8 @@
 		h.StoreUnreachable = h.StoreUnreachable || f.Failing()
 	}
 	h.InFlight = n.fleet.inFlight.Report()
-	h.Broken = n.fleet.health.RecentlyBroken(sageclock.Now())
+	h.Broken, h.Unanswered = n.fleet.reportableBroken(sageclock.Now())
+	h.Unreachable = n.fleet.reach.Services(sagereach.Lost)
 	n.fleet.brokenNodes.Set(onePerUpstream(h.Broken))
 	n.fleet.brokenNodes.Report()
 	h.Answered = n.fleet.reach.Contradicted(sageclock.Now())
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -67,6 +67,12 @@
 	// the memory. Half of what remains up to memoryLimitFraction is reserved for copies made when reading and
 	// sending.
 	bodyMemoryFraction = 0.25
+	// relayMemoryFraction is the fraction of the VM's memory for the connections, buffers and goroutines of requests
+	// of peers, bytesPerRelayed what one of them needs.
+	relayMemoryFraction = 0.1
+	bytesPerRelayed     = 96 << 10
+	// maxPeerHeaderBytes limits the size of a peer's header, which has that of a caller and some more.
+	maxPeerHeaderBytes = maxHeaderBytes + 4<<10
 )
 
 // Store is the platform's store.
@@ -152,6 +158,7 @@
 	n.kernel.Register("quarantine", &quarantineReconciler{
 		Self: cfg.Node, Kind: n.Kinds.Quarantines, Tracker: &n.quarantine, Store: n.Store, Rank: n.quarantineRank, Log: n.Log.Component("quarantine"),
 	})
+	n.kernel.Register("paths", &pathProber{node: n, wake: n.fleet.pathSuspected})
 	n.kernel.Register("recall", n.cacheResync)
 	n.kernel.Register("settle", &expirer{node: n})
 	return n.listen()
@@ -197,7 +204,7 @@
 		n.copies[kind].Prober = n.copies[n.Kinds.Config]
 	}
 	n.fleet = &fleet{
-		view: n.view, keyProof: &n.copies[n.Kinds.Config].Proof,
+		view: n.view, dataCentre: cfg.DataCentre, livePeers: n.mesh.Live, pathSuspected: make(chan struct{}, 1), keyProof: &n.copies[n.Kinds.Config].Proof,
 		knownNodes: n.knownNodes, countLag: n.countLag, placer: placer, coldLimiter: sageshare.ColdLimiter{Self: cfg.Node},
 		retryLimiter: sageshare.RetryLimiter{Window: seconds(cfg.Bounds.RetryWindowSeconds)}, health: sagehealth.Tracker{Self: cfg.Node},
 	}
@@ -208,6 +215,7 @@
 	n.fleet.cacheSynced = func() bool { return n.cacheResync.synced.Load() }
 	n.fleet.setBounds(&cfg.Bounds)
 	n.relay = &sagerelay.Service{
+		Node: cfg.Node, MaxRelayed: int64(relayMemoryFraction*float64(cfg.MemoryMB)) << 20 / bytesPerRelayed,
 		Dialect: n.Dialect, Fleet: n.fleet, Dial: n.Dial, Metrics: n.metrics, Log: n.Log.Component("relay"), Closing: n.leaving.Load, Quarantine: &n.quarantine,
 		SendsTrials:      func() bool { return n.quarantineRank() == 0 },
 		MaxBufferedBytes: int64(bodyMemoryFraction*float64(cfg.MemoryMB)) << 20,
@@ -277,13 +285,14 @@
 	operator.HandleFunc("GET /metrics", func(w http.ResponseWriter, _ *http.Request) { n.metrics.WritePrometheus(w) })
 	for _, l := range []struct {
 		name, address string
+		maxHeader     int
 		handler       http.Handler
 	}{
-		{"peers", cfg.Listen.Mesh, peers},
-		{"operator", cfg.Listen.Operator, operator},
-		{"directory", cfg.Listen.Directory, n.Directory},
-		{"readiness", cfg.Listen.Readiness, n.Readiness},
-		{"entry", cfg.Listen.Entry, n.relay},
+		{"peers", cfg.Listen.Mesh, maxPeerHeaderBytes, n.peerHandler(peers)},
+		{"operator", cfg.Listen.Operator, maxHeaderBytes, operator},
+		{"directory", cfg.Listen.Directory, maxHeaderBytes, n.Directory},
+		{"readiness", cfg.Listen.Readiness, maxHeaderBytes, n.Readiness},
+		{"entry", cfg.Listen.Entry, maxHeaderBytes, n.relay},
 	} {
 		if l.address == "" {
 			continue
@@ -293,12 +302,23 @@
 			return fmt.Errorf("listen for %s: %w", l.name, err)
 		}
 		n.kernel.Register(l.name, &server{name: l.name, listener: ln, node: n, http: &http.Server{
-			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: maxHeaderBytes,
+			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: l.maxHeader,
 		}})
 	}
 	return nil
 }
 
+// peerHandler returns a handler for the address for other nodes: requests that they relay, and their own.
+func (n *Node) peerHandler(own http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if sagerelay.RelayedByPeer(r) {
+			n.relay.ServeRelayed(w, r)
+			return
+		}
+		own.ServeHTTP(w, r)
+	})
+}
+
 // Run serves until ctx ends, and returns after the graceful stop.
 func (n *Node) Run(ctx context.Context) error {
 	log := n.Log.Component("node")
--- a/internal/sagerouter/reach.go
+++ b/internal/sagerouter/reach.go
@@ -36,14 +36,15 @@
 }
 
 // RecordAnswer implements [sagerelay.Fleet].
-func (f *fleet) RecordAnswer(u *sageupstream.Entry) {
-	f.reach.RecordAnswer(sageclock.Now(), u.Service, u.ID)
+func (f *fleet) RecordAnswer(u *sageupstream.Entry, fresh bool) {
+	f.reach.RecordAnswer(sageclock.Now(), u.Service, u.ID, fresh)
 }
 
 // RecordUnanswered implements [sagerelay.Fleet].
 func (f *fleet) RecordUnanswered(u *sageupstream.Entry) {
 	now := sageclock.Now()
 	s := f.reach.RecordUnanswered(now, u.Service, u.ID)
+	f.suspectPath(now, u.Service)
 	if s.Unanswered < 2 || !f.reachLog.due(now, u.Service) {
 		return
 	}
@@ -65,6 +66,7 @@
 // recordReports records which upstreams other nodes report as broken.
 func (f *fleet) recordReports(now sageclock.Instant, h *sagemesh.Heartbeat) {
 	f.reach.RecordReports(now, h.Broken)
+	f.reach.RecordReports(now, h.Unanswered)
 	if h.Sum != nil {
 		f.reach.RecordReports(now, slices.Collect(maps.Keys(f.brokenNodes.SumOthers(now))))
 	}
--- a/internal/sagerouter/services.go
+++ b/internal/sagerouter/services.go
@@ -56,10 +56,27 @@
 	if err := s.http.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return fmt.Errorf("shut down %s: %w", s.name, err)
 	}
+	n.awaitRelayed(ctx)
 	n.Log.Component("node").Info("Entry closed.", "in_flight", n.relay.InFlight())
 	return s.http.Close()
 }
 
+// relayedPollInterval is how often a stopping node checks whether it still relays requests of peers.
+const relayedPollInterval = 20 * time.Millisecond
+
+// awaitRelayed waits until no request of a peer is in progress or ctx ends.
+func (n *Node) awaitRelayed(ctx context.Context) {
+	t := time.NewTicker(relayedPollInterval)
+	defer t.Stop()
+	for n.relay.Relayed() > 0 {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
 // recordCleanupInterval is how often health records of removed upstreams, and ended pauses and back-offs, are dropped.
 const recordCleanupInterval = 10 * time.Second
 
@@ -87,9 +104,11 @@
 			now := sageclock.Now()
 			n.fleet.pauses.Sweep(now)
 			n.fleet.declines.sweep(now)
+			n.fleet.retainHelpers()
 			tuneGC()
 		case <-t.C:
 			n.peers.Flush()
+			n.fleet.settleEvidence(sageclock.Now())
 			n.view.expireLapsed(n.storeProof.Age(sageclock.Now()) > sagefollow.LongOutage)
 			if !released && n.view.upstreams.Load() != nil {
 				released = true
--- a/pkg/sagehealth/tracker.go
+++ b/pkg/sagehealth/tracker.go
@@ -39,6 +39,7 @@
 
 type upstreamRecord struct {
 	failureRate   float64
+	rateBefore    float64 // failureRate before the present streak of broken exchanges
 	brokenStreak  int
 	excludedUntil sageclock.Instant
 	lastBroken    sageclock.Instant // time of the last broken exchange
@@ -67,13 +68,14 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.getOrCreate(service, upstream)
+	if r.brokenStreak == 0 {
+		r.rateBefore = r.failureRate
+	}
 	failure := 1.0
 	if res == OK {
 		failure = 0
 	}
-	step := rateWeight * (failure - r.failureRate)
-	r.failureRate += step
-	t.services[service].rateSum += step
+	t.setRate(service, r, r.failureRate+rateWeight*(failure-r.failureRate))
 	switch res {
 	case OK:
 		r.brokenStreak = 0
@@ -87,6 +89,28 @@
 	}
 }
 
+// Forgive drops what broken exchanges since an instant say about the upstreams of a service, because this node's path
+// to them was lost.
+func (t *Tracker) Forgive(service string, since sageclock.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	s := t.services[service]
+	if s == nil {
+		return
+	}
+	for _, r := range s.upstreams {
+		if r.brokenStreak > 0 && r.lastBroken >= since {
+			r.brokenStreak, r.excludedUntil = 0, 0
+			t.setRate(service, r, r.rateBefore)
+		}
+	}
+}
+
+func (t *Tracker) setRate(service string, r *upstreamRecord, rate float64) {
+	t.services[service].rateSum += rate - r.failureRate
+	r.failureRate = rate
+}
+
 // Excluded reports whether an upstream is excluded and its last exchange with this node broke.
 func (t *Tracker) Excluded(now sageclock.Instant, service, upstream string) bool {
 	t.mu.Lock()
--- a/pkg/sagehealth/tracker_test.go
+++ b/pkg/sagehealth/tracker_test.go
@@ -96,3 +96,25 @@
 	tr.RecordReports(at(9500), "s", "v", 1, 0)
 	require.False(t, tr.Avoid(at(9600), "s", "v"), "two reports of one node each, at different times")
 }
+
+// Prevents what a node saw while its own path was lost from counting against upstreams after the heal.
+func TestForgivenExchangesDoNotCount(t *testing.T) {
+	var tr Tracker
+	for i := range 40 {
+		tr.Record(at(i), "s", "a", []Result{OK, OK, OK, Failed}[i%4])
+		tr.Record(at(i), "s", "b", OK)
+	}
+	rate, sum := tr.services["s"].upstreams["a"].failureRate, tr.services["s"].rateSum
+	for i := range 3 {
+		tr.Record(at(100+i), "s", "a", Broken)
+	}
+	require.True(t, tr.Avoid(at(103), "s", "a"))
+	tr.Forgive("s", at(200))
+	require.True(t, tr.Avoid(at(103), "s", "a"), "only later exchanges are forgiven")
+	tr.Forgive("s", at(100))
+	require.False(t, tr.Avoid(at(103), "s", "a"))
+	require.Empty(t, tr.RecentlyBroken(at(103)))
+	require.InDelta(t, rate, tr.services["s"].upstreams["a"].failureRate, 1e-9)
+	require.InDelta(t, sum, tr.services["s"].rateSum, 1e-9)
+	tr.Forgive("unknown", 0)
+}
--- a/pkg/sagereach/evidence.go
+++ b/pkg/sagereach/evidence.go
@@ -14,6 +14,8 @@
 	// reportRetention is how long a report of peers can be contradicted after it was last received. Reports are
 	// repeated several times a second.
 	reportRetention = 2 * time.Second
+	// contradictionDuration is how long an answer contradicts reports.
+	contradictionDuration = time.Second
 	// maxContradicted limits the upstreams in one heartbeat, to about a kilobyte.
 	maxContradicted = 64
 )
@@ -21,6 +23,7 @@
 // record is the evidence about one upstream.
 type record struct {
 	lastAnswer     sageclock.Instant
+	lastFresh      sageclock.Instant // last answer over a new connection
 	unansweredFrom sageclock.Instant // first unanswered exchange since the last answer; 0 if there is none
 	lastUnanswered sageclock.Instant
 }
@@ -44,18 +47,26 @@
 type Tracker struct {
 	mu       sync.Mutex
 	services map[string]map[string]*record // by service and upstream
+	paths    map[string]*path              // by service
 	// reported are the upstreams that peers report as unanswered, with the times of their first and last report.
 	reported map[string]*reportTimes
 }
 
 type reportTimes struct{ first, last sageclock.Instant }
 
-// RecordAnswer records that an upstream answered this node.
-func (t *Tracker) RecordAnswer(now sageclock.Instant, service, upstream string) {
+// RecordAnswer records that an upstream answered this node. fresh says that the connection was new: only then the answer
+// shows that the path is open, since open connections may outlive it.
+func (t *Tracker) RecordAnswer(now sageclock.Instant, service, upstream string, fresh bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	r := t.getOrCreate(service, upstream)
+	t.getOrCreate(service, upstream).recordAnswer(now, fresh)
+}
+
+func (r *record) recordAnswer(now sageclock.Instant, fresh bool) {
 	r.lastAnswer, r.unansweredFrom = now, 0
+	if fresh {
+		r.lastFresh = now
+	}
 }
 
 // RecordUnanswered records an exchange that an upstream didn't answer, and returns the spread in its service.
@@ -140,7 +151,7 @@
 			delete(t.reported, u)
 			continue
 		}
-		if len(out) < maxContradicted && t.answeredSince(u, reported.first) {
+		if len(out) < maxContradicted && t.answeredSince(u, max(reported.first, now.Add(-contradictionDuration))) {
 			out = append(out, u)
 		}
 	}
--- a/pkg/sageroute/table.go
+++ b/pkg/sageroute/table.go
@@ -87,6 +87,8 @@
 	// ColdPerSecond is the number of requests per second that a cold upstream can take; 0 means no
 	// limit.
 	ColdPerSecond float64
+	// HealthPath is the path of the upstreams' health check; empty if they have none.
+	HealthPath string
 	// Engine is set if the upstreams are model engines with a prefix cache.
 	Engine bool
 }
