Requests to brittle upstreams keep to places that are dealt to the nodes

What callers would see: upstreams that say they are brittle fall over when they decline more than a few requests a second, and take the requests that run there with them. Cause: nothing read the announcement, and nodes send as long as an upstream doesn't decline. Change: package sagebrittle; the places of all upstreams of a brittle service are dealt to the nodes with a path in turn, a little below the slots, less after declines and after a start; nodes learn announcements and reduced limits from each other; requests without a place wait a quarter of the objective at most and are rejected then; accounts share scarce places.

--- a/internal/sagemesh/codec.go
+++ b/internal/sagemesh/codec.go
@@ -56,6 +56,7 @@
 	for u, parts := range h.Listed {
 		m.Listed = append(m.Listed, &heartbeat.Listed{Upstream: u, Hashes: convert[uint32](parts)})
 	}
+	packBrittle(m, h)
 	b, err := proto.Marshal(m)
 	if err != nil {
 		return nil, fmt.Errorf("encode heartbeat: %w", err)
@@ -155,6 +156,9 @@
 			Crash: sagequarantine.CrashID(c.GetId()), Suspects: convert[sagequarantine.Fingerprint](c.GetSuspects()),
 		})
 	}
+	if err := unpackBrittle(h, m); err != nil {
+		return nil, err
+	}
 	h.Cleared = convert[sagequarantine.Fingerprint](m.GetCleared())
 	if len(m.GetHeld()) > 0 {
 		h.Held = make(map[string][]uint64, len(m.GetHeld()))
--- a/internal/sagemesh/heartbeat.go
+++ b/internal/sagemesh/heartbeat.go
@@ -2,6 +2,7 @@
 
 import (
 	"sagestand.example/sagestand/internal/sagefollow"
+	"sagestand.example/sagestand/pkg/sagebrittle"
 	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagequarantine"
@@ -63,6 +64,9 @@
 	Unanswered []string
 	// Unreachable are services none of whose upstreams the sender reaches, while the path is lost.
 	Unreachable []string
+	// Brittle are the services whose upstreams are brittle, Limits the reduced limits of such upstreams.
+	Brittle []sagebrittle.Announcement
+	Limits  []sagebrittle.Report
 	// Sum is set by the aggregator of a data centre; nil from other nodes.
 	Sum *Sum
 	// Held are cached prompt parts by upstream that were newly observed in requests.
--- a/internal/sagemesh/mesh_test.go
+++ b/internal/sagemesh/mesh_test.go
@@ -15,6 +15,7 @@
 
 	"sagestand.example/sagestand/internal/sagefollow"
 	"sagestand.example/sagestand/internal/sagerpc/heartbeat"
+	"sagestand.example/sagestand/pkg/sagebrittle"
 	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagerollout"
@@ -362,6 +363,7 @@
 		{"counts without upstreams", func(m *heartbeat.Heartbeat) { m.InFlight = []uint32{1} }, ErrHeartbeat},
 		{"sum without upstreams", func(m *heartbeat.Heartbeat) { m.Sum = &heartbeat.Sum{InFlight: []uint32{1}} }, ErrHeartbeat},
 		{"sum of broken exchanges without upstreams", func(m *heartbeat.Heartbeat) { m.Sum = &heartbeat.Sum{Broken: []uint32{1}} }, ErrHeartbeat},
+		{"limits without upstreams", func(m *heartbeat.Heartbeat) { m.Limits = []uint32{1} }, ErrHeartbeat},
 		{"sum of answered upstreams without upstreams", func(m *heartbeat.Heartbeat) { m.Sum = &heartbeat.Sum{Answered: []uint32{1}} }, ErrHeartbeat},
 		{"malformed unresponsive address", func(m *heartbeat.Heartbeat) { m.Silent = [][]byte{{1}} }, ErrHeartbeat},
 		{"answers without keys", func(m *heartbeat.Heartbeat) { m.Answers = []uint32{1} }, ErrHeartbeat},
@@ -388,6 +390,9 @@
 	h.StoreUnreachable, h.Leaving, h.Broken = true, true, []string{"e"}
 	h.Sum = &Sum{FleetWide: true, InFlight: map[string]int{"e": 9}, Broken: map[string]int{"f": 2}, Answered: map[string]int{"f": 1}, Answers: map[string]int{"2/1/0/r": 4}}
 	h.Answers = map[string]int{"2/2/1/r": 3}
+	h.Answered, h.Unanswered, h.Unreachable = []string{"f"}, []string{"g"}, []string{"chat"}
+	h.Brittle = []sagebrittle.Announcement{{Service: "chat", MaxDeclines: 3, Age: 200 * time.Millisecond}}
+	h.Limits = []sagebrittle.Report{{Upstream: "e", Limit: 5}}
 	h.Plans = []sagerollout.Plan{{OrderID: 2, Phase: sagerollout.PhaseRamp, Share: 0.25, Sequence: 7, Controller: "vm1", IssuedAt: h.Stamp.At.Add(-time.Second), PhaseSince: h.Stamp.At.Add(-2 * time.Second)}}
 	h.ShortInterval, h.ReplyRequested, h.Forward, h.Unresponsive = true, true, true, h.KnownAddresses[:1]
 	common, err := h.encode()
--- a/internal/sagerelay/crash.go
+++ b/internal/sagerelay/crash.go
@@ -14,11 +14,7 @@
 // fingerprint identifies the content of the request. Repeated attempts share it.
 func (j *job) fingerprint() sagequarantine.Fingerprint {
 	if j.fp == nil {
-		account := ""
-		if j.account != nil {
-			account = j.account.Name
-		}
-		f := sagequarantine.FingerprintOf(account, j.r.Method, j.r.Host+j.r.URL.RequestURI(), j.body)
+		f := sagequarantine.FingerprintOf(j.accountName(), j.r.Method, j.r.Host+j.r.URL.RequestURI(), j.body)
 		j.fp = &f
 	}
 	return *j.fp
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -120,10 +120,7 @@
 		j.setRelayHeader(req.Header)
 		return j.s.toPeers().forRequest(j.route.Repeatable()).RoundTrip(req)
 	}
-	s := ForwardMetadata{Upstream: x.p.Upstream, Deadline: j.deadline, Priority: j.priority(), CacheSource: x.p.CacheSource, LastEventID: j.lastEventID}
-	if j.account != nil {
-		s.Account = j.account.Name
-	}
+	s := ForwardMetadata{Upstream: x.p.Upstream, Account: j.accountName(), Deadline: j.deadline, Priority: j.priority(), CacheSource: x.p.CacheSource, LastEventID: j.lastEventID}
 	j.s.Dialect.SetForwardHeader(req.Header, &s)
 	if req.Header.Get("User-Agent") == "" {
 		req.Header["User-Agent"] = []string{""} // suppresses the default of net/http
@@ -208,8 +205,8 @@
 	}
 	x.observeAnnouncements(res.StatusCode, &meta)
 	if meta.NotRun {
-		if isOverload(res.StatusCode) && meta.PauseUntil == 0 {
-			j.s.Fleet.RecordDecline(x.p.Upstream)
+		if isOverload(res.StatusCode) {
+			j.s.Fleet.RecordDecline(x.p, meta.PauseUntil != 0)
 		}
 		j.cause = "declined with status " + strconv.Itoa(res.StatusCode)
 		return notRun
@@ -218,7 +215,7 @@
 		// A late response to an earlier request on this connection, or unrelated data.
 		return x.rejectResponse("response has the id of another request or no seal")
 	}
-	j.s.Fleet.RecordAccept(x.p.Upstream)
+	j.s.Fleet.RecordAccept(x.p)
 	return x.forwardResponse(ctx, res, stallTimer)
 }
 
@@ -252,6 +249,13 @@
 			j.s.Log.Limited(sagelog.KindStateChange, "Response announces that its upstream leaves.", "id", j.meta.ID, "upstream", u.ID, "born", u.Born, "status", status)
 		}
 	}
+	if meta.Brittle {
+		j.s.countAnnouncement(u.Service, "brittle")
+		if j.s.Fleet.RecordBrittle(u, meta.MaxDeclines) {
+			j.s.Log.Limited(sagelog.KindStateChange, "Response announces brittle upstreams.", "id", j.meta.ID, "upstream", u.ID, "service", u.Service, "status", status,
+				"max_declines", meta.MaxDeclines)
+		}
+	}
 	if meta.PauseUntil != 0 {
 		j.s.countAnnouncement(u.Service, "retry_after")
 		if j.s.Fleet.RecordPause(u, meta.PauseUntil) {
--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -41,6 +41,7 @@
 	testNotRun   = "Test-Not-Run"
 	testLeaving  = "Test-Leaving"
 	testPause    = "Test-Pause"
+	testBrittle  = "Test-Brittle"
 )
 
 type testDialect struct{}
@@ -82,6 +83,7 @@
 		Misdirected: res.StatusCode == http.StatusMisdirectedRequest,
 		Leaving:     res.Header.Get(testLeaving) != "",
 		PauseUntil:  pauseOf(res),
+		Brittle:     res.Header.Get(testBrittle) != "",
 	}
 }
 
@@ -133,6 +135,8 @@
 	refusedBy       []string // peers that could not take a request
 	saturated       bool
 	firstSends      int
+	maxDeclines     []int // of announcements that upstreams are brittle
+	limitedAccounts []string
 	reachedByOthers bool
 	// answers and unanswered are the upstreams of recorded evidence, in order.
 	answers, unanswered []string
@@ -170,9 +174,24 @@
 	return true
 }
 
-func (f *fakeFleet) RecordDecline(u *sageupstream.Entry) { f.declined = append(f.declined, u.ID) }
+func (f *fakeFleet) RecordDecline(p *Pick, paused bool) {
+	if !paused {
+		f.declined = append(f.declined, p.Upstream.ID)
+	}
+}
+
+func (f *fakeFleet) RecordAccept(p *Pick) { f.accepted = append(f.accepted, p.Upstream.ID) }
+
+func (f *fakeFleet) RecordBrittle(_ *sageupstream.Entry, maxDeclines int) bool {
+	f.maxDeclines = append(f.maxDeclines, maxDeclines)
+	return true
+}
 
-func (f *fakeFleet) RecordAccept(u *sageupstream.Entry) { f.accepted = append(f.accepted, u.ID) }
+func (f *fakeFleet) AwaitPlace(context.Context, string, time.Duration) bool { return false }
+
+func (f *fakeFleet) AdmitAccount(_, account string) (func(), bool) {
+	return func() {}, !slices.Contains(f.limitedAccounts, account)
+}
 
 func (f *fakeFleet) RecordPause(u *sageupstream.Entry, until sageclock.Instant) bool {
 	return f.pauses.Pause(sageclock.Now(), u.ID, until)
--- a/internal/sagerelay/interfaces.go
+++ b/internal/sagerelay/interfaces.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"sagestand.example/sagestand/pkg/sagebrittle"
 	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagehealth"
@@ -53,6 +54,10 @@
 	Misdirected bool
 	// Leaving is set if the upstream is about to stop.
 	Leaving bool
+	// Brittle says that the upstreams of the service are brittle: one that declines more than MaxDeclines requests in a
+	// second crashes.
+	Brittle     bool
+	MaxDeclines int
 	// PauseUntil is the time before which the upstream wants no further requests of this node; zero if
 	// it doesn't say.
 	PauseUntil sageclock.Instant
@@ -94,6 +99,8 @@
 	NoMemory     Reason = "no_memory"
 	NoUpstream   Reason = "no_upstream"
 	UpstreamFull Reason = "upstream_full"
+	// AccountLimited: the account uses its share of a service whose upstreams can't take more.
+	AccountLimited Reason = "account_limited"
 	// NoPath: this node reaches no upstream of the service, and no peer takes the request.
 	NoPath Reason = "no_path"
 	// RelayBusy: this node relays as many requests of peers as it can.
@@ -122,7 +129,9 @@
 	Load int
 	// UncachedTokens is the number of prompt tokens that the upstream doesn't have in its cache.
 	UncachedTokens int
-	Done           func()
+	// Place is the request's place at a brittle upstream.
+	Place sagebrittle.Place[sageupstream.Start]
+	Done  func()
 }
 
 // Helper is a peer that sends a request to an upstream for this node. Done must be called when the exchange is over.
@@ -210,10 +219,19 @@
 	// RecordLeaving records that this start of an upstream announced that it leaves, and reports whether that is
 	// new. It gets no further requests.
 	RecordLeaving(u *sageupstream.Entry) bool
-	// RecordDecline records that an upstream declined a request because of its load.
-	RecordDecline(u *sageupstream.Entry)
+	// RecordDecline records that an upstream declined a request because of its load. paused says that it asked for a
+	// pause.
+	RecordDecline(p *Pick, paused bool)
 	// RecordAccept records that an upstream accepted a request.
-	RecordAccept(u *sageupstream.Entry)
+	RecordAccept(p *Pick)
+	// RecordBrittle records that an upstream announced that the upstreams of its service are brittle, and reports
+	// whether that is new.
+	RecordBrittle(u *sageupstream.Entry, maxDeclines int) bool
+	// AwaitPlace waits shortly until a brittle service may have a place for another request; false if it has none.
+	AwaitPlace(ctx context.Context, service string, objective time.Duration) bool
+	// AdmitAccount reports whether a request of an account may be sent to a service, and counts it until leave is
+	// called. It refuses accounts that use more than their share of a brittle service.
+	AdmitAccount(service, account string) (leave func(), ok bool)
 	// RecordPause records that this start of an upstream wants no requests of this node before a time, and reports
 	// whether that extends its pause.
 	RecordPause(u *sageupstream.Entry, until sageclock.Instant) bool
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -100,6 +100,13 @@
 		j.finish(ctx, Quarantined)
 		return
 	}
+	leave, ok := j.s.Fleet.AdmitAccount(j.serviceName, j.accountName())
+	if !ok {
+		j.finish(ctx, AccountLimited)
+		return
+	}
+	defer leave()
+	waited := false
 	for {
 		if j.needsHelper() {
 			j.serveByHelper(ctx)
@@ -110,6 +117,12 @@
 			return
 		}
 		p := j.s.Fleet.Pick(&Query{Service: j.serviceName, Route: j.route.Name, Chain: j.meta.Chain, Tried: j.tried})
+		if p == nil && !waited {
+			waited = true
+			if j.s.Fleet.AwaitPlace(ctx, j.serviceName, j.route.Objective) {
+				continue
+			}
+		}
 		if p == nil {
 			j.finish(ctx, NoUpstream)
 			return
@@ -137,6 +150,14 @@
 	}
 }
 
+// accountName returns the name of the request's account; empty on public routes.
+func (j *job) accountName() string {
+	if j.account == nil {
+		return ""
+	}
+	return j.account.Name
+}
+
 // abandon ends a request whose caller has disconnected.
 func (j *job) abandon() {
 	j.s.countEnd(CallerLeft)
--- a/internal/sagerouter/declines.go
+++ b/internal/sagerouter/declines.go
@@ -1,6 +1,7 @@
 package sagerouter
 
 import (
+	"sagestand.example/sagestand/internal/sagerelay"
 	"sagestand.example/sagestand/pkg/sagebackoff"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sageupstream"
@@ -23,12 +24,18 @@
 }
 
 // RecordDecline implements [sagerelay.Fleet].
-func (f *fleet) RecordDecline(u *sageupstream.Entry) {
-	f.declines.of(u.Service).RecordDecline(sageclock.Now(), u.Start())
+func (f *fleet) RecordDecline(p *sagerelay.Pick, paused bool) {
+	now := sageclock.Now()
+	f.brittle.limits.RecordDecline(now, p.Place)
+	if !paused {
+		f.declines.of(p.Upstream.Service).RecordDecline(now, p.Upstream.Start())
+	}
 }
 
 // RecordAccept implements [sagerelay.Fleet].
-func (f *fleet) RecordAccept(u *sageupstream.Entry) { f.declines.of(u.Service).RecordAccept(u.Start()) }
+func (f *fleet) RecordAccept(p *sagerelay.Pick) {
+	f.declines.of(p.Upstream.Service).RecordAccept(p.Upstream.Start())
+}
 
 // backsOff reports whether other upstreams should be preferred to one that has declined requests. Its next request is
 // a trial, which has to leave retries for other failures.
--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -11,6 +11,7 @@
 	"sagestand.example/sagestand/internal/sagemesh"
 	"sagestand.example/sagestand/internal/sagerelay"
 	"sagestand.example/sagestand/pkg/sagebackoff"
+	"sagestand.example/sagestand/pkg/sagebrittle"
 	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sageflight"
@@ -49,11 +50,13 @@
 	saturation    saturation
 	// pathSuspected receives a value when a path is suspected.
 	pathSuspected chan struct{}
+	self          string
 	dataCentre    string
 	livePeers     func() []sagemesh.Member
 	health        sagehealth.Tracker
 	pauses        sagebackoff.Pauses[sageupstream.Start]
 	declines      declines
+	brittle       brittleUpstreams
 	latencies     latencyEstimates
 	// rollouts is nil if rollouts are disabled. rolloutAnswers counts their responses by [sagerollout.CountKey].
 	rollouts         *sagerollout.Tracker
@@ -153,14 +156,21 @@
 		warm = f.canaryUpstreams(q.Service, warm)
 	}
 	all := set.All(q.Service)
-	if e, c := f.choose(now, buf, warm, all, loads, q); e != nil {
-		return f.newPick(set, e, c, loads, q)
+	for len(warm) > 0 {
+		e, c := f.choose(now, buf, warm, all, loads, q)
+		if place, ok := f.acquirePlace(now, e); ok {
+			return f.newPick(set, e, c, place, loads, q)
+		}
+		warm = slices.DeleteFunc(warm, func(o *sageupstream.Entry) bool { return o == e })
 	}
 	perSecond := f.coldPerSecond(q.Service)
 	for len(cold) > 0 {
 		e, c := f.choose(now, buf, cold, all, loads, q)
-		if f.allowCold(now, e.ID, perSecond) {
-			return f.newPick(set, e, c, loads, q)
+		if place, ok := f.acquirePlace(now, e); ok {
+			if f.allowCold(now, e.ID, perSecond) {
+				return f.newPick(set, e, c, place, loads, q)
+			}
+			f.brittle.limits.Release(place)
 		}
 		cold = slices.DeleteFunc(cold, func(o *sageupstream.Entry) bool { return o == e })
 	}
@@ -215,10 +225,13 @@
 	return best
 }
 
-func (f *fleet) newPick(set *sageupstream.Set, e *sageupstream.Entry, c sagechain.Choice, loads map[string]int, q *sagerelay.Query) *sagerelay.Pick {
+func (f *fleet) newPick(set *sageupstream.Set, e *sageupstream.Entry, c sagechain.Choice, place sagebrittle.Place[sageupstream.Start], loads map[string]int, q *sagerelay.Query) *sagerelay.Pick {
 	f.declines.of(e.Service).BeginTrial(sageclock.Now(), e.Start())
+	end := f.inFlight.Start(e.ID)
 	p := &sagerelay.Pick{
-		Upstream: e, Rule: string(c.Reason), Load: loads[e.ID], UncachedTokens: q.Chain.Tokens() - max(c.HeldTokens, c.CopyTokens), Done: f.inFlight.Start(e.ID),
+		Place:    place,
+		Upstream: e, Rule: string(c.Reason), Load: loads[e.ID], UncachedTokens: q.Chain.Tokens() - max(c.HeldTokens, c.CopyTokens),
+		Done: func() { end(); f.brittle.limits.Release(place) },
 	}
 	if from := set.Reachable(sageclock.Now(), c.CopyFrom); from != nil {
 		p.CacheSource = from.Address
--- a/internal/sagerouter/gauges.go
+++ b/internal/sagerouter/gauges.go
@@ -7,6 +7,7 @@
 
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagefresh"
+	"sagestand.example/sagestand/pkg/sagereach"
 )
 
 // exportMetrics registers the node's own metrics.
@@ -31,6 +32,9 @@
 	n.metrics.NewGauge("sagestand_upstreams_known", func() float64 { return float64(n.view.upstreams.Load().Len()) })
 	n.metrics.NewGauge("sagestand_upstreams_paused", func() float64 { return float64(n.fleet.pauses.Len(sageclock.Now())) })
 	n.metrics.NewGauge("sagestand_upstreams_unanswered", func() float64 { return float64(n.fleet.reach.Unanswered(sageclock.Now())) })
+	n.metrics.NewGauge("sagestand_brittle_services", func() float64 { return float64(n.fleet.brittle.limits.Len(sageclock.Now())) })
+	n.metrics.NewGauge("sagestand_paths_lost", func() float64 { return float64(len(n.fleet.reach.Services(sagereach.Lost))) })
+	n.metrics.NewGauge("sagestand_relayed_requests", func() float64 { return float64(n.relay.Relayed()) })
 	n.metrics.NewGauge("sagestand_ready", func() float64 {
 		if n.Ready() {
 			return 1
--- a/internal/sagerouter/heartbeat.go
+++ b/internal/sagerouter/heartbeat.go
@@ -41,6 +41,7 @@
 	h.Answered = n.fleet.reach.Contradicted(sageclock.Now())
 	n.fleet.answeredNodes.Set(onePerUpstream(h.Answered))
 	n.fleet.answeredNodes.Report()
+	h.Brittle, h.Limits = n.fleet.brittle.limits.Reports(sageclock.Now())
 	n.fillCrashes(h)
 	if n.fleet.rollouts != nil {
 		n.fleet.rolloutAnswers.Set(n.fleet.rollouts.Counts())
@@ -99,6 +100,7 @@
 			n.mergePlan(now, p)
 		}
 	}
+	n.mergeBrittle(now, h)
 	n.mergeCrashes(now, h)
 	n.mergeSum(now, h)
 	if len(h.Broken) > 0 || h.Sum != nil {
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -204,7 +204,7 @@
 		n.copies[kind].Prober = n.copies[n.Kinds.Config]
 	}
 	n.fleet = &fleet{
-		view: n.view, dataCentre: cfg.DataCentre, livePeers: n.mesh.Live, pathSuspected: make(chan struct{}, 1), keyProof: &n.copies[n.Kinds.Config].Proof,
+		view: n.view, self: cfg.Node, dataCentre: cfg.DataCentre, livePeers: n.mesh.Live, pathSuspected: make(chan struct{}, 1), keyProof: &n.copies[n.Kinds.Config].Proof,
 		knownNodes: n.knownNodes, countLag: n.countLag, placer: placer, coldLimiter: sageshare.ColdLimiter{Self: cfg.Node},
 		retryLimiter: sageshare.RetryLimiter{Window: seconds(cfg.Bounds.RetryWindowSeconds)}, health: sagehealth.Tracker{Self: cfg.Node},
 	}
--- a/internal/sagerouter/services.go
+++ b/internal/sagerouter/services.go
@@ -104,6 +104,7 @@
 			now := sageclock.Now()
 			n.fleet.pauses.Sweep(now)
 			n.fleet.declines.sweep(now)
+			n.fleet.brittle.limits.Sweep(now)
 			n.fleet.retainHelpers()
 			tuneGC()
 		case <-t.C:
