--- a/internal/sagemesh/fetch.go
+++ b/internal/sagemesh/fetch.go
@@ -45,6 +45,14 @@
 	StallTimeout time.Duration
 }
 
+// idleConnTimeout is how long an unused connection to a peer is kept open.
+const idleConnTimeout = 10 * time.Second
+
+// NewFetcher returns a fetcher that keeps one idle connection to each peer.
+func NewFetcher() *Fetcher {
+	return &Fetcher{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout}}}
+}
+
 // progressReader calls onRead after each read that returned data.
 type progressReader struct {
 	io.Reader
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"context"
 	"io"
+	"math"
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
@@ -16,6 +18,7 @@
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagehealth"
+	"sagestand.example/sagestand/pkg/sagereach"
 )
 
 // Limits of one exchange.
@@ -33,6 +36,8 @@
 	// prefillFactor multiplies the prefill time of an idle engine in the first-byte timeout, since
 	// the engine may prefill one or two other prompts first.
 	prefillFactor = 2.75
+	// stallRecheckInterval is how often a stalled exchange checks whether the path is still being probed.
+	stallRecheckInterval = 100 * time.Millisecond
 )
 
 // errStalled is the cause with which a stalled exchange is cancelled.
@@ -62,7 +67,7 @@
 	x := &exchange{j: j, p: p, start: time.Now(), cancel: cancel}
 	j.sends++
 	j.tried = append(j.tried, p.Upstream.ID)
-	stallTimer := x.startStallTimer()
+	stallTimer := x.startStallTimer(ctx)
 	if stallTimer != nil {
 		defer stallTimer.Stop()
 	}
@@ -77,7 +82,9 @@
 // startStallTimer starts a timer that cancels the exchange of a repeatable request if no response
 // data arrives while another upstream could still respond in time, but only if the fleet allows a
 // retry: without one, a late response is better than none.
-func (x *exchange) startStallTimer() *time.Timer {
+//
+// While several upstreams are silent and the path is probed, it waits: a retry would meet the same silence.
+func (x *exchange) startStallTimer(ctx context.Context) *time.Timer {
 	j := x.j
 	if !j.route.Repeatable() || j.relay.earlierRuns+j.possibleRuns+1 >= j.route.MaxAttempts || j.sends >= maxSends {
 		return nil
@@ -86,12 +93,22 @@
 	if x.helper != nil {
 		timeout *= helperStallFactor
 	}
-	return time.AfterFunc(timeout, func() {
+	var t *time.Timer
+	t = time.AfterFunc(math.MaxInt64, func() {
+		if ctx.Err() != nil {
+			return
+		}
+		if x.helper == nil && j.s.Fleet.PathState(j.serviceName) == sagereach.Suspected {
+			t.Reset(stallRecheckInterval)
+			return
+		}
 		if j.s.Fleet.AllowRetry(j.serviceName) {
 			j.retryGranted.Store(true)
 			x.cancel(errStalled)
 		}
 	})
+	t.Reset(timeout)
+	return t
 }
 
 // firstByteTimeout is the time allowed for the first byte of the response to a repeatable request.
@@ -173,7 +190,7 @@
 	timedOut := ctx.Err() != nil && !stalled
 	if !timedOut {
 		x.recordUnanswered()
-		x.recordExchange(sagehealth.Broken)
+		x.recordExchange(brokenResult(err, stalled))
 	}
 	if unsent {
 		x.recordUnsent(err)
@@ -189,6 +206,15 @@
 	return failed
 }
 
+// brokenResult returns how an exchange broke.
+func brokenResult(err error, stalled bool) sagehealth.Result {
+	var timeout net.Error
+	if stalled || errors.As(err, &timeout) && timeout.Timeout() {
+		return sagehealth.Stalled
+	}
+	return sagehealth.Broken
+}
+
 // handleResponse checks the response header and forwards the response.
 func (x *exchange) handleResponse(ctx context.Context, res *http.Response, stallTimer *time.Timer) verdict {
 	j := x.j
--- a/internal/sagerelay/hop.go
+++ b/internal/sagerelay/hop.go
@@ -138,7 +138,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x := &exchange{j: j, helper: h, start: time.Now(), cancel: cancel}
-	stallTimer := x.startStallTimer()
+	stallTimer := x.startStallTimer(ctx)
 	if stallTimer != nil {
 		defer stallTimer.Stop()
 	}
--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -301,7 +301,7 @@
 
 // RecordExchange implements [sagerelay.Fleet].
 func (f *fleet) RecordExchange(u *sageupstream.Entry, res sagehealth.Result) {
-	if res == sagehealth.Broken && f.reach.State(u.Service) == sagereach.Lost {
+	if (res == sagehealth.Broken || res == sagehealth.Stalled) && f.reach.State(u.Service) == sagereach.Lost {
 		return // says nothing about the upstream
 	}
 	f.health.Record(sageclock.Now(), u.Service, u.ID, res)
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -180,7 +180,7 @@
 	cfg := &n.Settings
 	placer := new(sagechain.Placer)
 	n.view = &view{decoder: n.Decoder, log: n.Log.Component("view"), placer: placer}
-	n.fetcher = &sagemesh.Fetcher{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second}}}
+	n.fetcher = sagemesh.NewFetcher()
 	n.restored = make(chan struct{}, 1)
 	policies := n.restorePolicies()
 	follow := func(kind string, maxStalenessMillis int, apply func([]sagefollow.Change, bool)) *sagefollow.Follower {
--- a/internal/sagerouter/paths.go
+++ b/internal/sagerouter/paths.go
@@ -89,14 +89,13 @@
 	f := p.node.fleet
 	res := p.node.relay.ProbePath(ctx, e.Address, healthPath)
 	now := sageclock.Now()
-	others := f.countAnsweredOthers(now, e.Service)
-	if t := f.reach.RecordProbe(now, e.Service, e.ID, res, others > 0); t != nil {
-		p.node.handleTransition(now, t, others)
+	if t := f.reach.RecordProbe(now, e.Service, e.ID, res); t != nil {
+		p.node.handleTransition(now, t)
 	}
 }
 
 // handleTransition applies the loss or return of the path to a service.
-func (n *Node) handleTransition(now sageclock.Instant, t *sagereach.Transition, answeredOthers int) {
+func (n *Node) handleTransition(now sageclock.Instant, t *sagereach.Transition) {
 	n.fleet.health.Forgive(t.Service, t.Since)
 	msg := "Path to upstreams regained."
 	if t.Lost {
@@ -104,7 +103,7 @@
 		n.metrics.GetOrCreateCounter(`sagestand_paths_lost_total{service="` + t.Service + `"}`).Inc()
 	}
 	n.Log.Component("path").Info(msg, "service", t.Service, "since_ms", now.Sub(t.Since).Milliseconds(), "unanswered", t.Unanswered, "probes", t.Probes,
-		"answered_others", answeredOthers, "helpers", len(n.fleet.helperCandidates(now, t.Service)))
+		"answered_others", n.fleet.countAnsweredOthers(now, t.Service), "helpers", len(n.fleet.helperCandidates(now, t.Service)))
 	n.mesh.TriggerHeartbeats(true)
 }
 
--- a/pkg/sagehealth/reports.go
+++ b/pkg/sagehealth/reports.go
@@ -17,6 +17,8 @@
 	reportersPerRequest = 0.75
 	// reportDuration is how long a node reports an upstream after a broken exchange.
 	reportDuration = 2 * time.Second
+	// silenceTolerance is how long a sound upstream may be silent.
+	silenceTolerance = 1200 * time.Millisecond
 	// ownAnswerDuration is how long an answer that this node got itself overrides the reports of others: an upstream
 	// may be unreachable from one data centre only.
 	ownAnswerDuration = time.Second
@@ -38,7 +40,7 @@
 	var out []string
 	for _, s := range t.services {
 		for id, r := range s.upstreams {
-			if len(out) < maxReported && r.brokenStreak > 0 && now.Sub(r.lastBroken) < reportDuration {
+			if len(out) < maxReported && r.reportable(now) {
 				out = append(out, id)
 			}
 		}
@@ -46,6 +48,15 @@
 	return out
 }
 
+// reportable reports whether the upstream's last exchange broke recently. Stalled ones count once the upstream has been
+// silent for longer than sound upstreams are.
+func (r *upstreamRecord) reportable(now sageclock.Instant) bool {
+	if r.brokenStreak == 0 || now.Sub(r.lastBroken) >= reportDuration {
+		return false
+	}
+	return !r.onlyStalled || r.lastBroken.Sub(r.brokenSince) >= silenceTolerance
+}
+
 // RecordReports records how many other nodes report broken exchanges with an upstream. load is the number of
 // requests in flight there from all nodes. It returns true if the upstream is newly ejected.
 //
--- a/pkg/sagehealth/tracker.go
+++ b/pkg/sagehealth/tracker.go
@@ -15,9 +15,10 @@
 	OK Result = iota
 	// Failed is a complete answer that reports a failure of the upstream.
 	Failed
-	// Broken is an exchange without a complete answer: the connection was refused, reset or cut off, or the upstream
-	// stalled.
+	// Broken is an exchange without a complete answer: the connection was refused, reset or cut off.
 	Broken
+	// Stalled is an exchange during which the upstream was silent. Sound upstreams may be silent for about a second.
+	Stalled
 )
 
 // Parameters of the exclusion by own results.
@@ -43,6 +44,8 @@
 	brokenStreak  int
 	excludedUntil sageclock.Instant
 	lastBroken    sageclock.Instant // time of the last broken exchange
+	brokenSince   sageclock.Instant // time of the first one of the present streak
+	onlyStalled   bool              // all exchanges of the streak stalled
 	lastOK        sageclock.Instant // time of the last complete answer; 0 if there was none
 	lastReported  sageclock.Instant // time of the last report of another node
 }
@@ -81,14 +84,26 @@
 		r.brokenStreak = 0
 		r.excludedUntil = 0
 		r.lastOK = now
-	case Broken:
-		out := min(minExclusion<<min(r.brokenStreak, 8), maxExclusion)
-		r.brokenStreak++
-		r.lastBroken = now
-		r.excludedUntil = now.Add(out)
+	case Broken, Stalled:
+		r.recordBroken(now, res)
 	}
 }
 
+// recordBroken excludes the upstream. An exchange that stalled during an exclusion began before it, and doesn't extend it.
+func (r *upstreamRecord) recordBroken(now sageclock.Instant, res Result) {
+	if r.brokenStreak == 0 {
+		r.brokenSince, r.onlyStalled = now, true
+	}
+	r.lastBroken = now
+	if res == Broken {
+		r.onlyStalled = false
+	} else if now < r.excludedUntil {
+		return
+	}
+	r.excludedUntil = now.Add(min(minExclusion<<min(r.brokenStreak, 8), maxExclusion))
+	r.brokenStreak++
+}
+
 // Forgive drops what broken exchanges since an instant say about the upstreams of a service, because this node's path
 // to them was lost.
 func (t *Tracker) Forgive(service string, since sageclock.Instant) {
--- a/pkg/sagereach/path.go
+++ b/pkg/sagereach/path.go
@@ -18,7 +18,7 @@
 	// probeInterval is the time between two rounds of probes.
 	probeInterval = 300 * time.Millisecond
 	// silenceTolerance is how long all upstreams may stay silent before the path counts as lost. Upstreams may pause
-	// for about a second. Refused and reset connections and answers that other nodes get decide earlier.
+	// for about a second. Refused and reset connections decide earlier.
 	silenceTolerance = 1200 * time.Millisecond
 	// minActiveRounds is how many rounds of probes must be refused or reset before the path counts as lost.
 	minActiveRounds = 2
@@ -65,21 +65,19 @@
 	Since sageclock.Instant
 	// Unanswered is the number of upstreams that did not answer requests, Probes the number of probes that decided.
 	Unanswered, Probes int
-	// Contradicted says that upstreams answered other nodes meanwhile.
-	Contradicted bool
 }
 
 // path is the state of the path to one service.
 type path struct {
 	state         PathState
 	since         sageclock.Instant // when the first upstream stopped answering
+	suspectedAt   sageclock.Instant
 	nextRound     sageclock.Instant
 	pending       int // probes of the present round without a result
 	roundAnswered bool
 	roundSilent   bool
 	probes        int // probes since the path was suspected
 	activeRounds  int // rounds in a row with only refused or reset probes
-	failedRounds  int
 	goodRounds    int // answered rounds in a row while the path is lost
 	verifiedUntil sageclock.Instant
 	lastLost      sageclock.Instant // start of the last loss
@@ -99,7 +97,7 @@
 	if now < p.verifiedUntil || s.Unanswered < min(minSpread, max(1, available)) {
 		return false
 	}
-	*p = path{state: Suspected, since: s.Since, nextRound: now, lastLost: p.lastLost}
+	*p = path{state: Suspected, since: s.Since, suspectedAt: now, nextRound: now, lastLost: p.lastLost}
 	return true
 }
 
@@ -186,9 +184,8 @@
 	return best
 }
 
-// RecordProbe records the result of one probe. contradicted says that upstreams of the service answered other nodes
-// after this node reported them as broken. It returns the transition if the path was lost or regained, or nil.
-func (t *Tracker) RecordProbe(now sageclock.Instant, service, upstream string, res ProbeResult, contradicted bool) *Transition {
+// RecordProbe records the result of one probe. It returns the transition if the path was lost or regained, or nil.
+func (t *Tracker) RecordProbe(now sageclock.Instant, service, upstream string, res ProbeResult) *Transition {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	p := t.paths[service]
@@ -211,24 +208,23 @@
 	if p.pending > 0 {
 		return nil
 	}
-	return t.endRound(now, service, p, contradicted)
+	return t.endRound(now, service, p)
 }
 
 // endRound evaluates a complete round of probes.
-func (t *Tracker) endRound(now sageclock.Instant, service string, p *path, contradicted bool) *Transition {
+func (t *Tracker) endRound(now sageclock.Instant, service string, p *path) *Transition {
 	if p.state == Lost {
 		return t.endRoundWhileLost(now, service, p)
 	}
-	p.failedRounds++
 	if p.activeRounds++; p.roundSilent {
 		p.activeRounds = 0
 	}
-	if p.activeRounds < minActiveRounds && !contradicted && now.Sub(p.since) < silenceTolerance {
+	if p.activeRounds < minActiveRounds && now.Sub(p.suspectedAt) < silenceTolerance {
 		return nil
 	}
 	p.flapping = p.lastLost != 0 && now.Sub(p.lastLost) < flappingPeriod
 	p.state, p.lastLost, p.goodRounds = Lost, now, 0
-	return &Transition{Service: service, Lost: true, Since: p.since, Unanswered: t.spread(now, service).Unanswered, Probes: p.probes, Contradicted: contradicted}
+	return &Transition{Service: service, Lost: true, Since: p.since, Unanswered: t.spread(now, service).Unanswered, Probes: p.probes}
 }
 
 func (t *Tracker) endRoundWhileLost(now sageclock.Instant, service string, p *path) *Transition {
