Soak: nodes are cut from upstreams, upstreams turn brittle or silent; shares by second

Cause: no run with real processes cut single nodes from upstreams. Change: nodes can open connections to upstreams from a given address (source_ip), so that the proxies in front of the upstreams tell the nodes apart: data held up both ways or one way, connections reset, new ones refused; one node, a data centre, all but one, all; all upstreams, one service, some; in series. Without other faults the shares of first tries are checked from 3 s after each cut on, and falls of brittle upstreams. Stand-ins answer health checks, since a proxy accepts connections that lead nowhere.

--- a/cmd/sagebench/soak.go
+++ b/cmd/sagebench/soak.go
@@ -25,6 +25,7 @@
 		calm        bool
 		series      bool
 		restores    bool
+		paths       bool
 		program     string
 		self, dir   string
 	)
@@ -41,7 +42,7 @@
 				if err := os.MkdirAll(seedDir, 0o700); err != nil {
 					return fmt.Errorf("make directory for logs: %w", err)
 				}
-				s := &sagesoak.Soak{Seed: n, Program: program, Dir: seedDir, Nodes: nodes, Duration: time.Duration(seconds * float64(time.Second)), NoFaults: calm, Series: series, Restores: restores}
+				s := &sagesoak.Soak{Seed: n, Program: program, Dir: seedDir, Nodes: nodes, Duration: time.Duration(seconds * float64(time.Second)), NoFaults: calm, Series: series, Restores: restores, Paths: paths}
 				report, err := s.Run(c.Context())
 				if err != nil {
 					return fmt.Errorf("seed %d: %w", n, err)
@@ -51,6 +52,9 @@
 				}
 				err = out.Print(c.OutOrStdout(), report, func(w io.Writer) {
 					_, _ = fmt.Fprintf(w, "soak: seed %d: %d faults injected, %d found; %v\n", n, len(report.InjectedFaults), len(report.Violations), report.Counts)
+					for _, share := range report.PathShares {
+						_, _ = fmt.Fprintf(w, "  first tries served %s\n", share)
+					}
 					for _, f := range report.Violations {
 						_, _ = fmt.Fprintf(w, "  %s\n", f)
 					}
@@ -73,6 +77,7 @@
 	f.BoolVar(&calm, "calm", false, "inject no faults")
 	f.BoolVar(&series, "series", false, "inject faults in series of one family, so that more of them overlap")
 	f.BoolVar(&restores, "restores", false, "restore the store from earlier copies, beside the other faults")
+	f.BoolVar(&paths, "paths", false, "cut nodes from upstreams, make upstreams brittle or silent, beside the other faults")
 	f.StringVar(&dir, "dir", filepath.Join(os.TempDir(), "sagestand-soak"), "directory for the nodes' settings and logs")
 	addProgramFlag(c, &program, &self)
 	return c
--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -50,6 +50,8 @@
 	SendsTrials func() bool
 	// Dial opens connections to upstreams; nil means TCP.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// SourceIP is the IP address from which connections to upstreams are opened; empty leaves the choice to the kernel.
+	SourceIP string
 	// MaxBufferedBytes limits the total size of buffered request bodies; 0 means no limit.
 	MaxBufferedBytes int64
 	// MaxRelayed limits the requests of peers in progress; 0 means no limit.
--- a/internal/sagerelay/transport.go
+++ b/internal/sagerelay/transport.go
@@ -46,12 +46,18 @@
 	connect func(ctx context.Context, network, address string) (net.Conn, error)
 }
 
-// init creates the transports. dial opens connections; nil means TCP with the parameters above.
-func (t *transports) init(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
-	if dial == nil {
-		d := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes}}
-		dial = d.DialContext
+// tcpDialer returns a dialer with the parameters above for connections from an IP address; an empty one leaves the choice
+// to the kernel.
+func tcpDialer(sourceIP string) *net.Dialer {
+	d := &net.Dialer{KeepAliveConfig: net.KeepAliveConfig{Enable: true, Idle: keepAliveInterval, Interval: keepAliveInterval, Count: keepAliveProbes}}
+	if sourceIP != "" {
+		d.LocalAddr = &net.TCPAddr{IP: net.ParseIP(sourceIP)}
 	}
+	return d
+}
+
+// init creates the transports. dial opens connections.
+func (t *transports) init(dial func(ctx context.Context, network, address string) (net.Conn, error)) {
 	t.connect = func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 		defer cancel()
@@ -86,13 +92,19 @@
 
 // toUpstreams returns the transports to upstreams, which the first call creates.
 func (s *Service) toUpstreams() *transports {
-	s.upstreams.once.Do(func() { s.upstreams.init(s.Dial) })
+	s.upstreams.once.Do(func() {
+		dial := s.Dial
+		if dial == nil {
+			dial = tcpDialer(s.SourceIP).DialContext
+		}
+		s.upstreams.init(dial)
+	})
 	return &s.upstreams
 }
 
 // toPeers is like toUpstreams for the other nodes.
 func (s *Service) toPeers() *transports {
-	s.peers.once.Do(func() { s.peers.init(nil) })
+	s.peers.once.Do(func() { s.peers.init(tcpDialer("").DialContext) })
 	return &s.peers
 }
 
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -216,7 +216,7 @@
 	n.fleet.setBounds(&cfg.Bounds)
 	n.relay = &sagerelay.Service{
 		Node: cfg.Node, MaxRelayed: int64(relayMemoryFraction*float64(cfg.MemoryMB)) << 20 / bytesPerRelayed,
-		Dialect: n.Dialect, Fleet: n.fleet, Dial: n.Dial, Metrics: n.metrics, Log: n.Log.Component("relay"), Closing: n.leaving.Load, Quarantine: &n.quarantine,
+		Dialect: n.Dialect, Fleet: n.fleet, Dial: n.Dial, SourceIP: cfg.SourceIP, Metrics: n.metrics, Log: n.Log.Component("relay"), Closing: n.leaving.Load, Quarantine: &n.quarantine,
 		SendsTrials:      func() bool { return n.quarantineRank() == 0 },
 		MaxBufferedBytes: int64(bodyMemoryFraction*float64(cfg.MemoryMB)) << 20,
 	}
--- a/internal/sagerouter/settings.go
+++ b/internal/sagerouter/settings.go
@@ -82,6 +82,8 @@
 	Store    string `json:"store"`
 	Bounds   Bounds `json:"bounds"`
 	MemoryMB int    `json:"memory_mb"`
+	// SourceIP is the IP address from which connections to upstreams are opened; empty leaves the choice to the kernel.
+	SourceIP string `json:"source_ip"`
 	// LinkMbps is the bandwidth of the VM's link; 0 if unknown. Nodes with fast links act as aggregators.
 	LinkMbps float64 `json:"link_mbps"`
 }
@@ -112,6 +114,9 @@
 			return fmt.Errorf("seeds: %v: %w", err, ErrSettings)
 		}
 	}
+	if s.SourceIP != "" && net.ParseIP(s.SourceIP) == nil {
+		return fmt.Errorf("source_ip %q: not an IP address: %w", s.SourceIP, ErrSettings)
+	}
 	if s.LinkMbps < 0 || s.LinkMbps > maxLinkMbps {
 		return fmt.Errorf("link_mbps %v: not between 0 and %d: %w", s.LinkMbps, maxLinkMbps, ErrSettings)
 	}
--- a/internal/sagesoak/proxy.go
+++ b/internal/sagesoak/proxy.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"slices"
 	"sync"
 	"time"
 )
@@ -20,6 +21,17 @@
 	numLinkModes
 )
 
+// Modes for the connections of single nodes.
+const (
+	linkHeld      = numLinkModes + 1 + iota // data is held up in both directions, also on new connections
+	linkHeldBack                            // the same for responses only
+	linkRefuseNew                           // new connections are reset, open ones work
+	numSourceModes
+)
+
+// heldPollInterval is how often held up data is checked for the end of the hold.
+const heldPollInterval = 10 * time.Millisecond
+
 // slowDelay is the delay of each read while the link is slow, and of the close after the end of the data.
 const slowDelay = 150 * time.Millisecond
 
@@ -28,6 +40,7 @@
 	target   string
 	mu       sync.Mutex
 	mode     linkMode
+	sources  map[string]linkMode // modes for the connections from some IP addresses
 	conns    map[net.Conn]bool
 	listener net.Listener
 }
@@ -77,37 +90,73 @@
 	_ = c.Close()
 }
 
-func (p *proxy) currentMode() linkMode {
+// setSourceMode sets the mode for the connections from an IP address; linkOpen removes it.
+func (p *proxy) setSourceMode(ip string, mode linkMode) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.sources == nil {
+		p.sources = make(map[string]linkMode)
+	}
+	p.sources[ip] = mode
+	if mode != linkReset {
+		return
+	}
+	for c := range p.conns {
+		if sourceOf(c) == ip {
+			abort(c)
+		}
+	}
+}
+
+func sourceOf(c net.Conn) string {
+	host, _, _ := net.SplitHostPort(c.RemoteAddr().String()) // always ip:port
+	return host
+}
+
+// modeFor returns the mode for the connections from an IP address.
+func (p *proxy) modeFor(ip string) linkMode {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if m := p.sources[ip]; m != linkOpen {
+		return m
+	}
 	return p.mode
 }
 
 func (p *proxy) serve(in net.Conn) {
 	out, err := net.Dial("tcp4", p.target)
-	if err != nil || p.currentMode() == linkReset {
+	source := sourceOf(in)
+	if m := p.modeFor(source); err != nil || m == linkReset || m == linkRefuseNew {
 		abort(in)
+		if err == nil {
+			abort(out)
+		}
 		return
 	}
 	p.mu.Lock()
 	p.conns[in] = true
 	p.mu.Unlock()
 	var wg sync.WaitGroup
-	wg.Go(func() { p.forward(out, in, linkStalled) })
-	wg.Go(func() { p.forward(in, out, linkStalled, linkOneWay) })
+	wg.Go(func() { p.forward(source, out, in, []linkMode{linkHeld}, linkStalled) })
+	wg.Go(func() { p.forward(source, in, out, []linkMode{linkHeld, linkHeldBack}, linkStalled, linkOneWay) })
 	wg.Wait()
 	p.mu.Lock()
 	delete(p.conns, in)
 	p.mu.Unlock()
 }
 
-// forward copies data from src to dst. It drops the data while the mode is one of discardIn.
-func (p *proxy) forward(dst, src net.Conn, discardIn ...linkMode) {
+// forward copies data from src to dst for a connection from an IP address. It drops the data while the mode is one of
+// discardIn, and holds it while the mode is one of holdIn.
+func (p *proxy) forward(source string, dst, src net.Conn, holdIn []linkMode, discardIn ...linkMode) {
 	defer abort(dst)
 	b := make([]byte, 16<<10)
 	for {
 		n, err := src.Read(b)
-		mode := p.currentMode()
+		mode := p.modeFor(source)
+		for slices.Contains(holdIn, mode) {
+			time.Sleep(heldPollInterval)
+			mode = p.modeFor(source)
+		}
 		if mode == linkSlow {
 			time.Sleep(slowDelay)
 		}
--- a/internal/sagesoak/soak.go
+++ b/internal/sagesoak/soak.go
@@ -43,6 +43,8 @@
 	Counts     map[string]int `json:"counts"`
 	// InjectedFaults lists the injected faults in chronological order.
 	InjectedFaults []string `json:"done"`
+	// PathShares are the shares of first tries that nodes with and without a path served, by second of each cut.
+	PathShares []string `json:"path_shares,omitempty"`
 }
 
 // Soak is one run. Its exported fields must be set before Run is called.
@@ -58,6 +60,8 @@
 	Series bool
 	// Restores replaces the store's content by earlier copies, beside the other faults.
 	Restores bool
+	// Paths cuts nodes from upstreams and makes upstreams brittle or silent, beside the other faults.
+	Paths bool
 
 	sys            *standin.System
 	rng            *rand.Rand
@@ -71,6 +75,7 @@
 	start          time.Time
 	fatal          *fatalRequest // nil if no request crashes upstreams
 	restorer       *restorer     // nil without restores of the store
+	paths          *pathFaults   // nil without path faults
 }
 
 // Run runs the soak and returns the violations that it found. It returns an error if the soak can't be run.
@@ -83,6 +88,7 @@
 	}
 	s.fatal = s.newFatalRequest()
 	s.restorer = s.newRestorer()
+	s.paths = s.newPathFaults()
 	s.sys = &standin.System{FatalBody: fatalBody, OnFatalCrash: s.handleCrash, Nodes: s.Nodes, Engines: 4, Apps: 3, Program: s.Program, Dir: s.Dir, Subnet: int(s.Seed%200) + 20, Advertise: s.advertise}
 	defer s.sys.Stop()
 	if err := s.sys.Start(ctx); err != nil {
@@ -98,13 +104,22 @@
 	if s.fatal != nil {
 		wg.Go(func() { s.fatal.sendLoop(loadCtx) })
 	}
-	var restores sync.WaitGroup
+	var others sync.WaitGroup
 	if s.restorer != nil {
-		restores.Go(func() { s.restorer.run(ctx) })
+		others.Go(func() { s.restorer.run(ctx) })
+	}
+	if s.paths != nil {
+		for i := range s.Nodes {
+			wg.Go(func() { s.paths.sendLoop(loadCtx, i) })
+		}
+		others.Go(func() { s.paths.run(ctx) })
 	}
 	s.injectFaults(ctx)
 	s.pendingReverts.Wait()
-	restores.Wait()
+	others.Wait()
+	if s.paths != nil {
+		s.paths.pending.Wait()
+	}
 	if s.restorer != nil {
 		s.restorer.pending.Wait()
 		s.restorer.checkRegistered(ctx)
@@ -119,7 +134,11 @@
 	if s.fatal != nil {
 		s.fatal.pendingReplacements.Wait()
 	}
-	return Result{Seed: s.Seed, Violations: s.sys.Ledger.Violations(), Counts: s.sys.Ledger.Counts(), InjectedFaults: s.injected}, nil
+	out := Result{Seed: s.Seed, Violations: s.sys.Ledger.Violations(), Counts: s.sys.Ledger.Counts(), InjectedFaults: s.injected}
+	if s.paths != nil {
+		out.PathShares = s.paths.shares
+	}
+	return out, nil
 }
 
 func (s *Soak) advertise(address string) (string, error) {
@@ -202,14 +221,19 @@
 	if name == "" {
 		return
 	}
-	s.mu.Lock()
-	s.injected = append(s.injected, fmt.Sprintf("%.1fs %s for %.1fs", time.Since(s.start).Seconds(), name, duration.Seconds()))
-	s.mu.Unlock()
+	s.recordInjected(name, duration)
 	if revert != nil {
 		s.pendingReverts.Go(func() { time.Sleep(duration); revert() })
 	}
 }
 
+// recordInjected records an injected fault.
+func (s *Soak) recordInjected(name string, duration time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.injected = append(s.injected, fmt.Sprintf("%.1fs %s for %.1fs", time.Since(s.start).Seconds(), name, duration.Seconds()))
+}
+
 // delayBoundsApply reports whether upstreams that leave must receive no requests after the bound. Without store
 // and node faults every node learns of the change in time.
 func (s *Soak) delayBoundsApply() bool { return !s.enabled[storeFaults] && !s.enabled[nodeFaults] }
@@ -330,7 +354,7 @@
 // checkRecovery checks that the system serves requests again, and that no streams were cut if only planned
 // faults were injected.
 func (s *Soak) checkRecovery(ctx context.Context) {
-	if !s.enabled[upstreamFaults] && !s.enabled[networkFaults] && !s.enabled[nodeFaults] && s.fatal == nil {
+	if !s.enabled[upstreamFaults] && !s.enabled[networkFaults] && !s.enabled[nodeFaults] && s.fatal == nil && s.paths == nil {
 		for _, k := range []standin.Kind{standin.Chat, standin.Reply} {
 			if n := s.sys.Ledger.Counts()[string(k)+" cut"]; n > 0 {
 				s.sys.Ledger.RecordViolation("%d streams of kind %s were cut although only planned faults were injected", n, k)
