Evidence of a crash outlives the loss of a path; announcements are read from peers' responses too

Now a refused connection counts after 0.6 s, and if the path was lost meanwhile it waits up to 5 s for the store to show that this start is gone. By reading: a node now reads announcements in responses that a peer passes on.

--- a/internal/sagerelay/crash.go
+++ b/internal/sagerelay/crash.go
@@ -68,7 +68,7 @@
 	f := j.fingerprint()
 	go func() {
 		if j.s.probeStopped(u) {
-			j.s.Fleet.WhenPathVerified(u, func() { j.s.recordCrash(u, f) })
+			j.s.Fleet.WhenPathVerified(u, true, func() { j.s.recordCrash(u, f) })
 		}
 	}()
 }
@@ -86,14 +86,14 @@
 	x.j.unreached++
 	if x.helper == nil && isConnRefused(err) {
 		u := x.p.Upstream
-		x.j.s.Fleet.WhenPathVerified(u, func() { x.j.s.recordCrash(u) })
+		x.j.s.Fleet.WhenPathVerified(u, true, func() { x.j.s.recordCrash(u) })
 	}
 }
 
 // recordFailedResponse records that the exchange stalled or timed out, if this node's path is sound.
 func (x *exchange) recordFailedResponse() {
 	if x.helper == nil {
-		x.j.s.Fleet.WhenPathVerified(x.p.Upstream, func() { x.recordResponse(ResponseResult{Failed: true}) })
+		x.j.s.Fleet.WhenPathVerified(x.p.Upstream, false, func() { x.recordResponse(ResponseResult{Failed: true}) })
 	}
 }
 
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -19,6 +19,7 @@
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagehealth"
 	"sagestand.example/sagestand/pkg/sagereach"
+	"sagestand.example/sagestand/pkg/sageupstream"
 )
 
 // Limits of one exchange.
@@ -229,7 +230,8 @@
 		j.cause = "the address belongs to another upstream"
 		return notRun
 	}
-	x.observeAnnouncements(res.StatusCode, &meta)
+	j.setRelayUpstream(j.w.Header(), x.p.Upstream)
+	j.observeAnnouncements(x.p.Upstream, res.StatusCode, &meta)
 	if meta.NotRun {
 		if isOverload(res.StatusCode) {
 			j.s.Fleet.RecordDecline(x.p, meta.PauseUntil != 0)
@@ -267,8 +269,7 @@
 }
 
 // observeAnnouncements records what a response says about its upstream.
-func (x *exchange) observeAnnouncements(status int, meta *ResponseMetadata) {
-	j, u := x.j, x.p.Upstream
+func (j *job) observeAnnouncements(u *sageupstream.Entry, status int, meta *ResponseMetadata) {
 	if meta.Leaving {
 		j.s.countAnnouncement(u.Service, "leaving")
 		if j.s.Fleet.RecordLeaving(u) {
--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -232,6 +232,13 @@
 	f.unanswered = append(f.unanswered, u.ID)
 }
 
+func (f *fakeFleet) Upstream(id string, _ int64) *sageupstream.Entry {
+	if id == "" {
+		return nil
+	}
+	return &sageupstream.Entry{ID: id}
+}
+
 func (f *fakeFleet) PathState(string) sagereach.PathState { return f.path }
 
 func (f *fakeFleet) ReachedByOthers(string) bool { return f.reachedByOthers }
@@ -253,7 +260,7 @@
 
 func (f *fakeFleet) RelaySaturated() bool { return f.saturated }
 
-func (f *fakeFleet) WhenPathVerified(_ *sageupstream.Entry, commit func()) {
+func (f *fakeFleet) WhenPathVerified(_ *sageupstream.Entry, _ bool, commit func()) {
 	if f.path == sagereach.Open {
 		commit()
 	}
--- a/internal/sagerelay/hop.go
+++ b/internal/sagerelay/hop.go
@@ -10,6 +10,7 @@
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagereach"
+	"sagestand.example/sagestand/pkg/sageupstream"
 )
 
 // Headers between nodes. They are removed from what callers and upstreams send and get.
@@ -23,6 +24,9 @@
 	headerRelayVersion = relayHeaderPrefix + "Version"
 	// headerRelayRuns is the number of upstreams that may have executed the request so far.
 	headerRelayRuns = relayHeaderPrefix + "Runs"
+	// headerRelayUpstream is the ID of the upstream whose response a peer passes on, headerRelayBorn its start.
+	headerRelayUpstream = relayHeaderPrefix + "Upstream"
+	headerRelayBorn     = relayHeaderPrefix + "Born"
 	// headerRelayRefusal is the reason for which the peer refused a request that no upstream has executed.
 	headerRelayRefusal = relayHeaderPrefix + "Refusal"
 )
@@ -158,6 +162,10 @@
 func (x *exchange) handleHelperResponse(ctx context.Context, res *http.Response, meta *ResponseMetadata, stallTimer *time.Timer) verdict {
 	j := x.j
 	refusal, runs := Reason(res.Header.Get(headerRelayRefusal)), res.Header.Get(headerRelayRuns)
+	born, _ := strconv.ParseInt(res.Header.Get(headerRelayBorn), 10, 64) // 0 if unknown
+	if u := j.s.Fleet.Upstream(res.Header.Get(headerRelayUpstream), born); u != nil {
+		j.observeAnnouncements(u, res.StatusCode, meta)
+	}
 	removeRelayHeader(res.Header)
 	if refusal != "" {
 		j.relay.refusal, j.relay.pauseUntil = refusal, meta.PauseUntil
@@ -201,6 +209,14 @@
 	h.Set(headerRelayRefusal, string(reason))
 }
 
+// setRelayUpstream names, in the response to a peer, the upstream that it comes from.
+func (j *job) setRelayUpstream(h http.Header, u *sageupstream.Entry) {
+	if j.relay.from != "" {
+		h.Set(headerRelayUpstream, u.ID)
+		h.Set(headerRelayBorn, strconv.FormatInt(u.Born, 10))
+	}
+}
+
 func (j *job) countHop(h *Helper, v verdict) {
 	j.s.Metrics.GetOrCreateCounter(`sagestand_hops_total{peer="` + h.Node + `",verdict="` + v.String() + `"}`).Inc()
 }
--- a/internal/sagerelay/hop_test.go
+++ b/internal/sagerelay/hop_test.go
@@ -204,3 +204,15 @@
 		require.Zero(t, s.Relayed())
 	})
 }
+
+// Prevents a node from sending requests to an upstream whose leave, pause or brittleness it passed on in a peer's response.
+func TestAnnouncementsAreReadFromResponsesOfPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newHopEnv(t, sageroute.Once, map[string]upstream{"a": respond(200, sealHeader+testLeaving+": 1\r\n"+testBrittle+": 1\r\n", "fine")}, nil)
+		require.Equal(t, 200, env.node.call(t.Context(), nil, "body").Code)
+		for _, f := range []*fakeFleet{env.node, env.peers["p1"]} {
+			require.Equal(t, []string{"a"}, f.left)
+			require.Len(t, f.maxDeclines, 1)
+		}
+	})
+}
--- a/internal/sagerelay/interfaces.go
+++ b/internal/sagerelay/interfaces.go
@@ -177,6 +177,8 @@
 	AwaitCacheSync(ctx context.Context, service string, c sagechain.Chain)
 	// Pick chooses an upstream; nil if none may be used.
 	Pick(q *Query) *Pick
+	// Upstream returns the upstream with an ID if its start is known; nil otherwise.
+	Upstream(id string, born int64) *sageupstream.Entry
 	// Usable reports whether a chosen upstream may still get requests.
 	Usable(u *sageupstream.Entry) bool
 	// Leaving reports whether an upstream is about to stop or has left.
@@ -208,8 +210,9 @@
 	// RelaySaturated reports whether this node has no processor time left for requests of peers.
 	RelaySaturated() bool
 	// WhenPathVerified calls commit once it is known that an unanswered exchange with an upstream wasn't caused by
-	// this node's path, and never if the path was lost.
-	WhenPathVerified(u *sageupstream.Entry, commit func())
+	// this node's path, and never if the path was lost. refused says that a connection was refused, which is known
+	// sooner than a silence.
+	WhenPathVerified(u *sageupstream.Entry, refused bool, commit func())
 	// RecordExchange records the result of an exchange with an upstream.
 	RecordExchange(u *sageupstream.Entry, res sagehealth.Result)
 	// RecordResponse records the result of an upstream's response to a request of a route.
--- a/internal/sagerouter/evidence.go
+++ b/internal/sagerouter/evidence.go
@@ -11,21 +11,26 @@
 )
 
 const (
-	// evidenceDelay is how long evidence of an unanswered exchange is held back if no other upstream answers
-	// meanwhile. A lost path is detected within this time.
+	// evidenceDelay is how long evidence of a silent upstream is held back if no other upstream answers meanwhile. A
+	// lost path is detected within this time.
 	evidenceDelay = 2 * time.Second
 	// minEvidenceDelay is how long it is held back in any case, so that nodes which the upstream answers can
-	// contradict it.
+	// contradict it. A path that refuses connections is detected within this time.
 	minEvidenceDelay = 600 * time.Millisecond
+	// maxEvidenceDelay is how long a refused connection is held back while the path is lost: the lease of a crashed
+	// upstream lapses within this time.
+	maxEvidenceDelay = 5 * time.Second
 	// maxPendingEvidence limits the held back evidence.
 	maxPendingEvidence = 1024
 )
 
 // pendingEvidence is evidence against an upstream that counts only if this node's path was open.
 type pendingEvidence struct {
-	service, upstream string
-	at                sageclock.Instant
-	commit            func()
+	upstream *sageupstream.Entry
+	at       sageclock.Instant
+	// refused says that a connection was refused, and not that the upstream was silent.
+	refused bool
+	commit  func()
 }
 
 // evidenceQueue holds back evidence of unanswered exchanges, in the order of time.
@@ -36,11 +41,11 @@
 
 // WhenPathVerified implements [sagerelay.Fleet]. Evidence above the limit is dropped: so many unanswered exchanges at once
 // are those of a lost path.
-func (f *fleet) WhenPathVerified(u *sageupstream.Entry, commit func()) {
+func (f *fleet) WhenPathVerified(u *sageupstream.Entry, refused bool, commit func()) {
 	f.evidence.mu.Lock()
 	defer f.evidence.mu.Unlock()
 	if len(f.evidence.pending) < maxPendingEvidence {
-		f.evidence.pending = append(f.evidence.pending, pendingEvidence{u.Service, u.ID, sageclock.Now(), commit})
+		f.evidence.pending = append(f.evidence.pending, pendingEvidence{u, sageclock.Now(), refused, commit})
 	}
 }
 
@@ -53,17 +58,17 @@
 		return
 	}
 	answered := f.answeredNodes.SumOthers(now)
+	set := f.view.upstreams.Load()
 	kept := f.evidence.pending[:0]
 	for i := range f.evidence.pending {
 		e := &f.evidence.pending[i]
-		switch {
-		case now.Sub(e.at) < minEvidenceDelay:
-			kept = append(kept, *e)
-		case f.reach.LostBetween(e.service, e.at) || answered[e.upstream] > 0:
-			f.view.log.Limited(sagelog.KindStateChange, "Evidence against an upstream dropped: the path was lost, or it answers others.", "upstream", e.upstream, "service", e.service)
-		case f.reach.State(e.service) == sagereach.Open && (now.Sub(e.at) >= evidenceDelay || f.reach.AnsweredSince(e.service, e.upstream, e.at)):
+		switch f.judge(now, e, set, answered[e.upstream.ID] > 0) {
+		case evidenceCounts:
 			commits = append(commits, e.commit)
-		default:
+		case evidenceDropped:
+			f.view.log.Limited(sagelog.KindStateChange, "Evidence against an upstream dropped: the path was lost, or it answers others.",
+				"upstream", e.upstream.ID, "service", e.upstream.Service, "refused", e.refused, "age_ms", now.Sub(e.at).Milliseconds())
+		case evidencePending:
 			kept = append(kept, *e)
 		}
 	}
@@ -74,3 +79,39 @@
 		commit()
 	}
 }
+
+// judgement is what becomes of evidence.
+type judgement int
+
+const (
+	evidencePending judgement = iota
+	evidenceCounts
+	evidenceDropped
+)
+
+// judge decides about evidence. If the path was lost meanwhile, a refused connection counts only once the store shows that
+// this start of the upstream is gone.
+func (f *fleet) judge(now sageclock.Instant, e *pendingEvidence, set *sageupstream.Set, answersOthers bool) judgement {
+	age, service := now.Sub(e.at), e.upstream.Service
+	current := set.Get(e.upstream.ID)
+	gone := current == nil || current.Start() != e.upstream.Start()
+	switch {
+	case age < minEvidenceDelay:
+		return evidencePending
+	case answersOthers:
+		return evidenceDropped
+	case f.reach.LostBetween(service, e.at):
+		if e.refused && gone {
+			return evidenceCounts
+		}
+		if e.refused && age < maxEvidenceDelay {
+			return evidencePending
+		}
+		return evidenceDropped
+	case f.reach.State(service) != sagereach.Open:
+		return evidencePending
+	case e.refused || age >= evidenceDelay || f.reach.AnsweredSince(service, e.upstream.ID, e.at):
+		return evidenceCounts
+	}
+	return evidencePending
+}
--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -93,6 +93,14 @@
 // ProofAge implements [sagerelay.Fleet].
 func (f *fleet) ProofAge() time.Duration { return f.keyProof.Age(sageclock.Now()) }
 
+// Upstream implements [sagerelay.Fleet].
+func (f *fleet) Upstream(id string, born int64) *sageupstream.Entry {
+	if e := f.view.upstreams.Load().Get(id); e != nil && e.Born == born {
+		return e
+	}
+	return nil
+}
+
 // Usable implements [sagerelay.Fleet].
 func (f *fleet) Usable(u *sageupstream.Entry) bool {
 	return f.view.upstreams.Load().Usable(u) && f.pauses.PausedUntil(sageclock.Now(), u.Start()) == 0
--- a/internal/sagerouter/paths_test.go
+++ b/internal/sagerouter/paths_test.go
@@ -40,7 +40,7 @@
 	require.Equal(t, []string{"u0"}, broken, "a single broken upstream is reported")
 	require.Empty(t, unanswered)
 	committed := false
-	f.WhenPathVerified(u0, func() { committed = true })
+	f.WhenPathVerified(u0, false, func() { committed = true })
 
 	losePath(t, f)
 	broken, unanswered = f.reportableBroken(sageclock.Now())
@@ -53,6 +53,14 @@
 	f.settleEvidence(sageclock.Now().Add(evidenceDelay))
 	require.False(t, committed)
 	require.Empty(t, f.evidence.pending)
+
+	f.WhenPathVerified(u0, true, func() { committed = true })
+	f.settleEvidence(sageclock.Now().Add(evidenceDelay))
+	require.Len(t, f.evidence.pending, 1, "a refused connection waits for the store")
+	f.view.registry.Delete(sageclock.Now(), "u0")
+	f.view.publish()
+	f.settleEvidence(sageclock.Now().Add(evidenceDelay))
+	require.True(t, committed, "the upstream is gone, so it has crashed")
 }
 
 // Prevents evidence against an upstream from being lost when this node's path is sound, and from counting when the
@@ -60,23 +68,25 @@
 func TestEvidenceCountsOncePathIsVerified(t *testing.T) {
 	for _, tt := range []struct {
 		name      string
+		refused   bool
 		answer    string // upstream that answers afterwards
 		answersTo string // node that u0 answers
 		after     time.Duration
 		pending   bool
 		committed bool
 	}{
-		{"nothing else is known yet", "", "", evidenceDelay - time.Millisecond, true, false},
-		{"no loss within the delay", "", "", evidenceDelay, false, true},
-		{"another upstream answered", "u1", "", minEvidenceDelay, false, true},
-		{"other nodes had no time to contradict", "u1", "", minEvidenceDelay - time.Millisecond, true, false},
-		{"the upstream itself answered", "u0", "", minEvidenceDelay, true, false},
-		{"the upstream answers another node", "u1", "vm2", minEvidenceDelay, false, false},
+		{"nothing else is known yet", false, "", "", evidenceDelay - time.Millisecond, true, false},
+		{"no loss within the delay", false, "", "", evidenceDelay, false, true},
+		{"the connection was refused", true, "", "", minEvidenceDelay, false, true},
+		{"another upstream answered", false, "u1", "", minEvidenceDelay, false, true},
+		{"other nodes had no time to contradict", false, "u1", "", minEvidenceDelay - time.Millisecond, true, false},
+		{"the upstream itself answered", false, "u0", "", minEvidenceDelay, true, false},
+		{"the upstream answers another node", false, "u1", "vm2", minEvidenceDelay, false, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFleet(t, 2, 0)
 			committed := false
-			f.WhenPathVerified(f.view.upstreams.Load().Get("u0"), func() { committed = true })
+			f.WhenPathVerified(f.view.upstreams.Load().Get("u0"), tt.refused, func() { committed = true })
 			now := f.evidence.pending[0].at
 			if tt.answer != "" {
 				f.reach.RecordAnswer(now.Add(time.Millisecond), "s", tt.answer, true)
--- a/internal/sagesoak/paths.go
+++ b/internal/sagesoak/paths.go
@@ -112,6 +112,7 @@
 		for _, n := range nodes {
 			if cut(n, u) {
 				s.proxy(u).setSourceMode(s.sys.NodeIP(n), mode)
+				s.sys.Runner(u).SetCutFrom(s.sys.NodeIP(n), mode != linkOpen)
 			}
 		}
 	}
--- a/internal/sagesoak/proxy.go
+++ b/internal/sagesoak/proxy.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net"
+	"net/netip"
 	"slices"
 	"sync"
 	"time"
@@ -64,6 +65,13 @@
 	return l.Addr().String(), nil
 }
 
+// targetAddr returns the address of the upstream. The proxy connects from the address of the node, so that the upstream
+// can tell the nodes apart.
+func (p *proxy) targetAddr() *net.TCPAddr {
+	a, _ := netip.ParseAddrPort(p.target) // the address of a listener
+	return net.TCPAddrFromAddrPort(a)
+}
+
 // setMode changes the mode. linkReset also resets the open connections.
 func (p *proxy) setMode(mode linkMode) {
 	p.mu.Lock()
@@ -124,8 +132,8 @@
 }
 
 func (p *proxy) serve(in net.Conn) {
-	out, err := net.Dial("tcp4", p.target)
 	source := sourceOf(in)
+	out, err := net.DialTCP("tcp4", &net.TCPAddr{IP: net.ParseIP(source)}, p.targetAddr())
 	if m := p.modeFor(source); err != nil || m == linkReset || m == linkRefuseNew {
 		abort(in)
 		if err == nil {
