Requests stay in the region of the node that received them; evidence of an exchange has a file of its own

Cause, found by reading: a hop could send a caller's body to another region. The account limit no longer counts requests that go over a peer.

--- a/internal/sagemesh/bench_test.go
+++ b/internal/sagemesh/bench_test.go
@@ -11,7 +11,7 @@
 // typicalHeartbeat returns a heartbeat of a node with requests in flight at n upstreams.
 func typicalHeartbeat(n int) *Heartbeat {
 	h := &Heartbeat{
-		Address: "10.200.13.250:17040", Identity: Identity{"front-north-12", "10.200.13.250:18227", "north-one", 200}, Ready: true,
+		Address: "10.200.13.250:17040", Identity: Identity{"front-north-12", "10.200.13.250:18227", "north-one", "", 200}, Ready: true,
 		Stamp: Stamp{1 << 62, 1 << 50}, Echo: Stamp{1 << 62, 1 << 50}, InFlight: make(map[string]int),
 		Copies:         map[string]sagefollow.Position{"config": {AsOf: 12345, ContentRevision: 12340, ProofAgeMillis: 700}, "servers": {AsOf: 12345, ContentRevision: 12345, ProofAgeMillis: 1200}, "closed": {AsOf: 12345, ContentRevision: 90, ProofAgeMillis: 900}},
 		KnownAddresses: []string{"10.200.13.251:17040", "10.200.13.252:17040", "10.200.13.253:17040"},
--- a/internal/sagemesh/codec.go
+++ b/internal/sagemesh/codec.go
@@ -81,7 +81,7 @@
 		m.Echo = &heartbeat.Stamp{Incarnation: x.echo.Incarnation, At: int64(x.echo.At)}
 	}
 	if id := x.identity; id != nil {
-		m.Identity = &heartbeat.Identity{Node: id.Node, Entry: id.Entry, DataCentre: id.DataCentre, LinkMbps: uint32(id.LinkMbps)}
+		m.Identity = &heartbeat.Identity{Node: id.Node, Entry: id.Entry, DataCentre: id.DataCentre, LinkMbps: uint32(id.LinkMbps), Region: id.Region}
 	}
 	var err error
 	if m.Known, err = packAddresses(x.knownAddresses); err != nil {
@@ -113,7 +113,7 @@
 	}
 	id := m.GetIdentity()
 	h := &Heartbeat{
-		Address: address, Identity: Identity{Node: id.GetNode(), Entry: id.GetEntry(), DataCentre: id.GetDataCentre(), LinkMbps: int(id.GetLinkMbps())},
+		Address: address, Identity: Identity{Node: id.GetNode(), Entry: id.GetEntry(), DataCentre: id.GetDataCentre(), LinkMbps: int(id.GetLinkMbps()), Region: id.GetRegion()},
 		Ready: m.GetReady(), Leaving: m.GetLeaving(), StoreUnreachable: m.GetBlind(), Synced: m.GetInformed(), Broken: m.GetBroken(), Answered: m.GetAnswered(),
 		Unanswered: m.GetUnanswered(), Unreachable: m.GetUnreachable(),
 		Stamp: decodeStamp(m.GetStamp()), Echo: decodeStamp(m.GetEcho()),
--- a/internal/sagemesh/heartbeat.go
+++ b/internal/sagemesh/heartbeat.go
@@ -20,6 +20,7 @@
 	Node       string
 	Entry      string // the address for callers
 	DataCentre string
+	Region     string
 	// LinkMbps is the bandwidth of the node's link, 0 if unknown.
 	LinkMbps int
 }
--- a/internal/sagemesh/mesh_test.go
+++ b/internal/sagemesh/mesh_test.go
@@ -252,7 +252,7 @@
 	require.Empty(t, n.Live(), "its identity is unknown")
 	require.Equal(t, other, <-n.announceQueue, "it gets an immediate heartbeat")
 	n.sendAnnouncements(other)
-	require.Equal(t, Identity{"a", "entry", "dc", 0}, receive().Identity)
+	require.Equal(t, Identity{"a", "entry", "dc", "", 0}, receive().Identity)
 
 	n.handleHeartbeat(&Heartbeat{Address: other, Identity: id, Stamp: Stamp{1, 2}, Echo: Stamp{n.incarnation, 1}})
 	require.Equal(t, id, n.Live()[0].Identity)
@@ -263,7 +263,7 @@
 
 	n.handleHeartbeat(&Heartbeat{Address: other, Identity: id, Stamp: Stamp{2, 1}, Echo: Stamp{77, 2}})
 	n.broadcast(false)
-	require.Equal(t, Identity{"a", "entry", "dc", 0}, receive().Identity, "the peer's new process doesn't know this node")
+	require.Equal(t, Identity{"a", "entry", "dc", "", 0}, receive().Identity, "the peer's new process doesn't know this node")
 }
 
 // In a large fleet one node of each data centre aggregates counts five times a second. Without it, nodes act on
--- a/internal/sagemesh/send.go
+++ b/internal/sagemesh/send.go
@@ -76,7 +76,7 @@
 // receive a newer stamp when it resumes, and echo that with a proof age from before, so that the receiver would
 // consider the proof fresher than it is.
 func (s *Service) sendBatch(b batch) {
-	h := Heartbeat{Address: s.Address, Identity: Identity{Node: s.Name, Entry: s.Entry, DataCentre: s.DataCentre, LinkMbps: s.LinkMbps}}
+	h := Heartbeat{Address: s.Address, Identity: Identity{Node: s.Name, Entry: s.Entry, DataCentre: s.DataCentre, Region: s.Region, LinkMbps: s.LinkMbps}}
 	targets := s.targets(&h, &b)
 	if len(targets) == 0 {
 		return
--- a/internal/sagemesh/service.go
+++ b/internal/sagemesh/service.go
@@ -63,6 +63,8 @@
 type Service struct {
 	// Name, Address (for other nodes), Entry (for callers) and DataCentre identify this node.
 	Name, Address, Entry, DataCentre string
+	// Region is the region of the data centre; may be empty.
+	Region string
 	// LinkMbps is the bandwidth of this node's link, 0 if unknown. Nodes with fast links become aggregators.
 	LinkMbps int
 	// Seeds are addresses of some other nodes.
--- a/internal/sagerelay/crash.go
+++ b/internal/sagerelay/crash.go
@@ -73,30 +73,6 @@
 	}()
 }
 
-// recordUnanswered records that the exchange got no complete answer.
-func (x *exchange) recordUnanswered() {
-	if x.helper == nil {
-		x.j.s.Fleet.RecordUnanswered(x.p.Upstream)
-	}
-}
-
-// recordUnsent records that the request was not written. A refused connection shows that the upstream has stopped, if
-// this node's path is sound.
-func (x *exchange) recordUnsent(err error) {
-	x.j.unreached++
-	if x.helper == nil && isConnRefused(err) {
-		u := x.p.Upstream
-		x.j.s.Fleet.WhenPathVerified(u, true, func() { x.j.s.recordCrash(u) })
-	}
-}
-
-// recordFailedResponse records that the exchange stalled or timed out, if this node's path is sound.
-func (x *exchange) recordFailedResponse() {
-	if x.helper == nil {
-		x.j.s.Fleet.WhenPathVerified(x.p.Upstream, false, func() { x.recordResponse(ResponseResult{Failed: true}) })
-	}
-}
-
 // recordAbandoned records that this node cancelled the request. The upstream may still be executing
 // it.
 func (x *exchange) recordAbandoned() {
--- a/internal/sagerelay/doc.go
+++ b/internal/sagerelay/doc.go
@@ -16,6 +16,10 @@
 // by event. If a stream can't be completed, the caller's connection is closed without the regular
 // end of the body, so that a truncated stream can't be taken for a complete one.
 //
+// If this node has no path to the upstreams of a service, a request takes one hop: it is sent to a peer that has one, a
+// [Helper], which serves it with [Service.ServeRelayed] and never sends it to another peer. A peer that can't take a request
+// says so in a header, and another one is tried. The node that received the request counts it for the retry budget.
+//
 // A [Dialect] defines how IDs, keys, deadlines and refusals are written in headers.
 //
 // # Usage
--- /dev/null
+++ b/internal/sagerelay/evidence.go
@@ -0,0 +1,44 @@
+package sagerelay
+
+import "sagestand.example/sagestand/pkg/sagehealth"
+
+// The methods below record what an exchange says about its upstream. An exchange with a peer says nothing about one.
+
+// recordExchange records the result of an exchange. It isn't called for exchanges that ended because
+// the caller left or its deadline passed, which say nothing about the upstream.
+func (x *exchange) recordExchange(res sagehealth.Result) {
+	if x.helper == nil {
+		x.j.s.Fleet.RecordExchange(x.p.Upstream, res)
+	}
+}
+
+// recordResponse records the result of the response for the upstream and the route.
+func (x *exchange) recordResponse(a ResponseResult) {
+	if x.helper == nil {
+		x.j.s.Fleet.RecordResponse(x.p, x.j.route.Name, a)
+	}
+}
+
+// recordUnanswered records that the exchange got no complete answer.
+func (x *exchange) recordUnanswered() {
+	if x.helper == nil {
+		x.j.s.Fleet.RecordUnanswered(x.p.Upstream)
+	}
+}
+
+// recordUnsent records that the request was not written. A refused connection shows that the upstream has stopped, if
+// this node's path is sound.
+func (x *exchange) recordUnsent(err error) {
+	x.j.unreached++
+	if x.helper == nil && isConnRefused(err) {
+		u := x.p.Upstream
+		x.j.s.Fleet.WhenPathVerified(u, true, func() { x.j.s.recordCrash(u) })
+	}
+}
+
+// recordFailedResponse records that the exchange stalled or timed out, if this node's path is sound.
+func (x *exchange) recordFailedResponse() {
+	if x.helper == nil {
+		x.j.s.Fleet.WhenPathVerified(x.p.Upstream, false, func() { x.recordResponse(ResponseResult{Failed: true}) })
+	}
+}
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -292,13 +292,6 @@
 	}
 }
 
-// recordResponse records the result of the response for the upstream and the route.
-func (x *exchange) recordResponse(a ResponseResult) {
-	if x.helper == nil {
-		x.j.s.Fleet.RecordResponse(x.p, x.j.route.Name, a)
-	}
-}
-
 // rejectResponse handles an exchange whose response can't be trusted.
 func (x *exchange) rejectResponse(cause string) verdict {
 	x.tracker.Close()
--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -134,6 +134,7 @@
 	helpers         []string // peers, picked in this order
 	refusedBy       []string // peers that could not take a request
 	saturated       bool
+	realDial        func(ctx context.Context) (net.Conn, error) // for benchmarks
 	firstSends      int
 	maxDeclines     []int // of announcements that upstreams are brittle
 	limitedAccounts []string
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -10,7 +10,6 @@
 
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/pkg/sageclock"
-	"sagestand.example/sagestand/pkg/sagehealth"
 	"sagestand.example/sagestand/pkg/sagequarantine"
 	"sagestand.example/sagestand/pkg/sageroute"
 )
@@ -100,12 +99,21 @@
 		j.finish(ctx, Quarantined)
 		return
 	}
+	if j.needsHelper() {
+		j.serveByHelper(ctx)
+		return
+	}
 	leave, ok := j.s.Fleet.AdmitAccount(j.serviceName, j.accountName())
 	if !ok {
 		j.finish(ctx, AccountLimited)
 		return
 	}
 	defer leave()
+	j.serveByUpstream(ctx)
+}
+
+// serveByUpstream sends the request to upstreams, or to peers if no upstream can be reached.
+func (j *job) serveByUpstream(ctx context.Context) {
 	waited := false
 	for {
 		if j.needsHelper() {
@@ -286,11 +294,3 @@
 	// Ignores the error of writers without deadline support, such as test recorders.
 	_ = http.NewResponseController(j.w).SetWriteDeadline(j.deadline.Add(writeGrace))
 }
-
-// recordExchange records the result of an exchange. It isn't called for exchanges that ended because
-// the caller left or its deadline passed, which say nothing about the upstream.
-func (x *exchange) recordExchange(res sagehealth.Result) {
-	if x.helper == nil {
-		x.j.s.Fleet.RecordExchange(x.p.Upstream, res)
-	}
-}
--- a/internal/sagerouter/brittle.go
+++ b/internal/sagerouter/brittle.go
@@ -44,9 +44,9 @@
 		return d
 	}
 	d := &deal{until: now.Add(dealDuration), offsets: make(map[string]int)}
-	for _, c := range f.helperCandidates(now, service) {
+	for _, n := range f.peersWithPath(now, service).nodes {
 		d.nodes++
-		if c.Node < f.self {
+		if n < f.self {
 			d.index++
 		}
 	}
--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -52,6 +52,7 @@
 	pathSuspected chan struct{}
 	self          string
 	dataCentre    string
+	region        string
 	livePeers     func() []sagemesh.Member
 	health        sagehealth.Tracker
 	pauses        sagebackoff.Pauses[sageupstream.Start]
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -168,7 +168,7 @@
 	cfg := &n.Settings
 	n.peers = &peerLog{DataCentre: cfg.DataCentre, Log: n.Log.Component("mesh")}
 	n.mesh = &sagemesh.Service{
-		Name: cfg.Node, Address: cfg.Listen.Mesh, Entry: cfg.Listen.Entry, DataCentre: cfg.DataCentre, Seeds: cfg.meshSeeds(),
+		Name: cfg.Node, Address: cfg.Listen.Mesh, Entry: cfg.Listen.Entry, DataCentre: cfg.DataCentre, Region: cfg.Region, Seeds: cfg.meshSeeds(),
 		LinkMbps: int(cfg.LinkMbps),
 		Fill:     n.fillHeartbeat, FillUpdates: n.fillUpdates, FillSum: n.fillSum, OnHeartbeat: n.handleHeartbeat,
 		OnJoined: n.peers.Joined, OnLost: n.peers.Lost,
@@ -204,7 +204,7 @@
 		n.copies[kind].Prober = n.copies[n.Kinds.Config]
 	}
 	n.fleet = &fleet{
-		view: n.view, self: cfg.Node, dataCentre: cfg.DataCentre, livePeers: n.mesh.Live, pathSuspected: make(chan struct{}, 1), keyProof: &n.copies[n.Kinds.Config].Proof,
+		view: n.view, self: cfg.Node, dataCentre: cfg.DataCentre, region: cfg.Region, livePeers: n.mesh.Live, pathSuspected: make(chan struct{}, 1), keyProof: &n.copies[n.Kinds.Config].Proof,
 		knownNodes: n.knownNodes, countLag: n.countLag, placer: placer, coldLimiter: sageshare.ColdLimiter{Self: cfg.Node},
 		retryLimiter: sageshare.RetryLimiter{Window: seconds(cfg.Bounds.RetryWindowSeconds)}, health: sagehealth.Tracker{Self: cfg.Node},
 	}
--- a/internal/sagerouter/paths.go
+++ b/internal/sagerouter/paths.go
@@ -169,26 +169,37 @@
 
 type cachedCandidates struct {
 	until      sageclock.Instant
-	candidates []sagereach.Candidate
+	candidates []sagereach.Candidate // in this region
+	nodes      []string              // in all regions
 }
 
-// helperCandidates returns the peers that have a path to the upstreams of a service.
+// helperCandidates returns the peers in this region that have a path to the upstreams of a service. Requests never leave the
+// region that their callers chose.
 func (f *fleet) helperCandidates(now sageclock.Instant, service string) []sagereach.Candidate {
+	return f.peersWithPath(now, service).candidates
+}
+
+// peersWithPath returns the peers that have a path to the upstreams of a service.
+func (f *fleet) peersWithPath(now sageclock.Instant, service string) cachedCandidates {
 	f.helperCache.mu.Lock()
 	defer f.helperCache.mu.Unlock()
 	if c := f.helperCache.services[service]; now < c.until {
-		return c.candidates
+		return c
 	}
-	var out []sagereach.Candidate
+	out := cachedCandidates{until: now.Add(candidateCacheDuration)}
 	for _, m := range f.livePeers() {
-		if m.Ready && !m.Leaving && !slices.Contains(m.Unreachable, service) {
-			out = append(out, sagereach.Candidate{Node: m.Node, Address: m.Address, Local: m.DataCentre == f.dataCentre})
+		if !m.Ready || m.Leaving || slices.Contains(m.Unreachable, service) {
+			continue
+		}
+		out.nodes = append(out.nodes, m.Node)
+		if m.Region == f.region {
+			out.candidates = append(out.candidates, sagereach.Candidate{Node: m.Node, Address: m.Address, Local: m.DataCentre == f.dataCentre})
 		}
 	}
 	if f.helperCache.services == nil {
 		f.helperCache.services = make(map[string]cachedCandidates)
 	}
-	f.helperCache.services[service] = cachedCandidates{now.Add(candidateCacheDuration), out}
+	f.helperCache.services[service] = out
 	return out
 }
 
--- a/internal/sagerouter/paths_test.go
+++ b/internal/sagerouter/paths_test.go
@@ -131,7 +131,8 @@
 func TestHelperCandidates(t *testing.T) {
 	f := newFleet(t, 1, 0)
 	f.dataCentre = "north"
-	peers := members("north", 4, 10)
+	peers := members("north", 5, 10)
+	peers[4].Region = "elsewhere"
 	for i := range peers {
 		peers[i].Node, peers[i].Ready = peers[i].Entry, i != 0
 	}
--- a/internal/sagerouter/saturation.go
+++ b/internal/sagerouter/saturation.go
@@ -19,7 +19,7 @@
 	schedulerDelays = "/sched/latencies:seconds"
 )
 
-// saturation tells from the delays of the scheduler whether the process has no processor time left. The zero value is
+// saturation finds out from the delays of the scheduler whether the process has no processor time left. The zero value is
 // ready to use.
 type saturation struct {
 	mu        sync.Mutex
