Overload is not taken for a lost path

Cause, found by reading: a full upstream resets connections and lets health checks wait, so that a service in overload would look like a lost path on every node: all would reject everything until probes succeed. Change: if an upstream has as many requests in flight from all nodes as it executes at once, only a connection that can't be opened is evidence; a silent health check is told apart from that. A quarantined request that a peer refused is given the peer's time to come back. Result: unit tests of the probe, the counts and the rule pass.

--- a/internal/sagerelay/hop.go
+++ b/internal/sagerelay/hop.go
@@ -169,6 +169,7 @@
 	removeRelayHeader(res.Header)
 	if refusal != "" {
 		j.relay.refusal, j.relay.pauseUntil = refusal, meta.PauseUntil
+		j.quarantineEnd = meta.PauseUntil // used only if the request is quarantined
 		j.cause = "peer refused: " + string(refusal)
 		return notRun
 	}
--- a/internal/sagerelay/transport.go
+++ b/internal/sagerelay/transport.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"sync"
 	"syscall"
 	"time"
@@ -133,8 +134,10 @@
 		if err == nil {
 			_ = c.Close() // opened only for the probe
 		}
-		return probeResult(err)
+		return probeResult(err, false)
 	}
+	connected := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+healthPath, nil)
 	if err != nil {
 		return sagereach.ProbeSilent
@@ -143,17 +146,19 @@
 	if err == nil {
 		_ = res.Body.Close() // the content doesn't matter
 	}
-	return probeResult(err)
+	return probeResult(err, connected)
 }
 
-func probeResult(err error) sagereach.ProbeResult {
+func probeResult(err error, connected bool) sagereach.ProbeResult {
 	switch {
 	case err == nil:
 		return sagereach.ProbeAnswered
 	case isConnRefused(err), errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.Is(err, io.EOF):
 		return sagereach.ProbeRefused
+	case connected:
+		return sagereach.ProbeSilent
 	}
-	return sagereach.ProbeSilent
+	return sagereach.ProbeUnreached
 }
 
 // isConnRefused reports whether an error says that nothing listens at the address.
--- a/internal/sagerouter/paths.go
+++ b/internal/sagerouter/paths.go
@@ -1,6 +1,7 @@
 package sagerouter
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -89,11 +90,22 @@
 	f := p.node.fleet
 	res := p.node.relay.ProbePath(ctx, e.Address, healthPath)
 	now := sageclock.Now()
+	if f.isFull(now, e) {
+		res = res.IfFull()
+	}
 	if t := f.reach.RecordProbe(now, e.Service, e.ID, res); t != nil {
 		p.node.handleTransition(now, t)
 	}
 }
 
+// assumedSlots stands for the slots of an upstream that doesn't register them.
+const assumedSlots = 8
+
+// isFull reports whether an upstream has as many requests in flight from all nodes as it executes at once.
+func (f *fleet) isFull(now sageclock.Instant, e *sageupstream.Entry) bool {
+	return f.inFlight.Sum(now)[e.ID] >= cmp.Or(e.Slots, assumedSlots)
+}
+
 // handleTransition applies the loss or return of the path to a service.
 func (n *Node) handleTransition(now sageclock.Instant, t *sagereach.Transition) {
 	n.fleet.health.Forgive(t.Service, t.Since)
--- a/internal/sagerouter/paths_test.go
+++ b/internal/sagerouter/paths_test.go
@@ -128,6 +128,20 @@
 	}
 }
 
+// Prevents all nodes from finding their paths lost when a service is overloaded.
+func TestUpstreamIsFullByTheCountsOfAllNodes(t *testing.T) {
+	f := newFleet(t, 2, 0)
+	now := sageclock.Now()
+	u0 := f.view.upstreams.Load().Get("u0")
+	end := f.inFlight.Start("u0")
+	f.inFlight.UpdateNode(now, "vm2", "north", sageflight.Counts{"u0": assumedSlots - 2})
+	require.False(t, f.isFull(now, u0))
+	f.inFlight.UpdateNode(now, "vm2", "north", sageflight.Counts{"u0": assumedSlots - 1})
+	require.True(t, f.isFull(now, u0))
+	end()
+	require.False(t, f.isFull(now, u0))
+}
+
 func TestHelperCandidates(t *testing.T) {
 	f := newFleet(t, 1, 0)
 	f.dataCentre = "north"
--- a/pkg/sagereach/path.go
+++ b/pkg/sagereach/path.go
@@ -55,8 +55,19 @@
 	ProbeRefused
 	// ProbeSilent: there was no answer in time.
 	ProbeSilent
+	// ProbeUnreached: the connection was not opened in time.
+	ProbeUnreached
 )
 
+// IfFull returns what the result says about the path if the upstream is full. A full upstream resets connections and lets
+// health checks wait, so that only a connection that could not be opened is evidence then.
+func (r ProbeResult) IfFull() ProbeResult {
+	if r == ProbeUnreached {
+		return r
+	}
+	return ProbeAnswered
+}
+
 // Transition is a change of a path's state between lost and not lost.
 type Transition struct {
 	Service string
@@ -198,7 +209,7 @@
 	case ProbeAnswered:
 		p.roundAnswered = true
 		t.getOrCreate(service, upstream).recordAnswer(now, true)
-	case ProbeSilent:
+	case ProbeSilent, ProbeUnreached:
 		p.roundSilent = true
 	}
 	if p.state == Suspected && p.roundAnswered {
--- a/pkg/sagereach/path_test.go
+++ b/pkg/sagereach/path_test.go
@@ -56,6 +56,7 @@
 		{"refused and reset probes decide early", all, 2, ProbeRefused, 400 * time.Millisecond, Lost},
 		{"a second of silence is tolerated", all, 4, ProbeSilent, time.Second, Suspected},
 		{"longer silence is not", all, 4, ProbeSilent, 1600 * time.Millisecond, Lost},
+		{"connections that can't be opened", all, 2, ProbeUnreached, 1600 * time.Millisecond, Lost},
 		{"the only upstream failed", all[:1], 1, ProbeRefused, 400 * time.Millisecond, Lost},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
@@ -121,6 +122,15 @@
 	require.False(t, tr.AnsweredSince("chat", "a", 1*ms), "an upstream's own answer doesn't count")
 }
 
+// Prevents overload from being taken for a lost path: full upstreams reset connections and let health checks wait.
+func TestFullUpstreamsAreNoEvidenceOfALostPath(t *testing.T) {
+	for res, want := range map[ProbeResult]ProbeResult{
+		ProbeAnswered: ProbeAnswered, ProbeRefused: ProbeAnswered, ProbeSilent: ProbeAnswered, ProbeUnreached: ProbeUnreached,
+	} {
+		require.Equal(t, want, res.IfFull())
+	}
+}
+
 func TestHelpers(t *testing.T) {
 	candidates := []Candidate{{Node: "far1"}, {Node: "near1", Local: true}, {Node: "near2", Local: true}}
 	var h Helpers
