Log the versions of upstreams, and the attempt that a caller's attempt resumes

Change: the header in which callers name the resumed attempt is read, for the log only; lines on exchanges and answers name the version.

--- a/internal/sagerelay/hop.go
+++ b/internal/sagerelay/hop.go
@@ -95,7 +95,7 @@
 			j.s.countEnd(Answered)
 			j.s.observeDuration(j)
 			j.s.Log.Limited(sagelog.KindServed, "Request answered by a peer.", "id", j.meta.ID, "route", j.route.Name, "peer", h.Node, "hops", len(j.relay.tried),
-				"sends", j.sends, "config_version", j.version, "age_ms", time.Since(j.start).Milliseconds())
+				"sends", j.sends, "resumes", j.meta.Resumes, "config_version", j.version, "age_ms", time.Since(j.start).Milliseconds())
 			return
 		}
 		j.s.Log.Limited(sagelog.KindExchange, "Exchange with a peer failed.", "id", j.meta.ID, "peer", h.Node, "verdict", v.String(), "refusal", string(j.relay.refusal),
--- a/internal/sagerelay/interfaces.go
+++ b/internal/sagerelay/interfaces.go
@@ -26,6 +26,9 @@
 	Chain sagechain.Chain
 	// LastEventID is the ID of the event after which a stream is to be resumed.
 	LastEventID string
+	// Resumes is the ID of the caller's attempt that got the first event of the stream that this one resumes; empty if
+	// the caller has no event.
+	Resumes string
 }
 
 // ForwardMetadata is the information that this node adds to the headers of a forwarded request.
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -174,8 +174,8 @@
 
 // logFailure logs an exchange that produced no final response.
 func (j *job) logFailure(p *Pick, v verdict) {
-	j.s.Log.Limited(sagelog.KindExchange, "Exchange failed.", "id", j.meta.ID, "upstream", p.Upstream.ID, "verdict", v.String(),
-		"cause", j.cause, "send", j.sends, "why", p.Rule, "load", p.Load, "fingerprint", j.fingerprint().String(), "age_ms", time.Since(j.start).Milliseconds())
+	j.s.Log.Limited(sagelog.KindExchange, "Exchange failed.", "id", j.meta.ID, "upstream", p.Upstream.ID, "version", p.Upstream.Version, "verdict", v.String(),
+		"resumes", j.meta.Resumes, "cause", j.cause, "send", j.sends, "why", p.Rule, "load", p.Load, "fingerprint", j.fingerprint().String(), "age_ms", time.Since(j.start).Milliseconds())
 }
 
 // String returns the name of the verdict in logs and metrics.
@@ -268,8 +268,8 @@
 
 // logAnswered logs an answered request. The logger drops and counts most of these lines.
 func (j *job) logAnswered(p *Pick) {
-	j.s.Log.Limited(sagelog.KindServed, "Request answered.", "id", j.meta.ID, "route", j.route.Name, "upstream", p.Upstream.ID, "why", p.Rule,
-		"load", p.Load, "sends", j.sends, "from", j.relay.from, "config_version", j.version, "age_ms", time.Since(j.start).Milliseconds())
+	j.s.Log.Limited(sagelog.KindServed, "Request answered.", "id", j.meta.ID, "route", j.route.Name, "upstream", p.Upstream.ID, "version", p.Upstream.Version, "why", p.Rule,
+		"load", p.Load, "sends", j.sends, "resumes", j.meta.Resumes, "from", j.relay.from, "config_version", j.version, "age_ms", time.Since(j.start).Milliseconds())
 }
 
 // refuse writes a response that this node generates itself.
--- a/internal/sagerelay/stream.go
+++ b/internal/sagerelay/stream.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"sagestand.example/sagestand/internal/sageheader"
+	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/internal/sagesse"
 	"sagestand.example/sagestand/pkg/sagehealth"
 )
@@ -107,6 +108,10 @@
 		return
 	}
 	j.headerSent = true
+	if j.meta.Resumes != "" {
+		j.s.Log.Limited(sagelog.KindExchange, "Stream resumed for its caller.", "id", j.meta.ID, "resumes", j.meta.Resumes, "last_event", j.meta.LastEventID, "service", j.serviceName,
+			"upstream", x.upstreamID(), "version", x.upstreamVersion())
+	}
 	copyHeader(j.w.Header(), sageheader.EndToEnd(res.Header))
 	j.w.WriteHeader(res.StatusCode)
 }
@@ -140,3 +145,19 @@
 	}
 	return v
 }
+
+// upstreamID returns the ID of the exchange's upstream, or the name of the peer that the request was sent to.
+func (x *exchange) upstreamID() string {
+	if x.helper != nil {
+		return x.helper.Node
+	}
+	return x.p.Upstream.ID
+}
+
+// upstreamVersion returns the version of the exchange's upstream; empty if a peer chose it.
+func (x *exchange) upstreamVersion() string {
+	if x.helper != nil {
+		return ""
+	}
+	return x.p.Upstream.Version
+}
