--- /dev/null
+++ b/pkg/sageorigin/history.go
@@ -0,0 +1,148 @@
+package sageorigin
+
+import (
+	"sync"
+
+	"sagestand.example/sagestand/pkg/sageclock"
+)
+
+// Departure is a version that no longer has an upstream.
+type Departure struct {
+	Origin
+	At sageclock.Instant
+}
+
+// History records which versions each service and which services each route had within [Window]. It is safe for concurrent
+// use.
+type History struct {
+	mu sync.Mutex
+	// observedSince is when this node knew the upstreams for the first time; 0 before.
+	observedSince sageclock.Instant
+	complete      bool // nothing was before observedSince
+	present       map[string]map[string]bool
+	departed      map[Origin]sageclock.Instant
+	routes        map[string][]string // services by route
+	changed       map[string]sageclock.Instant
+}
+
+// SetVersions sets the versions that have an upstream, by service.
+func (h *History) SetVersions(now sageclock.Instant, present map[string]map[string]bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.observedSince == 0 {
+		h.observedSince = now
+	}
+	if h.departed == nil {
+		h.departed = make(map[Origin]sageclock.Instant)
+	}
+	for service, versions := range h.present {
+		for v := range versions {
+			if !present[service][v] {
+				h.departed[Origin{service, v}] = now
+			}
+		}
+	}
+	for o := range h.departed {
+		if present[o.Service][o.Version] {
+			delete(h.departed, o)
+		}
+	}
+	h.present = present
+}
+
+// SetRoutes sets the services of the routes by name.
+func (h *History) SetRoutes(now sageclock.Instant, routes map[string][]string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.changed == nil {
+		h.changed = make(map[string]sageclock.Instant)
+	}
+	for name, at := range h.changed {
+		if now.Sub(at) >= Window {
+			delete(h.changed, name)
+		}
+	}
+	for name, services := range h.routes {
+		if lostService(services, routes[name]) {
+			h.changed[name] = now
+		}
+	}
+	h.routes = routes
+}
+
+// lostService reports whether a service of before is missing.
+func lostService(before, after []string) bool {
+	for _, s := range before {
+		missing := true
+		for _, a := range after {
+			missing = missing && a != s
+		}
+		if missing {
+			return true
+		}
+	}
+	return false
+}
+
+// AddDeparture records that a version had upstreams before this node started.
+func (h *History) AddDeparture(now sageclock.Instant, o Origin) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.departed == nil {
+		h.departed = make(map[Origin]sageclock.Instant)
+	}
+	if _, ok := h.departed[o]; !ok && !h.present[o.Service][o.Version] {
+		h.departed[o] = now
+	}
+}
+
+// SetComplete records that nothing happened before this node knew the upstreams that it doesn't know of.
+func (h *History) SetComplete() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.complete = true
+}
+
+// Complete reports whether the history reaches back for [Window].
+func (h *History) Complete(now sageclock.Instant) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.observedSince != 0 && (h.complete || now.Sub(h.observedSince) >= Window)
+}
+
+// Sole returns the only origin of streams of a route within [Window], as far as the history reaches; false if there were
+// several or none is known.
+func (h *History) Sole(now sageclock.Instant, route string) (Origin, bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	services := h.routes[route]
+	if at, ok := h.changed[route]; len(services) != 1 || ok && now.Sub(at) < Window {
+		return Origin{}, false
+	}
+	out, n := Origin{Service: services[0]}, len(h.present[services[0]])
+	for v := range h.present[services[0]] {
+		out.Version = v
+	}
+	for o, at := range h.departed {
+		if o.Service == services[0] && now.Sub(at) < Window {
+			out, n = o, n+1
+		}
+	}
+	return out, n == 1
+}
+
+// Departures returns the versions without upstreams that departed within [Window], and those that departed before. The
+// latter are forgotten.
+func (h *History) Departures(now sageclock.Instant) (recent []Departure, ended []Origin) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	for o, at := range h.departed {
+		if now.Sub(at) < Window {
+			recent = append(recent, Departure{o, at})
+			continue
+		}
+		ended = append(ended, o)
+		delete(h.departed, o)
+	}
+	return recent, ended
+}
