Streams go on at the version that began them, or are refused

Callers saw: streams that held events of two software versions, after they had returned at another node, after a node had resumed a broken stream itself, and over a peer. Cause: once an upstream had written something of a response, the upstreams of its service still counted as interchangeable; and only the node that carried the stream could have known better. Nobody read Resumes. Change: the first event that is passed on fixes service and version. The node keeps them in the request's state, over hops in headers between nodes, both ways; three other nodes get a record before the event goes out, and a node to which the caller returns asks them (package sageorigind). While a route leads to one version of one service nothing is sent; a version that is new to a node waits until no node can be ignorant of it. Without a known version, or an upstream of it, a return is refused as not run.

--- a/internal/sagemesh/receive.go
+++ b/internal/sagemesh/receive.go
@@ -12,13 +12,16 @@
 func (s *Service) receive(ctx context.Context) {
 	b := make([]byte, maxDatagramBytes)
 	for ctx.Err() == nil {
-		n, _, err := s.conn.ReadFrom(b)
+		n, from, err := s.conn.ReadFrom(b)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err != nil {
 			continue // an ICMP error caused by an earlier datagram
 		}
+		if s.handleMessage(b[:n], from) {
+			continue
+		}
 		s.received.Add(int64(n))
 		s.handleDatagram(b[:n])
 	}
--- a/internal/sagemesh/service.go
+++ b/internal/sagemesh/service.go
@@ -78,6 +78,9 @@
 	// OnHeartbeat is called for each heartbeat from a node whose identity is known. The stamp is the instant of
 	// this node's latest stamp that the sender echoed, or 0 if it echoed none of this process.
 	OnHeartbeat func(h *Heartbeat, stamp sageclock.Instant)
+	// OnMessage is called for each message that a node sent with SendMessage, with the node's address. It must not keep
+	// the message and must not wait. May be nil.
+	OnMessage func(b []byte, from string)
 	// OnJoined is called for each node that becomes live, OnLost for each that is dropped.
 	OnJoined, OnLost func(m Member)
 	// Listen opens the socket; nil means UDP. Now is the clock; nil means [sageclock.Now].
--- /dev/null
+++ b/internal/sageorigind/find.go
@@ -0,0 +1,204 @@
+package sageorigind
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"sagestand.example/sagestand/internal/sagelog"
+	"sagestand.example/sagestand/pkg/sageclock"
+	"sagestand.example/sagestand/pkg/sageorigin"
+)
+
+// Times and limits of a search.
+const (
+	// repeatAfter is the time after which nodes that haven't answered are asked once more, several times a round trip.
+	repeatAfter = 60 * time.Millisecond
+	// answerTimeout is the time after which a search ends. Nodes that are alive but busy answer within it.
+	answerTimeout = 300 * time.Millisecond
+	// maxAsks is the number of searches at the same time. Beyond it, callers are refused.
+	maxAsks = 512
+)
+
+// ask is a search for one origin at other nodes.
+type ask struct {
+	nodes   []string
+	answers chan nodeAnswer
+}
+
+// nodeAnswer is the answer of a node.
+type nodeAnswer struct {
+	sageorigin.Answer
+	from string
+}
+
+// Find returns where the stream with a key began, whose caller has returned on a route.
+func (s *Service) Find(ctx context.Context, route string, k sageorigin.Key) sageorigin.Finding {
+	f := s.find(ctx, route, k)
+	s.Metrics.GetOrCreateCounter(fmt.Sprintf(`sagestand_origin_searches_total{status=%q,asked="%t"}`, f.Status.String(), f.Asked > 0)).Inc()
+	return f
+}
+
+func (s *Service) find(ctx context.Context, route string, k sageorigin.Key) sageorigin.Finding {
+	now := s.now()
+	if o, ok := s.table.Get(now, k); ok {
+		return sageorigin.Finding{Status: sageorigin.Found, Origin: o}
+	}
+	o, status := s.History.Status(now, route)
+	if status == sageorigin.Sole && s.Fresh() {
+		return sageorigin.Finding{Status: sageorigin.Sole, Origin: o}
+	}
+	f, complete := s.search(ctx, route, k)
+	if f.Status != sageorigin.SoleSinceStart {
+		return f
+	}
+	if !complete && !s.learnDepartures(ctx) {
+		f.Status = sageorigin.Unknown
+		return f
+	}
+	if o, sole := s.History.Sole(s.now(), route); !sole || o != f.Origin {
+		return sageorigin.Finding{Asked: f.Asked, Answered: f.Answered}
+	}
+	f.Status = sageorigin.Sole
+	return f
+}
+
+// search asks other nodes. If they know of one version only, as this one does, the status is SoleSinceStart; complete says
+// that the history of one of them reaches back far enough.
+func (s *Service) search(ctx context.Context, route string, k sageorigin.Key) (f sageorigin.Finding, complete bool) {
+	now := s.now()
+	nodes := s.currentRing(now).Asked(k, s.Self)
+	o, sole := s.History.Sole(now, route)
+	if len(nodes) == 0 {
+		if sole {
+			f = sageorigin.Finding{Status: sageorigin.SoleSinceStart, Origin: o}
+		}
+		return f, s.History.Complete(now)
+	}
+	a, number := s.startAsk(nodes)
+	if a == nil {
+		return f, false
+	}
+	defer s.endAsk(number)
+	q := &sageorigin.Message{Query: &sageorigin.Query{Number: number, Key: k, Route: route}}
+	for _, n := range nodes {
+		s.send(now, n, q)
+	}
+	f.Asked = len(nodes)
+	answered, agreed := make(map[string]bool), sole
+	complete = s.History.Complete(now)
+	repeat, timeout := time.NewTimer(repeatAfter), time.NewTimer(answerTimeout)
+	defer repeat.Stop()
+	defer timeout.Stop()
+	for waiting := true; waiting && len(answered) < len(nodes); {
+		select {
+		case <-ctx.Done():
+			return f, false
+		case <-timeout.C:
+			waiting = false
+		case <-repeat.C:
+			for _, n := range nodes {
+				if !answered[n] {
+					s.send(s.now(), n, q)
+				}
+			}
+		case got := <-a.answers:
+			if got.Status == sageorigin.Found {
+				return sageorigin.Finding{Status: sageorigin.Found, Origin: got.Origin, From: got.from, Asked: len(nodes), Answered: len(answered) + 1}, true
+			}
+			answered[got.from] = true
+			if got.Status == sageorigin.Uninformed {
+				continue
+			}
+			agreed = agreed && got.Status != sageorigin.Unknown && got.Origin == o
+			complete = complete || got.Status == sageorigin.Sole
+		}
+	}
+	if f.Answered = len(answered); agreed && f.Answered > 0 {
+		f.Status, f.Origin = sageorigin.SoleSinceStart, o
+	}
+	return f, complete
+}
+
+// startAsk starts a search at some nodes; nil if too many are in progress.
+func (s *Service) startAsk(nodes []string) (*ask, uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.asks) >= maxAsks {
+		return nil, 0
+	}
+	if s.asks == nil {
+		s.asks = make(map[uint64]*ask)
+	}
+	s.lastNumber++
+	a := &ask{nodes: nodes, answers: make(chan nodeAnswer, 2*len(nodes))}
+	s.asks[s.lastNumber] = a
+	return a, s.lastNumber
+}
+
+func (s *Service) endAsk(number uint64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.asks, number)
+}
+
+// learnDepartures reads the versions that departed before this node started, and reports whether they are known.
+func (s *Service) learnDepartures(ctx context.Context) bool {
+	origins, err := s.ListDepartures(ctx)
+	if err != nil {
+		s.Log.Limited(sagelog.KindStateChange, "Departed versions not read.", "err", err)
+		return false
+	}
+	now := s.now()
+	for _, o := range origins {
+		s.History.AddDeparture(now, o)
+	}
+	s.History.SetComplete()
+	s.Log.Info("Departed versions read.", "departed", len(origins))
+	return true
+}
+
+// Handle handles a message of another node. Malformed ones are ignored.
+func (s *Service) Handle(b []byte, from string) {
+	now := s.now()
+	m, err := sageorigin.Decode(now, b)
+	if err != nil {
+		s.Log.Limited(sagelog.KindStateChange, "Message on origins ignored.", "from", from, "bytes", len(b), "err", err)
+		return
+	}
+	for _, r := range m.Records {
+		s.table.Put(now, r)
+	}
+	if q := m.Query; q != nil {
+		s.send(now, from, &sageorigin.Message{Answer: s.answer(now, q)})
+	}
+	if m.Answer != nil {
+		s.deliver(nodeAnswer{*m.Answer, from})
+	}
+}
+
+// answer returns what this node knows of a stream's origin.
+func (s *Service) answer(now sageclock.Instant, q *sageorigin.Query) *sageorigin.Answer {
+	a := &sageorigin.Answer{Number: q.Number}
+	if o, ok := s.table.Get(now, q.Key); ok {
+		a.Status, a.Origin = sageorigin.Found, o
+		return a
+	}
+	a.Origin, a.Status = s.History.Status(now, q.Route)
+	return a
+}
+
+// deliver passes an answer on to the search that it belongs to. Answers of nodes that weren't asked are ignored.
+func (s *Service) deliver(got nodeAnswer) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	a := s.asks[got.Number]
+	if a == nil || !slices.Contains(a.nodes, got.from) {
+		return
+	}
+	select {
+	case a.answers <- got:
+	default: // repeated answers
+	}
+}
--- /dev/null
+++ b/internal/sageorigind/service.go
@@ -0,0 +1,208 @@
+package sageorigind
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/VictoriaMetrics/metrics"
+
+	"sagestand.example/sagestand/internal/sagelog"
+	"sagestand.example/sagestand/pkg/sageclock"
+	"sagestand.example/sagestand/pkg/sageorigin"
+)
+
+// Times of the service.
+const (
+	// refreshInterval is how often the open streams are checked for records to send, and resendInterval the time after
+	// which the record of an open stream is sent again.
+	refreshInterval = 250 * time.Millisecond
+	resendInterval  = 2 * time.Second
+	// ringTTL is how long the order of the nodes is reused.
+	ringTTL = 250 * time.Millisecond
+)
+
+// Service holds the records of one node. Exported fields are set before use.
+type Service struct {
+	// Self is this node's address for other nodes.
+	Self string
+	// History is kept by the node's view of the configuration and the upstreams.
+	History *sageorigin.History
+	// Nodes returns the nodes that may hold records; this one may be among them.
+	Nodes func() []sageorigin.Holder
+	// Send sends a message to a node, once.
+	Send func(address string, b []byte) error
+	// Fresh reports whether this node's copy of the upstreams is so fresh that no version that it doesn't know gets
+	// requests.
+	Fresh func() bool
+	// ListDepartures returns the versions that departed before this node started, from the store.
+	ListDepartures func(ctx context.Context) ([]sageorigin.Origin, error)
+	Metrics        *metrics.Set
+	Log            sagelog.Logger
+	// Now is the clock; nil means [sageclock.Now].
+	Now func() sageclock.Instant
+
+	table sageorigin.Table
+
+	mu   sync.Mutex
+	open map[*openStream]struct{}
+	// asks are the searches in progress, by number.
+	asks       map[uint64]*ask
+	lastNumber uint64
+	ring       *sageorigin.Ring
+	ringUntil  sageclock.Instant
+}
+
+// openStream is a stream that this node carries.
+type openStream struct {
+	route  string
+	record sageorigin.Record
+	sentAt sageclock.Instant // 0 if its record was never sent
+}
+
+func (s *Service) now() sageclock.Instant {
+	if s.Now != nil {
+		return s.Now()
+	}
+	return sageclock.Now()
+}
+
+// Held returns the number of records that this node holds.
+func (s *Service) Held() int { return s.table.Len() }
+
+// Begin records where a stream began, whose caller may return until the given time, and sends copies to other nodes. The
+// returned function ends the stream at this node.
+func (s *Service) Begin(route string, k sageorigin.Key, o sageorigin.Origin, until sageclock.Instant) (end func()) {
+	now := s.now()
+	st := &openStream{route: route, record: sageorigin.Record{Key: k, Origin: o, Until: until}}
+	s.table.Put(now, st.record)
+	if !s.sole(now, route) {
+		s.sendCopies(now, []*openStream{st})
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.open == nil {
+		s.open = make(map[*openStream]struct{})
+	}
+	s.open[st] = struct{}{}
+	return func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		delete(s.open, st)
+	}
+}
+
+// sole reports whether no record is needed for streams of a route, as all began at one version.
+func (s *Service) sole(now sageclock.Instant, route string) bool {
+	_, ok := s.History.Sole(now, route)
+	return ok && s.Fresh()
+}
+
+// Run sends the records of open streams again until ctx ends, then hands over all records that this node holds.
+func (s *Service) Run(ctx context.Context) error {
+	t := time.NewTicker(refreshInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			s.handOver(s.now())
+			return nil
+		case <-t.C:
+			now := s.now()
+			s.table.Sweep(now)
+			s.sendCopies(now, s.due(now))
+		}
+	}
+}
+
+// due returns the open streams whose records have to be sent.
+func (s *Service) due(now sageclock.Instant) []*openStream {
+	sole := make(map[string]bool)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []*openStream
+	for st := range s.open {
+		if st.sentAt != 0 && now.Sub(st.sentAt) < resendInterval {
+			continue
+		}
+		if _, ok := sole[st.route]; !ok {
+			sole[st.route] = s.sole(now, st.route)
+		}
+		if !sole[st.route] {
+			out = append(out, st)
+		}
+	}
+	return out
+}
+
+// sendCopies sends the records of streams to their holders.
+func (s *Service) sendCopies(now sageclock.Instant, streams []*openStream) {
+	if len(streams) == 0 {
+		return
+	}
+	records := make([]sageorigin.Record, len(streams))
+	for i, st := range streams {
+		records[i] = st.record
+	}
+	s.mu.Lock()
+	for _, st := range streams {
+		st.sentAt = now
+	}
+	s.mu.Unlock()
+	s.sendRecords(now, records)
+}
+
+// handOver sends all records to their holders, for which this node was one.
+func (s *Service) handOver(now sageclock.Instant) {
+	records := s.table.Records(now)
+	if len(records) > 0 {
+		s.Log.Info("Records of streams handed over.", "records", len(records))
+	}
+	s.sendRecords(now, records)
+}
+
+// sendRecords sends each record to its holders, in as few messages as they fit into.
+func (s *Service) sendRecords(now sageclock.Instant, records []sageorigin.Record) {
+	byHolder := make(map[string][]sageorigin.Record)
+	ring := s.currentRing(now)
+	for _, r := range records {
+		if r.Origin.Check() != nil {
+			continue // its caller is refused elsewhere
+		}
+		for _, address := range ring.Holders(r.Key, s.Self) {
+			byHolder[address] = append(byHolder[address], r)
+		}
+	}
+	for address, rs := range byHolder {
+		size, first := 0, 0
+		for i := range rs {
+			n := rs[i].MaxEncodedBytes()
+			if size+n > sageorigin.MaxMessageBytes {
+				s.send(now, address, &sageorigin.Message{Records: rs[first:i]})
+				size, first = 0, i
+			}
+			size += n
+		}
+		s.send(now, address, &sageorigin.Message{Records: rs[first:]})
+	}
+}
+
+// send sends a message. One that can't be sent counts as lost.
+func (s *Service) send(now sageclock.Instant, address string, m *sageorigin.Message) {
+	b := m.Encode(now)
+	s.Metrics.GetOrCreateCounter("sagestand_origin_messages_total").Inc()
+	s.Metrics.GetOrCreateCounter("sagestand_origin_bytes_total").Add(len(b))
+	if err := s.Send(address, b); err != nil {
+		s.Log.Limited(sagelog.KindStateChange, "Message on origins not sent.", "to", address, "err", err)
+	}
+}
+
+// currentRing returns the order of the nodes.
+func (s *Service) currentRing(now sageclock.Instant) *sageorigin.Ring {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ring == nil || now >= s.ringUntil {
+		s.ring, s.ringUntil = sageorigin.NewRing(s.Nodes()), now.Add(ringTTL)
+	}
+	return s.ring
+}
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -18,6 +18,7 @@
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagehealth"
+	"sagestand.example/sagestand/pkg/sageorigin"
 	"sagestand.example/sagestand/pkg/sagereach"
 	"sagestand.example/sagestand/pkg/sageupstream"
 )
@@ -51,6 +52,8 @@
 	start time.Time
 	// helper is the peer that the request is sent to; nil if it is sent to the upstream of p.
 	helper *Helper
+	// helperOrigin is where the events of the peer's response come from.
+	helperOrigin sageorigin.Origin
 	// freshConn is set if the connection was opened for this exchange.
 	freshConn bool
 	tracker   sageconn.Tracker
@@ -254,6 +257,9 @@
 		return x.handleFailure(ctx, res, stallTimer)
 	}
 	if sageheader.IsEventStream(res) {
+		if !x.fitsOrigin() {
+			return x.rejectResponse("upstream of another version than the one that began the stream")
+		}
 		return x.forwardStream(ctx, res, stallTimer)
 	}
 	if j.headerSent {
--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -24,6 +24,7 @@
 	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagehealth"
+	"sagestand.example/sagestand/pkg/sageorigin"
 	"sagestand.example/sagestand/pkg/sagequarantine"
 	"sagestand.example/sagestand/pkg/sagereach"
 	"sagestand.example/sagestand/pkg/sageroute"
@@ -37,6 +38,7 @@
 	testDeadline = "Test-Deadline"
 	testTokens   = "Test-Tokens"
 	testLast     = "Last-Event-Id"
+	testResumes  = "Test-Resumes"
 	testSeal     = "Test-Seal"
 	testNotRun   = "Test-Not-Run"
 	testLeaving  = "Test-Leaving"
@@ -47,7 +49,7 @@
 type testDialect struct{}
 
 func (testDialect) ParseRequest(r *http.Request) (RequestMetadata, error) {
-	c := RequestMetadata{ID: r.Header.Get(testID), Key: r.Header.Get(testKey), LastEventID: r.Header.Get(testLast)}
+	c := RequestMetadata{ID: r.Header.Get(testID), Key: r.Header.Get(testKey), LastEventID: r.Header.Get(testLast), Resumes: r.Header.Get(testResumes)}
 	if c.ID == "" {
 		return c, errors.New("no id")
 	}
@@ -139,6 +141,15 @@
 	maxDeclines     []int // of announcements that upstreams are brittle
 	limitedAccounts []string
 	reachedByOthers bool
+	// versions are the versions of the upstreams by name, changedVersions those that have another one by now.
+	versions        map[string]string
+	changedVersions []string
+	// finding is the result of searches for origins; searched, begun and ended record the calls.
+	finding  sageorigin.Finding
+	searched []sageorigin.Key
+	begun    []sageorigin.Record
+	ended    int
+	onBegin  func()
 	// answers and unanswered are the upstreams of recorded evidence, in order.
 	answers, unanswered []string
 }
@@ -159,13 +170,43 @@
 		f.beforePick()
 	}
 	for _, n := range f.names {
-		if !slices.Contains(q.Tried, n) {
-			return &Pick{Upstream: &sageupstream.Entry{ID: n, Service: q.Service, Address: n + ":80"}, Done: func() {}}
+		if !slices.Contains(q.Tried, n) && (q.Origin == nil || q.Origin.Version == f.versions[n]) {
+			return &Pick{Upstream: &sageupstream.Entry{ID: n, Service: q.Service, Address: n + ":80", Version: f.versions[n]}, Done: func() {}}
 		}
 	}
 	return nil
 }
 
+func (f *fakeFleet) Serves(o sageorigin.Origin) bool {
+	for _, n := range f.names {
+		if f.versions[n] == o.Version {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fakeFleet) ChangedVersion(u *sageupstream.Entry) bool {
+	return slices.Contains(f.changedVersions, u.ID)
+}
+
+// Begin implements [Origins].
+func (f *fakeFleet) Begin(_ string, k sageorigin.Key, o sageorigin.Origin, _ sageclock.Instant) func() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.begun = append(f.begun, sageorigin.Record{Key: k, Origin: o})
+	if f.onBegin != nil {
+		f.onBegin()
+	}
+	return func() { f.ended++ }
+}
+
+// Find implements [Origins].
+func (f *fakeFleet) Find(_ context.Context, _ string, k sageorigin.Key) sageorigin.Finding {
+	f.searched = append(f.searched, k)
+	return f.finding
+}
+
 func (f *fakeFleet) Usable(*sageupstream.Entry) bool  { return true }
 func (f *fakeFleet) Leaving(*sageupstream.Entry) bool { return f.leaving }
 
@@ -335,7 +376,7 @@
 }
 
 func (f *fakeFleet) service() *Service {
-	s := &Service{Node: "vm1", Dialect: testDialect{}, Fleet: f, Metrics: metrics.NewSet(), Log: sagelog.Logger{}, Closing: func() bool { return false }, Quarantine: new(sagequarantine.Tracker),
+	s := &Service{Node: "vm1", Dialect: testDialect{}, Fleet: f, Origins: f, Metrics: metrics.NewSet(), Log: sagelog.Logger{}, Closing: func() bool { return false }, Quarantine: new(sagequarantine.Tracker),
 		SendsTrials: func() bool { return f.sendsTrials }}
 	s.Dial = f.dial
 	s.peers.once.Do(func() { s.peers.init(f.dial) })
@@ -346,13 +387,19 @@
 	return f.callOn(ctx, f.service(), header, body)
 }
 
-func (f *fakeFleet) callOn(ctx context.Context, s *Service, header map[string]string, body string) callerResult {
+// testRequest returns a caller's request.
+func testRequest(ctx context.Context, header map[string]string, body string) *http.Request {
 	req := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://h.example/x?y=1", strings.NewReader(body))
 	req.Header.Set(testID, "id1")
 	req.Header.Set(testKey, "good")
 	for k, v := range header {
 		req.Header.Set(k, v)
 	}
+	return req
+}
+
+func (f *fakeFleet) callOn(ctx context.Context, s *Service, header map[string]string, body string) callerResult {
+	req := testRequest(ctx, header, body)
 	out := callerResult{ResponseRecorder: httptest.NewRecorder()}
 	func() {
 		defer func() {
--- a/internal/sagerelay/hop.go
+++ b/internal/sagerelay/hop.go
@@ -9,6 +9,7 @@
 
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/pkg/sageclock"
+	"sagestand.example/sagestand/pkg/sageorigin"
 	"sagestand.example/sagestand/pkg/sagereach"
 	"sagestand.example/sagestand/pkg/sageupstream"
 )
@@ -52,6 +53,8 @@
 	version uint64
 	// earlierRuns is the number of upstreams that may have executed the request before it was relayed.
 	earlierRuns int
+	// origin is where the stream that the peer relayed has begun; nil if it hasn't.
+	origin *sageorigin.Origin
 	// tried are the peers that this node sent the request to.
 	tried []string
 	// refusal is the reason of the last peer that refused the request, and pauseUntil the end of the pause that it
@@ -62,7 +65,7 @@
 
 // retriableRefusals are the reasons that concern only the peer that refused a request.
 var retriableRefusals = map[Reason]bool{
-	NoPath: true, RelayBusy: true, RelayOutdated: true, NoConfig: true, NotFresh: true, NoRoute: true, Unauthorized: true, NoMemory: true, BadRequest: true,
+	VersionGone: true, NoPath: true, RelayBusy: true, RelayOutdated: true, NoConfig: true, NotFresh: true, NoRoute: true, Unauthorized: true, NoMemory: true, BadRequest: true,
 }
 
 // needsHelper reports whether the request has to be sent to a peer. A request that came from a peer is never sent to
@@ -166,6 +169,7 @@
 	if u := j.s.Fleet.Upstream(res.Header.Get(headerRelayUpstream), born); u != nil {
 		j.observeAnnouncements(u, res.StatusCode, meta)
 	}
+	x.helperOrigin = x.originOfResponse(res.Header, born)
 	removeRelayHeader(res.Header)
 	if refusal != "" {
 		j.relay.refusal, j.relay.pauseUntil = refusal, meta.PauseUntil
@@ -188,6 +192,19 @@
 	h.Set(headerRelayService, j.serviceName)
 	h.Set(headerRelayVersion, strconv.FormatUint(j.version, 10))
 	h.Set(headerRelayRuns, strconv.Itoa(j.possibleRuns))
+	setOriginHeader(h, j.origin)
+}
+
+// originOfResponse returns where the events of a peer's response come from. Peers of an earlier version of this program
+// name the upstream only.
+func (x *exchange) originOfResponse(h http.Header, born int64) sageorigin.Origin {
+	if o := parseOriginHeader(h, x.j.serviceName); o != nil {
+		return *o
+	}
+	if u := x.j.s.Fleet.Upstream(h.Get(headerRelayUpstream), born); u != nil && u.Service == x.j.serviceName {
+		return sageorigin.Origin{Service: u.Service, Version: u.Version}
+	}
+	return sageorigin.Origin{Service: x.j.serviceName}
 }
 
 func removeRelayHeader(h http.Header) {
@@ -228,6 +245,7 @@
 // ServeRelayed serves a request that a peer received and can't send to an upstream itself. It never relays it further.
 func (s *Service) ServeRelayed(w http.ResponseWriter, r *http.Request) {
 	j := &job{s: s, w: w, r: r, start: time.Now(), relay: parseRelayState(r.Header)}
+	j.origin = j.relay.origin
 	defer s.relayed.Add(-1)
 	if n := s.relayed.Add(1); s.MaxRelayed > 0 && n > s.MaxRelayed || s.Fleet.RelaySaturated() {
 		j.refuse(http.StatusServiceUnavailable, RelayBusy, shortRetryAfter)
@@ -242,17 +260,8 @@
 
 func parseRelayState(h http.Header) relayState {
 	out := relayState{from: h.Get(headerRelayFrom), service: h.Get(headerRelayService)}
+	out.origin = parseOriginHeader(h, out.service)
 	out.version, _ = strconv.ParseUint(h.Get(headerRelayVersion), 10, 64) // 0: any version will do
 	out.earlierRuns, _ = strconv.Atoi(h.Get(headerRelayRuns))             // 0 if missing
 	return out
 }
-
-// servesService reports whether a route leads to the service that a peer chose.
-func (j *job) servesService() bool {
-	for _, w := range j.route.Services {
-		if w.Service == j.relay.service {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/sagerelay/interfaces.go
+++ b/internal/sagerelay/interfaces.go
@@ -9,6 +9,7 @@
 	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagehealth"
+	"sagestand.example/sagestand/pkg/sageorigin"
 	"sagestand.example/sagestand/pkg/sagereach"
 	"sagestand.example/sagestand/pkg/sageroute"
 	"sagestand.example/sagestand/pkg/sageupstream"
@@ -110,6 +111,12 @@
 	RelayBusy Reason = "relay_busy"
 	// RelayOutdated: the peer that sent the request has a newer configuration.
 	RelayOutdated Reason = "relay_outdated"
+	// OriginUnknown: the caller takes up a stream, and it isn't known at which version it began.
+	OriginUnknown Reason = "origin_unknown"
+	// OriginMoved: the caller takes up a stream of a service to which the route no longer leads.
+	OriginMoved Reason = "origin_moved"
+	// VersionGone: the version at which the stream began has no upstream left.
+	VersionGone Reason = "version_gone"
 	// UpstreamsPaused: all upstreams of the service want no requests for some time.
 	UpstreamsPaused Reason = "upstreams_paused"
 	// UpstreamFailed: the caller gets an error response that an upstream returned.
@@ -154,6 +161,8 @@
 	Chain sagechain.Chain
 	// Tried lists the IDs of upstreams that were already chosen for the request.
 	Tried []string
+	// Origin is where the request's stream began; nil if it hasn't begun. Other upstreams must not be chosen.
+	Origin *sageorigin.Origin
 }
 
 // ResponseResult is the result and timing of an upstream's response. A time is zero if it isn't
@@ -167,6 +176,15 @@
 	Duration time.Duration
 }
 
+// Origins knows where streams began.
+type Origins interface {
+	// Begin records where a stream of a route began, whose caller may return until the given time, before its first
+	// event is passed on. end is called when this node no longer carries the stream.
+	Begin(route string, k sageorigin.Key, o sageorigin.Origin, until sageclock.Instant) (end func())
+	// Find returns where the stream began whose caller has returned on a route.
+	Find(ctx context.Context, route string, k sageorigin.Key) sageorigin.Finding
+}
+
 // Fleet is the node's view of the configuration and the upstreams.
 type Fleet interface {
 	// Table returns the configuration in force; nil before the first one.
@@ -182,6 +200,10 @@
 	Pick(q *Query) *Pick
 	// Upstream returns the upstream with an ID if its start is known; nil otherwise.
 	Upstream(id string, born int64) *sageupstream.Entry
+	// Serves reports whether a version of a service has an upstream that doesn't leave, and may get requests.
+	Serves(o sageorigin.Origin) bool
+	// ChangedVersion reports whether the ID of an upstream belongs to another version by now.
+	ChangedVersion(u *sageupstream.Entry) bool
 	// Usable reports whether a chosen upstream may still get requests.
 	Usable(u *sageupstream.Entry) bool
 	// Leaving reports whether an upstream is about to stop or has left.
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -74,8 +74,9 @@
 	retryGranted    atomic.Bool // a retry was granted before the exchange was cancelled
 	cause           string      // of the last failed exchange, for the log
 	// unreached counts the sends in a row that got no connection to an upstream.
-	unreached     int
-	relay         relayState
+	unreached int
+	relay     relayState
+	originState
 	fp            *sagequarantine.Fingerprint
 	quarantineEnd sageclock.Instant // end of the request's quarantine
 }
@@ -90,7 +91,12 @@
 	}
 	ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline)
 	defer cancel()
+	defer j.endOrigin()
 	j.setWriteDeadline()
+	if reason, ok := j.findOrigin(ctx); !ok {
+		j.finish(ctx, reason)
+		return
+	}
 	if j.relay.from == "" { // otherwise the peer has counted it
 		j.s.Fleet.RecordFirstSend(j.serviceName)
 	}
@@ -124,7 +130,7 @@
 			j.finish(ctx, NoPath)
 			return
 		}
-		p := j.s.Fleet.Pick(&Query{Service: j.serviceName, Route: j.route.Name, Chain: j.meta.Chain, Tried: j.tried})
+		p := j.s.Fleet.Pick(&Query{Service: j.serviceName, Route: j.route.Name, Chain: j.meta.Chain, Tried: j.tried, Origin: j.origin})
 		if p == nil && !waited {
 			waited = true
 			if j.s.Fleet.AwaitPlace(ctx, j.serviceName, j.route.Objective) {
@@ -132,7 +138,7 @@
 			}
 		}
 		if p == nil {
-			j.finish(ctx, NoUpstream)
+			j.finish(ctx, j.missingReason())
 			return
 		}
 		start := time.Now()
@@ -242,6 +248,12 @@
 // caller is asked to return soon after the first pause ends.
 func (j *job) refuseNotRun(reason Reason) {
 	retryAfter := shortRetryAfter
+	switch reason {
+	case OriginMoved:
+		retryAfter = 0 // it won't lead there again
+	case VersionGone:
+		retryAfter = versionReturn
+	}
 	if until := j.relay.pauseUntil; until != 0 && reason == j.relay.refusal {
 		j.refuse(http.StatusServiceUnavailable, reason, max(time.Millisecond, until.Sub(sageclock.Now())))
 		return
--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -40,6 +40,8 @@
 	Node    string
 	Dialect Dialect
 	Fleet   Fleet
+	// Origins knows where streams began.
+	Origins Origins
 	Metrics *metrics.Set
 	Log     sagelog.Logger
 	// Closing reports whether responses should tell callers to close their connection.
@@ -113,7 +115,7 @@
 		return false
 	}
 	j.route = route
-	if j.relay.from != "" && !j.servesService() {
+	if j.relay.from != "" && !j.leadsTo(j.relay.service) {
 		j.refuse(http.StatusServiceUnavailable, NoRoute, 0)
 		return false
 	}
--- a/internal/sagerelay/stream.go
+++ b/internal/sagerelay/stream.go
@@ -61,6 +61,7 @@
 		if e.ID > 0 && j.lastEventNumber > 0 && e.ID != j.lastEventNumber+1 {
 			return x.failStream(ctx, fmt.Errorf("missing events: event %d follows event %d", e.ID, j.lastEventNumber))
 		}
+		x.recordOrigin()
 		x.writeHeaderOnce(res)
 		if err := j.forwardEvent(e, flush); err != nil {
 			j.cause = err.Error()
@@ -110,9 +111,12 @@
 	j.headerSent = true
 	if j.meta.Resumes != "" {
 		j.s.Log.Limited(sagelog.KindExchange, "Stream resumed for its caller.", "id", j.meta.ID, "resumes", j.meta.Resumes, "last_event", j.meta.LastEventID, "service", j.serviceName,
-			"upstream", x.upstreamID(), "version", x.upstreamVersion())
+			"upstream", x.upstreamID(), "version", x.exchangeOrigin().Version)
 	}
 	copyHeader(j.w.Header(), sageheader.EndToEnd(res.Header))
+	if j.relay.from != "" {
+		setOriginHeader(j.w.Header(), j.origin)
+	}
 	j.w.WriteHeader(res.StatusCode)
 }
 
@@ -153,11 +157,3 @@
 	}
 	return x.p.Upstream.ID
 }
-
-// upstreamVersion returns the version of the exchange's upstream; empty if a peer chose it.
-func (x *exchange) upstreamVersion() string {
-	if x.helper != nil {
-		return ""
-	}
-	return x.p.Upstream.Version
-}
--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -115,10 +115,14 @@
 
 // Pick implements [sagerelay.Fleet].
 //
-// During a rollout of the service the request is assigned to the baseline or the target version.
+// During a rollout of the service the request is assigned to the baseline or the target version. A stream that has begun
+// goes on where it began.
 func (f *fleet) Pick(q *sagerelay.Query) *sagerelay.Pick {
 	now := sageclock.Now()
 	set := f.view.upstreams.Load()
+	if q.Origin != nil {
+		return f.pickAmong(now, set, f.originUpstreams(set, q), false, q)
+	}
 	arm := f.armFor(now, q.Service, q.Route, len(q.Tried) == 0)
 	if p := f.pickFromArm(now, set, arm, q); p != nil {
 		return p
@@ -130,16 +134,22 @@
 }
 
 // pickFromArm chooses among the upstreams that the arm may use, or returns nil.
+func (f *fleet) pickFromArm(now sageclock.Instant, set *sageupstream.Set, arm sagerollout.Arm, q *sagerelay.Query) *sagerelay.Pick {
+	return f.pickAmong(now, set, f.armUpstreams(set, q.Service, arm), arm == sagerollout.ArmTarget, q)
+}
+
+// pickAmong chooses among some available upstreams of the service, or returns nil. canary says that they are the target of
+// a rollout, only some of which may be used.
 //
 // It prefers warm and healthy upstreams, then those that declined requests, then those that failed recently, then cold
 // ones, which are limited to this node's share of their capacity. Paused ones get nothing, even if no other is left.
-func (f *fleet) pickFromArm(now sageclock.Instant, set *sageupstream.Set, arm sagerollout.Arm, q *sagerelay.Query) *sagerelay.Pick {
+func (f *fleet) pickAmong(now sageclock.Instant, set *sageupstream.Set, es []*sageupstream.Entry, canary bool, q *sagerelay.Query) *sagerelay.Pick {
 	buf := pickBuffers.Get().(*pickBuffer)
 	defer pickBuffers.Put(buf)
 	warm := buf.warm[:0]
 	var declining, failing, cold []*sageupstream.Entry
 	declines := f.declines.of(q.Service)
-	for _, e := range f.armUpstreams(set, q.Service, arm) {
+	for _, e := range es {
 		switch {
 		case slices.Contains(q.Tried, e.ID):
 		case f.pauses.PausedUntil(now, e.Start()) != 0:
@@ -161,7 +171,7 @@
 	if len(warm) == 0 {
 		warm = failing
 	}
-	if arm == sagerollout.ArmTarget {
+	if canary {
 		warm = f.canaryUpstreams(q.Service, warm)
 	}
 	all := set.All(q.Service)
--- a/internal/sagerouter/gauges.go
+++ b/internal/sagerouter/gauges.go
@@ -35,6 +35,7 @@
 	n.metrics.NewGauge("sagestand_brittle_services", func() float64 { return float64(n.fleet.brittle.limits.Len(sageclock.Now())) })
 	n.metrics.NewGauge("sagestand_paths_lost", func() float64 { return float64(len(n.fleet.reach.Services(sagereach.Lost))) })
 	n.metrics.NewGauge("sagestand_relayed_requests", func() float64 { return float64(n.relay.Relayed()) })
+	n.metrics.NewGauge("sagestand_origin_records", func() float64 { return float64(n.origins.Held()) })
 	n.metrics.NewGauge("sagestand_ready", func() float64 {
 		if n.Ready() {
 			return 1
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -19,6 +19,7 @@
 	"sagestand.example/sagestand/internal/sagekernel"
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/internal/sagemesh"
+	"sagestand.example/sagestand/internal/sageorigind"
 	"sagestand.example/sagestand/internal/sagerelay"
 	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
@@ -110,6 +111,7 @@
 	mesh            *sagemesh.Service
 	peers           *peerLog
 	relay           *sagerelay.Service
+	origins         *sageorigind.Service
 	view            *view
 	fleet           *fleet
 	copies          sagemesh.Copies
@@ -143,9 +145,11 @@
 		return err
 	}
 	n.makeFleet()
+	n.makeOrigins()
 	n.makeCacheResync()
 	n.exportMetrics()
 	n.kernel.Register("mesh", n.mesh)
+	n.kernel.Register("origins", n.origins)
 	for _, kind := range []string{n.Kinds.ClosedDataCentres, n.Kinds.Upstreams, n.Kinds.Config} {
 		n.kernel.Register("follow_"+kind, n.copies[kind])
 	}
@@ -158,6 +162,10 @@
 	n.kernel.Register("quarantine", &quarantineReconciler{
 		Self: cfg.Node, Kind: n.Kinds.Quarantines, Tracker: &n.quarantine, Store: n.Store, Rank: n.quarantineRank, Log: n.Log.Component("quarantine"),
 	})
+	n.kernel.Register("departures", &departureWriter{
+		Kind: n.Kinds.Departures, History: &n.view.history, Store: n.Store, Log: n.Log.Component("origins"),
+		Writes: func() bool { return !n.leaving.Load() && n.mesh.Rank(n.copies[n.Kinds.Upstreams].Failing()) == 0 },
+	})
 	n.kernel.Register("paths", &pathProber{node: n, wake: n.fleet.pathSuspected})
 	n.kernel.Register("recall", n.cacheResync)
 	n.kernel.Register("settle", &expirer{node: n})
--- a/internal/sagerouter/view.go
+++ b/internal/sagerouter/view.go
@@ -4,11 +4,13 @@
 	"encoding/json"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"sagestand.example/sagestand/internal/sagefollow"
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
+	"sagestand.example/sagestand/pkg/sageorigin"
 	"sagestand.example/sagestand/pkg/sagerollout"
 	"sagestand.example/sagestand/pkg/sageroute"
 	"sagestand.example/sagestand/pkg/sageupstream"
@@ -24,6 +26,8 @@
 	Rollouts string
 	// Quarantines are the requests that crash upstreams. The nodes write these objects themselves.
 	Quarantines string
+	// Departures are the versions of services that departed of late. The nodes write these objects themselves.
+	Departures string
 	// Nodes are the registered nodes. The nodes write these objects themselves.
 	Nodes string
 }
@@ -56,7 +60,14 @@
 	upstreamsListed   bool
 	closedDataCentres map[string]bool // nil before the data centres were listed
 	admittedVersions  versions
+	arrivals          versionArrivals
 	versionsHeldBack  bool // some upstreams are excluded because of their version
+
+	// history records which versions streams may have begun at.
+	history sageorigin.History
+	// newVersionDelay returns how long a version that is new to this node gets no requests while others serve; nil
+	// means not at all. It is set before use.
+	newVersionDelay func() time.Duration
 }
 
 // applyConfig applies changes of the configuration.
@@ -76,6 +87,7 @@
 		if old := v.table.Load(); !ok || old != nil && t.Version < old.Version {
 			continue
 		}
+		v.history.SetRoutes(sageclock.Now(), resumableRoutes(t))
 		v.table.Store(t)
 		v.log.Info("Configuration in force.", "version", t.Version, "revision", c.Object.Revision, "era", c.Object.Era)
 	}
@@ -207,7 +219,10 @@
 // requests to such a data centre.
 func (v *view) publish() {
 	if v.upstreamsListed && v.closedDataCentres != nil {
-		v.holdBackVersions()
+		if v.arrivals == nil {
+			v.arrivals = make(versionArrivals)
+		}
+		v.holdBackVersions(sageclock.Now())
 		v.upstreams.Store(v.registry.Snapshot())
 	}
 }
--- a/pkg/sageorigin/history.go
+++ b/pkg/sageorigin/history.go
@@ -107,17 +107,31 @@
 func (h *History) Complete(now sageclock.Instant) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	return h.reachesBack(now)
+}
+
+// reachesBack reports whether the history reaches back for [Window]. mu is held.
+func (h *History) reachesBack(now sageclock.Instant) bool {
 	return h.observedSince != 0 && (h.complete || now.Sub(h.observedSince) >= Window)
 }
 
 // Sole returns the only origin of streams of a route within [Window], as far as the history reaches; false if there were
 // several or none is known.
 func (h *History) Sole(now sageclock.Instant, route string) (Origin, bool) {
+	o, status := h.Status(now, route)
+	return o, status.hasOrigin()
+}
+
+// Status returns what is known of the origins of streams of a route without their records.
+func (h *History) Status(now sageclock.Instant, route string) (Origin, Status) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	services := h.routes[route]
-	if at, ok := h.changed[route]; len(services) != 1 || ok && now.Sub(at) < Window {
-		return Origin{}, false
+	if at, ok := h.changed[route]; len(services) > 1 || ok && now.Sub(at) < Window {
+		return Origin{}, Unknown
+	}
+	if len(services) == 0 {
+		return Origin{}, Uninformed
 	}
 	out, n := Origin{Service: services[0]}, len(h.present[services[0]])
 	for v := range h.present[services[0]] {
@@ -128,17 +142,33 @@
 			out, n = o, n+1
 		}
 	}
-	return out, n == 1
+	switch {
+	case n == 0:
+		return Origin{}, Uninformed
+	case n > 1:
+		return Origin{}, Unknown
+	case h.reachesBack(now):
+		return out, Sole
+	}
+	return out, SoleSinceStart
 }
 
-// Departures returns the versions without upstreams that departed within [Window], and those that departed before. The
-// latter are forgotten.
+// Departures returns the versions without upstreams that departed within [Window] from services to which a route leads, and
+// those that departed before. The latter are forgotten.
 func (h *History) Departures(now sageclock.Instant) (recent []Departure, ended []Origin) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	used := make(map[string]bool)
+	for _, services := range h.routes {
+		for _, s := range services {
+			used[s] = true
+		}
+	}
 	for o, at := range h.departed {
 		if now.Sub(at) < Window {
-			recent = append(recent, Departure{o, at})
+			if used[o.Service] {
+				recent = append(recent, Departure{o, at})
+			}
 			continue
 		}
 		ended = append(ended, o)
--- a/pkg/sageorigin/history_test.go
+++ b/pkg/sageorigin/history_test.go
@@ -4,6 +4,8 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
+
+	"sagestand.example/sagestand/pkg/sageclock"
 )
 
 // present returns the versions of one service.
@@ -61,8 +63,8 @@
 					require.Equal(t, Origin{"chat", want}, o)
 				}
 			}
-			_, ok := h.Sole(second, "unknown")
-			require.False(t, ok)
+			_, status := h.Status(second, "unknown")
+			require.Equal(t, Uninformed, status)
 		})
 	}
 }
@@ -71,16 +73,26 @@
 func TestHistoryIsCompleteAfterWindow(t *testing.T) {
 	var h History
 	require.False(t, h.Complete(99*window))
+	h.SetRoutes(0, map[string][]string{"r": {"chat"}})
+	_, status := h.Status(99*window, "r")
+	require.Equal(t, Uninformed, status)
 	h.SetVersions(second, present("v1"))
 	h.SetVersions(2*second, present("v1"))
 	require.False(t, h.Complete(window))
 	require.True(t, h.Complete(second+window))
+	for at, want := range map[sageclock.Instant]Status{window: SoleSinceStart, second + window: Sole} {
+		o, status := h.Status(at, "r")
+		require.Equal(t, chatV1, o)
+		require.Equal(t, want, status)
+	}
 	h.SetComplete()
 	require.True(t, h.Complete(second))
 }
 
 func TestDepartures(t *testing.T) {
 	var h History
+	h.SetRoutes(second, map[string][]string{"r": {"chat"}})
+	h.AddDeparture(second+window/2, Origin{"app", "v9"}) // no route leads there
 	h.SetVersions(second, present("v1", "v2"))
 	h.SetVersions(2*second, present("v2"))
 	recent, ended := h.Departures(3 * second)
--- a/pkg/sageorigin/message.go
+++ b/pkg/sageorigin/message.go
@@ -34,7 +34,7 @@
 type Answer struct {
 	Number uint64
 	Status Status
-	// Origin is set unless Status is Unknown.
+	// Origin is set unless Status is Unknown or Uninformed.
 	Origin Origin
 }
 
@@ -174,10 +174,10 @@
 
 func (m *Message) setAnswer(f *fields) error {
 	a := &Answer{Number: f.number, Status: Status(f.status), Origin: Origin{f.service, f.version}}
-	if f.status > uint64(SoleSinceStart) {
+	if f.status >= uint64(numStatuses) {
 		return fmt.Errorf("answer: status %d: %w", f.status, ErrMessage)
 	}
-	if err := a.Origin.Check(); a.Status != Unknown && err != nil {
+	if err := a.Origin.Check(); a.Status.hasOrigin() && err != nil {
 		return fmt.Errorf("answer: %v: %w", err, ErrMessage)
 	}
 	m.Answer = a
--- a/pkg/sageorigin/message_test.go
+++ b/pkg/sageorigin/message_test.go
@@ -46,7 +46,7 @@
 		"record without a key":     appendPart(nil, fieldRecord, appendNumber(chatV1.append(nil), fieldTTL, 5)),
 		"query with a long route":  query.Encode(0),
 		"query without a key":      appendPart(nil, fieldQuery, appendNumber(nil, fieldNumber, 5)),
-		"answer of unknown status": appendPart(nil, fieldAnswer, appendNumber(chatV1.append(nil), fieldStatus, 9)),
+		"answer of unknown status": appendPart(nil, fieldAnswer, appendNumber(chatV1.append(nil), fieldStatus, uint64(numStatuses))),
 		"answer without an origin": appendPart(nil, fieldAnswer, appendNumber(nil, fieldStatus, uint64(Found))),
 	} {
 		_, err := Decode(0, b)
--- a/pkg/sageorigin/origin.go
+++ b/pkg/sageorigin/origin.go
@@ -53,18 +53,24 @@
 	Sole
 	// SoleSinceStart: as Sole, since the node started less than [Window] ago.
 	SoleSinceStart
+	// Uninformed: there is no record, and the node doesn't know the route or an upstream of its service.
+	Uninformed
+	numStatuses
 )
 
-var statusNames = [...]string{"unknown", "found", "sole", "sole_since_start"}
+var statusNames = [numStatuses]string{"unknown", "found", "sole", "sole_since_start", "uninformed"}
 
 // String returns the name of the status in logs and metrics.
 func (s Status) String() string {
-	if s < 0 || int(s) >= len(statusNames) {
+	if s < 0 || s >= numStatuses {
 		return "invalid"
 	}
 	return statusNames[s]
 }
 
+// hasOrigin reports whether an answer with the status names an origin.
+func (s Status) hasOrigin() bool { return s == Found || s == Sole || s == SoleSinceStart }
+
 // Finding is the result of a search for a stream's origin.
 type Finding struct {
 	// Status is Found, Sole or Unknown.
--- a/pkg/sagerollout/tracker.go
+++ b/pkg/sagerollout/tracker.go
@@ -204,6 +204,14 @@
 	return r != nil && version == r.order.Target
 }
 
+// Withdrawn reports whether a version was the target of an order that was rolled back, replaced or deleted.
+func (t *Tracker) Withdrawn(service, version string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.services[service]
+	return t.retired[service][version] || r != nil && version == r.order.Target && r.state() == StateRolledBack
+}
+
 // RecordAnswer counts an upstream's answer if an order for its service is running.
 func (t *Tracker) RecordAnswer(service, version, route string, bad bool) {
 	t.mu.Lock()
--- a/pkg/sageroute/table.go
+++ b/pkg/sageroute/table.go
@@ -185,6 +185,15 @@
 	return nil
 }
 
+// Each calls visit for each route, in no particular order.
+func (t *Table) Each(visit func(r *Route)) {
+	for _, routes := range t.byHost {
+		for _, r := range routes {
+			visit(r)
+		}
+	}
+}
+
 // RequiresKey reports whether requests need a key on routes that aren't public.
 func (t *Table) RequiresKey() bool { return t.byKey != nil }
 
