Soak: software versions replace each other, streams break, nodes stop in series and all at once

Cause: nothing played several versions side by side, callers that take streams up, or an ID that another version uses again. Proxies are found by the address that an upstream registered.

--- a/cmd/sagebench/soak.go
+++ b/cmd/sagebench/soak.go
@@ -26,6 +26,7 @@
 		series      bool
 		restores    bool
 		paths       bool
+		versions    bool
 		program     string
 		self, dir   string
 	)
@@ -42,7 +43,7 @@
 				if err := os.MkdirAll(seedDir, 0o700); err != nil {
 					return fmt.Errorf("make directory for logs: %w", err)
 				}
-				s := &sagesoak.Soak{Seed: n, Program: program, Dir: seedDir, Nodes: nodes, Duration: time.Duration(seconds * float64(time.Second)), NoFaults: calm, Series: series, Restores: restores, Paths: paths}
+				s := &sagesoak.Soak{Seed: n, Program: program, Dir: seedDir, Nodes: nodes, Duration: time.Duration(seconds * float64(time.Second)), NoFaults: calm, Series: series, Restores: restores, Paths: paths, Versions: versions}
 				report, err := s.Run(c.Context())
 				if err != nil {
 					return fmt.Errorf("seed %d: %w", n, err)
@@ -55,6 +56,9 @@
 					for _, share := range report.PathShares {
 						_, _ = fmt.Fprintf(w, "  first tries served %s\n", share)
 					}
+					if report.Returns != "" {
+						_, _ = fmt.Fprintf(w, "  streams %s\n", report.Returns)
+					}
 					for _, f := range report.Violations {
 						_, _ = fmt.Fprintf(w, "  %s\n", f)
 					}
@@ -78,6 +82,7 @@
 	f.BoolVar(&series, "series", false, "inject faults in series of one family, so that more of them overlap")
 	f.BoolVar(&restores, "restores", false, "restore the store from earlier copies, beside the other faults")
 	f.BoolVar(&paths, "paths", false, "cut nodes from upstreams, make upstreams brittle or silent, beside the other faults")
+	f.BoolVar(&versions, "versions", false, "have software versions replace each other, break streams and stop nodes, beside the other faults")
 	f.StringVar(&dir, "dir", filepath.Join(os.TempDir(), "sagestand-soak"), "directory for the nodes' settings and logs")
 	addProgramFlag(c, &program, &self)
 	return c
--- a/internal/sagesoak/fatal.go
+++ b/internal/sagesoak/fatal.go
@@ -90,13 +90,7 @@
 	defer f.mu.Unlock()
 	if err := s.sys.Replace(i, n); err != nil {
 		s.sys.Ledger.RecordViolation("runner %d was not replaced: %v", i, err)
-		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	last := len(s.proxies) - 1
-	s.proxies[i] = s.proxies[last]
-	s.proxies = s.proxies[:last]
 }
 
 // checkStopped checks, after the last fault, that the request no longer crashes upstreams.
--- a/internal/sagesoak/soak.go
+++ b/internal/sagesoak/soak.go
@@ -45,6 +45,8 @@
 	InjectedFaults []string `json:"done"`
 	// PathShares are the shares of first tries that nodes with and without a path served, by second of each cut.
 	PathShares []string `json:"path_shares,omitempty"`
+	// Returns says how many new streams began, and how many that callers took up went on.
+	Returns string `json:"returns,omitempty"`
 }
 
 // Soak is one run. Its exported fields must be set before Run is called.
@@ -62,34 +64,42 @@
 	Restores bool
 	// Paths cuts nodes from upstreams and makes upstreams brittle or silent, beside the other faults.
 	Paths bool
+	// Versions has several software versions serve side by side, which replace each other, breaks streams and stops nodes,
+	// beside the other faults.
+	Versions bool
 
 	sys            *standin.System
 	rng            *rand.Rand
 	announceRNG    *rand.Rand // draws what upstreams announce in responses
 	enabled        [numFamilies]bool
 	mu             sync.Mutex
-	proxies        []*proxy
+	proxies        map[string]*proxy // by the address that the runner registers
 	injected       []string
 	faultyNodes    map[int]bool // nodes that a fault currently affects
 	pendingReverts sync.WaitGroup
 	start          time.Time
-	fatal          *fatalRequest // nil if no request crashes upstreams
-	restorer       *restorer     // nil without restores of the store
-	paths          *pathFaults   // nil without path faults
+	fatal          *fatalRequest  // nil if no request crashes upstreams
+	restorer       *restorer      // nil without restores of the store
+	paths          *pathFaults    // nil without path faults
+	versions       *versionFaults // nil without version faults
 }
 
 // Run runs the soak and returns the violations that it found. It returns an error if the soak can't be run.
 func (s *Soak) Run(ctx context.Context) (Result, error) {
 	s.rng = rand.New(rand.NewPCG(s.Seed, 0))
 	s.announceRNG = rand.New(rand.NewPCG(s.Seed, 2))
-	s.faultyNodes = make(map[int]bool)
+	s.faultyNodes, s.proxies = make(map[int]bool), make(map[string]*proxy)
 	for f := range s.enabled {
 		s.enabled[f] = s.rng.IntN(5) < 3
 	}
 	s.fatal = s.newFatalRequest()
 	s.restorer = s.newRestorer()
 	s.paths = s.newPathFaults()
+	s.versions = s.newVersionFaults()
 	s.sys = &standin.System{FatalBody: fatalBody, OnFatalCrash: s.handleCrash, Nodes: s.Nodes, Engines: 4, Apps: 3, Program: s.Program, Dir: s.Dir, Subnet: int(s.Seed%200) + 20, Advertise: s.advertise}
+	if s.versions != nil {
+		s.sys.EngineVersions = softwareVersions[:2]
+	}
 	defer s.sys.Stop()
 	if err := s.sys.Start(ctx); err != nil {
 		return Result{}, fmt.Errorf("start system: %w", err)
@@ -114,9 +124,15 @@
 		}
 		others.Go(func() { s.paths.run(ctx) })
 	}
+	if s.versions != nil {
+		others.Go(func() { s.versions.run(ctx) })
+	}
 	s.injectFaults(ctx)
 	s.pendingReverts.Wait()
 	others.Wait()
+	if s.versions != nil {
+		s.versions.pending.Wait()
+	}
 	if s.paths != nil {
 		s.paths.pending.Wait()
 	}
@@ -131,6 +147,9 @@
 	s.checkRecovery(ctx)
 	stop()
 	wg.Wait()
+	if s.versions != nil {
+		s.versions.checkReturns()
+	}
 	if s.fatal != nil {
 		s.fatal.pendingReplacements.Wait()
 	}
@@ -138,22 +157,27 @@
 	if s.paths != nil {
 		out.PathShares = s.paths.shares
 	}
+	if s.versions != nil {
+		out.Returns = s.versions.countReturns().String()
+	}
 	return out, nil
 }
 
 func (s *Soak) advertise(address string) (string, error) {
 	p := &proxy{target: address}
+	registered, err := p.listen()
 	s.mu.Lock()
-	s.proxies = append(s.proxies, p)
-	s.mu.Unlock()
-	return p.listen()
+	defer s.mu.Unlock()
+	s.proxies[registered] = p
+	return registered, err
 }
 
-// proxy returns the proxy in front of runner i.
+// proxy returns the proxy in front of the current runner i.
 func (s *Soak) proxy(i int) *proxy {
+	address := s.sys.Runner(i).Address()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.proxies[i]
+	return s.proxies[address]
 }
 
 func pause(ctx context.Context, d time.Duration) {
@@ -326,7 +350,11 @@
 // signalNode sends a signal to a random node, unless another fault affects the node. The returned function
 // resumes a frozen node and restarts one that exited.
 func (s *Soak) signalNode(name string, sig syscall.Signal) (string, func()) {
-	i := s.rng.IntN(s.Nodes)
+	return s.signalNodeAt(s.rng.IntN(s.Nodes), name, sig)
+}
+
+// signalNodeAt is like signalNode for a given node.
+func (s *Soak) signalNodeAt(i int, name string, sig syscall.Signal) (string, func()) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.faultyNodes[i] {
--- /dev/null
+++ b/internal/sagesoak/versions.go
@@ -0,0 +1,221 @@
+package sagesoak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"sagestand.example/sagestand/platform/standin"
+)
+
+// Parameters of software versions that serve side by side.
+const (
+	maxVersionGap    = 700 * time.Millisecond
+	releaseDrainTime = 2500 * time.Millisecond // for which a replaced upstream still runs
+	restartGap       = 400 * time.Millisecond  // between two stops in a series
+	brokenStreams    = 0.4                     // share of the streams that break off while streams break
+	minReturns       = 12                      // of streams that callers take up, below which nothing is checked
+	minReturnRatio   = 0.5                     // of the share of returns that go on, against the share of new streams that begin
+	minServing       = 2                       // upstreams of a version, below which its returns aren't checked
+)
+
+// softwareVersions are the versions of the engines' software. The first two serve at the start.
+var softwareVersions = []string{"v1", "v1.1", "v1.2"}
+
+// versionFaults has software versions replace each other, breaks streams, and stops nodes. It uses its own random numbers,
+// so that the other faults of a seed don't depend on it. Without other faults, what becomes of the streams that callers
+// take up is checked.
+type versionFaults struct {
+	soak        *Soak
+	rng         *rand.Rand
+	checked     bool
+	pending     sync.WaitGroup
+	generations map[int]int
+
+	mu sync.Mutex
+	// lostAll are the times at which all nodes were stopped at once, with what they knew.
+	lostAll []time.Time
+}
+
+// newVersionFaults returns the version faults of the seed, or nil if the soak has none.
+func (s *Soak) newVersionFaults() *versionFaults {
+	if !s.Versions {
+		return nil
+	}
+	return &versionFaults{soak: s, rng: rand.New(rand.NewPCG(s.Seed, 5)), checked: s.NoFaults, generations: make(map[int]int)}
+}
+
+// run injects version faults until the soak's duration has passed.
+func (v *versionFaults) run(ctx context.Context) {
+	s := v.soak
+	v.breakStreams(ctx)
+	for ctx.Err() == nil && time.Since(s.start) < s.Duration {
+		switch v.rng.IntN(10) {
+		case 0, 1, 2:
+			v.release(ctx)
+		case 3:
+			v.restartUnderSameID(ctx)
+		case 4:
+			v.breakStreams(ctx)
+		case 5:
+			v.stopAll(syscall.SIGKILL, 0)
+		case 6:
+			v.stopAll(syscall.SIGTERM, restartGap)
+		case 7:
+			v.stopAll(syscall.SIGKILL, restartGap)
+		default:
+			v.signal()
+		}
+		pause(ctx, time.Duration(v.rng.Int64N(int64(maxVersionGap))))
+	}
+}
+
+// breakStreams has the engines break off streams in the middle for some time.
+func (v *versionFaults) breakStreams(ctx context.Context) {
+	s := v.soak
+	duration := maxFaultDuration/2 + time.Duration(v.rng.Int64N(int64(maxFaultDuration)))
+	s.recordInjected("streams break", duration)
+	set := func(share float64) {
+		for i := range s.sys.Engines {
+			s.sys.Runner(i).InjectFaults(standin.RunnerFaults{Cut: share})
+		}
+	}
+	set(brokenStreams)
+	v.pending.Go(func() {
+		pause(ctx, duration)
+		set(0)
+	})
+}
+
+// otherVersion draws a version other than that of engine i.
+func (v *versionFaults) otherVersion(i int) string {
+	for {
+		if version := softwareVersions[v.rng.IntN(len(softwareVersions))]; version != v.soak.sys.Runner(i).Version {
+			return version
+		}
+	}
+}
+
+// release replaces one or two engines by another version. The new one starts first, the old one drains.
+func (v *versionFaults) release(ctx context.Context) {
+	for range 1 + v.rng.IntN(2) {
+		v.replace(ctx, v.rng.IntN(v.soak.sys.Engines), false)
+	}
+}
+
+// restartUnderSameID crashes an engine, which starts again under its ID with another version.
+func (v *versionFaults) restartUnderSameID(ctx context.Context) {
+	i := v.rng.IntN(v.soak.sys.Engines)
+	v.soak.sys.Runner(i).Crash()
+	v.replace(ctx, i, true)
+}
+
+func (v *versionFaults) replace(ctx context.Context, i int, sameID bool) {
+	s := v.soak
+	v.generations[i]++
+	version := v.otherVersion(i)
+	old, err := s.sys.ReplaceVersion(i, v.generations[i]+1, version, sameID)
+	if err != nil {
+		s.sys.Ledger.RecordViolation("runner %d was not replaced: %v", i, err)
+		return
+	}
+	s.recordInjected(fmt.Sprintf("%s of version %s replaced by %s", old.ID, old.Version, version), 0)
+	if sameID {
+		return
+	}
+	s.leave(func() { old.Drain(standin.MaxDrainDelay, v.checked) })
+	v.pending.Go(func() {
+		pause(ctx, releaseDrainTime)
+		old.Crash()
+		s.sys.Store.Delete("servers", old.ID)
+	})
+}
+
+// signal kills, stops or freezes one node.
+func (v *versionFaults) signal() {
+	signals := []struct {
+		name string
+		sig  syscall.Signal
+	}{{"kill", syscall.SIGKILL}, {"term", syscall.SIGTERM}, {"freeze", syscall.SIGSTOP}}
+	chosen := signals[v.rng.IntN(len(signals))]
+	v.signalNode(chosen.name, chosen.sig, v.rng.IntN(v.soak.Nodes), maxFaultDuration/6+time.Duration(v.rng.Int64N(int64(maxFaultDuration))))
+}
+
+// signalNode sends a signal to a node, which runs again after the given time.
+func (v *versionFaults) signalNode(name string, sig syscall.Signal, node int, duration time.Duration) {
+	injected, revert := v.soak.signalNodeAt(node, name, sig)
+	if injected == "" {
+		return
+	}
+	v.soak.recordInjected(injected, duration)
+	v.pending.Go(func() {
+		time.Sleep(duration)
+		revert()
+	})
+}
+
+// stopAll stops all nodes, at once or one after the other, and starts each again.
+func (v *versionFaults) stopAll(sig syscall.Signal, gap time.Duration) {
+	if gap == 0 {
+		v.mu.Lock()
+		v.lostAll = append(v.lostAll, time.Now())
+		v.mu.Unlock()
+	}
+	for i := range v.soak.Nodes {
+		v.signalNode("stop all: "+sig.String(), sig, i, restartGap)
+		time.Sleep(gap)
+	}
+}
+
+// returnCounts counts new streams, and streams that callers took up while enough upstreams of their version served.
+type returnCounts struct{ begun, returned tries }
+
+// String returns the counts as served/sent.
+func (c returnCounts) String() string {
+	return fmt.Sprintf("begun %v, gone on %v", c.begun, c.returned)
+}
+
+// countReturns counts the attempts of all callers. Those at about a time at which all nodes lost what they knew, and until
+// they are in contact again, don't count.
+func (v *versionFaults) countReturns() returnCounts {
+	var c returnCounts
+	for _, t := range v.soak.sys.Ledger.StreamTries() {
+		counted := &c.begun
+		switch {
+		case v.afterLoss(t.SentAt):
+			continue
+		case t.Version != "" && t.Serving < minServing:
+			continue
+		case t.Version != "":
+			counted = &c.returned
+		}
+		counted.sent++
+		if t.GotEvents {
+			counted.served++
+		}
+	}
+	return c
+}
+
+// afterLoss reports whether all nodes were stopped at once shortly before a time.
+func (v *versionFaults) afterLoss(at time.Time) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, lost := range v.lostAll {
+		if d := at.Sub(lost); d > -restartGap && d < contactTime+restartGap {
+			return true
+		}
+	}
+	return false
+}
+
+// checkReturns checks that streams that callers take up go on about as often as new streams begin.
+func (v *versionFaults) checkReturns() {
+	c := v.countReturns()
+	if v.checked && c.returned.sent >= minReturns && c.returned.ratio() < minReturnRatio*c.begun.ratio() {
+		v.soak.sys.Ledger.RecordViolation("streams that callers took up: %v", c)
+	}
+}
