--- a/internal/sageexplain/explain.go
+++ b/internal/sageexplain/explain.go
@@ -1,5 +1,8 @@
 // Package sageexplain collects the log lines of one request from several nodes in order of time.
 //
+// A caller takes a broken stream up with a new attempt, which names the one that brought the first event. The lines of all
+// attempts to get one stream are collected, whichever of them is asked for.
+//
 // # Usage
 //
 //	timeline, err := sageexplain.Read("9c41d0", files...)
@@ -23,9 +26,13 @@
 type Line struct {
 	At   string
 	Node string
-	Msg  string
+	// ID is the ID of the attempt.
+	ID  string
+	Msg string
 	// Pairs are the other fields of the line as key=value, in their order.
 	Pairs []string
+
+	resumes string // ID of the attempt whose stream this one takes up
 }
 
 // Timeline holds the log lines about one request in order of time.
@@ -42,13 +49,21 @@
 	io.Reader
 }
 
-// Read collects the lines about a request. It skips lines that aren't logfmt.
+// Read collects the lines about a request, and about the other attempts to get its stream. It skips lines that aren't
+// logfmt.
 func Read(id string, logs ...Log) (Timeline, error) {
 	s := Timeline{ID: id}
+	var texts []string
 	for _, l := range logs {
-		if err := s.add(l); err != nil {
+		b, err := io.ReadAll(l)
+		if err != nil {
 			return s, fmt.Errorf("read %s: %w", l.Name, err)
 		}
+		texts = append(texts, string(b))
+	}
+	first := firstAttempt(id, texts)
+	for _, text := range texts {
+		s.add(first, text)
 	}
 	if len(s.Lines) == 0 {
 		return s, fmt.Errorf("%s: %w", id, ErrRequestNotFound)
@@ -58,26 +73,49 @@
 	return s, nil
 }
 
-func (s *Timeline) add(l Log) error {
-	b, err := io.ReadAll(l)
-	if err != nil {
-		return err
+// firstAttempt returns the ID of the attempt that brought the first event of the stream that an attempt takes up, or the
+// attempt's own ID.
+func firstAttempt(id string, texts []string) string {
+	for _, text := range texts {
+		for line := range strings.Lines(text) {
+			if !strings.Contains(line, id) {
+				continue
+			}
+			if l, ok := parse(line); ok && l.ID == id && l.resumes != "" {
+				return l.resumes
+			}
+		}
 	}
-	for text := range strings.Lines(string(b)) {
-		if !strings.Contains(text, s.ID) {
+	return id
+}
+
+// add adds the lines about an attempt, and about those that take its stream up. The latter name it only in some of their
+// lines.
+func (s *Timeline) add(first, text string) {
+	attempts := map[string]bool{first: true, s.ID: true}
+	for line := range strings.Lines(text) {
+		if !strings.Contains(line, first) {
 			continue
 		}
-		if line, ok := parse(text, s.ID); ok {
-			s.Lines = append(s.Lines, line)
+		if l, ok := parse(line); ok && l.resumes == first {
+			attempts[l.ID] = true
+		}
+	}
+	for line := range strings.Lines(text) {
+		for id := range attempts {
+			if !strings.Contains(line, id) {
+				continue
+			}
+			if l, ok := parse(line); ok && l.ID == id {
+				s.Lines = append(s.Lines, l)
+			}
 		}
 	}
-	return nil
 }
 
-// parse decodes a line and reports whether it is about the request.
-func parse(text, id string) (Line, bool) {
+// parse decodes a line and reports whether it is about a request.
+func parse(text string) (Line, bool) {
 	var out Line
-	matches := false
 	d := logfmt.NewDecoder(strings.NewReader(text))
 	d.ScanRecord()
 	for d.ScanKeyval() {
@@ -91,12 +129,15 @@
 			out.Msg = v
 		case "level":
 		case "id":
-			matches = v == id
+			out.ID = v
 		default:
+			if k == "resumes" {
+				out.resumes = v
+			}
 			out.Pairs = append(out.Pairs, k+"="+v)
 		}
 	}
-	return out, matches && d.Err() == nil
+	return out, out.ID != "" && d.Err() == nil
 }
 
 // causes maps the reasons in log lines to explanations.
@@ -112,6 +153,9 @@
 	"upstream_failed":  "the upstream returned an error of its own, which was passed on",
 	"answer_lost":      "an upstream accepted the request and returned no complete response; see the cause of the preceding exchange",
 	"quarantined":      "upstreams had crashed under requests with the same fingerprint; search for it in the log lines of the crashes",
+	"origin_unknown":   "the caller took up a stream whose version no node knows any more, so it was not continued; look for restarts of the nodes of its first attempt",
+	"origin_moved":     "the caller took up a stream of a service to which its route no longer leads",
+	"version_gone":     "the caller took up a stream whose version has no upstream left",
 	"timed_out":        "the upstream was still working or unresponsive at the deadline",
 }
 
@@ -130,7 +174,7 @@
 // Write prints the timeline as text.
 func (s *Timeline) Write(w io.Writer) error {
 	for _, l := range s.Lines {
-		if _, err := fmt.Fprintf(w, "%s  %-12s %s  %s\n", l.At, l.Node, l.Msg, strings.Join(l.Pairs, " ")); err != nil {
+		if _, err := fmt.Fprintf(w, "%s  %-12s %-16s %s  %s\n", l.At, l.Node, l.ID, l.Msg, strings.Join(l.Pairs, " ")); err != nil {
 			return fmt.Errorf("write timeline: %w", err)
 		}
 	}
--- a/internal/sageexplain/explain_test.go
+++ b/internal/sageexplain/explain_test.go
@@ -32,3 +32,23 @@
 	_, err := Read("q8", Log{"one", strings.NewReader(logVM1)})
 	require.ErrorIs(t, err, ErrRequestNotFound)
 }
+
+// Prevents the story of a stream from ending where its caller returned at another node.
+func TestAttemptsOfOneStreamAreJoined(t *testing.T) {
+	const one = `at=2026-01-01T00:00:01Z node=vm1 level=info msg="relay: Exchange failed." id=q1 upstream=e1 version=v1 verdict=cut
+at=2026-01-01T00:00:09Z node=vm1 level=info msg="relay: Request refused." id=q9 reason=no_upstream
+`
+	const two = `at=2026-01-01T00:00:02Z node=vm2 level=info msg="relay: Caller takes up a stream." id=q2 resumes=q1 origin=found version=v1
+at=2026-01-01T00:00:03Z node=vm2 level=info msg="relay: Request given up." id=q2 reason=version_gone
+at=2026-01-01T00:00:05Z node=vm2 level=info msg="relay: Caller takes up a stream." id=q3 resumes=q1 origin=found version=v1
+`
+	for _, id := range []string{"q1", "q2", "q3"} {
+		timeline, err := Read(id, Log{"one", strings.NewReader(one)}, Log{"two", strings.NewReader(two)})
+		require.NoError(t, err)
+		var got []string
+		for _, l := range timeline.Lines {
+			got = append(got, l.ID)
+		}
+		require.Equal(t, []string{"q1", "q2", "q2", "q3"}, got, id)
+	}
+}
--- a/internal/sageorigind/find.go
+++ b/internal/sageorigind/find.go
@@ -42,8 +42,8 @@
 
 func (s *Service) find(ctx context.Context, route string, k sageorigin.Key) sageorigin.Finding {
 	now := s.now()
-	if o, ok := s.table.Get(now, k); ok {
-		return sageorigin.Finding{Status: sageorigin.Found, Origin: o}
+	if o, age, ok := s.table.Get(now, k); ok {
+		return sageorigin.Finding{Status: sageorigin.Found, Origin: o, Age: age}
 	}
 	o, status := s.History.Status(now, route)
 	if status == sageorigin.Sole && s.Fresh() {
@@ -105,7 +105,7 @@
 			}
 		case got := <-a.answers:
 			if got.Status == sageorigin.Found {
-				return sageorigin.Finding{Status: sageorigin.Found, Origin: got.Origin, From: got.from, Asked: len(nodes), Answered: len(answered) + 1}, true
+				return sageorigin.Finding{Status: sageorigin.Found, Origin: got.Origin, Age: got.Age, From: got.from, Asked: len(nodes), Answered: len(answered) + 1}, true
 			}
 			answered[got.from] = true
 			if got.Status == sageorigin.Uninformed {
@@ -181,8 +181,8 @@
 // answer returns what this node knows of a stream's origin.
 func (s *Service) answer(now sageclock.Instant, q *sageorigin.Query) *sageorigin.Answer {
 	a := &sageorigin.Answer{Number: q.Number}
-	if o, ok := s.table.Get(now, q.Key); ok {
-		a.Status, a.Origin = sageorigin.Found, o
+	if o, age, ok := s.table.Get(now, q.Key); ok {
+		a.Status, a.Origin, a.Age = sageorigin.Found, o, age
 		return a
 	}
 	a.Origin, a.Status = s.History.Status(now, q.Route)
--- a/internal/sagerelay/origin.go
+++ b/internal/sagerelay/origin.go
@@ -62,7 +62,7 @@
 	}
 	if f.Status != sageorigin.Sole {
 		j.s.Log.Limited(sagelog.KindExchange, "Caller takes up a stream.", "id", j.meta.ID, "resumes", j.meta.Resumes, "last_event", j.meta.LastEventID, "origin", f.Status.String(),
-			"service", f.Origin.Service, "version", f.Origin.Version, "from", f.From, "asked", f.Asked, "answered", f.Answered, "reason", string(reason), "took_ms", time.Since(start).Milliseconds())
+			"service", f.Origin.Service, "version", f.Origin.Version, "from", f.From, "record_age_ms", f.Age.Milliseconds(), "asked", f.Asked, "answered", f.Answered, "reason", string(reason), "took_ms", time.Since(start).Milliseconds())
 	}
 	return reason, reason == ""
 }
@@ -115,6 +115,9 @@
 	if j.relay.from != "" {
 		return // the peer that has the caller records it
 	}
+	if !j.resumes() {
+		j.s.Log.Limited(sagelog.KindServed, "Stream begins.", "id", j.meta.ID, "service", j.origin.Service, "version", j.origin.Version, "upstream", x.upstreamID())
+	}
 	until := j.deadline
 	if d := j.meta.Deadline; !d.IsZero() {
 		until = d
--- a/pkg/sageorigin/message.go
+++ b/pkg/sageorigin/message.go
@@ -36,6 +36,8 @@
 	Status Status
 	// Origin is set unless Status is Unknown or Uninformed.
 	Origin Origin
+	// Age is for how long the node has had the record.
+	Age time.Duration
 }
 
 // Message is what nodes send each other: records, a query or an answer.
@@ -58,6 +60,7 @@
 	fieldNumber  protowire.Number = 5
 	fieldRoute   protowire.Number = 6
 	fieldStatus  protowire.Number = 7
+	fieldAge     protowire.Number = 8 // milliseconds
 )
 
 // Encode returns the encoded message. Records that have ended are left out.
@@ -77,6 +80,7 @@
 	if a := m.Answer; a != nil {
 		part := appendNumber(nil, fieldNumber, a.Number)
 		part = appendNumber(part, fieldStatus, uint64(a.Status))
+		part = appendNumber(part, fieldAge, uint64(max(0, a.Age.Milliseconds())))
 		b = appendPart(b, fieldAnswer, a.Origin.append(part))
 	}
 	return b
@@ -115,7 +119,8 @@
 type fields struct {
 	key                     []byte
 	service, version, route string
-	ttl, number, status     uint64
+	ttl, number             uint64
+	status, age             uint64
 }
 
 // Decode decodes a message that was received at now. Fields that it doesn't know are skipped.
@@ -173,10 +178,10 @@
 }
 
 func (m *Message) setAnswer(f *fields) error {
-	a := &Answer{Number: f.number, Status: Status(f.status), Origin: Origin{f.service, f.version}}
-	if f.status >= uint64(numStatuses) {
-		return fmt.Errorf("answer: status %d: %w", f.status, ErrMessage)
+	if f.status >= uint64(numStatuses) || f.age > uint64(maxTTL.Milliseconds()) {
+		return fmt.Errorf("answer: status %d, age of %d ms: %w", f.status, f.age, ErrMessage)
 	}
+	a := &Answer{Number: f.number, Status: Status(f.status), Origin: Origin{f.service, f.version}, Age: time.Duration(f.age) * time.Millisecond}
 	if err := a.Origin.Check(); a.Status.hasOrigin() && err != nil {
 		return fmt.Errorf("answer: %v: %w", err, ErrMessage)
 	}
@@ -202,6 +207,8 @@
 			f.route = string(data)
 		case fieldStatus:
 			f.status = v
+		case fieldAge:
+			f.age = v
 		}
 		return nil
 	})
--- a/pkg/sageorigin/message_test.go
+++ b/pkg/sageorigin/message_test.go
@@ -3,6 +3,7 @@
 import (
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 	"google.golang.org/protobuf/encoding/protowire"
@@ -13,7 +14,7 @@
 	for _, m := range []Message{
 		{Records: []Record{{k, chatV1, 5 * second}, {KeyOf("", "q2"), Origin{Service: "app"}, 3 * second}}},
 		{Query: &Query{Number: 7, Key: k, Route: "r"}},
-		{Answer: &Answer{Number: 7, Status: Found, Origin: chatV2}},
+		{Answer: &Answer{Number: 7, Status: Found, Origin: chatV2, Age: 3 * time.Second}},
 		{Answer: &Answer{Number: 7, Status: Unknown}},
 		{},
 	} {
--- a/pkg/sageorigin/origin.go
+++ b/pkg/sageorigin/origin.go
@@ -77,6 +77,8 @@
 	Status Status
 	// Origin is set unless Status is Unknown.
 	Origin Origin
+	// Age is for how long the node that was asked has had the record.
+	Age time.Duration
 	// From is the address of the node that had the record; empty if this one had it.
 	From string
 	// Asked and Answered count the nodes that were asked and those that answered.
--- a/pkg/sageorigin/table.go
+++ b/pkg/sageorigin/table.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 	"unique"
 
 	"sagestand.example/sagestand/pkg/sageclock"
@@ -25,6 +26,7 @@
 
 type tableEntry struct {
 	origin unique.Handle[Origin]
+	since  sageclock.Instant // when this node got the record
 	until  sageclock.Instant
 	number uint64
 }
@@ -54,7 +56,7 @@
 		return
 	}
 	t.added++
-	t.entries[r.Key] = tableEntry{unique.Make(r.Origin), r.Until, t.added}
+	t.entries[r.Key] = tableEntry{unique.Make(r.Origin), now, r.Until, t.added}
 	t.queue = append(t.queue, queued{r.Key, t.added})
 	t.drop(now)
 }
@@ -83,15 +85,15 @@
 	}
 }
 
-// Get returns the origin of a stream.
-func (t *Table) Get(now sageclock.Instant, k Key) (Origin, bool) {
+// Get returns the origin of a stream, and for how long this table has had its record.
+func (t *Table) Get(now sageclock.Instant, k Key) (o Origin, age time.Duration, ok bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	e, ok := t.entries[k]
 	if !ok || e.until <= now {
-		return Origin{}, false
+		return Origin{}, 0, false
 	}
-	return e.origin.Value(), true
+	return e.origin.Value(), now.Sub(e.since), true
 }
 
 // Records returns all records that have not ended.
--- a/pkg/sageorigin/table_test.go
+++ b/pkg/sageorigin/table_test.go
@@ -31,11 +31,12 @@
 	tab.Put(second, Record{k, chatV1, 3 * second})
 	tab.Put(second, Record{k, chatV1, 5 * second})
 	tab.Put(second, Record{k, chatV1, 2 * second})
-	got, ok := tab.Get(4*second, k)
+	got, age, ok := tab.Get(4*second, k)
 	require.True(t, ok, "a record is extended, never shortened")
 	require.Equal(t, chatV1, got)
+	require.Equal(t, 3*time.Second, age)
 	require.Len(t, tab.Records(4*second), 1)
-	_, ok = tab.Get(5*second, k)
+	_, _, ok = tab.Get(5*second, k)
 	require.False(t, ok)
 	require.Empty(t, tab.Records(5*second))
 	tab.Sweep(5 * second)
@@ -43,7 +44,7 @@
 	tab.Put(6*second, Record{k, chatV1, 6 * second})
 	require.Zero(t, tab.Len(), "a record that has ended isn't stored")
 	tab.Put(6*second, Record{k, chatV2, 8 * second})
-	got, ok = tab.Get(7*second, k)
+	got, _, ok = tab.Get(7*second, k)
 	require.True(t, ok)
 	require.Equal(t, chatV2, got, "an ended record doesn't contradict a later one")
 }
@@ -55,7 +56,7 @@
 	for _, o := range []Origin{chatV1, chatV2, chatV1} {
 		tab.Put(second, Record{k, o, 9 * second})
 	}
-	got, ok := tab.Get(2*second, k)
+	got, _, ok := tab.Get(2*second, k)
 	require.True(t, ok)
 	require.Equal(t, Origin{Service: "chat"}, got)
 }
@@ -70,9 +71,9 @@
 		require.LessOrEqual(t, tab.Len(), limit)
 		require.LessOrEqual(t, len(tab.queue), 2*limit+2)
 	}
-	_, ok := tab.Get(6*second, KeyOf("acc", fmt.Sprint(50*limit-limit)))
+	_, _, ok := tab.Get(6*second, KeyOf("acc", fmt.Sprint(50*limit-limit)))
 	require.True(t, ok, "the newest records are kept")
-	_, ok = tab.Get(6*second, KeyOf("acc", fmt.Sprint(50*limit-limit-1)))
+	_, _, ok = tab.Get(6*second, KeyOf("acc", fmt.Sprint(50*limit-limit-1)))
 	require.False(t, ok)
 }
 
@@ -97,6 +98,6 @@
 	fmt.Println(t.Get(now.Add(time.Second), k))
 	fmt.Println(t.Get(now.Add(time.Second), KeyOf("other", "9c41d07b")))
 	// Output:
-	// {chat v2} true
-	// { } false
+	// {chat v2} 1s true
+	// { } 0s false
 }
