--- a/internal/sagerelay/doc.go
+++ b/internal/sagerelay/doc.go
@@ -16,6 +16,10 @@
 // by event. If a stream can't be completed, the caller's connection is closed without the regular
 // end of the body, so that a truncated stream can't be taken for a complete one.
 //
+// The upstream whose first event is passed on fixes the service and software version of a stream. Every later send of it goes
+// there or isn't made: by this node, over a peer, or by the node to which the caller returns. [Origins] keeps where streams
+// began, see package sageorigin. A return whose stream can't go on is refused as not executed.
+//
 // If this node has no path to the upstreams of a service, a request takes one hop: it is sent to a peer that has one, a
 // [Helper], which serves it with [Service.ServeRelayed] and never sends it to another peer. A peer that can't take a request
 // says so in a header, and another one is tried. The node that received the request counts it for the retry budget.
@@ -24,6 +28,6 @@
 //
 // # Usage
 //
-//	s := &sagerelay.Service{Dialect: d, Fleet: f, Log: log}
+//	s := &sagerelay.Service{Dialect: d, Fleet: f, Origins: o, Log: log}
 //	srv := &http.Server{Handler: s}
 package sagerelay
