Streams of services whose upstreams register no version go on

Cause: a node kept a record without a version and took it for found, so that it refused the return although all upstreams of the service are alike. Seen when reading the diff. Change: a record without a version only contradicts a sole version. Result: TestStreamsWithoutVersion fails without the change in its first case.

--- a/internal/sageorigind/find.go
+++ b/internal/sageorigind/find.go
@@ -42,34 +42,28 @@
 
 func (s *Service) find(ctx context.Context, route string, k sageorigin.Key) sageorigin.Finding {
 	now := s.now()
-	if o, age, ok := s.table.Get(now, k); ok {
-		return sageorigin.Finding{Status: sageorigin.Found, Origin: o, Age: age}
+	o, age, status := s.lookUp(now, route, k)
+	if status == sageorigin.Found || status == sageorigin.Sole && s.Fresh() {
+		return sageorigin.Finding{Status: status, Origin: o, Age: age}
 	}
-	o, status := s.History.Status(now, route)
-	if status == sageorigin.Sole && s.Fresh() {
-		return sageorigin.Finding{Status: sageorigin.Sole, Origin: o}
-	}
-	f, complete := s.search(ctx, route, k)
+	// A sole version that was not known here for long enough, or not freshly, needs the other nodes' word.
+	f, complete := s.search(ctx, route, k, o, status == sageorigin.Sole || status == sageorigin.SoleSinceStart)
 	if f.Status != sageorigin.SoleSinceStart {
 		return f
 	}
-	if !complete && !s.learnDepartures(ctx) {
-		f.Status = sageorigin.Unknown
-		return f
-	}
-	if o, sole := s.History.Sole(s.now(), route); !sole || o != f.Origin {
+	known := complete || s.learnDepartures(ctx)
+	if o, sole := s.History.Sole(s.now(), route); !known || !sole || o != f.Origin {
 		return sageorigin.Finding{Asked: f.Asked, Answered: f.Answered}
 	}
 	f.Status = sageorigin.Sole
 	return f
 }
 
-// search asks other nodes. If they know of one version only, as this one does, the status is SoleSinceStart; complete says
-// that the history of one of them reaches back far enough.
-func (s *Service) search(ctx context.Context, route string, k sageorigin.Key) (f sageorigin.Finding, complete bool) {
+// search asks other nodes. sole says that this node knows of one origin only, o. If the others do, too, the status is
+// SoleSinceStart; complete says that the history of one of them reaches back far enough.
+func (s *Service) search(ctx context.Context, route string, k sageorigin.Key, o sageorigin.Origin, sole bool) (f sageorigin.Finding, complete bool) {
 	now := s.now()
 	nodes := s.currentRing(now).Asked(k, s.Self)
-	o, sole := s.History.Sole(now, route)
 	if len(nodes) == 0 {
 		if sole {
 			f = sageorigin.Finding{Status: sageorigin.SoleSinceStart, Origin: o}
@@ -181,14 +175,24 @@
 // answer returns what this node knows of a stream's origin.
 func (s *Service) answer(now sageclock.Instant, q *sageorigin.Query) *sageorigin.Answer {
 	a := &sageorigin.Answer{Number: q.Number}
-	if o, age, ok := s.table.Get(now, q.Key); ok {
-		a.Status, a.Origin, a.Age = sageorigin.Found, o, age
-		return a
-	}
-	a.Origin, a.Status = s.History.Status(now, q.Route)
+	a.Origin, a.Age, a.Status = s.lookUp(now, q.Route, q.Key)
 	return a
 }
 
+// lookUp returns what this node knows of a stream's origin. A record without a version says no more than that the stream
+// began, and contradicts a sole version.
+func (s *Service) lookUp(now sageclock.Instant, route string, k sageorigin.Key) (o sageorigin.Origin, age time.Duration, status sageorigin.Status) {
+	o, age, recorded := s.table.Get(now, k)
+	if recorded && o.Version != "" {
+		return o, age, sageorigin.Found
+	}
+	o, status = s.History.Status(now, route)
+	if recorded && o.Version != "" {
+		return sageorigin.Origin{}, 0, sageorigin.Unknown
+	}
+	return o, 0, status
+}
+
 // deliver passes an answer on to the search that it belongs to. Answers of nodes that weren't asked are ignored.
 func (s *Service) deliver(got nodeAnswer) {
 	s.mu.Lock()
--- a/internal/sageorigind/service_test.go
+++ b/internal/sageorigind/service_test.go
@@ -331,6 +331,26 @@
 	})
 }
 
+// Prevents streams of a service whose upstreams register no version from being refused, and those of an unknown version from
+// going on at a known one.
+func TestStreamsWithoutVersion(t *testing.T) {
+	noVersion := sageorigin.Origin{Service: "chat"}
+	for _, tt := range []struct {
+		name     string
+		versions []string
+		want     sageorigin.Status
+	}{{"no upstream has one", []string{""}, sageorigin.Sole}, {"some upstreams have one", []string{"", "v1"}, sageorigin.Unknown}, {"all upstreams have one", []string{"v1"}, sageorigin.Unknown}} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(3, tt.versions...)
+				f.nodes[0].begin(1, noVersion)
+				time.Sleep(2 * oneWay)
+				require.Equal(t, tt.want, f.nodes[0].Find(t.Context(), "r", key(0)).Status)
+			})
+		})
+	}
+}
+
 // Prevents the loss of a message from losing a stream.
 func TestQueriesAreRepeated(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
