Soak: returns are counted at nodes in touch, as the rule counts them

The rule counts machines in touch only. Change: attempts count at nodes that have run for contact_ms; new streams and returns alike, and after a stop of all nodes too, which was left out by time before. Streams break more often, so that more returns count.

--- a/internal/sagesoak/soak.go
+++ b/internal/sagesoak/soak.go
@@ -76,6 +76,7 @@
 	proxies        map[string]*proxy // by the address that the runner registers
 	injected       []string
 	faultyNodes    map[int]bool // nodes that a fault currently affects
+	nodeFaults     []*nodeFault
 	pendingReverts sync.WaitGroup
 	start          time.Time
 	fatal          *fatalRequest  // nil if no request crashes upstreams
@@ -180,6 +181,24 @@
 	return s.proxies[address]
 }
 
+// nodeFault is a time in which a node was stopped or frozen.
+type nodeFault struct {
+	node        int
+	from, until time.Time // until is zero while the fault lasts
+}
+
+// inTouch reports whether a node ran for contactTime before a time, and runs at the time itself.
+func (s *Soak) inTouch(node int, at time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, f := range s.nodeFaults {
+		if f.node == node && !at.Before(f.from) && (f.until.IsZero() || at.Before(f.until.Add(contactTime))) {
+			return false
+		}
+	}
+	return true
+}
+
 func pause(ctx context.Context, d time.Duration) {
 	select {
 	case <-ctx.Done():
@@ -361,6 +380,8 @@
 		return "", nil
 	}
 	s.faultyNodes[i] = true
+	fault := &nodeFault{node: i, from: time.Now()}
+	s.nodeFaults = append(s.nodeFaults, fault)
 	s.sys.Signal(i, sig)
 	return fmt.Sprintf("%s %d", name, i), func() {
 		if sig == syscall.SIGSTOP {
@@ -375,7 +396,7 @@
 		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		s.faultyNodes[i] = false
+		s.faultyNodes[i], fault.until = false, time.Now()
 	}
 }
 
--- a/internal/sagesoak/versions.go
+++ b/internal/sagesoak/versions.go
@@ -34,10 +34,6 @@
 	checked     bool
 	pending     sync.WaitGroup
 	generations map[int]int
-
-	mu sync.Mutex
-	// lostAll are the times at which all nodes were stopped at once, with what they knew.
-	lostAll []time.Time
 }
 
 // newVersionFaults returns the version faults of the seed, or nil if the soak has none.
@@ -53,18 +49,18 @@
 	s := v.soak
 	v.breakStreams(ctx)
 	for ctx.Err() == nil && time.Since(s.start) < s.Duration {
-		switch v.rng.IntN(10) {
+		switch v.rng.IntN(12) {
 		case 0, 1, 2:
 			v.release(ctx)
 		case 3:
 			v.restartUnderSameID(ctx)
-		case 4:
+		case 4, 5, 6:
 			v.breakStreams(ctx)
-		case 5:
+		case 7:
 			v.stopAll(syscall.SIGKILL, 0)
-		case 6:
+		case 8:
 			v.stopAll(syscall.SIGTERM, restartGap)
-		case 7:
+		case 9:
 			v.stopAll(syscall.SIGKILL, restartGap)
 		default:
 			v.signal()
@@ -159,11 +155,6 @@
 
 // stopAll stops all nodes, at once or one after the other, and starts each again.
 func (v *versionFaults) stopAll(sig syscall.Signal, gap time.Duration) {
-	if gap == 0 {
-		v.mu.Lock()
-		v.lostAll = append(v.lostAll, time.Now())
-		v.mu.Unlock()
-	}
 	for i := range v.soak.Nodes {
 		v.signalNode("stop all: "+sig.String(), sig, i, restartGap)
 		time.Sleep(gap)
@@ -178,14 +169,17 @@
 	return fmt.Sprintf("begun %v, gone on %v", c.begun, c.returned)
 }
 
-// countReturns counts the attempts of all callers. Those at about a time at which all nodes lost what they knew, and until
-// they are in contact again, don't count.
+// countReturns counts the attempts of all callers at nodes in touch.
 func (v *versionFaults) countReturns() returnCounts {
+	nodes := make(map[string]int)
+	for i := range v.soak.Nodes {
+		nodes[v.soak.sys.EntryAddress(i)] = i
+	}
 	var c returnCounts
 	for _, t := range v.soak.sys.Ledger.StreamTries() {
 		counted := &c.begun
-		switch {
-		case v.afterLoss(t.SentAt):
+		switch i, ok := nodes[t.Node]; {
+		case !ok || !v.soak.inTouch(i, t.SentAt):
 			continue
 		case t.Version != "" && t.Serving < minServing:
 			continue
@@ -200,18 +194,6 @@
 	return c
 }
 
-// afterLoss reports whether all nodes were stopped at once shortly before a time.
-func (v *versionFaults) afterLoss(at time.Time) bool {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	for _, lost := range v.lostAll {
-		if d := at.Sub(lost); d > -restartGap && d < contactTime+restartGap {
-			return true
-		}
-	}
-	return false
-}
-
 // checkReturns checks that streams that callers take up go on about as often as new streams begin.
 func (v *versionFaults) checkReturns() {
 	c := v.countReturns()
