--- a/internal/sagerouter/versions.go
+++ b/internal/sagerouter/versions.go
@@ -66,11 +66,9 @@
 	return out
 }
 
-// unsettled returns the IDs of the upstreams whose versions are so new to this node that others may not know them yet, in
-// services in which an upstream of another version can get requests. heldBack are the IDs of those that can't.
-//
-// A node that believes that a service has one version only continues streams at that one. Its copy of the upstreams may be
-// almost newVersionDelay old.
+// unsettled returns the IDs of the upstreams whose versions are new, in services in which an upstream of another version can
+// get requests. heldBack are the IDs of those that can't. Nodes that don't know the new version yet would continue its
+// streams at the other one.
 func (v *view) unsettled(now sageclock.Instant, heldBack map[string]bool) map[string]bool {
 	isNew := v.arrivals.newOnes(now)
 	if len(isNew) == 0 {
