Soak: no two runners get the same ID by chance

Two runners were named e1-3, start 1, at different addresses: the replacement of one that a fatal request had crashed, and a newer version. The nodes kept them apart by their addresses, the ledger did not. Change: the system counts the replacements of a place.

--- a/internal/sagesoak/fatal.go
+++ b/internal/sagesoak/fatal.go
@@ -29,9 +29,8 @@
 
 	pendingReplacements sync.WaitGroup
 
-	mu           sync.Mutex
-	replacements map[int]int // number of replacements, by runner index
-	crashes      []time.Time
+	mu      sync.Mutex
+	crashes []time.Time
 }
 
 // newFatalRequest returns the fatal request of the seed, or nil if the seed has none. It uses its own random
@@ -40,7 +39,7 @@
 	if s.NoFaults || rand.New(rand.NewPCG(s.Seed, 1)).IntN(5) >= 2 {
 		return nil
 	}
-	return &fatalRequest{soak: s, replacements: make(map[int]int)}
+	return &fatalRequest{soak: s}
 }
 
 // sendLoop sends the request to any node until ctx ends.
@@ -58,8 +57,6 @@
 	f := s.fatal
 	f.mu.Lock()
 	f.crashes = append(f.crashes, time.Now())
-	f.replacements[i]++
-	n := f.replacements[i] + 1
 	total, late := len(f.crashes), f.lateCrashes()
 	f.mu.Unlock()
 	if s.delayBoundsApply() && late > maxLateCrashes {
@@ -68,7 +65,7 @@
 	s.proxy(i).shutDown()
 	f.pendingReplacements.Go(func() {
 		time.Sleep(replaceDelay)
-		f.replace(i, n)
+		f.replace(i)
 	})
 }
 
@@ -83,12 +80,12 @@
 	return n
 }
 
-// replace starts the nth runner at index i, behind a new proxy.
-func (f *fatalRequest) replace(i, n int) {
+// replace starts the next runner at index i, behind a new proxy.
+func (f *fatalRequest) replace(i int) {
 	s := f.soak
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if err := s.sys.Replace(i, n); err != nil {
+	if err := s.sys.Replace(i); err != nil {
 		s.sys.Ledger.RecordViolation("runner %d was not replaced: %v", i, err)
 	}
 }
--- a/internal/sagesoak/versions.go
+++ b/internal/sagesoak/versions.go
@@ -29,11 +29,10 @@
 // so that the other faults of a seed don't depend on it. Without other faults, what becomes of the streams that callers
 // take up is checked.
 type versionFaults struct {
-	soak        *Soak
-	rng         *rand.Rand
-	checked     bool
-	pending     sync.WaitGroup
-	generations map[int]int
+	soak    *Soak
+	rng     *rand.Rand
+	checked bool
+	pending sync.WaitGroup
 }
 
 // newVersionFaults returns the version faults of the seed, or nil if the soak has none.
@@ -41,7 +40,7 @@
 	if !s.Versions {
 		return nil
 	}
-	return &versionFaults{soak: s, rng: rand.New(rand.NewPCG(s.Seed, 5)), checked: s.NoFaults, generations: make(map[int]int)}
+	return &versionFaults{soak: s, rng: rand.New(rand.NewPCG(s.Seed, 5)), checked: s.NoFaults}
 }
 
 // run injects version faults until the soak's duration has passed.
@@ -111,9 +110,8 @@
 
 func (v *versionFaults) replace(ctx context.Context, i int, sameID bool) {
 	s := v.soak
-	v.generations[i]++
 	version := v.otherVersion(i)
-	old, err := s.sys.ReplaceVersion(i, v.generations[i]+1, version, sameID)
+	old, err := s.sys.ReplaceVersion(i, version, sameID)
 	if err != nil {
 		s.sys.Ledger.RecordViolation("runner %d was not replaced: %v", i, err)
 		return
