Soak: bounds that hold while nodes are left alone don't apply beside version faults

Both bounds are stated for runs in which nodes and upstreams are left alone. Change: version faults count as faults of nodes and upstreams in these two checks.

--- a/internal/sagesoak/soak.go
+++ b/internal/sagesoak/soak.go
@@ -277,9 +277,11 @@
 	s.injected = append(s.injected, fmt.Sprintf("%.1fs %s for %.1fs", time.Since(s.start).Seconds(), name, duration.Seconds()))
 }
 
-// delayBoundsApply reports whether upstreams that leave must receive no requests after the bound. Without store
-// and node faults every node learns of the change in time.
-func (s *Soak) delayBoundsApply() bool { return !s.enabled[storeFaults] && !s.enabled[nodeFaults] }
+// delayBoundsApply reports whether upstreams that leave must receive no requests after the bound. Without faults of the
+// store and of nodes, which version faults stop too, every node learns of the change in time.
+func (s *Soak) delayBoundsApply() bool {
+	return !s.enabled[storeFaults] && !s.enabled[nodeFaults] && s.versions == nil
+}
 
 func (s *Soak) randomRunner() *standin.Runner { return s.sys.Runner(s.rng.IntN(len(s.sys.Runners))) }
 
@@ -403,7 +405,7 @@
 // checkRecovery checks that the system serves requests again, and that no streams were cut if only planned
 // faults were injected.
 func (s *Soak) checkRecovery(ctx context.Context) {
-	if !s.enabled[upstreamFaults] && !s.enabled[networkFaults] && !s.enabled[nodeFaults] && s.fatal == nil && s.paths == nil {
+	if !s.enabled[upstreamFaults] && !s.enabled[networkFaults] && !s.enabled[nodeFaults] && s.fatal == nil && s.paths == nil && s.versions == nil {
 		for _, k := range []standin.Kind{standin.Chat, standin.Reply} {
 			if n := s.sys.Ledger.Counts()[string(k)+" cut"]; n > 0 {
 				s.sys.Ledger.RecordViolation("%d streams of kind %s were cut although only planned faults were injected", n, k)
