--- a/internal/sagelog/limit.go
+++ b/internal/sagelog/limit.go
@@ -15,6 +15,7 @@
 	KindAbandoned
 	KindServed
 	KindStateChange
+	KindCrash
 	numKinds
 )
 
--- a/internal/sagerelay/crash.go
+++ b/internal/sagerelay/crash.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sagestand.example/sagestand/internal/sagelog"
+	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagequarantine"
 	"sagestand.example/sagestand/pkg/sageupstream"
@@ -65,14 +66,29 @@
 	if j.s.Fleet.Leaving(u) {
 		return
 	}
-	f := j.fingerprint()
+	r := x.running()
 	go func() {
 		if j.s.probeStopped(u) {
-			j.s.Fleet.WhenPathVerified(u, true, func() { j.s.recordCrash(u, f) })
+			j.s.Fleet.WhenPathVerified(u, true, func() { j.s.recordCrash(u, r) })
 		}
 	}()
 }
 
+// runningRequest describes a request that an upstream was executing.
+type runningRequest struct {
+	fingerprint sagequarantine.Fingerprint
+	id, account string
+	parts       sagechain.Chain // shared parts of the prompt
+	events      int             // received before the exchange broke
+	brokeAt     sageclock.Instant
+}
+
+// running describes the request of an exchange that has just broken.
+func (x *exchange) running() runningRequest {
+	j := x.j
+	return runningRequest{j.fingerprint(), j.meta.ID, j.accountName(), j.meta.Chain.Shared(), x.events, sageclock.Now()}
+}
+
 // recordAbandoned records that this node cancelled the request. The upstream may still be executing
 // it.
 func (x *exchange) recordAbandoned() {
@@ -92,12 +108,16 @@
 }
 
 // recordCrash records that an upstream crashed while it handled requests of this node.
-func (s *Service) recordCrash(u *sageupstream.Entry, requests ...sagequarantine.Fingerprint) {
+func (s *Service) recordCrash(u *sageupstream.Entry, requests ...runningRequest) {
 	now := sageclock.Now()
-	for _, f := range requests {
-		s.Log.Limited(sagelog.KindStateChange, "Upstream crashed under a request.", "upstream", u.ID, "service", u.Service, "fingerprint", f.String())
+	fingerprints := make([]sagequarantine.Fingerprint, len(requests))
+	for i := range requests {
+		r := &requests[i]
+		fingerprints[i] = r.fingerprint
+		s.Log.Limited(sagelog.KindCrash, "Upstream crashed under a request.", "id", r.id, "upstream", u.ID, "born", u.Born, "service", u.Service, "fingerprint", r.fingerprint.String(),
+			"account", r.account, "parts", r.parts.String(), "events", r.events, "crash_age_ms", now.Sub(r.brokeAt).Milliseconds())
 	}
-	for _, e := range s.Quarantine.RecordCrash(now, crashIDOf(u), requests...) {
+	for _, e := range s.Quarantine.RecordCrash(now, crashIDOf(u), fingerprints...) {
 		s.Log.Info("Request quarantined.", "fingerprint", e.Request.String(), "crashes", len(e.Crashes), "learned", "here", "upstream", u.ID)
 	}
 }
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -56,8 +56,10 @@
 	helperOrigin sageorigin.Origin
 	// freshConn is set if the connection was opened for this exchange.
 	freshConn bool
-	tracker   sageconn.Tracker
-	cancel    context.CancelCauseFunc
+	// events is the number of events received.
+	events  int
+	tracker sageconn.Tracker
+	cancel  context.CancelCauseFunc
 }
 
 // sendTo sends the request to an upstream and forwards the response.
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -181,7 +181,8 @@
 // logFailure logs an exchange that produced no final response.
 func (j *job) logFailure(p *Pick, v verdict) {
 	j.s.Log.Limited(sagelog.KindExchange, "Exchange failed.", "id", j.meta.ID, "upstream", p.Upstream.ID, "version", p.Upstream.Version, "verdict", v.String(),
-		"resumes", j.meta.Resumes, "cause", j.cause, "send", j.sends, "why", p.Rule, "load", p.Load, "fingerprint", j.fingerprint().String(), "age_ms", time.Since(j.start).Milliseconds())
+		"resumes", j.meta.Resumes, "cause", j.cause, "send", j.sends, "why", p.Rule, "load", p.Load, "fingerprint", j.fingerprint().String(), "account", j.accountName(), "parts", j.meta.Chain.Shared().String(),
+		"age_ms", time.Since(j.start).Milliseconds())
 }
 
 // String returns the name of the verdict in logs and metrics.
--- a/internal/sagerelay/stream.go
+++ b/internal/sagerelay/stream.go
@@ -49,6 +49,7 @@
 		if err != nil {
 			return x.failStream(ctx, err)
 		}
+		x.events++
 		if times.add(time.Now()); times.count == 1 && x.helper == nil {
 			j.s.Fleet.RecordFirstEvent(x.p, times.first.Sub(x.start))
 		}
--- a/pkg/sagechain/chain.go
+++ b/pkg/sagechain/chain.go
@@ -2,6 +2,8 @@
 
 import (
 	"encoding/binary"
+	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -43,6 +45,18 @@
 	return c[len(c)-1].ID
 }
 
+// String returns the IDs of the parts in hexadecimal, separated by commas.
+func (c Chain) String() string {
+	var b strings.Builder
+	for i, p := range c {
+		if i > 0 {
+			b.WriteByte(',')
+		}
+		b.WriteString(strconv.FormatUint(p.ID, 16))
+	}
+	return b.String()
+}
+
 // Tokens returns the length of all parts together.
 func (c Chain) Tokens() int {
 	n := 0
