Parts of prompts that crash upstreams are quarantined

What callers saw: requests that share one part of their prompts and nothing else ended engine after engine, and with each of them all that ran there.

Cause: the quarantine knew a request by the hash of account, path and whole body, so that each crash had an identity of its own and none added up.

Change: the shared parts of a prompt (account, service, model, part) are suspects beside the whole request while an answer begins. Of the suspects that explain a crash the one with most crashes is quarantined, and the others are free of them; one that explains all of that and more takes its place. Crashes of several accounts that nothing else explains bar a part for all. Exchanges whose answers haven't begun are cancelled as their request is quarantined. Responses that end with their connection speak for a part only once the upstream is known to run on. Evidence from before an operator's release no longer counts.

TestReportsExpire and others name ages, as reports carry them.

--- a/internal/sagemesh/codec.go
+++ b/internal/sagemesh/codec.go
@@ -46,9 +46,7 @@
 	}
 	m.AnswerKeys, m.Answers = toColumns(h.Answers)
 	m.Plans = packPlans(h.Stamp.At, h.Plans)
-	for _, r := range h.Crashes {
-		m.Crashes = append(m.Crashes, &heartbeat.Crash{Id: uint64(r.Crash), Suspects: convert[uint64](r.Suspects)})
-	}
+	m.Crashes = packCrashes(h.Crashes)
 	m.Cleared = convert[uint64](h.Cleared)
 	for u, parts := range h.Held {
 		m.Held = append(m.Held, &heartbeat.Held{Upstream: u, Parts: parts})
@@ -151,10 +149,8 @@
 	if h.Plans, err = unpackPlans(now, m.GetPlans()); err != nil {
 		return nil, err
 	}
-	for _, c := range m.GetCrashes() {
-		h.Crashes = append(h.Crashes, sagequarantine.Report{
-			Crash: sagequarantine.CrashID(c.GetId()), Suspects: convert[sagequarantine.Fingerprint](c.GetSuspects()),
-		})
+	if h.Crashes, err = unpackCrashes(m.GetCrashes()); err != nil {
+		return nil, err
 	}
 	if err := unpackBrittle(h, m); err != nil {
 		return nil, err
--- a/internal/sagerelay/crash.go
+++ b/internal/sagerelay/crash.go
@@ -2,9 +2,14 @@
 
 import (
 	"context"
+	"maps"
 	"net/http"
+	"slices"
+	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
@@ -12,43 +17,106 @@
 	"sagestand.example/sagestand/pkg/sageupstream"
 )
 
+// maxSuspectParts is the number of shared parts of a prompt that are considered.
+const maxSuspectParts = 256
+
+// errQuarantined is the cause with which an exchange of a quarantined request is cancelled.
+var errQuarantined = errors.New("the request is quarantined")
+
 // fingerprint identifies the content of the request. Repeated attempts share it.
 func (j *job) fingerprint() sagequarantine.Fingerprint {
-	if j.fp == nil {
-		f := sagequarantine.FingerprintOf(j.accountName(), j.r.Method, j.r.Host+j.r.URL.RequestURI(), j.body)
-		j.fp = &f
-	}
-	return *j.fp
+	j.fpOnce.Do(func() {
+		j.fp = sagequarantine.FingerprintOf(j.accountName(), j.r.Method, j.r.Host+j.r.URL.RequestURI(), j.body)
+	})
+	return j.fp
+}
+
+// parts returns the shared parts of the prompt as suspects.
+func (j *job) parts() []sagequarantine.Suspect {
+	j.partsOnce.Do(func() {
+		shared := j.meta.Chain.Shared()
+		for _, p := range shared[:min(len(shared), maxSuspectParts)] {
+			j.suspectParts = append(j.suspectParts, sagequarantine.NewPart(j.accountName(), j.serviceName, j.meta.Model, p.ID))
+		}
+	})
+	return j.suspectParts
+}
+
+// suspects returns what may crash an upstream: the request, and the shared parts of its prompt.
+func (j *job) suspects() []sagequarantine.Suspect {
+	return append([]sagequarantine.Suspect{sagequarantine.NewRequest(j.fingerprint())}, j.parts()...)
 }
 
 // quarantined reports whether the request must not be sent, and sets the end of its quarantine.
 func (j *job) quarantined() bool {
-	if !j.s.Quarantine.Active() {
+	if !j.s.Quarantine.Quarantining() {
 		return false
 	}
 	now := sageclock.Now()
-	until, ok := j.s.Quarantine.QuarantinedUntil(now, j.fingerprint())
-	if !ok {
+	entries := j.s.Quarantine.Quarantined(now, j.suspects()...)
+	if len(entries) == 0 {
 		return false
 	}
-	if j.s.SendsTrials() && j.s.Quarantine.AllowTrial(now, j.fingerprint()) {
-		j.s.Log.Info("Trial of a quarantined request.", "id", j.meta.ID, "fingerprint", j.fingerprint().String())
+	if len(entries) == 1 && j.s.SendsTrials() && j.s.Quarantine.AllowTrial(now, entries[0].Suspect.Fingerprint) {
+		j.s.Log.Info("Trial of a quarantined suspect.", "id", j.meta.ID, "suspect", entries[0].Suspect.Name())
 		return false
 	}
-	j.quarantineEnd = until
+	for i := range entries {
+		e := &entries[i]
+		j.quarantineEnd = max(j.quarantineEnd, e.Until)
+		j.s.Log.Limited(sagelog.KindRefused, "Request is quarantined.", "id", j.meta.ID, "suspect", e.Suspect.Name(), "part", j.partID(e.Suspect), "account", j.accountName(),
+			"service", j.serviceName, "crashes", len(e.Crashes), "since_ms", now.Sub(e.Since).Milliseconds(), "sends", j.sends)
+	}
 	return true
 }
 
+// partID returns the ID of a part of the prompt for the log; empty if the suspect is none.
+func (j *job) partID(s sagequarantine.Suspect) string {
+	for i, p := range j.parts() {
+		if p.Fingerprint == s.Fingerprint || p.Shared == s.Fingerprint {
+			return j.meta.Chain[i : i+1].String()
+		}
+	}
+	return ""
+}
+
 // refuseQuarantined refuses a quarantined request that no upstream may have executed.
 func (j *job) refuseQuarantined() {
 	j.refuse(http.StatusServiceUnavailable, Quarantined, j.quarantineEnd.Sub(sageclock.Now()).Round(time.Second))
 }
 
-// recordSuccess records that the request was executed to completion, which clears it of suspicion.
-func (j *job) recordSuccess() {
-	if j.s.Quarantine.Active() {
-		j.s.Quarantine.RecordSuccess(sageclock.Now(), j.fingerprint())
+// recordSuccess records that an upstream executed the request to completion, which speaks for the request and its parts.
+//
+// A response without length or chunks may end because the upstream crashed after a complete event. It counts once the
+// upstream is known to run on.
+func (x *exchange) recordSuccess(res *http.Response) {
+	j := x.j
+	if x.helper != nil || res.StatusCode < http.StatusOK || res.StatusCode >= http.StatusMultipleChoices {
+		return
+	}
+	if !j.s.Quarantine.Active() {
+		if !endsWithConnection(res) {
+			j.s.Quarantine.RecordSuccess(sageclock.Now(), j.parts()...)
+		}
+		return
+	}
+	if !endsWithConnection(res) {
+		j.s.Quarantine.RecordSuccess(sageclock.Now(), j.suspects()...)
+		return
 	}
+	u, r, s := x.p.Upstream, x.running(), j.suspects()
+	go func() {
+		if j.s.probeStopped(u) {
+			j.s.Fleet.WhenPathVerified(u, true, func() { j.s.recordCrash(u, r) })
+			return
+		}
+		j.s.Quarantine.RecordSuccess(sageclock.Now(), s...)
+	}()
+}
+
+// endsWithConnection reports whether the end of a response is the end of its connection.
+func endsWithConnection(res *http.Response) bool {
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0
 }
 
 // crashIDOf returns the ID of the crash that ends this start of an upstream.
@@ -76,7 +144,7 @@
 
 // runningRequest describes a request that an upstream was executing.
 type runningRequest struct {
-	fingerprint sagequarantine.Fingerprint
+	suspects    []sagequarantine.Suspect
 	id, account string
 	parts       sagechain.Chain // shared parts of the prompt
 	events      int             // received before the exchange broke
@@ -86,7 +154,16 @@
 // running describes the request of an exchange that has just broken.
 func (x *exchange) running() runningRequest {
 	j := x.j
-	return runningRequest{j.fingerprint(), j.meta.ID, j.accountName(), j.meta.Chain.Shared(), x.events, sageclock.Now()}
+	return runningRequest{x.suspects(), j.meta.ID, j.accountName(), j.meta.Chain.Shared(), x.events, sageclock.Now()}
+}
+
+// suspects returns what may have crashed the upstream if it crashes now. The parts of the prompt are suspect only while the
+// answer begins.
+func (x *exchange) suspects() []sagequarantine.Suspect {
+	if x.events > 0 && time.Since(x.firstEvent) >= sagequarantine.BeginningDuration {
+		return []sagequarantine.Suspect{sagequarantine.NewRequest(x.j.fingerprint())}
+	}
+	return x.j.suspects()
 }
 
 // recordAbandoned records that this node cancelled the request. The upstream may still be executing
@@ -95,7 +172,7 @@
 	if x.helper != nil {
 		return
 	}
-	x.j.s.Quarantine.RecordAbandoned(sageclock.Now(), crashIDOf(x.p.Upstream), x.j.fingerprint())
+	x.j.s.Quarantine.RecordAbandoned(sageclock.Now(), crashIDOf(x.p.Upstream), x.suspects()...)
 }
 
 // probeStopped probes whether an upstream has stopped. Concurrent calls share one probe.
@@ -110,14 +187,79 @@
 // recordCrash records that an upstream crashed while it handled requests of this node.
 func (s *Service) recordCrash(u *sageupstream.Entry, requests ...runningRequest) {
 	now := sageclock.Now()
-	fingerprints := make([]sagequarantine.Fingerprint, len(requests))
+	c := sagequarantine.Crash{ID: crashIDOf(u), At: now}
+	var suspects []sagequarantine.Suspect
 	for i := range requests {
 		r := &requests[i]
-		fingerprints[i] = r.fingerprint
-		s.Log.Limited(sagelog.KindCrash, "Upstream crashed under a request.", "id", r.id, "upstream", u.ID, "born", u.Born, "service", u.Service, "fingerprint", r.fingerprint.String(),
+		c.At = r.brokeAt
+		suspects = append(suspects, r.suspects...)
+		s.Metrics.GetOrCreateCounter(`sagestand_crashed_exchanges_total{service="` + u.Service + `"}`).Inc()
+		s.Log.Limited(sagelog.KindCrash, "Upstream crashed under a request.", "id", r.id, "upstream", u.ID, "born", u.Born, "service", u.Service, "suspects", namesOf(r.suspects),
 			"account", r.account, "parts", r.parts.String(), "events", r.events, "crash_age_ms", now.Sub(r.brokeAt).Milliseconds())
 	}
-	for _, e := range s.Quarantine.RecordCrash(now, crashIDOf(u), fingerprints...) {
-		s.Log.Info("Request quarantined.", "fingerprint", e.Request.String(), "crashes", len(e.Crashes), "learned", "here", "upstream", u.ID)
+	entries := s.Quarantine.RecordCrash(now, c, suspects...)
+	for i := range entries {
+		s.LogQuarantined(&entries[i], "learned", "here", "upstream", u.ID)
+	}
+	s.CancelQuarantined(len(entries))
+}
+
+// LogQuarantined logs the start of a quarantine, with further fields.
+func (s *Service) LogQuarantined(e *sagequarantine.Entry, kv ...any) {
+	s.Log.Info("Quarantined.", append([]any{"suspect", e.Suspect.Name(), "crashes", len(e.Crashes)}, kv...)...)
+}
+
+// namesOf returns the names of suspects, separated by commas.
+func namesOf(suspects []sagequarantine.Suspect) string {
+	names := make([]byte, 0, 32*len(suspects))
+	for i, s := range suspects {
+		if i > 0 {
+			names = append(names, ',')
+		}
+		names = append(names, s.Name()...)
+	}
+	return string(names)
+}
+
+// CancelQuarantined cancels the exchanges that are quarantined and whose answers have not begun: each would crash another
+// upstream. started is the number of quarantines that have just started; if it is 0, nothing is done.
+func (s *Service) CancelQuarantined(started int) {
+	if started == 0 {
+		return
+	}
+	now := sageclock.Now()
+	for _, x := range s.sending.list() {
+		if x.begun.Load() || len(s.Quarantine.Quarantined(now, x.j.suspects()...)) == 0 {
+			continue
+		}
+		s.Log.Limited(sagelog.KindExchange, "Exchange cancelled: its request is quarantined.", "id", x.j.meta.ID, "upstream", x.p.Upstream.ID)
+		x.cancel(errQuarantined)
+	}
+}
+
+// exchangeSet holds the exchanges with upstreams that are in progress.
+type exchangeSet struct {
+	mu        sync.Mutex
+	exchanges map[*exchange]struct{}
+}
+
+func (e *exchangeSet) add(x *exchange) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.exchanges == nil {
+		e.exchanges = make(map[*exchange]struct{})
 	}
+	e.exchanges[x] = struct{}{}
+}
+
+func (e *exchangeSet) remove(x *exchange) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.exchanges, x)
+}
+
+func (e *exchangeSet) list() []*exchange {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return slices.Collect(maps.Keys(e.exchanges))
 }
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -9,6 +9,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -56,8 +57,11 @@
 	helperOrigin sageorigin.Origin
 	// freshConn is set if the connection was opened for this exchange.
 	freshConn bool
-	// events is the number of events received.
-	events  int
+	// events is the number of events received, firstEvent the time of the first one.
+	events     int
+	firstEvent time.Time
+	// begun is set once the answer has begun.
+	begun   atomic.Bool
 	tracker sageconn.Tracker
 	cancel  context.CancelCauseFunc
 }
@@ -73,6 +77,8 @@
 	x := &exchange{j: j, p: p, start: time.Now(), cancel: cancel}
 	j.sends++
 	j.tried = append(j.tried, p.Upstream.ID)
+	j.s.sending.add(x)
+	defer j.s.sending.remove(x)
 	stallTimer := x.startStallTimer(ctx)
 	if stallTimer != nil {
 		defer stallTimer.Stop()
@@ -192,6 +198,9 @@
 		}
 		return callerGone
 	}
+	if errors.Is(context.Cause(ctx), errQuarantined) {
+		return x.failCancelled(unsent)
+	}
 	stalled := errors.Is(context.Cause(ctx), errStalled)
 	timedOut := ctx.Err() != nil && !stalled
 	if !timedOut {
@@ -212,6 +221,18 @@
 	return failed
 }
 
+// failCancelled handles an exchange that this node cancelled since its request is quarantined, which says nothing about the
+// upstream.
+func (x *exchange) failCancelled(unsent bool) verdict {
+	x.j.cause = errQuarantined.Error()
+	if unsent {
+		return notSent
+	}
+	x.recordAbandoned()
+	x.j.possibleRuns++
+	return failed
+}
+
 // brokenResult returns how an exchange broke.
 func brokenResult(err error, stalled bool) sagehealth.Result {
 	var timeout net.Error
@@ -334,6 +355,7 @@
 		return v
 	}
 	x.recordExchange(sagehealth.OK)
+	x.recordSuccess(res)
 	x.recordResponse(ResponseResult{Duration: time.Since(x.start)})
 	h.writeTo(x.j)
 	return answered
@@ -349,6 +371,7 @@
 // readResponse reads a complete response. If that fails it returns nil and the verdict of the
 // exchange.
 func (x *exchange) readResponse(ctx context.Context, res *http.Response, stallTimer *time.Timer) (*bufferedResponse, verdict) {
+	x.begun.Store(true)
 	b, err := io.ReadAll(io.LimitReader(res.Body, maxPlainResponseBytes+1))
 	if stallTimer != nil {
 		stallTimer.Stop()
--- a/internal/sagerelay/hop.go
+++ b/internal/sagerelay/hop.go
@@ -94,7 +94,6 @@
 		v := j.sendToHelper(ctx, h)
 		j.countHop(h, v)
 		if v == answered {
-			j.recordSuccess()
 			j.s.countEnd(Answered)
 			j.s.observeDuration(j)
 			j.s.Log.Limited(sagelog.KindServed, "Request answered by a peer.", "id", j.meta.ID, "route", j.route.Name, "peer", h.Node, "hops", len(j.relay.tried),
--- a/internal/sagerelay/interfaces.go
+++ b/internal/sagerelay/interfaces.go
@@ -23,6 +23,8 @@
 	Key string
 	// Deadline is the time by which the caller needs the response; zero if it doesn't say.
 	Deadline time.Time
+	// Model is the name of the model that the request is for; empty if it has none.
+	Model string
 	// Chain identifies the parts of the prompt.
 	Chain sagechain.Chain
 	// LastEventID is the ID of the event after which a stream is to be resumed.
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"net/http"
 	"strconv"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -77,8 +78,10 @@
 	unreached int
 	relay     relayState
 	originState
-	fp            *sagequarantine.Fingerprint
-	quarantineEnd sageclock.Instant // end of the request's quarantine
+	fpOnce, partsOnce sync.Once
+	fp                sagequarantine.Fingerprint
+	suspectParts      []sagequarantine.Suspect
+	quarantineEnd     sageclock.Instant // end of the request's quarantine
 }
 
 // serve sends the request to upstreams until one responds or no further attempt is allowed.
@@ -146,7 +149,6 @@
 		p.Done()
 		j.s.countSend(j.serviceName, v)
 		if v == answered {
-			j.recordSuccess()
 			j.s.Fleet.RecordServiceTime(j.serviceName, time.Since(start))
 			j.s.countEnd(Answered)
 			j.s.observeDuration(j)
--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -46,7 +46,7 @@
 	Log     sagelog.Logger
 	// Closing reports whether responses should tell callers to close their connection.
 	Closing func() bool
-	// Quarantine holds the requests that crash upstreams.
+	// Quarantine holds the requests and parts of prompts that crash upstreams.
 	Quarantine *sagequarantine.Tracker
 	// SendsTrials reports whether this node sends the trials of quarantined requests.
 	SendsTrials func() bool
@@ -63,6 +63,7 @@
 	upstreams     transports
 	peers         transports
 	crashProbes   singleflight.Group
+	sending       exchangeSet
 	inFlight      atomic.Int64
 	relayed       atomic.Int64 // requests of peers in progress
 }
--- a/internal/sagerelay/stream.go
+++ b/internal/sagerelay/stream.go
@@ -49,7 +49,10 @@
 		if err != nil {
 			return x.failStream(ctx, err)
 		}
-		x.events++
+		if x.events++; x.events == 1 {
+			x.firstEvent = time.Now()
+			x.begun.Store(true)
+		}
 		if times.add(time.Now()); times.count == 1 && x.helper == nil {
 			j.s.Fleet.RecordFirstEvent(x.p, times.first.Sub(x.start))
 		}
@@ -139,6 +142,7 @@
 func (x *exchange) finishStream(res *http.Response) verdict {
 	x.writeHeaderOnce(res)
 	x.recordExchange(sagehealth.OK)
+	x.recordSuccess(res)
 	return answered
 }
 
--- a/internal/sagerouter/gauges.go
+++ b/internal/sagerouter/gauges.go
@@ -7,6 +7,7 @@
 
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagefresh"
+	"sagestand.example/sagestand/pkg/sagequarantine"
 	"sagestand.example/sagestand/pkg/sagereach"
 )
 
@@ -42,13 +43,20 @@
 		}
 		return 0
 	})
-	n.metrics.NewGauge("sagestand_suspect_requests", func() float64 { suspects, _ := n.quarantine.Counts(); return float64(suspects) })
-	n.metrics.NewGauge("sagestand_quarantined_requests", func() float64 { _, quarantined := n.quarantine.Counts(); return float64(quarantined) })
+	n.exportQuarantineMetrics()
 	if n.Dropped != nil {
 		n.metrics.NewGauge("sagestand_log_lines_dropped_total", func() float64 { return float64(n.Dropped()) })
 	}
 }
 
+// exportQuarantineMetrics registers the numbers of suspects and quarantines by kind.
+func (n *Node) exportQuarantineMetrics() {
+	for k, name := range map[sagequarantine.Kind]string{sagequarantine.Request: "requests", sagequarantine.Part: "parts", sagequarantine.SharedPart: "shared_parts"} {
+		n.metrics.NewGauge("sagestand_suspect_"+name, func() float64 { suspects, _ := n.quarantine.CountsOf(k); return float64(suspects) })
+		n.metrics.NewGauge("sagestand_quarantined_"+name, func() float64 { _, quarantined := n.quarantine.CountsOf(k); return float64(quarantined) })
+	}
+}
+
 // countCalls returns a function that counts the calls to the store for one kind of object.
 func (n *Node) countCalls(kind string) func(ok bool) {
 	return func(ok bool) {
--- a/pkg/sagequarantine/fingerprint.go
+++ b/pkg/sagequarantine/fingerprint.go
@@ -12,26 +12,33 @@
 // ErrFingerprint is returned for text that is not a fingerprint.
 var ErrFingerprint = errors.New("fingerprint is not 16 hexadecimal digits")
 
-// Fingerprint identifies a request by its content and its client account. All attempts of a request have the same
-// fingerprint, and requests with equal fingerprints are the same to an upstream.
+// Fingerprint identifies a suspect. It is a cryptographic hash, since a client that finds a collision could have requests
+// of another one refused.
 type Fingerprint uint64
 
 // digits is the length of a fingerprint's text.
 const digits = 16
 
+// partMarker separates the hashes of parts from those of requests, which begin with the length of an account's name.
+const partMarker = ^uint64(0)
+
 // FingerprintOf returns the fingerprint of a request: a hash of the client account, the method, the host with path
-// and query, and the body.
-//
-// The hash is cryptographic, since a client that finds a collision could have another client's request refused.
+// and query, and the body. All attempts of a request have the same fingerprint.
 func FingerprintOf(account, method, target string, body []byte) Fingerprint {
+	return hashOf(nil, body, account, method, target)
+}
+
+// hashOf hashes a prefix, the strings with their lengths, and a tail.
+func hashOf(prefix, tail []byte, fields ...string) Fingerprint {
 	h := sha256.New()
+	_, _ = h.Write(prefix) // a hash never fails
 	var length [8]byte
-	for _, part := range [...]string{account, method, target} {
-		binary.BigEndian.PutUint64(length[:], uint64(len(part)))
-		_, _ = h.Write(length[:]) // a hash never fails
-		_, _ = h.Write([]byte(part))
+	for _, f := range fields {
+		binary.BigEndian.PutUint64(length[:], uint64(len(f)))
+		_, _ = h.Write(length[:])
+		_, _ = h.Write([]byte(f))
 	}
-	_, _ = h.Write(body)
+	_, _ = h.Write(tail)
 	return Fingerprint(binary.BigEndian.Uint64(h.Sum(nil)))
 }
 
--- a/pkg/sagequarantine/outbox.go
+++ b/pkg/sagequarantine/outbox.go
@@ -9,8 +9,9 @@
 
 // message is a report about one suspect that is sent to the peers.
 type message struct {
-	suspect  Fingerprint
-	crash    CrashID // 0 if the suspect is cleared
+	suspect  Suspect
+	crash    CrashID           // 0 if the suspect is cleared
+	at       sageclock.Instant // of the crash
 	queuedAt sageclock.Instant
 	local    bool // recorded by this node itself, not received from a peer
 }
@@ -28,7 +29,7 @@
 
 // addLocal marks a queued message as local, or adds the message if it isn't queued.
 func (o *outbox) addLocal(m message) {
-	i := slices.IndexFunc(*o, func(w message) bool { return w.suspect == m.suspect && w.crash == m.crash })
+	i := slices.IndexFunc(*o, func(w message) bool { return w.suspect.Fingerprint == m.suspect.Fingerprint && w.crash == m.crash })
 	if i < 0 {
 		o.add(m)
 		return
@@ -36,6 +37,11 @@
 	(*o)[i].local = true
 }
 
+// remove drops the messages about a suspect.
+func (o *outbox) remove(f Fingerprint) {
+	*o = slices.DeleteFunc(*o, func(m message) bool { return m.suspect.Fingerprint == f })
+}
+
 // expire drops the messages that were queued messageTTL ago or earlier.
 func (o *outbox) expire(now sageclock.Instant) {
 	n := 0
@@ -58,15 +64,39 @@
 	for _, m := range o {
 		switch {
 		case !m.local && !forward:
-		case m.crash == 0 || isRepeated(m.suspect):
+		case m.crash == 0 || isRepeated(m.suspect.Fingerprint):
 			prioritized = append(prioritized, m)
 		default:
 			others = append(others, m)
 		}
 	}
-	if len(prioritized)+len(others) > maxPerHeartbeat {
+	if countFingerprints(prioritized)+countFingerprints(others) > maxPerHeartbeat {
 		rand.Shuffle(len(others), func(i, k int) { others[i], others[k] = others[k], others[i] })
 	}
-	prioritized = prioritized[max(0, len(prioritized)-maxPerHeartbeat):]
-	return append(prioritized, others[:min(len(others), maxPerHeartbeat-len(prioritized))]...)
+	for countFingerprints(prioritized) > maxPerHeartbeat {
+		prioritized = prioritized[1:]
+	}
+	budget := maxPerHeartbeat - countFingerprints(prioritized)
+	for i := range others {
+		if budget -= others[i].fingerprints(); budget < 0 {
+			return append(prioritized, others[:i]...)
+		}
+	}
+	return append(prioritized, others...)
+}
+
+func countFingerprints(messages []message) int {
+	n := 0
+	for i := range messages {
+		n += messages[i].fingerprints()
+	}
+	return n
+}
+
+// fingerprints returns the number of fingerprints that the message takes in a heartbeat.
+func (m *message) fingerprints() int {
+	if m.suspect.Kind == Part {
+		return 2
+	}
+	return 1
 }
--- a/pkg/sagequarantine/store.go
+++ b/pkg/sagequarantine/store.go
@@ -9,63 +9,72 @@
 
 // storeState is the content of the store as last seen by this node, and since when it differs from the Tracker.
 type storeState struct {
-	quarantined map[Fingerprint]bool
+	quarantined map[Fingerprint]Suspect
 	differences map[Fingerprint]sageclock.Instant
 }
 
-// Difference is a request that is quarantined by the Tracker but missing from the store, or the reverse.
+// Difference is a suspect that is quarantined by the Tracker but missing from the store, or the reverse.
 type Difference struct {
-	Request Fingerprint
-	// Quarantined says that the Tracker quarantines the request, so that the store should contain it.
+	Suspect Suspect
+	// Crashes is the number of known crashes under it.
+	Crashes int
+	// Quarantined says that the Tracker quarantines it, so that the store should contain it.
 	Quarantined bool
 	// Since is when the difference was first seen.
 	Since sageclock.Instant
 }
 
-// Restore records that the store contains a request, and reports whether that starts its quarantine on this node.
+// Restore records that the store contains a suspect, and reports whether that starts its quarantine on this node.
 //
-// Without it, each quarantined request would crash as many upstreams again after a restart of all nodes.
-func (t *Tracker) Restore(now sageclock.Instant, f Fingerprint) bool {
+// Without it, each quarantined suspect would crash as many upstreams again after a restart of all nodes.
+func (t *Tracker) Restore(now sageclock.Instant, s Suspect) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.updateCounts()
-	if t.store.quarantined == nil {
-		t.store.quarantined = make(map[Fingerprint]bool)
-	}
-	t.store.quarantined[f] = true
-	if t.entries[f] != nil {
+	t.store.add(s)
+	if t.entries[s.Fingerprint] != nil {
 		return false
 	}
-	t.quarantine(&Entry{Request: f, Since: now, Until: now.Add(QuarantineDuration)})
+	t.quarantine(&Entry{Suspect: s, Since: now, Until: now.Add(QuarantineDuration)})
 	return true
 }
 
-// RecordStored records whether the store contains a request, without a decision of anybody: the store was restored from a
+// RecordStored records whether the store contains a suspect, without a decision of anybody: the store was restored from a
 // copy. What the Tracker quarantines doesn't change, and [Tracker.Differences] reports what has to be written again.
-func (t *Tracker) RecordStored(f Fingerprint, stored bool) {
+func (t *Tracker) RecordStored(s Suspect, stored bool) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !stored {
-		delete(t.store.quarantined, f)
+		delete(t.store.quarantined, s.Fingerprint)
 		return
 	}
-	if t.store.quarantined == nil {
-		t.store.quarantined = make(map[Fingerprint]bool)
+	t.store.add(s)
+}
+
+func (o *storeState) add(s Suspect) {
+	if o.quarantined == nil {
+		o.quarantined = make(map[Fingerprint]Suspect)
 	}
-	t.store.quarantined[f] = true
+	o.quarantined[s.Fingerprint] = s
 }
 
-// Release records that the store no longer contains a request, which ends its quarantine.
-func (t *Tracker) Release(f Fingerprint) {
+// Release records that the store no longer contains a suspect, which ends its quarantine. Evidence of earlier crashes, which
+// may still be on its way, no longer counts.
+func (t *Tracker) Release(now sageclock.Instant, f Fingerprint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.updateCounts()
 	delete(t.store.quarantined, f)
-	delete(t.entries, f)
-	delete(t.suspects, f)
+	t.dropEntry(f)
+	t.dropRecord(f)
+	t.out.remove(f)
+	if t.released == nil {
+		t.released = make(map[Fingerprint]sageclock.Instant)
+	}
+	t.released[f] = now
 }
 
-// Differences returns the differences between the Tracker and the store, ordered by request.
+// Differences returns the differences between the Tracker and the store, ordered by fingerprint.
 func (t *Tracker) Differences(now sageclock.Instant) []Difference {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -77,7 +86,7 @@
 		}
 	}
 	for f := range t.entries {
-		if !t.store.quarantined[f] {
+		if _, ok := t.store.quarantined[f]; !ok {
 			add(f)
 		}
 	}
@@ -89,7 +98,11 @@
 	t.store.differences = differences
 	var out []Difference
 	for _, f := range slices.Sorted(maps.Keys(differences)) {
-		out = append(out, Difference{Request: f, Quarantined: t.entries[f] != nil, Since: differences[f]})
+		d := Difference{Suspect: t.store.quarantined[f], Since: differences[f]}
+		if e := t.entries[f]; e != nil {
+			d.Suspect, d.Crashes, d.Quarantined = e.Suspect, len(e.Crashes), true
+		}
+		out = append(out, d)
 	}
 	return out
 }
--- a/pkg/sagequarantine/suspect.go
+++ b/pkg/sagequarantine/suspect.go
@@ -1,43 +1,64 @@
 package sagequarantine
 
 import (
-	"slices"
+	"encoding/binary"
+	"fmt"
+	"strings"
+)
+
+// Kind is what a suspect is. Of two kinds that explain the same crashes, the smaller one bars fewer requests.
+type Kind int
 
-	"sagestand.example/sagestand/pkg/sageclock"
+// The kinds.
+const (
+	// Request is a whole request.
+	Request Kind = iota
+	// Part is a part of the prompts of one client account.
+	Part
+	// SharedPart is a part of the prompts of all client accounts.
+	SharedPart
 )
 
-// suspect is the record of a request that was being executed when an upstream crashed.
-type suspect struct {
-	// counted are the crashes that count against the request, discounted the latest that no longer do.
-	counted, discounted []CrashID
-	// lastCrash is when the last crash was recorded.
-	lastCrash sageclock.Instant
-	// succeeded says that the request was cleared before.
-	succeeded bool
-}
+// namePrefixes begin the names of suspects by kind.
+var namePrefixes = [...]string{Request: "", Part: "part-", SharedPart: "shared-part-"}
 
-// hasCrash reports whether a crash is recorded.
-func (s *suspect) hasCrash(c CrashID) bool {
-	return slices.Contains(s.counted, c) || slices.Contains(s.discounted, c)
+// Suspect is a request or a part of prompts that may crash upstreams.
+type Suspect struct {
+	Kind        Kind
+	Fingerprint Fingerprint
+	// Shared is, for a Part, the fingerprint of the same part for all client accounts.
+	Shared Fingerprint
 }
 
-// addDiscounted records crashes that don't count, and keeps the latest maxDiscounted of them.
-func (s *suspect) addDiscounted(crashes ...CrashID) {
-	s.discounted = append(s.discounted, crashes...)
-	s.discounted = s.discounted[max(0, len(s.discounted)-maxDiscounted):]
-}
+// NewRequest returns the suspect with the fingerprint of a request.
+func NewRequest(f Fingerprint) Suspect { return Suspect{Kind: Request, Fingerprint: f} }
 
-// discountAll discounts all crashes, since the request has succeeded.
-func (s *suspect) discountAll() {
-	s.succeeded = true
-	s.addDiscounted(s.counted...)
-	s.counted = nil
+// NewPart returns the suspect for a part of the prompts that a client account sends to a model of a service.
+func NewPart(account, service, model string, id uint64) Suspect {
+	var marker, number [8]byte
+	binary.BigEndian.PutUint64(marker[:], partMarker)
+	binary.BigEndian.PutUint64(number[:], id)
+	return Suspect{
+		Kind: Part, Fingerprint: hashOf(marker[:], number[:], "account", account, service, model),
+		Shared: hashOf(marker[:], number[:], "all", service, model),
+	}
 }
 
-// discount discounts one crash.
-func (s *suspect) discount(c CrashID) {
-	if i := slices.Index(s.counted, c); i >= 0 {
-		s.counted = slices.Delete(s.counted, i, i+1)
-		s.addDiscounted(c)
+// Name returns the suspect's name in the store and in logs.
+func (s Suspect) Name() string { return namePrefixes[s.Kind] + s.Fingerprint.String() }
+
+// ParseName reads the name of a suspect.
+func ParseName(name string) (Suspect, error) {
+	for k := SharedPart; k >= Request; k-- {
+		text, ok := strings.CutPrefix(name, namePrefixes[k])
+		if !ok {
+			continue
+		}
+		f, err := ParseFingerprint(text)
+		if err != nil {
+			return Suspect{}, fmt.Errorf("name of suspect: %w", err)
+		}
+		return Suspect{Kind: k, Fingerprint: f}, nil
 	}
+	return Suspect{}, fmt.Errorf("%q: %w", name, ErrFingerprint)
 }
