A wave of crashed upstreams isn't taken for a lost path

Cause: probes began with the upstream that answered last, which may just have crashed, and probed the same ones again; two refused connections in a row led to a peer if any upstream of the service answered other nodes, and any broken exchange did while the path was suspected.

Change: probes go to upstreams whose last exchange was answered, and each round to others; while answers come over new connections, the path isn't left; peers are asked if they reach the very upstreams that refuse.

--- a/internal/sagerelay/evidence.go
+++ b/internal/sagerelay/evidence.go
@@ -29,7 +29,9 @@
 // recordUnsent records that the request was not written. A refused connection shows that the upstream has stopped, if
 // this node's path is sound.
 func (x *exchange) recordUnsent(err error) {
-	x.j.unreached++
+	if x.helper == nil {
+		x.j.unreached = append(x.j.unreached, x.p.Upstream.ID)
+	}
 	if x.helper == nil && isConnRefused(err) {
 		u := x.p.Upstream
 		x.j.s.Fleet.WhenPathVerified(u, true, func() { x.j.s.recordCrash(u) })
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -245,7 +245,7 @@
 // handleResponse checks the response header and forwards the response.
 func (x *exchange) handleResponse(ctx context.Context, res *http.Response, stallTimer *time.Timer) verdict {
 	j := x.j
-	j.unreached = 0
+	j.unreached = nil
 	meta := j.s.Dialect.ParseResponse(res)
 	if x.helper != nil {
 		return x.handleHelperResponse(ctx, res, &meta, stallTimer)
--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -141,6 +141,7 @@
 	maxDeclines     []int // of announcements that upstreams are brittle
 	limitedAccounts []string
 	reachedByOthers bool
+	answered        bool
 	// versions are the versions of the upstreams by name, changedVersions those that have another one by now.
 	versions        map[string]string
 	changedVersions []string
@@ -283,7 +284,9 @@
 
 func (f *fakeFleet) PathState(string) sagereach.PathState { return f.path }
 
-func (f *fakeFleet) ReachedByOthers(string) bool { return f.reachedByOthers }
+func (f *fakeFleet) Answered(string) bool { return f.answered }
+
+func (f *fakeFleet) ReachedByOthers([]string) bool { return f.reachedByOthers }
 
 func (f *fakeFleet) PathReturn(string) time.Duration { return time.Second }
 
--- a/internal/sagerelay/hop.go
+++ b/internal/sagerelay/hop.go
@@ -78,9 +78,11 @@
 	case sagereach.Lost:
 		return true
 	case sagereach.Suspected:
-		return j.unreached >= maxUnreached || j.possibleRuns > 0
+		if !j.s.Fleet.Answered(j.serviceName) && (len(j.unreached) >= maxUnreached || j.possibleRuns > 0) {
+			return true
+		}
 	}
-	return j.unreached >= maxUnreached && j.s.Fleet.ReachedByOthers(j.serviceName)
+	return len(j.unreached) >= maxUnreached && j.s.Fleet.ReachedByOthers(j.unreached)
 }
 
 // serveByHelper sends the request to peers until one responds or no further one may be tried.
--- a/internal/sagerelay/hop_test.go
+++ b/internal/sagerelay/hop_test.go
@@ -168,6 +168,19 @@
 	})
 }
 
+// Prevents requests from being sent to peers, which refuse them, while several upstreams have crashed and others answer.
+func TestCrashedUpstreamsDoNotLeadToPeers(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		env := newHopEnv(t, sageroute.Once, map[string]upstream{"a": respond(200, sealHeader, "by a peer")}, nil)
+		env.node.path, env.node.answered = sagereach.Suspected, true
+		env.node.names = []string{"u1", "u2", "u3"}
+		env.node.upstreams["u3"] = respond(200, sealHeader, "by this node")
+		require.Equal(t, "by this node", env.node.call(t.Context(), nil, "body").Body.String())
+		env.node.reachedByOthers = true
+		require.Equal(t, "by a peer", env.node.call(t.Context(), nil, "body").Body.String(), "the upstreams answer others")
+	})
+}
+
 // Prevents callers from posing as a node.
 func TestRelayHeadersOfCallersAreIgnored(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/sagerelay/interfaces.go
+++ b/internal/sagerelay/interfaces.go
@@ -227,8 +227,11 @@
 	RecordUnanswered(u *sageupstream.Entry)
 	// PathState returns the state of the path between this node and the upstreams of a service.
 	PathState(service string) sagereach.PathState
-	// ReachedByOthers reports whether upstreams of a service that don't answer this node answer other nodes.
-	ReachedByOthers(service string) bool
+	// Answered reports whether an upstream of a service has just answered this node over a new connection, so that others
+	// that don't answer have failed themselves.
+	Answered(service string) bool
+	// ReachedByOthers reports whether any of the upstreams, which this node doesn't reach, answers other nodes.
+	ReachedByOthers(upstreams []string) bool
 	// PathReturn returns after which time the path to the upstreams of a service, which is lost, may be open again.
 	PathReturn(service string) time.Duration
 	// PickHelper chooses a peer that has a path to the upstreams of the service; nil if there is none. tried are the
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -74,8 +74,8 @@
 	upstreamFailure *bufferedResponse
 	retryGranted    atomic.Bool // a retry was granted before the exchange was cancelled
 	cause           string      // of the last failed exchange, for the log
-	// unreached counts the sends in a row that got no connection to an upstream.
-	unreached int
+	// unreached are the upstreams of the sends in a row that got no connection.
+	unreached []string
 	relay     relayState
 	originState
 	fpOnce, partsOnce sync.Once
--- a/internal/sagerouter/paths.go
+++ b/internal/sagerouter/paths.go
@@ -16,6 +16,8 @@
 const (
 	// pathPollInterval is how often paths that aren't open are checked for due probes.
 	pathPollInterval = 50 * time.Millisecond
+	// answerValidity is how long an answer over a new connection shows that the path is open.
+	answerValidity = 200 * time.Millisecond
 	// minPathReturn and maxPathReturn limit the Retry-After of callers whose service no node reaches.
 	minPathReturn = 500 * time.Millisecond
 	maxPathReturn = 3 * time.Second
@@ -130,9 +132,15 @@
 // PathState implements [sagerelay.Fleet].
 func (f *fleet) PathState(service string) sagereach.PathState { return f.reach.State(service) }
 
+// Answered implements [sagerelay.Fleet].
+func (f *fleet) Answered(service string) bool {
+	return f.reach.AnsweredSince(service, "", sageclock.Now().Add(-answerValidity))
+}
+
 // ReachedByOthers implements [sagerelay.Fleet].
-func (f *fleet) ReachedByOthers(service string) bool {
-	return f.countAnsweredOthers(sageclock.Now(), service) > 0
+func (f *fleet) ReachedByOthers(upstreams []string) bool {
+	answered := f.answeredNodes.SumOthers(sageclock.Now())
+	return slices.ContainsFunc(upstreams, func(id string) bool { return answered[id] > 0 })
 }
 
 // PathReturn implements [sagerelay.Fleet]. The longer the path has been lost, the longer it is expected to stay lost.
--- a/pkg/sagereach/path.go
+++ b/pkg/sagereach/path.go
@@ -1,6 +1,7 @@
 package sagereach
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -87,9 +88,10 @@
 	pending       int // probes of the present round without a result
 	roundAnswered bool
 	roundSilent   bool
-	probes        int // probes since the path was suspected
-	activeRounds  int // rounds in a row with only refused or reset probes
-	goodRounds    int // answered rounds in a row while the path is lost
+	probes        int      // probes since the path was suspected
+	probed        []string // upstreams that were probed since then
+	activeRounds  int      // rounds in a row with only refused or reset probes
+	goodRounds    int      // answered rounds in a row while the path is lost
 	verifiedUntil sageclock.Instant
 	lastLost      sageclock.Instant // start of the last loss
 	flapping      bool
@@ -164,8 +166,8 @@
 // StartRound returns which of the available upstreams of a service are to be probed now; none if no round is due. The
 // result of each is recorded with [Tracker.RecordProbe].
 //
-// The upstream that answered last is probed first: if some upstreams can be reached and most can't, it is one of the
-// former.
+// The upstreams that are most likely to answer are probed first, and in each round others: if some can be reached and most
+// can't, the path is open. Most that don't answer may have crashed.
 func (t *Tracker) StartRound(now sageclock.Instant, service string, available []string) []string {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -173,26 +175,43 @@
 	if p == nil || p.state == Open || p.pending > 0 || now < p.nextRound || len(available) == 0 {
 		return nil
 	}
-	chosen := []string{t.lastAnswered(service, available)}
-	for _, i := range rand.Perm(len(available)) {
-		if len(chosen) < probesPerRound && available[i] != chosen[0] {
-			chosen = append(chosen, available[i])
-		}
+	ordered := t.byLikelihood(now, service, available, p.probed)
+	chosen := ordered[:min(probesPerRound, len(ordered))]
+	if p.state == Suspected {
+		p.probed = append(p.probed, chosen...)
 	}
 	p.pending, p.roundAnswered, p.roundSilent = len(chosen), false, false
 	p.nextRound = now.Add(probeInterval)
 	return chosen
 }
 
-// lastAnswered returns the one of the available upstreams that answered last; any if none has.
-func (t *Tracker) lastAnswered(service string, available []string) string {
-	best, at := available[0], sageclock.Instant(0)
-	for _, u := range available {
-		if r := t.services[service][u]; r != nil && r.lastAnswer > at {
-			best, at = u, r.lastAnswer
+// byLikelihood orders upstreams: those whose last exchange was answered before the others, those that were not probed before
+// the others, and then the latest answer.
+func (t *Tracker) byLikelihood(now sageclock.Instant, service string, available, probed []string) []string {
+	out := make([]string, 0, len(available))
+	for _, i := range rand.Perm(len(available)) {
+		out = append(out, available[i])
+	}
+	records := t.services[service]
+	rank := func(u string) (group int, answered sageclock.Instant) {
+		r := records[u]
+		if slices.Contains(probed, u) {
+			group = 2
 		}
+		if r == nil {
+			return group, 0
+		}
+		if r.failing(now) {
+			group++
+		}
+		return group, r.lastAnswer
 	}
-	return best
+	slices.SortStableFunc(out, func(a, b string) int {
+		groupA, answeredA := rank(a)
+		groupB, answeredB := rank(b)
+		return cmp.Or(cmp.Compare(groupA, groupB), cmp.Compare(answeredB, answeredA))
+	})
+	return out
 }
 
 // RecordProbe records the result of one probe. It returns the transition if the path was lost or regained, or nil.
--- a/pkg/sagereach/path_test.go
+++ b/pkg/sagereach/path_test.go
@@ -170,3 +170,28 @@
 	s.run(time.Second)
 	require.Equal(t, Suspected, s.State("chat"))
 }
+
+// Prevents a wave of crashes from being taken for a lost path: half of the upstreams refuse connections, some of which
+// answered last, and the others answer.
+func TestCrashesOfHalfOfUpstreamsAreNoLostPath(t *testing.T) {
+	var upstreams []string
+	for i := range 14 {
+		upstreams = append(upstreams, string(rune('a'+i)))
+	}
+	for range 300 {
+		s := newPathSim(ProbeAnswered, upstreams...)
+		for i, u := range upstreams {
+			s.RecordAnswer(s.now-sageclock.Instant(i)*ms, "chat", u, true)
+		}
+		s.result = func(u string) ProbeResult {
+			if u < "h" {
+				return ProbeRefused
+			}
+			return ProbeAnswered
+		}
+		require.True(t, s.fail(4))
+		s.run(2 * time.Second)
+		require.Empty(t, s.transitions)
+		require.Equal(t, Open, s.State("chat"))
+	}
+}
