--- a/internal/sagerouter/fleet_test.go
+++ b/internal/sagerouter/fleet_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"sagestand.example/sagestand/internal/sagefollow"
 	"sagestand.example/sagestand/internal/sagerelay"
 	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
@@ -161,3 +162,17 @@
 	f.view.publish()
 	require.Equal(t, "u0", f.Pick(&sagerelay.Query{Service: "s"}).Upstream.ID)
 }
+
+// Prevents an upstream that crashed under a request and started again under its ID from staying ejected.
+func TestRestartedUpstreamIsNotEjected(t *testing.T) {
+	f := newFleet(t, 1, 0)
+	f.view.onRestart = f.health.Forget
+	now := sageclock.Now()
+	for range 5 {
+		f.health.Record(now, "s", "u0", sagehealth.Broken)
+	}
+	f.view.applyUpstreams([]sagefollow.Change{put("u0", 5, `{"ID":"u0","Service":"s","Address":"10.0.0.1:80"}`)}, false)
+	require.True(t, f.health.Excluded(now, "s", "u0"), "the same start")
+	f.view.applyUpstreams([]sagefollow.Change{put("u0", 6, `{"ID":"u0","Service":"s","Address":"10.0.0.1:80","Born":7}`)}, false)
+	require.False(t, f.health.Excluded(now, "s", "u0"))
+}
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -220,6 +220,7 @@
 		n.fleet.rollouts = new(sagerollout.Tracker)
 	}
 	placer.SourceTrust = n.fleet.sourceTrust
+	n.view.onRestart = n.fleet.health.Forget
 	n.fleet.cacheSynced = func() bool { return n.cacheResync.synced.Load() }
 	n.fleet.setBounds(&cfg.Bounds)
 	n.relay = &sagerelay.Service{
--- a/internal/sagerouter/view.go
+++ b/internal/sagerouter/view.go
@@ -49,6 +49,8 @@
 	decoder Decoder
 	log     sagelog.Logger
 	placer  *sagechain.Placer
+	// onRestart is called with the ID of an upstream that has started again; may be nil.
+	onRestart func(upstream string)
 	// ordersPoint returns the point up to which the rollout orders are known; nil if rollouts are disabled.
 	ordersPoint func() sagefollow.Point
 
@@ -138,6 +140,9 @@
 	}
 	if reachable := v.upstreams.Load().Reachable(sageclock.Now(), e.ID); reachable != nil && (reachable.Born != e.Born || reachable.Address != e.Address) {
 		v.placer.Forget(e.ID) // a new start has an empty cache
+		if v.onRestart != nil && reachable.Born != e.Born {
+			v.onRestart(e.ID)
+		}
 	}
 	e.Draining = e.Draining || v.registry.LeaveAnnounced(&e)
 	if old == nil || old.Draining != e.Draining || (old.ColdUntil == 0) != (e.ColdUntil == 0) {
--- a/pkg/sagehealth/tracker.go
+++ b/pkg/sagehealth/tracker.go
@@ -167,6 +167,11 @@
 	}
 }
 
+// Forget drops the records of an upstream that has started again. What ended its last start says nothing about this one.
+func (t *Tracker) Forget(upstream string) {
+	t.Retain(func(id string) bool { return id != upstream })
+}
+
 // find returns the record of an upstream, or nil.
 func (t *Tracker) find(service, upstream string) *upstreamRecord {
 	if s := t.services[service]; s != nil {
