--- a/cmd/sagebench/soak.go
+++ b/cmd/sagebench/soak.go
@@ -27,6 +27,7 @@
 		restores    bool
 		paths       bool
 		versions    bool
+		parts       bool
 		program     string
 		self, dir   string
 	)
@@ -43,7 +44,7 @@
 				if err := os.MkdirAll(seedDir, 0o700); err != nil {
 					return fmt.Errorf("make directory for logs: %w", err)
 				}
-				s := &sagesoak.Soak{Seed: n, Program: program, Dir: seedDir, Nodes: nodes, Duration: time.Duration(seconds * float64(time.Second)), NoFaults: calm, Series: series, Restores: restores, Paths: paths, Versions: versions}
+				s := &sagesoak.Soak{Seed: n, Program: program, Dir: seedDir, Nodes: nodes, Duration: time.Duration(seconds * float64(time.Second)), NoFaults: calm, Series: series, Restores: restores, Paths: paths, Versions: versions, Parts: parts}
 				report, err := s.Run(c.Context())
 				if err != nil {
 					return fmt.Errorf("seed %d: %w", n, err)
@@ -59,6 +60,9 @@
 					if report.Returns != "" {
 						_, _ = fmt.Fprintf(w, "  streams %s\n", report.Returns)
 					}
+					if report.Parts != "" {
+						_, _ = fmt.Fprintf(w, "  parts %s\n", report.Parts)
+					}
 					for _, f := range report.Violations {
 						_, _ = fmt.Fprintf(w, "  %s\n", f)
 					}
@@ -83,6 +87,7 @@
 	f.BoolVar(&restores, "restores", false, "restore the store from earlier copies, beside the other faults")
 	f.BoolVar(&paths, "paths", false, "cut nodes from upstreams, make upstreams brittle or silent, beside the other faults")
 	f.BoolVar(&versions, "versions", false, "have software versions replace each other, break streams and stop nodes, beside the other faults")
+	f.BoolVar(&parts, "parts", false, "have parts of prompts crash engines, which also crash for other reasons, and stop nodes, beside the other faults")
 	f.StringVar(&dir, "dir", filepath.Join(os.TempDir(), "sagestand-soak"), "directory for the nodes' settings and logs")
 	addProgramFlag(c, &program, &self)
 	return c
--- a/internal/sagerouter/quarantine.go
+++ b/internal/sagerouter/quarantine.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sagestand.example/sagestand/internal/sagefollow"
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/internal/sagemesh"
@@ -24,6 +26,9 @@
 	// the lowest rank writes. It doesn't grow above maxReconcileRank.
 	reconcileRankDelay = 300 * time.Millisecond
 	maxReconcileRank   = 20
+	// firstLeavingRank is added to the ranks of nodes that leave, which are spread over leavingRanks.
+	firstLeavingRank = 2
+	leavingRanks     = 6
 	// reconcileTimeout limits one write. After a failed one nothing is written for reconcileRetryDelay.
 	reconcileTimeout    = time.Second
 	reconcileRetryDelay = 2 * time.Second
@@ -63,12 +68,21 @@
 }
 
 // quarantineRank returns this node's rank among those that write quarantine objects. It is negative while the
-// store does not answer this node or the node is stopping.
+// store does not answer this node.
 func (n *Node) quarantineRank() int {
-	if f := n.copies[n.Kinds.Quarantines]; n.leaving.Load() || f.Failing() || f.AsOf() == 0 {
+	if f := n.copies[n.Kinds.Quarantines]; f.Failing() || f.AsOf() == 0 {
 		return -1
 	}
-	return n.mesh.Rank(false)
+	return writerRank(n.mesh.Rank(false), n.leaving.Load(), n.Settings.Node)
+}
+
+// writerRank returns the rank of a node as a writer. Nodes that leave come after the first others. While all nodes leave,
+// none ranks before any, and they are told apart by their names.
+func writerRank(rank int, leaving bool, node string) int {
+	if !leaving {
+		return rank
+	}
+	return rank + firstLeavingRank + int(xxhash.Sum64String(node)%leavingRanks)
 }
 
 // fillCrashes adds the crash reports for the other nodes to a heartbeat.
--- a/internal/sagerouter/quarantine_test.go
+++ b/internal/sagerouter/quarantine_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
 	"io"
 	"maps"
 	"slices"
@@ -104,3 +105,23 @@
 	n.applyQuarantines([]sagefollow.Change{{Object: object(crashingRequest.Name()), Deleted: true}, {Object: object("no fingerprint"), Deleted: true}}, false)
 	require.Empty(t, n.quarantine.Quarantined(sageclock.Now(), crashingRequest))
 }
+
+// Prevents the loss of a quarantine that is decided while all nodes leave, before they start again.
+func TestLeavingNodesWriteQuarantines(t *testing.T) {
+	ranks := make(map[int]int)
+	for i := range 100 {
+		node := fmt.Sprint("vm", i)
+		require.Equal(t, 3, writerRank(3, false, node))
+		rank := writerRank(0, true, node)
+		require.GreaterOrEqual(t, rank, firstLeavingRank, "nodes that stay write first, and only they send trials")
+		require.Less(t, time.Duration(rank)*reconcileRankDelay, 3*time.Second, "before they have stopped")
+		ranks[rank]++
+	}
+	require.Len(t, ranks, leavingRanks)
+	s := new(objectStore)
+	r := newReconciler(s, writerRank(0, true, "vm1"))
+	r.reconcile(t.Context(), startTime)
+	require.Zero(t, s.writes)
+	r.reconcile(t.Context(), startTime.Add(3*time.Second))
+	require.Len(t, s.objects, 1)
+}
--- a/internal/sagesoak/fatal.go
+++ b/internal/sagesoak/fatal.go
@@ -36,7 +36,7 @@
 // newFatalRequest returns the fatal request of the seed, or nil if the seed has none. It uses its own random
 // numbers, so the other faults of a seed don't depend on it.
 func (s *Soak) newFatalRequest() *fatalRequest {
-	if s.NoFaults || rand.New(rand.NewPCG(s.Seed, 1)).IntN(5) >= 2 {
+	if s.NoFaults || s.Parts || rand.New(rand.NewPCG(s.Seed, 1)).IntN(5) >= 2 {
 		return nil
 	}
 	return &fatalRequest{soak: s}
--- a/internal/sagesoak/soak.go
+++ b/internal/sagesoak/soak.go
@@ -47,6 +47,8 @@
 	PathShares []string `json:"path_shares,omitempty"`
 	// Returns says how many new streams began, and how many that callers took up went on.
 	Returns string `json:"returns,omitempty"`
+	// Parts says what became of requests with fatal parts, and of sound ones beside them.
+	Parts string `json:"parts,omitempty"`
 }
 
 // Soak is one run. Its exported fields must be set before Run is called.
@@ -67,6 +69,9 @@
 	// Versions has several software versions serve side by side, which replace each other, breaks streams and stops nodes,
 	// beside the other faults.
 	Versions bool
+	// Parts has parts of prompts crash engines, which also crash for other reasons, and stops nodes meanwhile, beside the
+	// other faults.
+	Parts bool
 
 	sys            *standin.System
 	rng            *rand.Rand
@@ -83,6 +88,7 @@
 	restorer       *restorer      // nil without restores of the store
 	paths          *pathFaults    // nil without path faults
 	versions       *versionFaults // nil without version faults
+	parts          *partFaults    // nil without fatal parts
 }
 
 // Run runs the soak and returns the violations that it found. It returns an error if the soak can't be run.
@@ -97,7 +103,11 @@
 	s.restorer = s.newRestorer()
 	s.paths = s.newPathFaults()
 	s.versions = s.newVersionFaults()
+	s.parts = s.newPartFaults()
 	s.sys = &standin.System{FatalBody: fatalBody, OnFatalCrash: s.handleCrash, Nodes: s.Nodes, Engines: 4, Apps: 3, Program: s.Program, Dir: s.Dir, Subnet: int(s.Seed%200) + 20, Advertise: s.advertise}
+	if s.parts != nil {
+		s.parts.configure(s.sys)
+	}
 	if s.versions != nil {
 		s.sys.EngineVersions = softwareVersions[:2]
 	}
@@ -128,6 +138,9 @@
 	if s.versions != nil {
 		others.Go(func() { s.versions.run(ctx) })
 	}
+	if s.parts != nil {
+		others.Go(func() { s.parts.run(ctx) })
+	}
 	s.injectFaults(ctx)
 	s.pendingReverts.Wait()
 	others.Wait()
@@ -141,6 +154,10 @@
 		s.restorer.pending.Wait()
 		s.restorer.checkRegistered(ctx)
 	}
+	if s.parts != nil {
+		s.parts.pending.Wait()
+		s.parts.check()
+	}
 	pause(ctx, settleTime)
 	if s.fatal != nil {
 		s.fatal.checkStopped()
@@ -158,6 +175,9 @@
 	if s.paths != nil {
 		out.PathShares = s.paths.shares
 	}
+	if s.parts != nil {
+		out.Parts = s.parts.summary()
+	}
 	if s.versions != nil {
 		out.Returns = s.versions.countReturns().String()
 	}
@@ -280,7 +300,7 @@
 // delayBoundsApply reports whether upstreams that leave must receive no requests after the bound. Without faults of the
 // store and of nodes, which version faults stop too, every node learns of the change in time.
 func (s *Soak) delayBoundsApply() bool {
-	return !s.enabled[storeFaults] && !s.enabled[nodeFaults] && s.versions == nil
+	return !s.enabled[storeFaults] && !s.enabled[nodeFaults] && s.versions == nil && s.parts == nil
 }
 
 func (s *Soak) randomRunner() *standin.Runner { return s.sys.Runner(s.rng.IntN(len(s.sys.Runners))) }
@@ -405,7 +425,7 @@
 // checkRecovery checks that the system serves requests again, and that no streams were cut if only planned
 // faults were injected.
 func (s *Soak) checkRecovery(ctx context.Context) {
-	if !s.enabled[upstreamFaults] && !s.enabled[networkFaults] && !s.enabled[nodeFaults] && s.fatal == nil && s.paths == nil && s.versions == nil {
+	if !s.enabled[upstreamFaults] && !s.enabled[networkFaults] && !s.enabled[nodeFaults] && s.fatal == nil && s.paths == nil && s.versions == nil && s.parts == nil {
 		for _, k := range []standin.Kind{standin.Chat, standin.Reply} {
 			if n := s.sys.Ledger.Counts()[string(k)+" cut"]; n > 0 {
 				s.sys.Ledger.RecordViolation("%d streams of kind %s were cut although only planned faults were injected", n, k)
