A refused connection counts though the upstream answered others just before it crashed

Cause: crash evidence was dropped at once if another node had answers from the upstream after a report of a broken exchange. Such a contradiction lasts a second or more, so that a crash soon after a reset connection was lost and crashes did not add up.

--- a/internal/sagerouter/evidence.go
+++ b/internal/sagerouter/evidence.go
@@ -89,8 +89,8 @@
 	evidenceDropped
 )
 
-// judge decides about evidence. If the path was lost meanwhile, a refused connection counts only once the store shows that
-// this start of the upstream is gone.
+// judge decides about evidence. If the path was lost meanwhile, or the upstream answers other nodes, a refused connection
+// counts once the store shows that this start of the upstream is gone. The answers may also date from before a crash.
 func (f *fleet) judge(now sageclock.Instant, e *pendingEvidence, set *sageupstream.Set, answersOthers bool) judgement {
 	age, service := now.Sub(e.at), e.upstream.Service
 	current := set.Get(e.upstream.ID)
@@ -98,9 +98,7 @@
 	switch {
 	case age < minEvidenceDelay:
 		return evidencePending
-	case answersOthers:
-		return evidenceDropped
-	case f.reach.LostBetween(service, e.at):
+	case answersOthers || f.reach.LostBetween(service, e.at):
 		if e.refused && gone {
 			return evidenceCounts
 		}
--- a/internal/sagerouter/paths_test.go
+++ b/internal/sagerouter/paths_test.go
@@ -101,6 +101,45 @@
 	}
 }
 
+// Prevents the loss of a crash whose upstream had just been reported as broken and had answered other nodes before it crashed.
+func TestRefusedConnectionCountsOnceContradictionEnds(t *testing.T) {
+	for _, tt := range []struct {
+		name      string
+		answers   bool // u0 goes on answering another node
+		gone      bool // the store shows that u0 is gone
+		after     time.Duration
+		committed bool
+		pending   bool
+	}{
+		{"contradicted", true, false, minEvidenceDelay, false, true},
+		{"no longer contradicted", false, false, 1500 * time.Millisecond, true, false},
+		{"gone", true, true, minEvidenceDelay, true, false},
+		{"contradicted for long", true, false, maxEvidenceDelay, false, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFleet(t, 2, 0)
+			committed := false
+			f.WhenPathVerified(f.view.upstreams.Load().Get("u0"), true, func() { committed = true })
+			at := f.evidence.pending[0].at
+			f.answeredNodes.UpdateNode(at.Add(minEvidenceDelay), "vm2", "north", sageflight.Counts{"u0": 1})
+			f.settleEvidence(at.Add(minEvidenceDelay))
+			require.False(t, committed)
+			counts := sageflight.Counts{}
+			if tt.answers {
+				counts["u0"] = 1
+			}
+			if tt.gone {
+				f.view.registry.Delete(at, "u0")
+				f.view.publish()
+			}
+			f.answeredNodes.UpdateNode(at.Add(tt.after), "vm2", "north", counts)
+			f.settleEvidence(at.Add(tt.after))
+			require.Equal(t, tt.committed, committed)
+			require.Equal(t, tt.pending, len(f.evidence.pending) == 1)
+		})
+	}
+}
+
 // Prevents reports of nodes that lost their path from ejecting an upstream that answers others.
 func TestContradictedReportsDoNotEject(t *testing.T) {
 	f := newFleet(t, 2, 0)
