Operators see which part is quarantined, and explain joins the crashes that led to a refusal

A quarantine object names account, service, model and part if any node had it in a request, since nodes that don't know it write later. sagestand explain adds the lines of crashes, quarantine and release to those of a refused request. TestCrashesThatLedToRefusalAreJoined, TestNodeThatCannotDescribeSuspectWritesLater.

--- a/internal/sageexplain/explain.go
+++ b/internal/sageexplain/explain.go
@@ -1,7 +1,8 @@
 // Package sageexplain collects the log lines of one request from several nodes in order of time.
 //
 // A caller takes a broken stream up with a new attempt, which names the one that brought the first event. The lines of all
-// attempts to get one stream are collected, whichever of them is asked for.
+// attempts to get one stream are collected, whichever of them is asked for. If a request was refused as quarantined, the
+// lines about the crashes under what it was refused for are collected too.
 //
 // # Usage
 //
@@ -68,11 +69,17 @@
 	if len(s.Lines) == 0 {
 		return s, fmt.Errorf("%s: %w", id, ErrRequestNotFound)
 	}
-	slices.SortStableFunc(s.Lines, func(a, b Line) int { return strings.Compare(a.At, b.At) })
+	s.sort()
 	s.Cause = cause(&s.Lines[len(s.Lines)-1])
+	s.addEvidence(texts)
+	s.sort()
 	return s, nil
 }
 
+func (s *Timeline) sort() {
+	slices.SortStableFunc(s.Lines, func(a, b Line) int { return strings.Compare(a.At, b.At) })
+}
+
 // firstAttempt returns the ID of the attempt that brought the first event of the stream that an attempt takes up, or the
 // attempt's own ID.
 func firstAttempt(id string, texts []string) string {
@@ -152,7 +159,7 @@
 	"upstreams_paused": "all upstreams of the service had declined requests and asked for none for some time",
 	"upstream_failed":  "the upstream returned an error of its own, which was passed on",
 	"answer_lost":      "an upstream accepted the request and returned no complete response; see the cause of the preceding exchange",
-	"quarantined":      "upstreams had crashed under requests with the same fingerprint; search for it in the log lines of the crashes",
+	"quarantined":      "upstreams had crashed under the same request or part of its prompt; the lines above name it, the crashes and the requests that ran there",
 	"origin_unknown":   "the caller took up a stream whose version no node knows any more, so it was not continued; look for restarts of the nodes of its first attempt",
 	"origin_moved":     "the caller took up a stream of a service to which its route no longer leads",
 	"version_gone":     "the caller took up a stream whose version has no upstream left",
--- a/internal/sageexplain/explain_test.go
+++ b/internal/sageexplain/explain_test.go
@@ -52,3 +52,23 @@
 		require.Equal(t, []string{"q1", "q2", "q2", "q3"}, got, id)
 	}
 }
+
+// Prevents a refusal from being explained without the crashes that led to it, which happened under other requests.
+func TestCrashesThatLedToRefusalAreJoined(t *testing.T) {
+	const one = `at=2026-01-01T00:00:01Z node=vm1 level=info msg="relay: Upstream crashed under a request." id=q1 upstream=e1 suspects=00000000000000aa,part-00000000000000bb account=acc parts=7
+at=2026-01-01T00:00:02Z node=vm1 level=info msg="relay: Upstream crashed under a request." id=q2 upstream=e2 suspects=00000000000000cc,part-00000000000000dd account=acc parts=8
+at=2026-01-01T00:00:03Z node=vm1 level=info msg="relay: Quarantined." suspect=part-00000000000000bb crashes=3 learned=here upstream=e1
+at=2026-01-01T00:00:03Z node=vm1 level=info msg="relay: Request is quarantined." id=q3 suspect=part-00000000000000bb part=7 account=acc
+`
+	const two = `at=2026-01-01T00:00:04Z node=vm2 level=info msg="relay: Request is quarantined." id=q9 suspect=part-00000000000000bb part=7 account=acc
+at=2026-01-01T00:00:05Z node=vm2 level=info msg="relay: Request refused." id=q9 status=503 reason=quarantined
+`
+	timeline, err := Read("q9", Log{"one", strings.NewReader(one)}, Log{"two", strings.NewReader(two)})
+	require.NoError(t, err)
+	var got []string
+	for _, l := range timeline.Lines {
+		got = append(got, l.ID+" "+l.Msg)
+	}
+	require.Equal(t, []string{"q1 relay: Upstream crashed under a request.", " relay: Quarantined.", "q9 relay: Request is quarantined.", "q9 relay: Request refused."}, got)
+	require.True(t, strings.HasPrefix(timeline.Cause, "quarantined: "))
+}
--- a/internal/sagerelay/crash.go
+++ b/internal/sagerelay/crash.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"maps"
 	"net/http"
 	"slices"
@@ -17,8 +18,12 @@
 	"sagestand.example/sagestand/pkg/sageupstream"
 )
 
-// maxSuspectParts is the number of shared parts of a prompt that are considered.
-const maxSuspectParts = 256
+const (
+	// maxSuspectParts is the number of shared parts of a prompt that are considered.
+	maxSuspectParts = 256
+	// maxLabelText limits the texts of clients that describe a suspect.
+	maxLabelText = 100
+)
 
 // errQuarantined is the cause with which an exchange of a quarantined request is cancelled.
 var errQuarantined = errors.New("the request is quarantined")
@@ -154,9 +159,24 @@
 // running describes the request of an exchange that has just broken.
 func (x *exchange) running() runningRequest {
 	j := x.j
-	return runningRequest{x.suspects(), j.meta.ID, j.accountName(), j.meta.Chain.Shared(), x.events, sageclock.Now()}
+	suspects := slices.Clone(x.suspects())
+	for i := range suspects {
+		suspects[i].Label = j.label(suspects[i])
+	}
+	return runningRequest{suspects, j.meta.ID, j.accountName(), j.meta.Chain.Shared(), x.events, sageclock.Now()}
+}
+
+// label describes a suspect of the request for operators.
+func (j *job) label(s sagequarantine.Suspect) string {
+	if s.Kind == sagequarantine.Request {
+		return fmt.Sprintf("request of account %q: %s %s", j.accountName(), j.r.Method, truncate(j.r.Host+j.r.URL.Path))
+	}
+	return fmt.Sprintf("part %s in prompts of account %q to model %q of service %q", j.partID(s), j.accountName(), truncate(j.meta.Model), j.serviceName)
 }
 
+// truncate returns the first maxLabelText bytes of a text that a client wrote.
+func truncate(s string) string { return s[:min(len(s), maxLabelText)] }
+
 // suspects returns what may have crashed the upstream if it crashes now. The parts of the prompt are suspect only while the
 // answer begins.
 func (x *exchange) suspects() []sagequarantine.Suspect {
@@ -206,7 +226,7 @@
 
 // LogQuarantined logs the start of a quarantine, with further fields.
 func (s *Service) LogQuarantined(e *sagequarantine.Entry, kv ...any) {
-	s.Log.Info("Quarantined.", append([]any{"suspect", e.Suspect.Name(), "crashes", len(e.Crashes)}, kv...)...)
+	s.Log.Info("Quarantined.", append([]any{"suspect", e.Suspect.Name(), "is", e.Suspect.Label, "crashes", len(e.Crashes)}, kv...)...)
 }
 
 // namesOf returns the names of suspects, separated by commas.
--- a/internal/sagerouter/quarantine.go
+++ b/internal/sagerouter/quarantine.go
@@ -26,6 +26,8 @@
 	// the lowest rank writes. It doesn't grow above maxReconcileRank.
 	reconcileRankDelay = 300 * time.Millisecond
 	maxReconcileRank   = 20
+	// unlabelledRanks is added to the rank of a node that can't describe a suspect, so that one which can writes first.
+	unlabelledRanks = 2
 	// firstLeavingRank is added to the ranks of nodes that leave, which are spread over leavingRanks.
 	firstLeavingRank = 2
 	leavingRanks     = 6
@@ -38,6 +40,8 @@
 type quarantineSpec struct {
 	Crashes int    `json:"crashes"`
 	By      string `json:"by"`
+	// Suspect describes the suspect; empty if the node that wrote the object never had it in a request.
+	Suspect string `json:"suspect,omitempty"`
 }
 
 // applyQuarantines applies changes of the quarantine objects. Operators release a suspect by deleting its object.
@@ -127,7 +131,8 @@
 	}
 }
 
-// reconcile writes the differences that are older than the delay for this node's rank.
+// reconcile writes the differences that are older than the delay for this node's rank, which grows if it can't describe
+// the suspect.
 func (r *quarantineReconciler) reconcile(ctx context.Context, now sageclock.Instant) {
 	r.Tracker.Sweep(now)
 	differences := r.Tracker.Differences(now)
@@ -135,9 +140,12 @@
 	if len(differences) == 0 || rank < 0 || now < r.pausedUntil {
 		return
 	}
-	wait := time.Duration(min(rank, maxReconcileRank)) * reconcileRankDelay
 	for _, d := range differences {
-		if now.Sub(d.Since) < wait {
+		delay := min(rank, maxReconcileRank)
+		if d.Quarantined && d.Suspect.Label == "" {
+			delay += unlabelledRanks
+		}
+		if now.Sub(d.Since) < time.Duration(delay)*reconcileRankDelay {
 			continue
 		}
 		if err := r.write(ctx, d); err != nil {
@@ -160,7 +168,7 @@
 		}
 		return nil
 	}
-	spec, err := json.Marshal(quarantineSpec{Crashes: d.Crashes, By: r.Self})
+	spec, err := json.Marshal(quarantineSpec{Crashes: d.Crashes, By: r.Self, Suspect: d.Suspect.Label})
 	if err != nil {
 		return fmt.Errorf("encode quarantine: %w", err)
 	}
--- a/internal/sagerouter/quarantine_test.go
+++ b/internal/sagerouter/quarantine_test.go
@@ -22,7 +22,7 @@
 
 const startTime = sageclock.Instant(time.Hour)
 
-var crashingRequest = sagequarantine.NewRequest(7)
+var crashingRequest = sagequarantine.Suspect{Kind: sagequarantine.Request, Fingerprint: 7, Label: "a request"}
 
 // objectStore is a store that keeps the names of objects and counts the writes.
 type objectStore struct {
@@ -125,3 +125,18 @@
 	r.reconcile(t.Context(), startTime.Add(3*time.Second))
 	require.Len(t, s.objects, 1)
 }
+
+// Prevents operators from finding quarantines that name no part, account or service though some node knows them.
+func TestNodeThatCannotDescribeSuspectWritesLater(t *testing.T) {
+	s := new(objectStore)
+	r := newReconciler(s, 0)
+	r.Tracker = new(sagequarantine.Tracker)
+	for c := range sagequarantine.CrashID(sagequarantine.DefaultThreshold) {
+		r.Tracker.RecordCrash(startTime, sagequarantine.Crash{ID: c, At: startTime.Add(-time.Duration(c) * time.Second)}, sagequarantine.NewPart("acc", "s", "m", 7))
+	}
+	r.reconcile(t.Context(), startTime)
+	r.reconcile(t.Context(), startTime.Add(unlabelledRanks*reconcileRankDelay-1))
+	require.Zero(t, s.writes)
+	r.reconcile(t.Context(), startTime.Add(unlabelledRanks*reconcileRankDelay))
+	require.Equal(t, 1, s.writes)
+}
--- a/pkg/sagequarantine/decision.go
+++ b/pkg/sagequarantine/decision.go
@@ -103,7 +103,7 @@
 		}
 	}
 	enough := countEvents(SharedPart, crashes) > cmp.Or(t.Threshold, DefaultThreshold) && (repeated >= minRepeatedAccounts || accounts >= minAccounts)
-	return Suspect{Kind: SharedPart, Fingerprint: r.Shared}, crashes, enough
+	return Suspect{Kind: SharedPart, Fingerprint: r.Shared, Label: r.Label}, crashes, enough
 }
 
 // enter quarantines a suspect, and ends the quarantines of those whose crashes it explains besides others.
--- a/pkg/sagequarantine/evidence.go
+++ b/pkg/sagequarantine/evidence.go
@@ -1,6 +1,7 @@
 package sagequarantine
 
 import (
+	"cmp"
 	"slices"
 
 	"sagestand.example/sagestand/pkg/sageclock"
@@ -93,6 +94,7 @@
 	}
 	m := message{suspect: s, crash: c.ID, at: c.At, queuedAt: now, local: local}
 	if e := t.entries[f]; e != nil && now < e.Until {
+		e.Suspect.Label = cmp.Or(e.Suspect.Label, s.Label)
 		t.addQuarantinedCrash(e, m)
 		return nil
 	}
--- a/pkg/sagequarantine/record.go
+++ b/pkg/sagequarantine/record.go
@@ -1,6 +1,7 @@
 package sagequarantine
 
 import (
+	"cmp"
 	"slices"
 
 	"sagestand.example/sagestand/pkg/sageclock"
@@ -35,6 +36,7 @@
 // recordOf returns the record of a suspect and creates it if there is none.
 func (t *Tracker) recordOf(now sageclock.Instant, s Suspect) *record {
 	if r := t.suspects[s.Fingerprint]; r != nil {
+		r.Label = cmp.Or(r.Label, s.Label)
 		return r
 	}
 	if len(t.suspects) >= maxSuspects {
--- a/pkg/sagequarantine/suspect.go
+++ b/pkg/sagequarantine/suspect.go
@@ -28,6 +28,8 @@
 	Fingerprint Fingerprint
 	// Shared is, for a Part, the fingerprint of the same part for all client accounts.
 	Shared Fingerprint
+	// Label describes the suspect for operators. It is known on nodes only that had it in a request.
+	Label string
 }
 
 // NewRequest returns the suspect with the fingerprint of a request.
