--- a/internal/sagesoak/parts.go
+++ b/internal/sagesoak/parts.go
@@ -21,6 +21,7 @@
 	soundTime        = 1500 * time.Millisecond // before the first fatal request
 	meanCrashGap     = 2 * time.Second         // between crashes for other reasons
 	minStopGap       = 700 * time.Millisecond  // between faults of nodes
+	tornStreams      = 0.2                     // share of the streams that end inside an event, while responses are unframed
 )
 
 // partFaults sends requests with fatal parts, no two alike, beside sound ones that share all their other parts. Engines also
@@ -119,6 +120,9 @@
 		if p.stops {
 			p.stopNodes()
 		}
+		if p.rng.IntN(3) == 0 {
+			p.unframe(ctx)
+		}
 		pause(ctx, minStopGap+time.Duration(p.rng.Int64N(int64(maxFaultGap))))
 	}
 	p.until = time.Now()
@@ -141,6 +145,19 @@
 	}
 }
 
+// unframe has a random runner send responses that end with their connection for some time, some of them inside an event.
+func (p *partFaults) unframe(ctx context.Context) {
+	s := p.soak
+	r := s.sys.Runner(p.rng.IntN(len(s.sys.Runners)))
+	duration := maxFaultDuration/2 + time.Duration(p.rng.Int64N(int64(maxFaultDuration)))
+	r.InjectFaults(standin.RunnerFaults{Unframed: 1, Torn: tornStreams})
+	s.recordInjected(r.ID+" sends unframed responses", duration)
+	p.pending.Go(func() {
+		pause(ctx, duration)
+		r.InjectFaults(standin.RunnerFaults{})
+	})
+}
+
 // stopNodes restarts nodes one after the other or all at once, kills, stops or freezes one.
 func (p *partFaults) stopNodes() {
 	switch p.rng.IntN(6) {
