--- a/internal/sagesoak/parts.go
+++ b/internal/sagesoak/parts.go
@@ -15,6 +15,7 @@
 // Parameters of parts of prompts that crash engines.
 const (
 	partEngines      = 12
+	partSlots        = 4 // so that requests wait for them only while engines are down
 	maxFatalInterval = 700 * time.Millisecond
 	minFatalInterval = 120 * time.Millisecond
 	soundInterval    = 25 * time.Millisecond
@@ -56,7 +57,7 @@
 		p.load.Parts = append(p.load.Parts, &standin.FatalPart{ID: fmt.Sprintf("fa7a%d", i), AfterEvents: 2 * rng.IntN(2), OnCrash: p.restart, InTouch: p.inTouchIP})
 	}
 	if rng.IntN(3) == 0 {
-		p.executes = 2
+		p.executes = partSlots
 	}
 	p.crashes, p.stops = rng.IntN(2) == 0, rng.IntN(3) > 0
 	return p
