--- a/pkg/sagequarantine/parts_test.go
+++ b/pkg/sagequarantine/parts_test.go
@@ -275,3 +275,18 @@
 		require.GreaterOrEqual(t, begun*10, sent*9, "%+v", s)
 	}
 }
+
+// Prevents a node that started after the crashes from quarantining a released request again: it knows the quarantine from
+// the store alone, and gets the reports of the crashes after the release.
+func TestReportsAfterReleaseDoNotCountOnStartedNode(t *testing.T) {
+	started, peer := new(Tracker), new(Tracker)
+	for c := range CrashID(4) {
+		recordCrash(peer, start, c+1, 7)
+	}
+	reports, _ := peer.Reports(start.Add(time.Second), never)
+	require.NotEmpty(t, reports)
+	started.Restore(start, NewRequest(7))
+	started.Release(start.Add(500*time.Millisecond), 7)
+	require.Empty(t, started.Merge(start.Add(1100*time.Millisecond), reports, nil))
+	require.False(t, quarantined(started, start.Add(1100*time.Millisecond), 7))
+}
