Parts that explain the same crashes bar requests together

Cause, found by reading: of several parts without a known success under the same three crashes one was taken by its fingerprint. On a node that has just started, a sound part that all callers share could so be barred in place of the fatal one beside it, be written to the store, and never get a chance to succeed. Change: such parts are companions: only requests that hold all of them are refused. A success of one, or a crash under fewer of them, leaves the others. Objects in the store name the companions.

--- a/internal/sagerelay/crash.go
+++ b/internal/sagerelay/crash.go
@@ -226,7 +226,7 @@
 
 // LogQuarantined logs the start of a quarantine, with further fields.
 func (s *Service) LogQuarantined(e *sagequarantine.Entry, kv ...any) {
-	s.Log.Info("Quarantined.", append([]any{"suspect", e.Suspect.Name(), "is", e.Suspect.Label, "crashes", len(e.Crashes)}, kv...)...)
+	s.Log.Info("Quarantined.", append([]any{"suspect", e.Suspect.Name(), "is", e.Suspect.Label, "with", namesOf(e.Companions), "crashes", len(e.Crashes)}, kv...)...)
 }
 
 // namesOf returns the names of suspects, separated by commas.
--- a/internal/sagerouter/quarantine.go
+++ b/internal/sagerouter/quarantine.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -42,13 +43,42 @@
 	By      string `json:"by"`
 	// Suspect describes the suspect; empty if the node that wrote the object never had it in a request.
 	Suspect string `json:"suspect,omitempty"`
+	// With are the names of other parts. Only requests that hold them too are refused.
+	With []string `json:"with,omitempty"`
+}
+
+// decodeQuarantine decodes a quarantine object. An unreadable content doesn't end the quarantine of what the name says.
+func decodeQuarantine(o *sagefollow.Object) (s sagequarantine.Suspect, companions []sagequarantine.Suspect, err error) {
+	if s, err = sagequarantine.ParseName(o.Name); err != nil {
+		return s, nil, fmt.Errorf("quarantine object: %w", err)
+	}
+	var spec quarantineSpec
+	if json.Unmarshal(o.Spec, &spec) != nil {
+		return s, nil, nil
+	}
+	s.Label = spec.Suspect
+	for _, name := range spec.With {
+		if c, err := sagequarantine.ParseName(name); err == nil && c.Kind == sagequarantine.Part {
+			companions = append(companions, c)
+		}
+	}
+	return s, companions, nil
+}
+
+// namesOf returns the names of suspects.
+func namesOf(suspects []sagequarantine.Suspect) []string {
+	var out []string
+	for _, s := range suspects {
+		out = append(out, s.Name())
+	}
+	return out
 }
 
 // applyQuarantines applies changes of the quarantine objects. Operators release a suspect by deleting its object.
 func (n *Node) applyQuarantines(changes []sagefollow.Change, _ bool) {
 	log, now, started := n.Log.Component("quarantine"), sageclock.Now(), 0
 	for _, c := range changes {
-		s, err := sagequarantine.ParseName(c.Object.Name)
+		s, companions, err := decodeQuarantine(&c.Object)
 		if err != nil {
 			log.Warn("Quarantine object's name is not that of a suspect.", "name", c.Object.Name, "revision", c.Object.Revision, "err", err)
 			continue
@@ -63,9 +93,9 @@
 			log.Info("Released.", "suspect", s.Name(), "revision", c.Object.Revision)
 			continue
 		}
-		if n.quarantine.Restore(now, s) {
+		if n.quarantine.Restore(now, s, companions...) {
 			started++
-			log.Info("Quarantined.", "suspect", s.Name(), "learned", "store", "revision", c.Object.Revision)
+			log.Info("Quarantined.", "suspect", s.Name(), "is", s.Label, "with", strings.Join(namesOf(companions), ","), "learned", "store", "revision", c.Object.Revision)
 		}
 	}
 	n.relay.CancelQuarantined(started)
@@ -168,7 +198,7 @@
 		}
 		return nil
 	}
-	spec, err := json.Marshal(quarantineSpec{Crashes: d.Crashes, By: r.Self, Suspect: d.Suspect.Label})
+	spec, err := json.Marshal(quarantineSpec{Crashes: d.Crashes, By: r.Self, Suspect: d.Suspect.Label, With: namesOf(d.Companions)})
 	if err != nil {
 		return fmt.Errorf("encode quarantine: %w", err)
 	}
--- a/internal/sagerouter/quarantine_test.go
+++ b/internal/sagerouter/quarantine_test.go
@@ -140,3 +140,16 @@
 	r.reconcile(t.Context(), startTime.Add(unlabelledRanks*reconcileRankDelay))
 	require.Equal(t, 1, s.writes)
 }
+
+// Prevents a node that learns of a quarantine from the store from refusing more than the others do.
+func TestCompanionsAreKeptInTheStore(t *testing.T) {
+	a, b := sagequarantine.NewPart("acc", "s", "m", 1), sagequarantine.NewPart("acc", "s", "m", 2)
+	spec, err := json.Marshal(quarantineSpec{Crashes: 3, By: "vm2", Suspect: "part 1", With: []string{b.Name(), "no name"}})
+	require.NoError(t, err)
+	n := &Node{Log: sagelog.New(io.Discard, "vm1")}
+	n.relay = &sagerelay.Service{Quarantine: &n.quarantine}
+	n.applyQuarantines([]sagefollow.Change{{Object: sagefollow.Object{Name: a.Name(), Revision: 1, Spec: spec}}}, false)
+	require.Len(t, n.quarantine.Quarantined(sageclock.Now(), a, b), 1)
+	require.Empty(t, n.quarantine.Quarantined(sageclock.Now(), a))
+	require.Empty(t, n.quarantine.Quarantined(sageclock.Now(), b))
+}
--- a/pkg/sagequarantine/decision.go
+++ b/pkg/sagequarantine/decision.go
@@ -18,11 +18,11 @@
 			continue
 		}
 		if t.explainsEnough(best) {
-			out = append(out, t.enter(now, best.Suspect, best.counted))
+			out = append(out, t.enter(now, best.Suspect, t.companions(best), best.counted))
 			continue
 		}
 		if s, crashes, ok := t.sharedByAccounts(best); ok {
-			out = append(out, t.enter(now, s, crashes))
+			out = append(out, t.enter(now, s, nil, crashes))
 		}
 	}
 	return out
@@ -77,6 +77,22 @@
 	return false
 }
 
+// companions returns the other parts that explain the same crashes as a part and that have not succeeded either. Which of
+// them is fatal isn't known, and the others may be sound parts that many requests share.
+func (t *Tracker) companions(r *record) []Suspect {
+	if r.Kind != Part {
+		return nil
+	}
+	var out []Suspect
+	for _, o := range t.suspects {
+		if o != r && o.Kind == Part && len(o.counted) == len(r.counted) && t.threshold(o) == t.threshold(r) && isSubset(o.counted, r.counted) {
+			out = append(out, o.Suspect)
+		}
+	}
+	slices.SortFunc(out, func(a, b Suspect) int { return cmp.Compare(a.Fingerprint, b.Fingerprint) })
+	return out[:min(len(out), maxCompanions)]
+}
+
 // sharedByAccounts returns the part for all client accounts, with its crashes, if the crashes under it in the requests of
 // several accounts add up. A single account can't bring that about, whatever parts it names.
 func (t *Tracker) sharedByAccounts(r *record) (Suspect, []Crash, bool) {
@@ -107,8 +123,8 @@
 }
 
 // enter quarantines a suspect, and ends the quarantines of those whose crashes it explains besides others.
-func (t *Tracker) enter(now sageclock.Instant, s Suspect, crashes []Crash) Entry {
-	e := &Entry{Suspect: s, Crashes: slices.Clone(crashes), Since: now, Until: now.Add(QuarantineDuration)}
+func (t *Tracker) enter(now sageclock.Instant, s Suspect, companions []Suspect, crashes []Crash) Entry {
+	e := &Entry{Suspect: s, Companions: companions, Crashes: slices.Clone(crashes), Since: now, Until: now.Add(QuarantineDuration)}
 	for f, other := range t.entries {
 		if len(other.Crashes) > 0 && len(other.Crashes) < len(e.Crashes) && isSubset(other.Crashes, e.Crashes) {
 			t.dropEntry(f)
--- a/pkg/sagequarantine/evidence.go
+++ b/pkg/sagequarantine/evidence.go
@@ -77,9 +77,27 @@
 			changed = append(changed, r)
 		}
 	}
+	for _, s := range suspects {
+		t.dropAbsentCompanions(s.Fingerprint, c)
+	}
 	return t.decide(now, changed)
 }
 
+// dropAbsentCompanions removes the companions of a quarantined part that didn't run at an upstream which crashed under the
+// part: they don't explain that crash.
+func (t *Tracker) dropAbsentCompanions(f Fingerprint, c Crash) {
+	e := t.entries[f]
+	if e == nil || len(e.Companions) == 0 || !slices.ContainsFunc(e.Crashes, func(o Crash) bool { return o.ID == c.ID }) {
+		return
+	}
+	e.Companions = slices.DeleteFunc(slices.Clone(e.Companions), func(s Suspect) bool {
+		if r := t.suspects[s.Fingerprint]; r != nil {
+			return !r.hasCrash(c.ID)
+		}
+		return c.At > e.Since // earlier crashes are unknown on a node that learned of the quarantine from the store
+	})
+}
+
 // addCrash records a crash under a suspect, and returns the suspect's record if the crash counts against it and is new.
 func (t *Tracker) addCrash(now sageclock.Instant, c Crash, s Suspect, local bool) *record {
 	f := s.Fingerprint
@@ -121,14 +139,16 @@
 	t.resendCrashes(m.queuedAt, e)
 }
 
-// resendCrashes sends the crashes of a quarantined suspect again, for nodes that missed some of them because they
+// resendCrashes sends the crashes of a quarantined suspect and its companions again, for nodes that missed some of them because they
 // started later or were cut off.
 func (t *Tracker) resendCrashes(now sageclock.Instant, e *Entry) {
 	if e.Suspect.Kind == SharedPart {
 		return // follows from the crashes under the parts of client accounts
 	}
-	for _, c := range e.Crashes {
-		t.out.addLocal(message{suspect: e.Suspect, crash: c.ID, at: c.At, queuedAt: now, local: true})
+	for _, s := range append([]Suspect{e.Suspect}, e.Companions...) {
+		for _, c := range e.Crashes {
+			t.out.addLocal(message{suspect: s, crash: c.ID, at: c.At, queuedAt: now, local: true})
+		}
 	}
 }
 
--- a/pkg/sagequarantine/store.go
+++ b/pkg/sagequarantine/store.go
@@ -16,6 +16,8 @@
 // Difference is a suspect that is quarantined by the Tracker but missing from the store, or the reverse.
 type Difference struct {
 	Suspect Suspect
+	// Companions are those of the quarantine, see [Entry].
+	Companions []Suspect
 	// Crashes is the number of known crashes under it.
 	Crashes int
 	// Quarantined says that the Tracker quarantines it, so that the store should contain it.
@@ -24,10 +26,10 @@
 	Since sageclock.Instant
 }
 
-// Restore records that the store contains a suspect, and reports whether that starts its quarantine on this node.
+// Restore records that the store contains a suspect with its companions, and reports whether that starts its quarantine on this node.
 //
 // Without it, each quarantined suspect would crash as many upstreams again after a restart of all nodes.
-func (t *Tracker) Restore(now sageclock.Instant, s Suspect) bool {
+func (t *Tracker) Restore(now sageclock.Instant, s Suspect, companions ...Suspect) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.updateCounts()
@@ -35,7 +37,7 @@
 	if t.entries[s.Fingerprint] != nil {
 		return false
 	}
-	t.quarantine(&Entry{Suspect: s, Since: now, Until: now.Add(QuarantineDuration)})
+	t.quarantine(&Entry{Suspect: s, Companions: companions, Since: now, Until: now.Add(QuarantineDuration)})
 	return true
 }
 
@@ -100,7 +102,7 @@
 	for _, f := range slices.Sorted(maps.Keys(differences)) {
 		d := Difference{Suspect: t.store.quarantined[f], Since: differences[f]}
 		if e := t.entries[f]; e != nil {
-			d.Suspect, d.Crashes, d.Quarantined = e.Suspect, len(e.Crashes), true
+			d.Suspect, d.Companions, d.Crashes, d.Quarantined = e.Suspect, e.Companions, len(e.Crashes), true
 		}
 		out = append(out, d)
 	}
--- a/pkg/sagequarantine/success.go
+++ b/pkg/sagequarantine/success.go
@@ -1,6 +1,10 @@
 package sagequarantine
 
-import "sagestand.example/sagestand/pkg/sageclock"
+import (
+	"slices"
+
+	"sagestand.example/sagestand/pkg/sageclock"
+)
 
 // successes holds when parts last ran to completion on this node. It has two generations, each of which is replaced when it
 // is old or full.
@@ -60,18 +64,36 @@
 // that changed anything.
 func (t *Tracker) clear(now sageclock.Instant, f Fingerprint, local bool) bool {
 	r, e := t.suspects[f], t.entries[f]
-	if e == nil && (r == nil || len(r.counted) == 0) {
+	companion := t.clearCompanion(f)
+	if e == nil && !companion && (r == nil || len(r.counted) == 0) {
 		return false
 	}
 	if r != nil {
 		r.discountAll()
 	}
 	t.dropEntry(f)
+	if e != nil && len(e.Companions) > 0 {
+		t.quarantine(&Entry{Suspect: e.Companions[0], Companions: e.Companions[1:], Crashes: e.Crashes, Since: e.Since, Until: e.Until, trials: e.trials})
+	}
 	t.out.expire(now)
 	t.out.add(message{suspect: Suspect{Fingerprint: f}, at: now, queuedAt: now, local: local})
 	return true
 }
 
+// clearCompanion removes a part from the companions of quarantined ones, which alone explain the crashes then, and reports
+// whether it was among them.
+func (t *Tracker) clearCompanion(f Fingerprint) bool {
+	found := false
+	for _, e := range t.entries {
+		i := slices.IndexFunc(e.Companions, func(s Suspect) bool { return s.Fingerprint == f })
+		if i >= 0 {
+			e.Companions = slices.Delete(slices.Clone(e.Companions), i, i+1)
+			found = true
+		}
+	}
+	return found
+}
+
 // contradict tells the peers that a suspect which they report has succeeded since the crash, unless that is queued already.
 func (t *Tracker) contradict(now sageclock.Instant, f Fingerprint) {
 	if at, ok := t.contradicted[f]; ok && now.Sub(at) < messageTTL {
--- a/pkg/sagequarantine/tracker.go
+++ b/pkg/sagequarantine/tracker.go
@@ -1,6 +1,7 @@
 package sagequarantine
 
 import (
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -47,6 +48,7 @@
 	maxQuarantined     = 256
 	maxDiscounted      = 8
 	maxCrashesPerEntry = 32
+	maxCompanions      = 16
 	maxAbandoned       = 512
 	// maxQueued bounds the queued messages, maxPerHeartbeat the fingerprints in one heartbeat (two kilobytes).
 	maxQueued       = 2048
@@ -56,6 +58,8 @@
 // Entry is a quarantined suspect.
 type Entry struct {
 	Suspect Suspect
+	// Companions are other parts that explain the same crashes equally well. Only requests that hold them too are refused.
+	Companions []Suspect
 	// Crashes are the crashes that led to the quarantine and some later ones. It has only the later ones if the
 	// quarantine was restored from the store.
 	Crashes []Crash
@@ -119,7 +123,7 @@
 	defer t.mu.Unlock()
 	var out []Entry
 	add := func(f Fingerprint) {
-		if e := t.entries[f]; e != nil && now < e.Until {
+		if e := t.entries[f]; e != nil && now < e.Until && holdsAll(suspects, e.Companions) {
 			out = append(out, *e)
 		}
 	}
@@ -132,6 +136,16 @@
 	return out
 }
 
+// holdsAll reports whether the suspects in a request include all of some others.
+func holdsAll(suspects, others []Suspect) bool {
+	for _, o := range others {
+		if !slices.ContainsFunc(suspects, func(s Suspect) bool { return s.Fingerprint == o.Fingerprint }) {
+			return false
+		}
+	}
+	return true
+}
+
 // AllowTrial reports whether a request under a single quarantine may be sent once now. One node of the fleet at a time may
 // call it.
 func (t *Tracker) AllowTrial(now sageclock.Instant, f Fingerprint) bool {
