--- a/internal/sagerelay/crash.go
+++ b/internal/sagerelay/crash.go
@@ -3,14 +3,11 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"net/http"
 	"slices"
-	"sync"
+	"strings"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
@@ -25,9 +22,6 @@
 	maxLabelText = 100
 )
 
-// errQuarantined is the cause with which an exchange of a quarantined request is cancelled.
-var errQuarantined = errors.New("the request is quarantined")
-
 // fingerprint identifies the content of the request. Repeated attempts share it.
 func (j *job) fingerprint() sagequarantine.Fingerprint {
 	j.fpOnce.Do(func() {
@@ -214,7 +208,7 @@
 		c.At = r.brokeAt
 		suspects = append(suspects, r.suspects...)
 		s.Metrics.GetOrCreateCounter(`sagestand_crashed_exchanges_total{service="` + u.Service + `"}`).Inc()
-		s.Log.Limited(sagelog.KindCrash, "Upstream crashed under a request.", "id", r.id, "upstream", u.ID, "born", u.Born, "service", u.Service, "suspects", namesOf(r.suspects),
+		s.Log.Limited(sagelog.KindCrash, "Upstream crashed under a request.", "id", r.id, "upstream", u.ID, "born", u.Born, "service", u.Service, "suspects", names(r.suspects),
 			"account", r.account, "parts", r.parts.String(), "events", r.events, "crash_age_ms", now.Sub(r.brokeAt).Milliseconds())
 	}
 	entries := s.Quarantine.RecordCrash(now, c, suspects...)
@@ -224,62 +218,11 @@
 	s.CancelQuarantined(len(entries))
 }
 
-// LogQuarantined logs the start of a quarantine, with further fields.
-func (s *Service) LogQuarantined(e *sagequarantine.Entry, kv ...any) {
-	s.Log.Info("Quarantined.", append([]any{"suspect", e.Suspect.Name(), "is", e.Suspect.Label, "with", namesOf(e.Companions), "crashes", len(e.Crashes)}, kv...)...)
-}
-
-// namesOf returns the names of suspects, separated by commas.
-func namesOf(suspects []sagequarantine.Suspect) string {
-	names := make([]byte, 0, 32*len(suspects))
-	for i, s := range suspects {
-		if i > 0 {
-			names = append(names, ',')
-		}
-		names = append(names, s.Name()...)
-	}
-	return string(names)
-}
-
-// CancelQuarantined cancels the exchanges that are quarantined and whose answers have not begun: each would crash another
-// upstream. started is the number of quarantines that have just started; if it is 0, nothing is done.
-func (s *Service) CancelQuarantined(started int) {
-	if started == 0 {
-		return
-	}
-	now := sageclock.Now()
-	for _, x := range s.sending.list() {
-		if x.begun.Load() || len(s.Quarantine.Quarantined(now, x.j.suspects()...)) == 0 {
-			continue
-		}
-		s.Log.Limited(sagelog.KindExchange, "Exchange cancelled: its request is quarantined.", "id", x.j.meta.ID, "upstream", x.p.Upstream.ID)
-		x.cancel(errQuarantined)
-	}
-}
-
-// exchangeSet holds the exchanges with upstreams that are in progress.
-type exchangeSet struct {
-	mu        sync.Mutex
-	exchanges map[*exchange]struct{}
-}
-
-func (e *exchangeSet) add(x *exchange) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.exchanges == nil {
-		e.exchanges = make(map[*exchange]struct{})
-	}
-	e.exchanges[x] = struct{}{}
-}
-
-func (e *exchangeSet) remove(x *exchange) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	delete(e.exchanges, x)
+func names(suspects []sagequarantine.Suspect) string {
+	return strings.Join(sagequarantine.Names(suspects), ",")
 }
 
-func (e *exchangeSet) list() []*exchange {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return slices.Collect(maps.Keys(e.exchanges))
+// LogQuarantined logs the start of a quarantine, with further fields.
+func (s *Service) LogQuarantined(e *sagequarantine.Entry, kv ...any) {
+	s.Log.Info("Quarantined.", append([]any{"suspect", e.Suspect.Name(), "is", e.Suspect.Label, "with", names(e.Companions), "crashes", len(e.Crashes)}, kv...)...)
 }
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -221,18 +221,6 @@
 	return failed
 }
 
-// failCancelled handles an exchange that this node cancelled since its request is quarantined, which says nothing about the
-// upstream.
-func (x *exchange) failCancelled(unsent bool) verdict {
-	x.j.cause = errQuarantined.Error()
-	if unsent {
-		return notSent
-	}
-	x.recordAbandoned()
-	x.j.possibleRuns++
-	return failed
-}
-
 // brokenResult returns how an exchange broke.
 func brokenResult(err error, stalled bool) sagehealth.Result {
 	var timeout net.Error
--- a/internal/sagerouter/quarantine.go
+++ b/internal/sagerouter/quarantine.go
@@ -65,15 +65,6 @@
 	return s, companions, nil
 }
 
-// namesOf returns the names of suspects.
-func namesOf(suspects []sagequarantine.Suspect) []string {
-	var out []string
-	for _, s := range suspects {
-		out = append(out, s.Name())
-	}
-	return out
-}
-
 // applyQuarantines applies changes of the quarantine objects. Operators release a suspect by deleting its object.
 func (n *Node) applyQuarantines(changes []sagefollow.Change, _ bool) {
 	log, now, started := n.Log.Component("quarantine"), sageclock.Now(), 0
@@ -95,7 +86,7 @@
 		}
 		if n.quarantine.Restore(now, s, companions...) {
 			started++
-			log.Info("Quarantined.", "suspect", s.Name(), "is", s.Label, "with", strings.Join(namesOf(companions), ","), "learned", "store", "revision", c.Object.Revision)
+			log.Info("Quarantined.", "suspect", s.Name(), "is", s.Label, "with", strings.Join(sagequarantine.Names(companions), ","), "learned", "store", "revision", c.Object.Revision)
 		}
 	}
 	n.relay.CancelQuarantined(started)
@@ -111,7 +102,7 @@
 }
 
 // writerRank returns the rank of a node as a writer. Nodes that leave come after the first others. While all nodes leave,
-// none ranks before any, and they are told apart by their names.
+// none ranks before any, and their names spread them.
 func writerRank(rank int, leaving bool, node string) int {
 	if !leaving {
 		return rank
@@ -198,7 +189,7 @@
 		}
 		return nil
 	}
-	spec, err := json.Marshal(quarantineSpec{Crashes: d.Crashes, By: r.Self, Suspect: d.Suspect.Label, With: namesOf(d.Companions)})
+	spec, err := json.Marshal(quarantineSpec{Crashes: d.Crashes, By: r.Self, Suspect: d.Suspect.Label, With: sagequarantine.Names(d.Companions)})
 	if err != nil {
 		return fmt.Errorf("encode quarantine: %w", err)
 	}
--- a/pkg/sagequarantine/decision.go
+++ b/pkg/sagequarantine/decision.go
@@ -131,7 +131,10 @@
 		}
 	}
 	t.quarantine(e)
-	t.resendCrashes(now, e)
+	t.resendCrashes(now, s, crashes)
+	for _, c := range companions {
+		t.resendCrashes(now, c, crashes)
+	}
 	return *e
 }
 
--- a/pkg/sagequarantine/evidence.go
+++ b/pkg/sagequarantine/evidence.go
@@ -136,19 +136,17 @@
 	}
 	e.Crashes = append(e.Crashes, Crash{ID: m.crash, At: m.at})
 	t.explained[m.crash]++
-	t.resendCrashes(m.queuedAt, e)
+	t.resendCrashes(m.queuedAt, e.Suspect, e.Crashes)
 }
 
-// resendCrashes sends the crashes of a quarantined suspect and its companions again, for nodes that missed some of them because they
+// resendCrashes sends the crashes under a quarantined suspect again, for nodes that missed some of them because they
 // started later or were cut off.
-func (t *Tracker) resendCrashes(now sageclock.Instant, e *Entry) {
-	if e.Suspect.Kind == SharedPart {
+func (t *Tracker) resendCrashes(now sageclock.Instant, s Suspect, crashes []Crash) {
+	if s.Kind == SharedPart {
 		return // follows from the crashes under the parts of client accounts
 	}
-	for _, s := range append([]Suspect{e.Suspect}, e.Companions...) {
-		for _, c := range e.Crashes {
-			t.out.addLocal(message{suspect: s, crash: c.ID, at: c.At, queuedAt: now, local: true})
-		}
+	for _, c := range crashes {
+		t.out.addLocal(message{suspect: s, crash: c.ID, at: c.At, queuedAt: now, local: true})
 	}
 }
 
--- a/pkg/sagequarantine/parts_test.go
+++ b/pkg/sagequarantine/parts_test.go
@@ -1,6 +1,7 @@
 package sagequarantine
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -130,6 +131,10 @@
 		crashAt(tr, start, 4, fatal)
 		require.True(t, barred(tr, start, fatal))
 		require.False(t, barred(tr, start, sound))
+		reports, _ := tr.Reports(start.Add(time.Second), never)
+		for _, r := range reports {
+			require.False(t, r.Crash == 4 && slices.Contains(r.Suspects, sound), "it did not run there")
+		}
 	})
 	t.Run("all succeed", func(t *testing.T) {
 		tr := newTracker()
--- a/pkg/sagequarantine/success.go
+++ b/pkg/sagequarantine/success.go
@@ -94,7 +94,7 @@
 	return found
 }
 
-// contradict tells the peers that a suspect which they report has succeeded since the crash, unless that is queued already.
+// contradict reports to the peers that a suspect has succeeded since the crash that they reported, once in a while.
 func (t *Tracker) contradict(now sageclock.Instant, f Fingerprint) {
 	if at, ok := t.contradicted[f]; ok && now.Sub(at) < messageTTL {
 		return
--- a/pkg/sagequarantine/suspect.go
+++ b/pkg/sagequarantine/suspect.go
@@ -49,6 +49,15 @@
 // Name returns the suspect's name in the store and in logs.
 func (s Suspect) Name() string { return namePrefixes[s.Kind] + s.Fingerprint.String() }
 
+// Names returns the names of suspects.
+func Names(suspects []Suspect) []string {
+	var out []string
+	for _, s := range suspects {
+		out = append(out, s.Name())
+	}
+	return out
+}
+
 // ParseName reads the name of a suspect.
 func ParseName(name string) (Suspect, error) {
 	for k := SharedPart; k >= Request; k-- {
