--- a/internal/sagesoak/parts.go
+++ b/internal/sagesoak/parts.go
@@ -164,33 +164,20 @@
 	switch p.rng.IntN(6) {
 	case 0:
 		for i := range p.soak.Nodes {
-			p.signal("restart in turn", syscall.SIGTERM, i, restartGap)
+			p.soak.signalFor(&p.pending, "restart in turn", syscall.SIGTERM, i, restartGap)
 			time.Sleep(restartGap)
 		}
 	case 1:
 		for i := range p.soak.Nodes {
-			p.signal("kill all", syscall.SIGKILL, i, restartGap)
+			p.soak.signalFor(&p.pending, "kill all", syscall.SIGKILL, i, restartGap)
 		}
 	case 2:
-		p.signal("freeze", syscall.SIGSTOP, p.rng.IntN(p.soak.Nodes), maxFaultDuration/2)
+		p.soak.signalFor(&p.pending, "freeze", syscall.SIGSTOP, p.rng.IntN(p.soak.Nodes), maxFaultDuration/2)
 	default:
-		p.signal("kill", syscall.SIGKILL, p.rng.IntN(p.soak.Nodes), restartGap)
+		p.soak.signalFor(&p.pending, "kill", syscall.SIGKILL, p.rng.IntN(p.soak.Nodes), restartGap)
 	}
 }
 
-// signal sends a signal to a node, which runs again after the given time.
-func (p *partFaults) signal(name string, sig syscall.Signal, node int, duration time.Duration) {
-	injected, revert := p.soak.signalNodeAt(node, name, sig)
-	if injected == "" {
-		return
-	}
-	p.soak.recordInjected(injected, duration)
-	p.pending.Go(func() {
-		time.Sleep(duration)
-		revert()
-	})
-}
-
 // check checks the bounds. Other faults may keep sound requests from beginning.
 func (p *partFaults) check() {
 	var found []string
--- a/internal/sagesoak/soak.go
+++ b/internal/sagesoak/soak.go
@@ -422,6 +422,19 @@
 	}
 }
 
+// signalFor sends a signal to a node, which runs again after the given time. pending waits for that.
+func (s *Soak) signalFor(pending *sync.WaitGroup, name string, sig syscall.Signal, node int, duration time.Duration) {
+	injected, revert := s.signalNodeAt(node, name, sig)
+	if injected == "" {
+		return
+	}
+	s.recordInjected(injected, duration)
+	pending.Go(func() {
+		time.Sleep(duration)
+		revert()
+	})
+}
+
 // checkRecovery checks that the system serves requests again, and that no streams were cut if only planned
 // faults were injected.
 func (s *Soak) checkRecovery(ctx context.Context) {
--- a/internal/sagesoak/versions.go
+++ b/internal/sagesoak/versions.go
@@ -135,26 +135,13 @@
 		sig  syscall.Signal
 	}{{"kill", syscall.SIGKILL}, {"term", syscall.SIGTERM}, {"freeze", syscall.SIGSTOP}}
 	chosen := signals[v.rng.IntN(len(signals))]
-	v.signalNode(chosen.name, chosen.sig, v.rng.IntN(v.soak.Nodes), maxFaultDuration/6+time.Duration(v.rng.Int64N(int64(maxFaultDuration))))
-}
-
-// signalNode sends a signal to a node, which runs again after the given time.
-func (v *versionFaults) signalNode(name string, sig syscall.Signal, node int, duration time.Duration) {
-	injected, revert := v.soak.signalNodeAt(node, name, sig)
-	if injected == "" {
-		return
-	}
-	v.soak.recordInjected(injected, duration)
-	v.pending.Go(func() {
-		time.Sleep(duration)
-		revert()
-	})
+	v.soak.signalFor(&v.pending, chosen.name, chosen.sig, v.rng.IntN(v.soak.Nodes), maxFaultDuration/6+time.Duration(v.rng.Int64N(int64(maxFaultDuration))))
 }
 
 // stopAll stops all nodes, at once or one after the other, and starts each again.
 func (v *versionFaults) stopAll(sig syscall.Signal, gap time.Duration) {
 	for i := range v.soak.Nodes {
-		v.signalNode("stop all: "+sig.String(), sig, i, restartGap)
+		v.soak.signalFor(&v.pending, "stop all: "+sig.String(), sig, i, restartGap)
 		time.Sleep(gap)
 	}
 }
