A response without length or chunks that ends as its upstream crashes isn't complete

Cause: a crash closes connections in order; without a length or chunks, a stream cut between two events, or a plain response anywhere, looks whole. The node found out 20 ms later and counted the crash, after the caller had its end. Change: at the end of such a response the upstream's address is probed first, unless it was leaving. If it refuses, the response has broken off: a stream goes on elsewhere or is cut, a plain one may have run. The end of such responses comes 20 ms later. Their successes are then known at once.

--- a/internal/sagerelay/crash.go
+++ b/internal/sagerelay/crash.go
@@ -8,6 +8,8 @@
 	"strings"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
@@ -85,37 +87,28 @@
 }
 
 // recordSuccess records that an upstream executed the request to completion, which speaks for the request and its parts.
-//
-// A response without length or chunks may end because the upstream crashed after a complete event. It counts once the
-// upstream is known to run on.
 func (x *exchange) recordSuccess(res *http.Response) {
 	j := x.j
-	if x.helper != nil || res.StatusCode < http.StatusOK || res.StatusCode >= http.StatusMultipleChoices {
-		return
-	}
-	if !j.s.Quarantine.Active() {
-		if !endsWithConnection(res) {
-			j.s.Quarantine.RecordSuccess(sageclock.Now(), j.parts()...)
-		}
-		return
-	}
-	if !endsWithConnection(res) {
+	switch {
+	case x.helper != nil || res.StatusCode < http.StatusOK || res.StatusCode >= http.StatusMultipleChoices:
+	case j.s.Quarantine.Active():
 		j.s.Quarantine.RecordSuccess(sageclock.Now(), j.suspects()...)
-		return
+	default:
+		j.s.Quarantine.RecordSuccess(sageclock.Now(), j.parts()...)
 	}
-	u, r, s := x.p.Upstream, x.running(), j.suspects()
-	go func() {
-		if j.s.probeStopped(u) {
-			j.s.Fleet.WhenPathVerified(u, true, func() { j.s.recordCrash(u, r) })
-			return
-		}
-		j.s.Quarantine.RecordSuccess(sageclock.Now(), s...)
-	}()
 }
 
-// endsWithConnection reports whether the end of a response is the end of its connection.
-func endsWithConnection(res *http.Response) bool {
-	return res.ContentLength < 0 && len(res.TransferEncoding) == 0
+// errEndedByCrash reports a response that ended with its connection, as its upstream crashed.
+var errEndedByCrash = errors.New("upstream crashed at the end of a response without length and chunks")
+
+// endedByCrash reports whether a response ended with its connection because the upstream crashed. Nothing in the response
+// shows that it isn't complete.
+func (x *exchange) endedByCrash(res *http.Response) bool {
+	if x.helper != nil || res.ContentLength >= 0 || len(res.TransferEncoding) > 0 {
+		return false
+	}
+	u := x.p.Upstream
+	return !x.j.s.Fleet.Leaving(u) && x.j.s.probeStopped(u)
 }
 
 // crashIDOf returns the ID of the crash that ends this start of an upstream.
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -342,6 +342,9 @@
 	if h == nil {
 		return v
 	}
+	if x.endedByCrash(res) {
+		return x.failExchange(ctx, errEndedByCrash)
+	}
 	x.recordExchange(sagehealth.OK)
 	x.recordSuccess(res)
 	x.recordResponse(ResponseResult{Duration: time.Since(x.start)})
--- a/internal/sagerelay/stream.go
+++ b/internal/sagerelay/stream.go
@@ -43,6 +43,12 @@
 	for {
 		e, err := r.Next()
 		if err != nil && r.CleanEOF() {
+			if stallTimer != nil {
+				stallTimer.Stop()
+			}
+			if x.endedByCrash(res) {
+				return x.failStream(ctx, errEndedByCrash)
+			}
 			x.recordResponse(times.result(x.start))
 			return x.finishStream(res)
 		}
