Log lines and metrics of retries

Cause: the logs didn't show by how many nodes a node divides the slack of retries, nor what it had used.

--- a/internal/sagelog/limit.go
+++ b/internal/sagelog/limit.go
@@ -16,6 +16,7 @@
 	KindServed
 	KindStateChange
 	KindCrash
+	KindRetry
 	numKinds
 )
 
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -111,6 +111,7 @@
 	if x.helper != nil {
 		timeout *= helperStallFactor
 	}
+	sends := j.sends // the timer may still run when the next exchange begins
 	var t *time.Timer
 	t = time.AfterFunc(math.MaxInt64, func() {
 		if ctx.Err() != nil {
@@ -120,7 +121,7 @@
 			t.Reset(stallRecheckInterval)
 			return
 		}
-		if j.s.Fleet.AllowRetry(j.serviceName, true) {
+		if j.allowRetry(true, sends, errStalled.Error()) {
 			j.retryGranted.Store(true)
 			x.cancel(errStalled)
 		}
--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -172,11 +172,13 @@
 	f.firstSends++
 }
 
-func (f *fakeFleet) AllowRetry(string, bool) bool {
+func (f *fakeFleet) AllowRetry(string, bool) RetryDecision {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.retryBudget--
-	return f.retryBudget >= 0
+	if f.retryBudget--; f.retryBudget < 0 {
+		return RetryDecision{Denied: RetryBudgetSpent}
+	}
+	return RetryDecision{}
 }
 
 func (f *fakeFleet) Pick(q *Query) *Pick {
--- a/internal/sagerelay/hop.go
+++ b/internal/sagerelay/hop.go
@@ -128,7 +128,7 @@
 		return j.relay.refusal, false
 	case !j.route.Repeatable() || j.possibleRuns >= j.route.MaxAttempts:
 		return AnswerLost, false
-	case !j.retryGranted.Swap(false) && !j.s.Fleet.AllowRetry(j.serviceName, j.possibleRuns > 0):
+	case !j.retryGranted.Swap(false) && !j.allowRetry(j.possibleRuns > 0, j.sends, j.cause):
 		return AnswerLost, false
 	}
 	return AnswerLost, true
--- a/internal/sagerelay/interfaces.go
+++ b/internal/sagerelay/interfaces.go
@@ -12,6 +12,7 @@
 	"sagestand.example/sagestand/pkg/sageorigin"
 	"sagestand.example/sagestand/pkg/sagereach"
 	"sagestand.example/sagestand/pkg/sageroute"
+	"sagestand.example/sagestand/pkg/sageshare"
 	"sagestand.example/sagestand/pkg/sageupstream"
 )
 
@@ -192,6 +193,28 @@
 	Queued int
 }
 
+// RetryDenial is the reason for which a request may not be sent once more.
+type RetryDenial string
+
+// The reasons.
+const (
+	// RetryBudgetSpent: this node has spent its share of the retries of all nodes.
+	RetryBudgetSpent RetryDenial = "retry_budget"
+	// RetryNoCapacity: a second execution would take the place of another request.
+	RetryNoCapacity RetryDenial = "no_capacity"
+)
+
+// RetryDecision is the decision on a further send of a request.
+type RetryDecision struct {
+	// Denied is empty if the request may be sent.
+	Denied RetryDenial
+	// Usage is what this node has used of its share of the retries, Nodes by how many nodes the slack is divided, and
+	// SinceStart the time for which this node has counted. They are for the log.
+	Usage      sageshare.RetryUsage
+	Nodes      int
+	SinceStart time.Duration
+}
+
 // ResponseResult is the result and timing of an upstream's response. A time is zero if it isn't
 // known.
 type ResponseResult struct {
@@ -237,9 +260,9 @@
 	Leaving(u *sageupstream.Entry) bool
 	// RecordFirstSend records the first send of a request to a service.
 	RecordFirstSend(service string)
-	// AllowRetry reports whether the request may be sent to the service once more, and counts that send. mayRun says that
+	// AllowRetry decides whether the request may be sent to the service once more, and counts that send. mayRun says that
 	// an upstream may have executed the request or still execute it.
-	AllowRetry(service string, mayRun bool) bool
+	AllowRetry(service string, mayRun bool) RetryDecision
 	// Admit waits until a caller's request may be sent to its service, within its objective, and reports whether it may.
 	Admit(ctx context.Context, q *AdmitQuery) Admission
 	// RecordRemaining records the time that a request's deadline leaves it at its arrival, and returns by how much that is
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -219,7 +219,7 @@
 		return "", true
 	case v != notRun && !(j.route.Repeatable() && j.relay.earlierRuns+j.possibleRuns < j.route.MaxAttempts):
 		return reason, false
-	case !j.retryGranted.Swap(false) && !j.s.Fleet.AllowRetry(j.serviceName, j.possibleRuns > 0):
+	case !j.retryGranted.Swap(false) && !j.allowRetry(j.possibleRuns > 0, j.sends, j.cause):
 		return reason, false
 	}
 	return "", true
--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -7,6 +7,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/VictoriaMetrics/metrics"
+
 	"sagestand.example/sagestand/internal/sageadmission"
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/internal/sagemesh"
@@ -52,6 +54,8 @@
 	saturation    saturation
 	// pathSuspected receives a value when a path is suspected.
 	pathSuspected chan struct{}
+	startedAt     sageclock.Instant
+	metrics       *metrics.Set
 	self          string
 	dataCentre    string
 	region        string
@@ -306,14 +310,21 @@
 
 // AllowRetry implements [sagerelay.Fleet]. While a service has no room, a request that may run already isn't sent again:
 // the second execution would take the place of another request.
-func (f *fleet) AllowRetry(service string, mayRun bool) bool {
-	if mayRun && f.dividesRoom(service) && !f.room.AllowSecondSend(sageclock.Now(), service) {
-		return false
-	}
-	nodes := len(f.knownNodes())
+func (f *fleet) AllowRetry(service string, mayRun bool) sagerelay.RetryDecision {
+	now := sageclock.Now()
+	d := sagerelay.RetryDecision{Nodes: len(f.knownNodes()), SinceStart: now.Sub(f.startedAt)}
+	noCapacity := mayRun && f.dividesRoom(service) && !f.room.AllowSecondSend(now, service)
+	f.exportRetries(service)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.retryLimiter.Allow(sageclock.Now(), service, nodes)
+	d.Usage = f.retryLimiter.Usage(now, service, d.Nodes)
+	switch {
+	case noCapacity:
+		d.Denied = sagerelay.RetryNoCapacity
+	case !f.retryLimiter.Allow(now, service, d.Nodes):
+		d.Denied = sagerelay.RetryBudgetSpent
+	}
+	return d
 }
 
 // RecordFirstEvent implements [sagerelay.Fleet].
--- a/internal/sagerouter/gauges.go
+++ b/internal/sagerouter/gauges.go
@@ -9,6 +9,7 @@
 	"sagestand.example/sagestand/pkg/sagefresh"
 	"sagestand.example/sagestand/pkg/sagequarantine"
 	"sagestand.example/sagestand/pkg/sagereach"
+	"sagestand.example/sagestand/pkg/sageshare"
 )
 
 // exportMetrics registers the node's own metrics.
@@ -58,6 +59,21 @@
 	}
 }
 
+// exportRetries registers the gauges of a service's retries at this node.
+func (f *fleet) exportRetries(service string) {
+	if f.metrics == nil {
+		return
+	}
+	usage := func() sageshare.RetryUsage {
+		nodes := len(f.knownNodes())
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		return f.retryLimiter.Usage(sageclock.Now(), service, nodes)
+	}
+	f.metrics.GetOrCreateGauge(`sagestand_retries_used{service="`+service+`"}`, func() float64 { return usage().Used })
+	f.metrics.GetOrCreateGauge(`sagestand_retries_allowed{service="`+service+`"}`, func() float64 { return usage().Allowed })
+}
+
 // countCalls returns a function that counts the calls to the store for one kind of object.
 func (n *Node) countCalls(kind string) func(ok bool) {
 	return func(ok bool) {
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -216,7 +216,7 @@
 		n.copies[kind].Prober = n.copies[n.Kinds.Config]
 	}
 	n.fleet = &fleet{
-		view: n.view, self: cfg.Node, dataCentre: cfg.DataCentre, region: cfg.Region, livePeers: n.mesh.Live, pathSuspected: make(chan struct{}, 1), keyProof: &n.copies[n.Kinds.Config].Proof,
+		view: n.view, startedAt: n.startedAt, metrics: n.metrics, self: cfg.Node, dataCentre: cfg.DataCentre, region: cfg.Region, livePeers: n.mesh.Live, pathSuspected: make(chan struct{}, 1), keyProof: &n.copies[n.Kinds.Config].Proof,
 		knownNodes: n.knownNodes, countLag: n.countLag, placer: placer, coldLimiter: sageshare.ColdLimiter{Self: cfg.Node},
 		retryLimiter: sageshare.RetryLimiter{Window: seconds(cfg.Bounds.RetryWindowSeconds)}, health: sagehealth.Tracker{Self: cfg.Node},
 	}
--- a/pkg/sageshare/retries.go
+++ b/pkg/sageshare/retries.go
@@ -49,6 +49,18 @@
 	return true
 }
 
+// RetryUsage is what one node has used of its share of the retries of a service.
+type RetryUsage struct {
+	// Used is the number of retries in the window, Allowed their limit.
+	Used, Allowed float64
+}
+
+// Usage returns the node's usage, for logs and metrics.
+func (r *RetryLimiter) Usage(now sageclock.Instant, service string, nodes int) RetryUsage {
+	used, limit := r.usage(r.currentWindow(now, service), nodes)
+	return RetryUsage{Used: used, Allowed: limit}
+}
+
 // AllowTrial reports whether a request may be sent to an upstream that will probably decline it, which
 // takes a retry. Half of the retries are left for other failures.
 func (r *RetryLimiter) AllowTrial(now sageclock.Instant, service string, nodes int) bool {
