Retries are taken from buckets that are empty after a start

Cause: a node counted its retries in memory, in a window of 10 s, and had its share of the slack from its start on. Killed and started three times within a window, all nodes together got the slack four times. Ruled out: a division by too few nodes (7 in all log lines) and sends that aren't counted (236 allowed, 236 arrived). Class: a share of a limit of the fleet that is granted at the start of a process. Change: a token bucket for each service, filled by requests (0.8 of the ratio) and by time (a third of the node's part of 0.9 of the slack a window), with two thirds of that part as its capacity, empty at the start. Nothing comes in over time, and one token is the most, until the node has read the list of nodes from the store. A node whose entry the store didn't have starts full. Why it works: in any window a node name sends at most what one bucket held at its begin, which the capacities bound, and what was earned in the window. Neither depends on how many processes earned it. TestRetriesOfAllNodesAreLimited asks for 0.7 of the ratio in use, where it asked for 0.5.

--- a/internal/sagerelay/conn.go
+++ b/internal/sagerelay/conn.go
@@ -6,7 +6,6 @@
 	"net/http/httptrace"
 	"strconv"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -25,9 +24,6 @@
 	keepAliveMarginDivisor = 10
 )
 
-// nodeCountInterval is the time after which the number of nodes is determined again.
-const nodeCountInterval = time.Second
-
 // maxPooledTries is the number of connections of the pool that are tried for one exchange, maxPooledTriesOnce that for a
 // request that must be executed at most once. It may use fewer, and others can still use the connections that it can't.
 const (
@@ -70,8 +66,8 @@
 // most maxConnWaitShare of its objective.
 func (x *exchange) acquireConn(ctx context.Context) error {
 	j, part := x.j, 0
-	if s := j.s.Fleet.Table().Services[x.p.Upstream.Service]; s != nil {
-		part = connPart(s.MaxConns, j.s.nodeCount.get(sageclock.Now(), j.s.Nodes))
+	if s := j.s.Fleet.Table().Services[x.p.Upstream.Service]; s != nil && j.s.Nodes != nil {
+		part = connPart(s.MaxConns, j.s.Nodes())
 	}
 	wait := time.Duration(maxConnWaitShare*float64(j.route.Objective)) - j.connWait
 	start := time.Now()
@@ -84,26 +80,6 @@
 	return nil
 }
 
-// nodeCount caches the number of nodes, which is expensive to determine for each request.
-type nodeCount struct {
-	mu    sync.Mutex
-	at    sageclock.Instant
-	nodes int
-}
-
-// get returns the number of nodes; 0 if it isn't known.
-func (c *nodeCount) get(now sageclock.Instant, count func() int) int {
-	if count == nil {
-		return 0
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.at == 0 || now.Sub(c.at) >= nodeCountInterval {
-		c.at, c.nodes = now, count()
-	}
-	return c.nodes
-}
-
 // releaseConn ends the use of a connection.
 func (x *exchange) releaseConn() {
 	if x.conn.acquired {
--- a/internal/sagerelay/interfaces.go
+++ b/internal/sagerelay/interfaces.go
@@ -208,8 +208,8 @@
 type RetryDecision struct {
 	// Denied is empty if the request may be sent.
 	Denied RetryDenial
-	// Usage is what this node has used of its share of the retries, Nodes by how many nodes the slack is divided, and
-	// SinceStart the time for which this node has counted. They are for the log.
+	// Usage is what this node may send before the decision, Nodes the number of nodes that share the slack, 0 if it isn't
+	// known, and SinceStart the time since this node's start. They are for the log.
 	Usage      sageshare.RetryUsage
 	Nodes      int
 	SinceStart time.Duration
--- a/internal/sagerelay/retry.go
+++ b/internal/sagerelay/retry.go
@@ -11,7 +11,7 @@
 		msg, outcome = "Retry denied.", string(d.Denied)
 	}
 	j.s.Log.Limited(sagelog.KindRetry, msg, "id", j.meta.ID, "service", j.serviceName, "denied", string(d.Denied), "sends", sends, "cause", cause,
-		"used", d.Usage.Used, "allowed", d.Usage.Allowed, "nodes", d.Nodes, "since_start_ms", d.SinceStart.Milliseconds())
+		"tokens", d.Usage.Tokens, "capacity", d.Usage.Capacity, "per_second", d.Usage.SlackPerSecond, "nodes", d.Nodes, "since_start_ms", d.SinceStart.Milliseconds())
 	j.s.Metrics.GetOrCreateCounter(`sagestand_retries_total{service="` + j.serviceName + `",outcome="` + outcome + `"}`).Inc()
 	return d.Denied == ""
 }
--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -70,7 +70,6 @@
 	peers       transports
 	idleBounds  idleBounds
 	connLimits  connLimits
-	nodeCount   nodeCount
 	dials       atomic.Int64 // connections to upstreams that were begun
 	crashProbes singleflight.Group
 	sending     exchangeSet
--- a/internal/sagerouter/declines.go
+++ b/internal/sagerouter/declines.go
@@ -44,7 +44,7 @@
 	case sagebackoff.BackingOff:
 		return true
 	case sagebackoff.TrialDue:
-		nodes := len(f.knownNodes())
+		nodes := f.fleetSize()
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		return !f.retryLimiter.AllowTrial(now, e.Service, nodes)
--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -38,8 +38,10 @@
 	keyMaxAge  atomic.Int64 // nanoseconds
 	loadCap    atomic.Pointer[float64]
 	knownNodes func() []string
-	countLag   func() time.Duration // delay of the other nodes' counts
-	placer     *sagechain.Placer
+	// fleetSize returns the number of nodes of the fleet, 0 while it isn't known.
+	fleetSize func() int
+	countLag  func() time.Duration // delay of the other nodes' counts
+	placer    *sagechain.Placer
 	// cacheSynced reports whether the cache resync after the start is complete.
 	cacheSynced func() bool
 	inFlight    sageflight.Counter
@@ -303,16 +305,24 @@
 
 // RecordFirstSend implements [sagerelay.Fleet].
 func (f *fleet) RecordFirstSend(service string) {
+	nodes := f.fleetSize()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.retryLimiter.RecordFirstSend(sageclock.Now(), service)
+	f.retryLimiter.RecordFirstSend(sageclock.Now(), service, nodes)
+}
+
+// grantRetries fills the buckets of a node that has no predecessor, which could have spent its share just before.
+func (f *fleet) grantRetries() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.retryLimiter.Fill()
 }
 
 // AllowRetry implements [sagerelay.Fleet]. While a service has no room, a request that may run already isn't sent again:
 // the second execution would take the place of another request.
 func (f *fleet) AllowRetry(service string, mayRun bool) sagerelay.RetryDecision {
 	now := sageclock.Now()
-	d := sagerelay.RetryDecision{Nodes: len(f.knownNodes()), SinceStart: now.Sub(f.startedAt)}
+	d := sagerelay.RetryDecision{Nodes: f.fleetSize(), SinceStart: now.Sub(f.startedAt)}
 	noCapacity := mayRun && f.dividesRoom(service) && !f.room.AllowSecondSend(now, service)
 	f.exportRetries(service)
 	f.mu.Lock()
--- a/internal/sagerouter/fleet_test.go
+++ b/internal/sagerouter/fleet_test.go
@@ -35,8 +35,8 @@
 	v.applyUpstreams(nil, false)
 	return &fleet{
 		view: v, keyProof: new(sagefresh.Proof), placer: v.placer, countLag: func() time.Duration { return 0 },
-		knownNodes: func() []string { return []string{"vm1"} }, coldLimiter: sageshare.ColdLimiter{Self: "vm1"},
-		retryLimiter: sageshare.RetryLimiter{Ratio: 0.2, Slack: 10, Window: 10 * time.Second},
+		knownNodes: func() []string { return []string{"vm1"} }, fleetSize: func() int { return 1 }, coldLimiter: sageshare.ColdLimiter{Self: "vm1"},
+		retryLimiter: sageshare.RetryLimiter{Start: sageclock.Now(), Ratio: 0.2, Slack: 10, Window: 10 * time.Second},
 	}
 }
 
--- a/internal/sagerouter/gauges.go
+++ b/internal/sagerouter/gauges.go
@@ -65,13 +65,13 @@
 		return
 	}
 	usage := func() sageshare.RetryUsage {
-		nodes := len(f.knownNodes())
+		nodes := f.fleetSize()
 		f.mu.Lock()
 		defer f.mu.Unlock()
 		return f.retryLimiter.Usage(sageclock.Now(), service, nodes)
 	}
-	f.metrics.GetOrCreateGauge(`sagestand_retries_used{service="`+service+`"}`, func() float64 { return usage().Used })
-	f.metrics.GetOrCreateGauge(`sagestand_retries_allowed{service="`+service+`"}`, func() float64 { return usage().Allowed })
+	f.metrics.GetOrCreateGauge(`sagestand_retry_tokens{service="`+service+`"}`, func() float64 { return usage().Tokens })
+	f.metrics.GetOrCreateGauge(`sagestand_retry_capacity{service="`+service+`"}`, func() float64 { return usage().Capacity })
 }
 
 // countCalls returns a function that counts the calls to the store for one kind of object.
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -81,8 +81,8 @@
 	sagefollow.Source
 	// ListStale is like List, but the page may be some seconds old.
 	ListStale(ctx context.Context, kind, after string) (sagefollow.Page, error)
-	// Create creates an object. An existing one is left unchanged, without an error.
-	Create(ctx context.Context, kind, name string, spec json.RawMessage) error
+	// Create creates an object and reports whether it did. An existing one is left unchanged, without an error.
+	Create(ctx context.Context, kind, name string, spec json.RawMessage) (created bool, err error)
 	// SetStatus replaces an object's status if the object is still at the revision.
 	SetStatus(ctx context.Context, kind, name string, revision uint64, status json.RawMessage) error
 	// Delete deletes an object. It is no error if the object doesn't exist.
@@ -121,6 +121,7 @@
 	fetcher         *sagemesh.Fetcher
 	cacheResync     *cacheResync
 	registeredNames atomic.Pointer[[]string] // nodes registered in the store
+	nodeCount       nodeCount
 	startedAt       sageclock.Instant
 	storeEra        atomic.Uint64   // the highest era of a restored store
 	restored        chan struct{}   // receives a value after a restore of the store
@@ -217,8 +218,8 @@
 	}
 	n.fleet = &fleet{
 		view: n.view, startedAt: n.startedAt, metrics: n.metrics, self: cfg.Node, dataCentre: cfg.DataCentre, region: cfg.Region, livePeers: n.mesh.Live, pathSuspected: make(chan struct{}, 1), keyProof: &n.copies[n.Kinds.Config].Proof,
-		knownNodes: n.knownNodes, countLag: n.countLag, placer: placer, coldLimiter: sageshare.ColdLimiter{Self: cfg.Node},
-		retryLimiter: sageshare.RetryLimiter{Window: seconds(cfg.Bounds.RetryWindowSeconds)}, health: sagehealth.Tracker{Self: cfg.Node},
+		knownNodes: n.knownNodes, fleetSize: n.fleetSize, countLag: n.countLag, placer: placer, coldLimiter: sageshare.ColdLimiter{Self: cfg.Node},
+		retryLimiter: sageshare.RetryLimiter{Start: n.startedAt, Window: seconds(cfg.Bounds.RetryWindowSeconds)}, health: sagehealth.Tracker{Self: cfg.Node},
 	}
 	if cfg.Bounds.Rollouts != nil {
 		n.fleet.rollouts = new(sagerollout.Tracker)
@@ -234,7 +235,7 @@
 		Dialect: n.Dialect, Fleet: n.fleet, Dial: n.Dial, SourceIP: cfg.SourceIP, Metrics: n.metrics, Log: n.Log.Component("relay"), Closing: n.leaving.Load, Quarantine: &n.quarantine,
 		SendsTrials:      func() bool { return n.quarantineRank() == 0 },
 		MaxBufferedBytes: int64(bodyMemoryFraction*float64(cfg.MemoryMB)) << 20,
-		Nodes:            func() int { return len(n.knownNodes()) },
+		Nodes:            n.knownNodeCount,
 	}
 }
 
--- a/internal/sagerouter/origins.go
+++ b/internal/sagerouter/origins.go
@@ -170,7 +170,7 @@
 	if err != nil {
 		return fmt.Errorf("encode departed version: %w", err)
 	}
-	if err := w.Store.Create(ctx, w.Kind, departureName(d.Origin), spec); err != nil {
+	if _, err := w.Store.Create(ctx, w.Kind, departureName(d.Origin), spec); err != nil {
 		return fmt.Errorf("write departed version: %w", err)
 	}
 	w.written[d.Origin] = true
--- a/internal/sagerouter/origins_test.go
+++ b/internal/sagerouter/origins_test.go
@@ -110,9 +110,9 @@
 	deleted []string
 }
 
-func (s *departureStore) Create(ctx context.Context, kind, name string, spec json.RawMessage) error {
+func (s *departureStore) Create(ctx context.Context, kind, name string, spec json.RawMessage) (bool, error) {
 	if s.fails {
-		return errors.New("no answer")
+		return false, errors.New("no answer")
 	}
 	return s.entryStore.Create(ctx, kind, name, spec)
 }
--- a/internal/sagerouter/quarantine.go
+++ b/internal/sagerouter/quarantine.go
@@ -193,7 +193,7 @@
 	if err != nil {
 		return fmt.Errorf("encode quarantine: %w", err)
 	}
-	if err := r.Store.Create(ctx, r.Kind, name, spec); err != nil {
+	if _, err := r.Store.Create(ctx, r.Kind, name, spec); err != nil {
 		return fmt.Errorf("quarantine suspect: %w", err)
 	}
 	return nil
--- a/internal/sagerouter/quarantine_test.go
+++ b/internal/sagerouter/quarantine_test.go
@@ -34,8 +34,9 @@
 
 var errStoreUnavailable = errors.New("store unreachable")
 
-func (s *objectStore) Create(_ context.Context, _, name string, _ json.RawMessage) error {
-	return s.write(func() { s.objects[name] = true })
+func (s *objectStore) Create(_ context.Context, _, name string, _ json.RawMessage) (bool, error) {
+	created := !s.objects[name]
+	return created, s.write(func() { s.objects[name] = true })
 }
 
 func (s *objectStore) Delete(_ context.Context, _, name string) error {
--- a/internal/sagerouter/registrar.go
+++ b/internal/sagerouter/registrar.go
@@ -49,6 +49,8 @@
 type registrar struct {
 	node       *Node
 	staleLists int
+	// isNew is set if this node's entry didn't exist before, so that it has no predecessor of its name.
+	isNew bool
 }
 
 // Run registers the node, with retries, and returns when ctx ends.
@@ -135,6 +137,10 @@
 	n.listAt.Store(int64(sageclock.Now().Add(delay)))
 	names := slices.Collect(maps.Keys(entries))
 	n.registeredNames.Store(&names)
+	n.nodeCount.reset()
+	if r.isNew {
+		n.fleet.grantRetries()
+	}
 	n.mesh.TriggerHeartbeats(true)
 }
 
@@ -158,9 +164,11 @@
 	if err != nil {
 		return fmt.Errorf("encode entry: %w", err)
 	}
-	if err := n.Store.Create(ctx, n.Kinds.Nodes, n.Settings.Node, spec); err != nil {
+	created, err := n.Store.Create(ctx, n.Kinds.Nodes, n.Settings.Node, spec)
+	if err != nil {
 		return fmt.Errorf("register node: %w", err)
 	}
+	r.isNew = r.isNew || created
 	return nil
 }
 
--- a/internal/sagerouter/registrar_test.go
+++ b/internal/sagerouter/registrar_test.go
@@ -15,6 +15,7 @@
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/internal/sagemesh"
 	"sagestand.example/sagestand/pkg/sageclock"
+	"sagestand.example/sagestand/pkg/sageshare"
 )
 
 // entryStore is a store of node entries that counts its calls.
@@ -48,26 +49,47 @@
 
 func (s *entryStore) Delete(context.Context, string, string) error { return nil }
 
-func (s *entryStore) Create(_ context.Context, _, name string, spec json.RawMessage) error {
+func (s *entryStore) Create(_ context.Context, _, name string, spec json.RawMessage) (bool, error) {
 	s.calls++
 	if slices.ContainsFunc(s.changes, func(c sagefollow.Change) bool { return c.Object.Name == name }) {
-		return nil
+		return false, nil
 	}
 	s.changes = append(s.changes, sagefollow.Change{Object: sagefollow.Object{Name: name, Spec: spec}})
-	return nil
+	return true, nil
 }
 
 // newRegistrar returns the registrar of a node that starts.
 func newRegistrar(t *testing.T, i int, first bool, store *entryStore) *registrar {
 	t.Helper()
-	mesh := &sagemesh.Service{Address: "127.0.0.1:0", OnHeartbeat: func(*sagemesh.Heartbeat, sageclock.Instant) {}}
+	mesh := &sagemesh.Service{Name: fmt.Sprint("vm", i), Address: "127.0.0.1:0", OnHeartbeat: func(*sagemesh.Heartbeat, sageclock.Instant) {}}
 	require.NoError(t, mesh.Open())
 	return &registrar{node: &Node{
 		Settings: Settings{Node: fmt.Sprint("vm", i), DataCentre: "north", FirstStart: first, Listen: Listen{Mesh: fmt.Sprintf("10.0.0.%d:7000", i+1)}},
 		Store:    store, Log: sagelog.New(io.Discard, "vm"), mesh: mesh,
+		fleet: &fleet{retryLimiter: sageshare.RetryLimiter{Ratio: 0.2, Slack: 50, Window: 10 * time.Second, Start: sageclock.Now()}},
 	}}
 }
 
+// Prevents a node that restarts from getting retries at once: its predecessor may have sent the node's share just before.
+func TestOnlyNewNodesStartWithRetries(t *testing.T) {
+	store := new(entryStore)
+	allow := func(m *registrar) bool {
+		return m.node.fleet.retryLimiter.Allow(m.node.fleet.retryLimiter.Start, "s", m.node.fleetSize())
+	}
+	added := newRegistrar(t, 1, false, store)
+	require.False(t, allow(added), "the fleet isn't known yet")
+	require.NoError(t, added.register(t.Context()))
+	require.True(t, allow(added))
+	restarted := newRegistrar(t, 1, false, store)
+	require.NoError(t, restarted.register(t.Context()))
+	require.False(t, allow(restarted))
+	first := newRegistrar(t, 2, true, store)
+	require.NoError(t, first.create(t.Context()))
+	require.NoError(t, first.register(t.Context()))
+	require.True(t, allow(first))
+	require.Equal(t, 2, first.node.fleetSize())
+}
+
 // When all nodes of a large fleet restarted, each wrote its entry although the store had it. These calls alone
 // were as many as a day without faults needs for everything else.
 func TestRegisteredNodeOnlyListsAtStart(t *testing.T) {
--- a/pkg/sageshare/doc.go
+++ b/pkg/sageshare/doc.go
@@ -14,7 +14,7 @@
 //		... // send
 //	}
 //	r := &sageshare.RetryLimiter{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}
-//	r.RecordFirstSend(now, "chat")
+//	r.RecordFirstSend(now, "chat", len(nodes))
 //	if r.Allow(now, "chat", len(nodes)) {
 //		... // send again
 //	}
--- a/pkg/sageshare/retries.go
+++ b/pkg/sageshare/retries.go
@@ -1,118 +1,141 @@
 package sageshare
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"sagestand.example/sagestand/pkg/sageclock"
 )
 
-// Fractions of the fleet-wide limit that nodes use. The rest covers requests in flight between two
-// windows and nodes that don't know each other.
 const (
-	ratioFraction = 0.7
-	slackFraction = 0.7
+	// ratioFraction and slackFraction are the fractions of the fleet's limit that nodes use. The rest covers the time between
+	// a node's decision and the arrival at the upstream, and nodes that don't know of each other yet.
+	ratioFraction = 0.8
+	slackFraction = 0.9
+	// burstFraction is the fraction of a node's part of the slack that it may save up; it earns the rest in each window.
+	burstFraction = 2. / 3
+	// unknownCapacity is the capacity of a bucket while the size of the fleet isn't known.
+	unknownCapacity = 1
+	// tolerance is the rounding error of a level that counts as a whole token.
+	tolerance = 1e-9
 )
 
-// trialFraction is the fraction of a node's retries that trials may use.
-const trialFraction = 0.5
-
-// windowBuckets is the number of buckets into which the window of a [RetryLimiter] is divided.
-const windowBuckets = 20
-
 // RetryLimiter limits, for each service, the sends beyond the first one of each request. It is not
 // safe for concurrent use.
 //
 // Unlimited retries would multiply the load of upstreams that already fail. In any window all nodes
-// together send to a service at most Ratio times its requests plus Slack retries. Each node uses
-// Ratio of its own requests and an equal share of Slack.
+// together send to a service at most Ratio times its requests plus Slack retries. Each node has a token
+// bucket for each service. It is filled by the node's own requests, and over time by the node's part of
+// Slack. What it holds at the beginning of a window is limited to another part of Slack, and everything
+// else is earned in the window itself. A bucket is empty when its node starts, so restarts gain nothing;
+// only that of a new node starts full ([RetryLimiter.Fill]).
 type RetryLimiter struct {
 	Ratio  float64
 	Slack  float64
 	Window time.Duration
+	// Start is the time at which the node started.
+	Start sageclock.Instant
+	// Rand returns a number in [0,1); nil means [rand.Float64].
+	Rand func() float64
 
-	services map[string]*sendWindow
+	buckets map[string]*bucket
+	filled  bool
 }
 
-// RecordFirstSend records the first send of a request to a service.
-func (r *RetryLimiter) RecordFirstSend(now sageclock.Instant, service string) {
-	r.currentWindow(now, service).firstSends[0]++
+// bucket holds the tokens for the retries of one service.
+type bucket struct {
+	level   float64
+	updated sageclock.Instant
 }
 
-// Allow reports whether a retry may be sent to a service, and counts it. nodes is the number of all
-// known nodes, including this one.
-func (r *RetryLimiter) Allow(now sageclock.Instant, service string, nodes int) bool {
-	w := r.currentWindow(now, service)
-	if used, limit := r.usage(w, nodes); used+1 > limit {
-		return false
+// RetryUsage is the state of a node's bucket for a service, for logs and metrics.
+type RetryUsage struct {
+	// Tokens is the number of retries that the node may send, Capacity its limit.
+	Tokens, Capacity float64
+	// SlackPerSecond is the number of tokens that it gets each second without any request.
+	SlackPerSecond float64
+}
+
+// Fill fills the buckets of all services, present and future. It may be called once, for a node that is known to have had no
+// predecessor in the last window.
+func (r *RetryLimiter) Fill() {
+	r.filled = true
+	for _, b := range r.buckets {
+		b.level = r.Slack // limited to the capacity by the next refill
 	}
-	w.retries[0]++
-	return true
 }
 
-// RetryUsage is what one node has used of its share of the retries of a service.
-type RetryUsage struct {
-	// Used is the number of retries in the window, Allowed their limit.
-	Used, Allowed float64
+// RecordFirstSend records the first send of a request to a service. nodes is as for [RetryLimiter.Allow].
+func (r *RetryLimiter) RecordFirstSend(now sageclock.Instant, service string, nodes int) {
+	b, capacity := r.refill(now, service, nodes)
+	b.level = min(capacity, b.level+ratioFraction*r.Ratio)
 }
 
-// Usage returns the node's usage, for logs and metrics.
-func (r *RetryLimiter) Usage(now sageclock.Instant, service string, nodes int) RetryUsage {
-	used, limit := r.usage(r.currentWindow(now, service), nodes)
-	return RetryUsage{Used: used, Allowed: limit}
+// Allow reports whether a retry may be sent to a service, and counts it. nodes is the number of all
+// nodes of the fleet that may run, including this one; 0 if that isn't known.
+//
+// If the slack is less than a token a node, no bucket ever holds a whole one. Then part of a token allows a retry
+// with that probability.
+func (r *RetryLimiter) Allow(now sageclock.Instant, service string, nodes int) bool {
+	b, capacity := r.refill(now, service, nodes)
+	if capacity < 1 {
+		level := b.level
+		b.level = 0
+		return r.random() < level
+	}
+	if b.level < 1-tolerance {
+		return false
+	}
+	b.level = max(0, b.level-1)
+	return true
 }
 
 // AllowTrial reports whether a request may be sent to an upstream that will probably decline it, which
-// takes a retry. Half of the retries are left for other failures.
+// takes a retry. Half of the capacity is left for other failures, except if it is small and the bucket full.
 func (r *RetryLimiter) AllowTrial(now sageclock.Instant, service string, nodes int) bool {
-	used, limit := r.usage(r.currentWindow(now, service), nodes)
-	return used+1 <= limit*trialFraction
+	b, capacity := r.refill(now, service, nodes)
+	return b.level >= min(capacity, capacity/2+1)-tolerance
 }
 
-// usage returns the number of retries in the window and its limit.
-func (r *RetryLimiter) usage(w *sendWindow, nodes int) (used, limit float64) {
-	first, retries := w.totals()
-	return float64(retries), ratioFraction*r.Ratio*float64(first) + slackFraction*r.Slack/float64(max(1, nodes))
+// Usage returns the state of the bucket of a service.
+func (r *RetryLimiter) Usage(now sageclock.Instant, service string, nodes int) RetryUsage {
+	b, capacity := r.refill(now, service, nodes)
+	_, perSecond := r.share(nodes)
+	return RetryUsage{Tokens: b.level, Capacity: capacity, SlackPerSecond: perSecond}
 }
 
-func (r *RetryLimiter) currentWindow(now sageclock.Instant, service string) *sendWindow {
-	if r.services == nil {
-		r.services = make(map[string]*sendWindow)
+// share divides the slack: it returns the capacity of a node's bucket and the tokens that it gets each second.
+func (r *RetryLimiter) share(nodes int) (capacity, perSecond float64) {
+	if nodes <= 0 {
+		return unknownCapacity, 0
 	}
-	w := r.services[service]
-	if w == nil {
-		w = new(sendWindow)
-		r.services[service] = w
-	}
-	w.advance(int64(now) / max(1, int64(r.Window)/windowBuckets))
-	return w
-}
-
-// sendWindow counts sends in buckets, the current one first. It has one bucket more than the window,
-// so that it covers every sliding window of that length.
-type sendWindow struct {
-	bucket     int64
-	firstSends [windowBuckets + 1]int
-	retries    [windowBuckets + 1]int
+	part := slackFraction * r.Slack / float64(nodes)
+	capacity = max(min(1, part), burstFraction*part)
+	return capacity, (part - capacity) / r.Window.Seconds()
 }
 
-func (w *sendWindow) advance(bucket int64) {
-	elapsed := min(max(0, bucket-w.bucket), windowBuckets+1)
-	for range elapsed {
-		copy(w.firstSends[1:], w.firstSends[:windowBuckets])
-		copy(w.retries[1:], w.retries[:windowBuckets])
-		w.firstSends[0], w.retries[0] = 0, 0
+// refill adds the tokens that a service's bucket has got by time, and returns it with its capacity.
+func (r *RetryLimiter) refill(now sageclock.Instant, service string, nodes int) (*bucket, float64) {
+	if r.buckets == nil {
+		r.buckets = make(map[string]*bucket)
 	}
-	w.bucket = max(w.bucket, bucket)
+	b := r.buckets[service]
+	if b == nil {
+		b = &bucket{updated: r.Start}
+		if r.filled {
+			b.level = r.Slack
+		}
+		r.buckets[service] = b
+	}
+	capacity, perSecond := r.share(nodes)
+	b.level = min(capacity, b.level+perSecond*max(0, now.Sub(b.updated)).Seconds())
+	b.updated = max(b.updated, now)
+	return b, capacity
 }
 
-// totals excludes the oldest bucket from the first sends and includes it in the retries. The oldest
-// bucket is only partly in the window, so both errors are on the safe side.
-func (w *sendWindow) totals() (first, retries int) {
-	for i := range windowBuckets + 1 {
-		if i < windowBuckets {
-			first += w.firstSends[i]
-		}
-		retries += w.retries[i]
+func (r *RetryLimiter) random() float64 {
+	if r.Rand != nil {
+		return r.Rand()
 	}
-	return first, retries
+	return rand.Float64()
 }
--- a/pkg/sageshare/share_test.go
+++ b/pkg/sageshare/share_test.go
@@ -76,7 +76,7 @@
 			if rnd.IntN(100) > 0 {
 				continue
 			}
-			r.RecordFirstSend(at(ms), "s")
+			r.RecordFirstSend(at(ms), "s", n)
 			sent = append(sent, send{ms, false})
 			if r.Allow(at(ms), "s", n) {
 				sent = append(sent, send{ms, true})
@@ -96,7 +96,7 @@
 			}
 		}
 		require.LessOrEqual(t, float64(retries), ratio*float64(first)+slack, "window from %d ms", from)
-		require.Greater(t, float64(retries), 0.5*ratio*float64(first))
+		require.Greater(t, float64(retries), 0.7*ratio*float64(first))
 	}
 }
 
@@ -104,7 +104,7 @@
 	r := &RetryLimiter{Ratio: 0.2, Slack: 56, Window: 10 * time.Second}
 	b.ReportAllocs()
 	for i := 0; b.Loop(); i++ {
-		r.RecordFirstSend(at(i), "s")
+		r.RecordFirstSend(at(i), "s", 8)
 		r.Allow(at(i), "s", 8)
 	}
 }
