The soak checks the limit on the retries of all nodes

Change: the stand-in's count of arrivals in each sliding window is checked at the end of each run, with the bounds of the nodes' settings.

--- a/internal/sagesoak/doc.go
+++ b/internal/sagesoak/doc.go
@@ -12,7 +12,7 @@
 // their request, streams are complete and in order, revoked keys are rejected within a time limit, upstreams
 // that left, or announced in a response that they leave, receive no requests, declining upstreams that asked for a
 // pause receive at most two in it from each node, planned stops cut no streams, a request that crashes upstreams is
-// stopped, the system serves requests again after the last fault, each account too, and no brittle runner is declined
+// stopped, all nodes together keep to the limit on retries in any window, the system serves requests again after the last fault, each account too, and no brittle runner is declined
 // into falling over again and again.
 //
 // # Usage
--- a/internal/sagesoak/soak.go
+++ b/internal/sagesoak/soak.go
@@ -192,6 +192,9 @@
 	if s.fatal != nil {
 		s.fatal.pendingReplacements.Wait()
 	}
+	for _, text := range s.sys.Ledger.CheckRetries(standin.SystemRetryLimit()) {
+		s.sys.Ledger.RecordViolation("%s", text)
+	}
 	out := Result{Seed: s.Seed, Violations: s.sys.Ledger.Violations(), Counts: s.sys.Ledger.Counts(), InjectedFaults: s.injected}
 	if s.paths != nil {
 		out.PathShares = s.paths.shares
