net/http no longer sends requests again on its own

Upstreams saw: a GET without a body whose reused connection broke after it was written came a second time, beyond max_attempts, and no budget counted it. Cause: net/http takes such a request for replayable and sends it on another connection, also where the route allows one attempt only; it did so for requests to peers as well. Change: such a request gets an empty body, which net/http can't rewind; on the wire nothing changes. A break on a reused connection is now a failed exchange of the relay, which decides on the retry and counts it. Evidence: TestBrokenReuseIsNotRepeated expected three arrivals of a repeatable request with one attempt, the first one before the break included; it now expects two, as for others, and failed before the change.

--- a/internal/sagerelay/conn.go
+++ b/internal/sagerelay/conn.go
@@ -130,16 +130,12 @@
 // useConn takes a connection for the exchange. If the connection has been idle for too long, it is closed before anything is
 // written, and the result is false.
 func (x *exchange) useConn(info httptrace.GotConnInfo) bool {
-	resent := x.tracker.Sent()
 	x.tracker.GotConn(info)
 	if x.helper != nil {
 		x.freshConn = !info.Reused
 		return true
 	}
 	s, service := x.j.s, x.p.Upstream.Service
-	if resent { // the transport sends the request again, since its reused connection broke
-		s.recordBreak(x.p.Upstream, x.conn.breakNow())
-	}
 	x.freshConn = !info.Reused
 	x.conn.got, x.conn.at, x.conn.reused, x.conn.idle = true, time.Now(), info.Reused, info.IdleTime
 	if !info.Reused {
--- a/internal/sagerelay/conn_test.go
+++ b/internal/sagerelay/conn_test.go
@@ -126,8 +126,8 @@
 	}
 }
 
-// Prevents a request that must be executed at most once from being sent twice by the transport, which takes a GET without
-// a body for repeatable.
+// Prevents the transport from sending a request twice on its own, which takes a GET without a body for repeatable: neither
+// max_attempts nor the budget of retries would count that send.
 func TestBrokenReuseIsNotRepeated(t *testing.T) {
 	for _, kind := range []sageroute.Kind{sageroute.Once, sageroute.Idempotent} {
 		u := newKeepingUpstream(t, nil)
@@ -147,11 +147,7 @@
 		w := httptest.NewRecorder()
 		s.ServeHTTP(w, req)
 		require.Equal(t, http.StatusBadGateway, w.Code)
-		want := int64(2)
-		if kind == sageroute.Idempotent {
-			want = 3 // by the transport
-		}
-		require.Equal(t, want, u.served.Load(), kind)
+		require.Equal(t, int64(2), u.served.Load(), kind)
 	}
 }
 
@@ -430,3 +426,18 @@
 		})
 	}
 }
+
+// Prevents requests without a body from reaching upstreams with one, or with a header that announces one.
+func TestRequestWithoutBodyIsForwardedWithoutOne(t *testing.T) {
+	for _, method := range []string{http.MethodGet, http.MethodHead, http.MethodOptions, http.MethodDelete, http.MethodPost} {
+		var got *http.Request
+		u := newKeepingUpstream(t, func(_ http.ResponseWriter, r *http.Request) { got = r })
+		s := serviceBefore(t, u, testRoute(sageroute.Idempotent))
+		req := testRequest(t.Context(), nil, "")
+		req.Method, req.Body, req.ContentLength = method, http.NoBody, 0
+		s.ServeHTTP(httptest.NewRecorder(), req)
+		require.Equal(t, method, got.Method)
+		require.Zero(t, got.ContentLength, method)
+		require.Empty(t, got.TransferEncoding, method)
+	}
+}
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -144,7 +144,7 @@
 // send sends the request and returns when the response header has arrived.
 func (x *exchange) send(ctx context.Context) (*http.Response, error) {
 	j := x.j
-	x.tracker.AtMostOnce = !j.route.Repeatable()
+	x.tracker.AtMostOnce = true // further sends are decided by mayResend
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: x.handleConn, PutIdleConn: x.tracker.PutIdleConn})
 	u := *j.r.URL
 	u.Scheme, u.Host = "http", x.address()
@@ -167,11 +167,17 @@
 }
 
 // setBody sets the body of a request that is about to be sent.
+//
+// An empty body is set too, if the method usually has none: net/http sends requests without a body again on its own when a
+// reused connection breaks, and that send would not count as a retry. It finds out that the body is empty and sends none.
 func (j *job) setBody(req *http.Request) {
-	if len(j.body) > 0 {
-		req.Body = io.NopCloser(onceReader{bytes.NewReader(j.body)})
+	switch {
+	case len(j.body) > 0:
 		req.ContentLength = int64(len(j.body))
+	case req.Method != http.MethodGet && req.Method != http.MethodHead && req.Method != http.MethodOptions:
+		return
 	}
+	req.Body = io.NopCloser(onceReader{bytes.NewReader(j.body)})
 }
 
 // address returns the address of the exchange's other end.
