A node that has just started waits before it sends to a cold upstream

Each node that sends to a cold upstream has a burst of one request, which a restart gave it again. Change: a started node waits for one interval of its share, since its predecessor may have sent just before. Evidence: TestColdLimitHoldsOverRestarts (4 to 65 nodes that restart after 0.2 to 3.2 s) failed before with 9 requests in a second to an upstream that bears 2, 8 allowed, and passes.

--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -218,7 +218,7 @@
 	}
 	n.fleet = &fleet{
 		view: n.view, startedAt: n.startedAt, metrics: n.metrics, self: cfg.Node, dataCentre: cfg.DataCentre, region: cfg.Region, livePeers: n.mesh.Live, pathSuspected: make(chan struct{}, 1), keyProof: &n.copies[n.Kinds.Config].Proof,
-		knownNodes: n.knownNodes, fleetSize: n.fleetSize, countLag: n.countLag, placer: placer, coldLimiter: sageshare.ColdLimiter{Self: cfg.Node},
+		knownNodes: n.knownNodes, fleetSize: n.fleetSize, countLag: n.countLag, placer: placer, coldLimiter: sageshare.ColdLimiter{Self: cfg.Node, Start: n.startedAt},
 		retryLimiter: sageshare.RetryLimiter{Start: n.startedAt, Window: seconds(cfg.Bounds.RetryWindowSeconds)}, health: sagehealth.Tracker{Self: cfg.Node},
 	}
 	if cfg.Bounds.Rollouts != nil {
--- a/pkg/sageshare/cold.go
+++ b/pkg/sageshare/cold.go
@@ -18,10 +18,12 @@
 //
 // If each of many nodes kept to the limit on its own, their sum would overload a cold upstream.
 // Therefore only a few nodes, chosen by rendezvous hashing, send to one cold upstream, each at an
-// equal share of the rate with a burst of one.
+// equal share of the rate with a burst of one, which a node that has just started has to wait for.
 type ColdLimiter struct {
 	// Self is the name of this node.
 	Self string
+	// Start is the time at which this node started.
+	Start sageclock.Instant
 
 	nextSend map[string]sageclock.Instant
 }
@@ -34,13 +36,18 @@
 		return true
 	}
 	senders := min(maxColdSenders, max(1, len(nodes)))
-	if !c.isSender(nodes, upstream, senders) || now < c.nextSend[upstream] {
+	interval := time.Duration(float64(senders) / perSecond * float64(time.Second))
+	next, ok := c.nextSend[upstream]
+	if !ok {
+		next = c.Start.Add(interval) // this node may have sent just before it restarted
+	}
+	if !c.isSender(nodes, upstream, senders) || now < next {
 		return false
 	}
 	if c.nextSend == nil {
 		c.nextSend = make(map[string]sageclock.Instant)
 	}
-	c.nextSend[upstream] = now.Add(time.Duration(float64(senders) / perSecond * float64(time.Second)))
+	c.nextSend[upstream] = now.Add(interval)
 	return true
 }
 
--- a/pkg/sageshare/fleet_test.go
+++ b/pkg/sageshare/fleet_test.go
@@ -258,3 +258,35 @@
 		}
 	}
 }
+
+// Prevents a cold upstream from getting another request from each node that restarts.
+func TestColdLimitHoldsOverRestarts(t *testing.T) {
+	const step = 10
+	for _, n := range []int{4, 7, 65} {
+		for _, perSecond := range []float64{2, 10, 40} {
+			for seed := range uint64(3) {
+				rnd := rand.New(rand.NewPCG(seed, uint64(n)))
+				all, limiters, next := names(n), make([]*ColdLimiter, n), make([]int, n)
+				var sent []int
+				for ms := 0; ms < 5000; ms += step {
+					for i := range limiters {
+						if ms >= next[i] {
+							limiters[i] = &ColdLimiter{Self: all[i], Start: at(ms)}
+							next[i] = ms + 200 + rnd.IntN(3000)
+						}
+						if limiters[i].Allow(at(ms), all, "engine", perSecond) {
+							sent = append(sent, ms)
+						}
+					}
+				}
+				for i, from := range sent {
+					k := 0
+					for k < len(sent)-i && sent[i+k] < from+1000 {
+						k++
+					}
+					require.LessOrEqual(t, float64(k), 1.5*perSecond+5, "%d nodes, %g a second, seed %d, from %d ms", n, perSecond, seed, from)
+				}
+			}
+		}
+	}
+}
