--- a/cmd/sagebench/soak.go
+++ b/cmd/sagebench/soak.go
@@ -29,6 +29,7 @@
 		versions    bool
 		parts       bool
 		contention  bool
+		retries     bool
 		program     string
 		self, dir   string
 	)
@@ -45,7 +46,7 @@
 				if err := os.MkdirAll(seedDir, 0o700); err != nil {
 					return fmt.Errorf("make directory for logs: %w", err)
 				}
-				s := &sagesoak.Soak{Seed: n, Program: program, Dir: seedDir, Nodes: nodes, Duration: time.Duration(seconds * float64(time.Second)), NoFaults: calm, Series: series, Restores: restores, Paths: paths, Versions: versions, Parts: parts, Contention: contention}
+				s := &sagesoak.Soak{Seed: n, Program: program, Dir: seedDir, Nodes: nodes, Duration: time.Duration(seconds * float64(time.Second)), NoFaults: calm, Series: series, Restores: restores, Paths: paths, Versions: versions, Parts: parts, Contention: contention, Retries: retries}
 				report, err := s.Run(c.Context())
 				if err != nil {
 					return fmt.Errorf("seed %d: %w", n, err)
@@ -93,6 +94,7 @@
 	f.BoolVar(&versions, "versions", false, "have software versions replace each other, break streams and stop nodes, beside the other faults")
 	f.BoolVar(&parts, "parts", false, "have parts of prompts crash engines, which also crash for other reasons, and stop nodes, beside the other faults")
 	f.BoolVar(&contention, "contention", false, "have accounts ask for too much, applications slow down and callers read slowly, and stop and cut nodes, beside the other faults")
+	f.BoolVar(&retries, "retries", false, "have all upstreams of a service fail while many nodes are killed and frozen, beside the other faults")
 	f.StringVar(&dir, "dir", filepath.Join(os.TempDir(), "sagestand-soak"), "directory for the nodes' settings and logs")
 	addProgramFlag(c, &program, &self)
 	return c
--- a/internal/sagesoak/contention.go
+++ b/internal/sagesoak/contention.go
@@ -137,7 +137,7 @@
 func (c *contentionFaults) run(ctx context.Context) {
 	s := c.soak
 	c.flood(ctx)
-	for ctx.Err() == nil && time.Since(s.start) < s.Duration {
+	for s.injects(ctx) {
 		kind := c.rng.IntN(10)
 		for range 1 + c.rng.IntN(maxContentionSeries) {
 			c.inject(ctx, kind)
--- a/internal/sagesoak/parts.go
+++ b/internal/sagesoak/parts.go
@@ -117,7 +117,7 @@
 	if p.crashes {
 		wg.Go(func() { p.crashEngines(loadCtx) })
 	}
-	for ctx.Err() == nil && time.Since(s.start) < s.Duration {
+	for s.injects(ctx) {
 		if p.stops {
 			p.stopNodes()
 		}
--- a/internal/sagesoak/paths.go
+++ b/internal/sagesoak/paths.go
@@ -61,7 +61,7 @@
 // run injects path faults until the soak's duration has passed.
 func (p *pathFaults) run(ctx context.Context) {
 	s := p.soak
-	for ctx.Err() == nil && time.Since(s.start) < s.Duration {
+	for s.injects(ctx) {
 		switch p.rng.IntN(8) {
 		case 0:
 			p.makeBrittle(ctx)
--- a/internal/sagesoak/soak.go
+++ b/internal/sagesoak/soak.go
@@ -77,6 +77,8 @@
 	// Contention has accounts ask for more than the applications can run, applications turn slow and state useless load
 	// figures, callers and applications read slowly, and nodes stopped and cut off meanwhile, beside the other faults.
 	Contention bool
+	// Retries has all upstreams of a service fail, and many nodes killed and frozen meanwhile, beside the other faults.
+	Retries bool
 
 	sys            *standin.System
 	rng            *rand.Rand
@@ -95,6 +97,7 @@
 	versions       *versionFaults    // nil without version faults
 	parts          *partFaults       // nil without fatal parts
 	contention     *contentionFaults // nil without contention
+	retries        *retryFaults      // nil without failures of whole services
 }
 
 // Run runs the soak and returns the violations that it found. It returns an error if the soak can't be run.
@@ -111,6 +114,7 @@
 	s.versions = s.newVersionFaults()
 	s.parts = s.newPartFaults()
 	s.contention = s.newContentionFaults()
+	s.retries = s.newRetryFaults()
 	s.sys = &standin.System{FatalBody: fatalBody, OnFatalCrash: s.handleCrash, Nodes: s.Nodes, Engines: 4, Apps: 3, Program: s.Program, Dir: s.Dir, Subnet: int(s.Seed%200) + 20, Advertise: s.advertise}
 	if s.parts != nil {
 		s.parts.configure(s.sys)
@@ -156,9 +160,15 @@
 		wg.Go(func() { s.contention.load.Run(loadCtx) })
 		others.Go(func() { s.contention.run(ctx) })
 	}
+	if s.retries != nil {
+		others.Go(func() { s.retries.run(ctx) })
+	}
 	s.injectFaults(ctx)
 	s.pendingReverts.Wait()
 	others.Wait()
+	if s.retries != nil {
+		s.retries.pending.Wait()
+	}
 	if s.versions != nil {
 		s.versions.pending.Wait()
 	}
@@ -267,7 +277,7 @@
 
 // injectFaults injects faults until Duration has passed.
 func (s *Soak) injectFaults(ctx context.Context) {
-	for time.Since(s.start) < s.Duration && ctx.Err() == nil {
+	for s.injects(ctx) {
 		if !s.NoFaults {
 			s.injectSeries(ctx)
 		}
@@ -275,6 +285,11 @@
 	}
 }
 
+// injects reports whether faults are still injected.
+func (s *Soak) injects(ctx context.Context) bool {
+	return time.Since(s.start) < s.Duration && ctx.Err() == nil
+}
+
 // injectSeries injects a fault, or a series of faults of one family.
 func (s *Soak) injectSeries(ctx context.Context) {
 	f := faultFamily(s.rng.IntN(int(numFamilies)))
@@ -327,7 +342,7 @@
 // delayBoundsApply reports whether upstreams that leave must receive no requests after the bound. Without faults of the
 // store and of nodes, which version faults stop too, every node learns of the change in time.
 func (s *Soak) delayBoundsApply() bool {
-	return !s.enabled[storeFaults] && !s.enabled[nodeFaults] && s.versions == nil && s.parts == nil && s.contention == nil
+	return !s.enabled[storeFaults] && !s.enabled[nodeFaults] && s.versions == nil && s.parts == nil && s.contention == nil && s.retries == nil
 }
 
 func (s *Soak) randomRunner() *standin.Runner { return s.sys.Runner(s.rng.IntN(len(s.sys.Runners))) }
@@ -465,7 +480,7 @@
 // checkRecovery checks that the system serves requests again, and that no streams were cut if only planned
 // faults were injected.
 func (s *Soak) checkRecovery(ctx context.Context) {
-	if !s.enabled[upstreamFaults] && !s.enabled[networkFaults] && !s.enabled[nodeFaults] && s.fatal == nil && s.paths == nil && s.versions == nil && s.parts == nil && s.contention == nil {
+	if !s.enabled[upstreamFaults] && !s.enabled[networkFaults] && !s.enabled[nodeFaults] && s.fatal == nil && s.paths == nil && s.versions == nil && s.parts == nil && s.contention == nil && s.retries == nil {
 		for _, k := range []standin.Kind{standin.Chat, standin.Reply} {
 			if n := s.sys.Ledger.Counts()[string(k)+" cut"]; n > 0 {
 				s.sys.Ledger.RecordViolation("%d streams of kind %s were cut although only planned faults were injected", n, k)
--- a/internal/sagesoak/versions.go
+++ b/internal/sagesoak/versions.go
@@ -47,7 +47,7 @@
 func (v *versionFaults) run(ctx context.Context) {
 	s := v.soak
 	v.breakStreams(ctx)
-	for ctx.Err() == nil && time.Since(s.start) < s.Duration {
+	for s.injects(ctx) {
 		switch v.rng.IntN(12) {
 		case 0, 1, 2:
 			v.release(ctx)
