--- a/internal/sageexplain/explain.go
+++ b/internal/sageexplain/explain.go
@@ -156,7 +156,7 @@
 	"no_memory":        "the bodies of other requests used all the memory reserved for bodies",
 	"no_upstream":      "no upstream of the service could be used, or all had declined the request",
 	"upstream_full":    "every upstream that was asked declined the request",
-	"no_room":          "the service had no room for all that was asked, and the account was at its share or the request could not be complete in time; the line before says the account's rate at the node, how many of its requests waited, and when it could return",
+	"no_capacity":      "the service had no capacity for all that was asked, and the account was at its share or the request could not be complete in time; the line before says the account's rate at the node, how many of its requests waited, and when it could return",
 	"account_limited":  "the account used its share of a service whose upstreams were brittle",
 	"upstreams_paused": "all upstreams of the service had declined requests and asked for none for some time",
 	"upstream_failed":  "the upstream returned an error of its own, which was passed on",
--- a/internal/sagefollow/poll.go
+++ b/internal/sagefollow/poll.go
@@ -10,7 +10,7 @@
 
 // Which node polls the store, and when.
 const (
-	// pollFraction is the fraction of MaxStaleness after which the proof is renewed. It leaves room for
+	// pollFraction is the fraction of MaxStaleness after which the proof is renewed. It leaves capacity for
 	// pollGrace, the delay of three ranks, a call and a heartbeat to all nodes within a bound of two seconds.
 	pollFraction = 0.4
 	// isolatedPollFraction is the same for a node without peers, whose proof nobody else has to receive.
--- a/internal/sagemesh/service.go
+++ b/internal/sagemesh/service.go
@@ -28,7 +28,7 @@
 	addressesPerHeartbeat = 3
 	addressesEvery        = 4
 	// announceQueueSize bounds the queue of nodes that get an immediate heartbeat. Nodes for which there is no
-	// room get the next regular one.
+	// capacity get the next regular one.
 	announceQueueSize = 64
 	// forgetAfter is the time without contact after which an address that isn't a seed gets no more heartbeats.
 	forgetAfter      = 5 * time.Minute
--- a/internal/sagerelay/admit.go
+++ b/internal/sagerelay/admit.go
@@ -37,6 +37,6 @@
 	left := max(minReturn, a.RetryAt.Sub(sageclock.Now()))
 	j.s.Log.Limited(sagelog.KindAbandoned, "Request not admitted.", "id", j.meta.ID, "account", q.Account, "service", q.Service, "route", j.route.Name,
 		"urgency", q.Urgency, "waited_ms", q.Waited.Milliseconds(), "rate", a.Rate, "queued", a.Queued, "return_ms", left.Milliseconds(), "age_ms", time.Since(j.start).Milliseconds())
-	j.refuse(http.StatusServiceUnavailable, NoRoom, left.Truncate(time.Millisecond))
+	j.refuse(http.StatusServiceUnavailable, NoCapacity, left.Truncate(time.Millisecond))
 	return false
 }
--- a/internal/sagerelay/admit_test.go
+++ b/internal/sagerelay/admit_test.go
@@ -13,7 +13,7 @@
 
 // Prevents a request without a place from waiting for its deadline or reaching an upstream, and its caller from being
 // given any other time than that of its place.
-func TestRequestWithoutRoomIsRefusedAtOnce(t *testing.T) {
+func TestRequestWithoutCapacityIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		fleet := newFakeFleet(t, testRoute(sageroute.Once), map[string]upstream{"a": respond(200, sealHeader, "fine")})
 		fleet.admit = func(*AdmitQuery) Admission {
@@ -22,7 +22,7 @@
 		start := time.Now()
 		out := fleet.call(t.Context(), nil, "body")
 		require.Equal(t, 503, out.Code)
-		require.Equal(t, `{"reason":"no_room"}`, out.Body.String())
+		require.Equal(t, `{"reason":"no_capacity"}`, out.Body.String())
 		require.Contains(t, []string{"0.7", "0.699"}, out.Header().Get("Retry-After"))
 		require.Zero(t, time.Since(start))
 		require.Empty(t, fleet.sent)
--- a/internal/sagerelay/interfaces.go
+++ b/internal/sagerelay/interfaces.go
@@ -108,9 +108,9 @@
 	UpstreamFull Reason = "upstream_full"
 	// AccountLimited: the account uses its share of a service whose upstreams can't take more.
 	AccountLimited Reason = "account_limited"
-	// NoRoom: the account asks for more than its share of a service that has no room, or the request could not be complete
+	// NoCapacity: the account asks for more than its share of a service that has no capacity, or the request could not be complete
 	// before its deadline.
-	NoRoom Reason = "no_room"
+	NoCapacity Reason = "no_capacity"
 	// NoPath: this node reaches no upstream of the service, and no peer takes the request.
 	NoPath Reason = "no_path"
 	// RelayBusy: this node relays as many requests of peers as it can.
@@ -185,7 +185,7 @@
 // Admission is the decision on an [AdmitQuery].
 type Admission struct {
 	OK bool
-	// RetryAt is the instant at which there is room for a caller that isn't admitted.
+	// RetryAt is the instant at which there is capacity for a caller that isn't admitted.
 	RetryAt sageclock.Instant
 	// Rate is the number of requests per second that the account may start at this node, Queued the number of its requests
 	// that waited, for the log.
--- a/internal/sagerelay/response.go
+++ b/internal/sagerelay/response.go
@@ -20,7 +20,7 @@
 // bufferLimit returns the limit on all buffered bytes for what this request adds.
 func (j *job) bufferLimit() int64 {
 	if j.relay.from != "" {
-		return j.s.MaxBufferedBytes / 2 // keeps room for this node's own callers
+		return j.s.MaxBufferedBytes / 2 // keeps capacity for this node's own callers
 	}
 	return j.s.MaxBufferedBytes
 }
--- a/internal/sagerouter/brittle.go
+++ b/internal/sagerouter/brittle.go
@@ -88,10 +88,10 @@
 	return f.brittle.limits.Announce(sageclock.Now(), u.Service, maxDeclines, 0)
 }
 
-// AdmitAccount implements [sagerelay.Fleet]. Where room is divided, the shares of the accounts hold already.
+// AdmitAccount implements [sagerelay.Fleet]. Where capacity is divided, the shares of the accounts hold already.
 func (f *fleet) AdmitAccount(service, account string) (func(), bool) {
 	now := sageclock.Now()
-	if f.dividesRoom(service) || !f.brittle.limits.Active(now, service) {
+	if f.dividesCapacity(service) || !f.brittle.limits.Active(now, service) {
 		return func() {}, true
 	}
 	return f.brittle.limits.Admit(now, service, account, f.dealOf(now, service).places)
--- a/internal/sagerouter/contention_test.go
+++ b/internal/sagerouter/contention_test.go
@@ -26,8 +26,8 @@
 	f.view.registry.Put(sageupstream.Entry{ID: "u", Service: "s", Address: "10.0.0.1:80", Slots: 2})
 	f.view.applyUpstreams(nil, false)
 	f.livePeers = func() []sagemesh.Member { return nil }
-	f.demand.room = func(service string) float64 { return f.room.Estimate(service).PerSecond }
-	f.divideRoom.Store(true)
+	f.demand.capacity = func(service string) float64 { return f.capacity.Estimate(service).PerSecond }
+	f.divideCapacity.Store(true)
 	return &Node{fleet: f, Log: sagelog.New(io.Discard, "vm1")}
 }
 
@@ -42,7 +42,7 @@
 	now := sageclock.Now()
 	c.step(now)
 	for range 100 {
-		require.True(t, admit(f, sageclock.Now()).OK, "the room isn't known")
+		require.True(t, admit(f, sageclock.Now()).OK, "the capacity isn't known")
 	}
 	u := f.view.upstreams.Load().Get("u")
 	for range 20 {
@@ -55,13 +55,13 @@
 		refused = refused || !a.OK && a.RetryAt > sageclock.Now()
 	}
 	require.True(t, refused, "more than the upstream runs in seconds")
-	f.divideRoom.Store(false)
+	f.divideCapacity.Store(false)
 	c.step(sageclock.Now())
 	require.Empty(t, c.short)
 	require.True(t, admit(f, sageclock.Now()).OK)
 }
 
-// Prevents a node without contact to the others from taking the room of all.
+// Prevents a node without contact to the others from taking the capacity of all.
 func TestSharingNodes(t *testing.T) {
 	f := newFleet(t, 0, 0)
 	f.knownNodes = func() []string { return []string{"vm1", "vm2", "vm3", "vm4"} }
--- a/internal/sagerouter/demand.go
+++ b/internal/sagerouter/demand.go
@@ -15,7 +15,7 @@
 	// lost. If it were too short, each node would overestimate its part of a demand that grows.
 	demandLag = sumDelay + 400*time.Millisecond
 	// contendedLoad is the fraction of the slots of a service's upstreams above which its accounts are counted by
-	// themselves, contendedDemand the fraction of its room.
+	// themselves, contendedDemand the fraction of its capacity.
 	contendedLoad, contendedDemand = 0.5, 0.6
 	// snapshotDuration is how long sums are reused, so that an aggregator doesn't add up the counts of its data centre for
 	// each service.
@@ -27,9 +27,9 @@
 	meter   sagedemand.Meter
 	counts  sageflight.Counter
 	reports sagedemand.History
-	// room returns the number of requests per second that the upstreams of a service can take, 0 if unknown; may be nil. It
+	// capacity returns the number of requests per second that the upstreams of a service can take, 0 if unknown; may be nil. It
 	// must not call methods of the fleet that need the demand.
-	room func(service string) float64
+	capacity func(service string) float64
 
 	mu   sync.Mutex
 	last *demandSnapshot
@@ -108,14 +108,14 @@
 	return is
 }
 
-// asksForMuch reports whether the requests for a service are a large part of its room.
+// asksForMuch reports whether the requests for a service are a large part of its capacity.
 func (f *fleet) asksForMuch(service string, asked sageflight.Counts) bool {
-	if f.demand.room == nil {
+	if f.demand.capacity == nil {
 		return false
 	}
-	room := f.demand.room(service)
+	capacity := f.demand.capacity(service)
 	total := asked[sagedemand.Key{Kind: sagedemand.Requests, Service: service}.String()]
-	return room > 0 && float64(total) > contendedDemand*room
+	return capacity > 0 && float64(total) > contendedDemand*capacity
 }
 
 // usesManySlots reports whether the requests in flight at a service's upstreams are a large part of their slots.
--- a/internal/sagerouter/demand_test.go
+++ b/internal/sagerouter/demand_test.go
@@ -24,11 +24,11 @@
 // nodesKey is the key of the number of nodes that count.
 var nodesKey = sagedemand.Key{Kind: sagedemand.Nodes}.String()
 
-// newDemandFleet returns a fleet whose service s has room for 100 requests per second.
+// newDemandFleet returns a fleet whose service s has capacity for 100 requests per second.
 func newDemandFleet(t *testing.T) *fleet {
 	t.Helper()
 	f := newFleet(t, 2, 0)
-	f.demand.room = func(string) float64 { return 100 }
+	f.demand.capacity = func(string) float64 { return 100 }
 	return f
 }
 
@@ -96,11 +96,11 @@
 	got := f.demandOf(at(1700), "s")
 	require.Equal(t, 2, got.Nodes)
 	require.InDelta(t, 100, got.Fleet, 1)
-	shares := sagedemand.Split(got, sagedemand.Params{Room: 100, Nodes: 4})
-	require.InDelta(t, 40, shares.Rates["a"], 1, "its part of half of the room")
+	shares := sagedemand.Split(got, sagedemand.Params{Capacity: 100, Nodes: 4})
+	require.InDelta(t, 40, shares.Rates["a"], 1, "its part of half of the capacity")
 }
 
-// Prevents that a node that is cut off uses the sums of the time before for long, or all of the room.
+// Prevents that a node that is cut off uses the sums of the time before for long, or all of the capacity.
 func TestDemandOfNodeThatIsCutOff(t *testing.T) {
 	f := newDemandFleet(t)
 	f.demand.updateTotal(at(1000), sageflight.Counts{nodesKey: 4, demandKey(""): 400, demandKey("a"): 400})
@@ -111,7 +111,7 @@
 	got := f.demandOf(at(3000), "s")
 	require.Equal(t, 1, got.Nodes)
 	require.InDelta(t, 100, got.Fleet, 10)
-	require.InDelta(t, 25, sagedemand.Split(got, sagedemand.Params{Room: 100, Nodes: 4}).Rates["a"], 1)
+	require.InDelta(t, 25, sagedemand.Split(got, sagedemand.Params{Capacity: 100, Nodes: 4}).Rates["a"], 1)
 }
 
 func TestContended(t *testing.T) {
@@ -141,8 +141,8 @@
 	require.False(t, f.contended(at(0), "s"))
 	f.demand.updateTotal(at(100), sageflight.Counts{nodesKey: 2, demandKey(""): 90})
 	require.True(t, f.contended(at(200), "s"))
-	f.demand.room = nil
-	require.False(t, f.contended(at(400), "s"), "the room isn't known")
+	f.demand.capacity = nil
+	require.False(t, f.contended(at(400), "s"), "the capacity isn't known")
 }
 
 func TestHeartbeatUpdatesDemand(t *testing.T) {
@@ -167,26 +167,26 @@
 	return len(b)
 }
 
-// demandSizes are fleets whose accounts ask for 0.6 of the room of a service, and one of them for four times the room.
+// demandSizes are fleets whose accounts ask for 0.6 of the capacity of a service, and one of them for four times the capacity.
 var demandSizes = []struct {
 	nodes, accounts, upstreams int
-	room                       float64
+	capacity                   float64
 }{
 	{4, 24, 3, 400}, {65, 24, 3, 1200}, {133, 24, 6, 600}, {1000, 24, 60, 36_000}, {1000, 32_000, 60, 36_000}, {1000, 32_000, 2300, 36_000},
 }
 
 // countsOfFleet returns the counts of the nodes of a fleet in a typical second.
-func countsOfFleet(nodes, accounts, upstreams int, room float64, contended bool) []map[string]int {
+func countsOfFleet(nodes, accounts, upstreams int, capacity float64, contended bool) []map[string]int {
 	rnd := rand.New(rand.NewPCG(1, uint64(nodes)))
 	meters := make([]sagedemand.Meter, nodes)
 	now := at(1000)
-	for i := range int(0.6 * room) {
+	for i := range int(0.6 * capacity) {
 		meters[rnd.IntN(nodes)].RecordRequest(now, "app", fmt.Sprintf("account-%05d", i%accounts))
 	}
-	for range int(4 * room) {
+	for range int(4 * capacity) {
 		meters[rnd.IntN(nodes)].RecordRequest(now, "app", "account-flood")
 	}
-	for range int(room) {
+	for range int(capacity) {
 		meters[rnd.IntN(nodes)].RecordRun(now, "app", fmt.Sprintf("i-%010d", rnd.IntN(upstreams)))
 	}
 	var out []map[string]int
@@ -200,7 +200,7 @@
 func TestDemandBytesAreBounded(t *testing.T) {
 	for _, s := range demandSizes {
 		t.Run(fmt.Sprintf("nodes=%d/accounts=%d/upstreams=%d", s.nodes, s.accounts, s.upstreams), func(t *testing.T) {
-			rest, busy, sum := demandSizesOf(t, s.nodes, s.accounts, s.upstreams, s.room)
+			rest, busy, sum := demandSizesOf(t, s.nodes, s.accounts, s.upstreams, s.capacity)
 			t.Logf("at rest %d B, contended %d B, sum %d B", rest, busy, sum)
 			require.LessOrEqual(t, rest, 40)
 			require.LessOrEqual(t, busy, 4<<10)
@@ -210,14 +210,14 @@
 }
 
 // demandSizesOf returns the mean encoded sizes of the counts of a node at rest and while contended, and of their sum.
-func demandSizesOf(tb testing.TB, nodes, accounts, upstreams int, room float64) (rest, busy, sum int) {
+func demandSizesOf(tb testing.TB, nodes, accounts, upstreams int, capacity float64) (rest, busy, sum int) {
 	tb.Helper()
 	var c sageflight.Counter
-	for i, counts := range countsOfFleet(nodes, accounts, upstreams, room, true) {
+	for i, counts := range countsOfFleet(nodes, accounts, upstreams, capacity, true) {
 		busy += demandBytes(tb, counts)
 		c.UpdateNode(at(0), fmt.Sprint("vm", i), "north", counts)
 	}
-	for _, counts := range countsOfFleet(nodes, accounts, upstreams, room, false) {
+	for _, counts := range countsOfFleet(nodes, accounts, upstreams, capacity, false) {
 		rest += demandBytes(tb, counts)
 	}
 	return rest / nodes, busy / nodes, demandBytes(tb, sagedemand.Truncate(c.Sum(at(0))))
--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -15,6 +15,7 @@
 	"sagestand.example/sagestand/internal/sagerelay"
 	"sagestand.example/sagestand/pkg/sagebackoff"
 	"sagestand.example/sagestand/pkg/sagebrittle"
+	"sagestand.example/sagestand/pkg/sagecapacity"
 	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sageflight"
@@ -22,7 +23,6 @@
 	"sagestand.example/sagestand/pkg/sagehealth"
 	"sagestand.example/sagestand/pkg/sagereach"
 	"sagestand.example/sagestand/pkg/sagerollout"
-	"sagestand.example/sagestand/pkg/sageroom"
 	"sagestand.example/sagestand/pkg/sageroute"
 	"sagestand.example/sagestand/pkg/sageshare"
 	"sagestand.example/sagestand/pkg/sageupstream"
@@ -71,9 +71,9 @@
 	rollouts         *sagerollout.Tracker
 	rolloutLatencies sagerollout.LatencyTracker
 	rolloutAnswers   sageflight.Counter
-	// divideRoom says that the room of services is divided among the accounts that ask for it.
-	divideRoom atomic.Bool
-	room       sageroom.Tracker
+	// divideCapacity says that the capacity of services is divided among the accounts that ask for it.
+	divideCapacity atomic.Bool
+	capacity       sagecapacity.Tracker
 	// returnWithin is the part of the time to its deadline for which a refused caller waits at most; 0 means all of it.
 	returnWithin   float64
 	gates          sageadmission.Gates
@@ -88,7 +88,7 @@
 // setBounds sets the bounds that may change at run time.
 func (f *fleet) setBounds(b *Bounds) {
 	f.keyMaxAge.Store(int64(millis(b.KeyWithinMillis)))
-	f.divideRoom.Store(b.DivideRoom)
+	f.divideCapacity.Store(b.DivideCapacity)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.retryLimiter.Ratio, f.retryLimiter.Slack = b.RetryRatio, b.RetrySlack
@@ -318,12 +318,12 @@
 	f.retryLimiter.Fill()
 }
 
-// AllowRetry implements [sagerelay.Fleet]. While a service has no room, a request that may run already isn't sent again:
+// AllowRetry implements [sagerelay.Fleet]. While a service has no capacity, a request that may run already isn't sent again:
 // the second execution would take the place of another request.
 func (f *fleet) AllowRetry(service string, mayRun bool) sagerelay.RetryDecision {
 	now := sageclock.Now()
 	d := sagerelay.RetryDecision{Nodes: f.fleetSize(), SinceStart: now.Sub(f.startedAt)}
-	noCapacity := mayRun && f.dividesRoom(service) && !f.room.AllowSecondSend(now, service)
+	noCapacity := mayRun && f.dividesCapacity(service) && !f.capacity.AllowSecondSend(now, service)
 	f.exportRetries(service)
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -225,7 +225,7 @@
 		n.fleet.rollouts = new(sagerollout.Tracker)
 	}
 	n.fleet.returnWithin, n.fleet.gates.ReturnWithin = n.ReturnWithin, n.ReturnWithin
-	n.fleet.demand.room = func(service string) float64 { return n.fleet.room.Estimate(service).PerSecond }
+	n.fleet.demand.capacity = func(service string) float64 { return n.fleet.capacity.Estimate(service).PerSecond }
 	placer.SourceTrust = n.fleet.sourceTrust
 	n.view.onRestart = n.fleet.health.Forget
 	n.fleet.cacheSynced = func() bool { return n.cacheResync.synced.Load() }
--- a/internal/sagerouter/settings.go
+++ b/internal/sagerouter/settings.go
@@ -47,9 +47,9 @@
 	RetryRatio         float64 `json:"retry_ratio"`
 	RetrySlack         float64 `json:"retry_slack"`
 	RetryWindowSeconds float64 `json:"retry_window_seconds"`
-	// DivideRoom says that accounts that ask a service for more than it has room for are held to their shares. It needs
+	// DivideCapacity says that accounts that ask a service for more than it has capacity for are held to their shares. It needs
 	// accounts, routes with objectives and upstreams that register their slots.
-	DivideRoom bool `json:"divide_room"`
+	DivideCapacity bool `json:"divide_capacity"`
 	// Rollouts limits the requests that a bad version of a service receives in a rollout; nil disables rollouts.
 	Rollouts *RolloutBounds `json:"rollouts"`
 	// StopWithinSeconds is the time within which the process must end after a request to stop.
--- a/internal/sagesoak/contention.go
+++ b/internal/sagesoak/contention.go
@@ -28,7 +28,7 @@
 	smallRate     = 15.0 // requests per second
 	usualRate     = 10.0 // of an account that floods at times
 	slowRate      = 3.0  // of accounts that send and get large bodies
-	maxFlood      = 4.0  // of an account, in times the room of all applications
+	maxFlood      = 4.0  // of an account, in times the capacity of all applications
 	largeResponse = 2 << 20
 	largeBody     = 256 << 10
 	slowReadRate  = 4 << 20   // bytes per second, of a caller of large responses
@@ -128,8 +128,8 @@
 	}
 }
 
-// room returns the number of requests that the applications can run in a second.
-func (c *contentionFaults) room() float64 {
+// capacity returns the number of requests that the applications can run in a second.
+func (c *contentionFaults) capacity() float64 {
 	return float64(c.soak.sys.Apps) * contendedSlots / contendedRun.Seconds()
 }
 
@@ -176,10 +176,10 @@
 	})
 }
 
-// flood has an account ask for more than the room of the applications.
+// flood has an account ask for more than the capacity of the applications.
 func (c *contentionFaults) flood(ctx context.Context) {
 	a, times := c.floods[c.rng.IntN(len(c.floods))], 1+(maxFlood-1)*c.rng.Float64()
-	c.during(ctx, fmt.Sprintf("%s asks for %.1f of the room", a.Name, times), func() { a.SetRate(times * c.room()) }, func() { a.SetRate(usualRate) })
+	c.during(ctx, fmt.Sprintf("%s asks for %.1f of the capacity", a.Name, times), func() { a.SetRate(times * c.capacity()) }, func() { a.SetRate(usualRate) })
 }
 
 // slowDown slows an application down, or all of them.
--- a/pkg/sagebackoff/records.go
+++ b/pkg/sagebackoff/records.go
@@ -41,7 +41,7 @@
 		r.entries = make(map[K]expiring[V])
 	}
 	if _, ok := r.entries[key]; !ok && len(r.entries) >= maxRecords {
-		r.makeRoom(now)
+		r.evict(now)
 	}
 	r.entries[key] = expiring[V]{value, expires}
 	r.updateCount()
@@ -67,8 +67,8 @@
 	r.updateCount()
 }
 
-// makeRoom drops the values that have expired, or else the one that expires first.
-func (r *records[K, V]) makeRoom(now sageclock.Instant) {
+// evict drops the values that have expired, or else the one that expires first.
+func (r *records[K, V]) evict(now sageclock.Instant) {
 	r.sweep(now)
 	if len(r.entries) < maxRecords {
 		return
--- a/pkg/sagebrittle/limits.go
+++ b/pkg/sagebrittle/limits.go
@@ -187,7 +187,7 @@
 	return out
 }
 
-// RecordDecline records that the upstream declined the request of a place, for want of room.
+// RecordDecline records that the upstream declined the request of a place, for want of capacity.
 func (l *Limits[K]) RecordDecline(now sageclock.Instant, p Place[K]) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/pkg/sagebrittle/load_test.go
+++ b/pkg/sagebrittle/load_test.go
@@ -109,11 +109,11 @@
 		if !ok {
 			continue
 		}
-		room := m.slots
+		capacity := m.slots
 		if ms < modelBrittleAt {
-			room += modelQueue
+			capacity += modelQueue
 		}
-		if up.running < room {
+		if up.running < capacity {
 			m.served++
 			up.running++
 			start := up.start
--- a/pkg/sageroom/average.go
+++ b/pkg/sagecapacity/average.go
@@ -1,4 +1,4 @@
-package sageroom
+package sagecapacity
 
 import (
 	"math"
--- a/pkg/sageroom/contention_test.go
+++ b/pkg/sagecapacity/contention_test.go
@@ -1,4 +1,4 @@
-package sageroom
+package sagecapacity
 
 import (
 	"math"
@@ -81,7 +81,7 @@
 	}
 }
 
-// Prevents that the target lets a queue stand, or leaves room unused, while four times the room is asked for.
+// Prevents that the target lets a queue stand, or leaves capacity unused, while four times the capacity is asked for.
 func TestTargetUnderAFlood(t *testing.T) {
 	for _, nodes := range []int{4, 65, 1000} {
 		for _, run := range []time.Duration{15 * time.Millisecond, 60 * time.Millisecond} {
@@ -134,7 +134,7 @@
 	require.Less(t, m.within(9*time.Second, 13*time.Second), 0.9)
 }
 
-// Prevents that second sends take the room of first ones while upstreams turn slow by turns, without any burst.
+// Prevents that second sends take the capacity of first ones while upstreams turn slow by turns, without any burst.
 func TestSecondSendsBeforeUnevenUpstreams(t *testing.T) {
 	const length = 16 * time.Second
 	for _, load := range []float64{0.75, 0.9} {
--- a/pkg/sageroom/doc.go
+++ b/pkg/sagecapacity/doc.go
@@ -1,9 +1,9 @@
-// Package sageroom estimates how much the upstreams of a service can run now, and chooses among them.
+// Package sagecapacity estimates how much the upstreams of a service can run now, and chooses among them.
 //
 // A [Tracker] belongs to one node. It combines what all nodes report, which is complete but a fraction of a second old, with
 // what this node measures itself, which is fresh but little if the fleet is large.
 //
-// # Room
+// # Capacity
 //
 // By Little's law the mean run at an upstream is the number of slots in use, divided by the runs per second. Both are known
 // from the sums of all nodes, and the upstream can run its slots divided by the mean run. Requests in flight beyond the slots
@@ -22,15 +22,15 @@
 //
 // # Second sends
 //
-// A request that is sent a second time while its first run goes on takes room from another request. Where room is short,
+// A request that is sent a second time while its first run goes on takes capacity from another request. Where capacity is short,
 // second runs can keep up the queue that caused them after its cause is gone. [Tracker.AllowSecondSend] reports whether there
-// is room for them.
+// is capacity for them.
 //
 // # Usage
 //
-//	t := &sageroom.Tracker{}
+//	t := &sagecapacity.Tracker{}
 //	t.RecordRun(now, "app", "a1", 14*time.Millisecond)
-//	e := t.Update(now, "app", []sageroom.Upstream{{ID: "a1", Slots: 6, InFlight: 4, RunsPerSecond: 300}})
+//	e := t.Update(now, "app", []sagecapacity.Upstream{{ID: "a1", Slots: 6, InFlight: 4, RunsPerSecond: 300}})
 //	i := t.Choose(now, "app", candidates)
 //	if t.AllowSecondSend(now, "app") {
 //		// send to another upstream as well
@@ -46,4 +46,4 @@
 // Dahlin, "Interpreting Stale Load Information", IEEE Transactions on Parallel and Distributed Systems 11, 2000.
 //
 // Bronson, Aghayev, Charapko, Zhu, "Metastable Failures in Distributed Systems", HotOS 2021.
-package sageroom
+package sagecapacity
--- a/pkg/sageroom/estimate.go
+++ b/pkg/sagecapacity/estimate.go
@@ -1,4 +1,4 @@
-package sageroom
+package sagecapacity
 
 import (
 	"math"
@@ -36,7 +36,7 @@
 	At sageclock.Instant
 }
 
-// newEstimate estimates the room of the reported upstreams, and sets which part of their slots is in use.
+// newEstimate estimates the capacity of the reported upstreams, and sets which part of their slots is in use.
 func (s *service) newEstimate(now sageclock.Instant, upstreams []Upstream, defaultSlots float64) Estimate {
 	e := Estimate{At: now}
 	s.busy = 0
@@ -44,7 +44,7 @@
 	for i := range upstreams {
 		u := s.upstreams[upstreams[i].ID]
 		n := u.slotsOr(defaultSlots)
-		run := u.roomRun(now, s.usual, s.own.mean, n)
+		run := u.capacityRun(now, s.usual, s.own.mean, n)
 		if run == 0 || n == 0 {
 			continue
 		}
--- a/pkg/sageroom/example_test.go
+++ b/pkg/sagecapacity/example_test.go
@@ -1,17 +1,17 @@
-package sageroom_test
+package sagecapacity_test
 
 import (
 	"fmt"
 	"time"
 
+	"sagestand.example/sagestand/pkg/sagecapacity"
 	"sagestand.example/sagestand/pkg/sageclock"
-	"sagestand.example/sagestand/pkg/sageroom"
 )
 
 func ExampleTracker_Update() {
-	t := &sageroom.Tracker{}
+	t := &sagecapacity.Tracker{}
 	now := sageclock.Instant(time.Hour)
-	e := t.Update(now, "app", []sageroom.Upstream{
+	e := t.Update(now, "app", []sagecapacity.Upstream{
 		{ID: "a1", Slots: 6, InFlight: 6, RunsPerSecond: 300},
 		{ID: "a2", Slots: 6, InFlight: 3, RunsPerSecond: 150},
 	})
@@ -23,9 +23,9 @@
 }
 
 func ExampleTracker_Choose() {
-	t := &sageroom.Tracker{}
+	t := &sagecapacity.Tracker{}
 	now := sageclock.Instant(time.Hour)
-	i := t.Choose(now, "app", []sageroom.Candidate{
+	i := t.Choose(now, "app", []sagecapacity.Candidate{
 		{ID: "a1", Slots: 6, InFlight: 4, Own: 2},
 		{ID: "a2", Slots: 6, InFlight: 5, Own: 1},
 	})
--- a/pkg/sageroom/load_test.go
+++ b/pkg/sagecapacity/load_test.go
@@ -1,4 +1,4 @@
-package sageroom
+package sagecapacity
 
 import (
 	"math"
@@ -55,7 +55,7 @@
 	require.Zero(t, tr.Update(at(5*time.Second), "app", []Upstream{up}).Wait, "damaged")
 }
 
-// Prevents that an upstream which claims to be full makes the room look short.
+// Prevents that an upstream which claims to be full makes the capacity look short.
 func TestFalseLoadDoesNotForbidSecondSends(t *testing.T) {
 	tr := &Tracker{}
 	updateFor(tr, 0, 4*time.Second, Upstream{"a", 6, 3, 200})
--- a/pkg/sageroom/model_test.go
+++ b/pkg/sagecapacity/model_test.go
@@ -1,4 +1,4 @@
-package sageroom
+package sagecapacity
 
 import (
 	"container/heap"
@@ -125,7 +125,7 @@
 
 func (m *model) instant() sageclock.Instant { return sageclock.Instant(time.Hour + m.now) }
 
-// perSecond is the room of all upstreams, with the noise.
+// perSecond is the capacity of all upstreams, with the noise.
 func (m *model) perSecond() float64 {
 	speed := 1 - modelNoise + modelNoise/modelNoiseRatio
 	if m.quiet {
--- a/pkg/sageroom/run.go
+++ b/pkg/sagecapacity/run.go
@@ -1,4 +1,4 @@
-package sageroom
+package sagecapacity
 
 import (
 	"time"
@@ -42,10 +42,10 @@
 	return usual + (u.own.mean-usual)*many, many
 }
 
-// roomRun returns the mean run in seconds that determines the room, or 0 if it is unknown. usual is the service's mean run by
+// capacityRun returns the mean run in seconds that determines the capacity, or 0 if it is unknown. usual is the service's mean run by
 // the sums, own that by the node's own samples. While slots are free, own samples limit the run: sums overestimate it as the
 // load grows, since they count the runs of the last second.
-func (u *upstream) roomRun(now sageclock.Instant, usual, own, slots float64) float64 {
+func (u *upstream) capacityRun(now sageclock.Instant, usual, own, slots float64) float64 {
 	prior, _ := u.priorRun(now, usual)
 	run := u.runBySums(now, prior, priorInFlight)
 	if ownRun, _ := u.priorRun(now, own); ownRun > 0 && u.busy.value < fullPart*slots {
--- a/pkg/sageroom/second.go
+++ b/pkg/sagecapacity/second.go
@@ -1,4 +1,4 @@
-package sageroom
+package sagecapacity
 
 import (
 	"time"
@@ -7,18 +7,18 @@
 )
 
 const (
-	// clearBusy is the part of the slots in use below which there is room for second sends.
+	// clearBusy is the part of the slots in use below which there is capacity for second sends.
 	clearBusy = 0.8
 	// shortageHold is the time for which a shortage counts after it was seen last. Counts are up to half a second old.
 	shortageHold = 500 * time.Millisecond
-	// shortDeclines is the number of recent declines from which there is no room.
+	// shortDeclines is the number of recent declines from which there is no capacity.
 	shortDeclines = 0.5
 )
 
-// AllowSecondSend reports whether there is room for a request that may already run elsewhere. Where there is none, a second
+// AllowSecondSend reports whether there is capacity for a request that may already run elsewhere. Where there is none, a second
 // run takes the place of a first one, and may keep up the queue that caused it.
 //
-// It is true if the room is unknown or wasn't updated recently.
+// It is true if the capacity is unknown or wasn't updated recently.
 func (t *Tracker) AllowSecondSend(now sageclock.Instant, service string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -35,7 +35,7 @@
 	return !s.isShort(now)
 }
 
-// recordShortage notes whether the room is short by the estimate.
+// recordShortage notes whether the capacity is short by the estimate.
 func (s *service) recordShortage(now sageclock.Instant) {
 	if s.isShort(now) {
 		s.lastShort = now
--- a/pkg/sageroom/slots.go
+++ b/pkg/sagecapacity/slots.go
@@ -1,4 +1,4 @@
-package sageroom
+package sagecapacity
 
 // meanSlots returns the mean of the known numbers of slots, or 0 if none is known.
 func meanSlots(upstreams []Upstream) float64 {
--- a/pkg/sageroom/state.go
+++ b/pkg/sagecapacity/state.go
@@ -1,4 +1,4 @@
-package sageroom
+package sagecapacity
 
 import (
 	"cmp"
@@ -41,7 +41,7 @@
 }
 
 func (u *upstream) state(now sageclock.Instant, id string, usual, own float64) State {
-	run := u.roomRun(now, usual, own, float64(u.slots))
+	run := u.capacityRun(now, usual, own, float64(u.slots))
 	out := State{ID: id, Slots: u.slots, InFlight: u.inFlight.value, Run: seconds(run), Load: u.load, LoadAt: u.loadAt}
 	if run > 0 {
 		out.PerSecond = float64(u.slots) / run
--- a/pkg/sageroom/room.go
+++ b/pkg/sagecapacity/tracker.go
@@ -1,4 +1,4 @@
-package sageroom
+package sagecapacity
 
 import (
 	"math"
@@ -34,7 +34,7 @@
 	RunsPerSecond float64
 }
 
-// Tracker estimates the room of all services. Its exported fields are set before use. The zero value is ready to use. It is
+// Tracker estimates the capacity of all services. Its exported fields are set before use. The zero value is ready to use. It is
 // safe for concurrent use.
 type Tracker struct {
 	// Rand returns random numbers in [0, 1). Nil means [rand.Float64].
@@ -120,7 +120,7 @@
 	s.runs.add(now, declineWindow)
 }
 
-// RecordDecline records that an upstream declined a request of this node for want of room.
+// RecordDecline records that an upstream declined a request of this node for want of capacity.
 func (t *Tracker) RecordDecline(now sageclock.Instant, service, upstream string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -143,7 +143,7 @@
 // Update updates the estimate of a service from what all nodes report. Figures that make no sense count as unknown.
 //
 // If an upstream's slots are unknown, it is assumed to have as many as the others have on average. If those of all are
-// unknown, or none of them ran a request yet, the room is unknown.
+// unknown, or none of them ran a request yet, the capacity is unknown.
 func (t *Tracker) Update(now sageclock.Instant, service string, upstreams []Upstream) Estimate {
 	t.mu.Lock()
 	defer t.mu.Unlock()
--- a/pkg/sageroom/room_test.go
+++ b/pkg/sagecapacity/tracker_test.go
@@ -1,4 +1,4 @@
-package sageroom
+package sagecapacity
 
 import (
 	"fmt"
@@ -22,7 +22,7 @@
 	return e
 }
 
-func TestRoomByLittlesLaw(t *testing.T) {
+func TestCapacityByLittlesLaw(t *testing.T) {
 	for _, tt := range []struct {
 		name      string
 		upstreams []Upstream
@@ -47,7 +47,7 @@
 	}
 }
 
-func TestRoomIsUnknown(t *testing.T) {
+func TestCapacityIsUnknown(t *testing.T) {
 	for _, tt := range []struct {
 		name      string
 		upstreams []Upstream
@@ -66,7 +66,7 @@
 	require.Zero(t, (&Tracker{}).Estimate("other"))
 }
 
-func TestRoomByOwnRunsIfSumsAreMissing(t *testing.T) {
+func TestCapacityByOwnRunsIfSumsAreMissing(t *testing.T) {
 	tr := &Tracker{}
 	for i := range 100 {
 		tr.RecordRun(at(time.Duration(i)*10*time.Millisecond), "app", "a", 20*time.Millisecond)
@@ -90,7 +90,7 @@
 	require.InEpsilon(t, 400, e.PerSecond, 0.05)
 }
 
-// Prevents that a few requests in flight, counted at one instant, change the room by a multiple.
+// Prevents that a few requests in flight, counted at one instant, change the capacity by a multiple.
 func TestNoiseOfFewRequestsInFlight(t *testing.T) {
 	tr := &Tracker{}
 	counts := []int{0, 2, 1, 0, 1, 3, 0, 1, 1, 2, 0, 1} // at 60 runs per second of 15 ms
@@ -131,15 +131,15 @@
 	require.InEpsilon(t, before.Target, after.Target, 0.02)
 }
 
-func TestLostUpstreamLeavesRoomAtOnce(t *testing.T) {
+func TestLostUpstreamLeavesCapacityAtOnce(t *testing.T) {
 	tr := &Tracker{}
 	before := updateFor(tr, 0, 4*time.Second, Upstream{"a", 6, 3, 200}, Upstream{"b", 6, 3, 200})
 	after := tr.Update(at(4200*time.Millisecond), "app", []Upstream{{"a", 6, 3, 200}})
 	require.InEpsilon(t, before.PerSecond/2, after.PerSecond, 0.02)
 }
 
-// Prevents that an upstream which hangs with full slots and completes nothing is counted as room.
-func TestUpstreamThatRunsNothingIsNoRoom(t *testing.T) {
+// Prevents that an upstream which hangs with full slots and completes nothing is counted as capacity.
+func TestUpstreamThatRunsNothingIsNoCapacity(t *testing.T) {
 	tr := &Tracker{}
 	updateFor(tr, 0, 4*time.Second, Upstream{"a", 6, 3, 200}, Upstream{"b", 6, 3, 200})
 	e := updateFor(tr, 4200*time.Millisecond, 8*time.Second, Upstream{"a", 6, 3, 200}, Upstream{"b", 6, 6, 0})
--- a/pkg/sagedemand/doc.go
+++ b/pkg/sagedemand/doc.go
@@ -1,4 +1,4 @@
-// Package sagedemand counts what the accounts ask of services over a fleet, and divides the services' room among accounts and
+// Package sagedemand counts what the accounts ask of services over a fleet, and divides the services' capacity among accounts and
 // nodes.
 //
 // Each node counts the requests that arrive there with a [Meter] and sends the counts of the last second to the other nodes,
@@ -8,21 +8,21 @@
 //
 // # Division
 //
-// [Split] divides the room of a service by max-min fairness: accounts that ask for less than their share get what they ask for,
+// [Split] divides the capacity of a service by max-min fairness: accounts that ask for less than their share get what they ask for,
 // and the others get equal parts of the rest, by weight. What an account may use is what it would get if it alone asked for
 // more. A node gets the part of it that equals its part of the account's requests, so that the parts of all nodes add up to
 // the account's share, wherever its requests arrive.
 //
 // Counts of other nodes are some tenths of a second old. A node therefore compares them with its own counts of about the same
 // time. If it compared them with its present ones, each node would take a flood that has just begun for its own alone, and
-// admit the whole share of the account. Requests that the sums don't include yet are limited to the spare room divided by the
+// admit the whole share of the account. Requests that the sums don't include yet are limited to the spare capacity divided by the
 // number of nodes.
 //
 // # Missing counts
 //
 // Each node that counts adds one to the count of [Nodes]. If fewer nodes are counted than there are, because a node is cut off,
-// counts were lost or some nodes run an older program, the counted nodes divide only their part of the room. A node without
-// any sums knows its own counts only, and divides the room divided by the number of nodes.
+// counts were lost or some nodes run an older program, the counted nodes divide only their part of the capacity. A node without
+// any sums knows its own counts only, and divides the capacity divided by the number of nodes.
 //
 // # Usage
 //
@@ -30,5 +30,5 @@
 //	m.RecordRequest(now, "app", "acc")
 //	own := m.Counts(now, contended) // for the next heartbeat
 //	d := sagedemand.Of("app", own, fleet)
-//	shares := sagedemand.Split(d, sagedemand.Params{Room: 1200, Nodes: 65})
+//	shares := sagedemand.Split(d, sagedemand.Params{Capacity: 1200, Nodes: 65})
 package sagedemand
--- a/pkg/sagedemand/model_test.go
+++ b/pkg/sagedemand/model_test.go
@@ -91,7 +91,7 @@
 
 // fleetModel is a fleet whose counts are added up by an aggregator.
 type fleetModel struct {
-	room      float64
+	capacity  float64
 	localOnly bool // no counts are exchanged
 	gates     bool // requests are admitted by gates
 	nodes     []*modelNode
@@ -109,7 +109,7 @@
 	perWindow []map[string]int // admitted by account, in windows of windowWidth
 	// flood returns what the flooding account asks at a node in requests per second.
 	flood func(node int) float64
-	// steadyPart is the part of the room for which the steady accounts ask together, floodPart that of the flooding account.
+	// steadyPart is the part of the capacity for which the steady accounts ask together, floodPart that of the flooding account.
 	steadyPart, floodPart float64
 	names                 []string // of the steady accounts
 	// at are changes of the fleet by time.
@@ -120,7 +120,7 @@
 
 func newFleetModel(size modelSize) *fleetModel {
 	nodes := size.nodes
-	m := &fleetModel{room: size.room, end: sageclock.Instant(size.end), steadyPart: 0.6, floodPart: 4, known: nodes, rnd: rand.New(rand.NewPCG(1, uint64(nodes))), at: make(map[time.Duration]func()), measureFrom: floodStart.Add(exchangeBound)}
+	m := &fleetModel{capacity: size.capacity, end: sageclock.Instant(size.end), steadyPart: 0.6, floodPart: 4, known: nodes, rnd: rand.New(rand.NewPCG(1, uint64(nodes))), at: make(map[time.Duration]func()), measureFrom: floodStart.Add(exchangeBound)}
 	for i := range nodes {
 		m.nodes = append(m.nodes, &modelNode{name: fmt.Sprint("vm", i), phase: time.Duration(m.rnd.Int64N(int64(reportInterval/modelTick))) * modelTick})
 		m.restart(m.nodes[i])
@@ -142,14 +142,14 @@
 }
 
 // steadyRate is what the steady accounts ask of the fleet.
-func (m *fleetModel) steadyRate() float64 { return m.steadyPart * m.room }
+func (m *fleetModel) steadyRate() float64 { return m.steadyPart * m.capacity }
 
 // floodRate is what the flooding account asks of the fleet.
 func (m *fleetModel) floodRate() float64 {
 	if m.now < floodStart {
 		return 0
 	}
-	return m.floodPart * m.room
+	return m.floodPart * m.capacity
 }
 
 // restart makes a node forget everything.
@@ -265,7 +265,7 @@
 // exchange sends a node's counts and updates its shares.
 func (m *fleetModel) exchange(n *modelNode) {
 	contended := func(string) bool {
-		return float64(n.counter.Sum(m.now)[Key{Requests, modelService, ""}.String()]) > 0.5*m.room
+		return float64(n.counter.Sum(m.now)[Key{Requests, modelService, ""}.String()]) > 0.5*m.capacity
 	}
 	if m.localOnly {
 		contended = func(string) bool { return true }
@@ -278,7 +278,7 @@
 		m.transit = append(m.transit, delivery{at: m.now.Add(m.delay(20, 200)), counts: sent, from: n})
 	}
 	fleet := map[string]int(n.counter.Sum(m.now))
-	n.shares = Split(Of(modelService, n.history.At(m.now.Add(-modelCountLag)), fleet), Params{Room: m.room, Nodes: m.known})
+	n.shares = Split(Of(modelService, n.history.At(m.now.Add(-modelCountLag)), fleet), Params{Capacity: m.capacity, Nodes: m.known})
 	n.gate.SetShares(m.now, n.shares)
 }
 
@@ -317,11 +317,11 @@
 type result struct {
 	steadyServed float64 // part of the steady accounts' requests that was admitted, after the exchange's bound
 	worstServed  float64 // the same of the account that got least
-	roomUsed     float64 // after the exchange's bound
-	// overRoom is the longest time during which more than 1.1 times the room was admitted, overShare that during which
+	capacityUsed float64 // after the exchange's bound
+	// overCapacity is the longest time during which more than 1.1 times the capacity was admitted, overShare that during which
 	// the flooding account got more than twice its share.
-	overRoom, overShare time.Duration
-	// peak is the largest part of the room that was admitted, over half a second.
+	overCapacity, overShare time.Duration
+	// peak is the largest part of the capacity that was admitted, over half a second.
 	peak float64
 }
 
@@ -335,8 +335,8 @@
 		}
 	}
 	r.steadyServed = float64(admitted) / float64(asked)
-	r.roomUsed = m.meanRate() / m.room
-	share := m.room - m.steadyRate()
+	r.capacityUsed = m.meanRate() / m.capacity
+	share := m.capacity - m.steadyRate()
 	all := func(w map[string]int) float64 {
 		sum := 0
 		for _, n := range w {
@@ -344,9 +344,9 @@
 		}
 		return float64(sum)
 	}
-	r.overRoom, r.peak = m.longest(all, 1.1*m.room)
+	r.overCapacity, r.peak = m.longest(all, 1.1*m.capacity)
 	r.overShare, _ = m.longest(func(w map[string]int) float64 { return float64(w["flood"]) }, 2*share)
-	r.peak /= m.room
+	r.peak /= m.capacity
 	return r
 }
 
@@ -384,14 +384,14 @@
 }
 
 func (r result) String() string {
-	return fmt.Sprintf("steady %.3f (worst %.3f), room used %.3f, over room %v, peak %.2f, over share %v", r.steadyServed, r.worstServed, r.roomUsed, r.overRoom, r.peak, r.overShare)
+	return fmt.Sprintf("steady %.3f (worst %.3f), capacity used %.3f, over capacity %v, peak %.2f, over share %v", r.steadyServed, r.worstServed, r.capacityUsed, r.overCapacity, r.peak, r.overShare)
 }
 
-// modelSize is the size of a fleet, the room of its service in requests per second, and for how long it is simulated.
+// modelSize is the size of a fleet, the capacity of its service in requests per second, and for how long it is simulated.
 type modelSize struct {
-	nodes int
-	room  float64
-	end   time.Duration
+	nodes    int
+	capacity float64
+	end      time.Duration
 }
 
 var modelSizes = []modelSize{{4, 400, 8 * time.Second}, {65, 1200, 8 * time.Second}, {133, 600, 8 * time.Second}, {1000, 36_000, 5 * time.Second}}
@@ -430,12 +430,12 @@
 	r := m.result()
 	t.Log(r)
 	require.GreaterOrEqual(t, r.steadyServed, 0.95, r)
-	require.GreaterOrEqual(t, r.roomUsed, 0.9, r)
+	require.GreaterOrEqual(t, r.capacityUsed, 0.9, r)
 	require.LessOrEqual(t, r.overShare, exchangeBound, r)
-	require.LessOrEqual(t, r.overRoom, exchangeBound, r)
+	require.LessOrEqual(t, r.overCapacity, exchangeBound, r)
 }
 
-// Prevents that an account that asks for four times the room takes it from those that ask for less than their share.
+// Prevents that an account that asks for four times the capacity takes it from those that ask for less than their share.
 func TestFloodIsLimitedToShareOverFleet(t *testing.T) {
 	for _, size := range modelSizes[:3] {
 		t.Run(fmt.Sprintf("nodes=%d/all", size.nodes), func(t *testing.T) {
@@ -471,9 +471,9 @@
 	}
 }
 
-// Prevents that accounts which all ask for more than their share, a little at each node, get more than the room together or
+// Prevents that accounts which all ask for more than their share, a little at each node, get more than the capacity together or
 // leave a part of it unused.
-func TestGatesDivideRoomAmongAllThatAskTooMuch(t *testing.T) {
+func TestGatesDivideCapacityAmongAllThatAskTooMuch(t *testing.T) {
 	for _, size := range modelSizes {
 		t.Run(fmt.Sprint("nodes=", size.nodes), func(t *testing.T) {
 			m := newFleetModel(size)
@@ -485,7 +485,7 @@
 			m.run()
 			r := m.result()
 			t.Log(r)
-			require.InDelta(t, 1, r.roomUsed, 0.1, r)
+			require.InDelta(t, 1, r.capacityUsed, 0.1, r)
 			require.GreaterOrEqual(t, r.worstServed, 0.8*r.steadyServed, "equal shares: %v", r)
 		})
 	}
@@ -504,7 +504,7 @@
 	}
 }
 
-// Prevents that the bursts of many accounts, a few requests each at each node, add up to several times the room.
+// Prevents that the bursts of many accounts, a few requests each at each node, add up to several times the capacity.
 func TestManyAccountsThatAskTooMuch(t *testing.T) {
 	for _, size := range modelSizes[1:] {
 		t.Run(fmt.Sprint("nodes=", size.nodes), func(t *testing.T) {
@@ -515,12 +515,12 @@
 			m.run()
 			r := m.result()
 			t.Log(r)
-			require.InDelta(t, 1, r.roomUsed, 0.1, r)
+			require.InDelta(t, 1, r.capacityUsed, 0.1, r)
 		})
 	}
 }
 
-// BenchmarkModel reports what the nodes reach if each knows only its own counts and an even part of the room, with the sums,
+// BenchmarkModel reports what the nodes reach if each knows only its own counts and an even part of the capacity, with the sums,
 // and with the sums and gates.
 func BenchmarkModel(b *testing.B) {
 	for _, size := range modelSizes {
@@ -537,8 +537,8 @@
 						r := m.result()
 						b.ReportMetric(r.steadyServed, "served")
 						b.ReportMetric(r.worstServed, "worst_served")
-						b.ReportMetric(r.roomUsed, "room_used")
-						b.ReportMetric(r.overRoom.Seconds(), "s_over_room")
+						b.ReportMetric(r.capacityUsed, "capacity_used")
+						b.ReportMetric(r.overCapacity.Seconds(), "s_over_capacity")
 						b.ReportMetric(r.peak, "peak")
 						b.ReportMetric(r.overShare.Seconds(), "s_over_share")
 					}
@@ -617,7 +617,7 @@
 	}
 }
 
-// Prevents that nodes give away the room that nodes of an older program use without counting.
+// Prevents that nodes give away the capacity that nodes of an older program use without counting.
 func TestNodesThatDoNotCountKeepTheirPart(t *testing.T) {
 	for _, size := range modelSizes[:3] {
 		t.Run(fmt.Sprint("nodes=", size.nodes), func(t *testing.T) {
@@ -630,7 +630,7 @@
 			t.Log(r)
 			require.GreaterOrEqual(t, r.steadyServed, 0.95, r)
 			part := float64(size.nodes-size.nodes/2) / float64(size.nodes)
-			require.InDelta(t, part, r.roomUsed, 0.1*part, r)
+			require.InDelta(t, part, r.capacityUsed, 0.1*part, r)
 		})
 	}
 }
--- a/pkg/sagedemand/split.go
+++ b/pkg/sagedemand/split.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// shortFraction is the fraction of the room above which a service is short of room.
+	// shortFraction is the fraction of the capacity above which a service is short of capacity.
 	shortFraction = 0.9
 	// minPartFraction is the fraction of an even part that a node gets of each account, so that the first requests of an
 	// account at a node are admitted. Of accounts that ask for more than their share it gets minHeldFraction: if they ask for
@@ -17,22 +17,22 @@
 
 // Params are the parameters of [Split].
 type Params struct {
-	// Room is the number of requests per second that the upstreams can take; 0 if unknown.
-	Room float64
+	// Capacity is the number of requests per second that the upstreams can take; 0 if unknown.
+	Capacity float64
 	// Nodes is the number of nodes of the fleet.
 	Nodes int
 	// Weight returns the weight and the cap of an account, see [sagefair.Demand]; nil means the same weight for all.
 	Weight func(account string) (weight, limit float64)
 }
 
-// Split returns this node's parts of a service's room. While the room isn't known everything is admitted.
+// Split returns this node's parts of a service's capacity. While the capacity isn't known everything is admitted.
 func Split(s Service, p Params) sagefair.Shares {
-	if !(p.Room > 0) || math.IsInf(p.Room, 1) {
+	if !(p.Capacity > 0) || math.IsInf(p.Capacity, 1) {
 		return sagefair.Shares{}
 	}
 	d := newDivision(&s, &p)
-	rates := sagefair.Headroom(d.room, d.demands)
-	out := sagefair.Shares{Short: s.Fleet > shortFraction*d.room, Rates: make(map[string]float64, len(s.Accounts)), Excess: make(map[string]float64)}
+	rates := sagefair.Headroom(d.capacity, d.demands)
+	out := sagefair.Shares{Short: s.Fleet > shortFraction*d.capacity, Rates: make(map[string]float64, len(s.Accounts)), Excess: make(map[string]float64)}
 	for i, a := range s.Accounts {
 		out.Rates[a.Name] = d.part(rates[i], a.Own, a.Fleet)
 		if rates[i] > 0 {
@@ -45,10 +45,10 @@
 	return out
 }
 
-// division is the division of a service's room among its accounts.
+// division is the division of a service's capacity among its accounts.
 type division struct {
-	// room is the room for the requests of the counted nodes, spare what isn't asked for.
-	room, spare float64
+	// capacity is the capacity for the requests of the counted nodes, spare what isn't asked for.
+	capacity, spare float64
 	// nodes is the number of counted nodes.
 	nodes float64
 	// demands are those of the listed accounts, of all unlisted ones together, and of an account that asks for nothing yet.
@@ -60,8 +60,8 @@
 func newDivision(s *Service, p *Params) *division {
 	all := max(1, p.Nodes)
 	counted := min(max(1, s.Nodes), all)
-	d := &division{room: p.Room * float64(counted) / float64(all), nodes: float64(counted), unlistedOwn: s.Own}
-	d.spare = max(0, d.room-s.Fleet)
+	d := &division{capacity: p.Capacity * float64(counted) / float64(all), nodes: float64(counted), unlistedOwn: s.Own}
+	d.spare = max(0, d.capacity-s.Fleet)
 	unlisted, smallest := s.Fleet, s.Fleet
 	for _, a := range s.Accounts {
 		demand := sagefair.Demand{Account: a.Name, Rate: a.Fleet}
@@ -94,7 +94,7 @@
 func (d *division) newcomer() int { return len(d.demands) - 1 }
 
 // part returns this node's part of a rate, given what is asked here and over the fleet. It isn't below an even part of the
-// spare room, so that requests may come to other nodes than before.
+// spare capacity, so that requests may come to other nodes than before.
 func (d *division) part(rate, own, fleet float64) float64 {
 	fraction := 0.0
 	if fleet > 0 {
--- a/pkg/sagedemand/split_test.go
+++ b/pkg/sagedemand/split_test.go
@@ -63,10 +63,10 @@
 func FuzzSplit(f *testing.F) {
 	f.Add("qapp\x00a", 5, "qapp\x00", 7, 3, 100.0, 4)
 	f.Add("n\x00", -1, "rapp\x00u", math.MaxInt, 0, math.Inf(1), -1)
-	f.Fuzz(func(t *testing.T, k1 string, n1 int, k2 string, n2, counted int, room float64, nodes int) {
+	f.Fuzz(func(t *testing.T, k1 string, n1 int, k2 string, n2, counted int, capacity float64, nodes int) {
 		own := map[string]int{"n\x00": 1, k1: n1, k2: n2}
 		fleet := map[string]int{"n\x00": counted, k1: n2, k2: n1}
-		s := Split(Of("app", own, fleet), Params{Room: room, Nodes: nodes})
+		s := Split(Of("app", own, fleet), Params{Capacity: capacity, Nodes: nodes})
 		for _, r := range slices.Concat([]float64{s.Other, s.OtherTotal}, values(s.Rates), values(s.Excess)) {
 			require.GreaterOrEqual(t, r, 0.0)
 			require.False(t, math.IsInf(r, 0))
@@ -93,7 +93,7 @@
 
 func TestSplitBoundsFloodByItsShare(t *testing.T) {
 	s := Service{Own: 460, Fleet: 4600, Nodes: 10, Accounts: append(accounts(24, 25, 10), Account{"flood", 400, 4000})}
-	got := Split(s, Params{Room: 1000, Nodes: 10})
+	got := Split(s, Params{Capacity: 1000, Nodes: 10})
 	require.True(t, got.Short)
 	require.InDelta(t, 40, got.Rates["flood"], 1e-9, "a tenth of what the others leave")
 	require.Len(t, got.Excess, 25)
@@ -105,7 +105,7 @@
 
 func TestSplitByWeightAndCap(t *testing.T) {
 	s := Service{Own: 3000, Fleet: 3000, Nodes: 1, Accounts: []Account{{"heavy", 1000, 1000}, {"light", 1000, 1000}, {"capped", 1000, 1000}}}
-	got := Split(s, Params{Room: 700, Nodes: 1, Weight: func(account string) (float64, float64) {
+	got := Split(s, Params{Capacity: 700, Nodes: 1, Weight: func(account string) (float64, float64) {
 		switch account {
 		case "heavy":
 			return 2, 0
@@ -122,53 +122,53 @@
 // Prevents that many accounts with few requests each get together what one account gets.
 func TestSplitGivesUnlistedAccountsTheirShares(t *testing.T) {
 	s := Service{Own: 200, Fleet: 2000, Nodes: 10, Accounts: accounts(maxListedAccounts, 10, 10)}
-	got := Split(s, Params{Room: 1000, Nodes: 10})
+	got := Split(s, Params{Capacity: 1000, Nodes: 10})
 	require.InDelta(t, 5, got.Rates["a00"]*10, 0.1)
 	require.InDelta(t, 840, got.OtherTotal*10, 10)
 	require.InDelta(t, 5, got.Other, 0.1, "of a single account")
 }
 
-// Prevents that a flood which has just begun at all nodes gets several times the room before the nodes know of each other.
+// Prevents that a flood which has just begun at all nodes gets several times the capacity before the nodes know of each other.
 func TestSplitLimitsWhatSumsDoNotInclude(t *testing.T) {
 	for _, nodes := range []int{4, 1000} {
 		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
 			s := Service{Own: 600 / float64(nodes), Fleet: 600, Nodes: nodes, Accounts: accounts(24, 25, float64(nodes))}
-			got := Split(s, Params{Room: 1000, Nodes: nodes})
+			got := Split(s, Params{Capacity: 1000, Nodes: nodes})
 			require.False(t, got.Short)
-			require.InDelta(t, 400, got.Other*float64(nodes), 1, "the spare room over all nodes")
+			require.InDelta(t, 400, got.Other*float64(nodes), 1, "the spare capacity over all nodes")
 			require.InDelta(t, 425, got.Rates["a00"]*float64(nodes), 1, "and what it asked before")
 		})
 	}
 }
 
-// Prevents that a caller who sends some more at its node is refused while there is room.
-func TestSplitLeavesSpareRoomToAccountAtOneNode(t *testing.T) {
+// Prevents that a caller who sends some more at its node is refused while there is capacity.
+func TestSplitLeavesSpareCapacityToAccountAtOneNode(t *testing.T) {
 	s := Service{Own: 50, Fleet: 500, Nodes: 1000, Accounts: []Account{{"a", 50, 50}, {"b", 0, 450}}}
-	got := Split(s, Params{Room: 1000, Nodes: 1000})
+	got := Split(s, Params{Capacity: 1000, Nodes: 1000})
 	require.InDelta(t, 550, got.Rates["a"], 1e-9)
 	require.InDelta(t, 0.5, got.Rates["b"], 1e-9, "it has no requests here")
 }
 
-// Prevents that counted nodes divide the room of nodes that aren't counted, or a node that is alone takes all room.
+// Prevents that counted nodes divide the capacity of nodes that aren't counted, or a node that is alone takes all capacity.
 func TestSplitOfPartlyCountedFleet(t *testing.T) {
 	s := Service{Own: 1000, Fleet: 5000, Nodes: 5, Accounts: []Account{{"a", 1000, 5000}}}
-	require.InDelta(t, 100, Split(s, Params{Room: 1000, Nodes: 10}).Rates["a"], 1e-9)
+	require.InDelta(t, 100, Split(s, Params{Capacity: 1000, Nodes: 10}).Rates["a"], 1e-9)
 	s = Service{Own: 1000, Fleet: 1000, Nodes: 1, Accounts: []Account{{"a", 1000, 1000}}}
-	require.InDelta(t, 100, Split(s, Params{Room: 1000, Nodes: 10}).Rates["a"], 1e-9)
+	require.InDelta(t, 100, Split(s, Params{Capacity: 1000, Nodes: 10}).Rates["a"], 1e-9)
 	s.Nodes = 20
-	require.InDelta(t, 1000, Split(s, Params{Room: 1000, Nodes: 10}).Rates["a"], 1e-9, "more nodes than are known")
+	require.InDelta(t, 1000, Split(s, Params{Capacity: 1000, Nodes: 10}).Rates["a"], 1e-9, "more nodes than are known")
 }
 
-func TestSplitWithoutRoom(t *testing.T) {
-	for _, room := range []float64{0, -1, math.NaN(), math.Inf(1)} {
-		require.Equal(t, sagefair.Shares{}, Split(Service{Own: 5, Fleet: 5, Nodes: 1}, Params{Room: room, Nodes: 4}))
+func TestSplitWithoutCapacity(t *testing.T) {
+	for _, capacity := range []float64{0, -1, math.NaN(), math.Inf(1)} {
+		require.Equal(t, sagefair.Shares{}, Split(Service{Own: 5, Fleet: 5, Nodes: 1}, Params{Capacity: capacity, Nodes: 4}))
 	}
 }
 
 func ExampleSplit() {
 	own := map[string]int{"n\x00": 1, "qapp\x00": 60, "qapp\x00calm": 10, "qapp\x00flood": 50}
 	fleet := map[string]int{"n\x00": 2, "qapp\x00": 220, "qapp\x00calm": 20, "qapp\x00flood": 200}
-	s := Split(Of("app", own, fleet), Params{Room: 100, Nodes: 2})
+	s := Split(Of("app", own, fleet), Params{Capacity: 100, Nodes: 2})
 	fmt.Println(s.Short, s.Rates["calm"], s.Rates["flood"])
 	// Output: true 25 20
 }
@@ -188,7 +188,7 @@
 			fleet[Key{Kind: Nodes}.String()], fleet[Key{Kind: Requests, Service: "app"}.String()] = 1000, 200*n
 			b.ReportAllocs()
 			for b.Loop() {
-				Split(Of("app", own, fleet), Params{Room: 3000, Nodes: 1000})
+				Split(Of("app", own, fleet), Params{Capacity: 3000, Nodes: 1000})
 			}
 		})
 	}
--- a/pkg/sagedemand/tally.go
+++ b/pkg/sagedemand/tally.go
@@ -10,7 +10,7 @@
 const (
 	// maxTracked is the maximum number of names that are counted by themselves at a node.
 	maxTracked = 1024
-	// evictionCandidates is the number of names of which the one with the smallest count makes room for a new name.
+	// evictionCandidates is the number of names of which the one with the smallest count makes capacity for a new name.
 	evictionCandidates = 8
 )
 
--- a/pkg/sagefair/bucket.go
+++ b/pkg/sagefair/bucket.go
@@ -12,7 +12,7 @@
 	// and as a time at their rate; the larger one counts. Random arrivals below the rate rarely exceed it.
 	burstRequests = 16
 	burstTime     = 500 * time.Millisecond
-	// idleBurstTime replaces burstTime while there is room for all.
+	// idleBurstTime replaces burstTime while there is capacity for all.
 	idleBurstTime = time.Second
 	// heldExcess is the excess from which on an account's burst is limited. Counts of a second vary by about as much.
 	heldExcess = 1.1
--- a/pkg/sagefair/demand.go
+++ b/pkg/sagefair/demand.go
@@ -11,9 +11,9 @@
 	Cap float64
 }
 
-// Shares are one node's parts of a service's room. The zero value admits everything.
+// Shares are one node's parts of a service's capacity. The zero value admits everything.
 type Shares struct {
-	// Short says that the accounts together ask for more than there is room for.
+	// Short says that the accounts together ask for more than there is capacity for.
 	Short bool
 	// Rates are the requests per second that this node may start for an account. They apply also while Short is not set:
 	// an account can't exceed them before the next shares are known.
--- a/pkg/sagefair/gate.go
+++ b/pkg/sagefair/gate.go
@@ -22,7 +22,7 @@
 type Entry struct {
 	Arrival Arrival
 	State   State
-	// Reason and RetryAt are set if State is Refused. RetryAt is the instant at which there is room for the caller if the
+	// Reason and RetryAt are set if State is Refused. RetryAt is the instant at which there is capacity for the caller if the
 	// load stays as it is.
 	Reason  sagewire.Reason
 	RetryAt sageclock.Instant
--- a/pkg/sagefair/gate_fleet_test.go
+++ b/pkg/sagefair/gate_fleet_test.go
@@ -16,10 +16,10 @@
 // fleetShares gives all gates of a simulation their shares several times a second, from the counts of the last second of all
 // nodes, some time ago.
 type fleetShares struct {
-	sim   *gateSim
-	room  float64
-	age   time.Duration
-	asked map[string][]sageclock.Instant
+	sim      *gateSim
+	capacity float64
+	age      time.Duration
+	asked    map[string][]sageclock.Instant
 }
 
 const (
@@ -54,9 +54,9 @@
 	}
 	demands = listHeaviest(demands)
 	nodes := float64(len(s.gates))
-	_, level := Divide(f.room, demands)
-	headroom := Headroom(f.room, demands)
-	sh := Shares{Short: total > f.room, Rates: map[string]float64{}, Excess: map[string]float64{}, Other: level / nodes}
+	_, level := Divide(f.capacity, demands)
+	headroom := Headroom(f.capacity, demands)
+	sh := Shares{Short: total > f.capacity, Rates: map[string]float64{}, Excess: map[string]float64{}, Other: level / nodes}
 	for i, d := range demands {
 		if d.Account == fleetOthers {
 			sh.OtherTotal = headroom[i] / nodes
@@ -85,20 +85,20 @@
 	return append(demands[:fleetListed:fleetListed], others)
 }
 
-// playFleet plays 40 s in which accounts ask for a part of the room together; from 10 s on, an account floods with a part of the room.
-// It returns the part of the requests of the others that are served in the objective, and the part of the room used from 14 s
+// playFleet plays 40 s in which accounts ask for a part of the capacity together; from 10 s on, an account floods with a part of the capacity.
+// It returns the part of the requests of the others that are served in the objective, and the part of the capacity used from 14 s
 // on.
-func playFleet(s *gateSim, accounts int, room, load, flood float64) (calm, used float64) {
+func playFleet(s *gateSim, accounts int, capacity, load, flood float64) (calm, used float64) {
 	const d, floodAt, settled = 40 * time.Second, 10 * time.Second, 14 * time.Second
-	f := &fleetShares{sim: s, room: room, age: 400 * time.Millisecond, asked: map[string][]sageclock.Instant{}}
+	f := &fleetShares{sim: s, capacity: capacity, age: 400 * time.Millisecond, asked: map[string][]sageclock.Instant{}}
 	s.onArrival = func(a string) { f.asked[a] = append(f.asked[a], s.now) }
 	f.run(gateStart.Add(d))
 	var loads []gateLoad
 	for i := range accounts {
-		loads = append(loads, gateLoad{account: fmt.Sprint("a", i), perSecond: load * room / float64(accounts)})
+		loads = append(loads, gateLoad{account: fmt.Sprint("a", i), perSecond: load * capacity / float64(accounts)})
 	}
 	if flood > 0 {
-		loads = append(loads, gateLoad{account: "flood", perSecond: flood * room, from: floodAt})
+		loads = append(loads, gateLoad{account: "flood", perSecond: flood * capacity, from: floodAt})
 	}
 	s.play(d, loads...)
 
@@ -115,14 +115,14 @@
 			}
 		}
 	}
-	return sum.inTime(), float64(starts) / (d - settled).Seconds() / room
+	return sum.inTime(), float64(starts) / (d - settled).Seconds() / capacity
 }
 
 // Prevents that callers who come back before they are asked to take the places of new ones.
 func TestCallersThatReturnTooEarly(t *testing.T) {
 	for _, c := range []struct {
-		nodes, accounts           int
-		room, load, flood, inTime float64
+		nodes, accounts               int
+		capacity, load, flood, inTime float64
 	}{
 		{133, 24, 200, 1.5, 0, 0.45},
 		{133, 24, 200, 0.6, 4, 0.99},
@@ -132,23 +132,23 @@
 		t.Run(fmt.Sprintf("%d nodes, load %v, flood %v", c.nodes, c.load, c.flood), func(t *testing.T) {
 			s := newGateSim(c.nodes, 1)
 			s.returns, s.early = true, true
-			calm, used := playFleet(s, c.accounts, c.room, c.load, c.flood)
-			t.Logf("in the objective %.3f, room used %.3f", calm, used)
+			calm, used := playFleet(s, c.accounts, c.capacity, c.load, c.flood)
+			t.Logf("in the objective %.3f, capacity used %.3f", calm, used)
 			require.GreaterOrEqual(t, calm, c.inTime)
 			require.LessOrEqual(t, used, 1.1)
 		})
 	}
 }
 
-// Prevents that an account that floods, or all accounts together, take more than there is room for over a fleet, or leave room
+// Prevents that an account that floods, or all accounts together, take more than there is capacity for over a fleet, or leave capacity
 // unused, or that the others are refused.
 func TestSharesOverFleet(t *testing.T) {
 	for _, c := range []struct {
 		nodes, accounts int
-		room            float64
-		load, flood     float64 // of the room
+		capacity        float64
+		load, flood     float64 // of the capacity
 		inTime          float64 // of the accounts that don't flood, at least
-		used            float64 // of the room, at most
+		used            float64 // of the capacity, at most
 	}{
 		{133, 24, 200, 0.6, 0, 1, 1.05},
 		{133, 24, 200, 0.9, 0, 0.99, 1.05},
@@ -169,13 +169,13 @@
 		t.Run(fmt.Sprintf("%d nodes, load %v, flood %v", c.nodes, c.load, c.flood), func(t *testing.T) {
 			s := newGateSim(c.nodes, 1)
 			s.returns = true
-			calm, used := playFleet(s, c.accounts, c.room, c.load, c.flood)
+			calm, used := playFleet(s, c.accounts, c.capacity, c.load, c.flood)
 			returned, refusedTwice := 0, 0
 			for _, n := range s.counts {
 				returned += n.Returned
 				refusedTwice += n.RefusedTwice
 			}
-			t.Logf("in the objective %.3f, room used %.3f, refused twice %d of %d", calm, used, refusedTwice, returned)
+			t.Logf("in the objective %.3f, capacity used %.3f, refused twice %d of %d", calm, used, refusedTwice, returned)
 			require.GreaterOrEqual(t, calm, c.inTime)
 			require.LessOrEqual(t, used, c.used)
 			require.GreaterOrEqual(t, used, min(0.95, 0.97*(c.load+c.flood)))
--- a/pkg/sagefair/gate_test.go
+++ b/pkg/sagefair/gate_test.go
@@ -39,7 +39,7 @@
 	require.Empty(t, g.buckets)
 }
 
-// Prevents that an account that floods a node takes room from the others.
+// Prevents that an account that floods a node takes capacity from the others.
 func TestFloodTakesNoMoreThanItsShare(t *testing.T) {
 	const seconds = 60
 	for _, nodes := range []int{1, 133} {
@@ -61,10 +61,10 @@
 	}
 }
 
-// Prevents that many nodes with few requests each admit, with the bursts of all accounts, far more than there is room for, or
-// that they leave room unused.
+// Prevents that many nodes with few requests each admit, with the bursts of all accounts, far more than there is capacity for, or
+// that they leave capacity unused.
 func TestAllAskTooMuch(t *testing.T) {
-	const room, accounts, nodes = 200.0, 24, 133
+	const capacity, accounts, nodes = 200.0, 24, 133
 	for _, excess := range []float64{1.2, 1.5, 2, 5} {
 		t.Run(fmt.Sprint("excess ", excess), func(t *testing.T) {
 			s := newGateSim(nodes, 1)
@@ -72,8 +72,8 @@
 			var loads []gateLoad
 			for i := range accounts {
 				a := fmt.Sprint("a", i)
-				sh.Rates[a], sh.Excess[a] = room/accounts/nodes, excess
-				loads = append(loads, gateLoad{account: a, perSecond: room / accounts * excess})
+				sh.Rates[a], sh.Excess[a] = capacity/accounts/nodes, excess
+				loads = append(loads, gateLoad{account: a, perSecond: capacity / accounts * excess})
 			}
 			s.setShares(sh)
 			s.play(60*time.Second, loads...)
@@ -86,11 +86,11 @@
 				total += len(starts)
 			}
 			for _, n := range perSecond {
-				require.InDelta(t, room, n, room*0.12)
+				require.InDelta(t, capacity, n, capacity*0.12)
 			}
-			require.InDelta(t, room*60, total, room*60*0.06)
+			require.InDelta(t, capacity*60, total, capacity*60*0.06)
 			for a, starts := range s.starts {
-				require.InDelta(t, total/accounts, len(starts), room*60/accounts*0.15, a)
+				require.InDelta(t, total/accounts, len(starts), capacity*60/accounts*0.15, a)
 			}
 		})
 	}
@@ -117,7 +117,7 @@
 // Prevents that accounts which flood get the places of one that asks for a little more than its share, because their requests
 // come at each moment.
 func TestFloodsLeaveTheShareOfAnother(t *testing.T) {
-	const room, accounts, seconds = 200.0, 24, 60
+	const capacity, accounts, seconds = 200.0, 24, 60
 	for _, nodes := range []int{4, 133} {
 		t.Run(fmt.Sprint(nodes, " nodes"), func(t *testing.T) {
 			s := newGateSim(nodes, 1)
@@ -128,12 +128,12 @@
 				if i == 0 {
 					excess = 1.5
 				}
-				sh.Rates[a], sh.Excess[a] = room/accounts/float64(nodes), excess
-				loads = append(loads, gateLoad{account: a, perSecond: room / accounts * excess})
+				sh.Rates[a], sh.Excess[a] = capacity/accounts/float64(nodes), excess
+				loads = append(loads, gateLoad{account: a, perSecond: capacity / accounts * excess})
 			}
 			s.setShares(sh)
 			s.play(seconds*time.Second, loads...)
-			share := room / accounts * seconds
+			share := capacity / accounts * seconds
 			for a, starts := range s.starts {
 				require.InDelta(t, share, len(starts), share*0.1, a)
 			}
@@ -380,7 +380,7 @@
 	require.Equal(t, Running, g.Offer(gateStart, a).State, "late, but nobody needs the place")
 	g.SetShares(gateStart, Shares{Other: 10, Wait: 0.3, Run: 0.2})
 	a.Deadline = gateStart.Add(400 * time.Millisecond)
-	require.Equal(t, Running, g.Offer(gateStart, a).State, "there is room for all")
+	require.Equal(t, Running, g.Offer(gateStart, a).State, "there is capacity for all")
 	a.Deadline = gateStart
 	require.Equal(t, Refused, g.Offer(gateStart, a).State)
 }
@@ -591,7 +591,7 @@
 		name   string
 		shares Shares
 	}{
-		{"room for all", Shares{Rates: rates, Other: 1}},
+		{"capacity for all", Shares{Rates: rates, Other: 1}},
 		{"flood", Shares{Short: true, Other: 10}},
 	} {
 		b.Run(c.name, func(b *testing.B) {
--- a/pkg/sagefair/maxmin.go
+++ b/pkg/sagefair/maxmin.go
@@ -6,12 +6,12 @@
 	"sort"
 )
 
-// Divide divides room, in requests per second, among the accounts by weighted max-min fairness: no account gets more than it
+// Divide divides capacity, in requests per second, among the accounts by weighted max-min fairness: no account gets more than it
 // asks for or than its cap, and what it leaves goes to the others by weight. rates are in the order of demands. level is the
 // rate per unit weight of an account that asks for more than it gets; if all get what they ask for, it is what the account
 // with the highest rate per unit weight would get if it alone asked for more.
-func Divide(room float64, demands []Demand) (rates []float64, level float64) {
-	f := newFill(room, demands)
+func Divide(capacity float64, demands []Demand) (rates []float64, level float64) {
+	f := newFill(capacity, demands)
 	level = f.level()
 	rates = make([]float64, len(demands))
 	used, top := 0.0, 0.0
@@ -27,8 +27,8 @@
 }
 
 // Headroom returns, for each account, what [Divide] would give it if it alone asked for more.
-func Headroom(room float64, demands []Demand) []float64 {
-	f := newFill(room, demands)
+func Headroom(capacity float64, demands []Demand) []float64 {
+	f := newFill(capacity, demands)
 	rates := make([]float64, len(demands))
 	for i, d := range demands {
 		rates[i] = f.weights[i] * f.levelWithout(i)
@@ -41,7 +41,7 @@
 
 // fill is a division: each account gets as much as it wants, or its weight times a common level.
 type fill struct {
-	room           float64
+	capacity       float64
 	wants, weights []float64
 	order          []int     // accounts by the level at which they have what they want
 	levels         []float64 // these levels, ascending
@@ -49,10 +49,10 @@
 	remaining      []float64 // remaining[k] is the sum of the weights of the others
 }
 
-func newFill(room float64, demands []Demand) *fill {
+func newFill(capacity float64, demands []Demand) *fill {
 	n := len(demands)
 	f := &fill{
-		room:      room,
+		capacity:  capacity,
 		wants:     make([]float64, n),
 		weights:   make([]float64, n),
 		order:     make([]int, n),
@@ -60,8 +60,8 @@
 		satisfied: make([]float64, n+1),
 		remaining: make([]float64, n+1),
 	}
-	if !(room > 0) { // also NaN
-		f.room = 0
+	if !(capacity > 0) { // also NaN
+		f.capacity = 0
 	}
 	for i, d := range demands {
 		f.order[i] = i
@@ -105,24 +105,24 @@
 	return f.satisfied[k] + l*f.remaining[k]
 }
 
-// level returns the level at which the room is used up; infinity if it isn't.
+// level returns the level at which the capacity is used up; infinity if it isn't.
 func (f *fill) level() float64 {
 	n := len(f.order)
-	k := sort.Search(n, func(k int) bool { return f.used(k) > f.room })
+	k := sort.Search(n, func(k int) bool { return f.used(k) > f.capacity })
 	if k == n {
 		return math.Inf(1)
 	}
-	return (f.room - f.satisfied[k]) / f.remaining[k]
+	return (f.capacity - f.satisfied[k]) / f.remaining[k]
 }
 
-// levelWithout returns the level at which the room is used up if account i asks for more than there is.
+// levelWithout returns the level at which the capacity is used up if account i asks for more than there is.
 func (f *fill) levelWithout(i int) float64 {
 	want, weight := f.wants[i], f.weights[i]
 	extra := func(l float64) float64 { return max(0, weight*l-want) }
 	n := len(f.order)
 	k := sort.Search(n, func(k int) bool {
 		u := f.used(k)
-		return math.IsInf(u, 1) || u+extra(f.levels[k]) > f.room
+		return math.IsInf(u, 1) || u+extra(f.levels[k]) > f.capacity
 	})
 	satisfied, remaining := f.satisfied[k], f.remaining[k]
 	if own := want / weight; k == n || own < f.levels[k] {
@@ -130,12 +130,12 @@
 		satisfied -= want
 		remaining += weight
 	}
-	return max(0, f.room-satisfied) / remaining
+	return max(0, f.capacity-satisfied) / remaining
 }
 
 // unused returns the level if all have what they want.
 func (f *fill) unused(used, top float64) float64 {
-	left := max(0, f.room-used)
+	left := max(0, f.capacity-used)
 	weight := 1.0
 	if n := len(f.order); n > 0 {
 		weight = f.weights[f.order[n-1]]
--- a/pkg/sagefair/maxmin_test.go
+++ b/pkg/sagefair/maxmin_test.go
@@ -9,8 +9,8 @@
 	"pgregory.net/rapid"
 )
 
-// referenceLevel finds the level by bisection: the highest one at which no more than the room is used.
-func referenceLevel(room float64, demands []Demand) float64 {
+// referenceLevel finds the level by bisection: the highest one at which no more than the capacity is used.
+func referenceLevel(capacity float64, demands []Demand) float64 {
 	used := func(level float64) float64 {
 		sum := 0.0
 		for _, d := range demands {
@@ -20,7 +20,7 @@
 	}
 	low, high := 0.0, 1e9
 	for range 200 {
-		if mid := (low + high) / 2; used(mid) <= room {
+		if mid := (low + high) / 2; used(mid) <= capacity {
 			low = mid
 		} else {
 			high = mid
@@ -53,9 +53,9 @@
 func TestDivideMatchesReference(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		demands := drawDemands(t)
-		room := rapid.Float64Range(0, 150).Draw(t, "room")
-		rates, _ := Divide(room, demands)
-		level := referenceLevel(room, demands)
+		capacity := rapid.Float64Range(0, 150).Draw(t, "capacity")
+		rates, _ := Divide(capacity, demands)
+		level := referenceLevel(capacity, demands)
 		for i, d := range demands {
 			require.InDelta(t, referenceRate(level, d), rates[i], 1e-6)
 		}
@@ -65,11 +65,11 @@
 func TestHeadroomMatchesReference(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		demands := drawDemands(t)
-		room := rapid.Float64Range(0, 150).Draw(t, "room")
-		for i, got := range Headroom(room, demands) {
+		capacity := rapid.Float64Range(0, 150).Draw(t, "capacity")
+		for i, got := range Headroom(capacity, demands) {
 			all := append([]Demand(nil), demands...)
 			all[i].Rate = math.Inf(1)
-			rates, _ := Divide(room, all)
+			rates, _ := Divide(capacity, all)
 			require.InDelta(t, rates[i], got, 1e-6)
 		}
 	})
@@ -77,20 +77,20 @@
 
 func TestDivideLevel(t *testing.T) {
 	for name, c := range map[string]struct {
-		room    float64
-		demands []Demand
-		level   float64
+		capacity float64
+		demands  []Demand
+		level    float64
 	}{
 		"nobody asks":             {10, nil, 10},
-		"no room":                 {0, []Demand{{Rate: 1}}, 0},
-		"negative room":           {-1, []Demand{{Rate: 1}}, 0},
+		"no capacity":             {0, []Demand{{Rate: 1}}, 0},
+		"negative capacity":       {-1, []Demand{{Rate: 1}}, 0},
 		"unlimited demands":       {10, []Demand{{Rate: math.Inf(1)}, {Rate: math.Inf(1)}}, 5},
 		"one asks for little":     {10, []Demand{{Rate: 1}, {Rate: 20}, {Rate: 20, Weight: 2}}, 3},
-		"a cap leaves room":       {10, []Demand{{Rate: 20, Cap: 2}, {Rate: 20}}, 8},
+		"a cap leaves capacity":   {10, []Demand{{Rate: 20, Cap: 2}, {Rate: 20}}, 8},
 		"all get what they asked": {10, []Demand{{Rate: 1}, {Rate: 4, Weight: 2}}, 4.5},
 	} {
 		t.Run(name, func(t *testing.T) {
-			_, level := Divide(c.room, c.demands)
+			_, level := Divide(c.capacity, c.demands)
 			require.InDelta(t, c.level, level, 1e-9)
 		})
 	}
--- a/pkg/sagefair/waiting.go
+++ b/pkg/sagefair/waiting.go
@@ -24,7 +24,7 @@
 	return t - after(0, g.shares.Wait+g.shares.Run)
 }
 
-// canFinish reports whether a request that starts now is complete by its deadline. While there is room for all, the expected
+// canFinish reports whether a request that starts now is complete by its deadline. While there is capacity for all, the expected
 // time isn't counted: it is a mean, and the request takes no one's place.
 func (g *Gate) canFinish(now sageclock.Instant, a Arrival) bool {
 	if g.shares.Short {
--- a/pkg/sageload/ledger.go
+++ b/pkg/sageload/ledger.go
@@ -112,7 +112,7 @@
 	if g.Pending {
 		h.latest.units, h.latest.usableUntil = h.adopted.units, h.adopted.usableUntil // the holder keeps what it has
 	}
-	// The floor may be used only once the commitments leave room for it.
+	// The floor may be used only once the commitments leave capacity for it.
 	g.GuaranteedUsable = !g.Pending && l.activeFloor() > 0 && l.Committed() <= l.capacity
 	return g
 }
--- a/pkg/sageplace/baseline.go
+++ b/pkg/sageplace/baseline.go
@@ -8,7 +8,7 @@
 
 // The policies below are baselines for tests and measurements. None of them is used by the daemon.
 
-// Random chooses a random upstream that has room.
+// Random chooses a random upstream that has capacity.
 type Random struct{ Rand *rand.Rand }
 
 // Choose implements [Policy].
@@ -16,7 +16,7 @@
 	if len(t.Upstreams) == 0 {
 		return Choice{Index: -1, Reason: ReasonNoCandidate}
 	}
-	return firstWithRoom(l, q, p.Rand.IntN(len(t.Upstreams)))
+	return firstWithCapacity(l, q, p.Rand.IntN(len(t.Upstreams)))
 }
 
 // RoundRobin chooses one upstream after the other.
@@ -28,7 +28,7 @@
 		return Choice{Index: -1, Reason: ReasonNoCandidate}
 	}
 	p.last = (p.last + 1) % len(t.Upstreams)
-	return firstWithRoom(l, q, p.last)
+	return firstWithCapacity(l, q, p.last)
 }
 
 // LeastLoaded chooses the upstream with the lowest load relative to its capacity.
@@ -38,7 +38,7 @@
 func (LeastLoaded) Choose(_ time.Time, t *Table, l *Loads, q *Query) Choice {
 	best := -1
 	for i := range t.Upstreams {
-		if hasRoom(l, q, i) && (best < 0 || l.utilization(i) < l.utilization(best)) {
+		if hasCapacity(l, q, i) && (best < 0 || l.utilization(i) < l.utilization(best)) {
 			best = i
 		}
 	}
@@ -61,13 +61,13 @@
 	if l.utilization(b) < l.utilization(a) {
 		a, b = b, a
 	}
-	if hasRoom(l, q, a) {
+	if hasCapacity(l, q, a) {
 		return choiceOf(a)
 	}
-	return firstWithRoom(l, q, b)
+	return firstWithCapacity(l, q, b)
 }
 
-// PlainHash chooses the first upstream of the key's rendezvous order that has room, without a load
+// PlainHash chooses the first upstream of the key's rendezvous order that has capacity, without a load
 // bound.
 //
 // Reference: Thaler, Ravishankar, "Using Name-Based Mappings to Increase Hit Rates", IEEE/ACM
@@ -79,23 +79,23 @@
 	key := q.orderKey()
 	lowest, index := ^uint64(0), -1
 	for i := range t.Upstreams {
-		if c := t.cost(key, i); c < lowest && hasRoom(l, q, i) {
+		if c := t.cost(key, i); c < lowest && hasCapacity(l, q, i) {
 			lowest, index = c, i
 		}
 	}
 	return choiceOf(index)
 }
 
-// hasRoom reports whether upstream i has room by its own cap; the baselines know no other bound.
-func hasRoom(l *Loads, q *Query, i int) bool {
+// hasCapacity reports whether upstream i has capacity by its own cap; the baselines know no other bound.
+func hasCapacity(l *Loads, q *Query, i int) bool {
 	v := &l.loads[i]
 	return v.Free > 0 && v.InFlight+1 <= float64(v.Cap) && !slices.Contains(q.Tried, i)
 }
 
-// firstWithRoom returns the first upstream with room from i on, in the order of the table.
-func firstWithRoom(l *Loads, q *Query, i int) Choice {
+// firstWithCapacity returns the first upstream with capacity from i on, in the order of the table.
+func firstWithCapacity(l *Loads, q *Query, i int) Choice {
 	for k := range l.loads {
-		if j := (i + k) % len(l.loads); hasRoom(l, q, j) {
+		if j := (i + k) % len(l.loads); hasCapacity(l, q, j) {
 			return choiceOf(j)
 		}
 	}
--- a/pkg/sageplace/placer.go
+++ b/pkg/sageplace/placer.go
@@ -83,7 +83,7 @@
 	// [LoadBounds].
 	LoadBound float64
 	// UncachedLoadBound is the multiple up to which an upstream takes chats without a cached prefix
-	// there. Below LoadBound, it leaves room for the chats that do have one.
+	// there. Below LoadBound, it leaves capacity for the chats that do have one.
 	UncachedLoadBound float64
 	WidthPolicy       W
 }
--- a/pkg/sageplace/width_test.go
+++ b/pkg/sageplace/width_test.go
@@ -23,7 +23,7 @@
 	l.Set(int(hot), Load{InFlight: 14, Cap: 20, Free: 9, Known: true})
 	now = now.Add(r.WidenInterval)
 	require.Equal(t, 2, width(), "its upstream is above the upper threshold")
-	require.Equal(t, 2, width(), "the second one has room")
+	require.Equal(t, 2, width(), "the second one has capacity")
 	second := r.Upstreams(now, tab, l, ctx)[1]
 	l.Set(int(second), Load{InFlight: 14, Cap: 20, Free: 9, Known: true})
 	now = now.Add(r.WidenInterval / 2)
--- a/pkg/sageroute/table.go
+++ b/pkg/sageroute/table.go
@@ -101,9 +101,9 @@
 	Keys []string
 	// Priority overrides the priority of the route; nil doesn't.
 	Priority *int
-	// Weight is the account's relative share of a service that has no room for all; 0 means 1.
+	// Weight is the account's relative share of a service that has no capacity for all; 0 means 1.
 	Weight float64
-	// MaxPerSecond limits the requests of the account to a service that has no room for all; 0 means no limit.
+	// MaxPerSecond limits the requests of the account to a service that has no capacity for all; 0 means no limit.
 	MaxPerSecond float64
 }
 
