Words: timeout, unresponsive and no response in place of silence

Change: renamed in code and pages, with some uses of tell and hear; log fields unresponsive, observed; the placement reason is load_unknown.

--- a/cmd/sagebench/soak.go
+++ b/cmd/sagebench/soak.go
@@ -90,7 +90,7 @@
 	f.BoolVar(&calm, "calm", false, "inject no faults")
 	f.BoolVar(&series, "series", false, "inject faults in series of one family, so that more of them overlap")
 	f.BoolVar(&restores, "restores", false, "restore the store from earlier copies, beside the other faults")
-	f.BoolVar(&paths, "paths", false, "cut nodes from upstreams, make upstreams brittle or silent, beside the other faults")
+	f.BoolVar(&paths, "paths", false, "cut nodes from upstreams, make upstreams brittle or unresponsive, beside the other faults")
 	f.BoolVar(&versions, "versions", false, "have software versions replace each other, break streams and stop nodes, beside the other faults")
 	f.BoolVar(&parts, "parts", false, "have parts of prompts crash engines, which also crash for other reasons, and stop nodes, beside the other faults")
 	f.BoolVar(&contention, "contention", false, "have accounts ask for too much, applications slow down and callers read slowly, and stop and cut nodes, beside the other faults")
--- a/internal/sageconn/conn_test.go
+++ b/internal/sageconn/conn_test.go
@@ -12,7 +12,7 @@
 )
 
 // An attempt is cancelled while the transport is about to write the request. If the write were still
-// possible after the caller has been told that the booking was not executed, the booking could be
+// possible after the caller got a refusal that says the booking was not executed, the booking could be
 // made nevertheless.
 func TestSealedConnectionRejectsWrites(t *testing.T) {
 	a, b := net.Pipe()
--- a/internal/sageconn/doc.go
+++ b/internal/sageconn/doc.go
@@ -2,7 +2,7 @@
 //
 // [Wrap] wraps the connections that a transport dials. A [Tracker] observes one round trip by its
 // httptrace hook. If [Tracker.Seal] reports that nothing was sent, it forbids every later write of that
-// round trip, so that the caller can safely be told that the request was not executed.
+// round trip, so that the caller can safely get a refusal that says the request was not executed.
 //
 // A connection is examined just before the first byte of a request is written. If the other end has closed it
 // or has sent anything since the last response, the write fails, [Tracker.Seal] reports that nothing was sent, and the
--- a/internal/sageconntest/options.go
+++ b/internal/sageconntest/options.go
@@ -15,7 +15,7 @@
 	"golang.org/x/sys/unix"
 )
 
-// Options are the options of a connection that decide when a silent other end is given up.
+// Options are the options of a connection that decide when an unresponsive other end is given up.
 type Options struct {
 	// UserTimeout is the TCP_USER_TIMEOUT, which also decides when keep-alive probes give up; 0 means that it isn't set.
 	UserTimeout time.Duration
--- a/internal/sagedispatch/stream_test.go
+++ b/internal/sagedispatch/stream_test.go
@@ -282,7 +282,7 @@
 
 // Prevents a stream that hangs forever: the network path to the engine is cut after the second event, and no
 // read fails. After the stall timeout, the stream must be resumed.
-func TestSilentStreamIsResumed(t *testing.T) {
+func TestUnresponsiveStreamIsResumed(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := 0
 		d := &Dispatcher{Dial: func(context.Context, string, string) (net.Conn, error) {
--- a/internal/sagefollow/follower.go
+++ b/internal/sagefollow/follower.go
@@ -204,7 +204,7 @@
 }
 
 // mayFetch reports whether a fetch from a peer may start. A fetch that takes long is hedged with one from another peer: the
-// first one may be silent, and a node that the store turns away has nothing else. Nodes that start don't hedge, since
+// first one may be unresponsive, and a node that the store turns away has nothing else. Nodes that start don't hedge, since
 // all of them fetch everything at the same time. mu is held.
 func (f *Follower) mayFetch(now sageclock.Instant, peer string) bool {
 	if f.fetches == nil {
--- a/internal/sagefollow/restore_test.go
+++ b/internal/sagefollow/restore_test.go
@@ -147,7 +147,7 @@
 	}
 }
 
-// Prevents a series of restores, cut-offs, silent peers and late answers from undoing a change that was in force, and from
+// Prevents a series of restores, cut-offs, unresponsive peers and late answers from undoing a change that was in force, and from
 // leaving a node behind for good.
 func TestRestoresInSeries(t *testing.T) {
 	for seed := range uint64(40) {
--- a/internal/sagemeasure/router.go
+++ b/internal/sagemeasure/router.go
@@ -100,7 +100,7 @@
 	}
 }
 
-// setCandidate tells a router, after delay, whether an engine is a candidate.
+// setCandidate informs a router, after delay, whether an engine is a candidate.
 func (p *replay) setCandidate(r *router, i int, candidate bool, delay time.Duration) {
 	p.after(delay, func() {
 		if r.candidates[i] != candidate {
--- a/internal/sageplacement/service.go
+++ b/internal/sageplacement/service.go
@@ -324,7 +324,7 @@
 // ruleNames holds the value of the metric label "rule" for each reason.
 var ruleNames = [...]string{
 	sageplace.ReasonNoCandidate: "empty", sageplace.ReasonAllAtBound: "over", sageplace.ReasonCachedPrefix: "kept",
-	sageplace.ReasonHashOrder: "first", sageplace.ReasonSpilled: "spilled", sageplace.ReasonLoadUnknown: "silent",
+	sageplace.ReasonHashOrder: "first", sageplace.ReasonSpilled: "spilled", sageplace.ReasonLoadUnknown: "load_unknown",
 }
 
 func (s *Service) countPlacement(reason sageplace.Reason) {
--- a/internal/sagerelay/conn.go
+++ b/internal/sagerelay/conn.go
@@ -200,18 +200,18 @@
 	}
 }
 
-// recordSilence records that the exchange got no answer in time.
-func (x *exchange) recordSilence() {
+// recordTimeout records that the exchange got no answer in time.
+func (x *exchange) recordTimeout() {
 	if x.helper != nil || !x.conn.got || x.conn.answered {
 		return
 	}
 	s, u, b := x.j.s, x.p.Upstream, x.conn.breakNow()
 	if b.fresh {
-		s.idleBounds.recordFreshSilence(u.Service)
+		s.idleBounds.recordFreshTimeout(u.Service)
 		return
 	}
-	if bound, lowered := s.idleBounds.recordSilence(sageclock.Now(), u.Service, b.idle); lowered {
-		s.logIdleBound("Reused connections stay silent: the bound of the idle time falls.", u, b, bound)
+	if bound, lowered := s.idleBounds.recordTimeout(sageclock.Now(), u.Service, b.idle); lowered {
+		s.logIdleBound("Reused connections stay unresponsive: the bound of the idle time falls.", u, b, bound)
 	}
 }
 
--- a/internal/sagerelay/conn_test.go
+++ b/internal/sagerelay/conn_test.go
@@ -419,7 +419,7 @@
 					}
 					time.Sleep(time.Second)
 				}
-				require.LessOrEqual(t, forgotten.Load(), int64(maxSilences+1))
+				require.LessOrEqual(t, forgotten.Load(), int64(maxTimeouts+1))
 				require.Positive(t, forgotten.Load())
 				s.toUpstreams().pooled.CloseIdleConnections()
 			})
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -101,7 +101,7 @@
 // data arrives while another upstream could still respond in time, but only if the fleet allows a
 // retry: without one, a late response is better than none.
 //
-// While several upstreams are silent and the path is probed, it waits: a retry would meet the same silence.
+// While several upstreams are unresponsive and the path is probed, it waits: a retry would get no response either.
 func (x *exchange) startStallTimer(ctx context.Context) *time.Timer {
 	j := x.j
 	if !j.route.Repeatable() || j.relay.earlierRuns+j.possibleRuns+1 >= j.route.MaxAttempts || j.sends >= maxSends {
@@ -237,7 +237,7 @@
 		return notSent
 	}
 	if stalled || timedOut {
-		x.recordSilence()
+		x.recordTimeout()
 		x.recordAbandoned()
 		x.recordFailedResponse()
 	} else {
--- a/internal/sagerelay/interfaces.go
+++ b/internal/sagerelay/interfaces.go
@@ -299,7 +299,7 @@
 	RelaySaturated() bool
 	// WhenPathVerified calls commit once it is known that an unanswered exchange with an upstream wasn't caused by
 	// this node's path, and never if the path was lost. refused says that a connection was refused, which is known
-	// sooner than a silence.
+	// sooner than a timeout.
 	WhenPathVerified(u *sageupstream.Entry, refused bool, commit func())
 	// RecordExchange records the result of an exchange with an upstream.
 	RecordExchange(u *sageupstream.Entry, res sagehealth.Result)
--- a/internal/sagerelay/probe_test.go
+++ b/internal/sagerelay/probe_test.go
@@ -27,7 +27,7 @@
 		want   sagereach.ProbeResult
 	}{
 		{"any response", respond(503, "", ""), nil, "/health", sagereach.ProbeAnswered},
-		{"no response", stalled, nil, "/health", sagereach.ProbeSilent},
+		{"no response", stalled, nil, "/health", sagereach.ProbeTimedOut},
 		{"closed", crash, nil, "/health", sagereach.ProbeRefused},
 		{"refused", nil, nil, "/health", sagereach.ProbeRefused},
 		{"not opened", nil, unreached, "/health", sagereach.ProbeUnreached},
--- a/internal/sagerelay/relay_test.go
+++ b/internal/sagerelay/relay_test.go
@@ -27,7 +27,7 @@
 		sends  int
 	}{
 		// The upstream crashed after it had read the booking. Sent to another upstream, the booking
-		// would be made twice; the same happens if the caller is told that it was not executed and
+		// would be made twice; the same happens if a refusal says that it was not executed and the caller
 		// repeats it.
 		{"a booking that may have been executed is not sent again", sageroute.Once, map[string]upstream{"a": crash, "b": ok}, 502, `{"reason":"answer_lost"}`, 1},
 		{"a declined booking is sent to another upstream", sageroute.Once, map[string]upstream{"a": respond(503, testNotRun+": 1\r\n", ""), "b": ok}, 200, "fine", 2},
--- a/internal/sagerelay/reuse.go
+++ b/internal/sagerelay/reuse.go
@@ -16,8 +16,8 @@
 	// other causes if new connections break as well, lately within freshBreakMemory.
 	promptBreak      = 50 * time.Millisecond
 	freshBreakMemory = 5 * time.Second
-	// maxSilences is the number of reused connections in a row without any answer that count as one break.
-	maxSilences = 3
+	// maxTimeouts is the number of reused connections in a row without any answer that count as one break.
+	maxTimeouts = 3
 	// minIdleBound is the lowest learnt bound of the idle time.
 	minIdleBound = 50 * time.Millisecond
 	// idleBoundRise is the time in which a learnt bound doubles; each break doubles it up to maxIdleBoundRise.
@@ -51,10 +51,10 @@
 	rise time.Duration
 	// freshBreak is the time at which a new connection last broke before the answer.
 	freshBreak sageclock.Instant
-	// silences is the number of reused connections without any answer since the last reuse that worked after silentIdle, the
+	// timeouts is the number of reused connections without any answer since the last reuse that worked after timedOutIdle, the
 	// shortest idle time of them.
-	silences   int
-	silentIdle time.Duration
+	timeouts     int
+	timedOutIdle time.Duration
 	// reuses counts successful reuses by idle time.
 	reuses [idleBuckets]decayingCount
 }
@@ -123,35 +123,35 @@
 	defer b.mu.Unlock()
 	s := b.service(service)
 	s.reuses[bucketOf(idle)].add(now)
-	if idle >= s.silentIdle {
-		s.silences = 0
+	if idle >= s.timedOutIdle {
+		s.timeouts = 0
 	}
 }
 
-// recordFreshSilence records that a request got no answer in time on a new connection, so that silence isn't due to reuse.
-func (b *idleBounds) recordFreshSilence(service string) {
+// recordFreshTimeout records that a request got no answer in time on a new connection, so that timeouts aren't due to reuse.
+func (b *idleBounds) recordFreshTimeout(service string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	b.service(service).silences = 0
+	b.service(service).timeouts = 0
 }
 
-// recordSilence records that a request got no answer in time on a connection that had been idle. If that happens again and
+// recordTimeout records that a request got no answer in time on a connection that had been idle. If that happens again and
 // again, the upstreams may have forgotten the connections without a reset. It returns like recordBreak.
-func (b *idleBounds) recordSilence(now sageclock.Instant, service string, idle time.Duration) (time.Duration, bool) {
+func (b *idleBounds) recordTimeout(now sageclock.Instant, service string, idle time.Duration) (time.Duration, bool) {
 	if idle < minIdleEvidence {
 		return 0, false
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	s := b.service(service)
-	if s.silences == 0 || idle < s.silentIdle {
-		s.silentIdle = idle
+	if s.timeouts == 0 || idle < s.timedOutIdle {
+		s.timedOutIdle = idle
 	}
-	if s.silences++; s.silences < maxSilences {
+	if s.timeouts++; s.timeouts < maxTimeouts {
 		return s.boundAt(now), false
 	}
-	s.silences = 0
-	return s.lower(now, s.silentIdle)
+	s.timeouts = 0
+	return s.lower(now, s.timedOutIdle)
 }
 
 // recordFreshBreak records that a new connection broke before the first byte of the answer.
--- a/internal/sagerelay/reuse_test.go
+++ b/internal/sagerelay/reuse_test.go
@@ -87,7 +87,7 @@
 
 // Prevents upstreams that forget connections without a reset from costing a request each time, and slow ones from ending
 // the reuse.
-func TestSilencesLowerIdleBound(t *testing.T) {
+func TestTimeoutsLowerIdleBound(t *testing.T) {
 	const idle = 400 * time.Millisecond
 	for _, c := range []struct {
 		name    string
@@ -97,22 +97,22 @@
 		{"nothing works", func(*idleBounds) {}, true},
 		{"shorter times work", func(b *idleBounds) { b.recordReuse(second, "s", idle/2) }, true},
 		{"longer times work", func(b *idleBounds) { b.recordReuse(second, "s", idle) }, false},
-		{"new connections are silent too", func(b *idleBounds) { b.recordFreshSilence("s") }, false},
+		{"new connections are unresponsive too", func(b *idleBounds) { b.recordFreshTimeout("s") }, false},
 		{"another service works", func(b *idleBounds) { b.recordReuse(second, "other", time.Hour) }, true},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			var b idleBounds
-			for range maxSilences - 1 {
-				_, lowered := b.recordSilence(second, "s", idle)
+			for range maxTimeouts - 1 {
+				_, lowered := b.recordTimeout(second, "s", idle)
 				require.False(t, lowered)
 			}
 			c.between(&b)
-			bound, lowered := b.recordSilence(second, "s", time.Second)
+			bound, lowered := b.recordTimeout(second, "s", time.Second)
 			require.Equal(t, c.lowered, lowered)
 			if lowered {
 				require.Equal(t, idle/2, bound)
 			}
-			_, lowered = b.recordSilence(second, "s", time.Millisecond)
+			_, lowered = b.recordTimeout(second, "s", time.Millisecond)
 			require.False(t, lowered, "it had not been idle")
 		})
 	}
--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -47,7 +47,7 @@
 	Origins Origins
 	Metrics *metrics.Set
 	Log     sagelog.Logger
-	// Closing reports whether responses should tell callers to close their connection.
+	// Closing reports whether responses should ask callers to close their connection.
 	Closing func() bool
 	// Quarantine holds the requests and parts of prompts that crash upstreams.
 	Quarantine *sagequarantine.Tracker
--- a/internal/sagerelay/transport.go
+++ b/internal/sagerelay/transport.go
@@ -146,7 +146,7 @@
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected = true }})
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+healthPath, nil)
 	if err != nil {
-		return sagereach.ProbeSilent
+		return sagereach.ProbeTimedOut
 	}
 	res, err := t.unpooled.RoundTrip(req)
 	if err == nil {
@@ -162,7 +162,7 @@
 	case isConnRefused(err), errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE), errors.Is(err, io.EOF):
 		return sagereach.ProbeRefused
 	case connected:
-		return sagereach.ProbeSilent
+		return sagereach.ProbeTimedOut
 	}
 	return sagereach.ProbeUnreached
 }
--- a/internal/sagerelay/transport_test.go
+++ b/internal/sagerelay/transport_test.go
@@ -7,7 +7,7 @@
 	"sagestand.example/sagestand/internal/sageconntest"
 )
 
-// Prevents a TCP_USER_TIMEOUT, or other keep-alive probes than stated, from deciding how long a silent upstream or peer is
+// Prevents a TCP_USER_TIMEOUT, or other keep-alive probes than stated, from deciding how long an unresponsive upstream or peer is
 // waited for.
 func TestOptionsOfConnections(t *testing.T) {
 	s, want := new(Service), sageconntest.Options{KeepIdle: time.Second, KeepPeriod: time.Second, KeepCount: 3}
--- a/internal/sagerouter/cacheresync.go
+++ b/internal/sagerouter/cacheresync.go
@@ -223,7 +223,7 @@
 	}
 	r.Placer.Merge(sageclock.Now(), holders.Observed)
 	r.Placer.MergeListed(sageclock.Now(), holders.Listed)
-	r.Log.Info("Cached parts fetched from a peer.", "peer", peer, "told", len(holders.Observed), "listed", len(holders.Listed))
+	r.Log.Info("Cached parts fetched from a peer.", "peer", peer, "observed", len(holders.Observed), "listed", len(holders.Listed))
 	return true
 }
 
--- a/internal/sagerouter/evidence.go
+++ b/internal/sagerouter/evidence.go
@@ -11,7 +11,7 @@
 )
 
 const (
-	// evidenceDelay is how long evidence of a silent upstream is held back if no other upstream answers meanwhile. A
+	// evidenceDelay is how long evidence of an unresponsive upstream is held back if no other upstream answers meanwhile. A
 	// lost path is detected within this time.
 	evidenceDelay = 2 * time.Second
 	// minEvidenceDelay is how long it is held back in any case, so that nodes which the upstream answers can
@@ -28,7 +28,7 @@
 type pendingEvidence struct {
 	upstream *sageupstream.Entry
 	at       sageclock.Instant
-	// refused says that a connection was refused, and not that the upstream was silent.
+	// refused says that a connection was refused, and not that the upstream was unresponsive.
 	refused bool
 	commit  func()
 }
--- a/internal/sagerouter/peerlog.go
+++ b/internal/sagerouter/peerlog.go
@@ -39,7 +39,7 @@
 // Lost records a node that became unresponsive.
 func (p *peerLog) Lost(m sagemesh.Member) {
 	if m.DataCentre == p.DataCentre {
-		p.Log.Info("Node is silent.", "peer", m.Node, "address", m.Address, "leaving", m.Leaving)
+		p.Log.Info("Node is unresponsive.", "peer", m.Node, "address", m.Address, "leaving", m.Leaving)
 		return
 	}
 	p.count(m.DataCentre, peerCounts{unresponsive: 1})
@@ -62,6 +62,6 @@
 	p.remote = nil
 	p.mu.Unlock()
 	for _, dc := range slices.Sorted(maps.Keys(remote)) {
-		p.Log.Info("Nodes of another data centre.", "data_centre", dc, "joined", remote[dc].joined, "silent", remote[dc].unresponsive)
+		p.Log.Info("Nodes of another data centre.", "data_centre", dc, "joined", remote[dc].joined, "unresponsive", remote[dc].unresponsive)
 	}
 }
--- a/internal/sagerouter/peerlog_test.go
+++ b/internal/sagerouter/peerlog_test.go
@@ -27,5 +27,5 @@
 	p.Flush()
 	require.Equal(t, 50+2+5, strings.Count(b.String(), "\n"))
 	require.Contains(t, b.String(), `peer=vm6`, "nodes of the same data centre are logged one by one")
-	require.Contains(t, b.String(), "data_centre=dc3 joined=50 silent=2")
+	require.Contains(t, b.String(), "data_centre=dc3 joined=50 unresponsive=2")
 }
--- a/internal/sagesoak/paths.go
+++ b/internal/sagesoak/paths.go
@@ -11,7 +11,7 @@
 	"sagestand.example/sagestand/platform/standin"
 )
 
-// Parameters of cuts between nodes and upstreams, and of brittle and silent upstreams.
+// Parameters of cuts between nodes and upstreams, and of brittle and unresponsive upstreams.
 const (
 	contactTime       = 3 * time.Second // within which a cut node has to be served through others, and limits may shrink
 	maxCutDuration    = 6 * time.Second
@@ -20,7 +20,7 @@
 	maxFlaps          = 5
 	brittleDeclines   = 3
 	brittleQueue      = 8
-	silenceTime       = time.Second
+	unresponsiveTime  = time.Second
 	stickyInterval    = 50 * time.Millisecond // mean time between two requests of a caller that keeps its node
 	minServedRatio    = 2.0 / 3               // of first tries at cut nodes against those at others
 	allowedFailures   = 10                    // of first tries at cut nodes, and as many again as one in allowedFailureOdd
@@ -28,7 +28,7 @@
 	allowedFalls      = 2 // of brittle upstreams, and a tenth of their number
 )
 
-// pathFaults cuts nodes from upstreams, and makes upstreams brittle or silent. It uses its own random numbers, so that the
+// pathFaults cuts nodes from upstreams, and makes upstreams brittle or unresponsive. It uses its own random numbers, so that the
 // other faults of a seed don't depend on it. Without other faults, cuts don't overlap, and what callers of cut nodes get
 // is checked.
 type pathFaults struct {
@@ -66,7 +66,7 @@
 		case 0:
 			p.makeBrittle(ctx)
 		case 1:
-			p.silence(ctx)
+			p.holdUpstream(ctx)
 		default:
 			p.cut(ctx)
 		}
@@ -242,16 +242,16 @@
 	return n
 }
 
-// silence holds up what one upstream sends and gets for a second.
-func (p *pathFaults) silence(ctx context.Context) {
+// holdUpstream holds up what one upstream sends and gets for a second.
+func (p *pathFaults) holdUpstream(ctx context.Context) {
 	u := p.rng.IntN(len(p.soak.sys.Runners))
-	p.soak.recordInjected(fmt.Sprintf("silence of %d", u), silenceTime)
+	p.soak.recordInjected(fmt.Sprintf("no response of %d", u), unresponsiveTime)
 	var nodes []int
 	for i := range p.soak.Nodes {
 		nodes = append(nodes, i)
 	}
 	only := func(_, upstream int) bool { return upstream == u }
 	p.setMode(nodes, only, linkHeld)
-	pause(ctx, silenceTime)
+	pause(ctx, unresponsiveTime)
 	p.setMode(nodes, only, linkOpen)
 }
--- a/internal/sagesoak/proxy.go
+++ b/internal/sagesoak/proxy.go
@@ -66,7 +66,7 @@
 }
 
 // targetAddr returns the address of the upstream. The proxy connects from the address of the node, so that the upstream
-// can tell the nodes apart.
+// can distinguish the nodes.
 func (p *proxy) targetAddr() *net.TCPAddr {
 	a, _ := netip.ParseAddrPort(p.target) // the address of a listener
 	return net.TCPAddrFromAddrPort(a)
--- a/internal/sagesoak/soak.go
+++ b/internal/sagesoak/soak.go
@@ -66,7 +66,7 @@
 	Series bool
 	// Restores replaces the store's content by earlier copies, beside the other faults.
 	Restores bool
-	// Paths cuts nodes from upstreams and makes upstreams brittle or silent, beside the other faults.
+	// Paths cuts nodes from upstreams and makes upstreams brittle or unresponsive, beside the other faults.
 	Paths bool
 	// Versions has several software versions serve side by side, which replace each other, breaks streams and stops nodes,
 	// beside the other faults.
--- a/pkg/sagecapacity/load_test.go
+++ b/pkg/sagecapacity/load_test.go
@@ -39,7 +39,7 @@
 	}
 }
 
-// Prevents that figures from before an upstream turned silent, or damaged ones, are used.
+// Prevents that figures from before an upstream turned unresponsive, or damaged ones, are used.
 func TestLoadIsUsedOnlyWhileFresh(t *testing.T) {
 	tr := &Tracker{}
 	full := Load{Running: 6, Waiting: 23, Slots: 6, Slowness: 100}
--- a/pkg/sagehealth/reports.go
+++ b/pkg/sagehealth/reports.go
@@ -17,8 +17,8 @@
 	reportersPerRequest = 0.75
 	// reportDuration is how long a node reports an upstream after a broken exchange.
 	reportDuration = 2 * time.Second
-	// silenceTolerance is how long a sound upstream may be silent.
-	silenceTolerance = 1200 * time.Millisecond
+	// responseTolerance is how long a sound upstream may be unresponsive.
+	responseTolerance = 1200 * time.Millisecond
 	// ownAnswerDuration is how long an answer that this node got itself overrides the reports of others: an upstream
 	// may be unreachable from one data centre only.
 	ownAnswerDuration = time.Second
@@ -49,12 +49,12 @@
 }
 
 // reportable reports whether the upstream's last exchange broke recently. Stalled ones count once the upstream has been
-// silent for longer than sound upstreams are.
+// unresponsive for longer than sound upstreams are.
 func (r *upstreamRecord) reportable(now sageclock.Instant) bool {
 	if r.brokenStreak == 0 || now.Sub(r.lastBroken) >= reportDuration {
 		return false
 	}
-	return !r.onlyStalled || r.lastBroken.Sub(r.brokenSince) >= silenceTolerance
+	return !r.onlyStalled || r.lastBroken.Sub(r.brokenSince) >= responseTolerance
 }
 
 // RecordReports records how many other nodes report broken exchanges with an upstream. load is the number of
--- a/pkg/sagehealth/tracker.go
+++ b/pkg/sagehealth/tracker.go
@@ -17,7 +17,7 @@
 	Failed
 	// Broken is an exchange without a complete answer: the connection was refused, reset or cut off.
 	Broken
-	// Stalled is an exchange during which the upstream was silent. Sound upstreams may be silent for about a second.
+	// Stalled is an exchange during which the upstream was unresponsive. Sound upstreams may be unresponsive for about a second.
 	Stalled
 )
 
--- a/pkg/sagemember/incarnation.go
+++ b/pkg/sagemember/incarnation.go
@@ -23,7 +23,7 @@
 func (t *Table) entryByShortID(id uint32) *entry { return t.byShortID[id] }
 
 // resolveShortIDCollision renews the local incarnation if its short ID equals that of another node,
-// since digests couldn't tell their heartbeats apart. Of the two nodes, the one with the greater
+// since digests couldn't distinguish their heartbeats. Of the two nodes, the one with the greater
 // incarnation renews.
 func (t *Table) resolveShortIDCollision(other uint64) {
 	if shortID(other) == shortID(t.Self.Incarnation) && t.Self.Incarnation > other {
--- a/pkg/sagereach/doc.go
+++ b/pkg/sagereach/doc.go
@@ -1,6 +1,6 @@
 // Package sagereach distinguishes upstreams that failed from upstreams that this node can't reach.
 //
-// An exchange without any answer (the connection can't be opened or breaks, or stays silent) is evidence against the
+// An exchange without any answer (the connection can't be opened or breaks, or stays unresponsive) is evidence against the
 // upstream or against the path between this node and it. A [Tracker] records for each upstream when it last answered
 // this node and since when it hasn't. A failed upstream fails alone, and for all nodes. A failed path shows by its
 // spread: several upstreams stop answering this node at the same time, while they answer other nodes.
--- a/pkg/sagereach/fleet_test.go
+++ b/pkg/sagereach/fleet_test.go
@@ -78,7 +78,7 @@
 	for _, u := range n.StartRound(now, "s", upstreams) {
 		res, delay := ProbeAnswered, modelStep
 		if isCut {
-			res, delay = ProbeSilent, dialTimeout
+			res, delay = ProbeTimedOut, dialTimeout
 		}
 		end := t + delay
 		events[end] = append(events[end], func(now sageclock.Instant) {
--- a/pkg/sagereach/path.go
+++ b/pkg/sagereach/path.go
@@ -18,9 +18,9 @@
 	probesPerRound = 3
 	// probeInterval is the time between two rounds of probes.
 	probeInterval = 300 * time.Millisecond
-	// silenceTolerance is how long all upstreams may stay silent before the path counts as lost. Upstreams may pause
+	// responseTolerance is how long all upstreams may stay unresponsive before the path counts as lost. Upstreams may pause
 	// for about a second. Refused and reset connections decide earlier.
-	silenceTolerance = 1200 * time.Millisecond
+	responseTolerance = 1200 * time.Millisecond
 	// minActiveRounds is how many rounds of probes must be refused or reset before the path counts as lost.
 	minActiveRounds = 2
 	// verifiedDuration is how long an answered probe keeps a path from being suspected again.
@@ -54,8 +54,8 @@
 	ProbeAnswered ProbeResult = iota
 	// ProbeRefused: the connection was refused or reset.
 	ProbeRefused
-	// ProbeSilent: there was no answer in time.
-	ProbeSilent
+	// ProbeTimedOut: there was no answer in time.
+	ProbeTimedOut
 	// ProbeUnreached: the connection was not opened in time.
 	ProbeUnreached
 )
@@ -87,7 +87,7 @@
 	nextRound     sageclock.Instant
 	pending       int // probes of the present round without a result
 	roundAnswered bool
-	roundSilent   bool
+	roundTimedOut bool
 	probes        int      // probes since the path was suspected
 	probed        []string // upstreams that were probed since then
 	activeRounds  int      // rounds in a row with only refused or reset probes
@@ -180,7 +180,7 @@
 	if p.state == Suspected {
 		p.probed = append(p.probed, chosen...)
 	}
-	p.pending, p.roundAnswered, p.roundSilent = len(chosen), false, false
+	p.pending, p.roundAnswered, p.roundTimedOut = len(chosen), false, false
 	p.nextRound = now.Add(probeInterval)
 	return chosen
 }
@@ -228,8 +228,8 @@
 	case ProbeAnswered:
 		p.roundAnswered = true
 		t.getOrCreate(service, upstream).recordAnswer(now, true)
-	case ProbeSilent, ProbeUnreached:
-		p.roundSilent = true
+	case ProbeTimedOut, ProbeUnreached:
+		p.roundTimedOut = true
 	}
 	if p.state == Suspected && p.roundAnswered {
 		*p = path{verifiedUntil: now.Add(verifiedDuration), lastLost: p.lastLost}
@@ -246,10 +246,10 @@
 	if p.state == Lost {
 		return t.endRoundWhileLost(now, service, p)
 	}
-	if p.activeRounds++; p.roundSilent {
+	if p.activeRounds++; p.roundTimedOut {
 		p.activeRounds = 0
 	}
-	if p.activeRounds < minActiveRounds && now.Sub(p.suspectedAt) < silenceTolerance {
+	if p.activeRounds < minActiveRounds && now.Sub(p.suspectedAt) < responseTolerance {
 		return nil
 	}
 	p.flapping = p.lastLost != 0 && now.Sub(p.lastLost) < flappingPeriod
--- a/pkg/sagereach/path_test.go
+++ b/pkg/sagereach/path_test.go
@@ -51,11 +51,11 @@
 		after     time.Duration
 		want      PathState
 	}{
-		{"one of several upstreams failed", all, 1, ProbeSilent, 5 * time.Second, Open},
+		{"one of several upstreams failed", all, 1, ProbeTimedOut, 5 * time.Second, Open},
 		{"probes are answered", all, 2, ProbeAnswered, 50 * time.Millisecond, Open},
 		{"refused and reset probes decide early", all, 2, ProbeRefused, 400 * time.Millisecond, Lost},
-		{"a second of silence is tolerated", all, 4, ProbeSilent, time.Second, Suspected},
-		{"longer silence is not", all, 4, ProbeSilent, 1600 * time.Millisecond, Lost},
+		{"a second without a response is tolerated", all, 4, ProbeTimedOut, time.Second, Suspected},
+		{"a longer time is not", all, 4, ProbeTimedOut, 1600 * time.Millisecond, Lost},
 		{"connections that can't be opened", all, 2, ProbeUnreached, 1600 * time.Millisecond, Lost},
 		{"the only upstream failed", all[:1], 1, ProbeRefused, 400 * time.Millisecond, Lost},
 	} {
@@ -125,7 +125,7 @@
 // Prevents overload from being taken for a lost path: full upstreams reset connections and let health checks wait.
 func TestFullUpstreamsAreNoEvidenceOfALostPath(t *testing.T) {
 	for res, want := range map[ProbeResult]ProbeResult{
-		ProbeAnswered: ProbeAnswered, ProbeRefused: ProbeAnswered, ProbeSilent: ProbeAnswered, ProbeUnreached: ProbeUnreached,
+		ProbeAnswered: ProbeAnswered, ProbeRefused: ProbeAnswered, ProbeTimedOut: ProbeAnswered, ProbeUnreached: ProbeUnreached,
 	} {
 		require.Equal(t, want, res.IfFull())
 	}
@@ -161,9 +161,9 @@
 	require.Contains(t, h.peers, "near2", "still in use")
 }
 
-// Prevents the failure of one upstream a while ago from shortening how long a silence of all is tolerated.
+// Prevents the failure of one upstream a while ago from shortening how long all may give no response.
 func TestToleranceBeginsWithTheSuspicion(t *testing.T) {
-	s := newPathSim(ProbeSilent, "a", "b", "c")
+	s := newPathSim(ProbeTimedOut, "a", "b", "c")
 	s.fail(1)
 	s.run(1900 * time.Millisecond)
 	s.fail(2)
--- a/pkg/sagesync/rule.go
+++ b/pkg/sagesync/rule.go
@@ -105,7 +105,7 @@
 		return Decision{Refusal: sagewire.Refuse(sagewire.ReasonNoConfig, "no configuration yet", retry)}
 	}
 	if !s.BehindSince.IsZero() && now.After(s.BehindSince.Add(r.CatchUpTimeout)) {
-		detail := fmt.Sprintf("at revision %d, heard of %d", s.Revision, s.Observed)
+		detail := fmt.Sprintf("at revision %d, knows of %d", s.Revision, s.Observed)
 		return Decision{Refusal: sagewire.Refuse(sagewire.ReasonStale, detail, retry)}
 	}
 	freshAt := s.ConfirmedAt
