explain says that a request ended for want of a retry

Cause: a refused request was explained by its last exchange, not by the retry that the budget denied. Change: the cause of a timeline names the denial and its line; gauge sagestand_fleet_size.

--- a/internal/sageexplain/explain.go
+++ b/internal/sageexplain/explain.go
@@ -70,7 +70,7 @@
 		return s, fmt.Errorf("%s: %w", id, ErrRequestNotFound)
 	}
 	s.sort()
-	s.Cause = cause(&s.Lines[len(s.Lines)-1])
+	s.Cause = cause(&s.Lines[len(s.Lines)-1]) + s.retryDenial()
 	s.addEvidence(texts)
 	s.sort()
 	return s, nil
@@ -169,15 +169,44 @@
 }
 
 func cause(l *Line) string {
+	reason := l.value("reason")
+	switch explanation := causes[reason]; {
+	case reason == "":
+		return l.Msg
+	case explanation != "":
+		return reason + ": " + explanation
+	}
+	return reason
+}
+
+// retryDenials explain why a request was not sent once more.
+var retryDenials = map[string]string{
+	"retry_budget": "it was not sent again, since the node had no token for a retry (retry_budget): the line above has its tokens, their limit, the number of nodes and the time since its start",
+	"no_capacity":  "it was not sent again, since the service had no capacity for a second execution (no_capacity)",
+}
+
+// retryDenial explains, for an attempt that ended for a reason, why it was not sent once more; empty if that was not denied.
+func (s *Timeline) retryDenial() string {
+	last := &s.Lines[len(s.Lines)-1]
+	if last.value("reason") == "" {
+		return ""
+	}
+	for _, l := range slices.Backward(s.Lines) {
+		if explanation := retryDenials[l.value("denied")]; explanation != "" && l.ID == last.ID {
+			return "; " + explanation
+		}
+	}
+	return ""
+}
+
+// value returns the value of a field; empty if the line doesn't have it.
+func (l *Line) value(key string) string {
 	for _, p := range l.Pairs {
-		if reason, ok := strings.CutPrefix(p, "reason="); ok {
-			if explanation := causes[reason]; explanation != "" {
-				return reason + ": " + explanation
-			}
-			return reason
+		if v, ok := strings.CutPrefix(p, key+"="); ok {
+			return v
 		}
 	}
-	return l.Msg
+	return ""
 }
 
 // Write prints the timeline as text.
--- a/internal/sageexplain/explain_test.go
+++ b/internal/sageexplain/explain_test.go
@@ -72,3 +72,20 @@
 	require.Equal(t, []string{"q1 relay: Upstream crashed under a request.", " relay: Quarantined.", "q9 relay: Request is quarantined.", "q9 relay: Request refused."}, got)
 	require.True(t, strings.HasPrefix(timeline.Cause, "quarantined: "))
 }
+
+// Prevents a refusal for want of a retry from being explained by the failure of the first upstream alone.
+func TestDeniedRetryIsExplained(t *testing.T) {
+	const denied = `at=2026-01-01T00:00:01Z node=vm1 level=info msg="relay: Retry denied." id=q1 service=s denied=retry_budget sends=1 tokens=0.2 capacity=4.6 nodes=7 since_start_ms=300
+`
+	for _, tt := range []struct{ name, last, want string }{
+		{"refused", `at=2026-01-01T00:00:02Z node=vm1 level=info msg="relay: Request given up." id=q1 reason=upstream_full sends=1`, "no token for a retry (retry_budget)"},
+		{"answered by the first upstream after all", `at=2026-01-01T00:00:02Z node=vm1 level=info msg="relay: Request answered." id=q1 sends=1`, "relay: Request answered."},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			timeline, err := Read("q1", Log{"one", strings.NewReader(denied + tt.last)})
+			require.NoError(t, err)
+			require.Contains(t, timeline.Cause, tt.want)
+			require.Equal(t, tt.name == "refused", strings.Contains(timeline.Cause, "retry"))
+		})
+	}
+}
--- a/internal/sagerouter/gauges.go
+++ b/internal/sagerouter/gauges.go
@@ -28,6 +28,7 @@
 		return 0
 	})
 	n.metrics.NewGauge("sagestand_requests_in_flight", func() float64 { return float64(n.relay.InFlight()) })
+	n.metrics.NewGauge("sagestand_fleet_size", func() float64 { return float64(n.fleetSize()) })
 	n.metrics.NewGauge("sagestand_peers_live", func() float64 { return float64(len(n.mesh.Live())) })
 	n.metrics.NewGauge(`sagestand_heartbeat_bytes_total{direction="out"}`, func() float64 { out, _ := n.mesh.Bytes(); return float64(out) })
 	n.metrics.NewGauge(`sagestand_heartbeat_bytes_total{direction="in"}`, func() float64 { _, in := n.mesh.Bytes(); return float64(in) })
