--- a/pkg/sageshare/retries.go
+++ b/pkg/sageshare/retries.go
@@ -111,6 +111,9 @@
 	}
 	part := slackFraction * r.Slack / float64(nodes)
 	capacity = max(min(1, part), burstFraction*part)
+	if r.Window <= 0 {
+		return capacity, 0
+	}
 	return capacity, (part - capacity) / r.Window.Seconds()
 }
 
