--- a/pkg/sageshare/retries.go
+++ b/pkg/sageshare/retries.go
@@ -23,12 +23,9 @@
 // RetryLimiter limits, for each service, the sends beyond the first one of each request. It is not
 // safe for concurrent use.
 //
-// Unlimited retries would multiply the load of upstreams that already fail. In any window all nodes
-// together send to a service at most Ratio times its requests plus Slack retries. Each node has a token
-// bucket for each service. It is filled by the node's own requests, and over time by the node's part of
-// Slack. What it holds at the beginning of a window is limited to another part of Slack, and everything
-// else is earned in the window itself. A bucket is empty when its node starts, so restarts gain nothing;
-// only that of a new node starts full ([RetryLimiter.Fill]).
+// In any window all nodes together send to a service at most Ratio times its requests plus Slack retries. Each node has a
+// token bucket for each service, filled by its own requests and over time. It is empty when its node starts, so that restarts
+// gain nothing.
 type RetryLimiter struct {
 	Ratio  float64
 	Slack  float64
