Nodes that are added start without retries

What upstreams saw in a test: all nodes replaced by others three times within a window, while upstreams declined everything: 117 and 119 retries for 160 requests, 82 allowed. Cause: a node whose entry the store didn't have started with a full bucket, since it has no predecessor of its name. One that replaces another node got the share that the other had spent. Evidence: TestRetriesStayWithinLimitWhenNodesAreReplaced failed before; the same waves with names kept stay within the limit. Change: a bucket starts full only at the first start of a whole fleet (first_start, entry not in the store), when no other process can have spent anything. Also an entry lost with a restored store no longer fills a bucket. TestOnlyNodesOfANewFleetStartWithRetries, earlier TestOnlyNewNodesStartWithRetries, asks that an added node gets none.

--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -311,7 +311,7 @@
 	f.retryLimiter.RecordFirstSend(sageclock.Now(), service, nodes)
 }
 
-// grantRetries fills the buckets of a node that has no predecessor, which could have spent its share just before.
+// grantRetries fills the buckets of a node whose share no other process can have spent just before.
 func (f *fleet) grantRetries() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/sagerouter/registrar.go
+++ b/internal/sagerouter/registrar.go
@@ -49,8 +49,8 @@
 type registrar struct {
 	node       *Node
 	staleLists int
-	// isNew is set if this node's entry didn't exist before, so that it has no predecessor of its name.
-	isNew bool
+	// isFirst is set for the first process of a node of a new fleet. No other process can have spent its share of a limit.
+	isFirst bool
 }
 
 // Run registers the node, with retries, and returns when ctx ends.
@@ -138,7 +138,7 @@
 	names := slices.Collect(maps.Keys(entries))
 	n.registeredNames.Store(&names)
 	n.nodeCount.reset()
-	if r.isNew {
+	if r.isFirst {
 		n.fleet.grantRetries()
 	}
 	n.mesh.TriggerHeartbeats(true)
@@ -168,7 +168,7 @@
 	if err != nil {
 		return fmt.Errorf("register node: %w", err)
 	}
-	r.isNew = r.isNew || created
+	r.isFirst = r.isFirst || created && n.Settings.FirstStart
 	return nil
 }
 
--- a/internal/sagerouter/registrar_test.go
+++ b/internal/sagerouter/registrar_test.go
@@ -70,8 +70,9 @@
 	}}
 }
 
-// Prevents a node that restarts from getting retries at once: its predecessor may have sent the node's share just before.
-func TestOnlyNewNodesStartWithRetries(t *testing.T) {
+// Prevents a node that restarts or is added from getting retries at once: its predecessor, or the node that it replaces, may have
+// sent its share just before.
+func TestOnlyNodesOfANewFleetStartWithRetries(t *testing.T) {
 	store := new(entryStore)
 	allow := func(m *registrar) bool {
 		return m.node.fleet.retryLimiter.Allow(m.node.fleet.retryLimiter.Start, "s", m.node.fleetSize())
@@ -79,7 +80,7 @@
 	added := newRegistrar(t, 1, false, store)
 	require.False(t, allow(added), "the fleet isn't known yet")
 	require.NoError(t, added.register(t.Context()))
-	require.True(t, allow(added))
+	require.False(t, allow(added))
 	restarted := newRegistrar(t, 1, false, store)
 	require.NoError(t, restarted.register(t.Context()))
 	require.False(t, allow(restarted))
@@ -88,6 +89,10 @@
 	require.NoError(t, first.register(t.Context()))
 	require.True(t, allow(first))
 	require.Equal(t, 2, first.node.fleetSize())
+	restartedFirst := newRegistrar(t, 2, true, store)
+	require.NoError(t, restartedFirst.create(t.Context()))
+	require.NoError(t, restartedFirst.register(t.Context()))
+	require.False(t, allow(restartedFirst))
 }
 
 // When all nodes of a large fleet restarted, each wrote its entry although the store had it. These calls alone
--- a/pkg/sageshare/retries.go
+++ b/pkg/sageshare/retries.go
@@ -24,8 +24,8 @@
 // safe for concurrent use.
 //
 // In any window all nodes together send to a service at most Ratio times its requests plus Slack retries. Each node has a
-// token bucket for each service, filled by its own requests and over time. It is empty when its node starts, so that restarts
-// gain nothing.
+// token bucket for each service, filled by its own requests and over time. It is empty when its node starts, so that neither
+// restarts nor the replacement of nodes gains anything.
 type RetryLimiter struct {
 	Ratio  float64
 	Slack  float64
@@ -53,8 +53,8 @@
 	SlackPerSecond float64
 }
 
-// Fill fills the buckets of all services, present and future. It may be called once, for a node that is known to have had no
-// predecessor in the last window.
+// Fill fills the buckets of all services, present and future. It may be called once, at the first start of the whole fleet: a
+// node that is added later may replace one that has spent its share in the last window.
 func (r *RetryLimiter) Fill() {
 	r.filled = true
 	for _, b := range r.buckets {
