An account that floods keeps a short queue

Cause: a node let requests of such an account wait for up to three quarters of the time to their latest start, first come, first served. Under a flood the queue is always full, so that nearly all starts are as late as they may be, and runs above the mean are late. Evidence: not a regression of the retries. Change: of an account that is held to its share no more wait than keep the share in use, log(0.01) / -log(excess) requests: four where it asks for four times its share. The others are refused at once. Accounts near their share are not affected. Why it works: with random arrivals a queue of k is empty in about excess^-k of the time, so the share stays in use, and waits are shorter.

--- a/pkg/sagefair/gate_sim_test.go
+++ b/pkg/sagefair/gate_sim_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"container/heap"
+	"math"
 	"math/rand/v2"
 	"time"
 
@@ -36,6 +37,7 @@
 	gates               []*Gate
 	objective, deadline time.Duration
 	wait, run           time.Duration
+	spread              float64 // of the logarithms of runs
 	returns             bool
 	early               bool                 // refused callers come back after a third of their time, if they are asked to wait longer
 	onArrival           func(account string) // of new requests; may be nil
@@ -138,7 +140,7 @@
 	if e.State == Running {
 		s.starts[e.Arrival.Account] = append(s.starts[e.Arrival.Account], s.now)
 	}
-	end := s.now.Add(s.wait + s.run)
+	end := s.now.Add(s.wait + s.drawRun())
 	back := e.RetryAt <= e.Arrival.Deadline.Add(-s.wait-s.run)
 	for _, c := range s.count(e) {
 		switch {
@@ -187,6 +189,14 @@
 	s.advance(i)
 }
 
+// drawRun returns the time of a run.
+func (s *gateSim) drawRun() time.Duration {
+	if s.spread == 0 {
+		return s.run
+	}
+	return time.Duration(float64(s.run) * math.Exp(s.spread*s.rng.NormFloat64()-s.spread*s.spread/2))
+}
+
 // play plays loads with random arrivals, after which everything that waits is decided on.
 func (s *gateSim) play(d time.Duration, loads ...gateLoad) {
 	begin := s.now
--- a/pkg/sagefair/gate_test.go
+++ b/pkg/sagefair/gate_test.go
@@ -61,6 +61,28 @@
 	}
 }
 
+// Prevents that requests of an account that floods wait for their places until their responses are late.
+func TestFloodIsServedInTime(t *testing.T) {
+	const seconds, share = 60, 48.0
+	for _, nodes := range []int{1, 4} {
+		for _, excess := range []float64{4, 10} {
+			t.Run(fmt.Sprintf("%d nodes, excess %g", nodes, excess), func(t *testing.T) {
+				s := newGateSim(nodes, 1)
+				s.objective, s.wait, s.run, s.spread = 750*time.Millisecond, 50*time.Millisecond, 150*time.Millisecond, 0.5
+				s.setShares(Shares{
+					Short:  true,
+					Rates:  map[string]float64{"flood": share / float64(nodes)},
+					Excess: map[string]float64{"flood": excess},
+				})
+				s.play(seconds*time.Second, gateLoad{account: "flood", perSecond: share * excess})
+				c := s.counts["flood"]
+				require.Greater(t, float64(c.InTime), 0.98*float64(c.InTime+c.Late))
+				require.Greater(t, float64(c.InTime+c.Late), 0.95*share*seconds, "the share is used")
+			})
+		}
+	}
+}
+
 // Prevents that many nodes with few requests each admit, with the bursts of all accounts, far more than there is capacity for, or
 // that they leave capacity unused.
 func TestAllAskTooMuch(t *testing.T) {
--- a/pkg/sagefair/waiting.go
+++ b/pkg/sagefair/waiting.go
@@ -2,6 +2,7 @@
 
 import (
 	"container/heap"
+	"math"
 	"slices"
 	"time"
 
@@ -16,6 +17,9 @@
 // for runs that take longer than the mean.
 const waitPart = 0.75
 
+// heldIdle is the part of the time in which an account that is held to its share may have no request waiting.
+const heldIdle = 0.01
+
 // tryInterval is the time between requests that pass although they seem too late for their deadlines.
 const tryInterval = 5 * time.Second
 
@@ -48,12 +52,24 @@
 	if b.rate <= 0 || len(b.waiting) >= maxWaitingOfAccount || g.waiting >= maxWaiting {
 		return false
 	}
+	if b.countAhead(a.Urgency) >= g.longestQueue(b.account) {
+		return false
+	}
 	if g.inTime(now, a) && b.placeAt(b.countAhead(a.Urgency)) <= now.Add(longestWait(g.latestStart(a.Objective).Sub(now))) {
 		return true
 	}
 	return b.sparePlaceAt(len(b.waiting)+1) <= g.latestStart(a.Deadline)
 }
 
+// longestQueue returns how many requests of an account may wait. An account that is held to its share needs only as many as
+// keep its share in use: with random arrivals, a queue of k requests is empty in about excess^-k of the time.
+func (g *Gate) longestQueue(account string) int {
+	if !g.isHeld(account) {
+		return maxWaitingOfAccount
+	}
+	return int(math.Ceil(math.Log(heldIdle) / -math.Log(g.excess[account].mean)))
+}
+
 // longestWait returns how long a request may wait that has to start within d.
 func longestWait(d time.Duration) time.Duration { return time.Duration(waitPart * float64(d)) }
 
