--- a/pkg/sagefair/waiting.go
+++ b/pkg/sagefair/waiting.go
@@ -52,10 +52,11 @@
 	if b.rate <= 0 || len(b.waiting) >= maxWaitingOfAccount || g.waiting >= maxWaiting {
 		return false
 	}
-	if b.countAhead(a.Urgency) >= g.longestQueue(b.account) {
+	ahead := b.countAhead(a.Urgency)
+	if ahead >= g.longestQueue(b.account) {
 		return false
 	}
-	if g.inTime(now, a) && b.placeAt(b.countAhead(a.Urgency)) <= now.Add(longestWait(g.latestStart(a.Objective).Sub(now))) {
+	if g.inTime(now, a) && b.placeAt(ahead) <= now.Add(longestWait(g.latestStart(a.Objective).Sub(now))) {
 		return true
 	}
 	return b.sparePlaceAt(len(b.waiting)+1) <= g.latestStart(a.Deadline)
