--- a/internal/sageclaims/backlog.go
+++ b/internal/sageclaims/backlog.go
@@ -9,6 +9,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sagestand.example/sagestand/pkg/sageclaim"
+	"sagestand.example/sagestand/pkg/sageclock"
 )
 
 // Limits of the backlog.
@@ -105,14 +106,14 @@
 			if s.runJobs(ctx, false) > 0 {
 				// Failed jobs are retried after a delay, so that an outage of the store doesn't cause a
 				// burst of calls.
-				sleep(ctx, initialJobDelay)
+				sageclock.Sleep(ctx, initialJobDelay)
 				s.backlog.add()
 			}
 		}
 	}
 	drainCtx, cancel := context.WithTimeout(context.WithoutCancel(ctx), drainTimeout)
 	defer cancel()
-	for s.runJobs(drainCtx, true) > 0 && sleep(drainCtx, initialJobDelay) {
+	for s.runJobs(drainCtx, true) > 0 && sageclock.Sleep(drainCtx, initialJobDelay) {
 	}
 	if n := s.backlog.len(); n > 0 {
 		s.Log.Warn("Stopped with outcomes not recorded; they are listed as unknown.", "count", n)
--- a/internal/sageclaims/service.go
+++ b/internal/sageclaims/service.go
@@ -14,6 +14,7 @@
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/internal/sagerpc/claim"
 	"sagestand.example/sagestand/pkg/sageclaim"
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sageobject"
 	"sagestand.example/sagestand/pkg/sagewire"
 )
@@ -118,7 +119,7 @@
 		if ref := s.refusalFor(h, &rec, now); ref != nil {
 			return nil, s.decodeCachedAnswer(ans), ref
 		}
-		if !sleep(ctx, interval) {
+		if !sageclock.Sleep(ctx, interval) {
 			return nil, nil, s.countRefusal(alreadyRun(sagewire.ReasonKeyInUse, "a request with this key is in flight", &rec, rec.Deadline))
 		}
 	}
@@ -207,14 +208,3 @@
 	e := sageclaim.Entry{Op: sageclaim.OpRelease, Account: h.entry.Account, Key: h.entry.Key, ClaimID: h.entry.ClaimID}
 	s.enqueue(job{object: h.object, entry: e}, h.entry.Deadline)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/sageclaims/sweep.go
+++ b/internal/sageclaims/sweep.go
@@ -9,6 +9,7 @@
 	"github.com/pkg/errors"
 
 	"sagestand.example/sagestand/pkg/sageclaim"
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sageobject"
 )
 
@@ -38,7 +39,7 @@
 
 // runSweeps sweeps and deletes expired claims until ctx ends, whenever this node owns the cursor.
 func (s *Service) runSweeps(ctx context.Context) {
-	for n := 1; sleep(ctx, sweepInterval); n++ {
+	for n := 1; sageclock.Sleep(ctx, sweepInterval); n++ {
 		if s.owner(cursorKey) != s.Self {
 			continue
 		}
@@ -79,7 +80,7 @@
 		if err != nil {
 			return fmt.Errorf("list claims: %w", err)
 		}
-		if !sleep(ctx, listInterval) {
+		if !sageclock.Sleep(ctx, listInterval) {
 			return fmt.Errorf("list claims: %w", ctx.Err())
 		}
 		for _, m := range metas {
--- a/internal/sageconfigd/follow.go
+++ b/internal/sageconfigd/follow.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"time"
 
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sageobject"
 	"sagestand.example/sagestand/pkg/sagesync"
 	"sagestand.example/sagestand/pkg/sageticket"
@@ -28,16 +29,7 @@
 // the store at the same time don't return to it at the same time.
 func backOff(ctx context.Context, n int) {
 	d := min(initialBackoff<<min(n, 10), maxBackoff)
-	sleep(ctx, d/2+rand.N(d/2))
-}
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
+	sageclock.Sleep(ctx, d/2+rand.N(d/2))
 }
 
 // watchHead watches the head until ctx ends, while this node is a watcher.
@@ -45,7 +37,7 @@
 	failures := 0
 	for ctx.Err() == nil {
 		if !s.isWatcher() {
-			sleep(ctx, pollInterval)
+			sageclock.Sleep(ctx, pollInterval)
 			continue
 		}
 		if err := s.watchOnce(ctx); err != nil {
@@ -123,7 +115,7 @@
 	for ctx.Err() == nil {
 		if !s.isWatcher() && !s.needsStore(time.Now()) {
 			failures = 0
-			sleep(ctx, pollInterval)
+			sageclock.Sleep(ctx, pollInterval)
 			continue
 		}
 		if err := s.confirmOnce(ctx); err != nil {
@@ -132,7 +124,7 @@
 			continue
 		}
 		failures = 0
-		sleep(ctx, confirmInterval)
+		sageclock.Sleep(ctx, confirmInterval)
 	}
 }
 
--- a/internal/sageconfigd/service.go
+++ b/internal/sageconfigd/service.go
@@ -10,6 +10,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"sagestand.example/sagestand/internal/sagelog"
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sageconfig"
 	"sagestand.example/sagestand/pkg/sagegossip"
 	"sagestand.example/sagestand/pkg/sageobject"
@@ -184,7 +185,7 @@
 		if !st.QuorumAt.IsZero() || now.After(until) || ctx.Err() != nil {
 			return false
 		}
-		sleep(ctx, pollInterval)
+		sageclock.Sleep(ctx, pollInterval)
 	}
 }
 
--- a/internal/sageconfirm/run.go
+++ b/internal/sageconfirm/run.go
@@ -12,6 +12,7 @@
 
 	"sagestand.example/sagestand/internal/sagefleet"
 	"sagestand.example/sagestand/internal/sageworkload"
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sageconfig"
 	"sagestand.example/sagestand/pkg/sageload"
 )
@@ -124,16 +125,16 @@
 // runExit takes the first data centre out of service for one phase.
 func (r *Run) runExit(ctx context.Context) error {
 	outAt, backAt := time.Now().Add(phaseDuration), time.Now().Add(2*phaseDuration)
-	sleepUntil(ctx, outAt)
+	sageclock.Sleep(ctx, time.Until(outAt))
 	if err := r.fleet.Submit(ctx, 0, sagefleet.DataCentreTicket(2, dataCentres[0], false)); err != nil {
 		return fmt.Errorf("exit: %w", err)
 	}
-	sleepUntil(ctx, outAt.Add(inForceDelay))
+	sageclock.Sleep(ctx, time.Until(outAt.Add(inForceDelay)))
 	var err error
 	if r.sum.BegunInForce, err = r.countBegun(ctx); err != nil {
 		return err
 	}
-	sleepUntil(ctx, backAt)
+	sageclock.Sleep(ctx, time.Until(backAt))
 	if r.sum.BegunAtReturn, err = r.countBegun(ctx); err != nil {
 		return err
 	}
@@ -182,7 +183,7 @@
 func (r *Run) runChurn(ctx context.Context) error {
 	end := time.Now().Add(3*phaseDuration - restartInterval)
 	for n := 0; ; n++ {
-		sleepUntil(ctx, time.Now().Add(restartInterval))
+		sageclock.Sleep(ctx, restartInterval)
 		if ctx.Err() != nil || time.Now().After(end) {
 			return nil
 		}
@@ -191,16 +192,9 @@
 			return fmt.Errorf("kill %s: %w", p.Name, err)
 		}
 		r.sum.Kills++
-		sleepUntil(ctx, time.Now().Add(downtime))
+		sageclock.Sleep(ctx, downtime)
 		if err := p.Start(); err != nil {
 			return fmt.Errorf("start %s: %w", p.Name, err)
 		}
 	}
 }
-
-func sleepUntil(ctx context.Context, t time.Time) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(time.Until(t)):
-	}
-}
--- a/internal/sagedispatch/stream.go
+++ b/internal/sagedispatch/stream.go
@@ -14,6 +14,7 @@
 	"sagestand.example/sagestand/internal/sageconn"
 	"sagestand.example/sagestand/internal/sageheader"
 	"sagestand.example/sagestand/internal/sagesse"
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagewire"
 )
 
@@ -63,7 +64,7 @@
 			emptyResumes = 0
 		}
 		for !isFinal(err) && ctx.Err() == nil && emptyResumes < intOrDefault(x.d.MaxResumes, DefaultMaxResumes) {
-			sleep(ctx, resumeBackoff<<emptyResumes)
+			sageclock.Sleep(ctx, resumeBackoff<<emptyResumes)
 			emptyResumes++
 			x.result.Resumes++
 			tracker = new(sageconn.Tracker)
@@ -81,15 +82,6 @@
 	}
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // forwardEvents forwards the events of one connection. It returns nil once the done event has been forwarded.
 func (x *exchange) forwardEvents(res *http.Response, tracker *sageconn.Tracker, last *uint64) error {
 	r := &sagesse.Reader{R: bufio.NewReader(res.Body), MaxEventBytes: intOrDefault(x.d.MaxEventBytes, DefaultMaxEventBytes)}
--- a/internal/sagefollow/follower.go
+++ b/internal/sagefollow/follower.go
@@ -313,7 +313,7 @@
 	loops.Go(func() { f.poll(ctx) })
 	loops.Go(func() {
 		for ctx.Err() == nil {
-			sleep(ctx, checkInterval)
+			sageclock.Sleep(ctx, checkInterval)
 			f.expireKept()
 		}
 	})
@@ -357,12 +357,3 @@
 		f.Log.Info("Store answers again.", "kind", f.Kind)
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/sagefollow/watch.go
+++ b/internal/sagefollow/watch.go
@@ -29,7 +29,7 @@
 func (f *Follower) watch(ctx context.Context) {
 	for ctx.Err() == nil {
 		if !f.listed() || f.Failing() || f.isolated() || f.Rank(false) != watchRank {
-			sleep(ctx, checkInterval)
+			sageclock.Sleep(ctx, checkInterval)
 			continue
 		}
 		f.watchOnce(ctx)
@@ -47,9 +47,9 @@
 	case err != nil:
 		// The failure makes poll call the store too, to find out whether only the watch failed. Until a
 		// call is answered this node doesn't watch.
-		sleep(ctx, checkInterval)
+		sageclock.Sleep(ctx, checkInterval)
 	case changes > 0:
-		sleep(ctx, f.BatchDelay)
+		sageclock.Sleep(ctx, f.BatchDelay)
 	}
 }
 
--- a/internal/sagerouter/origins.go
+++ b/internal/sagerouter/origins.go
@@ -123,7 +123,7 @@
 		}
 		if err := w.write(ctx, sageclock.Now()); err != nil {
 			w.Log.Limited(sagelog.KindStateChange, "Departed versions not written.", "err", err)
-			sleep(ctx, departureRetryDelay)
+			sageclock.Sleep(ctx, departureRetryDelay)
 		}
 	}
 }
--- a/internal/sagerouter/registrar.go
+++ b/internal/sagerouter/registrar.go
@@ -57,7 +57,7 @@
 func (r *registrar) Run(ctx context.Context) error {
 	if r.node.Settings.FirstStart {
 		r.retry(ctx, r.create)
-		sleep(ctx, firstListDelay)
+		sageclock.Sleep(ctx, firstListDelay)
 	}
 	r.retry(ctx, r.register)
 	for {
@@ -65,7 +65,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-r.node.restored:
-			sleep(ctx, rand.N(r.restoreSpread()))
+			sageclock.Sleep(ctx, rand.N(r.restoreSpread()))
 			r.retry(ctx, r.create)
 			r.node.Log.Component("members").Info("Registered after a restore of the store.")
 		}
@@ -85,7 +85,7 @@
 			return
 		}
 		r.node.Log.Component("members").Warn("Registration failed.", "err", err)
-		sleep(ctx, registerRetryDelay)
+		sageclock.Sleep(ctx, registerRetryDelay)
 	}
 }
 
@@ -95,13 +95,6 @@
 	return f(ctx)
 }
 
-func sleep(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // register makes one attempt to list the registered nodes, and to register this one if it isn't among them.
 func (r *registrar) register(ctx context.Context) error {
 	n := r.node
--- a/internal/sagesoak/contention.go
+++ b/internal/sagesoak/contention.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/platform/standin"
 )
 
@@ -141,9 +142,9 @@
 		kind := c.rng.IntN(10)
 		for range 1 + c.rng.IntN(maxContentionSeries) {
 			c.inject(ctx, kind)
-			pause(ctx, seriesInterval)
+			sageclock.Sleep(ctx, seriesInterval)
 		}
-		pause(ctx, time.Duration(c.rng.Int64N(int64(maxContentionGap))))
+		sageclock.Sleep(ctx, time.Duration(c.rng.Int64N(int64(maxContentionGap))))
 	}
 }
 
@@ -171,7 +172,7 @@
 	c.soak.recordInjected(name, duration)
 	begin()
 	c.pending.Go(func() {
-		pause(ctx, duration)
+		sageclock.Sleep(ctx, duration)
 		end()
 	})
 }
--- a/internal/sagesoak/fatal.go
+++ b/internal/sagesoak/fatal.go
@@ -7,6 +7,7 @@
 	"sync"
 	"time"
 
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/platform/standin"
 )
 
@@ -48,7 +49,7 @@
 	defer c.Close()
 	for ctx.Err() == nil {
 		c.SendOnce(context.WithoutCancel(ctx), standin.Reply, fatalBody)
-		pause(ctx, fatalInterval/2+rand.N(fatalInterval))
+		sageclock.Sleep(ctx, fatalInterval/2+rand.N(fatalInterval))
 	}
 }
 
--- a/internal/sagesoak/parts.go
+++ b/internal/sagesoak/parts.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/platform/standin"
 )
 
@@ -112,7 +113,7 @@
 	defer stop()
 	var wg sync.WaitGroup
 	wg.Go(func() { p.load.RunSound(loadCtx) })
-	pause(ctx, soundTime)
+	sageclock.Sleep(ctx, soundTime)
 	wg.Go(func() { p.load.RunFatal(loadCtx) })
 	if p.crashes {
 		wg.Go(func() { p.crashEngines(loadCtx) })
@@ -124,7 +125,7 @@
 		if p.rng.IntN(3) == 0 {
 			p.unframe(ctx)
 		}
-		pause(ctx, minStopGap+time.Duration(p.rng.Int64N(int64(maxFaultGap))))
+		sageclock.Sleep(ctx, minStopGap+time.Duration(p.rng.Int64N(int64(maxFaultGap))))
 	}
 	p.until = time.Now()
 	stop()
@@ -137,7 +138,7 @@
 // crashEngines crashes random engines at random times.
 func (p *partFaults) crashEngines(ctx context.Context) {
 	for ctx.Err() == nil {
-		pause(ctx, time.Duration(rand.ExpFloat64()*float64(meanCrashGap)))
+		sageclock.Sleep(ctx, time.Duration(rand.ExpFloat64()*float64(meanCrashGap)))
 		r := p.soak.sys.Runner(rand.IntN(partEngines))
 		if ctx.Err() == nil && r.CrashOnce() {
 			p.spontaneous++
@@ -154,7 +155,7 @@
 	r.InjectFaults(standin.RunnerFaults{Unframed: 1, Torn: tornStreams})
 	s.recordInjected(r.ID+" sends unframed responses", duration)
 	p.pending.Go(func() {
-		pause(ctx, duration)
+		sageclock.Sleep(ctx, duration)
 		r.InjectFaults(standin.RunnerFaults{})
 	})
 }
--- a/internal/sagesoak/paths.go
+++ b/internal/sagesoak/paths.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/platform/standin"
 )
 
@@ -54,7 +55,7 @@
 	defer c.Close()
 	for ctx.Err() == nil {
 		go c.Do(context.WithoutCancel(ctx), requestKinds[rand.IntN(len(requestKinds))])
-		pause(ctx, stickyInterval/2+rand.N(stickyInterval))
+		sageclock.Sleep(ctx, stickyInterval/2+rand.N(stickyInterval))
 	}
 }
 
@@ -70,7 +71,7 @@
 		default:
 			p.cut(ctx)
 		}
-		pause(ctx, time.Duration(p.rng.Int64N(int64(maxCutGap))))
+		sageclock.Sleep(ctx, time.Duration(p.rng.Int64N(int64(maxCutGap))))
 	}
 }
 
@@ -135,12 +136,12 @@
 		for range flaps {
 			start := time.Now()
 			p.setMode(nodes, cut, mode)
-			pause(ctx, duration)
+			sageclock.Sleep(ctx, duration)
 			p.setMode(nodes, cut, linkOpen)
 			if p.checked && len(nodes) < p.soak.Nodes && from == "all" {
 				p.checkServed(nodes, start, start.Add(duration))
 			}
-			pause(ctx, flapInterval)
+			sageclock.Sleep(ctx, flapInterval)
 		}
 	}
 	if p.checked {
@@ -153,7 +154,7 @@
 // checkServed checks what callers of cut nodes got from contactTime after the start of a cut on, and notes the shares by
 // second.
 func (p *pathFaults) checkServed(nodes []int, start, end time.Time) {
-	pause(context.Background(), contactTime) // outcomes are known by then
+	sageclock.Sleep(context.Background(), contactTime) // outcomes are known by then
 	sys := p.soak.sys
 	isCut := make(map[string]bool)
 	for _, n := range nodes {
@@ -218,7 +219,7 @@
 			for _, r := range runners {
 				r.SetBrittle(brittleDeclines, queue)
 			}
-			pause(ctx, duration/2)
+			sageclock.Sleep(ctx, duration/2)
 		}
 		if falls := countFalls(runners) - before; p.checked && falls > allowedFalls+len(runners)/10 {
 			s.sys.Ledger.RecordViolation("%d brittle upstreams fell over %d times", len(runners), falls)
@@ -252,6 +253,6 @@
 	}
 	only := func(_, upstream int) bool { return upstream == u }
 	p.setMode(nodes, only, linkHeld)
-	pause(ctx, unresponsiveTime)
+	sageclock.Sleep(ctx, unresponsiveTime)
 	p.setMode(nodes, only, linkOpen)
 }
--- a/internal/sagesoak/restore.go
+++ b/internal/sagesoak/restore.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/platform/standin"
 )
 
@@ -51,7 +52,7 @@
 func (r *restorer) run(ctx context.Context) {
 	s := r.soak
 	for ctx.Err() == nil {
-		pause(ctx, maxRestoreGap/4+r.randomTime(maxRestoreGap))
+		sageclock.Sleep(ctx, maxRestoreGap/4+r.randomTime(maxRestoreGap))
 		if time.Since(s.start) > s.Duration {
 			return
 		}
@@ -59,10 +60,10 @@
 		for range r.rng.IntN(maxLostChanges) {
 			s.sys.Configure()
 		}
-		pause(ctx, r.randomTime(maxCopyAge))
+		sageclock.Sleep(ctx, r.randomTime(maxCopyAge))
 		for range 1 + r.rng.IntN(maxRestoreSeries) {
 			r.restore(ctx, c)
-			pause(ctx, r.randomTime(restoreInterval))
+			sageclock.Sleep(ctx, r.randomTime(restoreInterval))
 		}
 		r.changeAtOnce()
 	}
@@ -111,7 +112,7 @@
 	}
 	s.sys.Store.SetAnswerDelay(answerDelay)
 	s.sys.Store.SetMode("", mode)
-	pause(ctx, awayTime)
+	sageclock.Sleep(ctx, awayTime)
 	s.sys.Store.Restore(c)
 	s.sys.Store.SetMode("", standin.ModeServing)
 	s.sys.Store.SetAnswerDelay(0)
@@ -148,7 +149,7 @@
 	}
 	s := r.soak
 	var names []string
-	for deadline := time.Now().Add(registrationLimit); time.Now().Before(deadline) && ctx.Err() == nil; pause(ctx, requestInterval) {
+	for deadline := time.Now().Add(registrationLimit); time.Now().Before(deadline) && ctx.Err() == nil; sageclock.Sleep(ctx, requestInterval) {
 		if names = s.sys.Store.Names("routers"); len(names) == s.Nodes {
 			return
 		}
--- a/internal/sagesoak/retries.go
+++ b/internal/sagesoak/retries.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/platform/standin"
 )
 
@@ -41,7 +42,7 @@
 	wg.Go(func() { f.restartNodes(ctx, rand.New(rand.NewPCG(f.soak.Seed, 9))) })
 	for f.soak.injects(ctx) {
 		f.failService(ctx)
-		pause(ctx, time.Duration(f.rng.Int64N(int64(time.Second))))
+		sageclock.Sleep(ctx, time.Duration(f.rng.Int64N(int64(time.Second))))
 	}
 	wg.Wait()
 }
@@ -60,7 +61,7 @@
 	for i := from; i < to; i++ {
 		s.sys.Runner(i).InjectFaults(faults)
 	}
-	pause(ctx, duration)
+	sageclock.Sleep(ctx, duration)
 	for i := from; i < to; i++ {
 		s.sys.Runner(i).InjectFaults(standin.RunnerFaults{})
 	}
@@ -80,6 +81,6 @@
 				s.signalFor(&f.pending, name, sig, i, time.Duration(rng.Int64N(int64(limit))))
 			}
 		}
-		pause(ctx, time.Duration(rng.Int64N(int64(maxRestartGap))))
+		sageclock.Sleep(ctx, time.Duration(rng.Int64N(int64(maxRestartGap))))
 	}
 }
--- a/internal/sagesoak/soak.go
+++ b/internal/sagesoak/soak.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/platform/standin"
 )
 
@@ -186,7 +187,7 @@
 	if s.contention != nil {
 		s.contention.end()
 	}
-	pause(ctx, settleTime)
+	sageclock.Sleep(ctx, settleTime)
 	if s.fatal != nil {
 		s.fatal.checkStopped()
 	}
@@ -256,13 +257,6 @@
 	return true
 }
 
-func pause(ctx context.Context, d time.Duration) {
-	select {
-	case <-ctx.Done():
-	case <-time.After(d):
-	}
-}
-
 // requestKinds are the kinds of requests that callers send.
 var requestKinds = []standin.Kind{standin.Chat, standin.Reply, standin.Booking, standin.Lookup}
 
@@ -271,7 +265,7 @@
 	defer c.Close()
 	for ctx.Err() == nil {
 		go c.Do(context.WithoutCancel(ctx), requestKinds[rand.IntN(len(requestKinds))])
-		pause(ctx, requestInterval/2+rand.N(requestInterval))
+		sageclock.Sleep(ctx, requestInterval/2+rand.N(requestInterval))
 	}
 }
 
@@ -281,7 +275,7 @@
 		if !s.NoFaults {
 			s.injectSeries(ctx)
 		}
-		pause(ctx, time.Duration(s.rng.Int64N(int64(maxFaultGap))))
+		sageclock.Sleep(ctx, time.Duration(s.rng.Int64N(int64(maxFaultGap))))
 	}
 }
 
@@ -298,7 +292,7 @@
 		return
 	}
 	for range s.rng.IntN(maxSeries) {
-		pause(ctx, seriesInterval)
+		sageclock.Sleep(ctx, seriesInterval)
 		s.injectFault(f)
 	}
 }
--- a/internal/sagesoak/versions.go
+++ b/internal/sagesoak/versions.go
@@ -8,6 +8,7 @@
 	"syscall"
 	"time"
 
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/platform/standin"
 )
 
@@ -64,7 +65,7 @@
 		default:
 			v.signal()
 		}
-		pause(ctx, time.Duration(v.rng.Int64N(int64(maxVersionGap))))
+		sageclock.Sleep(ctx, time.Duration(v.rng.Int64N(int64(maxVersionGap))))
 	}
 }
 
@@ -80,7 +81,7 @@
 	}
 	set(brokenStreams)
 	v.pending.Go(func() {
-		pause(ctx, duration)
+		sageclock.Sleep(ctx, duration)
 		set(0)
 	})
 }
@@ -122,7 +123,7 @@
 	}
 	s.leave(func() { old.Drain(standin.MaxDrainDelay, v.checked) })
 	v.pending.Go(func() {
-		pause(ctx, releaseDrainTime)
+		sageclock.Sleep(ctx, releaseDrainTime)
 		old.Crash()
 		s.sys.Store.Delete("servers", old.ID)
 	})
--- a/pkg/sageclaim/committer.go
+++ b/pkg/sageclaim/committer.go
@@ -8,6 +8,7 @@
 
 	"github.com/pkg/errors"
 
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sageobject"
 )
 
@@ -251,7 +252,7 @@
 			if c.NoReadBack {
 				return nil, commitError(true, err)
 			}
-			if !sleep(ctx, retryInterval) {
+			if !sageclock.Sleep(ctx, retryInterval) {
 				return nil, commitError(true, err)
 			}
 		}
@@ -268,18 +269,6 @@
 	return fmt.Errorf("commit claims: %v: %w", err, ErrStoreUnavailable)
 }
 
-// sleep waits for d and reports false if ctx ends first.
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 // applyBatch returns a copy of log with the batch applied, and whether anything changed.
 func applyBatch(log *ClaimLog, batch []*pending) (*ClaimLog, bool) {
 	next := log.clone()
