--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -3,14 +3,11 @@
 import (
 	"bufio"
 	"context"
-	"errors"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
-	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -31,82 +28,6 @@
 	"sagestand.example/sagestand/pkg/sageupstream"
 )
 
-// Headers of testDialect.
-const (
-	testID       = "Test-Id"
-	testKey      = "Test-Key"
-	testDeadline = "Test-Deadline"
-	testTokens   = "Test-Tokens"
-	testLast     = "Last-Event-Id"
-	testResumes  = "Test-Resumes"
-	testSeal     = "Test-Seal"
-	testNotRun   = "Test-Not-Run"
-	testLeaving  = "Test-Leaving"
-	testPause    = "Test-Pause"
-	testBrittle  = "Test-Brittle"
-)
-
-type testDialect struct{}
-
-func (testDialect) ParseRequest(r *http.Request) (RequestMetadata, error) {
-	c := RequestMetadata{ID: r.Header.Get(testID), Key: r.Header.Get(testKey), LastEventID: r.Header.Get(testLast), Resumes: r.Header.Get(testResumes)}
-	if c.ID == "" {
-		return c, errors.New("no id")
-	}
-	if ms, err := strconv.Atoi(r.Header.Get(testDeadline)); err == nil {
-		c.Deadline = time.Now().Add(time.Duration(ms) * time.Millisecond)
-	}
-	if n, err := strconv.Atoi(r.Header.Get(testTokens)); err == nil {
-		c.Chain = sagechain.Chain{{ID: 1, Tokens: n}, {ID: 2}}
-	}
-	return c, nil
-}
-
-func (testDialect) SetForwardHeader(h http.Header, s *ForwardMetadata) {
-	h.Set("Test-Instance", s.Upstream.ID)
-	h.Set("Test-Account", s.Account)
-	h.Del(testKey)
-	if s.LastEventID != "" {
-		h.Set(testLast, s.LastEventID)
-	}
-}
-
-func (testDialect) SetRelayHeader(h http.Header, m *RelayMetadata) {
-	h.Set(testDeadline, strconv.FormatInt(time.Until(m.Deadline).Milliseconds(), 10))
-	if m.LastEventID != "" {
-		h.Set(testLast, m.LastEventID)
-	}
-}
-
-func (testDialect) ParseResponse(res *http.Response) ResponseMetadata {
-	return ResponseMetadata{
-		ID: res.Header.Get(testID), Sealed: res.Header.Get(testSeal) != "",
-		NotRun:      res.Header.Get(testNotRun) != "" || res.StatusCode == http.StatusMisdirectedRequest,
-		Misdirected: res.StatusCode == http.StatusMisdirectedRequest,
-		Leaving:     res.Header.Get(testLeaving) != "",
-		PauseUntil:  pauseOf(res),
-		Brittle:     res.Header.Get(testBrittle) != "",
-	}
-}
-
-// pauseOf returns the end of the pause that a response asks for.
-func pauseOf(res *http.Response) sageclock.Instant {
-	d, err := time.ParseDuration(res.Header.Get(testPause))
-	if err != nil {
-		return 0
-	}
-	return sageclock.Now().Add(d)
-}
-
-func (testDialect) SetRefusalHeader(h http.Header, _ string, retryAfter time.Duration) {
-	if retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
-	}
-}
-
-// upstream handles one request on one connection. The connection is closed when it returns.
-type upstream func(c net.Conn, req *http.Request)
-
 // fakeFleet is a Fleet with scripted upstreams.
 type fakeFleet struct {
 	table *sageroute.Table
@@ -460,47 +381,3 @@
 	s.toUpstreams().forRequest(true).CloseIdleConnections()
 	return out
 }
-
-// respond returns an upstream that sends a plain response.
-func respond(status int, header, body string) upstream {
-	return func(c net.Conn, req *http.Request) {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 %d X\r\n%s: %s\r\n%sContent-Length: %d\r\n\r\n%s", status, testID, req.Header.Get(testID), header, len(body), body)
-	}
-}
-
-const sealHeader = testSeal + ": s\r\n"
-
-// events returns an upstream that sends the events from..to in chunks, and the end of the stream if
-// complete.
-func events(from, to int, complete bool) upstream {
-	return func(c net.Conn, req *http.Request) {
-		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: from-%d\r\nContent-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n", testID, req.Header.Get(testID), testSeal, from)
-		for i := from; i <= to; i++ {
-			e := fmt.Sprintf("id: %d\ndata: w%d\n\n", i, i)
-			_, _ = fmt.Fprintf(c, "%x\r\n%s\r\n", len(e), e)
-		}
-		if complete {
-			_, _ = io.WriteString(c, "0\r\n\r\n")
-		}
-	}
-}
-
-// stalled reads the request and never responds.
-func stalled(c net.Conn, _ *http.Request) { _, _ = io.Copy(io.Discard, c) }
-
-// delayed returns an upstream that waits for d and then responds like up.
-func delayed(d time.Duration, up upstream) upstream {
-	return func(c net.Conn, req *http.Request) {
-		time.Sleep(d)
-		up(c, req)
-	}
-}
-
-// crash closes the connection without a response.
-func crash(net.Conn, *http.Request) {}
-
-// respondWithOtherID sends a response with the ID of another request.
-func respondWithOtherID(c net.Conn, req *http.Request) {
-	req.Header.Set(testID, "other")
-	respond(200, sealHeader, "theirs")(c, req)
-}
