--- a/internal/sagemeasure/membership.go
+++ b/internal/sagemeasure/membership.go
@@ -23,8 +23,7 @@
 
 // Membership measures the member table and its exchange at several fleet sizes and loss rates: the
 // bytes that a node sends and receives, the rounds until a join, a leave and a death are known
-// everywhere, and the nodes wrongly considered dead. The last is also measured with broken links, under
-// three policies.
+// everywhere, and the nodes wrongly considered dead, these under three policies with broken links too.
 func Membership(seed uint64) ([]Sample, error) {
 	var samples []Sample
 	losses := []float64{0, 0.01, 0.1, 0.3}
--- a/internal/sagemeasure/report.go
+++ b/internal/sagemeasure/report.go
@@ -41,7 +41,7 @@
 	return v <= t.Limit
 }
 
-// Sample is one value measured with one seed.
+// Sample is the value of a metric in a scenario, from a run with one seed.
 type Sample struct {
 	Scenario string
 	Policy   string
