review: the leaving runners of case 2 are processes that are killed

Runners are processes of their own now, killed two seconds after their notice as scale_in spot says, so that the kernel closes their connections.

--- a/review/standins/engine.go
+++ b/review/standins/engine.go
@@ -6,6 +6,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
+	"os/exec"
+	"strings"
 	"sync"
 	"time"
 
@@ -14,76 +17,99 @@
 
 // engine is a model runner. Its streams have no length and end with their connection, as the pages allow.
 type engine struct {
-	id     string
-	ledger *ledger
+	id string
 	// events is the number of events of a stream, gap the pause between two of them.
 	events int
 	gap    time.Duration
 
-	ln    net.Listener
-	born  int64
-	mu    sync.Mutex
-	conns map[net.Conn]struct{}
-	gone  bool
+	mu  sync.Mutex
+	out io.Writer
 }
 
-// start listens on a free port and registers the engine.
-func (e *engine) start(store *standin.Store) error {
-	var err error
-	if e.ln, err = net.Listen("tcp4", "127.0.0.1:0"); err != nil {
-		return fmt.Errorf("start %s: %w", e.id, err)
+// runEngine is the process of an engine. It writes its address and then what it runs to standard output, until it is killed.
+func runEngine(id string) int {
+	ln, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitNotRun
+	}
+	e := &engine{id: id, events: streamEvents, gap: streamGap, out: os.Stdout}
+	e.say("%s", ln.Addr())
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return exitNotRun
+		}
+		go e.serve(c)
+	}
+}
+
+// say writes a line to the process that started this one. It ends the process if that has gone.
+func (e *engine) say(format string, args ...any) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if _, err := fmt.Fprintf(e.out, format+"\n", args...); err != nil {
+		os.Exit(exitNotRun)
+	}
+}
+
+// engineProcess is an engine's process, as the process that started it sees it.
+type engineProcess struct {
+	id      string
+	address string
+	born    int64
+	cmd     *exec.Cmd
+	exited  chan struct{}
+}
+
+// startEngine starts the process of an engine and registers it.
+func startEngine(l *ledger, store *standin.Store, id string) (*engineProcess, error) {
+	self, err := os.Executable()
+	if err != nil {
+		return nil, fmt.Errorf("find the program: %w", err)
+	}
+	p := &engineProcess{id: id, born: time.Now().UnixMilli(), cmd: exec.Command(self, "engine", id), exited: make(chan struct{})}
+	out, err := p.cmd.StdoutPipe()
+	if err != nil {
+		return nil, fmt.Errorf("pipe of %s: %w", id, err)
+	}
+	if err := p.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("start %s: %w", id, err)
+	}
+	lines := bufio.NewScanner(out)
+	if lines.Scan() {
+		p.address = lines.Text()
 	}
-	e.conns, e.born = make(map[net.Conn]struct{}), time.Now().UnixMilli()
 	go func() {
-		for {
-			c, err := e.ln.Accept()
-			if err != nil {
-				return
+		for lines.Scan() {
+			if request, ok := strings.CutPrefix(lines.Text(), "runs "); ok {
+				l.ran(request, id)
 			}
-			go e.serve(c)
 		}
+		_ = p.cmd.Wait() // it is killed
+		close(p.exited)
 	}()
-	e.register(store, "ready", 1)
-	return nil
+	p.register(store, "ready", 1)
+	return p, nil
 }
 
-func (e *engine) register(store *standin.Store, state string, sequence int) {
-	store.Put("servers", e.id, map[string]any{
-		"service": engineService, "address": e.ln.Addr().String(), "zone": "graz-nord", "version": "v1", "slots": 64,
-		"state": state, "cold_left_ms": 0, "sequence": sequence, "born": e.born,
+func (p *engineProcess) register(store *standin.Store, state string, sequence int) {
+	store.Put("servers", p.id, map[string]any{
+		"service": engineService, "address": p.address, "zone": "graz-nord", "version": "v1", "slots": 64,
+		"state": state, "cold_left_ms": 0, "sequence": sequence, "born": p.born,
 	})
 }
 
-// exit ends the engine as the end of its process does: the listener and all connections are closed. Then its entry is
-// removed.
-func (e *engine) exit(store *standin.Store) {
-	e.mu.Lock()
-	e.gone = true
-	_ = e.ln.Close()
-	for c := range e.conns {
-		_ = c.Close()
-	}
-	e.mu.Unlock()
-	store.Delete("servers", e.id)
-}
-
-// track notes a connection; false if the engine has ended.
-func (e *engine) track(c net.Conn) bool {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.gone {
-		return false
-	}
-	e.conns[c] = struct{}{}
-	return true
+// kill ends the process. Then its entry is removed.
+func (p *engineProcess) kill(store *standin.Store) {
+	_ = p.cmd.Process.Kill() // fails only if it has exited
+	<-p.exited
+	store.Delete("servers", p.id)
 }
 
 // serve serves one connection. A stream is its last answer.
 func (e *engine) serve(c net.Conn) {
 	defer func() { _ = c.Close() }()
-	if !e.track(c) {
-		return
-	}
 	br := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(br)
@@ -113,14 +139,10 @@
 
 // stream writes the events of a stream and closes the connection after the last one.
 func (e *engine) stream(c net.Conn, id string) {
-	e.ledger.ran(id, e.id)
+	e.say("runs %s", id)
 	_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nX-Attempt-Id: %s\r\nX-Runner-Id: %s\r\nX-Response-Seal: %s\r\nContent-Type: text/event-stream\r\nConnection: close\r\n\r\n", id, e.id, sealOf(id))
-	i := 0
-	for ; err == nil && i < e.events; i++ {
+	for i := 1; err == nil && i <= e.events; i++ {
 		time.Sleep(e.gap)
-		_, err = fmt.Fprintf(c, "id: %d\ndata: %s piece %d of %d\n\n", i+1, id, i+1, e.events)
-	}
-	if err != nil {
-		e.ledger.write("%s ends at %s after %d of %d events: %v", id, e.id, i-1, e.events, err)
+		_, err = fmt.Fprintf(c, "id: %d\ndata: %s piece %d of %d\n\n", i, id, i, e.events)
 	}
 }
--- a/review/standins/leaving.go
+++ b/review/standins/leaving.go
@@ -17,13 +17,12 @@
 	streamEvents   = 36
 	streamGap      = 150 * time.Millisecond
 	engines        = 3
-	drainTime      = 2 * time.Second // drain_ms
-	drainLonger    = 500 * time.Millisecond
+	noticeTime     = 2 * time.Second // from the notice to the end of the process
 	betweenLeaving = 9 * time.Second
 )
 
-// playEndOfLeavingRunner takes runners away as planned: each reports that it is draining, goes on for drain_ms and a little
-// longer, and exits. Streams that last longer are cut off by that.
+// playEndOfLeavingRunner takes runners away: each reports that it is draining, and its process is killed noticeTime later.
+// Streams that last longer are cut off by that.
 func playEndOfLeavingRunner(ctx context.Context, l *ledger, trouble bool) error {
 	s, err := newSystem(l)
 	if err != nil {
@@ -31,11 +30,18 @@
 	}
 	defer s.stop()
 	s.configure()
-	var running []*engine
+	var running []*engineProcess
+	defer func() {
+		for _, e := range running {
+			e.kill(&s.store)
+		}
+	}()
 	add := func(i int) error {
-		e := &engine{id: fmt.Sprintf("i-7f3a91c%d", i), ledger: l, events: streamEvents, gap: streamGap}
-		running = append(running, e)
-		return e.start(&s.store)
+		e, err := startEngine(l, &s.store, fmt.Sprintf("i-7f3a91c%d", i))
+		if err == nil {
+			running = append(running, e)
+		}
+		return err
 	}
 	for i := range engines {
 		if err := add(i); err != nil {
@@ -45,11 +51,6 @@
 	if err := s.startNodes(ctx, 1); err != nil {
 		return err
 	}
-	defer func() {
-		for _, e := range running {
-			e.exit(&s.store)
-		}
-	}()
 	c := newClient(l, s.entry(0))
 	ctx, cancel := context.WithTimeout(ctx, leavingTime)
 	defer cancel()
@@ -69,9 +70,9 @@
 		running = running[1:]
 		l.write("%s reports that it is draining", e.id)
 		e.register(&s.store, "draining", 2)
-		sleep(ctx, drainTime+drainLonger)
-		l.write("%s exits", e.id)
-		e.exit(&s.store)
+		sleep(ctx, noticeTime)
+		l.write("%s is killed", e.id)
+		e.kill(&s.store)
 	}
 	wg.Wait()
 	return nil
--- a/review/standins/main.go
+++ b/review/standins/main.go
@@ -4,9 +4,11 @@
 // # Usage
 //
 //	review-standins CASE RECORD
+//	review-standins engine ID
 //
 // CASE is the number of a case, RECORD the file that gets what was sent, answered and run. The exit code is 0 if the rule
-// held, 1 if it was broken and 2 if the case couldn't run. With TROUBLE=0 in the environment the disruption is left out.
+// held, 1 if it was broken and 2 if the case couldn't run. With TROUBLE=0 in the environment the disruption is left out. The
+// second form is the process of a model runner, which a case starts.
 package main
 
 import (
@@ -35,6 +37,9 @@
 }
 
 func main() {
+	if len(os.Args) == 3 && os.Args[1] == "engine" {
+		os.Exit(runEngine(os.Args[2]))
+	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: review-standins CASE RECORD")
 		os.Exit(exitNotRun)
