sagerelay: settle whose response it is before anything in it is believed

What callers saw. Callers honour 503 as a promise and book again.

Cause. handleResponse read 421, "not run", the announcements and the evidence for breaker and failure detector before it compared the response's ID with that of the request. The copy was written after the next request, so that the check of the connection right before a write (sageconn) can't see it.

Existing logs can't tell a decline of this request from one of another: no line has the response's ID.

(*exchange).owns settles first whose response it is; a foreign one leaves "may have run", closes its connection and says nothing about its upstream but that the exchange broke. A rejection without an ID is believed if all earlier responses on the connection were identified, since a copy of one of them would have an ID, or if there were none; its connection isn't used again, so that no later request meets a copy of it. Foreign responses of known length that precede the request's own are skipped by sageconn, at most 8 of 1 MB, so that the own one still reaches its caller. Each is counted (sagestand_foreign_responses_total) and logged. A connection whose response wasn't identified isn't given to the next request, also if net/http has handed it out already (Discard).

Why it works. Nothing but the ID of the request itself, or the absence of anything that could be repeated, lets a response say "not run". The same path serves responses of peers.

TestLateCopyOfEarlierResponse (rejections, 421, announcements, successes, errors, with and without IDs, before, several times, without end, in chunks, in place of the response), TestConnectionWithForeignResponseIsNotReused and, for peers, TestLateCopyOfPeerResponse fail on the code before, in part for the metric that is new; TestRejectionsWithoutIDAreBelieved keeps upstreams without IDs from losing requests; sageconn's filter by itself.

--- a/internal/sageconn/conn.go
+++ b/internal/sageconn/conn.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/http"
 	"sync"
 	"time"
 
@@ -33,6 +34,12 @@
 	use    uint64
 	wrote  bool
 	sealed bool
+	// filter is that of the current use, passed what it has passed on and isn't read yet, readErr the error after it.
+	filter  filter
+	passed  []byte
+	readErr error
+	// identified is the number of uses whose answer was identified as that of their request.
+	identified uint64
 	// keepIdle is the time after which the connection is closed when it is idle; 0 leaves it open.
 	keepIdle time.Duration
 	// resting is set before the first and between two requests, until the next one is written.
@@ -59,18 +66,42 @@
 	return c.Conn.Write(b)
 }
 
-// Read implements [net.Conn].
+// Read implements [net.Conn]. It skips responses to earlier requests.
 func (c *Conn) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n == 0 && err == nil {
-		return 0, nil
+	for {
+		if n, err := c.readPassed(b); n > 0 || err != nil || len(b) == 0 {
+			return n, err
+		}
+		n, err := c.Conn.Read(b)
+		c.pass(b[:n], err)
 	}
+}
+
+// pass filters what was read.
+func (c *Conn) pass(b []byte, err error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.resting {
+	if c.resting && (len(b) > 0 || err != nil) {
 		c.stale = true
 	}
-	return n, err
+	c.passed, c.readErr = c.filter.add(b), err
+	if err != nil {
+		c.passed = append(c.passed, c.filter.passAll()...)
+	}
+}
+
+// readPassed reads what has passed the filter, and then the error of the last read.
+func (c *Conn) readPassed(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.passed) == 0 {
+		err := c.readErr
+		c.readErr = nil
+		return 0, err
+	}
+	n := copy(b, c.passed)
+	c.passed = c.passed[n:]
+	return n, nil
 }
 
 // BootIdentifier is implemented by connections that know which start of an upstream they lead to.
@@ -95,11 +126,16 @@
 	return w
 }
 
-// beginUse begins the use of the connection by another request and returns the number of the use.
-func (c *Conn) beginUse() uint64 {
+// beginUse begins the use of the connection by another request and returns the number of the use. Responses before the
+// request's own for which foreign is true are skipped; nil skips none. The first request has none before its own.
+func (c *Conn) beginUse(foreign func(*http.Response) bool) uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.use++
+	c.filter = filter{}
+	if c.use > 1 {
+		c.filter.foreign = foreign
+	}
 	c.wrote = false
 	c.resting = true
 	c.stopIdleTimer()
@@ -185,6 +221,30 @@
 	return true
 }
 
+// skippedIn returns the number of responses to other requests that were skipped in the given use.
+func (c *Conn) skippedIn(use uint64) int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.use != use {
+		return 0
+	}
+	return c.filter.skipped
+}
+
+// identify records that the answer of a use was identified.
+func (c *Conn) identify() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.identified++
+}
+
+// identifiedBefore reports whether the answers of all uses before the given one were identified.
+func (c *Conn) identifiedBefore(use uint64) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.identified+1 >= use
+}
+
 // closeUse closes the connection unless a later request uses it already.
 func (c *Conn) closeUse(use uint64) {
 	c.mu.Lock()
@@ -193,3 +253,15 @@
 		_ = c.Conn.Close()
 	}
 }
+
+// discard closes the connection unless a later request has been written to it. A later request that hasn't been written is
+// sealed.
+func (c *Conn) discard(use uint64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.use != use && c.wrote {
+		return
+	}
+	c.sealed = c.sealed || c.use != use
+	_ = c.Conn.Close()
+}
--- a/internal/sageconn/doc.go
+++ b/internal/sageconn/doc.go
@@ -9,6 +9,10 @@
 // request may be sent on another connection whatever it does. An idle connection of [WrapIdle] is closed after
 // a time that [Tracker.SetKeepIdle] sets to what the other end states.
 //
+// A faulty server may send a second copy of an answer, which arrives as the answer to a later request on the same connection.
+// [Tracker.Identify] records that an answer was its request's own, and [Tracker.EarlierIdentified] says whether one without
+// an ID can be such a copy. [Tracker.Discard] closes a connection on which an answer was not identified.
+//
 // # Usage
 //
 //	t := &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
--- a/internal/sageconn/tracker.go
+++ b/internal/sageconn/tracker.go
@@ -1,6 +1,7 @@
 package sageconn
 
 import (
+	"net/http"
 	"net/http/httptrace"
 	"sync"
 	"time"
@@ -12,6 +13,9 @@
 	BootID string
 	// AtMostOnce forbids the transport to send the request on a second connection if it may have been sent on a first.
 	AtMostOnce bool
+	// Foreign reports whether a response belongs to another request. Such ones are skipped if they precede the response to
+	// this request on a connection that was used before; nil skips none.
+	Foreign func(*http.Response) bool
 
 	mu      sync.Mutex
 	current *Conn
@@ -26,7 +30,7 @@
 	if !ok {
 		return
 	}
-	use := c.beginUse()
+	use := c.beginUse(t.Foreign)
 	sent := t.Sent()
 	t.mu.Lock()
 	t.current, t.use, t.sent = c, use, sent
@@ -84,6 +88,29 @@
 	}
 }
 
+// Skipped returns the number of responses to other requests that were skipped on the connection.
+func (t *Tracker) Skipped() int {
+	c, use := t.conn()
+	if c == nil {
+		return 0
+	}
+	return c.skippedIn(use)
+}
+
+// Identify records that the answer was identified as that of this round trip's request.
+func (t *Tracker) Identify() {
+	if c, _ := t.conn(); c != nil {
+		c.identify()
+	}
+}
+
+// EarlierIdentified reports whether all earlier answers on the connection were identified, each as that of its request. If
+// so, an answer that can't be identified is no copy of one of them. It holds for the first request on a connection.
+func (t *Tracker) EarlierIdentified() bool {
+	c, use := t.conn()
+	return c != nil && c.identifiedBefore(use)
+}
+
 // Close closes the connection, so that a late response can't be taken for the response to a later
 // request.
 func (t *Tracker) Close() {
@@ -91,3 +118,12 @@
 		c.closeUse(use)
 	}
 }
+
+// Discard closes the connection since its answer wasn't identified: what follows may belong to any of its requests. A
+// transport hands out a connection again before an answer without a body is examined, so that a later request may have the
+// connection already. If nothing of it was written, that request is sealed.
+func (t *Tracker) Discard() {
+	if c, use := t.conn(); c != nil {
+		c.discard(use)
+	}
+}
--- a/internal/sagerelay/dialect_test.go
+++ b/internal/sagerelay/dialect_test.go
@@ -77,7 +77,10 @@
 	return sageclock.Now().Add(d)
 }
 
-func (testDialect) SetRefusalHeader(h http.Header, _ string, retryAfter time.Duration) {
+func (testDialect) SetRefusalHeader(h http.Header, id string, retryAfter time.Duration) {
+	if id != "" {
+		h.Set(testID, id)
+	}
 	if retryAfter > 0 {
 		h.Set("Retry-After", strconv.FormatFloat(retryAfter.Seconds(), 'f', -1, 64))
 	}
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -145,6 +145,7 @@
 func (x *exchange) send(ctx context.Context) (*http.Response, error) {
 	j := x.j
 	x.tracker.AtMostOnce = true // further sends are decided by mayResend
+	x.tracker.Foreign = x.isForeign
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: x.handleConn, PutIdleConn: x.tracker.PutIdleConn})
 	u := *j.r.URL
 	u.Scheme, u.Host = "http", x.address()
@@ -215,6 +216,9 @@
 	j := x.j
 	j.cause = err.Error()
 	unsent := x.tracker.Seal()
+	if !x.conn.answered {
+		x.recordSkipped()
+	}
 	x.tracker.Close()
 	x.recordReset(err)
 	if j.r.Context().Err() != nil {
@@ -256,11 +260,14 @@
 	return sagehealth.Broken
 }
 
-// handleResponse checks the response header and forwards the response.
+// handleResponse settles whose response it is, checks its header and forwards it.
 func (x *exchange) handleResponse(ctx context.Context, res *http.Response, stallTimer *time.Timer) verdict {
 	j := x.j
-	j.unreached = nil
 	meta := j.s.Dialect.ParseResponse(res)
+	if !x.owns(&meta) {
+		return x.rejectForeign(res, &meta)
+	}
+	j.unreached = nil
 	if x.helper != nil {
 		return x.handleHelperResponse(ctx, res, &meta, stallTimer)
 	}
@@ -280,9 +287,8 @@
 		j.cause = "declined with status " + strconv.Itoa(res.StatusCode)
 		return notRun
 	}
-	if meta.ID != j.meta.ID || !meta.Sealed {
-		// A late response to an earlier request on this connection, or unrelated data.
-		return x.rejectResponse("response has the id of another request or no seal")
+	if meta.ID == "" || !meta.Sealed {
+		return x.rejectResponse("response has no id or no seal")
 	}
 	x.recordReuse()
 	j.s.Fleet.RecordAccept(x.p)
@@ -337,15 +343,6 @@
 	}
 }
 
-// rejectResponse handles an exchange whose response can't be trusted.
-func (x *exchange) rejectResponse(cause string) verdict {
-	x.tracker.Close()
-	x.j.cause = cause
-	x.j.possibleRuns++
-	x.recordExchange(sagehealth.Broken)
-	return failed
-}
-
 // handleFailure buffers a server error that the upstream returned. It is forwarded if no other
 // upstream gives a better response.
 func (x *exchange) handleFailure(ctx context.Context, res *http.Response, stallTimer *time.Timer) verdict {
--- a/internal/sagerelay/hop.go
+++ b/internal/sagerelay/hop.go
@@ -178,7 +178,7 @@
 		j.cause = "peer refused: " + string(refusal)
 		return notRun
 	}
-	if meta.ID != j.meta.ID || !meta.Sealed {
+	if meta.ID == "" || !meta.Sealed {
 		n, _ := strconv.Atoi(runs) // without the header, the peer may have sent the request once
 		j.possibleRuns += max(0, n-1)
 		return x.rejectResponse("peer's response has no seal: status " + strconv.Itoa(res.StatusCode))
@@ -249,16 +249,22 @@
 	j.origin = j.relay.origin
 	defer s.relayed.Add(-1)
 	if n := s.relayed.Add(1); s.MaxRelayed > 0 && n > s.MaxRelayed || s.Fleet.RelaySaturated() {
-		j.refuse(http.StatusServiceUnavailable, RelayBusy, shortRetryAfter)
+		j.refuseUnparsed(RelayBusy)
 		return
 	}
 	if s.Fleet.PathState(j.relay.service) == sagereach.Lost {
-		j.refuse(http.StatusServiceUnavailable, NoPath, shortRetryAfter)
+		j.refuseUnparsed(NoPath)
 		return
 	}
 	s.serveJob(j)
 }
 
+// refuseUnparsed refuses a request before it is accepted. Its ID shows the peer that the refusal belongs to it.
+func (j *job) refuseUnparsed(reason Reason) {
+	j.meta, _ = j.s.Dialect.ParseRequest(j.r) // without an ID, the refusal has none
+	j.refuse(http.StatusServiceUnavailable, reason, shortRetryAfter)
+}
+
 func parseRelayState(h http.Header) relayState {
 	out := relayState{from: h.Get(headerRelayFrom), service: h.Get(headerRelayService)}
 	out.origin = parseOriginHeader(h, out.service)
--- /dev/null
+++ b/internal/sagerelay/owner.go
@@ -0,0 +1,67 @@
+package sagerelay
+
+import (
+	"net/http"
+
+	"sagestand.example/sagestand/internal/sagelog"
+	"sagestand.example/sagestand/pkg/sagehealth"
+)
+
+// isForeign reports whether a response bears the ID of another request. A faulty upstream may send a second copy of an earlier
+// response, which arrives before the response to the next request on the connection. It is skipped.
+func (x *exchange) isForeign(res *http.Response) bool {
+	id := x.j.s.Dialect.ParseResponse(res).ID
+	return id != "" && id != x.j.meta.ID
+}
+
+// owns reports whether a response is the one to this exchange's request. Until then nothing in it may be believed, neither
+// that the request has not run nor what it says about its upstream.
+//
+// A response with an ID belongs to the request with that ID. Not all foreign ones can be skipped. Rejections may lack one. Such a response belongs to this request
+// if it can't be a copy: if the responses to all earlier requests on the connection had IDs, or there were none. Its
+// connection isn't used again, as a copy of it could be told from no other response.
+func (x *exchange) owns(meta *ResponseMetadata) bool {
+	x.recordSkipped()
+	if meta.ID == x.j.meta.ID {
+		x.tracker.Identify()
+		return true
+	}
+	if meta.ID != "" || !x.tracker.EarlierIdentified() {
+		return false
+	}
+	x.tracker.Discard()
+	return true
+}
+
+// recordSkipped records the responses to other requests that were skipped.
+func (x *exchange) recordSkipped() {
+	n := x.tracker.Skipped()
+	if n == 0 {
+		return
+	}
+	x.countForeign("skipped", n)
+	x.j.s.Log.Limited(sagelog.KindExchange, "Responses to other requests skipped.", "id", x.j.meta.ID, "upstream", x.upstreamID(), "skipped", n, "idle_ms", x.conn.idle.Milliseconds())
+}
+
+// rejectForeign handles an exchange that got a response which isn't known to be its own. The request may have run.
+func (x *exchange) rejectForeign(res *http.Response, meta *ResponseMetadata) verdict {
+	j := x.j
+	j.s.Log.Limited(sagelog.KindExchange, "Response belongs to another request.", "id", j.meta.ID, "response_id", truncate(meta.ID), "upstream", x.upstreamID(), "status", res.StatusCode,
+		"not_run", meta.NotRun, "reused", x.conn.reused, "idle_ms", x.conn.idle.Milliseconds())
+	x.countForeign("rejected", 1)
+	return x.rejectResponse("response belongs to another request")
+}
+
+// countForeign counts responses to other requests.
+func (x *exchange) countForeign(outcome string, n int) {
+	x.j.s.Metrics.GetOrCreateCounter(`sagestand_foreign_responses_total{service="` + x.j.serviceName + `",outcome="` + outcome + `"}`).Add(n)
+}
+
+// rejectResponse handles an exchange whose response can't be trusted.
+func (x *exchange) rejectResponse(cause string) verdict {
+	x.tracker.Discard()
+	x.j.cause = cause
+	x.j.possibleRuns++
+	x.recordExchange(sagehealth.Broken)
+	return failed
+}
--- /dev/null
+++ b/internal/sagerelay/owner_test.go
@@ -0,0 +1,289 @@
+package sagerelay
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"sagestand.example/sagestand/pkg/sageclock"
+	"sagestand.example/sagestand/pkg/sagereach"
+	"sagestand.example/sagestand/pkg/sageroute"
+)
+
+// connScript handles the requests on one connection to an upstream; n counts them from 1. Its result says whether the
+// connection is kept.
+type connScript func(c net.Conn, n int, req *http.Request) bool
+
+// scriptedService returns a service before two upstreams: "a" follows the script on each connection, "b" serves all.
+func scriptedService(f *fakeFleet, a connScript) *Service {
+	s := f.service()
+	s.Dial = func(_ context.Context, _, address string) (net.Conn, error) {
+		near, far := net.Pipe()
+		go runScript(far, address == "a:80", a, f)
+		return near, nil
+	}
+	return s
+}
+
+func runScript(c net.Conn, first bool, a connScript, f *fakeFleet) {
+	defer func() { _ = c.Close() }()
+	r := bufio.NewReader(c)
+	for n := 1; ; n++ {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body) // a truncated request ends the loop
+		f.mu.Lock()
+		f.sent = append(f.sent, req)
+		f.mu.Unlock()
+		if !first {
+			respond(200, sealHeader, "from b")(c, req)
+		} else if !a(c, n, req) {
+			return
+		}
+	}
+}
+
+// serveID sends a request with an ID through a service.
+func serveID(t *testing.T, s *Service, id string) *httptest.ResponseRecorder {
+	t.Helper()
+	w := httptest.NewRecorder()
+	s.ServeHTTP(w, testRequest(t.Context(), map[string]string{testID: id}, "body"))
+	return w
+}
+
+// responseText returns a response as it is written. Without an ID, the response has none.
+func responseText(status int, id, header, body string) string {
+	if id != "" {
+		header = testID + ": " + id + "\r\n" + header
+	}
+	return fmt.Sprintf("HTTP/1.1 %d %s\r\n%sContent-Length: %d\r\n\r\n%s", status, http.StatusText(status), header, len(body), body)
+}
+
+// Prevents a late second copy of an earlier response from being taken for the response to the next request on the
+// connection: that request runs, and would be sent to another upstream or refused as not run.
+func TestLateCopyOfEarlierResponse(t *testing.T) {
+	const all = testLeaving + ": 1\r\n" + testPause + ": 1m\r\n" + testBrittle + ": 1\r\n"
+	copies := []struct {
+		name   string
+		status int
+		header string
+		noID   bool
+	}{
+		{"rejection", 503, testNotRun + ": 1\r\n", false},
+		{"rejection without an ID", 503, testNotRun + ": 1\r\n", true},
+		{"rejection that says all about its upstream", 503, testNotRun + ": 1\r\n" + all, false},
+		{"rejection that says all about its upstream, without an ID", 503, testNotRun + ": 1\r\n" + all, true},
+		{"misdirected", 421, "", false},
+		{"misdirected without an ID", 421, "", true},
+		{"success", 200, sealHeader, false},
+		{"success that says all about its upstream", 200, sealHeader + all, false},
+		{"error", 500, sealHeader, false},
+	}
+	positions := []struct {
+		name string
+		// write returns what the upstream writes as the response to the second request.
+		write func(late, own string) string
+		// skipped and rejected are the counts of foreign responses.
+		skipped, rejected uint64
+		// once is the status of a request that must be executed at most once, again whether another is sent to b.
+		once  int
+		again bool
+	}{
+		{"before its response", func(late, own string) string { return late + own }, 1, 0, 200, false},
+		{"before its response, twice", func(late, own string) string { return late + late + own }, 2, 0, 200, false},
+		{"before its response, without end", func(late, own string) string { return strings.Repeat(late, 20) + own }, 8, 1, 502, true},
+		{"in chunks before its response", func(late, own string) string { return inChunks(late) + own }, 0, 1, 502, true},
+		{"in place of its response", func(late, _ string) string { return late }, 1, 0, 504, true},
+	}
+	for _, kind := range []sageroute.Kind{sageroute.Once, sageroute.Idempotent} {
+		for _, c := range copies {
+			for _, p := range positions {
+				t.Run(fmt.Sprintf("%s/%s/%s", kind, c.name, p.name), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						f := newFakeFleet(t, testRoute(kind), map[string]upstream{"a": nil, "b": nil})
+						id := "id1"
+						if c.noID {
+							id = ""
+						}
+						late := responseText(c.status, id, c.header, "late")
+						ran := 0
+						s := scriptedService(f, func(w net.Conn, n int, req *http.Request) bool {
+							if req.Header.Get(testID) == "id1" {
+								_, err := io.WriteString(w, responseText(c.status, id, c.header, ""))
+								return err == nil
+							}
+							ran++
+							out := responseText(200, "id2", sealHeader, "from a")
+							if n > 1 {
+								out = p.write(late, out)
+							}
+							_, err := io.WriteString(w, out)
+							return err == nil
+						})
+						proveReuse(s)
+						serveID(t, s, "id1")
+						synctest.Wait()
+						left, paused := len(f.left), f.pauses.PausedUntil(sageclock.Now(), "a")
+						misdirected, declined, brittle, answers := len(f.misdirected), len(f.declined), len(f.maxDeclines), len(f.answers)
+
+						w := serveID(t, s, "id2")
+						synctest.Wait()
+						s.toUpstreams().pooled.CloseIdleConnections()
+						require.Equal(t, 1, ran)
+						switch {
+						case c.noID: // no request follows on its connection
+							require.Equal(t, http.StatusOK, w.Code)
+							require.Equal(t, "from a", w.Body.String())
+							return
+						case p.again && kind == sageroute.Once:
+							require.Equal(t, p.once, w.Code, "it may have run")
+							require.Equal(t, answers, len(f.answers))
+						case p.again:
+							require.Equal(t, http.StatusOK, w.Code)
+							require.Equal(t, "from b", w.Body.String())
+						default:
+							require.Equal(t, http.StatusOK, w.Code)
+							require.Equal(t, "from a", w.Body.String())
+						}
+						if w.Code == http.StatusOK {
+							require.Equal(t, answers+1, len(f.answers), "its own")
+						}
+						require.Equal(t, []int{left, misdirected, declined, brittle}, []int{len(f.left), len(f.misdirected), len(f.declined), len(f.maxDeclines)},
+							"it says nothing about its upstream")
+						require.Equal(t, paused, f.pauses.PausedUntil(sageclock.Now(), "a"))
+						require.Equal(t, p.skipped, foreignResponses(s, "skipped"))
+						require.Equal(t, p.rejected, foreignResponses(s, "rejected"))
+					})
+				})
+			}
+		}
+	}
+}
+
+// foreignResponses returns the count of responses to other requests with an outcome.
+func foreignResponses(s *Service, outcome string) uint64 {
+	return s.Metrics.GetOrCreateCounter(`sagestand_foreign_responses_total{service="s",outcome="` + outcome + `"}`).Get()
+}
+
+// inChunks returns a response with the body in chunks.
+func inChunks(response string) string {
+	head, body, _ := strings.Cut(response, "\r\n\r\n")
+	head, _, _ = strings.Cut(head, "Content-Length: ")
+	return fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
+}
+
+// Prevents requests from being lost at upstreams whose rejections have no ID: they are true, on any connection.
+func TestRejectionsWithoutIDAreBelieved(t *testing.T) {
+	for _, kind := range []sageroute.Kind{sageroute.Once, sageroute.Idempotent} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFakeFleet(t, testRoute(kind), map[string]upstream{"a": nil, "b": nil})
+			f.retryBudget = 100
+			var conns atomic.Int64
+			s := scriptedService(f, func(w net.Conn, n int, req *http.Request) bool {
+				if n == 1 {
+					conns.Add(1)
+				}
+				out := responseText(200, req.Header.Get(testID), sealHeader, "from a")
+				if n%3 == 0 {
+					out = responseText(503, "", testNotRun+": 1\r\n", "")
+				}
+				_, err := io.WriteString(w, out)
+				return err == nil
+			})
+			proveReuse(s)
+			for i := range 30 {
+				require.Equal(t, http.StatusOK, serveID(t, s, fmt.Sprint("id", i)).Code)
+			}
+			synctest.Wait()
+			s.toUpstreams().pooled.CloseIdleConnections()
+			require.Len(t, f.declined, 10)
+			require.Equal(t, int64(10), conns.Load(), "each rejection without an ID ends the use of its connection")
+		})
+	}
+}
+
+// Prevents the request that has a connection next from getting what is left of one whose response was another's.
+func TestConnectionWithForeignResponseIsNotReused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t, testRoute(sageroute.Once), map[string]upstream{"a": nil, "b": nil})
+		s := scriptedService(f, func(w net.Conn, n int, req *http.Request) bool {
+			own := responseText(200, req.Header.Get(testID), sealHeader, "own")
+			if n == 2 {
+				own = inChunks(responseText(200, "id0", sealHeader, "another's")) + own
+			}
+			_, err := io.WriteString(w, own)
+			return err == nil
+		})
+		proveReuse(s)
+		for i, code := range []int{200, 502, 200, 502, 200} {
+			w := serveID(t, s, fmt.Sprint("id", i+1))
+			synctest.Wait()
+			require.Equal(t, code, w.Code, i)
+			if code == http.StatusOK {
+				require.Equal(t, "own", w.Body.String())
+			}
+		}
+		s.toUpstreams().pooled.CloseIdleConnections()
+	})
+}
+
+// Prevents a late copy of a peer's refusal from being taken for the refusal of the next request on the connection, and what
+// it says about an upstream from being believed.
+func TestLateCopyOfPeerResponse(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t, testRoute(sageroute.Idempotent), nil)
+		f.path, f.helpers = sagereach.Lost, []string{"p1", "p2"}
+		s := f.service()
+		refusal := responseText(503, "id1", headerRelayRefusal+": "+string(RelayBusy)+"\r\n"+headerRelayUpstream+": u\r\n"+testLeaving+": 1\r\n", "")
+		p1 := func(c net.Conn, n int, req *http.Request) bool {
+			out := refusal
+			if n > 1 {
+				out += responseText(200, req.Header.Get(testID), sealHeader, "from p1")
+			}
+			_, err := io.WriteString(c, out)
+			return err == nil
+		}
+		s.peers.init(func(_ context.Context, _, address string) (net.Conn, error) {
+			near, far := net.Pipe()
+			go runScript(far, address == "p1:80", p1, f)
+			return near, nil
+		})
+		require.Equal(t, "from b", serveID(t, s, "id1").Body.String())
+		synctest.Wait()
+		require.Equal(t, []string{"u"}, f.left)
+		require.Equal(t, "from p1", serveID(t, s, "id2").Body.String())
+		require.Equal(t, []string{"u"}, f.left, "learned from the first response only")
+		require.Equal(t, []string{"p1"}, f.refusedBy, "p1 hasn't refused the second request")
+		synctest.Wait()
+		s.peers.pooled.CloseIdleConnections()
+	})
+}
+
+// Prevents a peer that refuses requests at its door from losing its connections, since nothing shows whose refusals they are.
+func TestRefusalOfRelayedRequestHasID(t *testing.T) {
+	for _, change := range []func(f *fakeFleet){
+		func(f *fakeFleet) { f.saturated = true },
+		func(f *fakeFleet) { f.path = sagereach.Lost },
+		func(f *fakeFleet) { f.stale = true },
+	} {
+		f := newFakeFleet(t, testRoute(sageroute.Once), nil)
+		change(f)
+		w := httptest.NewRecorder()
+		f.service().ServeRelayed(w, testRequest(t.Context(), map[string]string{headerRelayFrom: "vm2", headerRelayService: "s"}, ""))
+		require.Equal(t, http.StatusServiceUnavailable, w.Code)
+		require.NotEmpty(t, w.Header().Get(headerRelayRefusal))
+		require.Equal(t, "id1", w.Header().Get(testID))
+	}
+}
