sagerelay, sagesse: a late copy inside a response isn't passed on as a part of it

What callers would see: a success whose body begins with another request's response, or such text among the events of a stream without length.

Cause: a copy that arrives between the head and the body is within the stated length, and a line of it is an unknown field of an event, which is passed on.

Change: a body on a reused connection that begins with a response to another request is rejected like one; it may have run. A line of an event that begins like a status line is malformed. Chunked responses end with an error already, as before. A copy later in a plain body, or before a body of under seven bytes, can't be told: the seal can't be checked by nodes.

TestLateCopyInsideResponse fails on the code before for the two plain bodies and for the stream without length.

--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -265,7 +265,7 @@
 	j := x.j
 	meta := j.s.Dialect.ParseResponse(res)
 	if !x.owns(&meta) {
-		return x.rejectForeign(res, &meta)
+		return x.rejectForeign(res)
 	}
 	j.unreached = nil
 	if x.helper != nil {
--- a/internal/sagerelay/owner.go
+++ b/internal/sagerelay/owner.go
@@ -1,8 +1,13 @@
 package sagerelay
 
 import (
+	"bufio"
+	"bytes"
+	"io"
 	"net/http"
 
+	"github.com/pkg/errors"
+
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/pkg/sagehealth"
 )
@@ -33,6 +38,20 @@
 	return true
 }
 
+// holdsForeign reports whether a body on a reused connection begins with a response to another request, complete or not: a
+// copy that came between the head and the body.
+func (x *exchange) holdsForeign(body []byte) bool {
+	if !x.conn.reused || !bytes.HasPrefix(body, []byte("HTTP/1.")) {
+		return false
+	}
+	res, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(body)), nil)
+	if err != nil {
+		return errors.Is(err, io.ErrUnexpectedEOF)
+	}
+	_ = res.Body.Close()
+	return x.isForeign(res)
+}
+
 // recordSkipped records the responses to other requests that were skipped.
 func (x *exchange) recordSkipped() {
 	n := x.tracker.Skipped()
@@ -44,8 +63,8 @@
 }
 
 // rejectForeign handles an exchange that got a response which isn't known to be its own. The request may have run.
-func (x *exchange) rejectForeign(res *http.Response, meta *ResponseMetadata) verdict {
-	j := x.j
+func (x *exchange) rejectForeign(res *http.Response) verdict {
+	j, meta := x.j, x.j.s.Dialect.ParseResponse(res)
 	j.s.Log.Limited(sagelog.KindExchange, "Response belongs to another request.", "id", j.meta.ID, "response_id", truncate(meta.ID), "upstream", x.upstreamID(), "status", res.StatusCode,
 		"not_run", meta.NotRun, "reused", x.conn.reused, "idle_ms", x.conn.idle.Milliseconds())
 	x.countForeign("rejected", 1)
--- a/internal/sagerelay/owner_test.go
+++ b/internal/sagerelay/owner_test.go
@@ -184,6 +184,63 @@
 	return fmt.Sprintf("%sTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", head, len(body), body)
 }
 
+// Prevents a late copy of an earlier response that comes between the head and the body, or between events, from being passed
+// on as a part of the response.
+func TestLateCopyInsideResponse(t *testing.T) {
+	late := responseText(503, "id1", testNotRun+": 1\r\n", "")
+	plain := responseText(200, "id2", sealHeader, strings.Repeat("x", 200))
+	short := responseText(200, "id2", sealHeader, "a short response")
+	stream := responseText(200, "id2", sealHeader+"Content-Type: text/event-stream\r\n", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
+	unframed := strings.Replace(stream, "Content-Length: ", "Connection: close\r\nNo-Length: ", 1)
+	for _, c := range []struct {
+		name, response string
+		before         string // the text before which the copy comes
+		stream         bool
+		passed         string // what the caller gets of a stream
+	}{
+		{"before a body", plain, "xxx", false, ""},
+		{"before a short body", short, "a short", false, ""},
+		{"in chunks", inChunks(plain), "c8\r\n", false, ""},
+		{"before events", stream, "id: 1", true, ""},
+		{"between events", stream, "id: 2", true, "id: 1\ndata: a\n\n"},
+		{"between events without length", unframed, "id: 2", true, "id: 1\ndata: a\n\n"},
+		{"inside an event", stream, "data: b", true, "id: 1\ndata: a\n\n"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := testRoute(sageroute.Once)
+				if c.stream {
+					r = testRoute(sageroute.Stream)
+					r.Resumable = false
+				}
+				f := newFakeFleet(t, r, map[string]upstream{"a": nil})
+				s := scriptedService(f, func(w net.Conn, n int, _ *http.Request) bool {
+					out := late
+					if n == 2 {
+						out = strings.Replace(c.response, c.before, late+c.before, 1)
+					}
+					_, err := io.WriteString(w, out)
+					return err == nil && n == 1
+				})
+				proveReuse(s)
+				serveID(t, s, "id1")
+				synctest.Wait()
+				w := httptest.NewRecorder()
+				defer func() {
+					if c.passed != "" {
+						require.Equal(t, http.ErrAbortHandler, recover(), "a truncated stream isn't complete")
+					}
+					require.Equal(t, c.passed, strings.TrimPrefix(w.Body.String(), `{"reason":"answer_lost"}`))
+					if c.passed == "" {
+						require.Equal(t, http.StatusBadGateway, w.Code)
+					}
+				}()
+				s.ServeHTTP(w, testRequest(t.Context(), map[string]string{testID: "id2"}, "body"))
+			})
+		})
+	}
+}
+
 // Prevents requests from being lost at upstreams whose rejections have no ID: they are true, on any connection.
 func TestRejectionsWithoutIDAreBelieved(t *testing.T) {
 	for _, kind := range []sageroute.Kind{sageroute.Once, sageroute.Idempotent} {
--- a/internal/sagerelay/response.go
+++ b/internal/sagerelay/response.go
@@ -42,6 +42,10 @@
 	if stallTimer != nil {
 		stallTimer.Stop()
 	}
+	if err == nil && x.holdsForeign(b) {
+		r.release()
+		return nil, x.rejectForeign(res)
+	}
 	if err == nil {
 		x.j.responses = append(x.j.responses, r)
 		return &bufferedResponse{status: res.StatusCode, header: sageheader.EndToEnd(res.Header), body: b}, answered
--- a/internal/sagesse/event.go
+++ b/internal/sagesse/event.go
@@ -16,6 +16,9 @@
 	ErrMalformed = errors.New("malformed event")
 )
 
+// statusLine is the beginning of an HTTP response. A faulty server may send a second response within a stream.
+var statusLine = []byte("HTTP/1.")
+
 // Event is one server-sent event.
 type Event struct {
 	// Raw is the unchanged text of the event, including the blank line at its end.
@@ -92,6 +95,9 @@
 	if line[0] == ':' {
 		return nil
 	}
+	if bytes.HasPrefix(line, statusLine) {
+		return fmt.Errorf("status line of another response: %w", ErrMalformed)
+	}
 	name, value, _ := bytes.Cut(line, []byte(":"))
 	value = bytes.TrimPrefix(value, []byte(" "))
 	switch string(name) {
