Heads and bodies that never end are bounded at each client

What could happen: the heads of responses were bounded by net/http's 10 MB, so that a few faulty upstreams at once, the store or a health check take more than a small VM has; a stream of blank lines, or one that repeats an event, held a node's processor until the deadline; bodies of the store, of cache lists and of peers' copies were decoded whatever their size.

Events above 4 KB take their memory from the same budget as buffered responses, so that many large ones at once stay within it. In time, requests end at their deadline, probes after 500 ms, calls to the store after their timeout, as before.

--- a/internal/sagedispatch/dispatcher.go
+++ b/internal/sagedispatch/dispatcher.go
@@ -84,10 +84,10 @@
 	protocols.SetHTTP1(true)
 	d.reusedTransport = &http.Transport{
 		DialContext: wrapped, Protocols: protocols, DisableCompression: true,
-		MaxIdleConnsPerHost: maxIdlePerAddress, IdleConnTimeout: idleTimeout,
+		MaxIdleConnsPerHost: maxIdlePerAddress, IdleConnTimeout: idleTimeout, MaxResponseHeaderBytes: sageheader.MaxResponseBytes,
 	}
 	d.freshTransport = &http.Transport{
-		DialContext: wrapped, Protocols: protocols, DisableCompression: true, DisableKeepAlives: true,
+		DialContext: wrapped, Protocols: protocols, DisableCompression: true, DisableKeepAlives: true, MaxResponseHeaderBytes: sageheader.MaxResponseBytes,
 	}
 }
 
--- a/internal/sageheader/header.go
+++ b/internal/sageheader/header.go
@@ -12,6 +12,10 @@
 	"strings"
 )
 
+// MaxResponseBytes limits the head of a response that a client reads, with all 1xx responses before it. The default of net/http
+// is 10 MB, which several faulty servers at once would turn into more memory than a small VM has.
+const MaxResponseBytes = 32 << 10
+
 // hopByHop lists the headers that apply to a single connection (RFC 9110, section 7.6.1) or are
 // generated for each request.
 var hopByHop = map[string]bool{
--- a/internal/sageloadd/dial.go
+++ b/internal/sageloadd/dial.go
@@ -4,11 +4,14 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"sagestand.example/sagestand/internal/sageheader"
 )
 
 // loadPath is the path of an engine's load report.
@@ -93,7 +96,7 @@
 	if err := req.Write(c); err != nil {
 		return "", fmt.Errorf("send: %w", err)
 	}
-	res, err := http.ReadResponse(bufio.NewReaderSize(c, maxReportBytes), req)
+	res, err := http.ReadResponse(bufio.NewReaderSize(io.LimitReader(c, sageheader.MaxResponseBytes+maxReportBytes), maxReportBytes), req)
 	if err != nil {
 		return "", fmt.Errorf("receive: %w", err)
 	}
--- a/internal/sageloadd/service.go
+++ b/internal/sageloadd/service.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"sagestand.example/sagestand/internal/sageheader"
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/pkg/sageconfig"
 	"sagestand.example/sagestand/pkg/sageload"
@@ -80,7 +81,7 @@
 		s.peerProcessIDs = make(map[string]string)
 		s.wake = make(chan struct{}, 1)
 		if s.ProbeClient == nil {
-			s.ProbeClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+			s.ProbeClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: sageheader.MaxResponseBytes}}
 		}
 	})
 }
--- a/internal/sagemesh/fetch.go
+++ b/internal/sagemesh/fetch.go
@@ -18,6 +18,7 @@
 	"golang.org/x/sync/semaphore"
 
 	"sagestand.example/sagestand/internal/sagefollow"
+	"sagestand.example/sagestand/internal/sageheader"
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
@@ -38,6 +39,9 @@
 // defaultStallTimeout is the longest time without data from a peer, many times that of a path between data centres.
 const defaultStallTimeout = 2 * time.Second
 
+// maxCopyBytes limits what is read of a peer's response once it is decompressed: many times a copy of the largest kind.
+const maxCopyBytes = 32 << 20
+
 // Fetcher fetches copies and cache holders from peers. Its fields are set before use.
 type Fetcher struct {
 	HTTP *http.Client
@@ -50,7 +54,9 @@
 
 // NewFetcher returns a fetcher that keeps one idle connection to each peer.
 func NewFetcher() *Fetcher {
-	return &Fetcher{HTTP: &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout}}}
+	return &Fetcher{HTTP: &http.Client{Transport: &http.Transport{
+		MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: sageheader.MaxResponseBytes,
+	}}}
 }
 
 // progressReader calls onRead after each read that returned data.
@@ -122,7 +128,7 @@
 	if res.StatusCode != http.StatusOK {
 		return fmt.Errorf("status %d: %w", res.StatusCode, ErrStatus)
 	}
-	if err := decode(res.Header, progressReader{res.Body, func() { stalled.Reset(timeout) }}); err != nil {
+	if err := decode(res.Header, progressReader{io.LimitReader(res.Body, maxCopyBytes), func() { stalled.Reset(timeout) }}); err != nil {
 		return fmt.Errorf("decode response of peer: %w", err)
 	}
 	return nil
--- a/internal/sagepeer/client.go
+++ b/internal/sagepeer/client.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync/atomic"
 	"time"
+
+	"sagestand.example/sagestand/internal/sageheader"
 )
 
 // Limits of the client's connections.
@@ -54,9 +56,10 @@
 func NewCountingTransport(n *atomic.Int64) *http.Transport {
 	d := &net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
-		MaxIdleConnsPerHost: idlePerHost,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true, // calls are small: the Accept-Encoding header would cost more than compression saves
+		MaxIdleConnsPerHost:    idlePerHost,
+		IdleConnTimeout:        idleTimeout,
+		MaxResponseHeaderBytes: sageheader.MaxResponseBytes,
+		DisableCompression:     true, // calls are small: the Accept-Encoding header would cost more than compression saves
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := d.DialContext(ctx, network, addr)
 			if err != nil {
--- a/internal/sagerelay/budget.go
+++ b/internal/sagerelay/budget.go
@@ -106,6 +106,9 @@
 
 // release returns the space of the reservation.
 func (r *reservation) release() {
+	if r.bytes == 0 {
+		return
+	}
 	b := r.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- a/internal/sagerelay/stream.go
+++ b/internal/sagerelay/stream.go
@@ -27,7 +27,10 @@
 	stallGapFactor = 1.6
 )
 
-var errCallerGone = errors.New("the caller stopped reading")
+var (
+	errCallerGone = errors.New("the caller stopped reading")
+	errRepeating  = errors.New("upstream repeats events without end")
+)
 
 // forwardStream forwards the events of one exchange.
 //
@@ -36,11 +39,16 @@
 // responses.
 func (x *exchange) forwardStream(ctx context.Context, res *http.Response, stallTimer *time.Timer) verdict {
 	j := x.j
+	buffer := &reservation{budget: &j.s.buffers} // of a large event
+	defer buffer.release()
 	r := &sagesse.Reader{R: bufio.NewReaderSize(res.Body, streamBufferBytes), MaxEventBytes: maxEventBytes}
+	r.Reserve = func(n int) error { return x.reserveBuffer(ctx, buffer, int64(n), stallTimer) }
 	flush := http.NewResponseController(j.w)
 	stall := x.stallTimeout()
 	var times eventTimes
+	repeated := uint64(0) // events that were forwarded before
 	for {
+		buffer.release()
 		e, err := r.Next()
 		if err != nil && r.CleanEOF() {
 			if stallTimer != nil {
@@ -52,6 +60,9 @@
 			x.recordResponse(times.result(x.start))
 			return x.finishStream(res)
 		}
+		if errors.Is(err, errNoBuffer) {
+			return x.cutStream(x.failWithoutBuffer(err))
+		}
 		if err != nil {
 			return x.failStream(ctx, err)
 		}
@@ -66,6 +77,9 @@
 			stallTimer.Stop() // the upstream waits while the caller doesn't read
 		}
 		if e.ID > 0 && e.ID <= j.lastEventNumber {
+			if repeated++; repeated > j.lastEventNumber {
+				return x.failStream(ctx, errRepeating)
+			}
 			resetTimer(stallTimer, stall)
 			continue
 		}
@@ -169,7 +183,11 @@
 
 // failStream handles a stream that broke off.
 func (x *exchange) failStream(ctx context.Context, err error) verdict {
-	v := x.failExchange(ctx, err)
+	return x.cutStream(x.failExchange(ctx, err))
+}
+
+// cutStream returns the verdict of an exchange that failed in the middle of a stream.
+func (x *exchange) cutStream(v verdict) verdict {
 	if v == failed && x.j.headerSent {
 		return streamTruncated
 	}
--- a/internal/sagerelay/transport.go
+++ b/internal/sagerelay/transport.go
@@ -14,6 +14,7 @@
 	"github.com/pkg/errors"
 
 	"sagestand.example/sagestand/internal/sageconn"
+	"sagestand.example/sagestand/internal/sageheader"
 	"sagestand.example/sagestand/pkg/sagereach"
 )
 
@@ -79,8 +80,12 @@
 	t.pooled = &http.Transport{
 		DialContext: trackedDial, Protocols: p, DisableCompression: true,
 		MaxIdleConnsPerHost: maxIdlePerUpstream, MaxIdleConns: maxIdle, IdleConnTimeout: maxIdleTimeout,
+		MaxResponseHeaderBytes: sageheader.MaxResponseBytes,
+	}
+	t.unpooled = &http.Transport{
+		DialContext: trackedDial, Protocols: p, DisableCompression: true, DisableKeepAlives: true,
+		MaxResponseHeaderBytes: sageheader.MaxResponseBytes,
 	}
-	t.unpooled = &http.Transport{DialContext: trackedDial, Protocols: p, DisableCompression: true, DisableKeepAlives: true}
 }
 
 // forRequest returns the transport for a request to a peer.
--- a/internal/sagesse/event.go
+++ b/internal/sagesse/event.go
@@ -19,6 +19,9 @@
 // statusLine is the beginning of an HTTP response. A faulty server may send a second response within a stream.
 var statusLine = []byte("HTTP/1.")
 
+// unreservedBytes is the size up to which events are read without a reservation, many times that of a usual one.
+const unreservedBytes = 4 << 10
+
 // Event is one server-sent event.
 type Event struct {
 	// Raw is the unchanged text of the event, including the blank line at its end.
@@ -39,7 +42,15 @@
 	// MaxEventBytes is the maximum size of an event.
 	MaxEventBytes int
 
+	// Reserve is called before an event that is larger than unreservedBytes takes more memory, with the number of bytes; nil
+	// reserves nothing. The event ends with its error.
+	Reserve func(n int) error
+
 	cleanEOF bool
+	// reserved is the number of bytes that are reserved for the event that is read.
+	reserved int
+	// blank is the number of bytes of blank lines before the event that is read.
+	blank int
 }
 
 // CleanEOF reports, after an error of [Reader.Next], whether the input ended without a read error
@@ -49,6 +60,7 @@
 // Next returns the next event.
 func (r *Reader) Next() (*Event, error) {
 	e := new(Event)
+	r.reserved = 0
 	for {
 		line, err := r.readLine(len(e.Raw))
 		if err != nil {
@@ -58,9 +70,13 @@
 		line = bytes.TrimRight(line, "\r\n")
 		if len(line) == 0 {
 			if len(e.Raw) <= 2 {
+				if r.blank += len(e.Raw); r.blank > r.MaxEventBytes {
+					return nil, fmt.Errorf("more than %d bytes of blank lines: %w", r.MaxEventBytes, ErrTooLarge)
+				}
 				e.Raw = e.Raw[:0]
 				continue
 			}
+			r.blank = 0
 			return e, nil
 		}
 		if err := e.parseField(line); err != nil {
@@ -78,6 +94,9 @@
 		if used+len(line) > r.MaxEventBytes {
 			return nil, fmt.Errorf("more than %d bytes: %w", r.MaxEventBytes, ErrTooLarge)
 		}
+		if err := r.reserve(used + len(line)); err != nil {
+			return nil, err
+		}
 		if err == nil {
 			return line, nil
 		}
@@ -91,6 +110,19 @@
 	}
 }
 
+// reserve reserves memory for an event that has reached a size. Each time it doubles what is reserved.
+func (r *Reader) reserve(size int) error {
+	if r.Reserve == nil || size <= unreservedBytes+r.reserved {
+		return nil
+	}
+	n := unreservedBytes + r.reserved
+	if err := r.Reserve(n); err != nil {
+		return fmt.Errorf("reserve memory for an event: %w", err)
+	}
+	r.reserved += n
+	return nil
+}
+
 func (e *Event) parseField(line []byte) error {
 	if line[0] == ':' {
 		return nil
