sageloadd, sagedispatch: bytes after a load report end the connection

A response with another request's ID discards its connection also for a request that net/http has given it to already. sagedispatch settled the ID before "not run" all along.

--- a/internal/sagedispatch/dispatcher.go
+++ b/internal/sagedispatch/dispatcher.go
@@ -149,7 +149,7 @@
 	defer func() { _ = res.Body.Close() }()
 	x.result.Status = res.StatusCode
 	if got := res.Header.Get(sagewire.HeaderRequestID); got != x.a.RequestID {
-		tracker.Close()
+		tracker.Discard()
 		x.result.fail(sagewire.Unknown, sagewire.ReasonAnswerLost, "the answer bears the id %q", got)
 		return
 	}
--- a/internal/sageloadd/dial.go
+++ b/internal/sageloadd/dial.go
@@ -96,7 +96,8 @@
 	if err := req.Write(c); err != nil {
 		return "", fmt.Errorf("send: %w", err)
 	}
-	res, err := http.ReadResponse(bufio.NewReaderSize(io.LimitReader(c, sageheader.MaxResponseBytes+maxReportBytes), maxReportBytes), req)
+	in := bufio.NewReaderSize(io.LimitReader(c, sageheader.MaxResponseBytes+maxReportBytes), maxReportBytes)
+	res, err := http.ReadResponse(in, req)
 	if err != nil {
 		return "", fmt.Errorf("receive: %w", err)
 	}
@@ -105,6 +106,9 @@
 	if err != nil {
 		return "", err
 	}
+	if in.Buffered() > 0 {
+		return "", fmt.Errorf("bytes after the report: %w", ErrInvalidReport) // would be lost, or taken for another response
+	}
 	if res.Close {
 		return "", fmt.Errorf("upstream closes the connection: %w", ErrInvalidReport)
 	}
