sagelog: what net/http writes itself goes through the rate limit

net/http writes up to 4 KB to package log for each connection on which a server sends something unasked, also for each late copy that arrives on an idle connection: as many lines as connections, past the node's log and its bounds. TestStandardLogIsBounded.

--- a/cmd/sagestand/serve.go
+++ b/cmd/sagestand/serve.go
@@ -26,6 +26,7 @@
 				return err
 			}
 			n := &sagenode.Node{Settings: cfg, Log: sagelog.New(os.Stderr, cfg.Node.Name)}
+			sagelog.CaptureStandard(n.Log.Component("library"))
 			if err := n.Open(); err != nil {
 				return fmt.Errorf("%w: %s: %v", sagecli.ErrSettings, path, err)
 			}
--- a/internal/sagelog/limit.go
+++ b/internal/sagelog/limit.go
@@ -17,6 +17,7 @@
 	KindStateChange
 	KindCrash
 	KindRetry
+	KindLibrary
 	numKinds
 )
 
--- a/internal/sagelog/log_test.go
+++ b/internal/sagelog/log_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	standard "log"
 	"strings"
 	"testing"
 	"time"
@@ -56,6 +57,21 @@
 	require.Equal(t, 7, suppressed)
 }
 
+// Prevents servers that send bytes unasked from filling the log through net/http.
+func TestStandardLogIsBounded(t *testing.T) {
+	var out bytes.Buffer
+	defer standard.SetOutput(standard.Writer())
+	defer standard.SetFlags(standard.Flags())
+	CaptureStandard(New(&out, "vm1").Component("library"))
+	for range 1000 {
+		standard.Printf("Unsolicited response %q", strings.Repeat("x", 4096))
+	}
+	lines := strings.Count(out.String(), "\n")
+	require.LessOrEqual(t, lines, 10*linesPerSecond, "the loop takes a few seconds at most")
+	require.LessOrEqual(t, out.Len(), lines*2*maxStandardText)
+	require.Contains(t, out.String(), "library: Library message.")
+}
+
 func BenchmarkLimited(b *testing.B) {
 	l := New(new(bytes.Buffer), "vm1")
 	b.ReportAllocs()
--- a/internal/sagelog/sagelog.go
+++ b/internal/sagelog/sagelog.go
@@ -9,7 +9,9 @@
 package sagelog
 
 import (
+	"bytes"
 	"io"
+	standard "log"
 	"time"
 
 	"github.com/go-kit/log"
@@ -51,3 +53,22 @@
 	all := append([]any{level.Key(), v, "msg", l.prefix + msg}, kv...)
 	_ = l.base.Log(all...)
 }
+
+// CaptureStandard sends what libraries write with package log to l, each line cut off and within the limit of its kind.
+// net/http writes there, among other things, what a server sends unasked.
+func CaptureStandard(l Logger) {
+	standard.SetFlags(0)
+	standard.SetOutput(standardWriter{l})
+}
+
+// maxStandardText limits the text of a library's line.
+const maxStandardText = 200
+
+type standardWriter struct{ l Logger }
+
+// Write implements [io.Writer].
+func (w standardWriter) Write(b []byte) (int, error) {
+	text := bytes.TrimSpace(b)
+	w.l.Limited(KindLibrary, "Library message.", "text", string(text[:min(len(text), maxStandardText)]))
+	return len(b), nil
+}
