sageconn: examine whose an answer is before the transport can hand its connection out

Change: the head is examined where the connection is read (Tracker.Owner). A connection on which an earlier response wasn't identified is sealed when the next request gets it, which then takes another one; nothing was written. Foreign responses in chunks are skipped too, as most streams are sent so. If the end of a skipped response can't be found, reading fails.

Tests: TestConnectionIsNotUsedAfterUnknownResponse, TestForeignResponseWithoutEnd, chunks in TestForeignResponsesAreSkipped.

--- a/internal/sageconn/conn.go
+++ b/internal/sageconn/conn.go
@@ -84,8 +84,15 @@
 	if c.resting && (len(b) > 0 || err != nil) {
 		c.stale = true
 	}
-	c.passed, c.readErr = c.filter.add(b), err
-	if err != nil {
+	before := c.filter.identified
+	passed, ferr := c.filter.add(b)
+	if c.passed, c.readErr = passed, err; ferr != nil {
+		c.readErr = ferr
+	}
+	if c.filter.identified && !before {
+		c.identified++
+	}
+	if err != nil && ferr == nil {
 		c.passed = append(c.passed, c.filter.passAll()...)
 	}
 }
@@ -126,15 +133,17 @@
 	return w
 }
 
-// beginUse begins the use of the connection by another request and returns the number of the use. Responses before the
-// request's own for which foreign is true are skipped; nil skips none. The first request has none before its own.
-func (c *Conn) beginUse(foreign func(*http.Response) bool) uint64 {
+// beginUse begins the use of the connection by another request and returns the number of the use. If owner isn't nil, it says
+// whose the responses are, those to other requests before the request's own are skipped, and the connection is sealed if an
+// earlier response wasn't identified.
+func (c *Conn) beginUse(owner func(*http.Response) Owner) uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.use++
-	c.filter = filter{}
-	if c.use > 1 {
-		c.filter.foreign = foreign
+	c.filter = filter{owner: owner, skips: c.use > 1}
+	if owner != nil && c.identified+1 < c.use {
+		c.sealed = true
+		_ = c.Conn.Close()
 	}
 	c.wrote = false
 	c.resting = true
@@ -231,20 +240,6 @@
 	return c.filter.skipped
 }
 
-// identify records that the answer of a use was identified.
-func (c *Conn) identify() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.identified++
-}
-
-// identifiedBefore reports whether the answers of all uses before the given one were identified.
-func (c *Conn) identifiedBefore(use uint64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.identified+1 >= use
-}
-
 // closeUse closes the connection unless a later request uses it already.
 func (c *Conn) closeUse(use uint64) {
 	c.mu.Lock()
--- a/internal/sageconn/doc.go
+++ b/internal/sageconn/doc.go
@@ -9,9 +9,10 @@
 // request may be sent on another connection whatever it does. An idle connection of [WrapIdle] is closed after
 // a time that [Tracker.SetKeepIdle] sets to what the other end states.
 //
-// A faulty server may send a second copy of an answer, which arrives as the answer to a later request on the same connection.
-// [Tracker.Identify] records that an answer was its request's own, and [Tracker.EarlierIdentified] says whether one without
-// an ID can be such a copy. [Tracker.Discard] closes a connection on which an answer was not identified.
+// A faulty server may send a second copy of an answer, which arrives before the answer to a later request on the same
+// connection. With [Tracker.Owner], such copies are skipped, and a connection is not used again after an answer that doesn't
+// say whose it is. So an answer without an ID is no copy. Answers are examined before the transport sees them, since it hands
+// out a connection again before it returns an answer without a body.
 //
 // # Usage
 //
--- a/internal/sageconn/filter.go
+++ b/internal/sageconn/filter.go
@@ -4,72 +4,164 @@
 	"bufio"
 	"bytes"
 	"net/http"
+	"strconv"
+
+	"github.com/pkg/errors"
+)
+
+// Owner says whose a response is.
+type Owner int
+
+// Owners of responses.
+const (
+	// OwnerUnknown: the response doesn't say.
+	OwnerUnknown Owner = iota
+	// OwnerSelf: it is the response to the request of the round trip.
+	OwnerSelf
+	// OwnerOther: it is the response to another request.
+	OwnerOther
 )
 
 // Limits of the responses to other requests that are skipped before the response to a request. What is beyond them is passed
 // on like the request's own response.
 const (
 	maxSkipped         = 8
-	maxSkippedHead     = 8 << 10
 	maxSkippedBodySize = 1 << 20
 )
 
-var headEnd = []byte("\r\n\r\n")
+// maxHead is the size of the largest head that is examined.
+const maxHead = 32 << 10
+
+// maxChunkLine is the size of the longest line with the size of a chunk, or of a trailer, that is skipped.
+const maxChunkLine = 4 << 10
+
+// errNoEnd is the error of a read after a response to another request whose end can't be found.
+var errNoEnd = errors.New("response to another request has no end")
+
+var (
+	crlf    = []byte("\r\n")
+	headEnd = []byte("\r\n\r\n")
+)
 
-// filter removes the responses to other requests that precede the response to a request. The zero value removes none.
+// filter examines the head of the response to a request, and removes the responses to other requests that precede it. The
+// zero value passes all on.
 type filter struct {
-	// foreign reports whether a response belongs to another request; nil passes all on.
-	foreign func(*http.Response) bool
-	// skipped is the number of responses that were removed.
+	// owner returns whose a response is; nil examines none.
+	owner func(*http.Response) Owner
+	// skips is set if responses to other requests are removed, skipped is their number.
+	skips   bool
 	skipped int
-	// unread holds bytes that may be a part of a response to skip.
+	// identified is set once the response to the request has been passed on.
+	identified bool
+	// unread holds bytes that aren't a complete head yet.
 	unread []byte
-	// bodyLeft is the number of bytes to come of the body of the last skipped response.
+	// bodyLeft is the number of bytes to come of the body of the last skipped response, or of its present chunk.
 	bodyLeft int64
+	// chunked is set while chunks or trailers of that body are to come, trailer after its last chunk, chunkBytes is the size of
+	// the chunks so far.
+	chunked, trailer bool
+	chunkBytes       int64
 }
 
-// add takes bytes that were read and returns those to pass on. From then on all are passed on.
-func (f *filter) add(b []byte) []byte {
-	if f.foreign == nil {
-		return b
+// add takes bytes that were read and returns those to pass on. After the head of a response that isn't skipped, all are. It
+// fails if the end of a response that is skipped can't be found.
+func (f *filter) add(b []byte) ([]byte, error) {
+	if f.owner == nil {
+		return b, nil
 	}
 	f.unread = append(f.unread, b...)
+	var out []byte
 	for {
-		n := min(f.bodyLeft, int64(len(f.unread)))
-		f.unread, f.bodyLeft = f.unread[n:], f.bodyLeft-n
+		skipped, err := f.skipBody()
+		if err != nil {
+			return out, err
+		}
 		end := bytes.Index(f.unread, headEnd)
 		switch {
-		case f.bodyLeft > 0 || end < 0 && len(f.unread) < maxSkippedHead:
-			return nil
+		case !skipped || end < 0 && len(f.unread) < maxHead:
+			return out, nil
 		case end < 0:
-			return f.passAll()
+			return append(out, f.passAll()...), nil
 		}
 		head := f.unread[:end+len(headEnd)]
-		size, ok := f.foreignBodySize(head)
-		if !ok {
-			return f.passAll()
+		switch f.examine(head) {
+		case passHead:
+			out = append(out, head...)
+		case passAll:
+			return append(out, f.passAll()...), nil
+		}
+		f.unread = f.unread[len(head):]
+	}
+}
+
+// skipBody skips what is there of the body of a skipped response and reports whether that is all of it.
+func (f *filter) skipBody() (all bool, err error) {
+	for {
+		n := min(f.bodyLeft, int64(len(f.unread)))
+		f.unread, f.bodyLeft = f.unread[n:], f.bodyLeft-n
+		if f.bodyLeft > 0 || !f.chunked {
+			return f.bodyLeft == 0, nil
+		}
+		line, rest, found := bytes.Cut(f.unread, crlf)
+		if !found && len(f.unread) > maxChunkLine {
+			return false, errNoEnd
+		}
+		if !found {
+			return false, nil
+		}
+		f.unread = rest
+		if f.trailer {
+			f.chunked = len(line) > 0
+			continue
+		}
+		size, _, _ := bytes.Cut(line, []byte(";"))
+		n, err := strconv.ParseInt(string(bytes.TrimSpace(size)), 16, 32)
+		if f.chunkBytes += n; err != nil || n < 0 || f.chunkBytes > maxSkippedBodySize {
+			return false, errNoEnd
+		}
+		if f.trailer = n == 0; !f.trailer {
+			f.bodyLeft = n + int64(len(crlf))
 		}
-		f.skipped++
-		f.unread, f.bodyLeft = f.unread[len(head):], size
 	}
 }
 
 // passAll ends the filter and returns what it holds.
 func (f *filter) passAll() []byte {
 	out := f.unread
-	f.foreign, f.unread = nil, nil
+	f.owner, f.unread = nil, nil
 	return out
 }
 
-// foreignBodySize returns the size of the body of a response to skip; false if the response isn't to be skipped.
-func (f *filter) foreignBodySize(head []byte) (int64, bool) {
-	if f.skipped >= maxSkipped {
-		return 0, false
-	}
+// action is what becomes of a response.
+type action int
+
+const (
+	// passAll: its head and all that follows are passed on.
+	passAll action = iota
+	// passHead: it is informational; the head of another one follows.
+	passHead
+	// skip: its body is skipped as well.
+	skip
+)
+
+// examine returns what becomes of the response with a head.
+func (f *filter) examine(head []byte) action {
 	res, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(head)), nil)
-	if err != nil || !f.foreign(res) {
-		return 0, false
+	if err != nil {
+		return passAll
 	}
 	_ = res.Body.Close() // holds nothing but the head
-	return res.ContentLength, res.ContentLength >= 0 && res.ContentLength <= maxSkippedBodySize
+	if res.StatusCode < http.StatusOK && res.StatusCode != http.StatusSwitchingProtocols {
+		return passHead
+	}
+	owner := f.owner(res)
+	f.identified = owner == OwnerSelf
+	chunked := len(res.TransferEncoding) > 0
+	if owner != OwnerOther || !f.skips || f.skipped >= maxSkipped || res.ContentLength < 0 && !chunked || res.ContentLength > maxSkippedBodySize {
+		return passAll
+	}
+	f.skipped++
+	f.bodyLeft = max(0, res.ContentLength)
+	f.chunked, f.trailer, f.chunkBytes = chunked, false, 0
+	return skip
 }
--- a/internal/sageconn/filter_test.go
+++ b/internal/sageconn/filter_test.go
@@ -17,11 +17,26 @@
 	foreignEmpty = "HTTP/1.1 503 Service Unavailable\r\nId: 1\r\nContent-Length: 0\r\n\r\n"
 	foreignBody  = "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 4\r\n\r\n\r\n\r\n"
 	foreignNone  = "HTTP/1.1 204 No Content\r\nId: 1\r\n\r\n"
-	foreignChunk = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+	foreignChunk = "HTTP/1.1 200 OK\r\nId: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
 	own          = "HTTP/1.1 200 OK\r\nId: 2\r\nContent-Length: 3\r\n\r\nown"
 )
 
-func isForeign(res *http.Response) bool { return res.Header.Get("Id") == "1" }
+// ownerOf returns whose a response is for the request with ID 2.
+func ownerOf(res *http.Response) Owner {
+	return map[string]Owner{"1": OwnerOther, "2": OwnerSelf}[res.Header.Get("Id")]
+}
+
+// reusedConn returns a connection after an identified response, from which a reader's content is read.
+func reusedConn(t *testing.T, r io.Reader) *Conn {
+	t.Helper()
+	w := Wrap(readerConn{r: io.MultiReader(strings.NewReader(own), r)})
+	(&Tracker{Owner: ownerOf}).GotConn(httptrace.GotConnInfo{Conn: w})
+	_, err := w.Write([]byte("GET"))
+	require.NoError(t, err)
+	_, err = io.ReadFull(w, make([]byte, len(own)))
+	require.NoError(t, err)
+	return w
+}
 
 // readerConn is a connection from which a reader's content is read.
 type readerConn struct {
@@ -35,12 +50,15 @@
 
 // Prevents a late copy of an earlier response from reaching the transport, and the response after it from being changed.
 func TestForeignResponsesAreSkipped(t *testing.T) {
-	endless := strings.Repeat("x", 2*maxSkippedHead)
+	endless := strings.Repeat("x", 2*maxHead)
+	const early = "HTTP/1.1 103 Early Hints\r\nId: 1\r\n\r\n"
 	for _, c := range []struct {
 		name, in, out string
 		skipped       int
 	}{
 		{"none", own, own, 0},
+		{"informational", early + own, early + own, 0},
+		{"after an informational one", early + foreignBody + own, early + own, 1},
 		{"without a body", foreignEmpty + own, own, 1},
 		{"with a body", foreignBody + own, own, 1},
 		{"that has no length", foreignNone + own, own, 1},
@@ -48,7 +66,10 @@
 		{"at most", strings.Repeat(foreignEmpty, maxSkipped) + own, own, maxSkipped},
 		{"too many", strings.Repeat(foreignEmpty, maxSkipped+1) + own, foreignEmpty + own, maxSkipped},
 		{"after the response", own + foreignEmpty, own + foreignEmpty, 0},
-		{"in chunks", foreignChunk + own, foreignChunk + own, 0},
+		{"without chunks", foreignChunk + "0\r\n\r\n" + own, own, 1},
+		{"in chunks", foreignChunk + "3;x=y\r\na\r\n\r\nA\r\n0123456789\r\n0\r\nT: 1\r\n\r\n" + own, own, 1},
+		{"several in chunks", strings.Repeat(foreignChunk+"1\r\na\r\n0\r\n\r\n", 3) + foreignEmpty + own, own, 4},
+		{"cut off in chunks", foreignChunk + "9\r\nx", "", 1},
 		{"too long", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 99999999\r\n\r\n" + own, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 99999999\r\n\r\n" + own, 0},
 		{"head cut off", foreignEmpty[:30], foreignEmpty[:30], 0},
 		{"body cut off", foreignBody[:len(foreignBody)-2], "", 1},
@@ -57,9 +78,8 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			for name, r := range map[string]io.Reader{"at once": strings.NewReader(c.in), "by bytes": iotest.OneByteReader(strings.NewReader(c.in))} {
-				w := Wrap(readerConn{r: r})
-				new(Tracker).GotConn(httptrace.GotConnInfo{Conn: w}) // the request before
-				tr := &Tracker{Foreign: isForeign}
+				w := reusedConn(t, r)
+				tr := &Tracker{Owner: ownerOf}
 				tr.GotConn(httptrace.GotConnInfo{Conn: w})
 				_, err := w.Write([]byte("GET"))
 				require.NoError(t, err)
@@ -72,10 +92,21 @@
 	}
 }
 
+// Prevents the rest of a response to another request from being taken for a response.
+func TestForeignResponseWithoutEnd(t *testing.T) {
+	for _, body := range []string{"x\r\n", "-5\r\n", "7fffffff\r\n", strings.Repeat("1", 2*maxChunkLine), strings.Repeat("80000\r\n"+strings.Repeat("x", 0x80000)+"\r\n", 3)} {
+		w := reusedConn(t, strings.NewReader(foreignChunk+body+own))
+		(&Tracker{Owner: ownerOf}).GotConn(httptrace.GotConnInfo{Conn: w})
+		b, err := io.ReadAll(w)
+		require.ErrorIs(t, err, errNoEnd)
+		require.Empty(t, b)
+	}
+}
+
 // Prevents the first response on a connection, which is no copy of another, from being skipped.
 func TestFirstResponseIsNotSkipped(t *testing.T) {
 	w := Wrap(readerConn{r: strings.NewReader(foreignEmpty)})
-	tr := &Tracker{Foreign: isForeign}
+	tr := &Tracker{Owner: ownerOf}
 	tr.GotConn(httptrace.GotConnInfo{Conn: w})
 	b, err := io.ReadAll(w)
 	require.NoError(t, err)
@@ -86,33 +117,39 @@
 // Prevents an error from hiding what was read before it.
 func TestErrorFollowsWhatWasRead(t *testing.T) {
 	broken := errors.New("broken")
-	w := Wrap(readerConn{r: io.MultiReader(strings.NewReader(own[:20]), iotest.ErrReader(broken))})
-	new(Tracker).GotConn(httptrace.GotConnInfo{Conn: w})
-	(&Tracker{Foreign: isForeign}).GotConn(httptrace.GotConnInfo{Conn: w})
+	w := reusedConn(t, io.MultiReader(strings.NewReader(own[:20]), iotest.ErrReader(broken)))
+	(&Tracker{Owner: ownerOf}).GotConn(httptrace.GotConnInfo{Conn: w})
 	b, err := io.ReadAll(w)
 	require.ErrorIs(t, err, broken)
 	require.Equal(t, own[:20], string(b))
 }
 
-// Prevents a response without an ID from being taken for this request's while an earlier one on the connection may be
-// repeated.
-func TestEarlierIdentified(t *testing.T) {
-	w := Wrap(readerConn{r: strings.NewReader("")})
-	use := func() *Tracker {
-		tr := new(Tracker)
-		tr.GotConn(httptrace.GotConnInfo{Conn: w})
-		return tr
+// Prevents a request from being written to a connection on which a response isn't known to be that of its request, and may
+// be repeated.
+func TestConnectionIsNotUsedAfterUnknownResponse(t *testing.T) {
+	for _, c := range []struct {
+		name, response string
+		used           bool
+	}{
+		{"identified", own, true},
+		{"without an ID", "HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", false},
+		{"to another request", foreignEmpty, false},
+		{"none yet", "", false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			w := Wrap(readerConn{r: strings.NewReader(c.response)})
+			(&Tracker{Owner: ownerOf}).GotConn(httptrace.GotConnInfo{Conn: w})
+			_, err := w.Write([]byte("GET"))
+			require.NoError(t, err)
+			_, err = io.ReadAll(w)
+			require.NoError(t, err)
+			next := &Tracker{Owner: ownerOf}
+			next.GotConn(httptrace.GotConnInfo{Conn: w})
+			_, err = w.Write([]byte("POST"))
+			require.Equal(t, c.used, err == nil)
+			require.Equal(t, !c.used, next.Seal(), "nothing was sent")
+		})
 	}
-	require.False(t, new(Tracker).EarlierIdentified(), "no connection")
-	first := use()
-	require.True(t, first.EarlierIdentified())
-	first.Identify()
-	second := use()
-	require.True(t, second.EarlierIdentified())
-	third := use()
-	require.False(t, third.EarlierIdentified(), "the second hasn't been identified")
-	second.Identify()
-	require.True(t, third.EarlierIdentified())
 }
 
 // Prevents a request that has got the connection already from being written to it after a response that wasn't identified.
--- a/internal/sageconn/tracker.go
+++ b/internal/sageconn/tracker.go
@@ -13,9 +13,10 @@
 	BootID string
 	// AtMostOnce forbids the transport to send the request on a second connection if it may have been sent on a first.
 	AtMostOnce bool
-	// Foreign reports whether a response belongs to another request. Such ones are skipped if they precede the response to
-	// this request on a connection that was used before; nil skips none.
-	Foreign func(*http.Response) bool
+	// Owner says whose a response is; nil means that responses aren't examined. With it, responses to other requests are
+	// skipped if they precede the response to this request on a connection that was used before, and no connection is used
+	// on which a response was not identified: a copy of that one could not be told from the response to this request.
+	Owner func(*http.Response) Owner
 
 	mu      sync.Mutex
 	current *Conn
@@ -30,7 +31,7 @@
 	if !ok {
 		return
 	}
-	use := c.beginUse(t.Foreign)
+	use := c.beginUse(t.Owner)
 	sent := t.Sent()
 	t.mu.Lock()
 	t.current, t.use, t.sent = c, use, sent
@@ -97,20 +98,6 @@
 	return c.skippedIn(use)
 }
 
-// Identify records that the answer was identified as that of this round trip's request.
-func (t *Tracker) Identify() {
-	if c, _ := t.conn(); c != nil {
-		c.identify()
-	}
-}
-
-// EarlierIdentified reports whether all earlier answers on the connection were identified, each as that of its request. If
-// so, an answer that can't be identified is no copy of one of them. It holds for the first request on a connection.
-func (t *Tracker) EarlierIdentified() bool {
-	c, use := t.conn()
-	return c != nil && c.identifiedBefore(use)
-}
-
 // Close closes the connection, so that a late response can't be taken for the response to a later
 // request.
 func (t *Tracker) Close() {
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -145,7 +145,7 @@
 func (x *exchange) send(ctx context.Context) (*http.Response, error) {
 	j := x.j
 	x.tracker.AtMostOnce = true // further sends are decided by mayResend
-	x.tracker.Foreign = x.isForeign
+	x.tracker.Owner = x.ownerOf
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: x.handleConn, PutIdleConn: x.tracker.PutIdleConn})
 	u := *j.r.URL
 	u.Scheme, u.Host = "http", x.address()
@@ -263,10 +263,10 @@
 // handleResponse settles whose response it is, checks its header and forwards it.
 func (x *exchange) handleResponse(ctx context.Context, res *http.Response, stallTimer *time.Timer) verdict {
 	j := x.j
-	meta := j.s.Dialect.ParseResponse(res)
-	if !x.owns(&meta) {
+	if !x.owns(res) {
 		return x.rejectForeign(res)
 	}
+	meta := j.s.Dialect.ParseResponse(res)
 	j.unreached = nil
 	if x.helper != nil {
 		return x.handleHelperResponse(ctx, res, &meta, stallTimer)
--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -206,6 +206,8 @@
 	f.misdirected = append(f.misdirected, u.ID)
 }
 func (f *fakeFleet) RecordFirstEvent(p *Pick, _ time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
 	f.uncachedTokens = append(f.uncachedTokens, p.UncachedTokens)
 }
 
--- a/internal/sagerelay/owner.go
+++ b/internal/sagerelay/owner.go
@@ -8,34 +8,35 @@
 
 	"github.com/pkg/errors"
 
+	"sagestand.example/sagestand/internal/sageconn"
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/pkg/sagehealth"
 )
 
-// isForeign reports whether a response bears the ID of another request. A faulty upstream may send a second copy of an earlier
-// response, which arrives before the response to the next request on the connection. It is skipped.
-func (x *exchange) isForeign(res *http.Response) bool {
-	id := x.j.s.Dialect.ParseResponse(res).ID
-	return id != "" && id != x.j.meta.ID
+// ownerOf returns whose a response is. A faulty upstream may send a second copy of an earlier response, which arrives before
+// the response to the next request on the connection. It is skipped.
+func (x *exchange) ownerOf(res *http.Response) sageconn.Owner {
+	switch x.j.s.Dialect.ParseResponse(res).ID {
+	case x.j.meta.ID:
+		return sageconn.OwnerSelf
+	case "":
+		return sageconn.OwnerUnknown
+	}
+	return sageconn.OwnerOther
 }
 
 // owns reports whether a response is the one to this exchange's request. Until then nothing in it may be believed, neither
 // that the request has not run nor what it says about its upstream.
 //
-// A response with an ID belongs to the request with that ID. Not all foreign ones can be skipped. Rejections may lack one. Such a response belongs to this request
-// if it can't be a copy: if the responses to all earlier requests on the connection had IDs, or there were none. Its
-// connection isn't used again, as a copy of it could be told from no other response.
-func (x *exchange) owns(meta *ResponseMetadata) bool {
+// A response with an ID belongs to the request with that ID. Not all others' can be skipped. Rejections may lack one. Such a
+// response belongs to this request, since it is no copy: no connection is used again after a response without an ID.
+func (x *exchange) owns(res *http.Response) bool {
 	x.recordSkipped()
-	if meta.ID == x.j.meta.ID {
-		x.tracker.Identify()
-		return true
-	}
-	if meta.ID != "" || !x.tracker.EarlierIdentified() {
-		return false
+	owner := x.ownerOf(res)
+	if owner == sageconn.OwnerUnknown {
+		x.tracker.Discard()
 	}
-	x.tracker.Discard()
-	return true
+	return owner != sageconn.OwnerOther
 }
 
 // holdsForeign reports whether a body on a reused connection begins with a response to another request, complete or not: a
@@ -49,7 +50,7 @@
 		return errors.Is(err, io.ErrUnexpectedEOF)
 	}
 	_ = res.Body.Close()
-	return x.isForeign(res)
+	return x.ownerOf(res) == sageconn.OwnerOther
 }
 
 // recordSkipped records the responses to other requests that were skipped.
--- a/internal/sagerelay/owner_test.go
+++ b/internal/sagerelay/owner_test.go
@@ -104,7 +104,10 @@
 		{"before its response", func(late, own string) string { return late + own }, 1, 0, 200, false},
 		{"before its response, twice", func(late, own string) string { return late + late + own }, 2, 0, 200, false},
 		{"before its response, without end", func(late, own string) string { return strings.Repeat(late, 20) + own }, 8, 1, 502, true},
-		{"in chunks before its response", func(late, own string) string { return inChunks(late) + own }, 0, 1, 502, true},
+		{"in chunks before its response", func(late, own string) string { return inChunks(late) + own }, 1, 0, 200, false},
+		{"before its response, too long", func(late, own string) string {
+			return strings.Replace(late, "Content-Length: 4", "Content-Length: 9999999", 1) + own
+		}, 0, 1, 502, true},
 		{"in place of its response", func(late, _ string) string { return late }, 1, 0, 504, true},
 	}
 	for _, kind := range []sageroute.Kind{sageroute.Once, sageroute.Idempotent} {
@@ -278,7 +281,7 @@
 		s := scriptedService(f, func(w net.Conn, n int, req *http.Request) bool {
 			own := responseText(200, req.Header.Get(testID), sealHeader, "own")
 			if n == 2 {
-				own = inChunks(responseText(200, "id0", sealHeader, "another's")) + own
+				own = responseText(200, "id0", sealHeader, strings.Repeat("another's", 200_000)) + own
 			}
 			_, err := io.WriteString(w, own)
 			return err == nil
