--- a/cmd/sagebench/soak.go
+++ b/cmd/sagebench/soak.go
@@ -30,6 +30,7 @@
 		parts       bool
 		contention  bool
 		retries     bool
+		responses   bool
 		program     string
 		self, dir   string
 	)
@@ -46,7 +47,7 @@
 				if err := os.MkdirAll(seedDir, 0o700); err != nil {
 					return fmt.Errorf("make directory for logs: %w", err)
 				}
-				s := &sagesoak.Soak{Seed: n, Program: program, Dir: seedDir, Nodes: nodes, Duration: time.Duration(seconds * float64(time.Second)), NoFaults: calm, Series: series, Restores: restores, Paths: paths, Versions: versions, Parts: parts, Contention: contention, Retries: retries}
+				s := &sagesoak.Soak{Seed: n, Program: program, Dir: seedDir, Nodes: nodes, Duration: time.Duration(seconds * float64(time.Second)), NoFaults: calm, Series: series, Restores: restores, Paths: paths, Versions: versions, Parts: parts, Contention: contention, Retries: retries, Responses: responses}
 				report, err := s.Run(c.Context())
 				if err != nil {
 					return fmt.Errorf("seed %d: %w", n, err)
@@ -94,6 +95,7 @@
 	f.BoolVar(&versions, "versions", false, "have software versions replace each other, break streams and stop nodes, beside the other faults")
 	f.BoolVar(&parts, "parts", false, "have parts of prompts crash engines, which also crash for other reasons, and stop nodes, beside the other faults")
 	f.BoolVar(&contention, "contention", false, "have accounts ask for too much, applications slow down and callers read slowly, and stop and cut nodes, beside the other faults")
+	f.BoolVar(&responses, "responses", false, "have upstreams repeat responses late, leave the ID out of rejections and send bytes that never end, beside the other faults")
 	f.BoolVar(&retries, "retries", false, "have all upstreams of a service fail while many nodes are killed and frozen, beside the other faults")
 	f.StringVar(&dir, "dir", filepath.Join(os.TempDir(), "sagestand-soak"), "directory for the nodes' settings and logs")
 	addProgramFlag(c, &program, &self)
--- a/internal/sagesoak/doc.go
+++ b/internal/sagesoak/doc.go
@@ -7,6 +7,7 @@
 // on loopback in front of each upstream delays or resets connections, or drops data in one or both directions.
 // With Contention, accounts ask for more than the application runners can run, and callers and runners are slow.
 // With Retries, all upstreams of a service fail while many nodes are killed and frozen.
+// With Responses, upstreams repeat responses late and send bytes that never end.
 // Callers continue to use open connections until the process exits.
 //
 // The checks: a booking runs at most once, a refused request didn't run, responses are complete and belong to
--- a/internal/sagesoak/soak.go
+++ b/internal/sagesoak/soak.go
@@ -80,6 +80,9 @@
 	Contention bool
 	// Retries has all upstreams of a service fail, and many nodes killed and frozen meanwhile, beside the other faults.
 	Retries bool
+	// Responses has upstreams repeat responses late, leave the ID out of rejections, and send bytes that never end, beside the
+	// other faults.
+	Responses bool
 
 	sys            *standin.System
 	rng            *rand.Rand
@@ -99,6 +102,7 @@
 	parts          *partFaults       // nil without fatal parts
 	contention     *contentionFaults // nil without contention
 	retries        *retryFaults      // nil without failures of whole services
+	responses      *responseFaults   // nil without bytes beside responses
 }
 
 // Run runs the soak and returns the violations that it found. It returns an error if the soak can't be run.
@@ -116,6 +120,7 @@
 	s.parts = s.newPartFaults()
 	s.contention = s.newContentionFaults()
 	s.retries = s.newRetryFaults()
+	s.responses = s.newResponseFaults()
 	s.sys = &standin.System{FatalBody: fatalBody, OnFatalCrash: s.handleCrash, Nodes: s.Nodes, Engines: 4, Apps: 3, Program: s.Program, Dir: s.Dir, Subnet: int(s.Seed%200) + 20, Advertise: s.advertise}
 	if s.parts != nil {
 		s.parts.configure(s.sys)
@@ -164,6 +169,9 @@
 	if s.retries != nil {
 		others.Go(func() { s.retries.run(ctx) })
 	}
+	if s.responses != nil {
+		others.Go(func() { s.responses.run(ctx) })
+	}
 	s.injectFaults(ctx)
 	s.pendingReverts.Wait()
 	others.Wait()
@@ -474,7 +482,7 @@
 // checkRecovery checks that the system serves requests again, and that no streams were cut if only planned
 // faults were injected.
 func (s *Soak) checkRecovery(ctx context.Context) {
-	if !s.enabled[upstreamFaults] && !s.enabled[networkFaults] && !s.enabled[nodeFaults] && s.fatal == nil && s.paths == nil && s.versions == nil && s.parts == nil && s.contention == nil && s.retries == nil {
+	if !s.enabled[upstreamFaults] && !s.enabled[networkFaults] && !s.enabled[nodeFaults] && s.fatal == nil && s.paths == nil && s.versions == nil && s.parts == nil && s.contention == nil && s.retries == nil && s.responses == nil {
 		for _, k := range []standin.Kind{standin.Chat, standin.Reply} {
 			if n := s.sys.Ledger.Counts()[string(k)+" cut"]; n > 0 {
 				s.sys.Ledger.RecordViolation("%d streams of kind %s were cut although only planned faults were injected", n, k)
