--- a/internal/sageconn/tracker.go
+++ b/internal/sageconn/tracker.go
@@ -15,7 +15,7 @@
 	AtMostOnce bool
 	// Owner says whose a response is; nil means that responses aren't examined. With it, responses to other requests are
 	// skipped if they precede the response to this request on a connection that was used before, and no connection is used
-	// on which a response was not identified: a copy of that one could not be told from the response to this request.
+	// on which a response was not identified: a copy of that one would look like the response to this request.
 	Owner func(*http.Response) Owner
 
 	mu      sync.Mutex
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -64,6 +64,8 @@
 	firstEvent time.Time
 	// begun is set once the answer has begun.
 	begun   atomic.Bool
+	// skipped is the number of responses to other requests that have been recorded.
+	skipped int
 	tracker sageconn.Tracker
 	cancel  context.CancelCauseFunc
 }
@@ -216,9 +218,7 @@
 	j := x.j
 	j.cause = err.Error()
 	unsent := x.tracker.Seal()
-	if !x.conn.answered {
-		x.recordSkipped()
-	}
+	x.recordSkipped()
 	x.tracker.Close()
 	x.recordReset(err)
 	if j.r.Context().Err() != nil {
--- a/internal/sagerelay/owner.go
+++ b/internal/sagerelay/owner.go
@@ -53,12 +53,13 @@
 	return x.ownerOf(res) == sageconn.OwnerOther
 }
 
-// recordSkipped records the responses to other requests that were skipped.
+// recordSkipped records the responses to other requests that have been skipped since it was last called.
 func (x *exchange) recordSkipped() {
-	n := x.tracker.Skipped()
-	if n == 0 {
+	n := x.tracker.Skipped() - x.skipped
+	if n <= 0 {
 		return
 	}
+	x.skipped += n
 	x.countForeign("skipped", n)
 	x.j.s.Log.Limited(sagelog.KindExchange, "Responses to other requests skipped.", "id", x.j.meta.ID, "upstream", x.upstreamID(), "skipped", n, "idle_ms", x.conn.idle.Milliseconds())
 }
