--- a/internal/sagerelay/probe_test.go
+++ b/internal/sagerelay/probe_test.go
@@ -27,6 +27,8 @@
 		want   sagereach.ProbeResult
 	}{
 		{"any response", respond(503, "", ""), nil, "/health", sagereach.ProbeAnswered},
+		{"endless head", endless("HTTP/1.1 200 OK\r\n", "H: x\r\n"), nil, "/health", sagereach.ProbeTimedOut},
+		{"endless body", endless("HTTP/1.1 200 OK\r\n\r\n", "x"), nil, "/health", sagereach.ProbeAnswered},
 		{"no response", stalled, nil, "/health", sagereach.ProbeTimedOut},
 		{"closed", crash, nil, "/health", sagereach.ProbeRefused},
 		{"refused", nil, nil, "/health", sagereach.ProbeRefused},
--- a/internal/sagerelay/upstreams_test.go
+++ b/internal/sagerelay/upstreams_test.go
@@ -18,6 +18,17 @@
 	}
 }
 
+// endless returns an upstream that sends head and then more without end.
+func endless(head, more string) upstream {
+	return func(c net.Conn, _ *http.Request) {
+		for text := head; ; text = more {
+			if _, err := io.WriteString(c, text); err != nil {
+				return
+			}
+		}
+	}
+}
+
 const sealHeader = testSeal + ": s\r\n"
 
 // events returns an upstream that sends the events from..to in chunks, and the end of the stream if
