sageconn: lines and trailers of a skipped response count toward its bound

Read in the diff: a foreign response in chunks with endless trailers, or with long extensions of short chunks, was skipped without end, at no memory but until the request's deadline. Both count toward the 1 MB now. TestForeignResponseWithoutEnd fails before.

--- a/internal/sageconn/filter.go
+++ b/internal/sageconn/filter.go
@@ -57,8 +57,8 @@
 	unread []byte
 	// bodyLeft is the number of bytes to come of the body of the last skipped response, or of its present chunk.
 	bodyLeft int64
-	// chunked is set while chunks or trailers of that body are to come, trailer after its last chunk, chunkBytes is the size of
-	// the chunks so far.
+	// chunked is set while chunks or trailers of that body are to come, trailer after its last chunk. chunkBytes is the size of
+	// the chunks, their lines and the trailers so far.
 	chunked, trailer bool
 	chunkBytes       int64
 }
@@ -110,6 +110,9 @@
 			return false, nil
 		}
 		f.unread = rest
+		if f.chunkBytes += int64(len(line) + len(crlf)); f.chunkBytes > maxSkippedBodySize {
+			return false, errNoEnd
+		}
 		if f.trailer {
 			f.chunked = len(line) > 0
 			continue
--- a/internal/sageconn/filter_test.go
+++ b/internal/sageconn/filter_test.go
@@ -94,7 +94,8 @@
 
 // Prevents the rest of a response to another request from being taken for a response.
 func TestForeignResponseWithoutEnd(t *testing.T) {
-	for _, body := range []string{"x\r\n", "-5\r\n", "7fffffff\r\n", strings.Repeat("1", 2*maxChunkLine), strings.Repeat("80000\r\n"+strings.Repeat("x", 0x80000)+"\r\n", 3)} {
+	const most = 2 * maxSkippedBodySize
+	for _, body := range []string{strings.Repeat("1;"+strings.Repeat("x", 1000)+"\r\nx\r\n", most/1000), "0\r\n" + strings.Repeat("T: x\r\n", most/6), "x\r\n", "-5\r\n", "7fffffff\r\n", strings.Repeat("1", 2*maxChunkLine), strings.Repeat("80000\r\n"+strings.Repeat("x", 0x80000)+"\r\n", 3)} {
 		w := reusedConn(t, strings.NewReader(foreignChunk+body+own))
 		(&Tracker{Owner: ownerOf}).GotConn(httptrace.GotConnInfo{Conn: w})
 		b, err := io.ReadAll(w)
