--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -63,7 +63,7 @@
 	events     int
 	firstEvent time.Time
 	// begun is set once the answer has begun.
-	begun   atomic.Bool
+	begun atomic.Bool
 	// skipped is the number of responses to other requests that have been recorded.
 	skipped int
 	tracker sageconn.Tracker
