Abandoned requests are reset, not closed in order

What callers saw: a data centre was cut off and closed 0.2 s later.

Cause: the close of a connection on which a request was given up was a close in order. The kernel goes on sending what hasn't been acknowledged, so that what a partition held up arrived when it healed. It was so at each way to give up (caller gone, deadline, sent elsewhere, quarantine, response that can't be trusted, end of the process): all end in (*sageconn.Conn).Close, called by the transport, or in the kernel's own close.

Change: connections have SO_LINGER 0 from the start, which holds for a killed process too. A connection is closed in order only between requests, or when the response is complete or says that the request was rejected. The transport closes a connection with a complete response at the same moment as one with an abandoned request, so (*Conn).Close leaves it to the Tracker of the round trip. Requests that aren't given up: those whose bytes are still not acknowledged a second after their upstream became unusable (data centre closed, draining, gone) are cancelled as "may have run"; what has arrived stays. Stores, peers, cache lists and load reports use the same transport. The stand-in's path and the soak's proxy deliver held bytes after a close in order and drop them after a reset; the ledger records executions that begin a second after the caller's end and requests to closed data centres, and the soak closes data centres during cuts.

What had arrived before is judged as before ("may have run").

--- a/internal/sageconn/conn.go
+++ b/internal/sageconn/conn.go
@@ -44,11 +44,18 @@
 	keepIdle time.Duration
 	// resting is set before the first and between two requests, until the next one is written.
 	resting bool
+	// finished is set once the response of the current use is complete.
+	finished bool
+	// closing is set once the transport has closed the connection while it was in use.
+	closing bool
 	// stale is set if the connection was read, closed or broken while it rested.
 	stale     bool
 	idleTimer *time.Timer
 }
 
+// NetConn returns the connection below.
+func (c *Conn) NetConn() net.Conn { return c.Conn }
+
 // Write implements [net.Conn].
 func (c *Conn) Write(b []byte) (int, error) {
 	c.mu.Lock()
@@ -56,6 +63,10 @@
 		c.mu.Unlock()
 		return 0, errSealed
 	}
+	if c.closing {
+		c.mu.Unlock()
+		return 0, errClosing
+	}
 	if !c.wrote && c.resting && (c.stale || peerActed(c.Conn)) {
 		c.sealed = true
 		c.mu.Unlock()
@@ -118,6 +129,7 @@
 
 // Wrap returns c as a connection that a [Tracker] can observe.
 func Wrap(c net.Conn) *Conn {
+	setLinger(c, lingerReset)
 	w := &Conn{Conn: c}
 	if b, ok := c.(BootIdentifier); ok {
 		w.bootID = b.BootID()
@@ -142,10 +154,9 @@
 	c.use++
 	c.filter = filter{owner: owner, skips: c.use > 1}
 	if owner != nil && c.identified+1 < c.use {
-		c.sealed = true
-		_ = c.Conn.Close()
+		_ = c.closeInOrder() // the earlier response is complete
 	}
-	c.wrote = false
+	c.wrote, c.finished = false, false
 	c.resting = true
 	c.stopIdleTimer()
 	return c.use
@@ -198,19 +209,10 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.use == use && c.resting {
-		c.sealed = true
-		_ = c.Conn.Close() // nothing is lost on an idle connection
+		_ = c.closeInOrder() // nothing is lost on an idle connection
 	}
 }
 
-// Close implements [net.Conn].
-func (c *Conn) Close() error {
-	c.mu.Lock()
-	c.stopIdleTimer()
-	c.mu.Unlock()
-	return c.Conn.Close()
-}
-
 // sentIn reports whether anything may have been written in the given use.
 func (c *Conn) sentIn(use uint64) bool {
 	c.mu.Lock()
@@ -225,8 +227,7 @@
 	if c.use != use || c.wrote {
 		return false
 	}
-	c.sealed = true
-	_ = c.Conn.Close()
+	_ = c.closeInOrder() // nothing is lost
 	return true
 }
 
@@ -240,16 +241,16 @@
 	return c.filter.skipped
 }
 
-// closeUse closes the connection unless a later request uses it already.
-func (c *Conn) closeUse(use uint64) {
+// resetUse resets the connection unless a later request uses it already.
+func (c *Conn) resetUse(use uint64) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.use == use {
-		_ = c.Conn.Close()
+		_ = c.reset()
 	}
 }
 
-// discard closes the connection unless a later request has been written to it. A later request that hasn't been written is
+// discard resets the connection unless a later request has been written to it. A later request that hasn't been written is
 // sealed.
 func (c *Conn) discard(use uint64) {
 	c.mu.Lock()
@@ -257,6 +258,5 @@
 	if c.use != use && c.wrote {
 		return
 	}
-	c.sealed = c.sealed || c.use != use
-	_ = c.Conn.Close()
+	_ = c.reset()
 }
--- a/internal/sageconn/conn_test.go
+++ b/internal/sageconn/conn_test.go
@@ -32,10 +32,10 @@
 	require.NoError(t, err)
 	require.False(t, c.seal(use), "one byte was written")
 	next := c.beginUse(nil)
-	c.closeUse(use)
+	c.resetUse(use)
 	_, err = c.Write([]byte("POST"))
 	require.NoError(t, err, "a later request's connection stays open")
-	c.closeUse(next)
+	c.resetUse(next)
 	_, err = c.Write([]byte("POST"))
 	require.Error(t, err)
 }
--- a/internal/sageconn/doc.go
+++ b/internal/sageconn/doc.go
@@ -1,4 +1,5 @@
-// Package sageconn determines whether any byte of an HTTP request may have been sent.
+// Package sageconn determines whether any byte of an HTTP request may have been sent, and ends connections so that nothing of
+// a request that was given up arrives later.
 //
 // [Wrap] wraps the connections that a transport dials. A [Tracker] observes one round trip by its
 // httptrace hook. If [Tracker.Seal] reports that nothing was sent, it forbids every later write of that
@@ -14,15 +15,21 @@
 // say whose it is. So an answer without an ID is no copy. Answers are examined before the transport sees them, since it hands
 // out a connection again before it returns an answer without a body.
 //
+// After a close in order, the kernel goes on sending what hasn't been acknowledged: bytes that a partition holds up arrive when it
+// heals. A reset discards them. So a connection is reset unless its response is complete, also by the end of the process, and
+// closed in order between requests. A reset says nothing about whether the request had arrived before.
+//
 // # Usage
 //
-//	t := &http.Transport{DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-//		c, err := dial(ctx, network, addr)
-//		if err != nil {
-//			return nil, err
-//		}
-//		return sageconn.Wrap(c), nil
-//	}}
-//	tracker := new(sageconn.Tracker)
-//	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: tracker.GotConn, PutIdleConn: tracker.PutIdleConn})
+// A [Transport] observes all its requests:
+//
+//	client := &http.Client{Transport: &sageconn.Transport{Base: &http.Transport{DialContext: sageconn.Dialer(dialer.DialContext)}}}
+//
+// A [Tracker] observes one of them in detail:
+//
+//	tracker := &sageconn.Tracker{AtMostOnce: true}
+//	res, err := tracker.RoundTrip(transport, req.WithContext(tracker.WithTrace(ctx)))
+//	if err != nil && tracker.Seal() {
+//		// nothing of the request was sent, and nothing will be
+//	}
 package sageconn
--- a/internal/sageconn/tracker.go
+++ b/internal/sageconn/tracker.go
@@ -1,6 +1,7 @@
 package sageconn
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptrace"
 	"sync"
@@ -27,12 +28,13 @@
 
 // GotConn is the httptrace hook of the round trip.
 func (t *Tracker) GotConn(info httptrace.GotConnInfo) {
-	c, ok := info.Conn.(*Conn)
-	if !ok {
+	c := connOf(info.Conn)
+	if c == nil {
 		return
 	}
-	use := c.beginUse(t.Owner)
 	sent := t.Sent()
+	t.Abandon() // an earlier connection on which the transport failed
+	use := c.beginUse(t.Owner)
 	t.mu.Lock()
 	t.current, t.use, t.sent = c, use, sent
 	t.mu.Unlock()
@@ -47,6 +49,20 @@
 	}
 }
 
+// connOf returns the connection of this package below c, nil if there is none.
+func connOf(c net.Conn) *Conn {
+	for {
+		if w, ok := c.(*Conn); ok {
+			return w
+		}
+		w, ok := c.(interface{ NetConn() net.Conn }) // of TLS
+		if !ok {
+			return nil
+		}
+		c = w.NetConn()
+	}
+}
+
 func (t *Tracker) conn() (*Conn, uint64) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -98,15 +114,37 @@
 	return c.skippedIn(use)
 }
 
-// Close closes the connection, so that a late response can't be taken for the response to a later
-// request.
-func (t *Tracker) Close() {
+// Undelivered reports whether bytes of the request are known not to have arrived at the other end.
+func (t *Tracker) Undelivered() bool {
+	c, use := t.conn()
+	return c != nil && c.undelivered(use)
+}
+
+// Finish records that the response is complete, or that the upstream has rejected the request: the connection is closed in
+// order, or used again.
+func (t *Tracker) Finish() {
+	if c, use := t.conn(); c != nil {
+		c.finishUse(use)
+	}
+}
+
+// Abandon resets the connection unless the response is complete, so that bytes of the request that haven't arrived never do.
+// It must be called when the round trip is over; [Tracker.RoundTrip] does so.
+func (t *Tracker) Abandon() {
+	if c, use := t.conn(); c != nil {
+		c.abandonUse(use)
+	}
+}
+
+// Reset resets the connection, so that a late response can't be taken for the response to a later request, and bytes of the
+// request that haven't arrived never do.
+func (t *Tracker) Reset() {
 	if c, use := t.conn(); c != nil {
-		c.closeUse(use)
+		c.resetUse(use)
 	}
 }
 
-// Discard closes the connection since its answer wasn't identified: what follows may belong to any of its requests. A
+// Discard resets the connection since its answer wasn't identified: what follows may belong to any of its requests. A
 // transport hands out a connection again before an answer without a body is examined, so that a later request may have the
 // connection already. If nothing of it was written, that request is sealed.
 func (t *Tracker) Discard() {
--- a/internal/sageconntest/options.go
+++ b/internal/sageconntest/options.go
@@ -23,6 +23,8 @@
 	// number of unanswered ones after which the connection is given up.
 	KeepIdle, KeepPeriod time.Duration
 	KeepCount            int
+	// Resets is set if a close discards what hasn't been acknowledged and resets the connection, also at the end of the process.
+	Resets bool
 }
 
 // RequireOptions requires that the connections that a function opens have the given options. A nil function stands for
@@ -38,6 +40,13 @@
 	c, err := dial(t.Context(), "tcp", l.Addr().String())
 	require.NoError(t, err)
 	defer func() { _ = c.Close() }()
+	for {
+		w, ok := c.(interface{ NetConn() net.Conn })
+		if !ok {
+			break
+		}
+		c = w.NetConn()
+	}
 	raw, err := c.(*net.TCPConn).SyscallConn()
 	require.NoError(t, err)
 	var got Options
@@ -51,6 +60,9 @@
 		got.KeepIdle = time.Duration(get(unix.TCP_KEEPIDLE)) * time.Second
 		got.KeepPeriod = time.Duration(get(unix.TCP_KEEPINTVL)) * time.Second
 		got.KeepCount = get(unix.TCP_KEEPCNT)
+		linger, err := unix.GetsockoptLinger(int(fd), unix.SOL_SOCKET, unix.SO_LINGER)
+		require.NoError(t, err)
+		got.Resets = linger.Onoff != 0 && linger.Linger == 0
 	}))
 	require.Equal(t, want, got)
 }
--- a/internal/sagedispatch/dispatcher.go
+++ b/internal/sagedispatch/dispatcher.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"sync"
@@ -73,13 +72,7 @@
 	if dial == nil {
 		dial = (&net.Dialer{Timeout: DefaultDialTimeout}).DialContext
 	}
-	wrapped := func(ctx context.Context, network, address string) (net.Conn, error) {
-		c, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, fmt.Errorf("connect: %w", err)
-		}
-		return sageconn.Wrap(c), nil
-	}
+	wrapped := sageconn.Dialer(dial)
 	protocols := new(http.Protocols)
 	protocols.SetHTTP1(true)
 	d.reusedTransport = &http.Transport{
@@ -155,6 +148,7 @@
 	}
 	x.readHeader(res.Header)
 	if isNotRun(res) {
+		tracker.Finish()
 		x.result.fail(sagewire.NotRun, sagewire.ReasonUpstreamRefused, "upstream status %d", res.StatusCode)
 		x.result.RetryAt = parseRetryAfter(res.Header, time.Now())
 		return
@@ -199,7 +193,7 @@
 	if a.AtMostOnce {
 		t = x.d.freshTransport
 	}
-	return t.RoundTrip(req)
+	return tracker.RoundTrip(t, req)
 }
 
 func newRequest(ctx context.Context, method, address, path string, body []byte, tracker *sageconn.Tracker) (*http.Request, error) {
@@ -208,10 +202,7 @@
 		return nil, fmt.Errorf("parse path: %w", err)
 	}
 	u.Scheme, u.Host = "http", address
-	if tracker != nil {
-		ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: tracker.GotConn})
-	}
-	req, err := http.NewRequestWithContext(ctx, method, u.String(), noRewindBody{bytes.NewReader(body)})
+	req, err := http.NewRequestWithContext(tracker.WithTrace(ctx), method, u.String(), noRewindBody{bytes.NewReader(body)})
 	if err != nil {
 		return nil, fmt.Errorf("make request: %w", err)
 	}
@@ -227,12 +218,13 @@
 	d.cancels.Go(func() {
 		ctx, cancel := context.WithTimeout(context.Background(), cancelTimeout)
 		defer cancel()
-		req, err := newRequest(ctx, http.MethodDelete, a.Address, streamPath(a.RequestID), nil, nil)
+		tracker := new(sageconn.Tracker)
+		req, err := newRequest(ctx, http.MethodDelete, a.Address, streamPath(a.RequestID), nil, tracker)
 		if err != nil {
 			return
 		}
 		req.Header.Set(sagewire.HeaderRequestID, a.RequestID)
-		if res, err := d.freshTransport.RoundTrip(req); err == nil {
+		if res, err := tracker.RoundTrip(d.freshTransport, req); err == nil {
 			_ = res.Body.Close()
 		}
 	})
--- a/internal/sagedispatch/plain.go
+++ b/internal/sagedispatch/plain.go
@@ -43,7 +43,7 @@
 		return
 	}
 	if !isDelimited(res) {
-		tracker.Close()
+		tracker.Reset()
 		x.result.fail(sagewire.Unknown, sagewire.ReasonAnswerLost, "the answer has no checkable end")
 		return
 	}
@@ -53,7 +53,7 @@
 		x.result.FirstByteAt = time.Now()
 	}
 	if err != nil {
-		tracker.Close()
+		tracker.Reset()
 		x.failBody(ctx, err)
 		return
 	}
@@ -111,7 +111,7 @@
 	chunk, err := buffered, error(nil)
 	for {
 		if werr := x.write(chunk); werr != nil {
-			tracker.Close()
+			tracker.Reset()
 			x.result.CallerGone, x.result.Abort = true, true
 			x.result.fail(sagewire.Unknown, sagewire.ReasonAnswerLost, "the caller stopped reading: %v", werr)
 			return
@@ -122,7 +122,7 @@
 			return
 		}
 		if err != nil {
-			tracker.Close()
+			tracker.Reset()
 			x.failBody(ctx, err)
 			x.result.Abort = true
 			return
--- a/internal/sagedispatch/stream.go
+++ b/internal/sagedispatch/stream.go
@@ -54,11 +54,12 @@
 		before := last
 		err := x.forwardEvents(res, tracker, &last)
 		if err == nil {
+			tracker.Finish()
 			x.result.Outcome = sagewire.Complete
 			x.w.Header().Set(sagewire.HeaderOutcome, string(sagewire.Complete))
 			return
 		}
-		tracker.Close()
+		tracker.Reset()
 		_ = res.Body.Close()
 		if last > before {
 			emptyResumes = 0
@@ -88,7 +89,7 @@
 	// A connection that is cut without FIN or RST produces no read error, so the timer closes it after the stall
 	// timeout. The timer is stopped during writes: a slow caller must not count as a stalled upstream.
 	stall := durationOrDefault(x.d.StallTimeout, DefaultStallTimeout)
-	stallTimer := time.AfterFunc(stall, tracker.Close)
+	stallTimer := time.AfterFunc(stall, tracker.Reset)
 	defer stallTimer.Stop()
 	for {
 		stallTimer.Reset(stall)
@@ -168,12 +169,12 @@
 		return nil, err
 	}
 	req.Header.Set(sagewire.HeaderRequestID, x.a.RequestID)
-	res, err := x.d.freshTransport.RoundTrip(req)
+	res, err := tracker.RoundTrip(x.d.freshTransport, req)
 	if err != nil {
 		return nil, fmt.Errorf("resume: %w", err)
 	}
 	if err := x.checkResumed(res); err != nil {
-		tracker.Close()
+		tracker.Reset()
 		_ = res.Body.Close()
 		return nil, err
 	}
--- a/internal/sageloadd/dial.go
+++ b/internal/sageloadd/dial.go
@@ -63,6 +63,9 @@
 // BootID returns the boot id of the engine at the other end.
 func (c *bootConn) BootID() string { return c.bootID }
 
+// NetConn returns the TCP connection, whose options may be set.
+func (c *bootConn) NetConn() net.Conn { return c.Conn }
+
 func (s *Service) expectedBoot(address string) (id string, engine bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/sageloadd/service.go
+++ b/internal/sageloadd/service.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"sync"
 	"time"
 
+	"sagestand.example/sagestand/internal/sageconn"
 	"sagestand.example/sagestand/internal/sageheader"
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/pkg/sageconfig"
@@ -81,7 +83,9 @@
 		s.peerProcessIDs = make(map[string]string)
 		s.wake = make(chan struct{}, 1)
 		if s.ProbeClient == nil {
-			s.ProbeClient = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: sageheader.MaxResponseBytes}}
+			s.ProbeClient = &http.Client{Transport: &sageconn.Transport{Base: &http.Transport{
+				DialContext: sageconn.Dialer(new(net.Dialer).DialContext), MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: sageheader.MaxResponseBytes,
+			}}}
 		}
 	})
 }
--- a/internal/sagemesh/fetch.go
+++ b/internal/sagemesh/fetch.go
@@ -8,6 +8,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"strconv"
@@ -17,6 +18,7 @@
 	"github.com/pkg/errors"
 	"golang.org/x/sync/semaphore"
 
+	"sagestand.example/sagestand/internal/sageconn"
 	"sagestand.example/sagestand/internal/sagefollow"
 	"sagestand.example/sagestand/internal/sageheader"
 	"sagestand.example/sagestand/internal/sagelog"
@@ -54,9 +56,10 @@
 
 // NewFetcher returns a fetcher that keeps one idle connection to each peer.
 func NewFetcher() *Fetcher {
-	return &Fetcher{HTTP: &http.Client{Transport: &http.Transport{
-		MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout, MaxResponseHeaderBytes: sageheader.MaxResponseBytes,
-	}}}
+	return &Fetcher{HTTP: &http.Client{Transport: &sageconn.Transport{Base: &http.Transport{
+		DialContext: sageconn.Dialer(new(net.Dialer).DialContext), MaxIdleConnsPerHost: 1, IdleConnTimeout: idleConnTimeout,
+		MaxResponseHeaderBytes: sageheader.MaxResponseBytes,
+	}}}}
 }
 
 // progressReader calls onRead after each read that returned data.
--- a/internal/sagepeer/client.go
+++ b/internal/sagepeer/client.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"sagestand.example/sagestand/internal/sageconn"
 	"sagestand.example/sagestand/internal/sageheader"
 )
 
@@ -47,27 +48,27 @@
 		return h
 	}
 	t := NewCountingTransport(&c.bytes)
-	t.TLSClientConfig = c.TLS
+	t.Base.TLSClientConfig = c.TLS
 	c.http.CompareAndSwap(nil, &http.Client{Transport: &keyTransport{key: c.Key, next: t}, Timeout: callTimeout})
 	return c.http.Load()
 }
 
 // NewCountingTransport returns a transport that adds the bytes read and written on its connections to n.
-func NewCountingTransport(n *atomic.Int64) *http.Transport {
+func NewCountingTransport(n *atomic.Int64) *sageconn.Transport {
 	d := &net.Dialer{Timeout: dialTimeout}
-	return &http.Transport{
+	return &sageconn.Transport{Base: &http.Transport{
 		MaxIdleConnsPerHost:    idlePerHost,
 		IdleConnTimeout:        idleTimeout,
 		MaxResponseHeaderBytes: sageheader.MaxResponseBytes,
 		DisableCompression:     true, // calls are small: the Accept-Encoding header would cost more than compression saves
-		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+		DialContext: sageconn.Dialer(func(ctx context.Context, network, addr string) (net.Conn, error) {
 			c, err := d.DialContext(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
 			return newCountingConn(c, n), nil
-		},
-	}
+		}),
+	}}
 }
 
 // keyTransport adds the shared key to every call.
--- a/internal/sagepeer/conn.go
+++ b/internal/sagepeer/conn.go
@@ -40,6 +40,9 @@
 	c.counter = to
 }
 
+// NetConn returns the connection whose bytes are counted.
+func (c *countingConn) NetConn() net.Conn { return c.Conn }
+
 // Read implements [net.Conn].
 func (c *countingConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
--- a/internal/sagerelay/cancel.go
+++ b/internal/sagerelay/cancel.go
@@ -4,6 +4,7 @@
 	"maps"
 	"slices"
 	"sync"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -30,6 +31,35 @@
 	}
 }
 
+// maxUndelivered is how long the bytes of a request may be on their way to an upstream that may get no more requests, before
+// its connection is reset. It leaves most of the time for which such an upstream may still get requests to the node's own
+// delay in observing it.
+const maxUndelivered = time.Second
+
+// errUndelivered is the cause with which an exchange is cancelled whose request didn't arrive in time.
+var errUndelivered = errors.New("the request hasn't arrived at an upstream that may get no more")
+
+// CancelUndelivered cancels the exchanges whose requests have been held up on their way to an upstream that may get no more
+// since: it leaves, or its data centre was closed. What has arrived isn't cancelled. It has to be called several times in
+// maxUndelivered.
+func (s *Service) CancelUndelivered() {
+	now := sageclock.Now()
+	for _, x := range s.sending.list() {
+		switch {
+		case x.begun.Load():
+		case s.Fleet.Usable(x.p.Upstream):
+			x.unusableSince = 0
+		case x.unusableSince == 0:
+			x.unusableSince = now
+		case now.Sub(x.unusableSince) >= maxUndelivered && x.tracker.Undelivered():
+			s.countConn(x.p.Upstream.Service, "undelivered")
+			s.Log.Limited(sagelog.KindExchange, "Exchange cancelled: its request hasn't arrived at an upstream that may get no more.", "id", x.j.meta.ID, "upstream", x.p.Upstream.ID,
+				"data_centre", x.p.Upstream.DataCentre, "unusable_ms", now.Sub(x.unusableSince).Milliseconds(), "age_ms", time.Since(x.start).Milliseconds())
+			x.cancel(errUndelivered)
+		}
+	}
+}
+
 // exchangeSet holds the exchanges with upstreams that are in progress.
 type exchangeSet struct {
 	mu        sync.Mutex
@@ -57,10 +87,9 @@
 	return slices.Collect(maps.Keys(e.exchanges))
 }
 
-// failCancelled handles an exchange that this node cancelled since its request is quarantined, which says nothing about the
-// upstream.
-func (x *exchange) failCancelled(unsent bool) verdict {
-	x.j.cause = errQuarantined.Error()
+// failCancelled handles an exchange that this node cancelled for a reason that says nothing about the upstream.
+func (x *exchange) failCancelled(cause error, unsent bool) verdict {
+	x.j.cause = cause.Error()
 	if unsent {
 		return notSent
 	}
--- a/internal/sagerelay/conn.go
+++ b/internal/sagerelay/conn.go
@@ -107,13 +107,13 @@
 	}
 	for range tries {
 		x.conn.got = false
-		res, err := t.pooled.RoundTrip(req)
+		res, err := x.tracker.RoundTrip(t.pooled, req)
 		if err == nil || !x.reusedInVain(req.Context(), err) {
 			return res, err
 		}
 		x.j.setBody(req)
 	}
-	return t.unpooled.RoundTrip(req)
+	return x.tracker.RoundTrip(t.unpooled, req)
 }
 
 // reusedInVain reports whether a round trip failed without a byte written to the reused connection that it got.
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -64,6 +64,8 @@
 	firstEvent time.Time
 	// begun is set once the answer has begun.
 	begun atomic.Bool
+	// unusableSince is when the upstream was first found unusable; only CancelUndelivered uses it.
+	unusableSince sageclock.Instant
 	// skipped is the number of responses to other requests that have been recorded.
 	skipped int
 	tracker sageconn.Tracker
@@ -156,7 +158,7 @@
 	removeRelayHeader(req.Header)
 	if x.helper != nil {
 		j.setRelayHeader(req.Header)
-		return j.s.toPeers().forRequest(j.route.Repeatable()).RoundTrip(req)
+		return x.tracker.RoundTrip(j.s.toPeers().forRequest(j.route.Repeatable()), req)
 	}
 	s := ForwardMetadata{Upstream: x.p.Upstream, Account: j.accountName(), Deadline: j.deadline, Priority: j.priority(), CacheSource: x.p.CacheSource, LastEventID: j.lastEventID}
 	j.s.Dialect.SetForwardHeader(req.Header, &s)
@@ -219,7 +221,7 @@
 	j.cause = err.Error()
 	unsent := x.tracker.Seal()
 	x.recordSkipped()
-	x.tracker.Close()
+	x.tracker.Reset()
 	x.recordReset(err)
 	if j.r.Context().Err() != nil {
 		if !unsent {
@@ -227,8 +229,8 @@
 		}
 		return callerGone
 	}
-	if errors.Is(context.Cause(ctx), errQuarantined) {
-		return x.failCancelled(unsent)
+	if cause := context.Cause(ctx); errors.Is(cause, errQuarantined) || errors.Is(cause, errUndelivered) {
+		return x.failCancelled(cause, unsent)
 	}
 	stalled := errors.Is(context.Cause(ctx), errStalled)
 	timedOut := ctx.Err() != nil && !stalled
@@ -274,6 +276,7 @@
 	x.recordResponseHeader(res)
 	j.s.Fleet.RecordAnswer(x.p.Upstream, x.freshConn)
 	if meta.Misdirected {
+		x.tracker.Finish()
 		j.s.Fleet.RecordMisdirected(x.p.Upstream)
 		j.cause = "the address belongs to another upstream"
 		return notRun
@@ -281,6 +284,7 @@
 	j.setRelayUpstream(j.w.Header(), x.p.Upstream)
 	j.observeAnnouncements(x.p.Upstream, res.StatusCode, &meta)
 	if meta.NotRun {
+		x.tracker.Finish()
 		if isOverload(res.StatusCode) {
 			j.s.Fleet.RecordDecline(x.p, meta.PauseUntil != 0)
 		}
--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -37,6 +38,7 @@
 	stale       bool
 	sendsTrials bool // this node sends trials of quarantined requests
 	leaving     bool // the upstreams are about to stop
+	unusable    atomic.Bool
 	retryBudget int
 
 	mu              sync.Mutex
@@ -144,7 +146,7 @@
 	return f.finding
 }
 
-func (f *fakeFleet) Usable(*sageupstream.Entry) bool  { return true }
+func (f *fakeFleet) Usable(*sageupstream.Entry) bool  { return !f.unusable.Load() }
 func (f *fakeFleet) Leaving(*sageupstream.Entry) bool { return f.leaving }
 
 func (f *fakeFleet) RecordPrompt(*sageupstream.Entry, sagechain.Chain) {}
--- a/internal/sagerelay/hop.go
+++ b/internal/sagerelay/hop.go
@@ -173,6 +173,7 @@
 	x.helperOrigin = x.originOfResponse(res.Header, born)
 	removeRelayHeader(res.Header)
 	if refusal != "" {
+		x.tracker.Finish()
 		j.relay.refusal, j.relay.pauseUntil = refusal, meta.PauseUntil
 		j.quarantineEnd = meta.PauseUntil // used only if the request is quarantined
 		j.cause = "peer refused: " + string(refusal)
--- a/internal/sagerelay/response.go
+++ b/internal/sagerelay/response.go
@@ -111,7 +111,7 @@
 
 // failWithoutBuffer handles an exchange whose response found no buffer space, which says nothing about the upstream.
 func (x *exchange) failWithoutBuffer(err error) verdict {
-	x.tracker.Close()
+	x.tracker.Reset()
 	x.j.cause = err.Error()
 	x.recordAbandoned()
 	if x.j.r.Context().Err() != nil {
--- a/internal/sagerelay/stream.go
+++ b/internal/sagerelay/stream.go
@@ -91,7 +91,7 @@
 		writing := time.Now()
 		if err := j.forwardEvent(e, flush); err != nil {
 			j.cause = err.Error()
-			x.tracker.Close()
+			x.tracker.Reset()
 			x.recordAbandoned()
 			return callerGone
 		}
--- a/internal/sagerelay/transport.go
+++ b/internal/sagerelay/transport.go
@@ -120,6 +120,13 @@
 	return &s.peers
 }
 
+// CloseIdleConnections closes the connections that no request uses. Those that the end of the process closes are reset.
+func (s *Service) CloseIdleConnections() {
+	for _, t := range []*transports{s.toUpstreams(), s.toPeers()} {
+		t.pooled.CloseIdleConnections()
+	}
+}
+
 // refusesConnections reports whether nothing listens at an address. A timeout isn't taken for a
 // refusal: the address may be unreachable from here.
 func (t *transports) refusesConnections(ctx context.Context, address string) bool {
@@ -153,7 +160,7 @@
 	if err != nil {
 		return sagereach.ProbeTimedOut
 	}
-	res, err := t.unpooled.RoundTrip(req)
+	res, err := (&sageconn.Transport{Base: t.unpooled}).RoundTrip(req)
 	if err == nil {
 		_ = res.Body.Close() // the content doesn't matter
 	}
--- a/internal/sagerelay/transport_test.go
+++ b/internal/sagerelay/transport_test.go
@@ -14,3 +14,12 @@
 	sageconntest.RequireOptions(t, s.toUpstreams().connect, want)
 	sageconntest.RequireOptions(t, s.toPeers().connect, want)
 }
+
+// Prevents the kernel from delivering a request after the process that sent it was killed.
+func TestConnectionsAreResetAtTheEndOfTheProcess(t *testing.T) {
+	s, want := new(Service), sageconntest.Options{KeepIdle: time.Second, KeepPeriod: time.Second, KeepCount: 3, Resets: true}
+	for _, ts := range []*transports{s.toUpstreams(), s.toPeers()} {
+		sageconntest.RequireOptions(t, ts.pooled.DialContext, want)
+		sageconntest.RequireOptions(t, ts.unpooled.DialContext, want)
+	}
+}
--- a/internal/sagerouter/services.go
+++ b/internal/sagerouter/services.go
@@ -58,6 +58,7 @@
 	}
 	n.awaitRelayed(ctx)
 	n.Log.Component("node").Info("Entry closed.", "in_flight", n.relay.InFlight())
+	n.relay.CloseIdleConnections()
 	return s.http.Close()
 }
 
@@ -110,6 +111,7 @@
 		case <-t.C:
 			n.peers.Flush()
 			n.fleet.settleEvidence(sageclock.Now())
+			n.relay.CancelUndelivered()
 			n.view.expireLapsed(n.storeProof.Age(sageclock.Now()) > sagefollow.LongOutage)
 			if !released && n.view.upstreams.Load() != nil {
 				released = true
--- a/internal/sagesoak/paths.go
+++ b/internal/sagesoak/paths.go
@@ -38,6 +38,8 @@
 	checked bool
 	pending sync.WaitGroup
 	shares  []string
+	// closures is nil if what callers of cut nodes get is checked.
+	closures *closures
 }
 
 // newPathFaults returns the path faults of the seed, or nil if the soak has none.
@@ -45,7 +47,11 @@
 	if !s.Paths {
 		return nil
 	}
-	return &pathFaults{soak: s, rng: rand.New(rand.NewPCG(s.Seed, 4)), checked: s.NoFaults}
+	p := &pathFaults{soak: s, rng: rand.New(rand.NewPCG(s.Seed, 4)), checked: s.NoFaults}
+	if !p.checked {
+		p.closures = &closures{soak: s, rng: rand.New(rand.NewPCG(s.Seed, 11))}
+	}
+	return p
 }
 
 // sendLoop sends the requests of a caller that keeps the address of one node.
@@ -132,6 +138,9 @@
 		duration = max(duration, contactTime+time.Second)
 	}
 	p.soak.recordInjected(fmt.Sprintf("cut %s from %s: mode %d, %d times", which, from, mode, flaps), duration)
+	if mode == linkHeld && p.closures != nil {
+		p.closures.during(ctx, duration)
+	}
 	work := func() {
 		for range flaps {
 			start := time.Now()
--- a/internal/sagesoak/proxy.go
+++ b/internal/sagesoak/proxy.go
@@ -8,6 +8,8 @@
 	"slices"
 	"sync"
 	"time"
+
+	"golang.org/x/sys/unix"
 )
 
 // linkMode is how a proxy handles connections and data.
@@ -153,6 +155,20 @@
 	p.mu.Unlock()
 }
 
+// wasReset reports whether the other end has reset a connection.
+func wasReset(c net.Conn) bool {
+	raw, err := c.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return true // closed here
+	}
+	reset := false
+	err = raw.Control(func(fd uintptr) {
+		info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO)
+		reset = err == nil && info.State == unix.BPF_TCP_CLOSE // after a close in order it would be CLOSE_WAIT
+	})
+	return reset || err != nil
+}
+
 // forward copies data from src to dst for a connection from an IP address. It drops the data while the mode is one of
 // discardIn, and holds it while the mode is one of holdIn.
 func (p *proxy) forward(source string, dst, src net.Conn, holdIn []linkMode, discardIn ...linkMode) {
@@ -163,6 +179,9 @@
 		mode := p.modeFor(source)
 		for slices.Contains(holdIn, mode) {
 			time.Sleep(heldPollInterval)
+			if wasReset(src) {
+				return // what was held up is lost
+			}
 			mode = p.modeFor(source)
 		}
 		if mode == linkSlow {
--- a/internal/sagesoak/soak.go
+++ b/internal/sagesoak/soak.go
@@ -202,6 +202,7 @@
 	s.checkRecovery(ctx)
 	stop()
 	wg.Wait()
+	s.checkLateRuns()
 	if s.versions != nil {
 		s.versions.checkReturns()
 	}
@@ -247,24 +248,6 @@
 	return s.proxies[address]
 }
 
-// nodeFault is a time in which a node was stopped or frozen.
-type nodeFault struct {
-	node        int
-	from, until time.Time // until is zero while the fault lasts
-}
-
-// inTouch reports whether a node ran for contactTime before a time, and runs at the time itself.
-func (s *Soak) inTouch(node int, at time.Time) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for _, f := range s.nodeFaults {
-		if f.node == node && !at.Before(f.from) && (f.until.IsZero() || at.Before(f.until.Add(contactTime))) {
-			return false
-		}
-	}
-	return true
-}
-
 // requestKinds are the kinds of requests that callers send.
 var requestKinds = []standin.Kind{standin.Chat, standin.Reply, standin.Booking, standin.Lookup}
 
@@ -425,60 +408,6 @@
 	return fmt.Sprintf("store %s at %q", m, endpoint), func() { s.sys.Store.SetMode(endpoint, standin.ModeServing) }
 }
 
-func (s *Soak) injectNode() (string, func()) {
-	if s.rng.IntN(2) == 0 {
-		return s.signalNode("kill", syscall.SIGKILL)
-	}
-	return s.signalNode("freeze", syscall.SIGSTOP)
-}
-
-// signalNode sends a signal to a random node, unless another fault affects the node. The returned function
-// resumes a frozen node and restarts one that exited.
-func (s *Soak) signalNode(name string, sig syscall.Signal) (string, func()) {
-	return s.signalNodeAt(s.rng.IntN(s.Nodes), name, sig)
-}
-
-// signalNodeAt is like signalNode for a given node.
-func (s *Soak) signalNodeAt(i int, name string, sig syscall.Signal) (string, func()) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.faultyNodes[i] {
-		return "", nil
-	}
-	s.faultyNodes[i] = true
-	fault := &nodeFault{node: i, from: time.Now()}
-	s.nodeFaults = append(s.nodeFaults, fault)
-	s.sys.Signal(i, sig)
-	return fmt.Sprintf("%s %d", name, i), func() {
-		if sig == syscall.SIGSTOP {
-			s.sys.ForgetAnnouncements(i)
-			s.sys.Signal(i, syscall.SIGCONT)
-		} else {
-			<-s.sys.Exited(i)
-			s.sys.ForgetAnnouncements(i)
-			if err := s.sys.StartNode(i); err != nil {
-				s.sys.Ledger.RecordViolation("node %d was not restarted: %v", i, err)
-			}
-		}
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		s.faultyNodes[i], fault.until = false, time.Now()
-	}
-}
-
-// signalFor sends a signal to a node, which runs again after the given time. pending waits for that.
-func (s *Soak) signalFor(pending *sync.WaitGroup, name string, sig syscall.Signal, node int, duration time.Duration) {
-	injected, revert := s.signalNodeAt(node, name, sig)
-	if injected == "" {
-		return
-	}
-	s.recordInjected(injected, duration)
-	pending.Go(func() {
-		time.Sleep(duration)
-		revert()
-	})
-}
-
 // checkRecovery checks that the system serves requests again, and that no streams were cut if only planned
 // faults were injected.
 func (s *Soak) checkRecovery(ctx context.Context) {
