A version begins streams only once the store says so

What callers saw: after all nodes were lost, streams that callers took up were answered 200 and went on at another software version than the one that had begun them, if that one had left just before, or was replaced while the nodes were down.

Cause: a node that had just started took the absence of a note for proof. Versions that departed were written down after the fact, by one node, within some 200 ms and if the store answered. Whoever could have written it was dead, or down while it happened; "no version departed" then meant "there was one version only" (sageorigind, learnDepartures). What a restored store had lost counted in the same way.

Change: the store has a claim for each service with resumable streams. It names the sole version, or the versions that are admitted. A version gets no requests before the store has confirmed that it is claimed or admitted, and the first admission ends the claim of a sole version. So what a started node finds is true, whoever wrote it and whatever happened since: streams at another version would have ended it. Routes are named in it. Peers whose copy of the upstreams isn't fresh no longer vouch for a sole version. A node that starts publishes no upstreams before it has read the claims once (a stale list) and its services have an admitted version.

Why it works: what is concluded from is written, and confirmed, before the first event that could contradict it.

Tests: pkg/sageorigin, internal/sageorigind, internal/sagerouter with -race; platform: TestReturns*, TestStreamsStayAtOneVersion, TestUnusualReturns. Not covered: a restored store that lacks the first claim of a service altogether, and nodes of the older program beside new ones.

--- a/internal/sageorigind/find.go
+++ b/internal/sageorigind/find.go
@@ -19,6 +19,8 @@
 	answerTimeout = 300 * time.Millisecond
 	// maxAsks is the number of searches at the same time. Beyond it, callers are refused.
 	maxAsks = 512
+	// claimsInterval is the least time between two reads of the claims. Many callers return at once.
+	claimsInterval = time.Second
 )
 
 // ask is a search for one origin at other nodes.
@@ -51,8 +53,11 @@
 	if f.Status != sageorigin.SoleSinceStart {
 		return f
 	}
-	known := complete || s.learnDepartures(ctx)
-	if o, sole := s.History.Sole(s.now(), route); !known || !sole || o != f.Origin {
+	if !complete {
+		s.learnClaims(ctx)
+	}
+	o, status = s.History.Status(s.now(), route)
+	if o != f.Origin || status != sageorigin.Sole && !(complete && status == sageorigin.SoleSinceStart) {
 		return sageorigin.Finding{Asked: f.Asked, Answered: f.Answered}
 	}
 	f.Status = sageorigin.Sole
@@ -137,20 +142,22 @@
 	delete(s.asks, number)
 }
 
-// learnDepartures reads the versions that departed before this node started, and reports whether they are known.
-func (s *Service) learnDepartures(ctx context.Context) bool {
-	origins, err := s.ListDepartures(ctx)
-	if err != nil {
-		s.Log.Limited(sagelog.KindStateChange, "Departed versions not read.", "err", err)
-		return false
-	}
+// learnClaims reads the claims of sole versions from the store, unless that was done just before.
+func (s *Service) learnClaims(ctx context.Context) {
+	s.claims.mu.Lock()
+	defer s.claims.mu.Unlock()
 	now := s.now()
-	for _, o := range origins {
-		s.History.AddDeparture(now, o)
+	if s.claims.readAt != 0 && now.Sub(s.claims.readAt) < claimsInterval {
+		return
 	}
-	s.History.SetComplete()
-	s.Log.Info("Departed versions read.", "departed", len(origins))
-	return true
+	claims, err := s.ReadClaims(ctx)
+	s.claims.readAt = s.now()
+	if err != nil {
+		s.Log.Limited(sagelog.KindStateChange, "Claims of sole versions not read.", "err", err)
+		return
+	}
+	s.History.SetClaims(claims)
+	s.Log.Limited(sagelog.KindStateChange, "Claims of sole versions read.", "claims", len(claims))
 }
 
 // Handle handles a message of another node. Malformed ones are ignored.
@@ -176,6 +183,9 @@
 func (s *Service) answer(now sageclock.Instant, q *sageorigin.Query) *sageorigin.Answer {
 	a := &sageorigin.Answer{Number: q.Number}
 	a.Origin, a.Age, a.Status = s.lookUp(now, q.Route, q.Key)
+	if a.Status != sageorigin.Found && !s.Fresh() {
+		a.Origin, a.Age, a.Status = sageorigin.Origin{}, 0, sageorigin.Uninformed
+	}
 	return a
 }
 
--- a/internal/sageorigind/service.go
+++ b/internal/sageorigind/service.go
@@ -35,10 +35,10 @@
 	// Fresh reports whether this node's copy of the upstreams is so fresh that no version that it doesn't know gets
 	// requests.
 	Fresh func() bool
-	// ListDepartures returns the versions that departed before this node started, from the store.
-	ListDepartures func(ctx context.Context) ([]sageorigin.Origin, error)
-	Metrics        *metrics.Set
-	Log            sagelog.Logger
+	// ReadClaims returns the claims of sole versions in the store, by service.
+	ReadClaims func(ctx context.Context) (map[string]sageorigin.Claim, error)
+	Metrics    *metrics.Set
+	Log        sagelog.Logger
 	// Now is the clock; nil means [sageclock.Now].
 	Now func() sageclock.Instant
 
@@ -51,6 +51,14 @@
 	lastNumber uint64
 	ring       *sageorigin.Ring
 	ringUntil  sageclock.Instant
+
+	claims claimsRead
+}
+
+// claimsRead is the last read of the claims; mu is held while they are read.
+type claimsRead struct {
+	mu     sync.Mutex
+	readAt sageclock.Instant
 }
 
 // openStream is a stream that this node carries.
--- a/internal/sageorigind/service_test.go
+++ b/internal/sageorigind/service_test.go
@@ -31,9 +31,9 @@
 	history sageorigin.History
 	stale   bool        // its copy of the upstreams is old
 	down    atomic.Bool // gets and sends nothing
-	// departed is what the store has; nil if it doesn't answer.
-	departed []sageorigin.Origin
-	listed   int
+	// claims are what the store has; nil if it doesn't answer.
+	claims map[string]sageorigin.Claim
+	listed int
 }
 
 // testFleet is a set of nodes with a network between them.
@@ -60,16 +60,16 @@
 
 // newNode returns a node that has just started.
 func (f *testFleet) newNode(i int) *testNode {
-	node := &testNode{departed: []sageorigin.Origin{}}
+	node := &testNode{claims: map[string]sageorigin.Claim{"chat": {Service: "chat", Sole: true, Version: "v1", Routes: []string{"r"}}}}
 	node.Service = &Service{
 		Self: address(i), History: &node.history, Nodes: f.holders, Fresh: func() bool { return !node.stale }, Metrics: metrics.NewSet(), Now: virtualNow,
 		Send: func(to string, b []byte) error { return f.send(node, to, b) },
-		ListDepartures: func(context.Context) ([]sageorigin.Origin, error) {
+		ReadClaims: func(context.Context) (map[string]sageorigin.Claim, error) {
 			node.listed++
-			if node.departed == nil {
+			if node.claims == nil {
 				return nil, errors.New("store doesn't answer")
 			}
-			return node.departed, nil
+			return node.claims, nil
 		},
 	}
 	node.history.SetRoutes(virtualNow(), map[string][]string{"r": {"chat"}})
@@ -256,14 +256,26 @@
 				o.setVersions("v1")
 			}
 		}, sageorigin.Unknown, 0},
-		{"all have just started, and the store has no departed version", func(f *testFleet, _ *testNode) { f.restart(1, 2, 3, 4, 5) }, sageorigin.Sole, 1},
-		{"all have just started, and the store has a departed version", func(f *testFleet, n *testNode) {
+		{"all have just started, and the store has a claim of the version", func(f *testFleet, _ *testNode) { f.restart(1, 2, 3, 4, 5) }, sageorigin.Sole, 1},
+		{"all have just started, and the store has a claim of another version", func(f *testFleet, n *testNode) {
 			f.restart(1, 2, 3, 4, 5)
-			n.departed = []sageorigin.Origin{v2}
+			n.claims["chat"] = sageorigin.Claim{Service: "chat", Sole: true, Version: "v2", Routes: []string{"r"}}
+		}, sageorigin.Unknown, 1},
+		{"all have just started, and the store has a claim for another route", func(f *testFleet, n *testNode) {
+			f.restart(1, 2, 3, 4, 5)
+			n.claims["chat"] = sageorigin.Claim{Service: "chat", Sole: true, Version: "v1", Routes: []string{"other"}}
+		}, sageorigin.Unknown, 1},
+		{"all have just started, and a second version was admitted", func(f *testFleet, n *testNode) {
+			f.restart(1, 2, 3, 4, 5)
+			n.claims["chat"] = sageorigin.Claim{Service: "chat", Admitted: map[string]uint64{"v1": 1, "v2": 2}}
+		}, sageorigin.Unknown, 1},
+		{"all have just started, and the store has no claim", func(f *testFleet, n *testNode) {
+			f.restart(1, 2, 3, 4, 5)
+			n.claims = map[string]sageorigin.Claim{}
 		}, sageorigin.Unknown, 1},
 		{"all have just started, and the store doesn't answer", func(f *testFleet, n *testNode) {
 			f.restart(1, 2, 3, 4, 5)
-			n.departed = nil
+			n.claims = nil
 		}, sageorigin.Unknown, 1},
 		{"the others know nothing yet", func(f *testFleet, _ *testNode) {
 			for i := 1; i < 6; i++ {
@@ -285,10 +297,8 @@
 				tt.change(f, n)
 				require.Equal(t, tt.want, n.Find(t.Context(), "r", key(1)).Status)
 				require.Equal(t, tt.storeRead, n.listed)
-				if tt.want == sageorigin.Sole {
-					_ = n.Find(t.Context(), "r", key(2))
-					require.Equal(t, tt.storeRead, n.listed, "the store is read once in a process")
-				}
+				_ = n.Find(t.Context(), "r", key(2))
+				require.Equal(t, tt.storeRead, n.listed, "the store isn't read for each caller")
 			})
 		})
 	}
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -115,6 +115,7 @@
 	peers           *peerLog
 	relay           *sagerelay.Service
 	origins         *sageorigind.Service
+	claimKeeper     *claimKeeper
 	view            *view
 	fleet           *fleet
 	copies          sagemesh.Copies
@@ -166,10 +167,7 @@
 	n.kernel.Register("quarantine", &quarantineReconciler{
 		Self: cfg.Node, Kind: n.Kinds.Quarantines, Tracker: &n.quarantine, Store: n.Store, Rank: n.quarantineRank, Log: n.Log.Component("quarantine"),
 	})
-	n.kernel.Register("departures", &departureWriter{
-		Kind: n.Kinds.Departures, History: &n.view.history, Store: n.Store, Log: n.Log.Component("origins"),
-		Writes: func() bool { return !n.leaving.Load() && n.mesh.Rank(n.copies[n.Kinds.Upstreams].Failing()) == 0 },
-	})
+	n.kernel.Register("claims", n.claimKeeper)
 	n.kernel.Register("paths", &pathProber{node: n, wake: n.fleet.pathSuspected})
 	n.kernel.Register("recall", n.cacheResync)
 	n.kernel.Register("shares", &shareController{node: n})
--- a/internal/sagerouter/origins_test.go
+++ b/internal/sagerouter/origins_test.go
@@ -1,9 +1,6 @@
 package sagerouter
 
 import (
-	"context"
-	"encoding/json"
-	"errors"
 	"testing"
 	"time"
 
@@ -102,69 +99,3 @@
 	v.applyUpstreams([]sagefollow.Change{deletion("e1", 9)}, false)
 	require.False(t, f.ChangedVersion(first), "an upstream that has left keeps its version")
 }
-
-// departureStore is a store that fails calls.
-type departureStore struct {
-	entryStore
-	fails   bool
-	deleted []string
-}
-
-func (s *departureStore) Create(ctx context.Context, kind, name string, spec json.RawMessage) (bool, error) {
-	if s.fails {
-		return false, errors.New("no answer")
-	}
-	return s.entryStore.Create(ctx, kind, name, spec)
-}
-
-func (s *departureStore) Delete(_ context.Context, _, name string) error {
-	if s.fails {
-		return errors.New("no answer")
-	}
-	s.deleted = append(s.deleted, name)
-	return nil
-}
-
-// Prevents a restart of all nodes from making a service with a departed version look like one with a sole version, and
-// departed versions from staying in the store.
-func TestDepartedVersionsAreInStore(t *testing.T) {
-	var history sageorigin.History
-	store, writes := new(departureStore), false
-	w := &departureWriter{Kind: "departures", History: &history, Store: store, Writes: func() bool { return writes }}
-	now := sageclock.Now()
-	versions := func(vs ...string) map[string]map[string]bool {
-		out := map[string]map[string]bool{"s": {}, "other": {}}
-		for _, v := range vs {
-			out["s"][v] = true
-		}
-		return out
-	}
-	history.SetRoutes(now, map[string][]string{"r": {"s"}})
-	history.SetVersions(now, versions("v1", "v2"))
-	history.SetVersions(now, versions("v2"))
-	require.NoError(t, w.write(t.Context(), now))
-	require.Zero(t, store.calls, "another node writes")
-	writes, store.fails = true, true
-	require.Error(t, w.write(t.Context(), now))
-	store.fails = false
-	require.NoError(t, w.write(t.Context(), now))
-	require.NoError(t, w.write(t.Context(), now))
-	require.Equal(t, 1, store.calls, "each departure is written once")
-
-	n := &Node{Store: store, Kinds: Kinds{Departures: "departures"}}
-	listed, err := n.listDepartures(t.Context())
-	require.NoError(t, err)
-	require.Equal(t, []sageorigin.Origin{{Service: "s", Version: "v1"}}, listed)
-
-	later := now.Add(sageorigin.Window)
-	store.fails = true
-	require.Error(t, w.write(t.Context(), later))
-	store.fails = false
-	require.NoError(t, w.write(t.Context(), later))
-	require.NoError(t, w.write(t.Context(), later))
-	require.Equal(t, []string{departureName(listed[0])}, store.deleted)
-
-	store.changes = append(store.changes, put("x", 9, `{"service":7}`))
-	_, err = n.listDepartures(t.Context())
-	require.ErrorIs(t, err, errDepartureSpec)
-}
--- a/internal/sagerouter/versions.go
+++ b/internal/sagerouter/versions.go
@@ -1,6 +1,7 @@
 package sagerouter
 
 import (
+	"slices"
 	"time"
 
 	"sagestand.example/sagestand/internal/sagefollow"
@@ -19,17 +20,27 @@
 	v[service][version] = true
 }
 
-// versionCounts is the number of upstreams by service and version.
-type versionCounts map[string]map[string]int
+// versionCount is the number of a version's upstreams, and the store's revision at which the first of them registered.
+type versionCount struct {
+	upstreams int
+	created   uint64
+}
+
+// versionCounts counts the upstreams by service and version.
+type versionCounts map[string]map[string]versionCount
 
 // countVersions counts the registered upstreams. The caller holds mu.
 func (v *view) countVersions() versionCounts {
 	counts := make(versionCounts)
 	v.registry.Each(func(e *sageupstream.Entry) {
 		if counts[e.Service] == nil {
-			counts[e.Service] = make(map[string]int)
+			counts[e.Service] = make(map[string]versionCount)
+		}
+		c := counts[e.Service][e.Version]
+		if c.upstreams++; c.upstreams == 1 || e.Created < c.created {
+			c.created = e.Created
 		}
-		counts[e.Service][e.Version]++
+		counts[e.Service][e.Version] = c
 	})
 	return counts
 }
@@ -43,6 +54,7 @@
 		newUntil = now.Add(v.newVersionDelay())
 	}
 	v.arrivals.update(now, counts, newUntil)
+	v.wakeForClaims(now)
 	v.admitOrdered(counts)
 	heldBack := v.unordered()
 	for id := range v.unsettled(now, heldBack) {
@@ -70,20 +82,23 @@
 // get requests. heldBack are the IDs of those that can't. Nodes that don't know the new version yet would continue its
 // streams at the other one.
 func (v *view) unsettled(now sageclock.Instant, heldBack map[string]bool) map[string]bool {
-	isNew := v.arrivals.newOnes(now)
-	if len(isNew) == 0 {
+	isNew, awaited := v.arrivals.newOnes(now), v.awaited(now)
+	if len(isNew) == 0 && len(awaited) == 0 {
 		return nil
 	}
-	newIDs, settled := make(map[string]string), make(map[string]bool)
+	newIDs, settled, out := make(map[string]string), make(map[string]bool), make(map[string]bool)
 	v.registry.Each(func(e *sageupstream.Entry) {
-		switch {
-		case isNew[sageorigin.Origin{Service: e.Service, Version: e.Version}]:
+		o := sageorigin.Origin{Service: e.Service, Version: e.Version}
+		switch waiting, awaits := awaited[o]; {
+		case isNew[o] || awaits:
 			newIDs[e.ID] = e.Service
+			if awaits && waiting < maxAdmissionWait {
+				out[e.ID] = true
+			}
 		case !heldBack[e.ID] && !e.Draining && !v.closedDataCentres[e.DataCentre]:
 			settled[e.Service] = true
 		}
 	})
-	out := make(map[string]bool)
 	for id, service := range newIDs {
 		if settled[service] {
 			out[id] = true
@@ -132,17 +147,23 @@
 	// newUntil is the time from which all nodes know the version; 0 for those of the first listing.
 	newUntil sageclock.Instant
 	lastSeen sageclock.Instant
+	// since is when the version appeared, arrived the store's revision at which the first of its upstreams registered.
+	since   sageclock.Instant
+	arrived uint64
+	// admitted is set once the store has confirmed that the version may begin streams, or since it does so already when a
+	// resumable route leads to its service for the first time.
+	admitted bool
 }
 
 // update records the versions that have upstreams. Those that were gone for less than [sageorigin.Window] aren't new, the
 // others are until the given time.
 func (a versionArrivals) update(now sageclock.Instant, counts versionCounts, newUntil sageclock.Instant) {
 	for service, byVersion := range counts {
-		for version := range byVersion {
+		for version, c := range byVersion {
 			o := sageorigin.Origin{Service: service, Version: version}
 			arrival, ok := a[o]
 			if !ok {
-				arrival.newUntil = newUntil
+				arrival.newUntil, arrival.since, arrival.arrived = newUntil, now, c.created
 			}
 			arrival.lastSeen = now
 			a[o] = arrival
@@ -166,11 +187,122 @@
 	return out
 }
 
+// setFirstClaims releases the upstreams after the first read of the claims, which may be some seconds old; nil if it failed.
+func (v *view) setFirstClaims(claims *storedClaims) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.awaitsClaims = false
+	v.firstClaims = claims
+	v.publish()
+}
+
+// admitByFirstClaims admits the versions of the first listing that are known to be admitted. If the claims couldn't be read, the
+// versions get requests as before the start. The caller holds mu.
+func (v *view) admitByFirstClaims() {
+	if v.firstClaimsUsed || v.claimsWake == nil {
+		return
+	}
+	v.firstClaimsUsed = true
+	for o, arrival := range v.arrivals {
+		if v.firstClaims == nil {
+			arrival.since -= sageclock.Instant(maxAdmissionWait)
+		} else if c := v.firstClaims.of(o.Service); c.Admits(o.Version, arrival.arrived) && (!c.Sole || arrival.arrived <= c.AsOf) {
+			arrival.admitted = true
+		}
+		v.arrivals[o] = arrival
+	}
+	v.firstClaims = nil
+}
+
+// awaitsAdmission reports whether a service to which a resumable route leads has only versions that wait for their admission. The
+// caller holds mu.
+func (v *view) awaitsAdmission(now sageclock.Instant) bool {
+	if v.claimsWake == nil {
+		return false
+	}
+	if v.table.Load() == nil {
+		return true // it isn't known which services have such routes
+	}
+	awaited, waits := v.awaited(now), make(map[string]bool)
+	for o := range v.arrivals {
+		waiting, ok := awaited[o]
+		ok = ok && waiting < maxAdmissionWait
+		if others, seen := waits[o.Service]; !seen || others {
+			waits[o.Service] = ok
+		}
+	}
+	for _, w := range waits {
+		if w {
+			return true
+		}
+	}
+	return false
+}
+
+// waiting returns the versions that wait for their admission, with the store's revision at which they arrived. Only services to
+// which a resumable route leads need it.
+func (v *view) waiting() map[sageorigin.Origin]uint64 {
+	services := v.history.Services()
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	out := make(map[sageorigin.Origin]uint64)
+	for o, arrival := range v.arrivals {
+		if !arrival.admitted && slices.Contains(services, o.Service) {
+			out[o] = arrival.arrived
+		}
+	}
+	return out
+}
+
+// awaited returns the versions that wait for their admission, and for how long they have. The caller holds mu.
+func (v *view) awaited(now sageclock.Instant) map[sageorigin.Origin]time.Duration {
+	if v.claimsWake == nil {
+		return nil
+	}
+	services := v.history.Services()
+	out := make(map[sageorigin.Origin]time.Duration)
+	for o, arrival := range v.arrivals {
+		if !arrival.admitted && slices.Contains(services, o.Service) {
+			out[o] = now.Sub(arrival.since)
+		}
+	}
+	return out
+}
+
+// wakeForClaims asks for the admission of versions that wait for it. The caller holds mu.
+func (v *view) wakeForClaims(now sageclock.Instant) {
+	v.admitByFirstClaims()
+	if len(v.awaited(now)) == 0 {
+		return
+	}
+	select {
+	case v.claimsWake <- struct{}{}:
+	default: // already asked for
+	}
+}
+
+// admit records that versions may begin streams.
+func (v *view) admit(origins []sageorigin.Origin) {
+	if len(origins) == 0 {
+		return
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	for _, o := range origins {
+		if arrival, ok := v.arrivals[o]; ok {
+			arrival.admitted = true
+			v.arrivals[o] = arrival
+			v.log.Info("Version admitted.", "service", o.Service, "version", o.Version, "took_ms", sageclock.Now().Sub(arrival.since).Milliseconds())
+		}
+	}
+	v.publish()
+}
+
 // mostCommon returns the key with the greatest count, the smallest key on a tie.
-func mostCommon(counts map[string]int) string {
+func mostCommon(counts map[string]versionCount) string {
 	out, most := "", 0
-	for k, n := range counts {
-		if n > most || n == most && k < out {
+	for k, c := range counts {
+		if n := c.upstreams; n > most || n == most && k < out {
 			out, most = k, n
 		}
 	}
--- a/internal/sagerouter/view.go
+++ b/internal/sagerouter/view.go
@@ -26,8 +26,8 @@
 	Rollouts string
 	// Quarantines are the requests that crash upstreams. The nodes write these objects themselves.
 	Quarantines string
-	// Departures are the versions of services that departed of late. The nodes write these objects themselves.
-	Departures string
+	// Claims say at which versions streams began. The nodes write these objects themselves.
+	Claims string
 	// Nodes are the registered nodes. The nodes write these objects themselves.
 	Nodes string
 }
@@ -64,6 +64,13 @@
 	admittedVersions  versions
 	arrivals          versionArrivals
 	versionsHeldBack  bool // some upstreams are excluded because of their version
+	// awaitsClaims is set until the claims in the store have been read for the first time, or couldn't be. No set of upstreams is
+	// published before.
+	awaitsClaims bool
+	claimsWake   chan struct{} // receives a value when versions wait for their admission; nil if they need none
+	firstClaims  *storedClaims // until the first listing of the upstreams
+	// firstClaimsUsed is set once the versions of that listing have been compared with firstClaims.
+	firstClaimsUsed bool
 
 	// history records which versions streams may have begun at.
 	history sageorigin.History
@@ -90,7 +97,11 @@
 			continue
 		}
 		v.history.SetRoutes(sageclock.Now(), resumableRoutes(t))
-		v.table.Store(t)
+		v.republish() // versions that now need an admission are held back before the routes are in force
+		first := v.table.Swap(t) == nil
+		if first {
+			v.republish()
+		}
 		v.log.Info("Configuration in force.", "version", t.Version, "revision", c.Object.Revision, "era", c.Object.Era)
 	}
 }
@@ -117,6 +128,7 @@
 			v.log.Warn("Upstream entry can't be decoded.", "name", c.Object.Name, "revision", c.Object.Revision, "err", err)
 			continue
 		}
+		e.Created = c.Object.Created
 		v.putUpstream(e, c.Object.Point())
 	}
 	v.log.Info("Upstreams changed.", "changes", len(changes), "after_outage", afterOutage)
@@ -218,16 +230,27 @@
 	}
 }
 
+// republish publishes again after a change of what the versions depend on.
+func (v *view) republish() {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	v.publish()
+}
+
 // publish makes the present set of upstreams visible to requests.
 //
 // Until the data centres that are out of service are known, no set is published: a started node must not send
 // requests to such a data centre.
 func (v *view) publish() {
-	if v.upstreamsListed && v.closedDataCentres != nil {
+	if v.upstreamsListed && v.closedDataCentres != nil && !v.awaitsClaims {
 		if v.arrivals == nil {
 			v.arrivals = make(versionArrivals)
 		}
-		v.holdBackVersions(sageclock.Now())
+		now := sageclock.Now()
+		v.holdBackVersions(now)
+		if v.upstreams.Load() == nil && v.awaitsAdmission(now) {
+			return
+		}
 		v.upstreams.Store(v.registry.Snapshot())
 	}
 }
--- a/pkg/sageorigin/history.go
+++ b/pkg/sageorigin/history.go
@@ -1,17 +1,13 @@
 package sageorigin
 
 import (
+	"maps"
+	"slices"
 	"sync"
 
 	"sagestand.example/sagestand/pkg/sageclock"
 )
 
-// Departure is a version that no longer has an upstream.
-type Departure struct {
-	Origin
-	At sageclock.Instant
-}
-
 // History records which versions each service and which services each route had within [Window]. It is safe for concurrent
 // use.
 type History struct {
@@ -23,6 +19,8 @@
 	departed      map[Origin]sageclock.Instant
 	routes        map[string][]string // services by route
 	changed       map[string]sageclock.Instant
+	// claims are those in the store, as they were learned after observedSince, by service.
+	claims map[string]Claim
 }
 
 // SetVersions sets the versions that have an upstream, by service.
@@ -42,8 +40,8 @@
 			}
 		}
 	}
-	for o := range h.departed {
-		if present[o.Service][o.Version] {
+	for o, at := range h.departed {
+		if present[o.Service][o.Version] || now.Sub(at) >= Window {
 			delete(h.departed, o)
 		}
 	}
@@ -84,16 +82,58 @@
 	return false
 }
 
-// AddDeparture records that a version had upstreams before this node started.
-func (h *History) AddDeparture(now sageclock.Instant, o Origin) {
+// SetClaims sets the claims in the store, which say what happened before this node knew the upstreams. Those that are read
+// before the first call of [History.SetVersions] are ignored: what happens until then would be missed.
+func (h *History) SetClaims(claims map[string]Claim) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.departed == nil {
-		h.departed = make(map[Origin]sageclock.Instant)
+	if h.observedSince != 0 {
+		h.claims = claims
 	}
-	if _, ok := h.departed[o]; !ok && !h.present[o.Service][o.Version] {
-		h.departed[o] = now
+}
+
+// claimed reports whether the store says that all streams of a route began at an origin. mu is held.
+func (h *History) claimed(o Origin, route string) bool {
+	c, ok := h.claims[o.Service]
+	return ok && c.covers(o, route)
+}
+
+// Claimable returns the sole version of a service and the routes whose streams all began there; false if there were several
+// versions, or the history doesn't reach back. anew says that no stream of the service began before this node's start.
+func (h *History) Claimable(now sageclock.Instant, service string, anew bool) (version string, routes []string, ok bool) {
+	for _, route := range h.routesTo(service) {
+		if o, status := h.Status(now, route); o.Service == service && (status == Sole || anew && status == SoleSinceStart) {
+			version, routes = o.Version, append(routes, route)
+		}
 	}
+	slices.Sort(routes)
+	return version, routes, len(routes) > 0
+}
+
+// routesTo returns the routes that lead to a service.
+func (h *History) routesTo(service string) []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []string
+	for name, services := range h.routes {
+		if slices.Contains(services, service) {
+			out = append(out, name)
+		}
+	}
+	return out
+}
+
+// Services returns the services to which a route leads, in order.
+func (h *History) Services() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	used := make(map[string]bool)
+	for _, services := range h.routes {
+		for _, s := range services {
+			used[s] = true
+		}
+	}
+	return slices.Sorted(maps.Keys(used))
 }
 
 // SetComplete records that nothing happened before this node knew the upstreams that it doesn't know of.
@@ -147,32 +187,8 @@
 		return Origin{}, Uninformed
 	case n > 1:
 		return Origin{}, Unknown
-	case h.reachesBack(now):
+	case h.reachesBack(now) || h.claimed(out, route):
 		return out, Sole
 	}
 	return out, SoleSinceStart
 }
-
-// Departures returns the versions without upstreams that departed within [Window] from services to which a route leads, and
-// those that departed before. The latter are forgotten.
-func (h *History) Departures(now sageclock.Instant) (recent []Departure, ended []Origin) {
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	used := make(map[string]bool)
-	for _, services := range h.routes {
-		for _, s := range services {
-			used[s] = true
-		}
-	}
-	for o, at := range h.departed {
-		if now.Sub(at) < Window {
-			if used[o.Service] {
-				recent = append(recent, Departure{o, at})
-			}
-			continue
-		}
-		ended = append(ended, o)
-		delete(h.departed, o)
-	}
-	return recent, ended
-}
--- a/pkg/sageorigin/history_test.go
+++ b/pkg/sageorigin/history_test.go
@@ -35,8 +35,10 @@
 			h.SetVersions(second, present("v1"))
 		}, "v1", "v1"},
 		{"all upstreams left", func(h *History) { h.SetVersions(second, present()) }, "v1", ""},
-		{"a version departed before the start", func(h *History) { h.AddDeparture(second, chatV2) }, "", "v1"},
-		{"another service's version departed", func(h *History) { h.AddDeparture(second, Origin{"app", "v9"}) }, "v1", "v1"},
+		{"another service's version departed", func(h *History) {
+			h.SetVersions(second, map[string]map[string]bool{"chat": {"v1": true}, "app": {"v9": true}})
+			h.SetVersions(second, present("v1"))
+		}, "v1", "v1"},
 		{"the route got a second service", func(h *History) { h.SetRoutes(second, map[string][]string{"r": {"chat", "app"}}) }, "", ""},
 		{"the route left another service", func(h *History) {
 			h.SetRoutes(second/2, map[string][]string{"r": {"chat", "app"}})
@@ -89,18 +91,67 @@
 	require.True(t, h.Complete(second))
 }
 
-func TestDepartures(t *testing.T) {
+// Prevents departed versions from being kept for ever.
+func TestDepartedVersionsAreForgotten(t *testing.T) {
 	var h History
-	h.SetRoutes(second, map[string][]string{"r": {"chat"}})
-	h.AddDeparture(second+window/2, Origin{"app", "v9"}) // no route leads there
 	h.SetVersions(second, present("v1", "v2"))
 	h.SetVersions(2*second, present("v2"))
-	recent, ended := h.Departures(3 * second)
-	require.Equal(t, []Departure{{chatV1, 2 * second}}, recent)
-	require.Empty(t, ended)
-	recent, ended = h.Departures(2*second + window)
-	require.Empty(t, recent)
-	require.Equal(t, []Origin{chatV1}, ended)
-	_, ended = h.Departures(2*second + window)
-	require.Empty(t, ended, "an ended departure is returned once")
+	require.Len(t, h.departed, 1)
+	h.SetVersions(2*second+window, present("v2"))
+	require.Empty(t, h.departed)
+}
+
+// Prevents a node that has just started from taking what it sees, or a claim that says something else, for proof that there was one
+// version only.
+func TestClaimsReplaceTheHistory(t *testing.T) {
+	claim := Claim{Service: "chat", Sole: true, Version: "v1", Routes: []string{"r"}}
+	for _, tt := range []struct {
+		name   string
+		change func(h *History, c *Claim)
+		want   Status
+	}{
+		{"claim of the version", func(*History, *Claim) {}, Sole},
+		{"claim of another version", func(_ *History, c *Claim) { c.Version = "v2" }, SoleSinceStart},
+		{"claim for another route", func(_ *History, c *Claim) { c.Routes = []string{"x"} }, SoleSinceStart},
+		{"several versions", func(_ *History, c *Claim) { *c = Claim{Service: "chat", Admitted: map[string]uint64{"v1": 1}} }, SoleSinceStart},
+		{"another service", func(_ *History, c *Claim) { c.Service = "app" }, SoleSinceStart},
+		{"a version appeared since", func(h *History, _ *Claim) { h.SetVersions(second, present("v1", "v2")) }, Unknown},
+		{"a version departed since", func(h *History, _ *Claim) { h.SetVersions(second, present()); h.SetVersions(second, present("v2")) }, Unknown},
+		{"the route moved since", func(h *History, _ *Claim) {
+			h.SetRoutes(second, map[string][]string{"r": {"app"}})
+			h.SetRoutes(second, map[string][]string{"r": {"chat"}})
+		}, Unknown},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var h History
+			h.SetRoutes(second, map[string][]string{"r": {"chat"}})
+			h.SetClaims(map[string]Claim{"chat": claim})
+			h.SetVersions(second, present("v1"))
+			_, status := h.Status(second, "r")
+			require.Equal(t, SoleSinceStart, status, "a claim read before the upstreams misses what happened until then")
+			c := claim
+			tt.change(&h, &c)
+			h.SetClaims(map[string]Claim{c.Service: c})
+			_, status = h.Status(second, "r")
+			require.Equal(t, tt.want, status)
+		})
+	}
+}
+
+func TestClaimable(t *testing.T) {
+	var h History
+	h.SetRoutes(second, map[string][]string{"r": {"chat"}, "a": {"chat"}, "split": {"chat", "app"}, "x": {"app"}})
+	h.SetVersions(second, present("v1"))
+	_, _, ok := h.Claimable(second, "chat", false)
+	require.False(t, ok, "the history doesn't reach back")
+	_, _, ok = h.Claimable(second, "chat", true)
+	require.True(t, ok, "nothing was before")
+	version, routes, ok := h.Claimable(second+window, "chat", false)
+	require.True(t, ok)
+	require.Equal(t, "v1", version)
+	require.Equal(t, []string{"a", "r"}, routes)
+	require.Equal(t, []string{"app", "chat"}, h.Services())
+	h.SetVersions(second+window, present("v1", "v2"))
+	_, _, ok = h.Claimable(second+window, "chat", true)
+	require.False(t, ok)
 }
--- a/pkg/sageupstream/registry.go
+++ b/pkg/sageupstream/registry.go
@@ -32,6 +32,8 @@
 	Version string
 	// Era and Revision are the point in the store's history at which this start of the upstream was first observed.
 	Era, Revision uint64
+	// Created is the store's revision at which the upstream's entry was created; 0 if unknown.
+	Created uint64
 	Slots         int
 	Draining      bool
 	// LeaveAnnounced is set by the [Registry] if this start of the upstream announced in a response that it leaves.
