--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -248,7 +248,7 @@
 	f := follow(n.Kinds.Rollouts, orderStalenessFactor*n.Settings.Bounds.Rollouts.UndoWithinMillis, n.applyRollouts)
 	f.Prober = n.copies[n.Kinds.Config]
 	n.copies[n.Kinds.Rollouts] = f
-	n.view.admittedVersions = make(versions)
+	n.view.orderedVersions = make(versions)
 	n.view.ordersPoint = f.Point
 }
 
--- a/internal/sagerouter/rollouts_test.go
+++ b/internal/sagerouter/rollouts_test.go
@@ -29,7 +29,7 @@
 // store calls, sent half of its requests to the new version.
 func TestNewVersionIsHeldBackUntilOrdersAreKnown(t *testing.T) {
 	asOf := uint64(10)
-	v := &view{decoder: plainDecoder{}, placer: new(sagechain.Placer), admittedVersions: make(versions), ordersPoint: func() sagefollow.Point { return sagefollow.Point{Revision: asOf} }}
+	v := &view{decoder: plainDecoder{}, placer: new(sagechain.Placer), orderedVersions: make(versions), ordersPoint: func() sagefollow.Point { return sagefollow.Point{Revision: asOf} }}
 	v.applyClosed(nil, false)
 	v.applyUpstreams([]sagefollow.Change{upstreamEntry("e1", "v1", 5)}, false)
 	require.Equal(t, []string{"e1"}, availableIDs(v))
@@ -44,7 +44,7 @@
 // A started node without orders must serve, but not send requests to a version that a rollout may just have
 // started.
 func TestMostCommonVersionServesWithoutOrders(t *testing.T) {
-	v := &view{decoder: plainDecoder{}, placer: new(sagechain.Placer), admittedVersions: make(versions), ordersPoint: func() sagefollow.Point { return sagefollow.Point{Revision: 0} }}
+	v := &view{decoder: plainDecoder{}, placer: new(sagechain.Placer), orderedVersions: make(versions), ordersPoint: func() sagefollow.Point { return sagefollow.Point{Revision: 0} }}
 	v.applyClosed(nil, false)
 	v.applyUpstreams([]sagefollow.Change{upstreamEntry("e1", "v1", 5), upstreamEntry("e2", "v2", 6), upstreamEntry("e3", "v1", 7)}, false)
 	require.Equal(t, []string{"e1", "e3"}, availableIDs(v))
--- a/internal/sagerouter/versions.go
+++ b/internal/sagerouter/versions.go
@@ -71,7 +71,7 @@
 		return out
 	}
 	v.registry.Each(func(e *sageupstream.Entry) {
-		if !v.admittedVersions[e.Service][e.Version] {
+		if !v.orderedVersions[e.Service][e.Version] {
 			out[e.ID] = true
 		}
 	})
@@ -130,12 +130,12 @@
 	known := v.ordersPoint()
 	v.registry.Each(func(e *sageupstream.Entry) {
 		if !known.Before(sagefollow.Point{Era: e.Era, Revision: e.Revision}) {
-			v.admittedVersions.add(e.Service, e.Version)
+			v.orderedVersions.add(e.Service, e.Version)
 		}
 	})
 	for service, byVersion := range counts {
-		if v.admittedVersions[service] == nil {
-			v.admittedVersions.add(service, mostCommon(byVersion))
+		if v.orderedVersions[service] == nil {
+			v.orderedVersions.add(service, mostCommon(byVersion))
 		}
 	}
 }
--- a/internal/sagerouter/view.go
+++ b/internal/sagerouter/view.go
@@ -63,7 +63,7 @@
 	registry          sageupstream.Registry
 	upstreamsListed   bool
 	closedDataCentres map[string]bool // nil before the data centres were listed
-	admittedVersions  versions
+	orderedVersions   versions
 	arrivals          versionArrivals
 	versionsHeldBack  bool // some upstreams are excluded because of their version
 	// awaitsClaims is set until the claims in the store have been read for the first time, or couldn't be. No set of upstreams is
--- a/pkg/sageorigin/doc.go
+++ b/pkg/sageorigin/doc.go
@@ -11,7 +11,17 @@
 // While a service has only one version, nothing is sent and nobody is asked. A [History] records which versions each
 // service and which services each route had within [Window], which is longer than a caller can still return. A route is
 // [Sole] if that was one version of one service. A node that started less than [Window] ago doesn't know what was before;
-// other nodes do, and after a restart of all nodes the versions that departed of late are in the platform's store.
+// other nodes do.
+//
+// After a loss of all nodes only the platform's store knows. It has a [Claim] for each service, which names the sole version
+// or those that are admitted. A version begins no stream before the store has confirmed its admission, which ends the claim of
+// another sole version. So a claim of a sole version is true whenever it is found. That a note is missing proves nothing: whoever
+// would have written it may have been lost first.
+//
+// # Services with several versions
+//
+// A [Snapshot] of the records of each node's open streams is in the store as well. A record is true whoever holds it, and an
+// old one is harmless.
 //
 // A node must not believe in a sole version while another one already serves. Its copy of the upstreams has to be fresh,
 // and a version that is new to a node gets no requests for a time that is longer than the age of a copy that counts as
