Records of open streams are saved each 0.25 s

Streams that began after their node's last write have no record in the store; with 0.5 s between two writes those are many while all streams are young.

Change: 0.25 s, or 5 ms for each node if that is longer (200 writes a second at most).

--- a/internal/sagerouter/snapshots.go
+++ b/internal/sagerouter/snapshots.go
@@ -16,8 +16,8 @@
 // Times of the snapshots of open streams in the store.
 const (
 	// snapshotInterval is the least time between two writes of a node, snapshotSpacing that between two writes of the fleet.
-	snapshotInterval = 500 * time.Millisecond
-	snapshotSpacing  = 10 * time.Millisecond
+	snapshotInterval = 250 * time.Millisecond
+	snapshotSpacing  = 5 * time.Millisecond
 	snapshotTimeout  = time.Second
 )
 
