--- a/pkg/sageorigin/claim.go
+++ b/pkg/sageorigin/claim.go
@@ -7,11 +7,8 @@
 	"github.com/pkg/errors"
 )
 
-// Claim is what the platform's store says of the origins of a service's streams. It outlives all nodes.
-//
-// While it names a sole version, no other version may begin a stream: a node first adds that version to Admitted, with which the
-// claim of a sole version ends, and waits for the store's answer. So a claim of a sole version is true whenever it is found, whatever
-// the nodes that wrote it saw last.
+// Claim is what the platform's store says of the origins of a service's streams. A claim of a sole version is true whenever it is
+// found: another version begins a stream only after the store has confirmed it in Admitted, with which the claim ends.
 type Claim struct {
 	Service string `json:"service"`
 	// Era is the store's era in which the claim was written. A restored store may have an earlier claim, which is void.
