soak: what a sender has reset during the proxy's dial is lost

Cause: the proxy accepted a node's connection, opened its own to the upstream, and then read what had arrived, also after the node had reset its connection.

Change: the proxy resets both connections if the sender has reset its own by the end of the dial, as it did for what a cut holds.

--- a/internal/sagesoak/nodes.go
+++ b/internal/sagesoak/nodes.go
@@ -94,7 +94,7 @@
 func (s *Soak) checkLateRuns() {
 	for _, r := range s.sys.Ledger.LateRuns() {
 		if s.inTouchAt(r.Entry, r.At) && s.inTouchAt(r.Sender, r.At) {
-			s.sys.Ledger.RecordViolation("request %s was executed by %s %v after its caller's end", r.ID, r.Runner, r.After)
+			s.sys.Ledger.RecordViolation("request %s by %s was executed by %s for %s %.3fs after the start, %v after its caller's end", r.ID, r.Entry, r.Runner, r.Sender, r.At.Sub(s.start).Seconds(), r.After)
 		}
 	}
 }
--- a/internal/sagesoak/proxy.go
+++ b/internal/sagesoak/proxy.go
@@ -136,7 +136,8 @@
 func (p *proxy) serve(in net.Conn) {
 	source := sourceOf(in)
 	out, err := net.DialTCP("tcp4", &net.TCPAddr{IP: net.ParseIP(source)}, p.targetAddr())
-	if m := p.modeFor(source); err != nil || m == linkReset || m == linkRefuseNew {
+	// What arrived during the dial was held up, so it is lost if its sender has reset the connection.
+	if m := p.modeFor(source); err != nil || m == linkReset || m == linkRefuseNew || wasReset(in) {
 		abort(in)
 		if err == nil {
 			abort(out)
