--- a/internal/sagesoak/doc.go
+++ b/internal/sagesoak/doc.go
@@ -17,6 +17,9 @@
 // stopped, all nodes together keep to the limit on retries in any window, the system serves requests again after the last fault, each account too, and no brittle runner is declined
 // into falling over again and again.
 //
+// Beside the random faults, a [Partition] holds what two data centres send each other and counts what is executed although it was
+// given up, and a [Rejoin] kills all nodes while streams are open, amid replacements of their version.
+//
 // # Usage
 //
 //	s := &sagesoak.Soak{Seed: 7, Program: "bin/sagestand", Dir: dir, Nodes: 4, Duration: 10 * time.Second}
