A response that ends with its upstream isn't complete, also after a planned stop

Cause: an answer without length and chunks is complete only if its upstream hasn't ended with it. The check asked whether the upstream had crashed and was left out for those that leave.

Change: upstreams that leave are probed as well. Such a stream goes on elsewhere or breaks off; a planned stop still counts as no crash.

--- a/internal/sagerelay/crash.go
+++ b/internal/sagerelay/crash.go
@@ -98,17 +98,16 @@
 	}
 }
 
-// errEndedByCrash reports a response that ended with its connection, as its upstream crashed.
-var errEndedByCrash = errors.New("upstream crashed at the end of a response without length and chunks")
+// errUpstreamEnded reports a response that ended with its connection, and whose upstream has ended as well.
+var errUpstreamEnded = errors.New("upstream ended at the end of a response without length and chunks")
 
-// endedByCrash reports whether a response ended with its connection because the upstream crashed. Nothing in the response
-// shows that it isn't complete.
-func (x *exchange) endedByCrash(res *http.Response) bool {
+// endedWithUpstream reports whether a response ended with its connection because the upstream crashed or stopped. Nothing in the
+// response shows that it isn't complete. A stop that was announced cuts responses off as well.
+func (x *exchange) endedWithUpstream(res *http.Response) bool {
 	if x.helper != nil || res.ContentLength >= 0 || len(res.TransferEncoding) > 0 {
 		return false
 	}
-	u := x.p.Upstream
-	return !x.j.s.Fleet.Leaving(u) && x.j.s.probeStopped(u)
+	return x.j.s.probeStopped(x.p.Upstream)
 }
 
 // crashIDOf returns the ID of the crash that ends this start of an upstream.
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -371,8 +371,8 @@
 	if h == nil {
 		return v
 	}
-	if x.endedByCrash(res) {
-		return x.failExchange(ctx, errEndedByCrash)
+	if x.endedWithUpstream(res) {
+		return x.failExchange(ctx, errUpstreamEnded)
 	}
 	x.recordExchange(sagehealth.OK)
 	x.recordSuccess(res)
--- a/internal/sagerelay/stream.go
+++ b/internal/sagerelay/stream.go
@@ -54,8 +54,8 @@
 			if stallTimer != nil {
 				stallTimer.Stop()
 			}
-			if x.endedByCrash(res) {
-				return x.failStream(ctx, errEndedByCrash)
+			if x.endedWithUpstream(res) {
+				return x.failStream(ctx, errUpstreamEnded)
 			}
 			x.recordResponse(times.result(x.start))
 			return x.finishStream(res)
--- a/internal/sagerelay/unframed_test.go
+++ b/internal/sagerelay/unframed_test.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -20,9 +21,9 @@
 	}
 }
 
-// Prevents a response that ended because its upstream crashed between two events, or anywhere in a plain one, from reaching
-// the caller as complete.
-func TestResponseThatEndsWithCrashIsNotComplete(t *testing.T) {
+// Prevents a response that ended because its upstream crashed or stopped between two events, or anywhere in a plain one, from
+// reaching the caller as complete.
+func TestResponseThatEndsWithItsUpstreamIsNotComplete(t *testing.T) {
 	const twoEvents, rest = "id: 1\ndata: w1\n\nid: 2\ndata: w2\n\n", "id: 3\ndata: w3\n\n"
 	stream, plain := "text/event-stream", "text/plain"
 	resumable, single := testRoute(sageroute.Stream), testRoute(sageroute.Stream)
@@ -41,7 +42,11 @@
 		{"a stream goes on elsewhere", resumable, unframed(stream, twoEvents), true, false, 200, twoEvents + rest, false},
 		{"a stream that can't be resumed breaks", single, unframed(stream, twoEvents), true, false, 200, twoEvents, true},
 		{"a whole stream", single, unframed(stream, twoEvents), false, false, 200, twoEvents, false},
-		{"a whole stream of an upstream that stops as planned", single, unframed(stream, twoEvents), true, true, 200, twoEvents, false},
+		{"a planned stop, a stream goes on elsewhere", resumable, unframed(stream, twoEvents), true, true, 200, twoEvents + rest, false},
+		{"a planned stop, a stream that can't be resumed breaks", single, unframed(stream, twoEvents), true, true, 200, twoEvents, true},
+		{"a planned stop, a plain response", testRoute(sageroute.Once), unframed(plain, "half"), true, true, 502, `{"reason":"answer_lost"}`, false},
+		{"a whole stream of an upstream that still leaves", single, unframed(stream, twoEvents), false, true, 200, twoEvents, false},
+		{"a whole plain response of an upstream that still leaves", testRoute(sageroute.Once), unframed(plain, "whole"), false, true, 200, "whole", false},
 		{"a plain response", testRoute(sageroute.Once), unframed(plain, "half"), true, false, 502, `{"reason":"answer_lost"}`, false},
 		{"a whole plain response", testRoute(sageroute.Once), unframed(plain, "whole"), false, false, 200, "whole", false},
 	} {
@@ -55,12 +60,15 @@
 						fleet.stopAfter("a", 0)(c, r)
 					}
 				}
-				out := fleet.call(t.Context(), nil, "body")
+				s := fleet.service()
+				out := fleet.callOn(t.Context(), s, nil, "body")
 				require.Equal(t, tt.status, out.Code)
 				require.Equal(t, tt.body, out.Body.String())
 				require.Equal(t, tt.aborted, out.aborted)
-				broken := tt.crashes && !tt.leaving
-				require.Equal(t, broken, fleet.results[0] == sagehealth.Broken)
+				require.Equal(t, tt.crashes, fleet.results[0] == sagehealth.Broken)
+				time.Sleep(2 * crashProbeDelay)
+				crashed := s.Metrics.GetOrCreateCounter(`sagestand_crashed_exchanges_total{service="s"}`).Get() > 0
+				require.Equal(t, tt.crashes && !tt.leaving, crashed, "a planned stop is no crash")
 			})
 		})
 	}
