--- a/internal/sageorigind/find.go
+++ b/internal/sageorigind/find.go
@@ -38,24 +38,11 @@
 // Find returns where the stream with a key began, whose caller has returned on a route.
 func (s *Service) Find(ctx context.Context, route string, k sageorigin.Key) sageorigin.Finding {
 	f := s.find(ctx, route, k)
-	if f.Status == sageorigin.Unknown {
-		f.FollowsAt = s.nextRecovery()
-	}
+	f.MayFollow = f.Status == sageorigin.Unknown && s.now() < s.RecoversUntil
 	s.Metrics.GetOrCreateCounter(fmt.Sprintf(`sagestand_origin_searches_total{status=%q,asked="%t"}`, f.Status.String(), f.Asked > 0)).Inc()
 	return f
 }
 
-// nextRecovery returns when further records may have been recovered; 0 if none will be.
-func (s *Service) nextRecovery() sageclock.Instant {
-	now := s.now()
-	for _, at := range s.RecoveredAt {
-		if now < at {
-			return at
-		}
-	}
-	return 0
-}
-
 func (s *Service) find(ctx context.Context, route string, k sageorigin.Key) sageorigin.Finding {
 	now := s.now()
 	o, age, status := s.lookUp(now, route, k)
--- a/internal/sageorigind/service.go
+++ b/internal/sageorigind/service.go
@@ -37,10 +37,10 @@
 	Fresh func() bool
 	// ReadClaims returns the claims of sole versions in the store, by service.
 	ReadClaims func(ctx context.Context) (map[string]sageorigin.Claim, error)
-	// RecoveredAt are the times by which records that were lost with all nodes may have been recovered, in ascending order.
-	RecoveredAt []sageclock.Instant
-	Metrics     *metrics.Set
-	Log         sagelog.Logger
+	// RecoversUntil is the time until which records that were lost with all nodes may still be recovered.
+	RecoversUntil sageclock.Instant
+	Metrics       *metrics.Set
+	Log           sagelog.Logger
 	// Now is the clock; nil means [sageclock.Now].
 	Now func() sageclock.Instant
 
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -254,15 +254,6 @@
 	return rand.N(min(left/returnSpreadDivisor, maxReturnSpread) + 1)
 }
 
-// unknownOriginReturn returns when the caller of a stream may return whose origin isn't known.
-func (j *job) unknownOriginReturn() time.Duration {
-	if j.originFollowsAt == 0 {
-		return max(0, time.Until(j.deadline).Truncate(time.Millisecond)) // it won't be known later
-	}
-	left := max(shortRetryAfter, j.originFollowsAt.Sub(sageclock.Now()))
-	return (left + spreadReturn(left)).Truncate(time.Millisecond)
-}
-
 // refuseNotRun refuses a request that no upstream has executed. If all upstreams are paused, the
 // caller is asked to return soon after the first pause ends.
 func (j *job) refuseNotRun(reason Reason) {
@@ -273,7 +264,9 @@
 	case VersionGone:
 		retryAfter = versionReturn
 	case OriginUnknown:
-		retryAfter = j.unknownOriginReturn()
+		if !j.originMayFollow {
+			retryAfter = max(0, time.Until(j.deadline).Truncate(time.Millisecond)) // it won't be known later
+		}
 	}
 	if until := j.relay.pauseUntil; until != 0 && reason == j.relay.refusal {
 		j.refuse(http.StatusServiceUnavailable, reason, max(time.Millisecond, until.Sub(sageclock.Now())))
--- a/internal/sagerelay/origin.go
+++ b/internal/sagerelay/origin.go
@@ -25,8 +25,8 @@
 type originState struct {
 	// origin is where the stream began; nil before its first event. The version is empty if it isn't known.
 	origin *sageorigin.Origin
-	// originFollowsAt is when an origin that isn't known yet may be; 0 if nothing more is expected.
-	originFollowsAt sageclock.Instant
+	// originMayFollow says that the origin isn't known yet and may be soon.
+	originMayFollow bool
 	// begun says that this node has passed on an event.
 	begun bool
 	// end ends the stream at this node; nil if it wasn't recorded.
@@ -56,7 +56,7 @@
 	reason := Reason("")
 	switch {
 	case f.Status == sageorigin.Unknown || f.Status == sageorigin.Found && f.Origin.Version == "":
-		reason, j.originFollowsAt = OriginUnknown, f.FollowsAt
+		reason, j.originMayFollow = OriginUnknown, f.MayFollow
 	case !j.leadsTo(f.Origin.Service):
 		reason = OriginMoved
 	default:
--- a/internal/sagerouter/snapshots.go
+++ b/internal/sagerouter/snapshots.go
@@ -21,23 +21,13 @@
 	snapshotTimeout  = time.Second
 )
 
+// recoveryTime is the time after its start within which a node gets what was recovered.
+const recoveryTime = 4 * time.Second
+
 // restoreDelays are the times after its start at which a node sends the records that were found in the store to their holders.
 // Nodes that start at the same time discover each other meanwhile.
 var restoreDelays = []time.Duration{200 * time.Millisecond, time.Second, 3 * time.Second}
 
-// recoveryMargin is the time from a delay in restoreDelays until all nodes have the records, with the difference between the starts
-// of nodes.
-const recoveryMargin = 500 * time.Millisecond
-
-// recoveryTimes returns when a node that started at a time may have got recovered records.
-func recoveryTimes(started sageclock.Instant) []sageclock.Instant {
-	out := make([]sageclock.Instant, len(restoreDelays))
-	for i, d := range restoreDelays {
-		out[i] = started.Add(d + recoveryMargin)
-	}
-	return out
-}
-
 // snapshotKeeper keeps the records of this node's open streams in the store while their services have several versions, and
 // recovers those of all nodes after a loss of all. Exported fields are set before Run.
 type snapshotKeeper struct {
--- a/pkg/sageorigin/origin.go
+++ b/pkg/sageorigin/origin.go
@@ -81,8 +81,8 @@
 	Age time.Duration
 	// From is the address of the node that had the record; empty if this one had it.
 	From string
-	// FollowsAt is when an origin that isn't known yet may be; 0 if nothing more is expected.
-	FollowsAt sageclock.Instant
+	// MayFollow says that the origin isn't known yet and may be soon.
+	MayFollow bool
 	// Asked and Answered count the nodes that were asked and those that answered.
 	Asked, Answered int
 }
