A quarantine that is written while an operator deletes it doesn't come back

Change: a difference to the store counts from the store's last change. A node whose own object arrives after a release that it hadn't seen when it began to write doesn't follow the object, and deletes it.

Tests that failed before: TestQuarantineWrittenDuringReleaseIsDeleted, TestDifferenceCountsFromTheLastChangeOfTheStore.

--- a/internal/sagerouter/quarantine.go
+++ b/internal/sagerouter/quarantine.go
@@ -47,35 +47,43 @@
 	With []string `json:"with,omitempty"`
 }
 
+// storedQuarantine is a decoded quarantine object.
+type storedQuarantine struct {
+	sagequarantine.Suspect
+	Companions []sagequarantine.Suspect
+	// By is the node that wrote it.
+	By string
+}
+
 // decodeQuarantine decodes a quarantine object. An unreadable content doesn't end the quarantine of what the name says.
-func decodeQuarantine(o *sagefollow.Object) (s sagequarantine.Suspect, companions []sagequarantine.Suspect, err error) {
-	if s, err = sagequarantine.ParseName(o.Name); err != nil {
-		return s, nil, fmt.Errorf("quarantine object: %w", err)
+func decodeQuarantine(o *sagefollow.Object) (q storedQuarantine, err error) {
+	if q.Suspect, err = sagequarantine.ParseName(o.Name); err != nil {
+		return q, fmt.Errorf("quarantine object: %w", err)
 	}
 	var spec quarantineSpec
 	if json.Unmarshal(o.Spec, &spec) != nil {
-		return s, nil, nil
+		return q, nil
 	}
-	s.Label = spec.Suspect
+	q.Label, q.By = spec.Suspect, spec.By
 	for _, name := range spec.With {
 		if c, err := sagequarantine.ParseName(name); err == nil && c.Kind == sagequarantine.Part {
-			companions = append(companions, c)
+			q.Companions = append(q.Companions, c)
 		}
 	}
-	return s, companions, nil
+	return q, nil
 }
 
 // applyQuarantines applies changes of the quarantine objects. Operators release a suspect by deleting its object.
 func (n *Node) applyQuarantines(changes []sagefollow.Change, _ bool) {
 	log, now, started := n.Log.Component("quarantine"), sageclock.Now(), 0
 	for _, c := range changes {
-		s, companions, err := decodeQuarantine(&c.Object)
+		s, err := decodeQuarantine(&c.Object)
 		if err != nil {
 			log.Warn("Quarantine object's name is not that of a suspect.", "name", c.Object.Name, "revision", c.Object.Revision, "err", err)
 			continue
 		}
 		if c.Lost || c.Revived {
-			n.quarantine.RecordStored(s, c.Revived)
+			n.quarantine.RecordStored(s.Suspect, c.Revived)
 			log.Info("Restored store differs.", "suspect", s.Name(), "stored", c.Revived, "revision", c.Object.Revision)
 			continue
 		}
@@ -84,9 +92,15 @@
 			log.Info("Released.", "suspect", s.Name(), "revision", c.Object.Revision)
 			continue
 		}
-		if n.quarantine.Restore(now, s, companions...) {
+		if s.By == n.Settings.Node && n.quarantine.ReleasedSinceWrite(s.Fingerprint) {
+			// An operator released the suspect while this node wrote it; the reconciler deletes the object.
+			n.quarantine.RecordStored(s.Suspect, true)
+			log.Info("Quarantine crossed its release.", "suspect", s.Name(), "revision", c.Object.Revision)
+			continue
+		}
+		if n.quarantine.Restore(now, s.Suspect, s.Companions...) {
 			started++
-			log.Info("Quarantined.", "suspect", s.Name(), "is", s.Label, "with", strings.Join(sagequarantine.Names(companions), ","), "learned", "store", "revision", c.Object.Revision)
+			log.Info("Quarantined.", "suspect", s.Name(), "is", s.Label, "with", strings.Join(sagequarantine.Names(s.Companions), ","), "learned", "store", "revision", c.Object.Revision)
 		}
 	}
 	n.relay.CancelQuarantined(started)
@@ -193,6 +207,7 @@
 	if err != nil {
 		return fmt.Errorf("encode quarantine: %w", err)
 	}
+	r.Tracker.RecordWrite(sageclock.Now(), d.Suspect.Fingerprint)
 	if _, err := r.Store.Create(ctx, r.Kind, name, spec); err != nil {
 		return fmt.Errorf("quarantine suspect: %w", err)
 	}
--- a/internal/sagerouter/quarantine_test.go
+++ b/internal/sagerouter/quarantine_test.go
@@ -154,3 +154,30 @@
 	require.Empty(t, n.quarantine.Quarantined(sageclock.Now(), a))
 	require.Empty(t, n.quarantine.Quarantined(sageclock.Now(), b))
 }
+
+// Prevents a node that writes a quarantine while an operator deletes it from bringing it back.
+func TestQuarantineWrittenDuringReleaseIsDeleted(t *testing.T) {
+	s := &objectStore{objects: make(map[string]bool)}
+	n := &Node{Log: sagelog.New(io.Discard, "vm1")}
+	n.Settings.Node, n.relay = "vm1", &sagerelay.Service{Quarantine: &n.quarantine}
+	r := &quarantineReconciler{Self: "vm1", Kind: "q", Tracker: &n.quarantine, Store: s, Rank: func() int { return 0 }, Log: n.Log}
+	now := sageclock.Now()
+	for c := range sagequarantine.CrashID(sagequarantine.DefaultThreshold) {
+		n.quarantine.RecordCrash(now, sagequarantine.Crash{ID: c, At: now.Add(-time.Duration(c) * time.Second)}, crashingRequest)
+	}
+	apply := func(revision uint64, by string, deleted bool) {
+		spec, err := json.Marshal(quarantineSpec{Crashes: 3, By: by})
+		require.NoError(t, err)
+		n.applyQuarantines([]sagefollow.Change{{Object: sagefollow.Object{Name: crashingRequest.Name(), Revision: revision, Spec: spec}, Deleted: deleted}}, false)
+	}
+	r.reconcile(t.Context(), now)
+	require.Len(t, s.objects, 1)
+	apply(2, "vm2", true) // another node's object, which an operator deleted before this node's write arrived
+	apply(3, "vm1", false)
+	require.Empty(t, n.quarantine.Quarantined(sageclock.Now(), crashingRequest))
+	r.reconcile(t.Context(), now)
+	require.Empty(t, s.objects)
+	apply(4, "vm1", true)
+	apply(5, "vm2", false)
+	require.Len(t, n.quarantine.Quarantined(sageclock.Now(), crashingRequest), 1, "a later one of another node")
+}
--- a/pkg/sagequarantine/record.go
+++ b/pkg/sagequarantine/record.go
@@ -150,4 +150,9 @@
 			delete(t.released, f)
 		}
 	}
+	for f, at := range t.store.written {
+		if now.Sub(at) >= releaseTTL {
+			delete(t.store.written, f)
+		}
+	}
 }
--- a/pkg/sagequarantine/store.go
+++ b/pkg/sagequarantine/store.go
@@ -11,6 +11,8 @@
 type storeState struct {
 	quarantined map[Fingerprint]Suspect
 	differences map[Fingerprint]sageclock.Instant
+	// written is when this node began to write a quarantine.
+	written map[Fingerprint]sageclock.Instant
 }
 
 // Difference is a suspect that is quarantined by the Tracker but missing from the store, or the reverse.
@@ -47,26 +49,53 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !stored {
-		delete(t.store.quarantined, s.Fingerprint)
+		t.store.remove(s.Fingerprint)
 		return
 	}
 	t.store.add(s)
 }
 
+// RecordWrite records that this node is about to write the quarantine of a suspect to the store.
+func (t *Tracker) RecordWrite(now sageclock.Instant, f Fingerprint) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.store.written == nil {
+		t.store.written = make(map[Fingerprint]sageclock.Instant)
+	}
+	t.store.written[f] = now
+}
+
+// ReleasedSinceWrite reports whether a suspect was released after this node began to write its quarantine. What it wrote was
+// decided without knowledge of the release.
+func (t *Tracker) ReleasedSinceWrite(f Fingerprint) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	written, ok := t.store.written[f]
+	released, ok2 := t.released[f]
+	return ok && ok2 && released >= written
+}
+
+// add and remove record whether the store contains a suspect. A difference counts from the last change.
 func (o *storeState) add(s Suspect) {
+	delete(o.differences, s.Fingerprint)
 	if o.quarantined == nil {
 		o.quarantined = make(map[Fingerprint]Suspect)
 	}
 	o.quarantined[s.Fingerprint] = s
 }
 
+func (o *storeState) remove(f Fingerprint) {
+	delete(o.differences, f)
+	delete(o.quarantined, f)
+}
+
 // Release records that the store no longer contains a suspect, which ends its quarantine. Evidence of earlier crashes, which
 // may still be on its way, no longer counts.
 func (t *Tracker) Release(now sageclock.Instant, f Fingerprint) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	defer t.updateCounts()
-	delete(t.store.quarantined, f)
+	t.store.remove(f)
 	t.dropEntry(f)
 	t.dropRecord(f)
 	t.out.remove(f)
--- a/pkg/sagequarantine/tracker_test.go
+++ b/pkg/sagequarantine/tracker_test.go
@@ -242,6 +242,20 @@
 	require.Empty(t, tr.Differences(start.Add(QuarantineDuration)))
 }
 
+// Prevents nodes of higher ranks from writing a quarantine that has just been lost from the store as early as the first one, since
+// it was missing before.
+func TestDifferenceCountsFromTheLastChangeOfTheStore(t *testing.T) {
+	tr := new(Tracker)
+	for c := range CrashID(3) {
+		recordCrash(tr, start, c+1, 7)
+	}
+	require.Equal(t, start, tr.Differences(start)[0].Since)
+	later := start.Add(time.Second)
+	tr.RecordStored(NewRequest(7), true)
+	tr.RecordStored(NewRequest(7), false)
+	require.Equal(t, later, tr.Differences(later)[0].Since)
+}
+
 func TestCrashIDsDifferByIncarnation(t *testing.T) {
 	require.NotEqual(t, CrashIDOf("e1", 1), CrashIDOf("e1", 2))
 	require.NotEqual(t, CrashIDOf("e1", 1), CrashIDOf("e11", 1))
