--- a/cmd/sagebench/cases.go
+++ b/cmd/sagebench/cases.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"context"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -17,97 +16,90 @@
 // errCaseFailed reports a case in which a promise was broken.
 var errCaseFailed = errors.New("a case failed")
 
-// casesFlags are the flags of a command that plays cases with real processes.
-type casesFlags struct{ program, self, dir, only string }
+// casePlayer plays cases with real processes and prints a line for each.
+type casePlayer struct {
+	program, self, dir, only string
+	failed                   bool
+}
 
-func (f *casesFlags) add(c *cobra.Command) {
-	c.Flags().StringVar(&f.only, "only", "", "play only the cases whose names contain this")
-	c.Flags().StringVar(&f.dir, "dir", filepath.Join(os.TempDir(), "sagestand-cases"), "directory for the nodes' settings and logs")
-	addProgramFlag(c, &f.program, &f.self)
+func (p *casePlayer) addFlags(c *cobra.Command) {
+	c.Flags().StringVar(&p.only, "only", "", "play only the cases whose names contain this")
+	c.Flags().StringVar(&p.dir, "dir", filepath.Join(os.TempDir(), "sagestand-cases"), "directory for the nodes' settings and logs")
+	addProgramFlag(c, &p.program, &p.self)
 }
 
-// dirOf makes the directory of a case; it is empty if the case isn't played.
-func (f *casesFlags) dirOf(name string) (string, error) {
-	if !strings.Contains(name, f.only) {
-		return "", nil
+// play plays one case, unless the flags leave it out. run returns what is printed, and whether the case failed.
+func (p *casePlayer) play(c *cobra.Command, name string, run func(dir string) (text string, failed bool, err error)) error {
+	if !strings.Contains(name, p.only) {
+		return nil
 	}
-	dir := filepath.Join(f.dir, strings.ReplaceAll(name, " ", "-"))
+	dir := filepath.Join(p.dir, strings.ReplaceAll(name, " ", "-"))
 	if err := os.MkdirAll(dir, 0o700); err != nil {
-		return "", fmt.Errorf("make directory for logs: %w", err)
+		return fmt.Errorf("make directory for logs: %w", err)
+	}
+	text, failed, err := run(dir)
+	if err != nil {
+		return fmt.Errorf("%s: %w", name, err)
 	}
-	return dir, nil
+	_, _ = fmt.Fprintf(c.OutOrStdout(), "%s: %s: %s\n", c.Name(), name, text)
+	p.failed = p.failed || failed
+	return nil
+}
+
+// result returns an error if a case failed.
+func (p *casePlayer) result() error {
+	if p.failed {
+		return errCaseFailed
+	}
+	return nil
 }
 
 func partitionCommand() *cobra.Command {
-	var f casesFlags
+	p := new(casePlayer)
 	c := &cobra.Command{
 		Use:   "partition",
 		Short: "Count what is executed although it was given up, beside partitions between data centres",
 		Args:  sagecli.ExactArgs(),
 		RunE: func(c *cobra.Command, _ []string) error {
-			failed := false
-			for _, p := range sagesoak.Partitions() {
-				dir, err := f.dirOf(p.Name)
+			for _, x := range sagesoak.Partitions() {
+				err := p.play(c, x.Name, func(dir string) (string, bool, error) {
+					x.Program, x.Dir = p.program, dir
+					n, err := x.Run(c.Context())
+					text := fmt.Sprintf("%d requests, %d late executions, %d violations", n.Asked, n.Late, len(n.Violations))
+					return strings.Join(append([]string{text}, n.Violations...), "\n  "), n.Failed(), err
+				})
 				if err != nil {
 					return err
 				}
-				if dir == "" {
-					continue
-				}
-				p.Program, p.Dir = f.program, dir
-				result, err := p.Run(c.Context())
-				if err != nil {
-					return fmt.Errorf("%s: %w", p.Name, err)
-				}
-				_, _ = fmt.Fprintf(c.OutOrStdout(), "partition: %s: %d requests, %d late executions, %d violations\n", p.Name, result.Asked, result.Late, len(result.Violations))
-				for _, v := range result.Violations {
-					_, _ = fmt.Fprintf(c.OutOrStdout(), "  %s\n", v)
-				}
-				failed = failed || result.Failed()
-			}
-			if failed {
-				return errCaseFailed
 			}
-			return nil
+			return p.result()
 		},
 	}
-	f.add(c)
+	p.addFlags(c)
 	return c
 }
 
 func rejoinCommand() *cobra.Command {
-	var f casesFlags
+	p := new(casePlayer)
 	c := &cobra.Command{
 		Use:   "rejoin",
 		Short: "Kill all nodes while streams are open, and count how the streams go on that callers take up",
 		Args:  sagecli.ExactArgs(),
-		RunE:  func(c *cobra.Command, _ []string) error { return playRejoins(c.Context(), c, &f) },
+		RunE: func(c *cobra.Command, _ []string) error {
+			for _, x := range sagesoak.Rejoins() {
+				err := p.play(c, x.Name, func(dir string) (string, bool, error) {
+					x.Program, x.Dir = p.program, dir
+					n, err := x.Run(c.Context())
+					return fmt.Sprintf("%d streams broken, %d joined from two versions, %d whole (%d of %d whose version served), %d refusals, %d of %d new streams begun",
+						n.Broken, n.Joined, n.Whole, n.WholeOfServing, n.OfServing, n.Refusals, n.NewBegun, n.NewSent), n.Failed(), err
+				})
+				if err != nil {
+					return err
+				}
+			}
+			return p.result()
+		},
 	}
-	f.add(c)
+	p.addFlags(c)
 	return c
 }
-
-func playRejoins(ctx context.Context, c *cobra.Command, f *casesFlags) error {
-	failed := false
-	for _, r := range sagesoak.Rejoins() {
-		dir, err := f.dirOf(r.Name)
-		if err != nil {
-			return err
-		}
-		if dir == "" {
-			continue
-		}
-		r.Program, r.Dir = f.program, dir
-		n, err := r.Run(ctx)
-		if err != nil {
-			return fmt.Errorf("%s: %w", r.Name, err)
-		}
-		_, _ = fmt.Fprintf(c.OutOrStdout(), "rejoin: %s: %d streams broken, %d joined from two versions, %d whole (%d of %d whose version served), %d refusals, %d of %d new streams begun\n",
-			r.Name, n.Broken, n.Joined, n.Whole, n.WholeOfServing, n.OfServing, n.Refusals, n.NewBegun, n.NewSent)
-		failed = failed || n.Failed()
-	}
-	if failed {
-		return errCaseFailed
-	}
-	return nil
-}
