A node that starts doesn't bring a released quarantine back

Cause, from three logs: a node that has just started learns of the quarantine from a peer's heartbeat, lists the store after the operator's deletion, takes the missing object for one that was never written, and writes it again 0.6 to 1.3 s later.

Change: a node writes a quarantine only if the store has had it since the node's listing, or a crash under it happened at the node or after the listing. Others lapse after 10 s unless the store has them; the nodes that recorded the crashes write them within moments.

Why it works: what was decided before the listing and isn't in it was released, or will be written by a node that recorded it.

TestStartedNodeDoesNotBringReleasedQuarantineBack fails without the condition.

--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -131,7 +131,9 @@
 	storeProof      sagefresh.Proof // proof of the store's answers for any kind of object
 	// quarantine tracks the requests that crash upstreams.
 	quarantine sagequarantine.Tracker
-	leaving    atomic.Bool
+	// quarantinesListed is set once the quarantine objects have been listed.
+	quarantinesListed bool
+	leaving           atomic.Bool
 }
 
 // Open opens the listeners and creates the services. Nothing is served before Run.
--- a/internal/sagerouter/quarantine.go
+++ b/internal/sagerouter/quarantine.go
@@ -74,8 +74,12 @@
 }
 
 // applyQuarantines applies changes of the quarantine objects. Operators release a suspect by deleting its object.
-func (n *Node) applyQuarantines(changes []sagefollow.Change, _ bool) {
+func (n *Node) applyQuarantines(changes []sagefollow.Change, afterOutage bool) {
 	log, now, started := n.Log.Component("quarantine"), sageclock.Now(), 0
+	if first := !n.quarantinesListed; first || afterOutage {
+		n.quarantinesListed = true
+		n.quarantine.RecordListing(now)
+	}
 	for _, c := range changes {
 		s, err := decodeQuarantine(&c.Object)
 		if err != nil {
--- a/pkg/sagequarantine/crash.go
+++ b/pkg/sagequarantine/crash.go
@@ -24,6 +24,8 @@
 	ID CrashID
 	// At is when the upstream crashed, by this node's clock.
 	At sageclock.Instant
+
+	own bool // recorded by this node, not reported by a peer
 }
 
 // simultaneous is the time within which crashes have one cause, such as a loss of power.
--- a/pkg/sagequarantine/evidence.go
+++ b/pkg/sagequarantine/evidence.go
@@ -110,6 +110,7 @@
 		}
 		return nil
 	}
+	c.own = local
 	m := message{suspect: s, crash: c.ID, at: c.At, queuedAt: now, local: local}
 	if e := t.entries[f]; e != nil && now < e.Until {
 		e.Suspect.Label = cmp.Or(e.Suspect.Label, s.Label)
@@ -134,7 +135,7 @@
 	if known || len(e.Crashes) >= maxCrashesPerEntry {
 		return
 	}
-	e.Crashes = append(e.Crashes, Crash{ID: m.crash, At: m.at})
+	e.Crashes = append(e.Crashes, Crash{ID: m.crash, At: m.at, own: m.local})
 	t.explained[m.crash]++
 	t.resendCrashes(m.queuedAt, e.Suspect, e.Crashes)
 }
--- a/pkg/sagequarantine/record.go
+++ b/pkg/sagequarantine/record.go
@@ -136,7 +136,9 @@
 		}
 	}
 	for f, e := range t.entries {
-		if now >= e.Until {
+		_, stored := t.store.quarantined[f]
+		lapsed := !stored && !t.confirmed(e) && now.Sub(max(e.Since, t.store.listedAt)) >= unconfirmedTTL
+		if now >= e.Until || lapsed {
 			t.dropEntry(f)
 		}
 	}
--- a/pkg/sagequarantine/store.go
+++ b/pkg/sagequarantine/store.go
@@ -11,6 +11,8 @@
 type storeState struct {
 	quarantined map[Fingerprint]Suspect
 	differences map[Fingerprint]sageclock.Instant
+	// listedAt is when this node last listed the store; 0 before the first time.
+	listedAt sageclock.Instant
 	// written is when this node began to write a quarantine.
 	written map[Fingerprint]sageclock.Instant
 }
@@ -36,13 +38,27 @@
 	defer t.mu.Unlock()
 	defer t.updateCounts()
 	t.store.add(s)
-	if t.entries[s.Fingerprint] != nil {
+	if e := t.entries[s.Fingerprint]; e != nil {
+		e.stored = true
 		return false
 	}
-	t.quarantine(&Entry{Suspect: s, Companions: companions, Since: now, Until: now.Add(QuarantineDuration)})
+	t.quarantine(&Entry{Suspect: s, Companions: companions, Since: now, Until: now.Add(QuarantineDuration), stored: true})
 	return true
 }
 
+// RecordListing records that this node has listed the store, so that what it lacks may have been released before.
+func (t *Tracker) RecordListing(now sageclock.Instant) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.store.listedAt = now
+}
+
+// confirmed reports whether a quarantine that the store lacks hasn't been released as far as this node can know: the store had it
+// since the listing, or a crash under it happened here or after the listing.
+func (t *Tracker) confirmed(e *Entry) bool {
+	return e.stored || t.store.listedAt == 0 || slices.ContainsFunc(e.Crashes, func(c Crash) bool { return c.own || c.At > t.store.listedAt })
+}
+
 // RecordStored records whether the store contains a suspect, without a decision of anybody: the store was restored from a
 // copy. What the Tracker quarantines doesn't change, and [Tracker.Differences] reports what has to be written again.
 func (t *Tracker) RecordStored(s Suspect, stored bool) {
@@ -53,6 +69,9 @@
 		return
 	}
 	t.store.add(s)
+	if e := t.entries[s.Fingerprint]; e != nil {
+		e.stored = true
+	}
 }
 
 // RecordWrite records that this node is about to write the quarantine of a suspect to the store.
@@ -116,8 +135,8 @@
 			differences[f] = since
 		}
 	}
-	for f := range t.entries {
-		if _, ok := t.store.quarantined[f]; !ok {
+	for f, e := range t.entries {
+		if _, ok := t.store.quarantined[f]; !ok && t.confirmed(e) {
 			add(f)
 		}
 	}
--- a/pkg/sagequarantine/tracker.go
+++ b/pkg/sagequarantine/tracker.go
@@ -40,6 +40,9 @@
 	BeginningDuration = time.Second
 	// successGeneration is how long successes are kept at least, if there aren't too many.
 	successGeneration = 30 * time.Second
+	// unconfirmedTTL is how long a quarantine is in force that only peers have reported, from before this node listed the store, and that
+	// the store lacks. The nodes that recorded its crashes write it sooner.
+	unconfirmedTTL = 10 * time.Second
 	// releaseTTL is how long evidence from before a release can still arrive.
 	releaseTTL = time.Minute
 
@@ -67,6 +70,8 @@
 	Since, Until sageclock.Instant
 
 	trials int
+	// stored says that the store has contained it as far as this node knows.
+	stored bool
 }
 
 // Tracker records suspects and quarantines. The zero value is ready for use; it is safe for concurrent
--- a/pkg/sagequarantine/tracker_test.go
+++ b/pkg/sagequarantine/tracker_test.go
@@ -50,7 +50,7 @@
 	require.Empty(t, tr.Merge(start, []Report{report(2, 7)}, nil))
 	require.False(t, quarantined(tr, start, 7))
 	entries := recordCrash(tr, start.Add(time.Second), 3, 7)
-	require.Equal(t, []Entry{{Suspect: NewRequest(7), Crashes: []Crash{{1, timeOf(1)}, {2, timeOf(2)}, {3, timeOf(3)}}, Since: start.Add(time.Second), Until: start.Add(time.Second + QuarantineDuration)}}, entries)
+	require.Equal(t, []Entry{{Suspect: NewRequest(7), Crashes: []Crash{{1, timeOf(1), true}, {2, timeOf(2), false}, {3, timeOf(3), true}}, Since: start.Add(time.Second), Until: start.Add(time.Second + QuarantineDuration)}}, entries)
 	require.True(t, quarantined(tr, start.Add(time.Second), 7))
 	require.False(t, quarantined(tr, start.Add(time.Second), 8))
 }
@@ -242,6 +242,39 @@
 	require.Empty(t, tr.Differences(start.Add(QuarantineDuration)))
 }
 
+// Prevents a node that has just started from writing a quarantine that an operator released before the node listed the store, and
+// from keeping it in force.
+func TestStartedNodeDoesNotBringReleasedQuarantineBack(t *testing.T) {
+	const listed = start + sageclock.Instant(time.Second)
+	reported := []Report{report(1, 7), report(2, 7), report(3, 7)}
+	for _, tt := range []struct {
+		name    string
+		prepare func(tr *Tracker)
+		written bool
+	}{
+		{"reported by peers", func(*Tracker) {}, false},
+		{"one crash happened here", func(tr *Tracker) { recordCrash(tr, start, 4, 7) }, true},
+		{"one crash later", func(tr *Tracker) { tr.Merge(listed.Add(time.Second), []Report{{Crash: 5, Suspects: requests(7)}}, nil) }, true},
+		{"stored after the listing, lost with a restore", func(tr *Tracker) {
+			tr.Restore(listed, NewRequest(7))
+			tr.RecordStored(NewRequest(7), false)
+		}, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			tr := new(Tracker)
+			require.Len(t, tr.Merge(start, reported, nil), 1)
+			require.Len(t, tr.Differences(start), 1, "nothing is known before the listing")
+			tr.RecordListing(listed)
+			tt.prepare(tr)
+			require.Equal(t, tt.written, len(tr.Differences(listed)) == 1)
+			tr.Sweep(listed.Add(unconfirmedTTL - 1))
+			require.True(t, quarantined(tr, listed, 7))
+			tr.Sweep(listed.Add(unconfirmedTTL))
+			require.Equal(t, tt.written, quarantined(tr, listed, 7))
+		})
+	}
+}
+
 // Prevents nodes of higher ranks from writing a quarantine that has just been lost from the store as early as the first one, since
 // it was missing before.
 func TestDifferenceCountsFromTheLastChangeOfTheStore(t *testing.T) {
