A status is no promise without the upstream's statement

Cause: a sealed failure was passed on whatever its status.

Class: what the node promises rests on something that proves nothing.

The fix: such a response is a failure after which the request may have run. It is never passed on: 502 if nothing better comes, idempotent requests go to another upstream within their limits. The line names the cause, and sagestand_unstated_refusals_total counts them. Also for responses of peers.

--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -302,7 +302,7 @@
 // forwardResponse forwards an upstream's response to this request.
 func (x *exchange) forwardResponse(ctx context.Context, res *http.Response, stallTimer *time.Timer) verdict {
 	j := x.j
-	if res.StatusCode >= http.StatusInternalServerError && x.helper == nil {
+	if promisesNotRun(res.StatusCode) || res.StatusCode >= http.StatusInternalServerError && x.helper == nil {
 		return x.handleFailure(ctx, res, stallTimer)
 	}
 	if sageheader.IsEventStream(res) {
@@ -318,6 +318,15 @@
 	return x.forwardPlain(ctx, res, stallTimer)
 }
 
+// promisesNotRun reports whether callers read a status as the promise that the request is never executed.
+func promisesNotRun(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return true
+	}
+	return false
+}
+
 // isOverload reports whether a status says that the upstream has too much to do.
 func isOverload(status int) bool {
 	return status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
@@ -347,8 +356,8 @@
 	}
 }
 
-// handleFailure buffers a server error that the upstream returned. It is forwarded if no other
-// upstream gives a better response.
+// handleFailure buffers a failure that the upstream returned. It is forwarded if no other upstream gives a better response,
+// unless callers would read in it that the request has not been executed, which only the upstream's own statement shows.
 func (x *exchange) handleFailure(ctx context.Context, res *http.Response, stallTimer *time.Timer) verdict {
 	j := x.j
 	h, v := x.readResponse(ctx, res, stallTimer)
@@ -359,7 +368,11 @@
 	x.recordExchange(sagehealth.Failed)
 	x.recordResponse(ResponseResult{Failed: true})
 	j.cause = "upstream status " + strconv.Itoa(res.StatusCode)
-	if !j.headerSent {
+	switch {
+	case promisesNotRun(res.StatusCode):
+		j.s.countUnstated(j.serviceName, res.StatusCode)
+		j.cause += " without the statement that the request has not been executed"
+	case !j.headerSent:
 		j.upstreamFailure = h
 	}
 	return failed
--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -241,6 +242,12 @@
 	s.Metrics.GetOrCreateCounter(`sagestand_sends_total{service="` + service + `",verdict="` + v.String() + `"}`).Inc()
 }
 
+// countUnstated counts a response whose status promises that the request has not been executed, without the upstream's
+// statement of it.
+func (s *Service) countUnstated(service string, status int) {
+	s.Metrics.GetOrCreateCounter(`sagestand_unstated_refusals_total{service="` + service + `",status="` + strconv.Itoa(status) + `"}`).Inc()
+}
+
 // countAnnouncement counts a response that says something about its upstream.
 func (s *Service) countAnnouncement(service, announcement string) {
 	s.Metrics.GetOrCreateCounter(`sagestand_upstream_announcements_total{service="` + service + `",announcement="` + announcement + `"}`).Inc()
