A head that was cut off by another response isn't believed

A booking that ran was refused with 503, or sent to a second upstream after the "421" of the copy; an upstream's 500 came out as 200.

Cause: the two heads merge into one that parses: the status line and fields of the copy, then the own status line as part of a reason phrase or of a field's value, then the own ID. compares the ID, which is that of the request, and believes the rest.

Class: that of the late copies: what an answer says is believed before it is settled whose it is, here field by field.

The fix: a head with a second status line is rejected where the connection is read, before anything in it is believed. A cut before the status ends leaves no valid status line, and net/http rejects it. Counted as sagestand_foreign_responses_total{outcome="merged"}.

--- a/internal/sageconn/filter.go
+++ b/internal/sageconn/filter.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"net/http"
+	"regexp"
 	"strconv"
 
 	"github.com/pkg/errors"
@@ -38,11 +39,18 @@
 // errNoEnd is the error of a read after a response to another request whose end can't be found.
 var errNoEnd = errors.New("response to another request has no end")
 
+// ErrMergedHead is the error of a read of a head that holds the status line of another response: the first one was cut off
+// inside its head, and what its fields say may be about either.
+var ErrMergedHead = errors.New("response head cut off by another response")
+
 var (
 	crlf    = []byte("\r\n")
 	headEnd = []byte("\r\n\r\n")
 )
 
+// statusLine matches the beginning of a status line.
+var statusLine = regexp.MustCompile(`HTTP/1\.[0-9] [0-9]{3}`)
+
 // filter examines the head of the response to a request, and removes the responses to other requests that precede it. The
 // zero value passes all on.
 type filter struct {
@@ -64,7 +72,7 @@
 }
 
 // add takes bytes that were read and returns those to pass on. After the head of a response that isn't skipped, all are. It
-// fails if the end of a response that is skipped can't be found.
+// fails if the end of a response that is skipped can't be found, or if two heads have merged.
 func (f *filter) add(b []byte) ([]byte, error) {
 	if f.owner == nil {
 		return b, nil
@@ -84,6 +92,9 @@
 			return append(out, f.passAll()...), nil
 		}
 		head := f.unread[:end+len(headEnd)]
+		if len(statusLine.FindAllIndex(head, 2)) > 1 {
+			return out, ErrMergedHead
+		}
 		switch f.examine(head) {
 		case passHead:
 			out = append(out, head...)
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -223,6 +223,9 @@
 	x.recordSkipped()
 	x.tracker.Reset()
 	x.recordReset(err)
+	if errors.Is(err, sageconn.ErrMergedHead) {
+		x.countForeign("merged", 1)
+	}
 	if j.r.Context().Err() != nil {
 		if !unsent {
 			x.recordAbandoned()
