sageconn: heads whose lines end with LF alone

A response with such a head was held back by the filter until 32 KB, the end of its connection or the deadline: 504, also for a true rejection. net/http accepts these lines (RFC 9112, 2.2), so the filter finds the same end of the head now. TestHeadWithLineFeedsAlone failed before with 504.

--- a/internal/sageconn/filter.go
+++ b/internal/sageconn/filter.go
@@ -43,10 +43,7 @@
 // inside its head, and what its fields say may be about either.
 var ErrMergedHead = errors.New("response head cut off by another response")
 
-var (
-	crlf    = []byte("\r\n")
-	headEnd = []byte("\r\n\r\n")
-)
+var crlf = []byte("\r\n")
 
 // statusLine matches the beginning of a status line.
 var statusLine = regexp.MustCompile(`HTTP/1\.[0-9] [0-9]{3}`)
@@ -84,14 +81,14 @@
 		if err != nil {
 			return out, err
 		}
-		end := bytes.Index(f.unread, headEnd)
+		n := headLen(f.unread)
 		switch {
-		case !skipped || end < 0 && len(f.unread) < maxHead:
+		case !skipped || n == 0 && len(f.unread) < maxHead:
 			return out, nil
-		case end < 0:
+		case n == 0:
 			return append(out, f.passAll()...), nil
 		}
-		head := f.unread[:end+len(headEnd)]
+		head := f.unread[:n]
 		if len(statusLine.FindAllIndex(head, 2)) > 1 {
 			return out, ErrMergedHead
 		}
@@ -105,6 +102,24 @@
 	}
 }
 
+// headLen returns the length of the head with which b begins, 0 if it isn't complete. Like net/http, it accepts lines that end
+// with LF alone.
+func headLen(b []byte) int {
+	for i := 0; ; {
+		n := bytes.IndexByte(b[i:], '\n')
+		if n < 0 {
+			return 0
+		}
+		i += n + 1
+		switch {
+		case bytes.HasPrefix(b[i:], []byte("\n")):
+			return i + 1
+		case bytes.HasPrefix(b[i:], crlf):
+			return i + len(crlf)
+		}
+	}
+}
+
 // skipBody skips what is there of the body of a skipped response and reports whether that is all of it.
 func (f *filter) skipBody() (all bool, err error) {
 	for {
--- a/internal/sageconn/filter_test.go
+++ b/internal/sageconn/filter_test.go
@@ -48,6 +48,18 @@
 func (c readerConn) Write(b []byte) (int, error) { return len(b), nil }
 func (c readerConn) Close() error                { return nil }
 
+// Prevents a response whose lines end with LF alone from being held back until its connection ends.
+func TestHeadLen(t *testing.T) {
+	for _, c := range []struct {
+		in string
+		n  int
+	}{
+		{"", 0}, {"a: b", 0}, {"a: b\r\n", 0}, {"a: b\r\n\r", 0}, {"a: b\r\n\r\nbody", 8}, {"a: b\n\nbody\n\n", 6}, {"a: b\r\nc: d\n\r\nbody", 13}, {"a: b\n\rc", 0},
+	} {
+		require.Equal(t, c.n, headLen([]byte(c.in)), "%q", c.in)
+	}
+}
+
 // Prevents a late copy of an earlier response from reaching the transport, and the response after it from being changed.
 func TestForeignResponsesAreSkipped(t *testing.T) {
 	endless := strings.Repeat("x", 2*maxHead)
--- a/internal/sagerelay/cuthead_test.go
+++ b/internal/sagerelay/cuthead_test.go
@@ -66,3 +66,26 @@
 		require.Equal(t, "from a", w.Body.String(), "%q", cut)
 	}
 }
+
+// Prevents a response whose lines end with LF alone, which net/http accepts, from being held back until the request's
+// deadline.
+func TestHeadWithLineFeedsAlone(t *testing.T) {
+	for _, status := range []int{200, 503} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFakeFleet(t, testRoute(sageroute.Once), map[string]upstream{"a": nil, "b": nil})
+			s := scriptedService(f, func(c net.Conn, _ int, req *http.Request) bool {
+				header := sealHeader
+				if status == 503 {
+					header = testNotRun + ": 1\r\n"
+				}
+				head, body, _ := strings.Cut(responseText(status, req.Header.Get(testID), header, "from a"), "\r\n\r\n")
+				_, err := io.WriteString(c, strings.ReplaceAll(head, "\r\n", "\n")+"\n\n"+body)
+				return err == nil
+			})
+			w := serveID(t, s, "id1")
+			s.toUpstreams().pooled.CloseIdleConnections()
+			require.Equal(t, 200, w.Code)
+			require.Equal(t, map[int]string{200: "from a", 503: "from b"}[status], w.Body.String())
+		})
+	}
+}
