Stand-in and soak: late copies that are cut off inside their head

ExtraBytes.Cut sends the beginning of a response a second time, before the next response on the connection; half of the cuts are inside the status line.

--- a/internal/sagesoak/responses.go
+++ b/internal/sagesoak/responses.go
@@ -13,6 +13,7 @@
 // Parameters of upstreams that send bytes beside their responses.
 const (
 	maxRepeatedShare = 0.3
+	maxCutShare      = 0.2
 	maxEndlessShare  = 0.05
 	maxDeclinedShare = 0.4
 	maxExtraTime     = 4 * time.Second
@@ -23,6 +24,8 @@
 type responseFaults struct {
 	soak *Soak
 	rng  *rand.Rand
+	// cutRNG draws the copies that are cut off.
+	cutRNG *rand.Rand
 }
 
 // newResponseFaults returns the faults of the seed, or nil if the soak has none.
@@ -30,7 +33,7 @@
 	if !s.Responses {
 		return nil
 	}
-	return &responseFaults{soak: s, rng: rand.New(rand.NewPCG(s.Seed, 10))}
+	return &responseFaults{soak: s, rng: rand.New(rand.NewPCG(s.Seed, 10)), cutRNG: rand.New(rand.NewPCG(s.Seed, 13))}
 }
 
 // run injects the faults until the soak's duration has passed.
@@ -46,6 +49,9 @@
 func (f *responseFaults) spoil(ctx context.Context) {
 	s := f.soak
 	extra := standin.ExtraBytes{Repeated: f.rng.Float64() * maxRepeatedShare, NoID: float64(f.rng.IntN(3)) / 2}
+	if f.cutRNG.IntN(2) == 0 {
+		extra.Cut = f.cutRNG.Float64() * maxCutShare
+	}
 	if f.rng.IntN(3) == 0 {
 		extra.Endless = f.rng.Float64() * maxEndlessShare
 	}
