serve: responses are examined where their connection is read

TestCutHeadOfLateCopyBeforeResponse failed in its three rows before: "200" and "not run" for a request whose upstream had answered 404. Its tracker has an Owner now, so heads that merged are rejected, and late copies are skipped as on the users' platform.

--- a/internal/sagedispatch/dispatcher.go
+++ b/internal/sagedispatch/dispatcher.go
@@ -132,7 +132,7 @@
 }
 
 func (x *exchange) run(ctx context.Context) {
-	tracker := &sageconn.Tracker{BootID: x.a.BootID}
+	tracker := &sageconn.Tracker{BootID: x.a.BootID, Owner: x.ownerOf}
 	res, err := x.send(ctx, tracker)
 	x.result.Connected = tracker.Connected()
 	if err != nil {
@@ -141,7 +141,7 @@
 	}
 	defer func() { _ = res.Body.Close() }()
 	x.result.Status = res.StatusCode
-	if got := res.Header.Get(sagewire.HeaderRequestID); got != x.a.RequestID {
+	if got := res.Header.Get(sagewire.HeaderRequestID); x.ownerOf(res) != sageconn.OwnerSelf {
 		tracker.Discard()
 		x.result.fail(sagewire.Unknown, sagewire.ReasonAnswerLost, "the answer bears the id %q", got)
 		return
@@ -160,6 +160,17 @@
 	x.forwardPlain(ctx, res, tracker)
 }
 
+// ownerOf returns whose a response is.
+func (x *exchange) ownerOf(res *http.Response) sageconn.Owner {
+	switch res.Header.Get(sagewire.HeaderRequestID) {
+	case x.a.RequestID:
+		return sageconn.OwnerSelf
+	case "":
+		return sageconn.OwnerUnknown
+	}
+	return sageconn.OwnerOther
+}
+
 // handleSendError sets the result of an attempt without a response.
 func (x *exchange) handleSendError(ctx context.Context, tracker *sageconn.Tracker, err error) {
 	reason := sagewire.ReasonUpstreamFailed
