Routes are matched against the path as it came

Requests to /vorbestellung/2025%2F11/ ran at the service of a new route /vorbestellung/2025/, whose prefix doesn't begin their path: the path was matched with its escapes decoded and forwarded as it came. Now it is matched as the upstream gets it.

--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -43,6 +43,7 @@
 
 	mu              sync.Mutex
 	sent            []*http.Request
+	services        []string // of picks
 	results         []sagehealth.Result
 	misdirected     []string
 	accepted        []string
@@ -110,6 +111,7 @@
 	}
 	for _, n := range f.names {
 		if !slices.Contains(q.Tried, n) && (q.Origin == nil || q.Origin.Version == f.versions[n]) {
+			f.services = append(f.services, q.Service)
 			return &Pick{Upstream: &sageupstream.Entry{ID: n, Service: q.Service, Address: n + ":80", Version: f.versions[n]}, Done: func() {}}
 		}
 	}
--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -121,7 +121,7 @@
 		j.refuse(http.StatusServiceUnavailable, RelayOutdated, shortRetryAfter)
 		return false
 	}
-	route := t.Match(j.r.Host, j.r.URL.Path)
+	route := t.Match(j.r.Host, j.r.URL.EscapedPath()) // as the upstream gets it
 	if route == nil {
 		j.refuse(http.StatusNotFound, NoRoute, 0)
 		return false
