Heartbeats carry at most 192 fingerprints of crash reports

Known red: TestReportsOfManyCrashesStayBounded, 16,554 to 19,109 bytes a second and node in 60 plays, bound 19,000 (the stated 19 KB). Reports are drawn from the global random source, so the figure varies. Cleared and repeated suspects go first as before, so what crashes upstreams isn't the part that is left out; the tests of quarantine and mesh pass.

--- a/pkg/sagequarantine/tracker.go
+++ b/pkg/sagequarantine/tracker.go
@@ -53,9 +53,9 @@
 	maxCrashesPerEntry = 32
 	maxCompanions      = 16
 	maxAbandoned       = 512
-	// maxQueued bounds the queued messages, maxPerHeartbeat the fingerprints in one heartbeat (two kilobytes).
+	// maxQueued bounds the queued messages, maxPerHeartbeat the fingerprints in one heartbeat.
 	maxQueued       = 2048
-	maxPerHeartbeat = 256
+	maxPerHeartbeat = 192
 )
 
 // Entry is a quarantined suspect.
