Streams without length that end before their first event aren't complete

Callers got a 200 with an empty stream, which looked complete, if an upstream closed the connection in order just behind the head of a stream that has neither a length nor chunks. A stream that can be resumed was not sent on to another upstream, and one that went on at a second upstream ended as complete with its last events missing.

Cause: the end of such a response is that of its connection, and forwardStream took an end between two events for the end of the stream, also before the first one. A stream has at least one event.

A stream without length that is resumed where nothing is left, and whose second upstream therefore sends no event, now ends as broken off: nothing in it shows that it is complete.

--- a/internal/sagerelay/crash.go
+++ b/internal/sagerelay/crash.go
@@ -101,10 +101,15 @@
 // errUpstreamEnded reports a response that ended with its connection, and whose upstream has ended as well.
 var errUpstreamEnded = errors.New("upstream ended at the end of a response without length and chunks")
 
+// endsWithConn reports whether the end of a response is that of its connection.
+func endsWithConn(res *http.Response) bool {
+	return res.ContentLength < 0 && len(res.TransferEncoding) == 0
+}
+
 // endedWithUpstream reports whether a response ended with its connection because the upstream crashed or stopped. Nothing in the
 // response shows that it isn't complete. A stop that was announced cuts responses off as well.
 func (x *exchange) endedWithUpstream(res *http.Response) bool {
-	if x.helper != nil || res.ContentLength >= 0 || len(res.TransferEncoding) > 0 {
+	if x.helper != nil || !endsWithConn(res) {
 		return false
 	}
 	return x.j.s.probeStopped(x.p.Upstream)
--- a/internal/sagerelay/stream.go
+++ b/internal/sagerelay/stream.go
@@ -30,6 +30,7 @@
 var (
 	errCallerGone = errors.New("the caller stopped reading")
 	errRepeating  = errors.New("upstream repeats events without end")
+	errNoEvent    = errors.New("stream without length and chunks ended before its first event")
 )
 
 // forwardStream forwards the events of one exchange.
@@ -54,6 +55,9 @@
 			if stallTimer != nil {
 				stallTimer.Stop()
 			}
+			if x.events == 0 && endsWithConn(res) {
+				return x.failStream(ctx, errNoEvent)
+			}
 			if x.endedWithUpstream(res) {
 				return x.failStream(ctx, errUpstreamEnded)
 			}
