A response with a status that ends no exchange is rejected

Callers whose upstream sent the status 101 with its ID and seal got 101 and an empty body, also for a booking or stream that ran. With a status below 100 (000, 050, 099) the caller's connection was closed: http.ResponseWriter panics on such a status, which also skipped the release of the upstream's place. If such a response stated "not run", it was believed.

Cause: net/http returns any status of three digits, and 101 too, as the final response, and nothing checked it. The filter of sageconn took a status below 100 for an informational one, unlike net/http, so that a response after it was examined as if it were to come.

Now such a response proves nothing: the request may have run, and its connection is closed.

--- a/internal/sageconn/filter.go
+++ b/internal/sageconn/filter.go
@@ -180,7 +180,7 @@
 		return passAll
 	}
 	_ = res.Body.Close() // holds nothing but the head
-	if res.StatusCode < http.StatusOK && res.StatusCode != http.StatusSwitchingProtocols {
+	if informational(res.StatusCode) {
 		return passHead
 	}
 	owner := f.owner(res)
@@ -194,3 +194,8 @@
 	f.chunked, f.trailer, f.chunkBytes = chunked, false, 0
 	return skip
 }
+
+// informational reports whether another response follows one with a status, as net/http sees it.
+func informational(status int) bool {
+	return status >= http.StatusContinue && status < http.StatusOK && status != http.StatusSwitchingProtocols
+}
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -271,6 +271,9 @@
 	if !x.owns(res) {
 		return x.rejectForeign(res)
 	}
+	if res.StatusCode < http.StatusOK {
+		return x.rejectResponse("response has status " + strconv.Itoa(res.StatusCode)) // an upgrade nobody asked for, or no status at all
+	}
 	meta := j.s.Dialect.ParseResponse(res)
 	j.unreached = nil
 	if x.helper != nil {
