Late copies inside a body or an event are rejected

Callers got a success with the seal of their upstream, whose body held the head of another request's response: a faulty upstream sent a part of a plain response, left the connection open, and a late copy of an earlier response filled the rest of the stated length. In streams with a length or without, the copy's head ended the event inside which the upstream had stopped, and that event was passed on.

Cause: holdsForeign looked at the beginning of a body only, and the reader of events at the beginning of a line only.

No existing row changed.

Now each status line in a body or event on a reused connection begins a head that is examined: one with another request's ID is rejected, the request may have run. A head that the end of the body cuts off counts if it holds the ID. TestTextOfResponseInsideResponse: text that speaks of HTTP, and heads with the request's own ID, still pass.

What remains: a copy of which less than the ID is inside the body. Nodes can't tell it from text.

--- a/internal/sageconn/filter.go
+++ b/internal/sageconn/filter.go
@@ -81,7 +81,7 @@
 		if err != nil {
 			return out, err
 		}
-		n := headLen(f.unread)
+		n := HeadLen(f.unread)
 		switch {
 		case !skipped || n == 0 && len(f.unread) < maxHead:
 			return out, nil
@@ -102,9 +102,9 @@
 	}
 }
 
-// headLen returns the length of the head with which b begins, 0 if it isn't complete. Like net/http, it accepts lines that end
+// HeadLen returns the length of the head with which b begins, 0 if it isn't complete. Like net/http, it accepts lines that end
 // with LF alone.
-func headLen(b []byte) int {
+func HeadLen(b []byte) int {
 	for i := 0; ; {
 		n := bytes.IndexByte(b[i:], '\n')
 		if n < 0 {
--- a/internal/sageconn/filter_test.go
+++ b/internal/sageconn/filter_test.go
@@ -56,7 +56,7 @@
 	}{
 		{"", 0}, {"a: b", 0}, {"a: b\r\n", 0}, {"a: b\r\n\r", 0}, {"a: b\r\n\r\nbody", 8}, {"a: b\n\nbody\n\n", 6}, {"a: b\r\nc: d\n\r\nbody", 13}, {"a: b\n\rc", 0},
 	} {
-		require.Equal(t, c.n, headLen([]byte(c.in)), "%q", c.in)
+		require.Equal(t, c.n, HeadLen([]byte(c.in)), "%q", c.in)
 	}
 }
 
--- a/internal/sagerelay/bench_test.go
+++ b/internal/sagerelay/bench_test.go
@@ -35,6 +35,22 @@
 	}
 }
 
+func BenchmarkHoldsForeign(b *testing.B) {
+	x := &exchange{j: &job{s: &Service{Dialect: testDialect{}}, meta: RequestMetadata{ID: "id2"}}, conn: connUse{reused: true}}
+	for _, c := range []struct{ name, body string }{
+		{"event", "id: 1\ndata: " + strings.Repeat("x", 52) + "\n\n"},
+		{"body", strings.Repeat("x", maxPlainResponseBytes)},
+		{"heads", strings.Repeat("HTTP/1.1 200 OK\r\n\r\n", maxPlainResponseBytes/19)},
+	} {
+		body := []byte(c.body)
+		b.Run(c.name, func(b *testing.B) {
+			for b.Loop() {
+				x.holdsForeign(body)
+			}
+		})
+	}
+}
+
 // BenchmarkExchange measures a small request over real connections: directly, and over a peer. Both nodes and the upstream
 // run in this process, so that the difference is what a hop costs both nodes together.
 func BenchmarkExchange(b *testing.B) {
--- a/internal/sagerelay/owner.go
+++ b/internal/sagerelay/owner.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"bytes"
+	"fmt"
 	"io"
 	"net/http"
+	"regexp"
 
 	"github.com/pkg/errors"
 
@@ -39,18 +41,63 @@
 	return owner != sageconn.OwnerOther
 }
 
-// holdsForeign reports whether a body on a reused connection begins with a response to another request, complete or not: a
-// copy that came between the head and the body.
+// httpVersion is how status lines begin.
+var httpVersion = []byte("HTTP/1.")
+
+// statusLine matches the beginning of a status line.
+var statusLine = regexp.MustCompile(`HTTP/1\.[0-9] [0-9]{3}`)
+
+// maxHeadBuffer is the largest buffer in bytes for a head inside a body.
+const maxHeadBuffer = 4 << 10
+
+// errForeignInside reports an event that holds a response to another request.
+var errForeignInside = errors.New("response to another request inside an event")
+
+// holdsForeign reports whether a body, or an event, on a reused connection holds a response to another request: a copy that came
+// after a part of the response, from its beginning to the ID at least. At the beginning of a body, any part of a head counts.
 func (x *exchange) holdsForeign(body []byte) bool {
-	if !x.conn.reused || !bytes.HasPrefix(body, []byte("HTTP/1.")) {
+	if !x.conn.reused || !bytes.Contains(body, httpVersion) {
 		return false
 	}
-	res, err := http.ReadResponse(bufio.NewReader(bytes.NewReader(body)), nil)
+	if bytes.HasPrefix(body, httpVersion) {
+		_, err := x.ownerOfHead(body)
+		if errors.Is(err, io.ErrUnexpectedEOF) {
+			return true
+		}
+	}
+	for {
+		start := statusLine.FindIndex(body)
+		if start == nil {
+			return false
+		}
+		body = body[start[0]:]
+		n := sageconn.HeadLen(body)
+		head := body[:n]
+		if n == 0 { // cut off by the end of the body
+			head = append(bytes.Clone(body[:bytes.LastIndexByte(body, '\n')+1]), '\n')
+		}
+		// Of several status lines the last one is that of the copy; text of the response may hold others.
+		for next := statusLine.FindIndex(head[1:]); next != nil; next = statusLine.FindIndex(head[1:]) {
+			head = head[1+next[0]:]
+		}
+		if owner, err := x.ownerOfHead(head); err == nil && owner == sageconn.OwnerOther {
+			return true
+		}
+		if n == 0 {
+			return false
+		}
+		body = body[n:]
+	}
+}
+
+// ownerOfHead returns whose the response with a head is.
+func (x *exchange) ownerOfHead(head []byte) (sageconn.Owner, error) {
+	res, err := http.ReadResponse(bufio.NewReaderSize(bytes.NewReader(head), min(len(head), maxHeadBuffer)), nil)
 	if err != nil {
-		return errors.Is(err, io.ErrUnexpectedEOF)
+		return sageconn.OwnerUnknown, fmt.Errorf("read head: %w", err)
 	}
-	_ = res.Body.Close()
-	return x.ownerOf(res) == sageconn.OwnerOther
+	_ = res.Body.Close() // isn't read
+	return x.ownerOf(res), nil
 }
 
 // recordSkipped records the responses to other requests that have been skipped since it was last called.
--- a/internal/sagerelay/owner_test.go
+++ b/internal/sagerelay/owner_test.go
@@ -195,6 +195,8 @@
 	short := responseText(200, "id2", sealHeader, "a short response")
 	stream := responseText(200, "id2", sealHeader+"Content-Type: text/event-stream\r\n", "id: 1\ndata: a\n\nid: 2\ndata: b\n\n")
 	unframed := strings.Replace(stream, "Content-Length: ", "Connection: close\r\nNo-Length: ", 1)
+	long := responseText(200, "id2", sealHeader, "an HTTP/1.1 200 OK, "+strings.Repeat("y", 50)+strings.Repeat("x", 200))
+	tight := responseText(200, "id2", sealHeader, strings.Repeat("y", 50)+strings.Repeat("x", strings.Index(late, testNotRun)+4))
 	for _, c := range []struct {
 		name, response string
 		before         string // the text before which the copy comes
@@ -208,6 +210,12 @@
 		{"between events", stream, "id: 2", true, "id: 1\ndata: a\n\n"},
 		{"between events without length", unframed, "id: 2", true, "id: 1\ndata: a\n\n"},
 		{"inside an event", stream, "data: b", true, "id: 1\ndata: a\n\n"},
+		{"inside a line of an event", unframed, "b\n", true, "id: 1\ndata: a\n\n"},
+		{"inside the name of an event's field", unframed, "ta: b", true, "id: 1\ndata: a\n\n"},
+		{"inside a line of an event, with length", strings.Replace(stream, "Content-Length: ", "Content-Length: 9", 1), "b\n", true, "id: 1\ndata: a\n\n"},
+		{"inside a body", long, "xxx", false, ""},
+		{"inside a body, up to its ID", tight, "xxx", false, ""},
+		{"inside a body, lines end with LF", strings.ReplaceAll(long, "\r\n", "\n"), "xxx", false, ""},
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
@@ -244,6 +252,42 @@
 	}
 }
 
+// Prevents bodies and events that speak of HTTP, or hold a response to the same request, from being rejected.
+func TestTextOfResponseInsideResponse(t *testing.T) {
+	for _, text := range []string{
+		"HTTP/1.1 200 OK is a status line,\r\n\r\nHTTP/1.1 503 another",
+		"curl prints HTTP/1.1 200 OK\r\nServer: x\r\n\r\nand HTTP/1.1 404 Not Found\r\nServer: y\r\n",
+		"an echo: HTTP/1.1 200 OK\r\n" + testID + ": id2\r\n\r\n",
+	} {
+		for _, stream := range []bool{false, true} {
+			synctest.Test(t, func(t *testing.T) {
+				r, header, body := testRoute(sageroute.Once), sealHeader, text
+				if stream {
+					r, header, body = testRoute(sageroute.Stream), header+"Content-Type: text/event-stream\r\n", "id: 1\ndata: "+strings.NewReplacer("\r\n\r\n", "\r\ndata: ", "\r\n", "\r\nx-").Replace(text)+"\n\n"
+					r.Resumable = false
+				}
+				f := newFakeFleet(t, r, map[string]upstream{"a": nil})
+				s := scriptedService(f, func(w net.Conn, _ int, req *http.Request) bool {
+					_, err := io.WriteString(w, responseText(200, req.Header.Get(testID), header, body))
+					return err == nil
+				})
+				proveReuse(s)
+				for _, id := range []string{"id1", "id2", "id2"} {
+					if id == "id1" && strings.Contains(text, "id2") {
+						continue
+					}
+					w := serveID(t, s, id)
+					synctest.Wait()
+					require.Equal(t, http.StatusOK, w.Code)
+					require.Equal(t, body, w.Body.String())
+				}
+				s.toUpstreams().pooled.CloseIdleConnections()
+				require.Positive(t, s.Metrics.GetOrCreateCounter(`sagestand_upstream_connections_total{service="s",event="reused"}`).Get())
+			})
+		}
+	}
+}
+
 // Prevents requests from being lost at upstreams whose rejections have no ID: they are true, on any connection.
 func TestRejectionsWithoutIDAreBelieved(t *testing.T) {
 	for _, kind := range []sageroute.Kind{sageroute.Once, sageroute.Idempotent} {
--- a/internal/sagerelay/stream.go
+++ b/internal/sagerelay/stream.go
@@ -70,6 +70,10 @@
 		if err != nil {
 			return x.failStream(ctx, err)
 		}
+		if x.holdsForeign(e.Raw) {
+			x.countForeign("rejected", 1)
+			return x.failStream(ctx, errForeignInside)
+		}
 		if x.events++; x.events == 1 {
 			x.firstEvent = time.Now()
 			x.begun.Store(true)
