Bytes that only net/http reads as a status line are no response

A booking that ran was executed at a second upstream as well, or could be refused as not run, if an upstream wrote bytes that are no response before its own, and net/http read their first line as a status line: "HTTP/2.0 503 X" or "HTTP/1.1 503 X" with two blanks. With a field "not run" behind it, and either a blank line or the ID of the response into which it merged, it counted as the request's rejection.

Cause: net/http accepts any version and several blanks, while the check for merged heads looked for the proper form only.

Now the status line that begins a head must be that of HTTP/1.0 or 1.1, and the check for merged heads finds all that net/http accepts.

What remains: a rejection without an ID, in the proper form, that is no copy, on a connection whose responses all had IDs, is believed.

--- a/internal/sageconn/filter.go
+++ b/internal/sageconn/filter.go
@@ -43,10 +43,16 @@
 // inside its head, and what its fields say may be about either.
 var ErrMergedHead = errors.New("response head cut off by another response")
 
+// errNoResponse is the error of a read of a head without a status line of HTTP/1. net/http accepts other versions, and several blanks.
+var errNoResponse = errors.New("bytes are no response")
+
 var crlf = []byte("\r\n")
 
-// statusLine matches the beginning of a status line.
-var statusLine = regexp.MustCompile(`HTTP/1\.[0-9] [0-9]{3}`)
+// responseStart matches the beginning of a response, statusLine any beginning of a status line that net/http accepts.
+var (
+	responseStart = regexp.MustCompile(`^HTTP/1\.[01] [0-9]{3}[ \r\n]`)
+	statusLine    = regexp.MustCompile(`HTTP/[0-9]\.[0-9] +[0-9]{3}`)
+)
 
 // filter examines the head of the response to a request, and removes the responses to other requests that precede it. The
 // zero value passes all on.
@@ -69,7 +75,7 @@
 }
 
 // add takes bytes that were read and returns those to pass on. After the head of a response that isn't skipped, all are. It
-// fails if the end of a response that is skipped can't be found, or if two heads have merged.
+// fails if the end of a response that is skipped can't be found, if two heads have merged, or if net/http takes what isn't HTTP/1 for a head.
 func (f *filter) add(b []byte) ([]byte, error) {
 	if f.owner == nil {
 		return b, nil
@@ -97,6 +103,8 @@
 			out = append(out, head...)
 		case passAll:
 			return append(out, f.passAll()...), nil
+		case reject:
+			return out, errNoResponse
 		}
 		f.unread = f.unread[len(head):]
 	}
@@ -171,6 +179,8 @@
 	passHead
 	// skip: its body is skipped as well.
 	skip
+	// reject: it isn't one of HTTP/1.
+	reject
 )
 
 // examine returns what becomes of the response with a head.
@@ -180,6 +190,9 @@
 		return passAll
 	}
 	_ = res.Body.Close() // holds nothing but the head
+	if !responseStart.Match(head) {
+		return reject
+	}
 	if informational(res.StatusCode) {
 		return passHead
 	}
