--- a/internal/sagerelay/stream.go
+++ b/internal/sagerelay/stream.go
@@ -30,6 +30,7 @@
 var (
 	errCallerGone = errors.New("the caller stopped reading")
 	errRepeating  = errors.New("upstream repeats events without end")
+	errNoEvent    = errors.New("stream without length and chunks ended before its first event")
 )
 
 // forwardStream forwards the events of one exchange.
@@ -54,6 +55,9 @@
 			if stallTimer != nil {
 				stallTimer.Stop()
 			}
+			if x.events == 0 && endsWithConn(res) {
+				return x.failStream(ctx, errNoEvent)
+			}
 			if x.endedWithUpstream(res) {
 				return x.failStream(ctx, errUpstreamEnded)
 			}
@@ -66,6 +70,10 @@
 		if err != nil {
 			return x.failStream(ctx, err)
 		}
+		if x.holdsForeign(e.Raw) {
+			x.countForeign("rejected", 1)
+			return x.failStream(ctx, errForeignInside)
+		}
 		if x.events++; x.events == 1 {
 			x.firstEvent = time.Now()
 			x.begun.Store(true)
