serve: a late copy inside a body is rejected; bodies that speak of HTTP aren't

In `serve`, a copy between head and body of an idempotent request was passed on as the body of a complete response (TestLateCopyBetweenHeadAndBody: 200, complete, the other response's head as body). The search for responses inside a body moves from sagerelay to sageconn, and the dispatcher uses it on reused connections for bodies that it buffers; larger ones are passed on as they arrive, as before.

--- a/internal/sageconn/filter.go
+++ b/internal/sageconn/filter.go
@@ -91,7 +91,7 @@
 		if err := f.skipBody(); err != nil {
 			return out, err
 		}
-		n := HeadLen(f.unread)
+		n := headLen(f.unread)
 		switch {
 		case f.skipping || n == 0 && len(f.unread) < maxHead:
 			return out, nil
@@ -118,9 +118,9 @@
 	}
 }
 
-// HeadLen returns the length of the head with which b begins, 0 if it isn't complete. Like net/http, it accepts lines that end
+// headLen returns the length of the head with which b begins, 0 if it isn't complete. Like net/http, it accepts lines that end
 // with LF alone.
-func HeadLen(b []byte) int {
+func headLen(b []byte) int {
 	for i := 0; ; {
 		n := bytes.IndexByte(b[i:], '\n')
 		if n < 0 {
--- a/internal/sageconn/tracker.go
+++ b/internal/sageconn/tracker.go
@@ -114,6 +114,12 @@
 	return c.skippedIn(use)
 }
 
+// Reused reports whether the connection was used before.
+func (t *Tracker) Reused() bool {
+	c, use := t.conn()
+	return c != nil && use > 1
+}
+
 // Undelivered reports whether bytes of the request are known not to have arrived at the other end.
 func (t *Tracker) Undelivered() bool {
 	c, use := t.conn()
--- a/internal/sagedispatch/plain.go
+++ b/internal/sagedispatch/plain.go
@@ -57,6 +57,11 @@
 		x.failBody(ctx, err)
 		return
 	}
+	if tracker.Reused() && sageconn.HoldsForeign(body, x.ownerOf) {
+		tracker.Discard()
+		x.result.fail(sagewire.Unknown, sagewire.ReasonAnswerLost, "the answer holds that to another request")
+		return
+	}
 	if len(body) <= limit {
 		x.forwardBuffered(res, body)
 		return
--- a/internal/sagerelay/owner.go
+++ b/internal/sagerelay/owner.go
@@ -1,12 +1,7 @@
 package sagerelay
 
 import (
-	"bufio"
-	"bytes"
-	"fmt"
-	"io"
 	"net/http"
-	"regexp"
 
 	"github.com/pkg/errors"
 
@@ -41,63 +36,12 @@
 	return owner != sageconn.OwnerOther
 }
 
-// httpVersion is how status lines begin.
-var httpVersion = []byte("HTTP/1.")
-
-// statusLine matches the beginning of a status line.
-var statusLine = regexp.MustCompile(`HTTP/1\.[0-9] [0-9]{3}`)
-
-// maxHeadBuffer is the largest buffer in bytes for a head inside a body.
-const maxHeadBuffer = 4 << 10
-
 // errForeignInside reports an event that holds a response to another request.
 var errForeignInside = errors.New("response to another request inside an event")
 
-// holdsForeign reports whether a body, or an event, on a reused connection holds a response to another request: a copy that came
-// after a part of the response, from its beginning to the ID at least. At the beginning of a body, any part of a head counts.
+// holdsForeign reports whether a body, or an event, holds a response to another request.
 func (x *exchange) holdsForeign(body []byte) bool {
-	if !x.conn.reused || !bytes.Contains(body, httpVersion) {
-		return false
-	}
-	if bytes.HasPrefix(body, httpVersion) {
-		_, err := x.ownerOfHead(body)
-		if errors.Is(err, io.ErrUnexpectedEOF) {
-			return true
-		}
-	}
-	for {
-		start := statusLine.FindIndex(body)
-		if start == nil {
-			return false
-		}
-		body = body[start[0]:]
-		n := sageconn.HeadLen(body)
-		head := body[:n]
-		if n == 0 { // cut off by the end of the body
-			head = append(bytes.Clone(body[:bytes.LastIndexByte(body, '\n')+1]), '\n')
-		}
-		// Of several status lines the last one is that of the copy; text of the response may hold others.
-		for next := statusLine.FindIndex(head[1:]); next != nil; next = statusLine.FindIndex(head[1:]) {
-			head = head[1+next[0]:]
-		}
-		if owner, err := x.ownerOfHead(head); err == nil && owner == sageconn.OwnerOther {
-			return true
-		}
-		if n == 0 {
-			return false
-		}
-		body = body[n:]
-	}
-}
-
-// ownerOfHead returns whose the response with a head is.
-func (x *exchange) ownerOfHead(head []byte) (sageconn.Owner, error) {
-	res, err := http.ReadResponse(bufio.NewReaderSize(bytes.NewReader(head), min(len(head), maxHeadBuffer)), nil)
-	if err != nil {
-		return sageconn.OwnerUnknown, fmt.Errorf("read head: %w", err)
-	}
-	_ = res.Body.Close() // isn't read
-	return x.ownerOf(res), nil
+	return x.conn.reused && sageconn.HoldsForeign(body, x.ownerOf)
 }
 
 // recordSkipped records the responses to other requests that have been skipped since it was last called.
