An upstream's headers never speak for a peer; a merged head is no idle break

Three findings of the review. - A node that relays a request believed Sagestand-Relay-Refusal in the peer's response, and the peer passed that field on if its upstream sent it: a booking that ran was sent to a second upstream (no_path) or refused with 503 (quarantined, upstream_full).

Tests of cut responses read what the scripts record under its lock: the race detector found four of them, and the list of picked services of TestRoutesMatchThePathAsItCame.

--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -223,15 +223,16 @@
 	x.recordSkipped()
 	x.tracker.Reset()
 	x.recordReset(err)
-	if errors.Is(err, sageconn.ErrMergedHead) {
-		x.countForeign("merged", 1)
-	}
 	if j.r.Context().Err() != nil {
 		if !unsent {
 			x.recordAbandoned()
 		}
 		return callerGone
 	}
+	if errors.Is(err, sageconn.ErrMergedHead) {
+		x.countForeign("merged", 1)
+		return x.rejectResponse(err.Error()) // says nothing about the connection's idle time
+	}
 	if cause := context.Cause(ctx); errors.Is(cause, errQuarantined) || errors.Is(cause, errUndelivered) {
 		return x.failCancelled(cause, unsent)
 	}
@@ -279,6 +280,7 @@
 	if x.helper != nil {
 		return x.handleHelperResponse(ctx, res, &meta, stallTimer)
 	}
+	removeRelayHeader(res.Header) // only nodes may set them
 	x.recordResponseHeader(res)
 	j.s.Fleet.RecordAnswer(x.p.Upstream, x.freshConn)
 	if meta.Misdirected {
@@ -371,8 +373,13 @@
 		return v
 	}
 	j.possibleRuns++
-	x.recordExchange(sagehealth.Failed)
-	x.recordResponse(ResponseResult{Failed: true})
+	if res.StatusCode >= http.StatusInternalServerError {
+		x.recordExchange(sagehealth.Failed)
+		x.recordResponse(ResponseResult{Failed: true})
+	} else { // it is no failure of the upstream
+		x.recordExchange(sagehealth.OK)
+		x.recordResponse(ResponseResult{Duration: time.Since(x.start)})
+	}
 	j.cause = "upstream status " + strconv.Itoa(res.StatusCode)
 	switch {
 	case promisesNotRun(res.StatusCode):
--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -111,13 +111,22 @@
 	}
 	for _, n := range f.names {
 		if !slices.Contains(q.Tried, n) && (q.Origin == nil || q.Origin.Version == f.versions[n]) {
+			f.mu.Lock()
 			f.services = append(f.services, q.Service)
+			f.mu.Unlock()
 			return &Pick{Upstream: &sageupstream.Entry{ID: n, Service: q.Service, Address: n + ":80", Version: f.versions[n]}, Done: func() {}}
 		}
 	}
 	return nil
 }
 
+// sends returns the number of requests that upstreams, or peers, have read.
+func (f *fakeFleet) sends() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.sent)
+}
+
 func (f *fakeFleet) Serves(o sageorigin.Origin) bool {
 	for _, n := range f.names {
 		if f.versions[n] == o.Version {
--- a/internal/sagerelay/fuzz_test.go
+++ b/internal/sagerelay/fuzz_test.go
@@ -303,6 +303,8 @@
 	if u.route.Repeatable() {
 		return
 	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
 	for id, runs := range u.runs {
 		require.Len(t, runs, 1, "%s may run once", id)
 	}
--- a/internal/sagerelay/heads_test.go
+++ b/internal/sagerelay/heads_test.go
@@ -194,10 +194,10 @@
 									serveOnce(t, s, "id1") // served by b
 									synctest.Wait()
 								}
-								before := len(f.sent)
+								before := f.sends()
 								out := serveOnce(t, s, "id2")
 								s.CloseIdleConnections()
-								r.require(t, &route, out, len(f.sent)-before, end, fmt.Sprintf("%q", r.text[:cut]))
+								r.require(t, &route, out, f.sends()-before, end, fmt.Sprintf("%q", r.text[:cut]))
 							})
 						}
 					})
@@ -229,11 +229,11 @@
 						id := fmt.Sprintf("id%03d", cut)
 						text = cutResponses(id)[i].text[:cut]
 						f.mu.Lock()
-						before := len(f.sent)
+						before := f.sends()
 						f.mu.Unlock()
 						out := serveOnce(t, s, id)
 						f.mu.Lock()
-						sent := len(f.sent) - before
+						sent := f.sends() - before
 						f.mu.Unlock()
 						r.require(t, &route, out, sent, end, fmt.Sprintf("%q", text))
 					}
@@ -264,7 +264,7 @@
 							s.peers.init(dialScripts(f, map[string]connScript{"a": r.script(false, cut, end), "b": serveRest(r.stream)}))
 							out := serveOnce(t, s, "id2")
 							s.peers.pooled.CloseIdleConnections()
-							r.require(t, &route, out, len(f.sent), end, fmt.Sprintf("%q", r.text[:cut]))
+							r.require(t, &route, out, f.sends(), end, fmt.Sprintf("%q", r.text[:cut]))
 						})
 					}
 				})
--- a/internal/sagerelay/promise_test.go
+++ b/internal/sagerelay/promise_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"sagestand.example/sagestand/pkg/sagehealth"
 	"sagestand.example/sagestand/pkg/sageroute"
 )
 
@@ -39,6 +40,9 @@
 					out := f.call(t.Context(), nil, "body")
 					require.Equal(t, c.status, out.Code)
 					require.Len(t, f.sent, c.sends)
+					if status < 500 && c.header != "" {
+						require.NotContains(t, f.results, sagehealth.Failed, "the upstream works")
+					}
 				})
 			})
 		}
