rollouts: orders never exclude the last version that can serve

What callers saw: 503 for a whole service, without end, after an order for the version that serves already (duration_s 1, or one that had overflowed), after such an order was withdrawn or replaced, and after a rollback whose baseline left afterwards. With the baseline gone during the canary, two upstreams of the target got all requests.

Cause: at the deadline an order was rolled back even if there was nothing to move, and the version filter excluded the target, or the target of an order that had ended, whether or not another version was left. Slots that aren't known kept such an order pending.

Change: Tracker.OtherArm decides, from the versions that can serve, which arm follows one without upstreams; if the orders admit none of those versions, all serve, and streams that began there go on there. The controller completes an order whose target has been the only version for 1.5 s, or at the deadline, unless it knows of upstreams, requests or answers of a baseline. The only version isn't retired by an order for itself, so that it is the next order's baseline. Once the baseline is gone, all of the target's upstreams serve.

--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -145,7 +145,7 @@
 		return p
 	}
 	if other, ok := f.otherArm(set, q.Service, arm); ok {
-		return f.pickFromArm(now, set, other, q)
+		return f.pickAmong(now, set, f.armUpstreams(set, q.Service, other), false, q)
 	}
 	return nil
 }
--- a/internal/sagerouter/origins.go
+++ b/internal/sagerouter/origins.go
@@ -67,7 +67,7 @@
 // requests, and if a version isn't known, only a service without any versions may go on.
 func (f *fleet) originUpstreams(set *sageupstream.Set, q *sagerelay.Query) []*sageupstream.Entry {
 	o := q.Origin
-	if f.rollouts != nil && f.rollouts.Withdrawn(o.Service, o.Version) {
+	if f.withdrawn(set, o.Service, o.Version) {
 		return nil
 	}
 	if sole, ok := f.view.history.Sole(sageclock.Now(), q.Route); o.Version == "" && (!ok || sole != *o) {
@@ -84,10 +84,11 @@
 
 // Serves implements [sagerelay.Fleet].
 func (f *fleet) Serves(o sageorigin.Origin) bool {
-	if f.rollouts != nil && f.rollouts.Withdrawn(o.Service, o.Version) {
+	set := f.view.upstreams.Load()
+	if f.withdrawn(set, o.Service, o.Version) {
 		return false
 	}
-	for _, e := range f.view.upstreams.Load().All(o.Service) {
+	for _, e := range set.All(o.Service) {
 		if e.Version == o.Version && !e.Draining {
 			return true
 		}
--- a/internal/sagerouter/rollouts.go
+++ b/internal/sagerouter/rollouts.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"slices"
 	"time"
 
 	"sagestand.example/sagestand/internal/sagefollow"
@@ -40,6 +41,7 @@
 			continue
 		}
 		o.Rewritten = c.Rewritten
+		o.OnlyVersion = slices.Equal(n.view.upstreams.Load().ServingVersions(o.Service), []string{o.Target})
 		if n.fleet.rollouts.Put(o) {
 			log.Info("Rollout order received.", "name", o.Name, "rewritten", o.Rewritten, "service", o.Service, "target", o.Target, "state", string(o.State),
 				"left_ms", o.Deadline.Sub(now).Milliseconds(), "revision", o.Revision)
@@ -163,12 +165,14 @@
 		case e.Version != o.Target:
 			out.BaselineSlots += e.Slots
 		case e.ColdUntil <= now:
+			out.TargetUpstreams++
 			out.TargetSlots += e.Slots
 		}
 	}
 	for _, e := range set.All(o.Service) {
 		out.InFlight += loads[e.ID]
 		if e.Version != o.Target {
+			out.BaselineUpstreams++
 			out.BaselineInFlight += loads[e.ID]
 		}
 	}
@@ -206,21 +210,16 @@
 }
 
 // otherArm returns the arm to use when one has no upstream left, or false if the request has to be refused.
-// The target replaces the baseline only while the order runs and no upstream of the baseline is registered.
 func (f *fleet) otherArm(set *sageupstream.Set, service string, arm sagerollout.Arm) (sagerollout.Arm, bool) {
-	switch {
-	case arm == sagerollout.ArmTarget:
-		return sagerollout.ArmBaseline, true
-	case arm == sagerollout.ArmAny || !f.rollouts.Running(service):
+	if f.rollouts == nil {
 		return arm, false
 	}
-	admits := f.rollouts.VersionFilter(service, sagerollout.ArmBaseline)
-	for _, e := range set.All(service) {
-		if admits == nil || admits(e.Version) {
-			return arm, false
-		}
-	}
-	return sagerollout.ArmTarget, true
+	return f.rollouts.OtherArm(service, arm, set.ServingVersions(service))
+}
+
+// withdrawn reports whether a version gets no requests because of an order, while another version can serve.
+func (f *fleet) withdrawn(set *sageupstream.Set, service, version string) bool {
+	return f.rollouts != nil && f.rollouts.Withdrawn(service, version, set.ServingVersions(service))
 }
 
 // minCanaryUpstreams is two, since a single upstream may fail for reasons other than its version.
--- a/pkg/sagerollout/controller.go
+++ b/pkg/sagerollout/controller.go
@@ -35,6 +35,8 @@
 type ServiceLoad struct {
 	// TargetSlots are the slots of the target's usable upstreams, BaselineSlots those of the others.
 	TargetSlots, BaselineSlots int
+	// TargetUpstreams is the number of the target's usable upstreams, BaselineUpstreams that of all registered others.
+	TargetUpstreams, BaselineUpstreams int
 	// InFlight are the requests in flight at all upstreams, BaselineInFlight those at the baseline.
 	InFlight, BaselineInFlight int
 }
@@ -44,6 +46,9 @@
 	return l.TargetSlots > 0 && float64(l.InFlight) <= maxSlotUse*float64(l.TargetSlots)
 }
 
+// targetIsAll reports whether the target is the only version.
+func (l *ServiceLoad) targetIsAll() bool { return l.TargetUpstreams > 0 && l.BaselineUpstreams == 0 }
+
 // Controller steps plans through their phases. Exported fields are set before use. It is not safe for concurrent
 // use.
 type Controller struct {
@@ -59,8 +64,11 @@
 
 // orderState is the controller's state of an order.
 type orderState struct {
-	lastBusy sageclock.Instant // when the baseline last had requests in flight
-	test     SequentialTest
+	lastBusy  sageclock.Instant // when the baseline last had requests in flight
+	onlySince sageclock.Instant // since when the target has been the only version
+	// hasBaseline is set once the service had upstreams, requests or answers of the baseline.
+	hasBaseline bool
+	test        SequentialTest
 }
 
 // Step returns the next plan for an order.
@@ -77,6 +85,11 @@
 	if p.Phase.Final() {
 		return next
 	}
+	s.hasBaseline = s.hasBaseline || load.BaselineUpstreams > 0 || load.BaselineInFlight > 0 || e.Sum().Baseline.Total() > 0
+	if !load.targetIsAll() {
+		s.onlySince = now
+	}
+	nothingToMove := p.Phase == PhasePending && !s.hasBaseline && load.targetIsAll()
 	v, _ := c.evaluate(s, e)
 	if v == VerdictUnknown && requestRate(now.Sub(o.FirstSeen), e)*o.Deadline.Sub(o.FirstSeen).Seconds() < canarySlackPart*c.Bounds.ExposedSlack {
 		v = VerdictSound // too few requests are expected until the deadline for a bad version to exceed its bound
@@ -85,6 +98,9 @@
 	switch {
 	case v == VerdictBad:
 		next.enter(PhaseRolledBack, 0, now)
+	case nothingToMove && (now >= o.Deadline || now.Sub(s.onlySince) >= baselineIdleTime):
+		next.enter(PhaseDone, 1, now)
+	case nothingToMove: // upstreams of the baseline may be about to register again
 	case now >= o.Deadline && p.Phase < PhaseFull:
 		next.enter(PhaseRolledBack, 0, now)
 	case p.Phase == PhasePending && load.targetHasCapacity():
@@ -131,7 +147,7 @@
 	}
 	s := c.orders[order]
 	if s == nil {
-		s = &orderState{lastBusy: now}
+		s = &orderState{lastBusy: now, onlySince: now}
 		c.orders[order] = s
 	}
 	return s
--- a/pkg/sagerollout/counts.go
+++ b/pkg/sagerollout/counts.go
@@ -22,6 +22,8 @@
 	ArmBaseline
 	// ArmTarget is the version that the traffic is to be moved to.
 	ArmTarget
+	// ArmLast is all versions, those that were rolled back or withdrawn too. It is used when no other arm can serve.
+	ArmLast
 )
 
 // CountKey identifies a count of answers.
--- a/pkg/sagerollout/doc.go
+++ b/pkg/sagerollout/doc.go
@@ -31,6 +31,7 @@
 //	t.Put(order)
 //	arm := t.Arm(now, "chat", "drafts") // for each request
 //	if admits := t.VersionFilter("chat", arm); admits == nil || admits(upstream.Version) { ... }
+//	other, ok := t.OtherArm("chat", arm, servingVersions) // if the arm has no upstream left
 //	t.RecordAnswer("chat", upstream.Version, "drafts", bad)
 //
 //	c := &sagerollout.Controller{Self: "vm1", Bounds: sagerollout.Bounds{ExposedShare: 0.1, ExposedSlack: 50}}
--- a/pkg/sagerollout/order.go
+++ b/pkg/sagerollout/order.go
@@ -43,6 +43,8 @@
 	Revision uint64
 	// State is the state in the store.
 	State State
+	// OnlyVersion says that no other version could serve when this node first saw the order.
+	OnlyVersion bool
 	// Rewritten says that the order was written again after the store had lost it. Its ID may be a new one.
 	Rewritten bool
 }
--- a/pkg/sagerollout/tracker.go
+++ b/pkg/sagerollout/tracker.go
@@ -45,7 +45,7 @@
 		t.services[o.Service] = &rollout{order: o, splitter: Splitter{InitialCredit: t.random()}, counts: make(map[CountKey]int)}
 		return true
 	}
-	o.FirstSeen, o.Deadline = r.order.FirstSeen, r.order.Deadline
+	o.FirstSeen, o.Deadline, o.OnlyVersion = r.order.FirstSeen, r.order.Deadline, r.order.OnlyVersion
 	changed = o.State != r.order.State
 	if r.order.State.Final() && !o.State.Final() {
 		r.recoverOutcome()
@@ -95,14 +95,15 @@
 	}
 }
 
-// retire drops the order of a service and retires its target unless the order was completed. mu is held.
+// retire drops the order of a service and retires its target unless the order was completed or had nothing to move. mu is
+// held.
 func (t *Tracker) retire(service string) {
 	r := t.services[service]
 	if r == nil {
 		return
 	}
 	delete(t.services, service)
-	if r.state() == StateCompleted {
+	if r.state() == StateCompleted || r.order.OnlyVersion {
 		return
 	}
 	if t.retired == nil {
@@ -159,6 +160,9 @@
 // VersionFilter returns a function that reports whether upstreams of a version may get requests of an arm; nil if
 // all may.
 func (t *Tracker) VersionFilter(service string, arm Arm) func(version string) bool {
+	if arm == ArmLast {
+		return nil
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	retired := t.retired[service]
@@ -174,6 +178,45 @@
 	return func(version string) bool { return !retired[version] && (version == target) == (arm == ArmTarget) }
 }
 
+// OtherArm returns the arm to use when one has no upstream left for a request, or false if the request has to be refused.
+// serving are the versions of the service that can serve.
+//
+// Orders move traffic between versions and never refuse it, so while none of the versions that they admit can serve,
+// they exclude none. The target replaces the baseline only while its order isn't rolled back.
+func (t *Tracker) OtherArm(service string, arm Arm, serving []string) (other Arm, ok bool) {
+	usual := t.usualArm(service, serving)
+	return usual, usual != arm && len(serving) > 0
+}
+
+// usualArm returns the first arm that has one of the serving versions.
+func (t *Tracker) usualArm(service string, serving []string) Arm {
+	arms := []Arm{ArmAny}
+	if state, ok := t.stateOf(service); ok {
+		arms = []Arm{ArmBaseline, ArmTarget}
+		if state == StateRolledBack {
+			arms = arms[:1]
+		}
+	}
+	for _, arm := range arms {
+		admits := t.VersionFilter(service, arm)
+		if len(serving) == 0 || admits == nil || slices.ContainsFunc(serving, admits) {
+			return arm
+		}
+	}
+	return ArmLast
+}
+
+// stateOf returns the state of a service's order, or false if there is none.
+func (t *Tracker) stateOf(service string) (State, bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	r := t.services[service]
+	if r == nil {
+		return "", false
+	}
+	return r.state(), true
+}
+
 // CanaryFraction returns the fraction of the target's upstreams that get requests: less than 1 during the canary
 // phase.
 //
@@ -204,8 +247,13 @@
 	return r != nil && version == r.order.Target
 }
 
-// Withdrawn reports whether a version was the target of an order that was rolled back, replaced or deleted.
-func (t *Tracker) Withdrawn(service, version string) bool {
+// Withdrawn reports whether a version was the target of an order that was rolled back, replaced or deleted, and another
+// one of the serving versions replaces it.
+func (t *Tracker) Withdrawn(service, version string, serving []string) bool {
+	return t.excludes(service, version) && t.usualArm(service, serving) != ArmLast
+}
+
+func (t *Tracker) excludes(service, version string) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	r := t.services[service]
--- a/pkg/sageupstream/registry.go
+++ b/pkg/sageupstream/registry.go
@@ -87,6 +87,21 @@
 	return s.all[service]
 }
 
+// ServingVersions returns the versions of a service that have an upstream which can serve: it is neither draining nor in a
+// closed data centre. An upstream that is excluded for the moment counts.
+func (s *Set) ServingVersions(service string) []string {
+	if s == nil {
+		return nil
+	}
+	var out []string
+	for _, e := range s.all[service] {
+		if !e.Draining && !s.closedDataCentres[e.DataCentre] && !slices.Contains(out, e.Version) {
+			out = append(out, e.Version)
+		}
+	}
+	return out
+}
+
 // Usable reports whether this start of the upstream, at this address, may get new requests.
 func (s *Set) Usable(e *Entry) bool {
 	if s == nil {
