Durations made of numbers from outside saturate

What callers saw: an order with duration_s 1e10 or more was over when it was read; an upstream with cold_left_ms 1e300 counted as warm; a request with the deadline NaN was ended at once; a Retry-After of 1e400 was ignored. A route's objective of 1e300 ms lay in the past.

Cause: a float was converted without a check, which gives the greatest integer on arm64 and the least on x86-64, and sums with an instant overflowed. The ID of an order is made of its duration, so nodes of both architectures would have had two IDs for one order.

Change: sageclock.DurationOf saturates, Instant.Add and Sub do so too, and the conversions of numbers from outside and of settings use it.

Not run on x86-64, only vetted for it.

--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -351,7 +351,7 @@
 
 // PrefillTime implements [sagerelay.Fleet].
 func (f *fleet) PrefillTime(service string, tokens int) time.Duration {
-	return time.Duration(tokens) * f.latencies.of(service).prefill.Slope()
+	return sageclock.DurationOf(float64(tokens), f.latencies.of(service).prefill.Slope())
 }
 
 // RecordExchange implements [sagerelay.Fleet].
--- a/internal/sagerouter/settings.go
+++ b/internal/sagerouter/settings.go
@@ -9,6 +9,7 @@
 
 	"github.com/pkg/errors"
 
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagerollout"
 )
 
@@ -153,6 +154,6 @@
 	return out
 }
 
-func seconds(n float64) time.Duration { return time.Duration(n * float64(time.Second)) }
+func seconds(n float64) time.Duration { return sageclock.DurationOf(n, time.Second) }
 
 func millis(n int) time.Duration { return time.Duration(n) * time.Millisecond }
--- a/pkg/sagecapacity/estimate.go
+++ b/pkg/sagecapacity/estimate.go
@@ -101,4 +101,4 @@
 }
 
 // seconds returns s seconds, or an hour if it is more.
-func seconds(s float64) time.Duration { return time.Duration(min(s, maxRun) * float64(time.Second)) }
+func seconds(s float64) time.Duration { return sageclock.DurationOf(min(s, maxRun), time.Second) }
--- a/pkg/sageclock/clock.go
+++ b/pkg/sageclock/clock.go
@@ -13,6 +13,7 @@
 package sageclock
 
 import (
+	"math"
 	"time"
 
 	"golang.org/x/sys/unix"
@@ -31,8 +32,26 @@
 	return Instant(ts.Nano())
 }
 
-// Add returns i+d.
-func (i Instant) Add(d time.Duration) Instant { return i + Instant(d) }
+// Add returns i+d, or the first or last instant if the sum is beyond it.
+func (i Instant) Add(d time.Duration) Instant {
+	sum := i + Instant(d)
+	switch {
+	case d > 0 && sum < i:
+		return math.MaxInt64
+	case d < 0 && sum > i:
+		return math.MinInt64
+	}
+	return sum
+}
 
-// Sub returns the duration i-j.
-func (i Instant) Sub(j Instant) time.Duration { return time.Duration(i - j) }
+// Sub returns the duration i-j, or the shortest or longest duration if the difference is beyond it.
+func (i Instant) Sub(j Instant) time.Duration {
+	difference := time.Duration(i - j)
+	switch {
+	case i > j && difference < 0:
+		return math.MaxInt64
+	case i < j && difference > 0:
+		return math.MinInt64
+	}
+	return difference
+}
--- a/pkg/sagefair/admit.go
+++ b/pkg/sagefair/admit.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagewire"
 )
 
@@ -68,5 +69,5 @@
 		queued += s.byClass[c]
 	}
 	fullRateWait := float64(queued) * startInterval
-	return time.Duration(min(shareWait, fullRateWait) * float64(time.Second))
+	return sageclock.DurationOf(min(shareWait, fullRateWait), time.Second)
 }
--- a/pkg/sagerollout/controller.go
+++ b/pkg/sagerollout/controller.go
@@ -171,7 +171,7 @@
 	earliest := time.Duration(minCanaryPart * float64(duration))
 	at := time.Duration((1 - c.Bounds.ExposedShare) * float64(duration))
 	if rate := requestRate(now.Sub(o.FirstSeen), e); rate > 0 {
-		at -= time.Duration((1 - canarySlackPart) * c.Bounds.ExposedSlack / rate * float64(time.Second))
+		at -= sageclock.DurationOf((1-canarySlackPart)*c.Bounds.ExposedSlack/rate, time.Second)
 	}
 	if at > duration-minCompletionTime {
 		at = duration - completionTime
--- a/pkg/sageshare/cold.go
+++ b/pkg/sageshare/cold.go
@@ -36,7 +36,7 @@
 		return true
 	}
 	senders := min(maxColdSenders, max(1, len(nodes)))
-	interval := time.Duration(float64(senders) / perSecond * float64(time.Second))
+	interval := sageclock.DurationOf(float64(senders)/perSecond, time.Second)
 	next, ok := c.nextSend[upstream]
 	if !ok {
 		next = c.Start.Add(interval) // this node may have sent just before it restarted
