Upstreams: registered slots are bounded

What callers saw: with slots of 9e18 at some upstreams of a rollout's target, or negative ones, the sum of the service's slots was negative: the target never had capacity, so that the order was rolled back; a service seemed to use many of its slots.

Cause: the slots of an entry were summed as they were registered.

Change: the registry limits them to 100,000, the limit that capacity estimates use already; a negative number counts as unknown.

--- a/pkg/sageupstream/registry.go
+++ b/pkg/sageupstream/registry.go
@@ -21,6 +21,9 @@
 // is the shortest time for which the platform keeps leaving upstreams running.
 const LingerTime = 2 * time.Second
 
+// MaxSlots is more than any upstream has, and so few that sums don't overflow.
+const MaxSlots = 100_000
+
 // Entry is the registration of an upstream.
 type Entry struct {
 	// ID identifies one start of an upstream, or its successive starts (see Born).
@@ -33,7 +36,9 @@
 	// Era and Revision are the point in the store's history at which this start of the upstream was first observed.
 	Era, Revision uint64
 	// Created is the store's revision at which the upstream's entry was created; 0 if unknown.
-	Created  uint64
+	Created uint64
+	// Slots is the number of requests that the upstream runs at a time, 0 if unknown. The [Registry] limits it to
+	// [MaxSlots]; a negative one counts as unknown.
 	Slots    int
 	Draining bool
 	// LeaveAnnounced is set by the [Registry] if this start of the upstream announced in a response that it leaves.
@@ -170,6 +175,7 @@
 		r.entries = make(map[string]*Entry)
 	}
 	delete(r.lapsed, e.ID)
+	e.Slots = min(max(0, e.Slots), MaxSlots)
 	if r.leaving.contains(&e) {
 		e.Draining, e.LeaveAnnounced = true, true
 	}
--- a/pkg/sageupstream/registry_test.go
+++ b/pkg/sageupstream/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -147,3 +148,12 @@
 	r.Delete(at(3100), "c")
 	require.Empty(t, ids(r.Snapshot()))
 }
+
+// Prevents a registered number of slots that no upstream can have from making sums overflow.
+func TestSlotsAreBounded(t *testing.T) {
+	for _, tt := range []struct{ slots, want int }{{-1, 0}, {math.MinInt64, 0}, {0, 0}, {64, 64}, {MaxSlots, MaxSlots}, {math.MaxInt64, MaxSlots}} {
+		var r Registry
+		r.Put(Entry{ID: "u", Service: "s", Slots: tt.slots})
+		require.Equal(t, tt.want, r.Snapshot().Get("u").Slots, tt.slots)
+	}
+}
