Configuration: weights and limits are bounded

What callers saw: with weights of 1e308 for two accounts no account had any part of a service that is short of capacity; a negative weight of one service of a route sent all of the route's requests to its last service, and weights of 1e308 did so too.

Cause: the sum of the weights was infinite, and parts of it 0 or no number; a negative weight raised what was left of the draw.

Change: sageroute.New bounds the weights and the limits of accounts, scales weights of services that are beyond the same bounds, takes those that aren't positive for 0, and bounds connections and sizes of bodies, which are summed. What was refused before still is.

Evidence, on the code before: TestHugeWeightsLeaveCapacityInUse: 0 of 100 requests a second divided; TestOddWeightsOfServices: 0, 0 and 1,000 of 1,000 draws instead of 0, 750 and 250; TestOddSharesOfAccountsAreBounded: 1e308; TestOddLimitsAreBounded: -1. All pass now.

--- a/pkg/sageroute/table.go
+++ b/pkg/sageroute/table.go
@@ -84,7 +84,7 @@
 // Service is a set of equivalent upstreams.
 type Service struct {
 	Name string
-	// MaxConns is the number of connections that one upstream accepts from all callers together.
+	// MaxConns is the number of connections that one upstream accepts from all callers together; 0 if unknown.
 	MaxConns int
 	// ColdPerSecond is the number of requests per second that a cold upstream can take; 0 means no
 	// limit.
@@ -132,7 +132,9 @@
 		Services: make(map[string]*Service, len(services)),
 		byHost:   make(map[string]map[string]*Route),
 	}
+	t.Limits.bound()
 	for i := range services {
+		services[i].bound()
 		t.Services[services[i].Name] = &services[i]
 	}
 	for i := range routes {
@@ -140,6 +142,7 @@
 		if err := validate(r); err != nil {
 			return nil, fmt.Errorf("route %q: %w", r.Name, err)
 		}
+		boundWeights(r.Services)
 		host := canonicalHost(r.Host)
 		if t.byHost[host] == nil {
 			t.byHost[host] = make(map[string]*Route)
@@ -154,6 +157,7 @@
 		if err := accounts[i].validate(); err != nil {
 			return nil, fmt.Errorf("account %q: %w", accounts[i].Name, err)
 		}
+		accounts[i].bound()
 		t.byName[accounts[i].Name] = &accounts[i]
 		for _, k := range accounts[i].Keys {
 			t.byKey[k] = &accounts[i]
