rollouts: the next controller knows from the order that it moves traffic

What callers would have seen: a node that becomes the controller of a pending order while all of the baseline's upstreams are away for 1.5 s, as after a loss of power, completed the order, and a target that was never tested got all requests when the baseline was back.

Cause: whether an order has nothing to move was known from what this controller had seen alone.

Change: every node notes, when it first sees an order, whether another version could serve. A node that starts while the baseline is away still can't know.

Evidence: TestNextControllerKnowsTheBaselineFromTheOrder on the code before: phase done (4) instead of pending (0); passes now.

--- a/internal/sagerouter/rollouts.go
+++ b/internal/sagerouter/rollouts.go
@@ -41,7 +41,9 @@
 			continue
 		}
 		o.Rewritten = c.Rewritten
-		o.OnlyVersion = slices.Equal(n.view.upstreams.Load().ServingVersions(o.Service), []string{o.Target})
+		serving := n.view.upstreams.Load().ServingVersions(o.Service)
+		o.HadBaseline = slices.ContainsFunc(serving, func(version string) bool { return version != o.Target })
+		o.OnlyVersion = len(serving) > 0 && !o.HadBaseline
 		if n.fleet.rollouts.Put(o) {
 			log.Info("Rollout order received.", "name", o.Name, "rewritten", o.Rewritten, "service", o.Service, "target", o.Target, "state", string(o.State),
 				"left_ms", o.Deadline.Sub(now).Milliseconds(), "revision", o.Revision)
--- a/pkg/sagerollout/controller.go
+++ b/pkg/sagerollout/controller.go
@@ -85,7 +85,7 @@
 	if p.Phase.Final() {
 		return next
 	}
-	s.hasBaseline = s.hasBaseline || load.BaselineUpstreams > 0 || load.BaselineInFlight > 0 || e.Sum().Baseline.Total() > 0
+	s.hasBaseline = s.hasBaseline || o.HadBaseline || load.BaselineUpstreams > 0 || load.BaselineInFlight > 0 || e.Sum().Baseline.Total() > 0
 	if !load.targetIsAll() {
 		s.onlySince = now
 	}
--- a/pkg/sagerollout/last_test.go
+++ b/pkg/sagerollout/last_test.go
@@ -110,3 +110,14 @@
 		require.Equal(t, tt.want, p.Phase, tt.name)
 	}
 }
+
+// Prevents a node that becomes the controller while the baseline is away from completing an order that moves traffic.
+func TestNextControllerKnowsTheBaselineFromTheOrder(t *testing.T) {
+	c := &Controller{Bounds: Bounds{ExposedShare: 0.1, ExposedSlack: 50}}
+	o, p := order(1, "v2"), Plan{}
+	o.HadBaseline = true
+	for ms := 0; ms <= 4000; ms += 200 {
+		p = c.Step(at(ms), o, p, nil, ServiceLoad{TargetUpstreams: 3})
+		require.Equal(t, PhasePending, p.Phase)
+	}
+}
--- a/pkg/sagerollout/order.go
+++ b/pkg/sagerollout/order.go
@@ -45,6 +45,8 @@
 	State State
 	// OnlyVersion says that no other version could serve when this node first saw the order.
 	OnlyVersion bool
+	// HadBaseline says that another version could serve then.
+	HadBaseline bool
 	// Rewritten says that the order was written again after the store had lost it. Its ID may be a new one.
 	Rewritten bool
 }
--- a/pkg/sagerollout/tracker.go
+++ b/pkg/sagerollout/tracker.go
@@ -45,7 +45,8 @@
 		t.services[o.Service] = &rollout{order: o, splitter: Splitter{InitialCredit: t.random()}, counts: make(map[CountKey]int)}
 		return true
 	}
-	o.FirstSeen, o.Deadline, o.OnlyVersion = r.order.FirstSeen, r.order.Deadline, r.order.OnlyVersion
+	o.FirstSeen, o.Deadline = r.order.FirstSeen, r.order.Deadline
+	o.OnlyVersion, o.HadBaseline = r.order.OnlyVersion, r.order.HadBaseline
 	changed = o.State != r.order.State
 	if r.order.State.Final() && !o.State.Final() {
 		r.recoverOutcome()
