--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -145,7 +145,7 @@
 		return p
 	}
 	if other, ok := f.otherArm(set, q.Service, arm); ok {
-		return f.pickFromArm(now, set, other, q)
+		return f.pickAmong(now, set, f.armUpstreams(set, q.Service, other), false, q)
 	}
 	return nil
 }
@@ -351,7 +351,7 @@
 
 // PrefillTime implements [sagerelay.Fleet].
 func (f *fleet) PrefillTime(service string, tokens int) time.Duration {
-	return time.Duration(tokens) * f.latencies.of(service).prefill.Slope()
+	return sageclock.DurationOf(float64(tokens), f.latencies.of(service).prefill.Slope())
 }
 
 // RecordExchange implements [sagerelay.Fleet].
