An object of the store that can't be decoded is left alone

What callers saw: 503 from a node that never became ready, requests that never reached a new upstream, 200 from a data centre that was closed, and a configuration that stayed, because one entry of another writer held 20,000 nested arrays. Orders, quarantines, claims and nodes beside such an entry had no effect. Cause: a listing, or an answer to a watch, was decoded as one value, and encoding/json refuses one with more than 10,000 levels.

Package sagejson separates the fields and elements of a text by a scan over its bytes, without recursion and with the same memory at any depth. The store's client decodes the metadata of each object by itself and checks spec and status each by itself, up to 9,900 levels: the rest is for what copies between nodes wrap them in. A spec or status that can't be decoded becomes the value false in that object only. It isn't null or left out: null decodes as an empty configuration, an order without a status counts as one that hasn't begun, and a claim without one as that of its creation. All decoders refuse false, and it can be encoded. An object with unreadable metadata is left out. A page continues from its last readable name; if it has none, the listing fails at once, since what is behind it would count as deleted. Each state is logged once, with kind and name, and counted in sagestand_store_objects_unreadable_total. No call to the store is added. A listing as a whole that isn't balanced still fails, as it does when it was cut off.

By kind: an upstream's entry that becomes unreadable names no upstream to use (PROTOCOL.md, "It names no runner to use; the others hold"), so it gets no further requests until it is written again. A closed data centre counts by its name alone, and so does a quarantine. Other names than main of the configuration are ignored, and an unreadable main leaves the last one in force.

--- a/internal/sagerouter/gauges.go
+++ b/internal/sagerouter/gauges.go
@@ -50,6 +50,9 @@
 	if n.Dropped != nil {
 		n.metrics.NewGauge("sagestand_log_lines_dropped_total", func() float64 { return float64(n.Dropped()) })
 	}
+	if n.UnreadableObjects != nil {
+		n.metrics.NewGauge("sagestand_store_objects_unreadable_total", func() float64 { return float64(n.UnreadableObjects()) })
+	}
 }
 
 // exportQuarantineMetrics registers the numbers of suspects and quarantines by kind.
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -109,6 +109,8 @@
 	Log                  sagelog.Logger
 	// Dropped returns how many lines the log has dropped; may be nil.
 	Dropped func() int64
+	// UnreadableObjects returns how many states of objects of the store couldn't be decoded; may be nil.
+	UnreadableObjects func() int64
 
 	kernel          sagekernel.Kernel
 	metrics         *metrics.Set
