--- a/internal/sagemesh/delta_test.go
+++ b/internal/sagemesh/delta_test.go
@@ -4,6 +4,8 @@
 	"bytes"
 	"encoding/json"
 	"fmt"
+	"reflect"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -31,6 +33,22 @@
 	}
 }
 
+// Prevents an odd object that the store's client lets through from taking the other objects of a copy along.
+func TestDeltaWithOddObjects(t *testing.T) {
+	nested := strings.Repeat("[", 9900) + strings.Repeat("]", 9900)
+	var d sagefollow.Delta
+	for i, text := range []string{"1", nested, `{"x":` + nested[1:len(nested)-1] + `}`, "2", "false", "null", "1e400", "\"\xff\"", `"` + strings.Repeat("v", 1<<20) + `"`, "3"} {
+		o := sagefollow.Object{Name: fmt.Sprint("e", i), Revision: uint64(i + 1), Spec: json.RawMessage(text), Status: json.RawMessage(text)}
+		d.Changes = append(d.Changes, sagefollow.Change{Object: o}, sagefollow.Change{Object: o, Deleted: true})
+	}
+	d.Full, d.AsOf = true, 70
+	var b bytes.Buffer
+	require.NoError(t, encodeDelta(&b, d))
+	got, err := decodeDelta(&b)
+	require.NoError(t, err)
+	require.True(t, reflect.DeepEqual(d, got), "too long to be printed")
+}
+
 // Prevents a copy that a node of an earlier version encoded, or a damaged one, from being read wrongly.
 func TestDeltaOfOtherForm(t *testing.T) {
 	text, err := json.Marshal(delta(3))
