--- a/internal/sagejson/doc.go
+++ b/internal/sagejson/doc.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	text, err := sagejson.Read(body)
-//	err = sagejson.Fields(text, func(name string, value []byte) error { ... })
+//	err = sagejson.Fields(text, func(name, value []byte) error { ... })
 //	err = sagejson.Elements(value, func(element []byte) error { ... })
 //	if sagejson.Valid(element) { ... }
 package sagejson
--- a/internal/sagejson/split.go
+++ b/internal/sagejson/split.go
@@ -66,17 +66,19 @@
 }
 
 // Fields calls f for the fields of an object. It stops at the first error.
-func Fields(object []byte, f func(name string, value []byte) error) error {
+func Fields(object []byte, f func(name, value []byte) error) error {
 	return split(object, '{', '}', func(field []byte) error {
 		end := nameEnd(field)
 		if end == 0 {
 			return fmt.Errorf("field without a name: %w", ErrSyntax)
 		}
-		name := string(field[1 : end-1])
-		if bytes.IndexByte(field[:end], '\\') >= 0 {
-			if err := json.Unmarshal(field[:end], &name); err != nil {
+		name := field[1 : end-1]
+		if bytes.IndexByte(name, '\\') >= 0 {
+			var text string
+			if err := json.Unmarshal(field[:end], &text); err != nil {
 				return fmt.Errorf("name of a field: %v: %w", err, ErrSyntax)
 			}
+			name = []byte(text)
 		}
 		value, ok := bytes.CutPrefix(trim(field[end:]), []byte(":"))
 		if !ok {
--- a/internal/sagejson/split_test.go
+++ b/internal/sagejson/split_test.go
@@ -16,8 +16,8 @@
 func fields(t *testing.T, text string) map[string]string {
 	t.Helper()
 	out := make(map[string]string)
-	require.NoError(t, Fields([]byte(text), func(name string, value []byte) error {
-		out[name] = string(value)
+	require.NoError(t, Fields([]byte(text), func(name, value []byte) error {
+		out[string(name)] = string(value)
 		return nil
 	}))
 	return out
@@ -36,7 +36,7 @@
 	require.Equal(t, map[string]string{"a": "1", "b": `{"c":[1,"]}\","]}`, "d\n": "", "": "null"},
 		fields(t, "{\"a\" : 0, \"b\":{\"c\":[1,\"]}\\\",\"]} ,\n\"d\\u000a\": , \"a\":1,\"\":null}"), "the last field of a name counts")
 	for _, text := range []string{"", "null", "[]", "{", "}", `{"a":1`, `{"a"}`, `{a:1}`, `{"a":1,}`, `{"a":"}`, `{"\x":1}`, `{"a":1}}`, `{]"a":[1}`} {
-		require.ErrorIs(t, Fields([]byte(text), func(string, []byte) error { return nil }), ErrSyntax, text)
+		require.ErrorIs(t, Fields([]byte(text), func(_, _ []byte) error { return nil }), ErrSyntax, text)
 	}
 }
 
@@ -59,7 +59,7 @@
 	calls := 0
 	stop := func() error { calls++; return io.ErrNoProgress }
 	require.ErrorIs(t, Elements([]byte("[1,2]"), func([]byte) error { return stop() }), io.ErrNoProgress)
-	require.ErrorIs(t, Fields([]byte(`{"a":1,"b":2}`), func(string, []byte) error { return stop() }), io.ErrNoProgress)
+	require.ErrorIs(t, Fields([]byte(`{"a":1,"b":2}`), func(_, _ []byte) error { return stop() }), io.ErrNoProgress)
 	require.Equal(t, 2, calls)
 }
 
@@ -128,8 +128,8 @@
 	}
 	f.Fuzz(func(t *testing.T, text []byte) {
 		got := make(map[string]string)
-		err := Fields(text, func(name string, value []byte) error {
-			got[strings.ToValidUTF8(name, "\ufffd")] = string(value)
+		err := Fields(text, func(name, value []byte) error {
+			got[strings.ToValidUTF8(string(name), "\ufffd")] = string(value)
 			return nil
 		})
 		var want map[string]json.RawMessage
