A claim that can't be decoded is replaced

What callers saw: nothing at first. Under the name of a service's claim, an object that can't be decoded stayed for good: each node tried to create the claim every 200 ms, was refused because the object exists, and a stream's version was never recorded for the case that all nodes are lost. The comment of read said that such a claim counts as one that names no version, but its object's name and revision weren't kept, so that it was never written over. They are kept now, and the claim is written in place of that state, as one that isn't sole: streams may have begun at other versions. The line on unreadable claims is limited, since each read writes it.

--- a/internal/sagerouter/claims.go
+++ b/internal/sagerouter/claims.go
@@ -39,12 +39,18 @@
 // storedClaims are the claims of one listing of the store.
 type storedClaims struct {
 	byService map[string]storedClaim
-	at        sagefollow.Point
+	// unreadable holds the revisions of the objects that can't be decoded, by name.
+	unreadable map[string]uint64
+	at         sagefollow.Point
 }
 
-// of returns the claim of a service. One of an earlier era of the store is void, but its object remains.
+// of returns the claim of a service. One of an earlier era of the store, or one that can't be decoded, is void, but its object
+// remains and is replaced.
 func (s *storedClaims) of(service string) storedClaim {
-	c := s.byService[service]
+	c, ok := s.byService[service]
+	if name := claimName(service); !ok && s.unreadable[name] != 0 {
+		c.Name, c.Revision = name, s.unreadable[name]
+	}
 	if c.Era != s.at.Era {
 		c.Claim = sageorigin.Claim{}
 	}
@@ -257,12 +263,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("list claims: %w", err)
 	}
-	out := &storedClaims{byService: make(map[string]storedClaim), at: sagefollow.Point{Era: d.Era, Revision: d.AsOf}}
+	out := &storedClaims{byService: make(map[string]storedClaim), unreadable: make(map[string]uint64), at: sagefollow.Point{Era: d.Era, Revision: d.AsOf}}
 	for i := range d.Changes {
 		object := &d.Changes[i].Object
 		c, err := decodeClaim(object)
 		if err != nil {
-			k.Log.Warn("Claim can't be read.", "name", object.Name, "err", err)
+			out.unreadable[object.Name] = object.Revision
+			k.Log.Limited(sagelog.KindStateChange, "Claim can't be read.", "name", object.Name, "err", err)
 			continue
 		}
 		out.byService[c.Service] = storedClaim{Claim: c, Name: object.Name, Revision: object.Revision}
