A node whose own entry is unusable replaces it

What callers saw: two nodes of a new fleet that each served alone and named only their own address, because the object under the first one's name in the store, by another writer, named no address. A node created its entry only if none existed, and one that can't be decoded, or has no valid address, stayed; nodes that started later had nowhere to send to. The node deletes such an entry before it creates its own: one more call, and only then.

--- a/internal/sagerouter/registrar.go
+++ b/internal/sagerouter/registrar.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"maps"
 	"math/rand/v2"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -106,6 +107,11 @@
 		if r.staleLists++; n.Settings.FirstStart && r.staleLists <= maxStaleLists {
 			return errOutdatedList
 		}
+		if e, ok := entries[n.Settings.Node]; ok && !e.isUsable() {
+			if err := n.Store.Delete(ctx, n.Kinds.Nodes, n.Settings.Node); err != nil {
+				return fmt.Errorf("delete unusable entry: %w", err)
+			}
+		}
 		if err := r.create(ctx); err != nil {
 			return err
 		}
@@ -176,6 +182,12 @@
 	return ok && e.Mesh == r.entry().Mesh && e.DataCentre == r.entry().DataCentre
 }
 
+// isUsable reports whether the entry has an address to which heartbeats can be sent.
+func (e *nodeEntry) isUsable() bool {
+	_, err := netip.ParseAddrPort(e.Mesh)
+	return err == nil
+}
+
 // list returns the entries of the registered nodes by name. Those that can't be decoded are empty.
 func (r *registrar) list(ctx context.Context, read sagefollow.PageReader) (map[string]nodeEntry, error) {
 	d, err := sagefollow.ListAll(ctx, read, r.node.Kinds.Nodes)
