--- a/cmd/sagebench/cases.go
+++ b/cmd/sagebench/cases.go
@@ -103,3 +103,37 @@
 	p.addFlags(c)
 	return c
 }
+
+func pausesCommand() *cobra.Command {
+	p := new(casePlayer)
+	var seed uint64
+	var count int
+	c := &cobra.Command{
+		Use:   "pauses",
+		Short: "Have upstreams stand still while the configuration changes, beside other faults, and check all answers",
+		Args:  sagecli.ExactArgs(),
+		RunE: func(c *cobra.Command, _ []string) error {
+			if count < 1 || count > sagesoak.MaxPauses {
+				return fmt.Errorf("%w: --pauses: must be 1 to %d", sagecli.ErrUsage, sagesoak.MaxPauses)
+			}
+			for _, x := range sagesoak.PauseCases() {
+				err := p.play(c, x.Name, func(dir string) (string, bool, error) {
+					x.Program, x.Dir, x.Seed, x.Count = p.program, dir, seed, count
+					r, err := x.Run(c.Context())
+					if err != nil {
+						return "", false, err
+					}
+					return strings.Join(append([]string{r.String()}, r.Details...), "\n  "), r.Failed(), nil
+				})
+				if err != nil {
+					return err
+				}
+			}
+			return p.result()
+		},
+	}
+	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the upstreams that stand still")
+	c.Flags().IntVar(&count, "pauses", sagesoak.MaxPauses, "number of pauses, one every 6 s")
+	p.addFlags(c)
+	return c
+}
