--- a/internal/sagesoak/pauses.go
+++ b/internal/sagesoak/pauses.go
@@ -26,7 +26,8 @@
 	pausesStart       = time.Second
 	pausesPeriod      = 6 * time.Second
 	pausesChangeLead  = 600 * time.Millisecond // between a change of the configuration and the pause
-	pausesSettle      = 2 * time.Second
+	pausesWarmUp      = time.Second
+	pausesSettle      = time.Second
 	pausesSwapEvery   = 2500 * time.Millisecond
 	pausesEntryStays  = 800 * time.Millisecond
 	pausesCutEvery    = 4 * time.Second
@@ -115,6 +116,7 @@
 		{Name: "late copies without ID", Faults: declined, Extra: standin.ExtraBytes{Repeated: 0.3, NoID: 0.5}},
 		{Name: "cut copies", Faults: declined, Extra: standin.ExtraBytes{Cut: 0.3}},
 		{Name: "copies inside responses", Faults: declined, Inside: 0.05},
+		{Name: "copies inside streams without length", Faults: standin.RunnerFaults{Declined: 0.16, Unframed: 0.5}, Inside: 0.05},
 		{Name: "refusals without statement", Options: standin.PausableOptions{Unstated: 0.1}},
 		{Name: "addresses used again", Swaps: true},
 		{Name: "hops", Hops: true},
@@ -174,7 +176,7 @@
 	for i := range p.sys.Runners {
 		p.inject(i)
 	}
-	sageclock.Sleep(ctx, time.Second)
+	sageclock.Sleep(ctx, pausesWarmUp)
 	loadCtx, stop := context.WithCancel(ctx)
 	defer stop()
 	var callers, others sync.WaitGroup
@@ -198,7 +200,7 @@
 		others.Go(func() { signalErr = p.signalNodes(loadCtx) })
 	}
 	p.pause(ctx)
-	sageclock.Sleep(ctx, pausesSettle/2)
+	sageclock.Sleep(ctx, pausesSettle)
 	stop()
 	others.Wait()
 	callers.Wait()
@@ -247,7 +249,9 @@
 		}
 		sageclock.Sleep(ctx, pausedFor[i])
 		p.sys.OpenGates()
-		sageclock.Sleep(ctx, time.Until(start.Add(pausesPeriod)))
+		if i < p.Count-1 {
+			sageclock.Sleep(ctx, time.Until(start.Add(pausesPeriod)))
+		}
 	}
 }
 
