--- a/internal/sagesoak/pauses.go
+++ b/internal/sagesoak/pauses.go
@@ -226,6 +226,9 @@
 		}
 		out.Details = append(out.Details, text)
 	}
+	if out.Failed() {
+		out.Details = append(out.Details, p.sys.Ledger.Violations()...)
+	}
 	return out
 }
 
