Tests: requests and cut responses are shared under a lock

The race detector reported data races in the new tests, not in the program: the text to write over TCP, and the list of requests, were read without a lock (TestResponsesCutAnywhereOverTCP, TestResponsesOfPeersCutAnywhere).

--- a/internal/sagerelay/cut_test.go
+++ b/internal/sagerelay/cut_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"syscall"
@@ -154,3 +155,10 @@
 	s.ServeHTTP(out, req)
 	return out
 }
+
+// requests returns the requests that reached upstreams or peers.
+func (f *fakeFleet) requests() []*http.Request {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.Clone(f.sent)
+}
--- a/internal/sagerelay/heads_test.go
+++ b/internal/sagerelay/heads_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 
@@ -194,10 +195,10 @@
 									serveOnce(t, s, "id1") // served by b
 									synctest.Wait()
 								}
-								before := len(f.sent)
+								before := len(f.requests())
 								out := serveOnce(t, s, "id2")
 								s.CloseIdleConnections()
-								r.require(t, &route, out, len(f.sent)-before, end, fmt.Sprintf("%q", r.text[:cut]))
+								r.require(t, &route, out, len(f.requests())-before, end, fmt.Sprintf("%q", r.text[:cut]))
 							})
 						}
 					})
@@ -219,23 +220,19 @@
 					f := newFakeFleet(t, route, map[string]upstream{"a": nil, "b": nil})
 					f.retryBudget = 1 << 20
 					s := f.service()
-					var text string
+					var next atomic.Value // what a writes
 					a := func(c net.Conn, _ int, _ *http.Request) bool {
-						writeAndEnd(c, text, end)
+						writeAndEnd(c, next.Load().(string), end)
 						return false
 					}
 					s.Dial = dialScriptsOverTCP(t, f, map[string]connScript{"a": a, "b": serveRest(r.stream)})
 					for _, cut := range r.cuts(end) {
 						id := fmt.Sprintf("id%03d", cut)
-						text = cutResponses(id)[i].text[:cut]
-						f.mu.Lock()
-						before := len(f.sent)
-						f.mu.Unlock()
+						text := cutResponses(id)[i].text[:cut]
+						next.Store(text)
+						before := len(f.requests())
 						out := serveOnce(t, s, id)
-						f.mu.Lock()
-						sent := len(f.sent) - before
-						f.mu.Unlock()
-						r.require(t, &route, out, sent, end, fmt.Sprintf("%q", text))
+						r.require(t, &route, out, len(f.requests())-before, end, fmt.Sprintf("%q", text))
 					}
 					s.CloseIdleConnections()
 				})
@@ -264,7 +261,7 @@
 							s.peers.init(dialScripts(f, map[string]connScript{"a": r.script(false, cut, end), "b": serveRest(r.stream)}))
 							out := serveOnce(t, s, "id2")
 							s.peers.pooled.CloseIdleConnections()
-							r.require(t, &route, out, len(f.sent), end, fmt.Sprintf("%q", r.text[:cut]))
+							r.require(t, &route, out, len(f.requests()), end, fmt.Sprintf("%q", r.text[:cut]))
 						})
 					}
 				})
@@ -305,11 +302,11 @@
 							body := out.Body.String()
 							if third {
 								require.Equal(t, cutEvents+restEvent, body, "%q", r.text[:cut])
-								require.Len(t, f.sent, 3)
+								require.Len(t, f.requests(), 3)
 								return
 							}
 							require.True(t, strings.HasPrefix(cutEvents+restEvent, body) && strings.HasSuffix(body, "\n\n"), "%q: %q", r.text[:cut], body)
-							require.Equal(t, "1", cmp.Or(f.sent[1].Header.Get(testLast), "none"))
+							require.Equal(t, "1", cmp.Or(f.requests()[1].Header.Get(testLast), "none"))
 						})
 					}
 				})
--- a/internal/sagerelay/status_test.go
+++ b/internal/sagerelay/status_test.go
@@ -33,7 +33,7 @@
 							return
 						}
 						require.Equal(t, http.StatusBadGateway, out.Code)
-						require.Len(t, f.sent, 1)
+						require.Len(t, f.requests(), 1)
 					})
 				})
 			}
--- a/internal/sagerelay/statusline_test.go
+++ b/internal/sagerelay/statusline_test.go
@@ -38,7 +38,7 @@
 						w := serveID(t, s, "id2")
 						s.CloseIdleConnections()
 						require.Equal(t, http.StatusBadGateway, w.Code)
-						require.Len(t, f.sent, 2, "a booking that ran is not sent again")
+						require.Len(t, f.requests(), 2, "a booking that ran is not sent again")
 					})
 				})
 			}
