--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -120,13 +120,6 @@
 	return nil
 }
 
-// sends returns the number of requests that upstreams, or peers, have read.
-func (f *fakeFleet) sends() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.sent)
-}
-
 func (f *fakeFleet) Serves(o sageorigin.Origin) bool {
 	for _, n := range f.names {
 		if f.versions[n] == o.Version {
