--- a/internal/sagerelay/fuzz_test.go
+++ b/internal/sagerelay/fuzz_test.go
@@ -232,7 +232,7 @@
 			cut := u.n(len(text))
 			missing := len(text) - cut
 			if id := strings.Index(late, testID); own.framing == "length" && !own.stream && cut >= len(own.head) && missing < id+strings.Index(late[id:], "\n")+1 {
-				late = "" // a body with a part of another head that doesn't show its ID, which nodes can't tell
+				late = "" // a body with a part of another head that doesn't show its ID, which nodes can't detect
 			}
 			return send("a copy inside", text[:cut]+late, []connEnd{endReset, endOpen}[u.n(2)])
 		case damage == 10 && keep:
--- a/internal/sagerelay/heads_test.go
+++ b/internal/sagerelay/heads_test.go
@@ -76,7 +76,7 @@
 }
 
 // cuts returns the places at which the response is cut so that it isn't complete. A plain one without length that is closed in order
-// behind its head can't be told from a short one, neither can a stream between two events.
+// behind its head can't be distinguished from a short one, neither can a stream between two events.
 func (r *cutResponse) cuts(end connEnd) []int {
 	head := r.before
 	for early := true; early; {
--- a/pkg/sagerollout/tracker.go
+++ b/pkg/sagerollout/tracker.go
@@ -180,10 +180,8 @@
 }
 
 // OtherArm returns the arm to use when one has no upstream left for a request, or false if the request has to be refused.
-// serving are the versions of the service that can serve.
-//
-// Orders move traffic between versions and never refuse it, so while none of the versions that they admit can serve,
-// they exclude none. The target replaces the baseline only while its order isn't rolled back.
+// serving are the versions of the service that can serve. The target replaces the baseline only while its order isn't rolled
+// back; while the orders admit none of the serving versions, they exclude none.
 func (t *Tracker) OtherArm(service string, arm Arm, serving []string) (other Arm, ok bool) {
 	usual := t.usualArm(service, serving)
 	return usual, usual != arm && len(serving) > 0
