relay: a line and a count for responses without an ID

The lines of rejections didn't say whether the response had an ID and whether its connection was reused, which is what tells the hypotheses of docs/incidents/rejections-without-id.md apart. Counted as sagestand_foreign_responses_total{outcome="unidentified"}. No change of behaviour.

--- a/internal/sagerelay/owner.go
+++ b/internal/sagerelay/owner.go
@@ -31,6 +31,7 @@
 	x.recordSkipped()
 	owner := x.ownerOf(res)
 	if owner == sageconn.OwnerUnknown {
+		x.recordUnidentified(res)
 		x.tracker.Discard()
 	}
 	return owner != sageconn.OwnerOther
@@ -64,6 +65,13 @@
 	return x.rejectResponse("response belongs to another request")
 }
 
+// recordUnidentified records a response without an ID.
+func (x *exchange) recordUnidentified(res *http.Response) {
+	x.countForeign("unidentified", 1)
+	x.j.s.Log.Limited(sagelog.KindExchange, "Response has no request ID.", "id", x.j.meta.ID, "upstream", x.upstreamID(), "status", res.StatusCode,
+		"not_run", x.j.s.Dialect.ParseResponse(res).NotRun, "reused", x.conn.reused, "idle_ms", x.conn.idle.Milliseconds())
+}
+
 // countForeign counts responses to other requests.
 func (x *exchange) countForeign(outcome string, n int) {
 	x.j.s.Metrics.GetOrCreateCounter(`sagestand_foreign_responses_total{service="` + x.j.serviceName + `",outcome="` + outcome + `"}`).Add(n)
