A response without an ID belongs to no request

Cause: owns took a response without an ID for the request's own, and believed "not run", 421, a pause and a departure in it. Upstreams echo the ID of the request, and one that is faulty may send more responses than requests: without an ID, such a response belongs to none. No connection is used after a response without an ID, but the one before it had one.

Why the fix works: only the ID shows whose a response is. On a reused connection a response without one is skipped like a copy of another's, and the request gets its own response; if none comes in the time that a first byte may take, the exchange fails as "may have run". On a new connection, where nothing precedes the response, the exchange fails at once.

--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -66,10 +66,12 @@
 	begun atomic.Bool
 	// unusableSince is when the upstream was first found unusable; only CancelUndelivered uses it.
 	unusableSince sageclock.Instant
-	// skipped is the number of responses to other requests that have been recorded.
+	// skipped is the number of skipped responses that have been recorded.
 	skipped int
-	tracker sageconn.Tracker
-	cancel  context.CancelCauseFunc
+	// identified is set once the response to the request has arrived.
+	identified atomic.Bool
+	tracker    sageconn.Tracker
+	cancel     context.CancelCauseFunc
 }
 
 // sendTo sends the request to an upstream and forwards the response.
@@ -149,7 +151,7 @@
 func (x *exchange) send(ctx context.Context) (*http.Response, error) {
 	j := x.j
 	x.tracker.AtMostOnce = true // further sends are decided by mayResend
-	x.tracker.Owner = x.ownerOf
+	x.tracker.Owner = func(res *http.Response) sageconn.Owner { return x.examineOwner(ctx, res) }
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotConn: x.handleConn, PutIdleConn: x.tracker.PutIdleConn})
 	u := *j.r.URL
 	u.Scheme, u.Host = "http", x.address()
@@ -233,6 +235,10 @@
 		x.countForeign("merged", 1)
 		return x.rejectResponse(err.Error()) // says nothing about the connection's idle time
 	}
+	if errors.Is(context.Cause(ctx), errUnidentified) {
+		x.recordAbandoned()
+		return x.rejectResponse(errUnidentified.Error())
+	}
 	if cause := context.Cause(ctx); errors.Is(cause, errQuarantined) || errors.Is(cause, errUndelivered) {
 		return x.failCancelled(cause, unsent)
 	}
--- a/internal/sagerelay/owner.go
+++ b/internal/sagerelay/owner.go
@@ -1,7 +1,9 @@
 package sagerelay
 
 import (
+	"context"
 	"net/http"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -10,8 +12,11 @@
 	"sagestand.example/sagestand/pkg/sagehealth"
 )
 
-// ownerOf returns whose a response is. A faulty upstream may send a second copy of an earlier response, which arrives before
-// the response to the next request on the connection. It is skipped.
+// errUnidentified is the cause with which an exchange is cancelled that got a response without an ID, and no other one after it.
+var errUnidentified = errors.New("no response after one without a request ID")
+
+// ownerOf returns whose a response is. A faulty upstream may send a second copy of an earlier response, or one to no request,
+// which arrives before the response to the next request on the connection. It is skipped.
 func (x *exchange) ownerOf(res *http.Response) sageconn.Owner {
 	switch x.j.s.Dialect.ParseResponse(res).ID {
 	case x.j.meta.ID:
@@ -22,19 +27,31 @@
 	return sageconn.OwnerOther
 }
 
-// owns reports whether a response is the one to this exchange's request. Until then nothing in it may be believed, neither
-// that the request has not run nor what it says about its upstream.
-//
-// A response with an ID belongs to the request with that ID. Not all others' can be skipped. Rejections may lack one. Such a
-// response belongs to this request, since it is no copy: no connection is used again after a response without an ID.
-func (x *exchange) owns(res *http.Response) bool {
-	x.recordSkipped()
+// examineOwner is [exchange.ownerOf] for responses as they arrive. After one without an ID, the response to the request may still
+// come, since it may have belonged to none; but the upstream may also have rejected the request without its ID. So the
+// exchange ends if no response comes in the time that it usually takes.
+func (x *exchange) examineOwner(ctx context.Context, res *http.Response) sageconn.Owner {
 	owner := x.ownerOf(res)
-	if owner == sageconn.OwnerUnknown {
+	if owner == sageconn.OwnerUnknown && res.StatusCode >= http.StatusOK {
 		x.recordUnidentified(res)
-		x.tracker.Discard()
+		time.AfterFunc(x.j.firstByteTimeout(), func() {
+			// Without a skipped response, the exchange has taken another connection since.
+			if ctx.Err() == nil && !x.identified.Load() && x.tracker.Skipped() > 0 {
+				x.cancel(errUnidentified)
+			}
+		})
 	}
-	return owner != sageconn.OwnerOther
+	return owner
+}
+
+// owns reports whether a response is the one to this exchange's request. Until then nothing in it may be believed, neither
+// that the request has not run nor what it says about its upstream. Upstreams and peers echo the request's ID, so a response
+// without one belongs to no request.
+func (x *exchange) owns(res *http.Response) bool {
+	x.recordSkipped()
+	own := x.ownerOf(res) == sageconn.OwnerSelf
+	x.identified.Store(own)
+	return own
 }
 
 // errForeignInside reports an event that holds a response to another request.
@@ -45,7 +62,7 @@
 	return x.conn.reused && sageconn.HoldsForeign(body, x.ownerOf)
 }
 
-// recordSkipped records the responses to other requests that have been skipped since it was last called.
+// recordSkipped records the responses that have been skipped since it was last called.
 func (x *exchange) recordSkipped() {
 	n := x.tracker.Skipped() - x.skipped
 	if n <= 0 {
@@ -53,26 +70,26 @@
 	}
 	x.skipped += n
 	x.countForeign("skipped", n)
-	x.j.s.Log.Limited(sagelog.KindExchange, "Responses to other requests skipped.", "id", x.j.meta.ID, "upstream", x.upstreamID(), "skipped", n, "idle_ms", x.conn.idle.Milliseconds())
+	x.j.s.Log.Limited(sagelog.KindExchange, "Responses to other requests, or to none, skipped.", "id", x.j.meta.ID, "upstream", x.upstreamID(), "skipped", n, "idle_ms", x.conn.idle.Milliseconds())
 }
 
 // rejectForeign handles an exchange that got a response which isn't known to be its own. The request may have run.
 func (x *exchange) rejectForeign(res *http.Response) verdict {
 	j, meta := x.j, x.j.s.Dialect.ParseResponse(res)
-	j.s.Log.Limited(sagelog.KindExchange, "Response belongs to another request.", "id", j.meta.ID, "response_id", truncate(meta.ID), "upstream", x.upstreamID(), "status", res.StatusCode,
+	j.s.Log.Limited(sagelog.KindExchange, "Response isn't known to belong to its request.", "id", j.meta.ID, "response_id", truncate(meta.ID), "upstream", x.upstreamID(), "status", res.StatusCode,
 		"not_run", meta.NotRun, "reused", x.conn.reused, "idle_ms", x.conn.idle.Milliseconds())
 	x.countForeign("rejected", 1)
-	return x.rejectResponse("response belongs to another request")
+	return x.rejectResponse("response isn't known to belong to the request")
 }
 
 // recordUnidentified records a response without an ID.
 func (x *exchange) recordUnidentified(res *http.Response) {
 	x.countForeign("unidentified", 1)
 	x.j.s.Log.Limited(sagelog.KindExchange, "Response has no request ID.", "id", x.j.meta.ID, "upstream", x.upstreamID(), "status", res.StatusCode,
-		"not_run", x.j.s.Dialect.ParseResponse(res).NotRun, "reused", x.conn.reused, "idle_ms", x.conn.idle.Milliseconds())
+		"not_run", x.j.s.Dialect.ParseResponse(res).NotRun)
 }
 
-// countForeign counts responses to other requests.
+// countForeign counts responses that aren't the request's own.
 func (x *exchange) countForeign(outcome string, n int) {
 	x.j.s.Metrics.GetOrCreateCounter(`sagestand_foreign_responses_total{service="` + x.j.serviceName + `",outcome="` + outcome + `"}`).Add(n)
 }
--- /dev/null
+++ b/internal/sagerelay/unidentified_test.go
@@ -0,0 +1,110 @@
+package sagerelay
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"sagestand.example/sagestand/pkg/sageclock"
+	"sagestand.example/sagestand/pkg/sageroute"
+)
+
+// unidentifiedRejections are responses without an ID that say "not run", by name.
+func unidentifiedRejections() map[string]string {
+	const all = testLeaving + ": 1\r\n" + testPause + ": 1m\r\n" + testBrittle + ": 1\r\n"
+	out := make(map[string]string)
+	for _, status := range []int{503, 429, 400} {
+		out[fmt.Sprint(status)] = responseText(status, "", testNotRun+": 1\r\n", "no")
+	}
+	out["misdirected"] = responseText(421, "", "", "")
+	out["that says all about its upstream"] = responseText(503, "", testNotRun+": 1\r\n"+all, "")
+	out["that closes the connection"] = responseText(503, "", testNotRun+": 1\r\nConnection: close\r\n", "")
+	return out
+}
+
+// Prevents a rejection without an ID, which an upstream sends beside its responses, from being believed of a request that
+// runs: the request would be sent to another upstream or refused as not run.
+func TestRejectionWithoutIDBelongsToNoRequest(t *testing.T) {
+	positions := []struct {
+		name   string
+		reused bool
+		write  func(extra, own string) string
+		// once is the status of a request that must be executed at most once, idempotent the upstream that answers another.
+		once       int
+		idempotent string
+	}{
+		{"before the response on a reused connection", true, func(extra, own string) string { return extra + own }, 200, "from a"},
+		{"twice before the response on a reused connection", true, func(extra, own string) string { return extra + extra + own }, 200, "from a"},
+		{"in place of the response on a reused connection", true, func(extra, _ string) string { return extra }, 502, "from b"},
+		{"before the response on a new connection", false, func(extra, own string) string { return extra + own }, 502, "from b"},
+		{"in place of the response on a new connection", false, func(extra, _ string) string { return extra }, 502, "from b"},
+	}
+	for name, extra := range unidentifiedRejections() {
+		for _, p := range positions {
+			for _, kind := range []sageroute.Kind{sageroute.Once, sageroute.Idempotent, sageroute.Stream} {
+				t.Run(fmt.Sprintf("%s/%s/%s", name, p.name, kind), func(t *testing.T) {
+					synctest.Test(t, func(t *testing.T) {
+						r := testRoute(kind)
+						header, body := sealHeader, func(from string) string { return from }
+						if kind == sageroute.Stream {
+							r.Resumable = false
+							header += "Content-Type: text/event-stream\r\n"
+							body = func(from string) string { return "id: 1\ndata: " + from + "\n\n" }
+						}
+						f := newFakeFleet(t, r, map[string]upstream{"a": nil, "b": nil})
+						ran := make(map[string]int)
+						s := scriptedService(f, func(w net.Conn, _ int, req *http.Request) bool {
+							id := req.Header.Get(testID)
+							ran[id]++
+							out := responseText(200, id, header, body("from a"))
+							if id == "id2" {
+								out = p.write(extra, out)
+							}
+							_, err := io.WriteString(w, out)
+							return err == nil
+						})
+						if p.reused {
+							proveReuse(s)
+							require.Equal(t, http.StatusOK, serveID(t, s, "id1").Code)
+							synctest.Wait()
+						}
+						w := serveID(t, s, "id2")
+						synctest.Wait()
+						s.toUpstreams().pooled.CloseIdleConnections()
+						require.Equal(t, 1, ran["id2"])
+						if kind == sageroute.Idempotent {
+							require.Equal(t, http.StatusOK, w.Code)
+							require.Equal(t, body(p.idempotent), w.Body.String())
+						} else {
+							require.Equal(t, p.once, w.Code, "it ran")
+							require.Equal(t, 1, sendsOf(f, "id2"), "it isn't sent again")
+						}
+						require.Empty(t, f.left)
+						require.Empty(t, f.misdirected)
+						require.Empty(t, f.declined)
+						require.Empty(t, f.maxDeclines)
+						require.Zero(t, f.pauses.PausedUntil(sageclock.Now(), "a"))
+					})
+				})
+			}
+		}
+	}
+}
+
+// sendsOf returns how often a request was sent to upstreams.
+func sendsOf(f *fakeFleet, id string) int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := 0
+	for _, req := range f.sent {
+		if req.Header.Get(testID) == id {
+			n++
+		}
+	}
+	return n
+}
--- a/internal/sagesoak/pauses.go
+++ b/internal/sagesoak/pauses.go
@@ -114,6 +114,7 @@
 		{Name: "idle connections closed", Options: standin.PausableOptions{IdleTimeout: 25 * time.Millisecond}},
 		{Name: "late copies", Faults: declined, Extra: standin.ExtraBytes{Repeated: 0.5}},
 		{Name: "late copies without ID", Faults: declined, Extra: standin.ExtraBytes{Repeated: 0.3, NoID: 0.5}},
+		{Name: "rejections of no request", Extra: standin.ExtraBytes{Unasked: 0.05}},
 		{Name: "cut copies", Faults: declined, Extra: standin.ExtraBytes{Cut: 0.3}},
 		{Name: "copies inside responses", Faults: declined, Inside: 0.05},
 		{Name: "copies inside streams without length", Faults: standin.RunnerFaults{Declined: 0.16, Unframed: 0.5}, Inside: 0.05},
--- a/internal/sagesoak/responses.go
+++ b/internal/sagesoak/responses.go
@@ -14,6 +14,7 @@
 const (
 	maxRepeatedShare = 0.3
 	maxCutShare      = 0.2
+	maxUnaskedShare  = 0.2
 	maxEndlessShare  = 0.05
 	maxDeclinedShare = 0.4
 	maxExtraTime     = 4 * time.Second
@@ -24,8 +25,8 @@
 type responseFaults struct {
 	soak *Soak
 	rng  *rand.Rand
-	// cutRNG draws the copies that are cut off.
-	cutRNG *rand.Rand
+	// cutRNG draws the copies that are cut off, unaskedRNG the rejections that belong to no request.
+	cutRNG, unaskedRNG *rand.Rand
 }
 
 // newResponseFaults returns the faults of the seed, or nil if the soak has none.
@@ -33,7 +34,7 @@
 	if !s.Responses {
 		return nil
 	}
-	return &responseFaults{soak: s, rng: rand.New(rand.NewPCG(s.Seed, 10)), cutRNG: rand.New(rand.NewPCG(s.Seed, 13))}
+	return &responseFaults{soak: s, rng: rand.New(rand.NewPCG(s.Seed, 10)), cutRNG: rand.New(rand.NewPCG(s.Seed, 13)), unaskedRNG: rand.New(rand.NewPCG(s.Seed, 14))}
 }
 
 // run injects the faults until the soak's duration has passed.
@@ -52,6 +53,9 @@
 	if f.cutRNG.IntN(2) == 0 {
 		extra.Cut = f.cutRNG.Float64() * maxCutShare
 	}
+	if f.unaskedRNG.IntN(2) == 0 {
+		extra.Unasked = f.unaskedRNG.Float64() * maxUnaskedShare
+	}
 	if f.rng.IntN(3) == 0 {
 		extra.Endless = f.rng.Float64() * maxEndlessShare
 	}
