relay: responses without an ID are skipped by the relay's own rule

The filter of sageconn skipped them for all its users. serve's dispatcher fails an attempt at such a response at once, and would have waited for another one.

--- a/internal/sageconn/conn.go
+++ b/internal/sageconn/conn.go
@@ -147,7 +147,7 @@
 }
 
 // beginUse begins the use of the connection by another request and returns the number of the use. If owner isn't nil, it says
-// whose the responses are, others before the request's own are skipped, and the connection is sealed if an
+// whose the responses are, those to other requests before the request's own are skipped, and the connection is sealed if an
 // earlier response wasn't identified.
 func (c *Conn) beginUse(owner func(*http.Response) Owner) uint64 {
 	c.mu.Lock()
@@ -232,7 +232,7 @@
 	return true
 }
 
-// skippedIn returns the number of responses that were skipped in the given use.
+// skippedIn returns the number of responses to other requests that were skipped in the given use.
 func (c *Conn) skippedIn(use uint64) int {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/sageconn/doc.go
+++ b/internal/sageconn/doc.go
@@ -10,10 +10,10 @@
 // request may be sent on another connection whatever it does. An idle connection of [WrapIdle] is closed after
 // a time that [Tracker.SetKeepIdle] sets to what the other end states.
 //
-// A faulty server may send a second copy of an answer, or one that answers nothing, which arrives before the answer to a later
-// request on the same connection. With [Tracker.Owner], answers to other requests and those that don't say whose they are are
-// skipped there, and a connection is not used again after an answer that doesn't say whose it is. Answers are examined before
-// the transport sees them, since it hands out a connection again before it returns an answer without a body.
+// A faulty server may send a second copy of an answer, which arrives before the answer to a later request on the same
+// connection. With [Tracker.Owner], such copies are skipped, and a connection is not used again after an answer that doesn't
+// say whose it is. So an answer without an ID is no copy. Answers are examined before the transport sees them, since it hands
+// out a connection again before it returns an answer without a body.
 //
 // After a close in order, the kernel goes on sending what hasn't been acknowledged: bytes that a partition holds up arrive when it
 // heals. A reset discards them. So a connection is reset unless its response is complete, also by the end of the process, and
--- a/internal/sageconn/filter.go
+++ b/internal/sageconn/filter.go
@@ -14,7 +14,7 @@
 
 // Owners of responses.
 const (
-	// OwnerUnknown: the response doesn't say, so nothing shows that it belongs to any request.
+	// OwnerUnknown: the response doesn't say.
 	OwnerUnknown Owner = iota
 	// OwnerSelf: it is the response to the request of the round trip.
 	OwnerSelf
@@ -22,8 +22,8 @@
 	OwnerOther
 )
 
-// Limits of the responses that are skipped before the response to a request. What is beyond them is passed on like the request's
-// own response.
+// Limits of the responses to other requests that are skipped before the response to a request. What is beyond them is passed
+// on like the request's own response.
 const (
 	maxSkipped         = 8
 	maxSkippedBodySize = 1 << 20
@@ -32,8 +32,8 @@
 // maxHead is the size of the largest head that is examined.
 const maxHead = 32 << 10
 
-// errNoEnd is the error of a read after a response that is skipped and whose end can't be found.
-var errNoEnd = errors.New("response that isn't the request's has no end")
+// errNoEnd is the error of a read after a response to another request whose end can't be found.
+var errNoEnd = errors.New("response to another request has no end")
 
 // ErrMergedHead is the error of a read of a head that holds the status line of another response: the first one was cut off
 // inside its head, and what its fields say may be about either.
@@ -53,12 +53,12 @@
 	statusLine    = regexp.MustCompile(`HTTP/[0-9]\.[0-9] +[0-9]{3}`)
 )
 
-// filter examines the head of the response to a request, and removes the responses that precede it: those to other requests, and
-// those that don't say whose they are. The zero value passes all on.
+// filter examines the head of the response to a request, and removes the responses to other requests that precede it. The
+// zero value passes all on.
 type filter struct {
 	// owner returns whose a response is; nil examines none.
 	owner func(*http.Response) Owner
-	// skips is set if other responses are removed, skipped is their number.
+	// skips is set if responses to other requests are removed, skipped is their number.
 	skips   bool
 	skipped int
 	// identified is set once the response to the request has been passed on.
@@ -206,7 +206,7 @@
 			f.own = true
 			return passResponse
 		}
-	case owner != OwnerSelf && f.skips && f.skipped < maxSkipped:
+	case owner == OwnerOther && f.skips && f.skipped < maxSkipped:
 		if f.body, known = newBody(res, maxSkippedBodySize); known {
 			f.skipped++
 			f.skipping = true
--- a/internal/sageconn/tracker.go
+++ b/internal/sageconn/tracker.go
@@ -14,10 +14,9 @@
 	BootID string
 	// AtMostOnce forbids the transport to send the request on a second connection if it may have been sent on a first.
 	AtMostOnce bool
-	// Owner says whose a response is; nil means that responses aren't examined. With it, responses to other requests, or to no
-	// known one, are skipped if they precede the response to this request on a connection that was used before, and no
-	// connection is used on which a response was not identified: a copy of that one would look like the response to this request.
-	// Owner is called while the connection is locked, so it must not call methods of the Tracker.
+	// Owner says whose a response is; nil means that responses aren't examined. With it, responses to other requests are
+	// skipped if they precede the response to this request on a connection that was used before, and no connection is used
+	// on which a response was not identified: a copy of that one would look like the response to this request.
 	Owner func(*http.Response) Owner
 
 	mu      sync.Mutex
@@ -106,7 +105,7 @@
 	}
 }
 
-// Skipped returns the number of responses that were skipped on the connection.
+// Skipped returns the number of responses to other requests that were skipped on the connection.
 func (t *Tracker) Skipped() int {
 	c, use := t.conn()
 	if c == nil {
--- a/internal/sagerelay/owner.go
+++ b/internal/sagerelay/owner.go
@@ -27,21 +27,22 @@
 	return sageconn.OwnerOther
 }
 
-// examineOwner is [exchange.ownerOf] for responses as they arrive. After one without an ID, the response to the request may still
-// come, since it may have belonged to none; but the upstream may also have rejected the request without its ID. So the
-// exchange ends if no response comes in the time that it usually takes.
+// examineOwner is [exchange.ownerOf] for responses as they arrive. One without an ID counts as another's, so that it is skipped on
+// a reused connection: the response to the request may still come. But the upstream may also have rejected the request
+// without its ID, so the exchange ends if none comes in the time that a first byte may take.
 func (x *exchange) examineOwner(ctx context.Context, res *http.Response) sageconn.Owner {
 	owner := x.ownerOf(res)
-	if owner == sageconn.OwnerUnknown && res.StatusCode >= http.StatusOK {
-		x.recordUnidentified(res)
-		time.AfterFunc(x.j.firstByteTimeout(), func() {
-			// Without a skipped response, the exchange has taken another connection since.
-			if ctx.Err() == nil && !x.identified.Load() && x.tracker.Skipped() > 0 {
-				x.cancel(errUnidentified)
-			}
-		})
+	if owner != sageconn.OwnerUnknown {
+		return owner
 	}
-	return owner
+	x.recordUnidentified(res)
+	time.AfterFunc(x.j.firstByteTimeout(), func() {
+		// Without a skipped response, the exchange has taken another connection since.
+		if ctx.Err() == nil && !x.identified.Load() && x.tracker.Skipped() > 0 {
+			x.cancel(errUnidentified)
+		}
+	})
+	return sageconn.OwnerOther
 }
 
 // owns reports whether a response is the one to this exchange's request. Until then nothing in it may be believed, neither
