A head that merged on a new connection states no rejection

Cause: merged heads were looked for on reused connections only. An upstream that sends the beginning of a rejection, of which says that it may belong to no request, before its first response on a connection merges the two heads: the status and "not run" are those of the rejection, the ID is the request's own.

Evidence: TestCutHeadBeforeFirstResponse fails for 6 of 6 rejections on (executed at two upstreams in 5, a false status in 1); TestCutHeadBeforeLongHead, for heads at the limit of what is examined, passes before and after.

Why the fix works: on a new connection, a status line inside the first line, or in any field of what isn't a success, is another response's, and the exchange fails as "may have run". A complete success may still quote a status line in a field (TestStatusLineInFieldOfOnlyResponse). Not covered: the beginning of a success before an own failure on a new connection gives that failure the status of the success.

--- a/internal/sageconn/filter.go
+++ b/internal/sageconn/filter.go
@@ -47,9 +47,11 @@
 
 var crlf = []byte("\r\n")
 
-// responseStart matches the beginning of a response, statusLine any beginning of a status line that net/http accepts.
+// responseStart matches the beginning of a response, successStart that of a success, statusLine any beginning of a status line that
+// net/http accepts.
 var (
 	responseStart = regexp.MustCompile(`^HTTP/1\.[01] [0-9]{3}[ \r\n]`)
+	successStart  = regexp.MustCompile(`^HTTP/1\.[01] 2[0-9]{2}[ \r\n]`)
 	statusLine    = regexp.MustCompile(`HTTP/[0-9]\.[0-9] +[0-9]{3}`)
 )
 
@@ -99,7 +101,7 @@
 			return append(out, f.passAll()...), nil
 		}
 		head := f.unread[:n]
-		if f.skips && len(statusLine.FindAllIndex(head, 2)) > 1 { // before the first response there is nothing to merge with
+		if f.merged(head) {
 			return out, ErrMergedHead
 		}
 		switch f.examine(head) {
@@ -118,6 +120,16 @@
 	}
 }
 
+// merged reports whether a head holds the status line of another response. On a connection that was not used before, only bytes that
+// answer nothing can precede the response, and a field of a complete success may quote a status line.
+func (f *filter) merged(head []byte) bool {
+	lines := statusLine.FindAllIndex(head, 2)
+	if len(lines) < 2 || f.skips {
+		return len(lines) > 1
+	}
+	return lines[1][0] < bytes.IndexByte(head, '\n') || !successStart.Match(head)
+}
+
 // headLen returns the length of the head with which b begins, 0 if it isn't complete. Like net/http, it accepts lines that end
 // with LF alone.
 func headLen(b []byte) int {
