--- a/internal/sagerelay/fuzz_test.go
+++ b/internal/sagerelay/fuzz_test.go
@@ -182,7 +182,8 @@
 func (u *faultyUpstreams) garbage() string {
 	return u.of("x", "\r\n", "\x00\xff\x80", "HTTP/1.1 ", "HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 050 X\r\n\r\n", "HTTP/1.1 200 OK\r\n"+testSeal+": s\r\nContent-Length: 1\r\n\r\nx",
 		"HTTP/2.0 503 X\r\n"+testNotRun+": 1\r\n", "HTTP/1.1  503 X\r\n"+testNotRun+": 1\r\n", "id: 1\ndata: x\n\n", "0\r\n\r\n",
-		responseText(503, "", testNotRun+": 1\r\n", ""), responseText(421, "", testNotRun+": 1\r\n", "no"))
+		responseText(503, "", testNotRun+": 1\r\n", ""), responseText(421, "", testNotRun+": 1\r\n", "no"),
+		"HTTP/1.1 503 X\r\n"+testNotRun+": 1", "HTTP/1.1 421 X\r\nY: ", "HTTP/1.1 429 ")
 }
 
 // script returns the script of one connection.
