A test of broken connections under requests with an Idempotency-Key

net/http repeats such a request on its own, whatever its method, if it has no body: setBody sets none for POST and DELETE. Tracker.AtMostOnce alone keeps it from a second execution. No fault was found: TestBrokenReuseWithIdempotencyKeyIsNotRepeated passes, and fails for POST (3 requests in place of 2) without AtMostOnce, which no other test notices.

--- a/internal/sagerelay/conn_test.go
+++ b/internal/sagerelay/conn_test.go
@@ -151,6 +151,28 @@
 	}
 }
 
+// Prevents the same for a request without a body of any method, which a header that callers may send makes repeatable for the transport.
+func TestBrokenReuseWithIdempotencyKeyIsNotRepeated(t *testing.T) {
+	for _, method := range []string{http.MethodPost, http.MethodDelete, http.MethodGet} {
+		u := newKeepingUpstream(t, nil)
+		s := serviceBefore(t, u, testRoute(sageroute.Once))
+		proveReuse(s)
+		require.Equal(t, http.StatusOK, serve(t, s, "").Code)
+		u.handle = func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := w.(http.Hijacker).Hijack()
+			if err == nil {
+				_ = c.Close()
+			}
+		}
+		req := testRequest(t.Context(), map[string]string{"Idempotency-Key": "k", "X-Idempotency-Key": "k"}, "")
+		req.Method, req.Body, req.ContentLength = method, http.NoBody, 0
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, req)
+		require.Equal(t, http.StatusBadGateway, w.Code, method)
+		require.Equal(t, int64(2), u.served.Load(), method)
+	}
+}
+
 func TestKeepAliveHeader(t *testing.T) {
 	for _, c := range []struct {
 		header string
