A success cut off on a new connection gives no failure its status

What callers could see: a booking's failure (500) was passed on as a success, if an upstream sent the beginning of a success before its first response on a connection.

Why the fix works: the status line of the response into which a head merges ends its line. If it isn't a success, the two contradict each other, and the exchange fails as "may have run". Cost: so does that of a sound success on a new connection with a field that ends with the status line of a failure.

--- a/internal/sageconn/filter.go
+++ b/internal/sageconn/filter.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"net/http"
 	"regexp"
+	"slices"
 
 	"github.com/pkg/errors"
 )
@@ -48,11 +49,12 @@
 var crlf = []byte("\r\n")
 
 // responseStart matches the beginning of a response, successStart that of a success, statusLine any beginning of a status line that
-// net/http accepts.
+// net/http accepts, endingStatusLine a whole one at the end of a line.
 var (
-	responseStart = regexp.MustCompile(`^HTTP/1\.[01] [0-9]{3}[ \r\n]`)
-	successStart  = regexp.MustCompile(`^HTTP/1\.[01] 2[0-9]{2}[ \r\n]`)
-	statusLine    = regexp.MustCompile(`HTTP/[0-9]\.[0-9] +[0-9]{3}`)
+	responseStart    = regexp.MustCompile(`^HTTP/1\.[01] [0-9]{3}[ \r\n]`)
+	successStart     = regexp.MustCompile(`^HTTP/1\.[01] 2[0-9]{2}[ \r\n]`)
+	endingStatusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}(?: [A-Za-z' -]*)?\r?\n`)
+	statusLine       = regexp.MustCompile(`HTTP/[0-9]\.[0-9] +[0-9]{3}`)
 )
 
 // filter examines the head of the response to a request, and removes the responses to other requests that precede it. The
@@ -121,13 +123,18 @@
 }
 
 // merged reports whether a head holds the status line of another response. On a connection that was not used before, only bytes that
-// answer nothing can precede the response, and a field of a complete success may quote a status line.
+// answer nothing can precede the response, and a field of a complete success may quote a
+// status line, though it may not end with that of a failure.
 func (f *filter) merged(head []byte) bool {
 	lines := statusLine.FindAllIndex(head, 2)
 	if len(lines) < 2 || f.skips {
 		return len(lines) > 1
 	}
-	return lines[1][0] < bytes.IndexByte(head, '\n') || !successStart.Match(head)
+	if lines[1][0] < bytes.IndexByte(head, '\n') || !successStart.Match(head) {
+		return true
+	}
+	quoted := endingStatusLine.FindAll(head[lines[0][1]:], -1)
+	return slices.ContainsFunc(quoted, func(line []byte) bool { return !successStart.Match(line) })
 }
 
 // headLen returns the length of the head with which b begins, 0 if it isn't complete. Like net/http, it accepts lines that end
--- a/internal/sagerelay/firsthead_test.go
+++ b/internal/sagerelay/firsthead_test.go
@@ -61,3 +61,22 @@
 		})
 	}
 }
+
+// Prevents the beginning of a success that belongs to no request from giving its status to the failure that is the first response
+// on a connection.
+func TestCutSuccessBeforeFirstFailure(t *testing.T) {
+	for _, before := range []string{"HTTP/1.1 200 OK\r\nX: ", "HTTP/1.1 200 OK\r\nX: 1"} {
+		for _, status := range []int{500, 504, 503} {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeFleet(t, testRoute(sageroute.Once), map[string]upstream{"a": nil, "b": nil})
+				s := scriptedService(f, func(c net.Conn, _ int, req *http.Request) bool {
+					_, err := io.WriteString(c, before+responseText(status, req.Header.Get(testID), sealHeader, "failure"))
+					return err == nil
+				})
+				w := serveID(t, s, "id1")
+				s.toUpstreams().pooled.CloseIdleConnections()
+				require.NotEqual(t, http.StatusOK, w.Code, "%q before %d", before, status)
+			})
+		}
+	}
+}
