Streams are saved as they begin while a service has several versions

Each node wrote the records of its open streams to the store every 0.25 s (0.26 to 0.33 s with the time of the call). In a trial with a line for each record, all 25 refused streams had begun after the last write of their node; each of the 156 streams that a write had confirmed was read and found. No other node that survived had known the others.

A node now writes as soon as a stream begins that needs a record, at most each 50 ms, or 5 ms a node of the fleet if that is longer, as before. Streams that have ended cause a write after 2 s only, so that most of the calls that this adds are saved elsewhere. A write that failed is repeated after 0.25 s at the earliest, as before.

TestStreamIsSavedAsItBegins fails without the wake-up (no write within 50 ms).

--- a/internal/sageorigind/service.go
+++ b/internal/sageorigind/service.go
@@ -37,6 +37,8 @@
 	Fresh func() bool
 	// ReadClaims returns the claims of sole versions in the store, by service.
 	ReadClaims func(ctx context.Context) (map[string]sageorigin.Claim, error)
+	// Began is called when a stream whose record is needed has begun; nil if nobody has to know.
+	Began func()
 	// RecoversUntil is the time until which records that were lost with all nodes may still be recovered.
 	RecoversUntil sageclock.Instant
 	Metrics       *metrics.Set
@@ -86,15 +88,18 @@
 	now := s.now()
 	st := &openStream{route: route, record: sageorigin.Record{Key: k, Origin: o, Until: until}}
 	s.table.Put(now, st.record)
-	if !s.sole(now, route) {
-		s.sendCopies(now, []*openStream{st})
-	}
 	s.mu.Lock()
-	defer s.mu.Unlock()
 	if s.open == nil {
 		s.open = make(map[*openStream]struct{})
 	}
 	s.open[st] = struct{}{}
+	s.mu.Unlock()
+	if !s.sole(now, route) {
+		s.sendCopies(now, []*openStream{st})
+		if s.Began != nil {
+			s.Began()
+		}
+	}
 	return func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
--- a/internal/sageorigind/service_test.go
+++ b/internal/sageorigind/service_test.go
@@ -206,6 +206,22 @@
 	})
 }
 
+// Prevents streams from being saved late, and calls of the store while a service has one version.
+func TestServiceSaysWhichStreamsBegan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newTestFleet(6, "v1")
+		var open []int // numbers of records at each call
+		f.nodes[0].Began = func() { open = append(open, len(f.nodes[0].OpenRecords())) }
+		f.nodes[0].begin(5, v1)
+		require.Empty(t, open)
+		f.setVersions("v1", "v2")
+		for i := range 2 {
+			f.nodes[0].Begin("r", key(100+i), v2, virtualNow().Add(time.Minute))
+		}
+		require.Equal(t, []int{6, 7}, open, "with those that began before the second version")
+	})
+}
+
 // Prevents streams that began while a service had one version from being lost when a second one appears.
 func TestOpenStreamsAreRecordedWhenVersionAppears(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -173,10 +173,13 @@
 		Self: cfg.Node, Kind: n.Kinds.Quarantines, Tracker: &n.quarantine, Store: n.Store, Rank: n.quarantineRank, Log: n.Log.Component("quarantine"),
 	})
 	n.kernel.Register("claims", n.claimKeeper)
-	n.kernel.Register("snapshots", &snapshotKeeper{
+	snapshots := &snapshotKeeper{
 		Kind: n.Kinds.Snapshots, Name: fmt.Sprintf("%s-%08x", cfg.Node, rand.Uint32()), Store: n.Store, Open: n.origins.OpenRecords, Restore: n.origins.Restore,
 		Recovers: n.claimKeeper.Writes, Nodes: func() int { return len(n.knownNodes()) }, Log: n.Log.Component("origins"),
-	})
+		Began: make(chan struct{}, 1),
+	}
+	n.origins.Began = snapshots.began
+	n.kernel.Register("snapshots", snapshots)
 	n.kernel.Register("paths", &pathProber{node: n, wake: n.fleet.pathSuspected})
 	n.kernel.Register("recall", n.cacheResync)
 	n.kernel.Register("shares", &shareController{node: n})
--- a/internal/sagerouter/snapshots.go
+++ b/internal/sagerouter/snapshots.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"time"
 
 	"sagestand.example/sagestand/internal/sagefollow"
@@ -16,9 +15,15 @@
 // Times of the snapshots of open streams in the store.
 const (
 	// snapshotInterval is the least time between two writes of a node, snapshotSpacing that between two writes of the fleet.
-	snapshotInterval = 250 * time.Millisecond
+	snapshotInterval = 50 * time.Millisecond
 	snapshotSpacing  = 5 * time.Millisecond
-	snapshotTimeout  = time.Second
+	// snapshotCheck is the time after which streams are looked for that needed no record when they began.
+	snapshotCheck = 250 * time.Millisecond
+	// snapshotRefresh is the least time between two writes if no stream has begun. A record of a stream that has ended does no harm.
+	snapshotRefresh = 2 * time.Second
+	// snapshotRetry is the least time between a write that failed and the next one.
+	snapshotRetry   = 250 * time.Millisecond
+	snapshotTimeout = time.Second
 )
 
 // recoveryTime is the time after its start within which a node gets what was recovered.
@@ -43,22 +48,34 @@
 	Recovers func() bool
 	// Nodes returns the number of nodes.
 	Nodes func() int
+	// Began has a value when a stream that needs a record has begun since the last write.
+	Began chan struct{}
 	Log   sagelog.Logger
+	// Now is the clock; nil means [sageclock.Now].
+	Now func() sageclock.Instant
 
-	created bool                    // the object exists
-	written map[sageorigin.Key]bool // keys in the last snapshot
+	created   bool                    // the object exists
+	written   map[sageorigin.Key]bool // keys in the last snapshot; nil if it isn't known to be in the store
+	writtenAt sageclock.Instant
+	nextAt    sageclock.Instant // earliest time of the next write
 	// recovered are the objects that were read, by name, with their revisions. Those that haven't changed since are deleted at
 	// dropAt.
 	recovered map[string]uint64
 	dropAt    sageclock.Instant
 }
 
+func (k *snapshotKeeper) now() sageclock.Instant {
+	if k.Now != nil {
+		return k.Now()
+	}
+	return sageclock.Now()
+}
+
 // Run works until ctx ends.
 func (k *snapshotKeeper) Run(ctx context.Context) error {
 	k.recover(ctx)
 	for {
-		sageclock.Sleep(ctx, max(snapshotInterval, time.Duration(k.Nodes())*snapshotSpacing))
-		if ctx.Err() != nil {
+		if !k.wait(ctx) {
 			return nil
 		}
 		for _, f := range []func(context.Context) error{k.save, k.drop} {
@@ -69,12 +86,33 @@
 	}
 }
 
+// wait waits until a snapshot may have to be written; false if ctx ended.
+func (k *snapshotKeeper) wait(ctx context.Context) bool {
+	check := time.NewTimer(snapshotCheck)
+	defer check.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-k.Began:
+	case <-check.C:
+	}
+	return sageclock.Sleep(ctx, k.nextAt.Sub(k.now()))
+}
+
+// began says that a stream that needs a record has begun.
+func (k *snapshotKeeper) began() {
+	select {
+	case k.Began <- struct{}{}:
+	default: // already said
+	}
+}
+
 // recover reads the records that nodes saved before all of them were lost, and sends them to their holders.
 func (k *snapshotKeeper) recover(ctx context.Context) {
 	var records []sageorigin.Record
-	started, read := sageclock.Now(), false
+	started, read := k.now(), false
 	for _, delay := range restoreDelays {
-		sageclock.Sleep(ctx, delay-sageclock.Now().Sub(started))
+		sageclock.Sleep(ctx, delay-k.now().Sub(started))
 		if ctx.Err() != nil || !k.Recovers() {
 			continue
 		}
@@ -101,7 +139,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("list records: %w", err)
 	}
-	now := sageclock.Now()
+	now := k.now()
 	var out []sageorigin.Record
 	k.recovered, k.dropAt = make(map[string]uint64), now.Add(sageorigin.Window)
 	for i := range d.Changes {
@@ -125,40 +163,52 @@
 	return out, nil
 }
 
-// save writes the records of the open streams, unless they are those of the last snapshot.
+// save writes the records of the open streams, unless the last snapshot has them.
 func (k *snapshotKeeper) save(ctx context.Context) error {
-	records := k.Open()
-	keys := make(map[sageorigin.Key]bool, len(records))
+	now, records := k.now(), k.Open()
+	keys, saved := make(map[sageorigin.Key]bool, len(records)), true
 	for _, r := range records {
 		keys[r.Key] = true
+		saved = saved && k.written[r.Key]
 	}
-	if maps.Equal(keys, k.written) {
+	if saved && (len(keys) == len(k.written) || now.Sub(k.writtenAt) < snapshotRefresh) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
+	err, spacing := k.write(ctx, records), time.Duration(k.Nodes())*snapshotSpacing
+	if err != nil {
+		k.created, k.written = false, nil // it may have been deleted
+		k.nextAt = k.now().Add(max(snapshotRetry, spacing))
+		return err
+	}
+	k.written, k.writtenAt = keys, now
+	k.nextAt = k.now().Add(max(snapshotInterval, spacing))
+	return nil
+}
+
+// write writes the records, and creates the object if needed.
+func (k *snapshotKeeper) write(ctx context.Context, records []sageorigin.Record) error {
 	if !k.created {
 		if _, err := k.Store.Create(ctx, k.Kind, k.Name, json.RawMessage(`{}`)); err != nil {
 			return fmt.Errorf("create: %w", err)
 		}
 		k.created = true
 	}
-	s := sageorigin.NewSnapshot(sageclock.Now(), records)
+	s := sageorigin.NewSnapshot(k.now(), records)
 	b, err := json.Marshal(&s)
 	if err != nil {
 		return fmt.Errorf("encode: %w", err)
 	}
 	if err := k.Store.SetStatus(ctx, k.Kind, k.Name, 0, b); err != nil {
-		k.created = false // it may have been deleted
 		return fmt.Errorf("write: %w", err)
 	}
-	k.written = keys
 	return nil
 }
 
 // drop deletes the objects that were recovered once no caller can return. Nodes that run write theirs again.
 func (k *snapshotKeeper) drop(ctx context.Context) error {
-	if len(k.recovered) == 0 || sageclock.Now() < k.dropAt {
+	if len(k.recovered) == 0 || k.now() < k.dropAt {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
--- a/internal/sagerouter/snapshots_test.go
+++ b/internal/sagerouter/snapshots_test.go
@@ -3,7 +3,12 @@
 import (
 	"context"
 	"encoding/json"
+	"fmt"
+	"slices"
+	"sync"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
@@ -13,15 +18,50 @@
 )
 
 // snapshotStore is a store in which objects are deleted.
-type snapshotStore struct{ claimStore }
+type snapshotStore struct {
+	claimStore
+	mu      sync.Mutex
+	refuses bool
+	refused int
+}
+
+func (s *snapshotStore) Create(ctx context.Context, kind, name string, spec json.RawMessage) (bool, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refuses {
+		s.refused++
+		return false, errNoAnswer
+	}
+	return s.claimStore.Create(ctx, kind, name, spec)
+}
 
 func (s *snapshotStore) SetStatus(ctx context.Context, kind, name string, _ uint64, status json.RawMessage) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.refuses {
+		s.refused++
+		return errNoAnswer
+	}
 	if _, ok := s.objects[name]; !ok {
 		return errNoAnswer
 	}
 	return s.claimStore.SetStatus(ctx, kind, name, s.objects[name].Revision, status)
 }
 
+// setRefuses sets whether writes are refused.
+func (s *snapshotStore) setRefuses(refuses bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.refuses = refuses
+}
+
+// counts returns the numbers of writes that were confirmed and refused.
+func (s *snapshotStore) counts() (writes, refused int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.writes, s.refused
+}
+
 func (s *snapshotStore) Delete(_ context.Context, _, name string) error {
 	delete(s.objects, name)
 	return nil
@@ -32,7 +72,7 @@
 	restored := new([]sageorigin.Record)
 	return &snapshotKeeper{
 		Name: name, Store: store, Open: func() []sageorigin.Record { return *open }, Restore: func(rs []sageorigin.Record) { *restored = rs },
-		Recovers: func() bool { return true }, Nodes: func() int { return 1 },
+		Recovers: func() bool { return true }, Nodes: func() int { return 1 }, Began: make(chan struct{}, 1),
 	}, restored
 }
 
@@ -81,6 +121,77 @@
 	require.Zero(t, store.calls)
 }
 
+// Prevents streams that begin just before a loss of all nodes from being refused afterwards although upstreams of their version
+// serve.
+func TestStreamIsSavedAsItBegins(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := new(snapshotStore)
+		var open atomic.Pointer[[]sageorigin.Record]
+		open.Store(new([]sageorigin.Record))
+		k, _ := newSnapshotKeeper(store, "a", nil)
+		k.Recovers, k.Open = func() bool { return false }, func() []sageorigin.Record { return *open.Load() }
+		k.Now = func() sageclock.Instant { return sageclock.Instant(time.Now().UnixNano()) }
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		done := make(chan error, 1)
+		go func() { done <- k.Run(ctx) }()
+		pause := func(d time.Duration) {
+			time.Sleep(d)
+			synctest.Wait()
+		}
+		writes := func() int {
+			n, _ := store.counts()
+			return n
+		}
+		began := 0
+		add := func() {
+			began++
+			records := append(slices.Clone(*open.Load()), sageorigin.Record{
+				Key: sageorigin.KeyOf("a", fmt.Sprint(began)), Origin: sageorigin.Origin{Service: "s", Version: "v1"}, Until: k.now().Add(time.Minute),
+			})
+			open.Store(&records)
+		}
+		pause(time.Minute + time.Millisecond)
+		require.Zero(t, writes())
+
+		for i := range 3 {
+			add()
+			k.began()
+			pause(snapshotInterval)
+			require.Equal(t, i+2, writes(), "the first one creates the object")
+		}
+		first := (*open.Load())[:1]
+		open.Store(&first)
+		pause(snapshotRefresh / 2)
+		require.Equal(t, 4, writes(), "streams that have ended need no write at once")
+		pause(snapshotRefresh)
+		require.Equal(t, 5, writes())
+
+		add() // needed no record when it began
+		pause(snapshotCheck)
+		require.Equal(t, 6, writes())
+
+		store.setRefuses(true)
+		for range 100 {
+			add()
+			k.began()
+			pause(10 * time.Millisecond)
+		}
+		_, refused := store.counts()
+		require.NotZero(t, refused)
+		require.LessOrEqual(t, refused, int(time.Second/snapshotRetry)+1, "a store in trouble is spared")
+		store.setRefuses(false)
+		pause(snapshotCheck + snapshotRetry)
+		cancel()
+		require.NoError(t, <-done)
+		other, _ := newSnapshotKeeper(store, "b", nil)
+		other.Now = k.Now
+		records, err := other.load(t.Context())
+		require.NoError(t, err)
+		require.Len(t, records, len(*open.Load()))
+	})
+}
+
 // Prevents unreadable objects from hiding the records in others.
 func TestUnreadableSnapshotIsSkipped(t *testing.T) {
 	store := new(snapshotStore)
