Streams are saved from the start of a node, not after its recovery

If all nodes are lost again within seconds of their start, callers whose streams began in that time would be refused afterwards although upstreams of their version serve.

Recovery and the deletion of what was recovered now run beside the writes.

TestStreamsAreSavedDuringRecovery failed before (2 writes instead of 4).

--- a/internal/sagerouter/snapshots.go
+++ b/internal/sagerouter/snapshots.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"sync"
 	"time"
 
 	"sagestand.example/sagestand/internal/sagefollow"
@@ -21,7 +22,7 @@
 	snapshotCheck = 250 * time.Millisecond
 	// snapshotRefresh is the least time between two writes if no stream has begun. A record of a stream that has ended does no harm.
 	snapshotRefresh = 2 * time.Second
-	// snapshotRetry is the least time between a write that failed and the next one.
+	// snapshotRetry is the least time between a call that failed and the next one.
 	snapshotRetry   = 250 * time.Millisecond
 	snapshotTimeout = time.Second
 )
@@ -73,15 +74,25 @@
 
 // Run works until ctx ends.
 func (k *snapshotKeeper) Run(ctx context.Context) error {
-	k.recover(ctx)
-	for {
-		if !k.wait(ctx) {
-			return nil
+	var recovery sync.WaitGroup
+	defer recovery.Wait()
+	recovery.Go(func() {
+		k.recover(ctx)
+		k.dropRecovered(ctx)
+	})
+	for k.wait(ctx) {
+		if err := k.save(ctx); err != nil && ctx.Err() == nil {
+			k.Log.Limited(sagelog.KindStateChange, "Records of open streams not kept.", "err", err)
 		}
-		for _, f := range []func(context.Context) error{k.save, k.drop} {
-			if err := f(ctx); err != nil && ctx.Err() == nil {
-				k.Log.Limited(sagelog.KindStateChange, "Records of open streams not kept.", "err", err)
-			}
+	}
+	return nil
+}
+
+// dropRecovered drops what was recovered when it is time.
+func (k *snapshotKeeper) dropRecovered(ctx context.Context) {
+	for len(k.recovered) > 0 && sageclock.Sleep(ctx, max(snapshotRetry, k.dropAt.Sub(k.now()))) {
+		if err := k.drop(ctx); err != nil && ctx.Err() == nil {
+			k.Log.Limited(sagelog.KindStateChange, "Recovered records not deleted.", "err", err)
 		}
 	}
 }
--- a/internal/sagerouter/snapshots_test.go
+++ b/internal/sagerouter/snapshots_test.go
@@ -192,6 +192,35 @@
 	})
 }
 
+// Prevents streams that begin in the first seconds after a start from being refused if all nodes are lost again.
+func TestStreamsAreSavedDuringRecovery(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := new(snapshotStore)
+		now := func() sageclock.Instant { return sageclock.Instant(time.Now().UnixNano()) }
+		before := []sageorigin.Record{{Key: sageorigin.KeyOf("a", "1"), Origin: sageorigin.Origin{Service: "s", Version: "v1"}, Until: now().Add(time.Minute)}}
+		first, _ := newSnapshotKeeper(store, "a1", &before)
+		first.Now = now
+		require.NoError(t, first.save(t.Context()))
+		open := []sageorigin.Record{{Key: sageorigin.KeyOf("a", "2"), Origin: sageorigin.Origin{Service: "s", Version: "v2"}, Until: now().Add(time.Hour)}}
+		k, restored := newSnapshotKeeper(store, "a2", &open)
+		k.Now = now
+		ctx, cancel := context.WithCancel(t.Context())
+		defer cancel()
+		done := make(chan error, 1)
+		go func() { done <- k.Run(ctx) }()
+		k.began()
+		time.Sleep(snapshotInterval)
+		synctest.Wait()
+		writes, _ := store.counts()
+		require.Equal(t, 4, writes, "both have created an object and written once")
+		time.Sleep(sageorigin.Window + restoreDelays[0] + snapshotInterval)
+		cancel()
+		require.NoError(t, <-done)
+		require.Len(t, *restored, 1)
+		require.Len(t, store.objects, 1, "what was recovered is deleted once no caller can return")
+	})
+}
+
 // Prevents unreadable objects from hiding the records in others.
 func TestUnreadableSnapshotIsSkipped(t *testing.T) {
 	store := new(snapshotStore)
