--- a/internal/sagerouter/snapshots.go
+++ b/internal/sagerouter/snapshots.go
@@ -18,6 +18,8 @@
 	// snapshotInterval is the least time between two writes of a node, snapshotSpacing that between two writes of the fleet.
 	snapshotInterval = 50 * time.Millisecond
 	snapshotSpacing  = 5 * time.Millisecond
+	// snapshotSpacingPerRecord keeps the encoding of the records below a hundredth of a processor.
+	snapshotSpacingPerRecord = 250 * time.Microsecond
 	// snapshotCheck is the time after which streams are looked for that needed no record when they began.
 	snapshotCheck = 250 * time.Millisecond
 	// snapshotRefresh is the least time between two writes if no stream has begun. A record of a stream that has ended does no harm.
@@ -187,14 +189,14 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
-	err, spacing := k.write(ctx, records), time.Duration(k.Nodes())*snapshotSpacing
-	if err != nil {
+	interval := max(snapshotInterval, time.Duration(k.Nodes())*snapshotSpacing, time.Duration(len(records))*snapshotSpacingPerRecord)
+	if err := k.write(ctx, records); err != nil {
 		k.created, k.written = false, nil // it may have been deleted
-		k.nextAt = k.now().Add(max(snapshotRetry, spacing))
+		k.nextAt = k.now().Add(max(snapshotRetry, interval))
 		return err
 	}
 	k.written, k.writtenAt = keys, now
-	k.nextAt = k.now().Add(max(snapshotInterval, spacing))
+	k.nextAt = k.now().Add(interval)
 	return nil
 }
 
--- a/internal/sagerouter/snapshots_test.go
+++ b/internal/sagerouter/snapshots_test.go
@@ -221,6 +221,28 @@
 	})
 }
 
+// Prevents many nodes, and nodes with many streams, from writing more often than the store and their processors bear.
+func TestSnapshotsAreSpaced(t *testing.T) {
+	for _, tc := range []struct {
+		nodes, streams int
+		want           time.Duration
+	}{
+		{1, 1, snapshotInterval},
+		{400, 1, 400 * snapshotSpacing},
+		{9, sageorigin.MaxSnapshotRecords, sageorigin.MaxSnapshotRecords * snapshotSpacingPerRecord},
+	} {
+		var open []sageorigin.Record
+		for i := range tc.streams {
+			open = append(open, sageorigin.Record{Key: sageorigin.KeyOf("a", fmt.Sprint(i)), Origin: sageorigin.Origin{Service: "s", Version: "v1"}, Until: sageclock.Now().Add(time.Minute)})
+		}
+		k, _ := newSnapshotKeeper(new(snapshotStore), "a", &open)
+		now := sageclock.Now()
+		k.Nodes, k.Now = func() int { return tc.nodes }, func() sageclock.Instant { return now }
+		require.NoError(t, k.save(t.Context()))
+		require.Equal(t, tc.want, k.nextAt.Sub(now))
+	}
+}
+
 // Prevents unreadable objects from hiding the records in others.
 func TestUnreadableSnapshotIsSkipped(t *testing.T) {
 	store := new(snapshotStore)
