origins: a node out of step doesn't trust its own old copy

What callers saw: a node whose copy of the upstreams was old continued streams of a version that had joined meanwhile at the one that it knew.

Cause, four ways to the same belief: - A node that knew no other live node took its own history as confirmed, fresh or not. - "Uninformed", the answer of a node whose own copy is old, counted as agreement: nodes out of step confirmed each other. - An old history counted as complete for the nodes that had started again and confirmed only what they had seen since. - Freshness was tested after the look-up: an old look-up counted if the copy became fresh in between, as after a pause of the process. The same in the answer to another node.

Why it works: a sole version is believed only if this node, or one that answered, had a fresh copy before it looked, and if a fresh history, or claims read after the caller returned, cover the time before. A node without others reads the upstreams from the store, instead of refusing whenever its last poll is too old (TestNodeAloneReadsTheStoreForReturns).

--- a/internal/sagefollow/poll.go
+++ b/internal/sagefollow/poll.go
@@ -134,6 +134,17 @@
 	return at.Sub(now)
 }
 
+// Refresh calls the store beside the polls, within the time of ctx. After a nil result the copy has every change that the store
+// acknowledged before the call.
+func (f *Follower) Refresh(ctx context.Context) error {
+	started := f.now()
+	if _, err := f.callStore(ctx, 0, answerTimeout); err != nil {
+		return err // the polls find out whether the store is down
+	}
+	f.recordCall(started, nil)
+	return nil
+}
+
 // startCall starts one call.
 func (p *poller) startCall(ctx context.Context) {
 	r := result{started: p.f.now(), slow: !p.slowCallPending}
--- a/internal/sageorigind/find.go
+++ b/internal/sageorigind/find.go
@@ -19,7 +19,7 @@
 	answerTimeout = 300 * time.Millisecond
 	// maxAsks is the number of searches at the same time. Beyond it, callers are refused.
 	maxAsks = 512
-	// claimsInterval is the least time between two reads of the claims. Many callers return at once.
+	// claimsInterval is the least time between two reads of the claims, or of the upstreams. Many callers return at once.
 	claimsInterval = time.Second
 )
 
@@ -44,37 +44,56 @@
 }
 
 func (s *Service) find(ctx context.Context, route string, k sageorigin.Key) sageorigin.Finding {
-	now := s.now()
-	o, age, status := s.lookUp(now, route, k)
-	if status == sageorigin.Found || status == sageorigin.Sole && s.Fresh() {
+	returned := s.now()
+	o, age, status, fresh := s.lookUp(returned, route, k)
+	nodes := s.currentRing(returned).Asked(k, s.Self)
+	if isSole(status) && !fresh && len(nodes) == 0 {
+		s.refresh(ctx)
+		o, age, status, fresh = s.lookUp(s.now(), route, k)
+	}
+	if status == sageorigin.Found || status == sageorigin.Sole && fresh {
 		return sageorigin.Finding{Status: status, Origin: o, Age: age}
 	}
 	// A sole version that was not known here for long enough, or not freshly, needs the other nodes' word.
-	f, complete := s.search(ctx, route, k, o, status == sageorigin.Sole || status == sageorigin.SoleSinceStart)
+	f, complete := s.search(ctx, route, k, nodes, local{o, isSole(status), fresh})
 	if f.Status != sageorigin.SoleSinceStart {
 		return f
 	}
-	if !complete {
-		s.learnClaims(ctx)
+	switch {
+	case complete:
+	case fresh:
+		s.learnClaims(ctx, 0)
+	default:
+		s.learnClaims(ctx, returned) // what happened since an earlier read may have been missed
 	}
 	o, status = s.History.Status(s.now(), route)
-	if o != f.Origin || status != sageorigin.Sole && !(complete && status == sageorigin.SoleSinceStart) {
+	if o != f.Origin || !isSole(status) || !complete && !s.History.Claimed(o, route) {
 		return sageorigin.Finding{Asked: f.Asked, Answered: f.Answered}
 	}
 	f.Status = sageorigin.Sole
 	return f
 }
 
-// search asks other nodes. sole says that this node knows of one origin only, o. If the others do, too, the status is
-// SoleSinceStart; complete says that the history of one of them reaches back far enough.
-func (s *Service) search(ctx context.Context, route string, k sageorigin.Key, o sageorigin.Origin, sole bool) (f sageorigin.Finding, complete bool) {
+// isSole reports whether a status names the only origin that a node knows.
+func isSole(s sageorigin.Status) bool { return s == sageorigin.Sole || s == sageorigin.SoleSinceStart }
+
+// local is what this node knows itself when a search begins.
+type local struct {
+	origin sageorigin.Origin
+	// sole says that origin is the only one that this node knows, fresh that its copy of the upstreams is fresh.
+	sole, fresh bool
+}
+
+// search asks other nodes. If one origin only is known to this node and to the others, and one of them has a fresh copy of the
+// upstreams, the status is SoleSinceStart; complete says that the history of one that has reaches back far enough.
+func (s *Service) search(ctx context.Context, route string, k sageorigin.Key, nodes []string, own local) (f sageorigin.Finding, complete bool) {
 	now := s.now()
-	nodes := s.currentRing(now).Asked(k, s.Self)
+	complete = own.fresh && s.History.Complete(now)
 	if len(nodes) == 0 {
-		if sole {
-			f = sageorigin.Finding{Status: sageorigin.SoleSinceStart, Origin: o}
+		if own.sole && own.fresh {
+			f = sageorigin.Finding{Status: sageorigin.SoleSinceStart, Origin: own.origin}
 		}
-		return f, s.History.Complete(now)
+		return f, complete
 	}
 	a, number := s.startAsk(nodes)
 	if a == nil {
@@ -86,8 +105,7 @@
 		s.send(now, n, q)
 	}
 	f.Asked = len(nodes)
-	answered, agreed := make(map[string]bool), sole
-	complete = s.History.Complete(now)
+	answered, agreed, informed := make(map[string]bool), own.sole, own.fresh
 	repeat, timeout := time.NewTimer(repeatAfter), time.NewTimer(answerTimeout)
 	defer repeat.Stop()
 	defer timeout.Stop()
@@ -111,12 +129,13 @@
 			if got.Status == sageorigin.Uninformed {
 				continue
 			}
-			agreed = agreed && got.Status != sageorigin.Unknown && got.Origin == o
+			informed = true
+			agreed = agreed && got.Status != sageorigin.Unknown && got.Origin == own.origin
 			complete = complete || got.Status == sageorigin.Sole
 		}
 	}
-	if f.Answered = len(answered); agreed && f.Answered > 0 {
-		f.Status, f.Origin = sageorigin.SoleSinceStart, o
+	if f.Answered = len(answered); agreed && informed && f.Answered > 0 {
+		f.Status, f.Origin = sageorigin.SoleSinceStart, own.origin
 	}
 	return f, complete
 }
@@ -143,16 +162,17 @@
 	delete(s.asks, number)
 }
 
-// learnClaims reads the claims of sole versions from the store, unless that was done just before.
-func (s *Service) learnClaims(ctx context.Context) {
+// learnClaims reads the claims of sole versions from the store, unless that was done just before, and since notBefore or without an
+// answer.
+func (s *Service) learnClaims(ctx context.Context, notBefore sageclock.Instant) {
 	s.claims.mu.Lock()
 	defer s.claims.mu.Unlock()
 	now := s.now()
-	if s.claims.readAt != 0 && now.Sub(s.claims.readAt) < claimsInterval {
+	if s.claims.readAt != 0 && now.Sub(s.claims.readAt) < claimsInterval && (s.claims.failed || s.claims.startedAt >= notBefore) {
 		return
 	}
 	claims, err := s.ReadClaims(ctx)
-	s.claims.readAt = s.now()
+	s.claims.startedAt, s.claims.readAt, s.claims.failed = now, s.now(), err != nil
 	if err != nil {
 		s.Log.Limited(sagelog.KindStateChange, "Claims of sole versions not read.", "err", err)
 		return
@@ -161,6 +181,22 @@
 	s.Log.Limited(sagelog.KindStateChange, "Claims of sole versions read.", "claims", len(claims))
 }
 
+// refresh reads the upstreams from the store unless the copy is fresh, or that was tried just before.
+func (s *Service) refresh(ctx context.Context) {
+	s.refreshes.mu.Lock()
+	defer s.refreshes.mu.Unlock()
+	if now := s.now(); s.Refresh == nil || s.Fresh() || s.refreshes.readAt != 0 && now.Sub(s.refreshes.readAt) < claimsInterval {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
+	defer cancel()
+	err := s.Refresh(ctx)
+	s.refreshes.readAt = s.now()
+	if err != nil {
+		s.Log.Limited(sagelog.KindStateChange, "Upstreams not read for a caller that returned.", "err", err)
+	}
+}
+
 // Handle handles a message of another node. Malformed ones are ignored.
 func (s *Service) Handle(b []byte, from string) {
 	now := s.now()
@@ -183,8 +219,9 @@
 // answer returns what this node knows of a stream's origin.
 func (s *Service) answer(now sageclock.Instant, q *sageorigin.Query) *sageorigin.Answer {
 	a := &sageorigin.Answer{Number: q.Number}
-	a.Origin, a.Age, a.Status = s.lookUp(now, q.Route, q.Key)
-	if a.Status != sageorigin.Found && !s.Fresh() {
+	var fresh bool
+	a.Origin, a.Age, a.Status, fresh = s.lookUp(now, q.Route, q.Key)
+	if a.Status != sageorigin.Found && !fresh {
 		a.Origin, a.Age, a.Status = sageorigin.Origin{}, 0, sageorigin.Uninformed
 	}
 	return a
@@ -192,16 +229,20 @@
 
 // lookUp returns what this node knows of a stream's origin. A record without a version says no more than that the stream
 // began, and contradicts a sole version.
-func (s *Service) lookUp(now sageclock.Instant, route string, k sageorigin.Key) (o sageorigin.Origin, age time.Duration, status sageorigin.Status) {
+//
+// Whether the copy of the upstreams is fresh is determined before the history is read. In the reverse order an old history would
+// count if the copy became fresh in between, as after a pause of the process.
+func (s *Service) lookUp(now sageclock.Instant, route string, k sageorigin.Key) (o sageorigin.Origin, age time.Duration, status sageorigin.Status, fresh bool) {
+	fresh = s.Fresh()
 	o, age, recorded := s.table.Get(now, k)
 	if recorded && o.Version != "" {
-		return o, age, sageorigin.Found
+		return o, age, sageorigin.Found, fresh
 	}
 	o, status = s.History.Status(now, route)
 	if recorded && o.Version != "" {
-		return sageorigin.Origin{}, 0, sageorigin.Unknown
+		return sageorigin.Origin{}, 0, sageorigin.Unknown, fresh
 	}
-	return o, 0, status
+	return o, 0, status, fresh
 }
 
 // deliver passes an answer on to the search that it belongs to. Answers of nodes that weren't asked are ignored.
--- a/internal/sageorigind/service.go
+++ b/internal/sageorigind/service.go
@@ -35,6 +35,8 @@
 	// Fresh reports whether this node's copy of the upstreams is so fresh that no version that it doesn't know gets
 	// requests.
 	Fresh func() bool
+	// Refresh reads the upstreams from the store, after which the copy is fresh; nil if that isn't possible.
+	Refresh func(ctx context.Context) error
 	// ReadClaims returns the claims of sole versions in the store, by service.
 	ReadClaims func(ctx context.Context) (map[string]sageorigin.Claim, error)
 	// RecoversUntil is the time until which records that were lost with all nodes may still be recovered.
@@ -54,13 +56,14 @@
 	ring       *sageorigin.Ring
 	ringUntil  sageclock.Instant
 
-	claims claimsRead
+	claims, refreshes storeRead
 }
 
-// claimsRead is the last read of the claims; mu is held while they are read.
-type claimsRead struct {
-	mu     sync.Mutex
-	readAt sageclock.Instant
+// storeRead is the last read of a kind of objects in the store; mu is held during a read.
+type storeRead struct {
+	mu                sync.Mutex
+	startedAt, readAt sageclock.Instant
+	failed            bool
 }
 
 // openStream is a stream that this node carries.
--- a/pkg/sageorigin/history.go
+++ b/pkg/sageorigin/history.go
@@ -92,6 +92,13 @@
 	}
 }
 
+// Claimed reports whether the store says that all streams of a route began at an origin.
+func (h *History) Claimed(o Origin, route string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.claimed(o, route)
+}
+
 // claimed reports whether the store says that all streams of a route began at an origin. mu is held.
 func (h *History) claimed(o Origin, route string) bool {
 	c, ok := h.claims[o.Service]
