origins: what a node missed while it was out of step is a gap in its history

Cause: the history recorded what the copy of the upstreams contained, and counted time in which the copy wasn't proven to be complete as time in which nothing happened. Changes of several seconds arrive as one, a listing has no departed objects at all.

Why it works: a version that began a stream beside another one was in the store for longer than new versions wait. If the copy's proof was older than that when it is renewed, the history starts anew before the copy counts as fresh. Then other nodes' histories are asked, or the claims, of which reads that began before the end of the gap are ignored.

Tests: startFleet is divided, so that a fleet can be changed before it runs. SetClaims takes the start of the read; its two callers in tests pass it.

--- a/internal/sagefollow/follower.go
+++ b/internal/sagefollow/follower.go
@@ -71,6 +71,10 @@
 	// OnIgnored is called after an answer of the store was ignored because it is older than the copy; may be
 	// nil.
 	OnIgnored func()
+	// OnGap is called when the copy is about to be proven to be complete again after its proof was older than MaxGap: objects may
+	// have been created and deleted meanwhile that this node has never seen. Until it returns, the proof remains old. May be nil.
+	OnGap  func()
+	MaxGap func() time.Duration
 	// Now is the clock; nil means [sageclock.Now].
 	Now func() sageclock.Instant
 	Log sagelog.Logger
@@ -181,6 +185,7 @@
 		f.behindSince = 0
 		f.mu.Unlock()
 		age := time.Duration(p.ProofAgeMillis) * time.Millisecond
+		f.reportGap(stamp.Add(-age))
 		f.Proof.RecordRelayed(stamp, age)
 		f.StoreProof.RecordRelayed(stamp, age)
 		return
@@ -321,6 +326,18 @@
 	return nil
 }
 
+// reportGap calls OnGap if a proof that dates from an instant ends a gap.
+func (f *Follower) reportGap(proven sageclock.Instant) {
+	if f.OnGap == nil {
+		return
+	}
+	now := f.now()
+	if age := f.Proof.Age(now); age != sagefresh.Unproven && age > f.MaxGap() && now.Sub(proven) < age {
+		f.Log.Limited(sagelog.KindStateChange, "Copy has a gap.", "kind", f.Kind, "gap_ms", age.Milliseconds())
+		f.OnGap()
+	}
+}
+
 func (f *Follower) now() sageclock.Instant {
 	if f.Now != nil {
 		return f.Now()
--- a/internal/sagefollow/remote_test.go
+++ b/internal/sagefollow/remote_test.go
@@ -154,6 +154,7 @@
 
 // remoteFleet is a set of nodes that follow a store and exchange heartbeats.
 type remoteFleet struct {
+	ctx   context.Context
 	nodes []*remoteNode
 	// unresponsive is a node that sends heartbeats but doesn't answer fetches; -1 for none.
 	unresponsive atomic.Int64
@@ -176,6 +177,13 @@
 // startFleet starts n nodes in a synctest bubble, which stop with ctx. Their probers are the followers of the given
 // fleet, if it isn't nil.
 func startFleet(ctx context.Context, s *remoteStore, n int, probers *remoteFleet) *remoteFleet {
+	f := newRemoteFleet(s, n, probers)
+	f.run(ctx)
+	return f
+}
+
+// newRemoteFleet returns n nodes, which don't run yet.
+func newRemoteFleet(s *remoteStore, n int, probers *remoteFleet) *remoteFleet {
 	f := new(remoteFleet)
 	f.unresponsive.Store(-1)
 	for i := range n {
@@ -185,13 +193,19 @@
 			Rank:     func(storeUnreachable bool) int { return x.rank(i, n, storeUnreachable) },
 			Apply:    x.apply,
 			Restore:  s.policy,
-			OnChange: func(bool) { go f.sendHeartbeat(ctx, i) },
+			OnChange: func(bool) { go f.sendHeartbeat(f.ctx, i) },
 		}
 		if probers != nil {
 			x.Prober = probers.nodes[i].Follower
 		}
 		f.nodes = append(f.nodes, x)
 	}
+	return f
+}
+
+// run runs the nodes, which stop with ctx.
+func (f *remoteFleet) run(ctx context.Context) {
+	f.ctx = ctx
 	for i, x := range f.nodes {
 		go func() { _ = x.Run(ctx) }()
 		go func() {
@@ -202,7 +216,6 @@
 			}
 		}()
 	}
-	return f
 }
 
 // rank returns the node's rank. Nodes that reach the store come before those that don't, and the latter count only
--- a/internal/sagefollow/watch.go
+++ b/internal/sagefollow/watch.go
@@ -69,6 +69,7 @@
 	if err != nil {
 		return 0, fmt.Errorf("follow %s: %w", f.Kind, err)
 	}
+	f.reportGap(asOf)
 	f.Proof.RecordRead(asOf)
 	f.StoreProof.RecordRead(asOf)
 	return len(d.Changes), nil
--- a/internal/sageorigind/find.go
+++ b/internal/sageorigind/find.go
@@ -62,7 +62,7 @@
 	switch {
 	case complete:
 	case fresh:
-		s.learnClaims(ctx, 0)
+		s.learnClaims(ctx, s.History.KnownSince())
 	default:
 		s.learnClaims(ctx, returned) // what happened since an earlier read may have been missed
 	}
@@ -177,7 +177,7 @@
 		s.Log.Limited(sagelog.KindStateChange, "Claims of sole versions not read.", "err", err)
 		return
 	}
-	s.History.SetClaims(claims)
+	s.History.SetClaims(now, claims)
 	s.Log.Limited(sagelog.KindStateChange, "Claims of sole versions read.", "claims", len(claims))
 }
 
--- a/internal/sageorigind/outofstep_test.go
+++ b/internal/sageorigind/outofstep_test.go
@@ -39,17 +39,17 @@
 				return nil
 			}
 		}},
-		{"it hears the others, and none hears it", func(f *testFleet, n *testNode) {
+		{"it hears the others, and none hears it", func(_ *testFleet, n *testNode) {
 			n.Send = func(string, []byte) error { return nil }
 		}},
-		{"another one is out of step as well, the rest is cut off", func(f *testFleet, n *testNode) {
+		{"another one is out of step as well, the rest is cut off", func(f *testFleet, _ *testNode) {
 			f.nodes[1].stale = true
 			f.nodes[1].setVersions("v1")
 			for _, o := range f.nodes[2:] {
 				o.down.Store(true)
 			}
 		}},
-		{"the others have started again", func(f *testFleet, n *testNode) { f.restart(1, 2, 3, 4, 5) }},
+		{"the others have started again", func(f *testFleet, _ *testNode) { f.restart(1, 2, 3, 4, 5) }},
 		{"it started meanwhile, and hears only one that is out of step", func(f *testFleet, n *testNode) {
 			n.history = sageorigin.History{}
 			n.history.SetRoutes(virtualNow(), map[string][]string{"r": {"chat"}})
@@ -112,6 +112,36 @@
 	})
 }
 
+// Prevents streams of a version that came and left while a node was out of step from going on there at the other one.
+func TestVersionThatNodeMissedIsAskedFor(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		change func(f *testFleet, n *testNode)
+		want   sageorigin.Status
+	}{
+		{"the others saw it", func(*testFleet, *testNode) {}, sageorigin.Unknown},
+		{"the others have started again, and the store has admitted it", func(f *testFleet, n *testNode) {
+			f.restart(1, 2, 3, 4, 5)
+			n.claims["chat"] = sageorigin.Claim{Service: "chat", Admitted: map[string]uint64{"v1": 1, "v2": 2}}
+		}, sageorigin.Unknown},
+		{"there was none, and the others have started again", func(f *testFleet, _ *testNode) { f.restart(1, 2, 3, 4, 5) }, sageorigin.Sole},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(6, "v1")
+				for _, o := range f.nodes[1:] {
+					o.setVersions("v1", "v2")
+					o.setVersions("v1")
+				}
+				n := f.nodes[0]
+				tt.change(f, n)
+				n.history.RecordGap(virtualNow())
+				require.Equal(t, tt.want, n.Find(t.Context(), "r", key(1)).Status)
+			})
+		})
+	}
+}
+
 // Prevents a node without others from refusing its callers whenever its copy wasn't read from the store just before.
 func TestNodeAloneReadsTheStoreForReturns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
--- a/internal/sagerouter/claims_test.go
+++ b/internal/sagerouter/claims_test.go
@@ -221,7 +221,7 @@
 			require.Len(t, availableIDs(n.view), len(tt.versions))
 			claims, err := n.keeper.claims(t.Context())
 			require.NoError(t, err)
-			n.history.SetClaims(claims)
+			n.history.SetClaims(sageclock.Now(), claims)
 			_, status := n.history.Status(sageclock.Now(), "r")
 			require.Equal(t, tt.sole, status == sageorigin.Sole)
 		})
--- a/internal/sagerouter/origins.go
+++ b/internal/sagerouter/origins.go
@@ -30,6 +30,8 @@
 	n.mesh.OnMessage = n.origins.Handle
 	n.relay.Origins = n.origins
 	n.view.newVersionDelay = func() time.Duration { return n.maxSoleProofAge() + newVersionMargin }
+	n.copies[n.Kinds.Upstreams].OnGap = func() { n.view.history.RecordGap(sageclock.Now()) }
+	n.copies[n.Kinds.Upstreams].MaxGap = n.view.newVersionDelay
 }
 
 // upstreamsFresh reports whether this node knows all versions that get requests.
--- a/pkg/sageorigin/history.go
+++ b/pkg/sageorigin/history.go
@@ -12,7 +12,7 @@
 // use.
 type History struct {
 	mu sync.Mutex
-	// observedSince is when this node knew the upstreams for the first time; 0 before.
+	// observedSince is since when this node has known of all upstreams; 0 before it knew any.
 	observedSince sageclock.Instant
 	complete      bool // nothing was before observedSince
 	present       map[string]map[string]bool
@@ -82,16 +82,23 @@
 	return false
 }
 
-// SetClaims sets the claims in the store, which say what happened before this node knew the upstreams. Those that are read
-// before the first call of [History.SetVersions] are ignored: what happens until then would be missed.
-func (h *History) SetClaims(claims map[string]Claim) {
+// SetClaims sets the claims in the store, which say what happened before this node knew the upstreams. Those whose read began
+// before [History.KnownSince] are ignored: what happened in between would be missed.
+func (h *History) SetClaims(readFrom sageclock.Instant, claims map[string]Claim) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.observedSince != 0 {
+	if h.observedSince != 0 && readFrom >= h.observedSince {
 		h.claims = claims
 	}
 }
 
+// KnownSince returns since when this node has known of all upstreams, 0 before it knew any.
+func (h *History) KnownSince() sageclock.Instant {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.observedSince
+}
+
 // Claimed reports whether the store says that all streams of a route began at an origin.
 func (h *History) Claimed(o Origin, route string) bool {
 	h.mu.Lock()
@@ -150,6 +157,16 @@
 	h.complete = true
 }
 
+// RecordGap records that versions may have appeared and departed just before now, which this node doesn't know of. What it knew
+// before, and the claims that it learned, no longer reach up to now.
+func (h *History) RecordGap(now sageclock.Instant) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.observedSince != 0 {
+		h.observedSince, h.complete, h.claims = now, false, nil
+	}
+}
+
 // Complete reports whether the history reaches back for [Window].
 func (h *History) Complete(now sageclock.Instant) bool {
 	h.mu.Lock()
--- a/pkg/sageorigin/history_test.go
+++ b/pkg/sageorigin/history_test.go
@@ -125,19 +125,40 @@
 		t.Run(tt.name, func(t *testing.T) {
 			var h History
 			h.SetRoutes(second, map[string][]string{"r": {"chat"}})
-			h.SetClaims(map[string]Claim{"chat": claim})
+			h.SetClaims(second, map[string]Claim{"chat": claim})
 			h.SetVersions(second, present("v1"))
 			_, status := h.Status(second, "r")
 			require.Equal(t, SoleSinceStart, status, "a claim read before the upstreams misses what happened until then")
 			c := claim
 			tt.change(&h, &c)
-			h.SetClaims(map[string]Claim{c.Service: c})
+			h.SetClaims(second, map[string]Claim{c.Service: c})
 			_, status = h.Status(second, "r")
 			require.Equal(t, tt.want, status)
 		})
 	}
 }
 
+// Prevents a node that was out of step from taking its history, or an earlier claim, for complete.
+func TestGapEndsWhatWasKnownBefore(t *testing.T) {
+	var h History
+	h.RecordGap(second)
+	require.False(t, h.Complete(second+window), "nothing was known before the gap")
+	h.SetRoutes(second, map[string][]string{"r": {"chat"}})
+	h.SetVersions(second, present("v1"))
+	h.SetComplete()
+	claims := map[string]Claim{"chat": {Service: "chat", Sole: true, Version: "v1", Routes: []string{"r"}}}
+	h.SetClaims(second, claims)
+	require.True(t, h.Claimed(chatV1, "r"))
+	h.RecordGap(9 * second)
+	require.False(t, h.Claimed(chatV1, "r"))
+	h.SetClaims(9*second-1, claims)
+	require.False(t, h.Claimed(chatV1, "r"), "the read began before the gap ended")
+	for at, want := range map[sageclock.Instant]Status{9*second + window - 1: SoleSinceStart, 9*second + window: Sole} {
+		_, status := h.Status(at, "r")
+		require.Equal(t, want, status)
+	}
+}
+
 func TestClaimable(t *testing.T) {
 	var h History
 	h.SetRoutes(second, map[string][]string{"r": {"chat"}, "a": {"chat"}, "split": {"chat", "app"}, "x": {"app"}})
