--- a/internal/sagefollow/doc.go
+++ b/internal/sagefollow/doc.go
@@ -18,6 +18,9 @@
 // ignored. Which changes stay in force until they are written again follows from the kind's [RestorePolicy]. Nodes announce up
 // to which point they keep such changes, and a node that kept less adopts the copy of one that kept more.
 //
+// While a copy isn't proven to be complete, objects may be created and deleted that it never contains: changes arrive as one, and
+// a listing has no deletions. Who needs to know of all objects that ever were is told of such gaps with [Follower.OnGap].
+//
 // # Usage
 //
 //	f := &sagefollow.Follower{Kind: "servers", Source: store, Peers: peers, Rank: rank, Apply: apply, ...}
