origins: a return may follow once a copy of the upstreams is fresh

What callers saw: none yet. A return that is refused because nobody has a fresh copy got a Retry-After up to its deadline, as one whose origin is lost.

Evidence: TestReturnMayFollowOnceCopyIsFresh failed without the change.

Why it works: if nothing contradicts the sole version, the refusal lasts only until a copy is fresh again, and Retry-After is the short one.

--- a/internal/sageorigind/find.go
+++ b/internal/sageorigind/find.go
@@ -38,7 +38,7 @@
 // Find returns where the stream with a key began, whose caller has returned on a route.
 func (s *Service) Find(ctx context.Context, route string, k sageorigin.Key) sageorigin.Finding {
 	f := s.find(ctx, route, k)
-	f.MayFollow = f.Status == sageorigin.Unknown && s.now() < s.RecoversUntil
+	f.MayFollow = f.Status == sageorigin.Unknown && (f.MayFollow || s.now() < s.RecoversUntil)
 	s.Metrics.GetOrCreateCounter(fmt.Sprintf(`sagestand_origin_searches_total{status=%q,asked="%t"}`, f.Status.String(), f.Asked > 0)).Inc()
 	return f
 }
@@ -90,6 +90,7 @@
 	now := s.now()
 	complete = own.fresh && s.History.Complete(now)
 	if len(nodes) == 0 {
+		f.MayFollow = own.sole
 		if own.sole && own.fresh {
 			f = sageorigin.Finding{Status: sageorigin.SoleSinceStart, Origin: own.origin}
 		}
@@ -134,8 +135,13 @@
 			complete = complete || got.Status == sageorigin.Sole
 		}
 	}
-	if f.Answered = len(answered); agreed && informed && f.Answered > 0 {
+	f.Answered = len(answered)
+	switch {
+	case !agreed:
+	case informed && f.Answered > 0:
 		f.Status, f.Origin = sageorigin.SoleSinceStart, own.origin
+	default:
+		f.MayFollow = true // nobody knows otherwise, and a copy may be fresh soon
 	}
 	return f, complete
 }
--- a/internal/sageorigind/outofstep_test.go
+++ b/internal/sageorigind/outofstep_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -142,6 +143,27 @@
 	}
 }
 
+// Prevents callers from giving up while the store answers no node for a moment.
+func TestReturnMayFollowOnceCopyIsFresh(t *testing.T) {
+	for _, nodes := range []int{1, 6} {
+		t.Run(fmt.Sprint(nodes), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newTestFleet(nodes, "v1")
+				for _, n := range f.nodes {
+					n.stale = true
+				}
+				got := f.nodes[0].Find(t.Context(), "r", key(1))
+				require.Equal(t, sageorigin.Finding{MayFollow: true, Asked: min(5, nodes-1), Answered: min(5, nodes-1)}, got)
+				f.nodes[0].stale = false
+				require.Equal(t, sageorigin.Sole, f.nodes[0].Find(t.Context(), "r", key(1)).Status)
+				f.setVersions("v1", "v2")
+				f.nodes[0].stale = true
+				require.False(t, f.nodes[0].Find(t.Context(), "r", key(1)).MayFollow, "a copy that is fresh won't tell")
+			})
+		})
+	}
+}
+
 // Prevents a node without others from refusing its callers whenever its copy wasn't read from the store just before.
 func TestNodeAloneReadsTheStoreForReturns(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
