--- a/internal/sagerouter/origins.go
+++ b/internal/sagerouter/origins.go
@@ -24,12 +24,14 @@
 	n.view.awaitsClaims, n.view.claimsWake = true, make(chan struct{}, 1)
 	n.origins = &sageorigind.Service{
 		Self: n.Settings.Listen.Mesh, History: &n.view.history, Nodes: n.recordHolders, Send: n.mesh.SendMessage,
-		Fresh: n.upstreamsFresh, RecoversUntil: n.startedAt.Add(recoveryTime),
+		Fresh: n.upstreamsFresh, Refresh: n.copies[n.Kinds.Upstreams].Refresh, RecoversUntil: n.startedAt.Add(recoveryTime),
 		ReadClaims: n.claimKeeper.claims, Metrics: n.metrics, Log: n.Log.Component("origins"),
 	}
 	n.mesh.OnMessage = n.origins.Handle
 	n.relay.Origins = n.origins
 	n.view.newVersionDelay = func() time.Duration { return n.maxSoleProofAge() + newVersionMargin }
+	n.copies[n.Kinds.Upstreams].OnGap = func() { n.view.history.RecordGap(sageclock.Now()) }
+	n.copies[n.Kinds.Upstreams].MaxGap = n.view.newVersionDelay
 }
 
 // upstreamsFresh reports whether this node knows all versions that get requests.
