--- a/cmd/sagebench/cases.go
+++ b/cmd/sagebench/cases.go
@@ -5,6 +5,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"time"
 
 	"github.com/pkg/errors"
 	"github.com/spf13/cobra"
@@ -137,3 +138,40 @@
 	p.addFlags(c)
 	return c
 }
+
+func crowdCommand() *cobra.Command {
+	p := new(casePlayer)
+	var seed uint64
+	var nodes, callers int
+	var duration time.Duration
+	c := &cobra.Command{
+		Use:   "crowd",
+		Short: "Have many nodes send to upstreams at their capacity, beside one other fault, and check all answers",
+		Args:  sagecli.ExactArgs(),
+		RunE: func(c *cobra.Command, _ []string) error {
+			if nodes < 2 || nodes > sagesoak.MaxCrowdNodes {
+				return fmt.Errorf("%w: --nodes: must be 2 to %d", sagecli.ErrUsage, sagesoak.MaxCrowdNodes)
+			}
+			for _, x := range sagesoak.Crowds() {
+				err := p.play(c, x.Name, func(dir string) (string, bool, error) {
+					x.Program, x.Dir, x.Seed, x.Nodes, x.Callers, x.Duration = p.program, dir, seed, nodes, callers, duration
+					r, err := x.Run(c.Context())
+					if err != nil {
+						return "", false, err
+					}
+					return strings.Join(append([]string{r.String()}, r.Details...), "\n  "), r.Failed(), nil
+				})
+				if err != nil {
+					return err
+				}
+			}
+			return p.result()
+		},
+	}
+	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the requests and of the times at which nodes stand still")
+	c.Flags().IntVar(&nodes, "nodes", 16, "number of nodes")
+	c.Flags().IntVar(&callers, "callers", 72, "number of callers")
+	c.Flags().DurationVar(&duration, "duration", 10*time.Second, "time in which callers send")
+	p.addFlags(c)
+	return c
+}
