--- a/internal/sagesoak/crowd.go
+++ b/internal/sagesoak/crowd.go
@@ -1,6 +1,7 @@
 package sagesoak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"maps"
@@ -42,6 +43,7 @@
 	maxStopGap     = 2 * time.Second
 	minStop        = 100 * time.Millisecond
 	maxStop        = 900 * time.Millisecond
+	longStop       = 2500 * time.Millisecond
 	sameIDShare    = 0.25
 	maxCrowdDetail = 8 // of each promise
 )
@@ -70,6 +72,8 @@
 	MaxConns int
 	// Shares has nodes get an eighth of a processor at times, Stops has them stand still for tenths of a second.
 	Shares, Stops bool
+	// MaxStop is the longest time for which a node stands still; 0 means 0.9 s.
+	MaxStop time.Duration
 	// ShortDeadlines has callers state deadlines that often end before the response.
 	ShortDeadlines bool
 	// Pairs has callers use two nodes at once, for some requests with the same ID.
@@ -126,6 +130,7 @@
 		{Name: "cut copies", Extra: standin.ExtraBytes{Cut: 0.3}},
 		{Name: "refusals without statement", Unstated: 0.05},
 		all,
+		{Name: "nodes stand still past deadlines", ShortDeadlines: true, Stops: true, MaxStop: longStop},
 		{Name: "short deadlines", ShortDeadlines: true, Stops: true},
 		{Name: "short deadlines beside shares", ShortDeadlines: true, Shares: true},
 		{Name: "two nodes at once", Pairs: true},
@@ -242,7 +247,7 @@
 func (c *Crowd) stopAtTimes(ctx context.Context, node int, rng *rand.Rand) {
 	for sageclock.Sleep(ctx, time.Duration(rng.Int64N(int64(maxStopGap)))) && ctx.Err() == nil {
 		c.sys.Signal(node, syscall.SIGSTOP)
-		time.Sleep(minStop + time.Duration(rng.Int64N(int64(maxStop-minStop))))
+		time.Sleep(minStop + time.Duration(rng.Int64N(int64(cmp.Or(c.MaxStop, maxStop)-minStop))))
 		c.sys.Signal(node, syscall.SIGCONT)
 	}
 }
@@ -250,7 +255,7 @@
 func (c *Crowd) caller(i int) *standin.CheckedCaller {
 	return &standin.CheckedCaller{
 		Node: c.sys.EntryAddress(i % c.Nodes), Key: func() string { return c.sys.Key(i) }, Ledger: &c.sys.Ledger, Outcomes: &c.outcomes,
-		Timeout: crowdDeadline, Grace: crowdGrace,
+		Timeout: crowdDeadline, Grace: crowdGrace + c.MaxStop,
 	}
 }
 
