crowd: connections that end after the deadline aren't lost answers

A node that stood still past a request's deadline can't write its answer in the second after it, and closes the connection.

--- a/internal/sagesoak/crowd.go
+++ b/internal/sagesoak/crowd.go
@@ -100,7 +100,7 @@
 // String returns the counts.
 func (r *CrowdResult) String() string {
 	p := PausesResult{Outcomes: r.Outcomes}
-	return fmt.Sprintf("%v; full %d, connections reset %d, rejections of no request %d, copies %d", &p, r.Declined, r.Resets, r.Unasked, r.Copies)
+	return fmt.Sprintf("%v; closed after the deadline %d, full %d, connections reset %d, rejections of no request %d, copies %d", &p, r.Outcomes.ClosedLate, r.Declined, r.Resets, r.Unasked, r.Copies)
 }
 
 // Crowds returns the cases.
