relay: the response after one without an ID is awaited up to the objective where no other upstream may be tried

Callers of a booking whose run takes longer than a first byte usually does got 502 in place of its response, beside an upstream that sends rejections of no request (the review's finding, from reading). TestResponseIsAwaitedAfterOneWithoutID holds the row of a run of 250 ms at an objective of 300 ms; with the shorter time it got 502. The timer ends with its exchange, so that it doesn't hold the request's body.

--- a/internal/sagerelay/owner.go
+++ b/internal/sagerelay/owner.go
@@ -29,22 +29,32 @@
 
 // examineOwner is [exchange.ownerOf] for responses as they arrive. One without an ID counts as another's, so that it is skipped on
 // a reused connection: the response to the request may still come. But the upstream may also have rejected the request
-// without its ID, so the exchange ends if none comes in the time that a first byte may take.
+// without its ID, so the exchange ends if none comes within [job.identifyTimeout].
 func (x *exchange) examineOwner(ctx context.Context, res *http.Response) sageconn.Owner {
 	owner := x.ownerOf(res)
 	if owner != sageconn.OwnerUnknown {
 		return owner
 	}
 	x.recordUnidentified(res)
-	time.AfterFunc(x.j.firstByteTimeout(), func() {
+	t := time.AfterFunc(x.j.identifyTimeout(), func() {
 		// Without a skipped response, the exchange has taken another connection since.
 		if ctx.Err() == nil && !x.identified.Load() && x.tracker.Skipped() > 0 {
 			x.cancel(errUnidentified)
 		}
 	})
+	context.AfterFunc(ctx, func() { t.Stop() })
 	return sageconn.OwnerOther
 }
 
+// identifyTimeout is the time allowed for the response to the request after one without an ID. A request that must be executed at
+// most once can't go to another upstream, so its response may take up to the route's objective.
+func (j *job) identifyTimeout() time.Duration {
+	if j.route.Repeatable() {
+		return j.firstByteTimeout()
+	}
+	return max(j.firstByteTimeout(), j.route.Objective)
+}
+
 // owns reports whether a response is the one to this exchange's request. Until then nothing in it may be believed, neither
 // that the request has not run nor what it says about its upstream. Upstreams and peers echo the request's ID, so a response
 // without one belongs to no request.
--- a/internal/sagerelay/unidentified_test.go
+++ b/internal/sagerelay/unidentified_test.go
@@ -126,6 +126,48 @@
 	}
 }
 
+// Prevents a booking whose run takes up to the objective from losing its response to a rejection that belongs to no request.
+func TestResponseIsAwaitedAfterOneWithoutID(t *testing.T) {
+	for _, c := range []struct {
+		kind   sageroute.Kind
+		run    time.Duration
+		status int
+		body   string
+	}{
+		{sageroute.Once, 250 * time.Millisecond, http.StatusOK, "from a"},
+		{sageroute.Once, time.Second, http.StatusBadGateway, ""},
+		{sageroute.Idempotent, 150 * time.Millisecond, http.StatusOK, "from a"},
+		{sageroute.Idempotent, 250 * time.Millisecond, http.StatusOK, "from b"},
+	} {
+		t.Run(fmt.Sprint(c.kind, " ", c.run), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeFleet(t, testRoute(c.kind), map[string]upstream{"a": nil, "b": nil})
+				s := scriptedService(f, func(w net.Conn, n int, req *http.Request) bool {
+					if n > 1 {
+						if _, err := io.WriteString(w, responseText(503, "", testNotRun+": 1\r\n", "")); err != nil {
+							return false
+						}
+						time.Sleep(c.run)
+					}
+					_, err := io.WriteString(w, responseText(200, req.Header.Get(testID), sealHeader, "from a"))
+					return err == nil
+				})
+				proveReuse(s)
+				serveID(t, s, "id1")
+				synctest.Wait()
+				w := serveID(t, s, "id2")
+				synctest.Wait()
+				s.toUpstreams().pooled.CloseIdleConnections()
+				time.Sleep(c.run) // until the upstream ends
+				require.Equal(t, c.status, w.Code)
+				if c.body != "" {
+					require.Equal(t, c.body, w.Body.String())
+				}
+			})
+		})
+	}
+}
+
 // sendsOf returns how often a request was sent to upstreams.
 func sendsOf(f *fakeFleet, id string) int {
 	f.mu.Lock()
