Streams are recorded while nothing vouches for a sole version

A node that had started took a version as sole that had been alone since its start, and kept no records of its streams, neither at other nodes nor in the store. Nodes that start after it can't know that: the store has no claim of a sole version until half a minute after the last other one left. A record is now left out only if the node's history reaches back, or a claim in the store covers the route; the claims are read once for that.

TestStreamsAreRecordedWhileNothingVouches failed before (0 records of 20).

--- a/internal/sageorigind/service.go
+++ b/internal/sageorigind/service.go
@@ -107,10 +107,33 @@
 	}
 }
 
-// sole reports whether no record is needed for streams of a route, as all began at one version.
+// sole reports whether no record is needed for streams of a route, as all began at one version. That none began elsewhere since
+// this node's start isn't enough: nodes that start later know nothing of what was before.
 func (s *Service) sole(now sageclock.Instant, route string) bool {
-	_, ok := s.History.Sole(now, route)
-	return ok && s.Fresh()
+	_, status := s.History.Status(now, route)
+	return status == sageorigin.Sole && s.Fresh()
+}
+
+// learnOnce reads the claims of sole versions if open streams need records only for what may have been before this node's start.
+func (s *Service) learnOnce(ctx context.Context, now sageclock.Instant) {
+	s.claims.mu.Lock()
+	read := s.claims.readAt != 0
+	s.claims.mu.Unlock()
+	if !read && s.anySinceStart(now) {
+		s.learnClaims(ctx)
+	}
+}
+
+// anySinceStart reports whether the route of an open stream had one version as far as this node's history reaches.
+func (s *Service) anySinceStart(now sageclock.Instant) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for st := range s.open {
+		if _, status := s.History.Status(now, st.route); status == sageorigin.SoleSinceStart {
+			return true
+		}
+	}
+	return false
 }
 
 // Run sends the records of open streams again until ctx ends, then hands over all records that this node holds.
@@ -125,6 +148,7 @@
 		case <-t.C:
 			now := s.now()
 			s.table.Sweep(now)
+			s.learnOnce(ctx, now)
 			s.sendCopies(now, s.due(now))
 		}
 	}
--- a/internal/sageorigind/service_test.go
+++ b/internal/sageorigind/service_test.go
@@ -222,6 +222,38 @@
 	})
 }
 
+// Prevents streams that begin after a loss of all nodes from being refused after the next one, as the store has no claim of a sole
+// version so soon.
+func TestStreamsAreRecordedWhileNothingVouches(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		claimed bool
+		want    int
+	}{{"no claim", false, 20}, {"claimed", true, 0}} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := new(testFleet)
+				for i := range 3 {
+					f.nodes = append(f.nodes, f.newNode(i))
+				}
+				f.setVersions("v1")
+				n := f.nodes[0]
+				if !tc.claimed {
+					n.claims = map[string]sageorigin.Claim{}
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				go func() { _ = n.Run(ctx) }()
+				n.begin(20, v1)
+				time.Sleep(2 * refreshInterval)
+				synctest.Wait()
+				require.Len(t, n.OpenRecords(), tc.want)
+				require.Equal(t, 1, n.listed)
+			})
+		})
+	}
+}
+
 // Prevents streams that began while a service had one version from being lost when a second one appears.
 func TestOpenStreamsAreRecordedWhenVersionAppears(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
