--- a/internal/sageorigind/service.go
+++ b/internal/sageorigind/service.go
@@ -123,7 +123,7 @@
 	read := s.claims.readAt != 0
 	s.claims.mu.Unlock()
 	if !read && s.anySinceStart(now) {
-		s.learnClaims(ctx)
+		s.learnClaims(ctx, 0)
 	}
 }
 
