--- a/internal/sageorigind/outofstep_test.go
+++ b/internal/sageorigind/outofstep_test.go
@@ -31,8 +31,8 @@
 		name   string
 		change func(f *testFleet, n *testNode)
 	}{
-		{"it hears no other node, and the store doesn't answer", func(f *testFleet, n *testNode) { f.cutOff(n) }},
-		{"it hears no other node, and the store answers", func(f *testFleet, n *testNode) {
+		{"it receives from no other node, and the store doesn't answer", func(f *testFleet, n *testNode) { f.cutOff(n) }},
+		{"it receives from no other node, and the store answers", func(f *testFleet, n *testNode) {
 			f.cutOff(n)
 			n.Refresh = func(context.Context) error {
 				n.setVersions("v1", "v2")
@@ -40,7 +40,7 @@
 				return nil
 			}
 		}},
-		{"it hears the others, and none hears it", func(_ *testFleet, n *testNode) {
+		{"it receives from the others, and none receives from it", func(_ *testFleet, n *testNode) {
 			n.Send = func(string, []byte) error { return nil }
 		}},
 		{"another one is out of step as well, the rest is cut off", func(f *testFleet, _ *testNode) {
@@ -51,7 +51,7 @@
 			}
 		}},
 		{"the others have started again", func(f *testFleet, _ *testNode) { f.restart(1, 2, 3, 4, 5) }},
-		{"it started meanwhile, and hears only one that is out of step", func(f *testFleet, n *testNode) {
+		{"it started meanwhile, and receives only from one that is out of step", func(f *testFleet, n *testNode) {
 			n.history = sageorigin.History{}
 			n.history.SetRoutes(virtualNow(), map[string][]string{"r": {"chat"}})
 			n.setVersions("v1")
@@ -60,7 +60,7 @@
 				o.down.Store(true)
 			}
 		}},
-		{"it started meanwhile, and hears no other node", func(f *testFleet, n *testNode) {
+		{"it started meanwhile, and receives from no other node", func(f *testFleet, n *testNode) {
 			f.cutOff(n)
 			n.history = sageorigin.History{}
 			n.history.SetRoutes(virtualNow(), map[string][]string{"r": {"chat"}})
@@ -158,7 +158,7 @@
 				require.Equal(t, sageorigin.Sole, f.nodes[0].Find(t.Context(), "r", key(1)).Status)
 				f.setVersions("v1", "v2")
 				f.nodes[0].stale = true
-				require.False(t, f.nodes[0].Find(t.Context(), "r", key(1)).MayFollow, "a copy that is fresh won't tell")
+				require.False(t, f.nodes[0].Find(t.Context(), "r", key(1)).MayFollow, "a fresh copy gives the same answer")
 			})
 		})
 	}
