--- a/internal/sagefollow/doc.go
+++ b/internal/sagefollow/doc.go
@@ -19,7 +19,7 @@
 // to which point they keep such changes, and a node that kept less adopts the copy of one that kept more.
 //
 // While a copy isn't proven to be complete, objects may be created and deleted that it never contains: changes arrive as one, and
-// a listing has no deletions. Who needs to know of all objects that ever were is told of such gaps with [Follower.OnGap].
+// a listing has no deletions. [Follower.OnGap] reports such gaps.
 //
 // # Usage
 //
