--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -174,12 +174,16 @@
 	})
 	n.kernel.Register("claims", n.claimKeeper)
 	snapshots := &snapshotKeeper{
-		Kind: n.Kinds.Snapshots, Name: fmt.Sprintf("%s-%08x", cfg.Node, rand.Uint32()), Store: n.Store, Open: n.origins.OpenRecords, Restore: n.origins.Restore,
-		Recovers: n.claimKeeper.Writes, Nodes: func() int { return len(n.knownNodes()) }, Log: n.Log.Component("origins"),
+		Kind: n.Kinds.Snapshots, Name: fmt.Sprintf("%s-%08x", cfg.Node, rand.Uint32()), Store: n.Store, Open: n.origins.OpenRecords,
+		Nodes: func() int { return len(n.knownNodes()) }, Log: n.Log.Component("origins"),
 		Began: make(chan struct{}, 1),
 	}
 	n.origins.Began = snapshots.began
 	n.kernel.Register("snapshots", snapshots)
+	n.kernel.Register("recovery", &snapshotRecovery{
+		Kind: n.Kinds.Snapshots, Name: snapshots.Name, Store: n.Store, Restore: n.origins.Restore, Recovers: n.claimKeeper.Writes,
+		Log: n.Log.Component("origins"),
+	})
 	n.kernel.Register("paths", &pathProber{node: n, wake: n.fleet.pathSuspected})
 	n.kernel.Register("recall", n.cacheResync)
 	n.kernel.Register("shares", &shareController{node: n})
--- a/internal/sagerouter/snapshots_test.go
+++ b/internal/sagerouter/snapshots_test.go
@@ -67,12 +67,18 @@
 	return nil
 }
 
-// newSnapshotKeeper returns the keeper of a node whose open streams are those in open, and the records that it restores.
-func newSnapshotKeeper(store Store, name string, open *[]sageorigin.Record) (*snapshotKeeper, *[]sageorigin.Record) {
-	restored := new([]sageorigin.Record)
+// newSnapshotKeeper returns the keeper of a node whose open streams are those in open.
+func newSnapshotKeeper(store Store, name string, open *[]sageorigin.Record) *snapshotKeeper {
 	return &snapshotKeeper{
-		Name: name, Store: store, Open: func() []sageorigin.Record { return *open }, Restore: func(rs []sageorigin.Record) { *restored = rs },
-		Recovers: func() bool { return true }, Nodes: func() int { return 1 }, Began: make(chan struct{}, 1),
+		Name: name, Store: store, Open: func() []sageorigin.Record { return *open }, Nodes: func() int { return 1 }, Began: make(chan struct{}, 1),
+	}
+}
+
+// newSnapshotRecovery returns the recovery of a node, and the records that it restores.
+func newSnapshotRecovery(store Store, name string) (*snapshotRecovery, *[]sageorigin.Record) {
+	restored := new([]sageorigin.Record)
+	return &snapshotRecovery{
+		Name: name, Store: store, Restore: func(rs []sageorigin.Record) { *restored = rs }, Recovers: func() bool { return true },
 	}, restored
 }
 
@@ -85,7 +91,7 @@
 	}
 	open := [][]sageorigin.Record{{record("1", "v1"), record("2", "v2")}, {record("3", "v2")}}
 	for i := range open {
-		k, _ := newSnapshotKeeper(store, string(rune('a'+i)), &open[i])
+		k := newSnapshotKeeper(store, string(rune('a'+i)), &open[i])
 		require.NoError(t, k.save(t.Context()))
 		writes := store.writes
 		require.NoError(t, k.save(t.Context()))
@@ -94,30 +100,29 @@
 	delays := restoreDelays
 	restoreDelays = []time.Duration{0}
 	defer func() { restoreDelays = delays }()
-	none := []sageorigin.Record{}
-	k, restored := newSnapshotKeeper(store, "a2", &none)
-	k.recover(t.Context())
+	r, restored := newSnapshotRecovery(store, "a2")
+	r.recover(t.Context())
 	origins := make(map[sageorigin.Key]string)
 	for _, r := range *restored {
 		origins[r.Key] = r.Origin.Version
 	}
 	require.Equal(t, map[sageorigin.Key]string{sageorigin.KeyOf("a", "1"): "v1", sageorigin.KeyOf("a", "2"): "v2", sageorigin.KeyOf("a", "3"): "v2"}, origins)
 
-	require.NoError(t, k.drop(t.Context()))
+	require.NoError(t, r.drop(t.Context()))
 	require.Len(t, store.objects, 2, "callers may still return")
-	running, _ := newSnapshotKeeper(store, "b", &open[0])
+	running := newSnapshotKeeper(store, "b", &open[0])
 	require.NoError(t, running.save(t.Context()))
-	k.dropAt = sageclock.Now()
-	require.NoError(t, k.drop(t.Context()))
+	r.dropAt = sageclock.Now()
+	require.NoError(t, r.drop(t.Context()))
 	require.Len(t, store.objects, 1, "a node that runs has written again")
 }
 
 // Prevents a node without such streams from calling the store.
 func TestNoStreamsNoSnapshots(t *testing.T) {
 	store, none := new(snapshotStore), []sageorigin.Record{}
-	k, _ := newSnapshotKeeper(store, "a", &none)
-	require.NoError(t, k.save(t.Context()))
-	require.NoError(t, k.drop(t.Context()))
+	require.NoError(t, newSnapshotKeeper(store, "a", &none).save(t.Context()))
+	r, _ := newSnapshotRecovery(store, "a")
+	require.NoError(t, r.drop(t.Context()))
 	require.Zero(t, store.calls)
 }
 
@@ -128,8 +133,8 @@
 		store := new(snapshotStore)
 		var open atomic.Pointer[[]sageorigin.Record]
 		open.Store(new([]sageorigin.Record))
-		k, _ := newSnapshotKeeper(store, "a", nil)
-		k.Recovers, k.Open = func() bool { return false }, func() []sageorigin.Record { return *open.Load() }
+		k := newSnapshotKeeper(store, "a", nil)
+		k.Open = func() []sageorigin.Record { return *open.Load() }
 		k.Now = func() sageclock.Instant { return sageclock.Instant(time.Now().UnixNano()) }
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
@@ -184,7 +189,7 @@
 		pause(snapshotCheck + snapshotRetry)
 		cancel()
 		require.NoError(t, <-done)
-		other, _ := newSnapshotKeeper(store, "b", nil)
+		other, _ := newSnapshotRecovery(store, "b")
 		other.Now = k.Now
 		records, err := other.load(t.Context())
 		require.NoError(t, err)
@@ -198,16 +203,18 @@
 		store := new(snapshotStore)
 		now := func() sageclock.Instant { return sageclock.Instant(time.Now().UnixNano()) }
 		before := []sageorigin.Record{{Key: sageorigin.KeyOf("a", "1"), Origin: sageorigin.Origin{Service: "s", Version: "v1"}, Until: now().Add(time.Minute)}}
-		first, _ := newSnapshotKeeper(store, "a1", &before)
+		first := newSnapshotKeeper(store, "a1", &before)
 		first.Now = now
 		require.NoError(t, first.save(t.Context()))
 		open := []sageorigin.Record{{Key: sageorigin.KeyOf("a", "2"), Origin: sageorigin.Origin{Service: "s", Version: "v2"}, Until: now().Add(time.Hour)}}
-		k, restored := newSnapshotKeeper(store, "a2", &open)
-		k.Now = now
+		k := newSnapshotKeeper(store, "a2", &open)
+		r, restored := newSnapshotRecovery(store, "a2")
+		k.Now, r.Now = now, now
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
-		done := make(chan error, 1)
+		done := make(chan error, 2)
 		go func() { done <- k.Run(ctx) }()
+		go func() { done <- r.Run(ctx) }()
 		k.began()
 		time.Sleep(snapshotInterval)
 		synctest.Wait()
@@ -216,6 +223,7 @@
 		time.Sleep(sageorigin.Window + restoreDelays[0] + snapshotInterval)
 		cancel()
 		require.NoError(t, <-done)
+		require.NoError(t, <-done)
 		require.Len(t, *restored, 1)
 		require.Len(t, store.objects, 1, "what was recovered is deleted once no caller can return")
 	})
@@ -235,7 +243,7 @@
 		for i := range tc.streams {
 			open = append(open, sageorigin.Record{Key: sageorigin.KeyOf("a", fmt.Sprint(i)), Origin: sageorigin.Origin{Service: "s", Version: "v1"}, Until: sageclock.Now().Add(time.Minute)})
 		}
-		k, _ := newSnapshotKeeper(new(snapshotStore), "a", &open)
+		k := newSnapshotKeeper(new(snapshotStore), "a", &open)
 		now := sageclock.Now()
 		k.Nodes, k.Now = func() int { return tc.nodes }, func() sageclock.Instant { return now }
 		require.NoError(t, k.save(t.Context()))
@@ -247,14 +255,13 @@
 func TestUnreadableSnapshotIsSkipped(t *testing.T) {
 	store := new(snapshotStore)
 	open := []sageorigin.Record{{Key: sageorigin.KeyOf("a", "1"), Origin: sageorigin.Origin{Service: "s", Version: "v1"}, Until: sageclock.Now().Add(time.Minute)}}
-	k, _ := newSnapshotKeeper(store, "a", &open)
-	require.NoError(t, k.save(t.Context()))
+	require.NoError(t, newSnapshotKeeper(store, "a", &open).save(t.Context()))
 	for name, status := range map[string]string{"x": `{"origins":7}`, "y": `{"origins":[{"service":"s","version":"v1","streams":{"zz":1}}]}`} {
 		_, err := store.Create(t.Context(), "", name, nil)
 		require.NoError(t, err)
 		require.NoError(t, store.SetStatus(t.Context(), "", name, 0, json.RawMessage(status)))
 	}
-	other, _ := newSnapshotKeeper(store, "b", &open)
+	other, _ := newSnapshotRecovery(store, "b")
 	records, err := other.load(t.Context())
 	require.NoError(t, err)
 	require.Len(t, records, 1)
