A loss of all nodes but one, with real processes: fails where the survivor has rank 0

What callers saw: of 51 streams whose version served, 18 went on and 33 were refused until their callers gave up.

--- a/internal/sagesoak/rejoin.go
+++ b/internal/sagesoak/rejoin.go
@@ -1,8 +1,10 @@
 package sagesoak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -13,17 +15,19 @@
 
 // Parameters of a loss of all nodes while streams are open.
 const (
-	rejoinNodes    = 5
-	rejoinEngines  = 4 // of each version
-	rejoinStreams  = 57
-	rejoinStep     = 25 // times the usual time of an event: a stream takes 3 s
-	rejoinWarmUp   = 3 * time.Second
-	rejoinOpen     = time.Second // age of the streams at the loss
-	rejoinDown     = time.Second
-	rejoinReturn   = 8 * time.Second // for which callers return
-	rejoinPause    = 100 * time.Millisecond
-	rejoinNewFor   = 5 * time.Second // after the return of the nodes, in which new streams are counted
-	rejoinNewEvery = 50 * time.Millisecond
+	rejoinNodes = 5
+	// rejoinManyNodes leaves most streams without a holder among the nodes that survive.
+	rejoinManyNodes = 9
+	rejoinEngines   = 4 // of each version
+	rejoinStreams   = 57
+	rejoinStep      = 25 // times the usual time of an event: a stream takes 3 s
+	rejoinWarmUp    = 3 * time.Second
+	rejoinOpen      = time.Second // age of the streams at the loss
+	rejoinDown      = time.Second
+	rejoinReturn    = 8 * time.Second // for which callers return
+	rejoinPause     = 100 * time.Millisecond
+	rejoinNewFor    = 5 * time.Second // after the return of the nodes, in which new streams are counted
+	rejoinNewEvery  = 50 * time.Millisecond
 )
 
 // replacement is what happens to the first version of the engines.
@@ -37,10 +41,14 @@
 	upgraded             // the same in place, with the same IDs
 )
 
-// Rejoin kills all nodes at once while streams are open, and has their callers take them up. Exported fields are set before Run.
+// Rejoin kills all nodes at once while streams are open, or all but some, and has their callers take them up. Exported fields are
+// set before Run.
 type Rejoin struct {
 	Name         string
 	Program, Dir string
+	// Nodes is the number of nodes; 0 means rejoinNodes. Survivors are the positions of those that aren't killed.
+	Nodes     int
+	Survivors []int
 	// Versions are the versions that serve at the start.
 	Versions []string
 	// Ends is what happens to the first version, At when, counted from the loss of the nodes.
@@ -50,6 +58,20 @@
 	sys *standin.System
 }
 
+// nodes returns the number of nodes.
+func (r *Rejoin) nodes() int { return cmp.Or(r.Nodes, rejoinNodes) }
+
+// killed returns the positions of the nodes that are killed.
+func (r *Rejoin) killed() []int {
+	var out []int
+	for i := range r.nodes() {
+		if !slices.Contains(r.Survivors, i) {
+			out = append(out, i)
+		}
+	}
+	return out
+}
+
 // RejoinResult is what became of the streams of a [Rejoin].
 type RejoinResult struct {
 	Broken int `json:"broken"`
@@ -73,7 +95,7 @@
 // Rejoins returns the cases of a loss of all nodes.
 func Rejoins() []*Rejoin {
 	both := []string{"v1", "v2"}
-	return []*Rejoin{
+	cases := []*Rejoin{
 		{Name: "one version", Versions: both[:1]},
 		{Name: "two versions serve all the time", Versions: both},
 		{Name: "one leaves 2 s before", Versions: both, Ends: leaves, At: -2 * time.Second},
@@ -85,11 +107,15 @@
 		{Name: "one leaves 0.2 s after the return", Versions: both, Ends: leaves, At: rejoinDown + 200*time.Millisecond},
 		{Name: "one leaves 1.5 s after the return", Versions: both, Ends: leaves, At: rejoinDown + 1500*time.Millisecond},
 	}
+	for i := range rejoinManyNodes {
+		cases = append(cases, &Rejoin{Name: fmt.Sprintf("all but node-%d", i+1), Versions: both, Nodes: rejoinManyNodes, Survivors: []int{i}})
+	}
+	return cases
 }
 
 // Run plays the case. It returns an error if it can't be played.
 func (r *Rejoin) Run(ctx context.Context) (RejoinResult, error) {
-	r.sys = &standin.System{Nodes: rejoinNodes, Engines: rejoinEngines * len(r.Versions), Program: r.Program, Dir: r.Dir, Subnet: 1, EngineVersions: r.Versions}
+	r.sys = &standin.System{Nodes: r.nodes(), Engines: rejoinEngines * len(r.Versions), Program: r.Program, Dir: r.Dir, Subnet: 1, EngineVersions: r.Versions}
 	defer r.sys.Stop()
 	if err := r.sys.Start(ctx); err != nil {
 		return RejoinResult{}, fmt.Errorf("start system: %w", err)
@@ -124,14 +150,14 @@
 
 // loseNodes kills all nodes, starts them again, and counts the new streams that begin.
 func (r *Rejoin) loseNodes(ctx context.Context) (RejoinResult, error) {
-	for i := range rejoinNodes {
+	for _, i := range r.killed() {
 		r.sys.Signal(i, syscall.SIGKILL)
 	}
-	for i := range rejoinNodes {
+	for _, i := range r.killed() {
 		<-r.sys.Exited(i)
 	}
 	sageclock.Sleep(ctx, rejoinDown)
-	for i := range rejoinNodes {
+	for _, i := range r.killed() {
 		if err := r.sys.StartNode(i); err != nil {
 			return RejoinResult{}, fmt.Errorf("start again: %w", err)
 		}
@@ -140,7 +166,7 @@
 	var mu sync.Mutex
 	var streams sync.WaitGroup
 	for from := time.Now(); time.Since(from) < rejoinNewFor; sageclock.Sleep(ctx, rejoinNewEvery) {
-		node := out.NewSent % rejoinNodes
+		node := out.NewSent % r.nodes()
 		out.NewSent++
 		streams.Go(func() {
 			c := r.caller(node)
@@ -232,7 +258,7 @@
 }
 
 func (r *Rejoin) attempt(ctx context.Context, n int, st *standin.Stream) string {
-	c := r.caller(n % rejoinNodes)
+	c := r.caller(n % r.nodes())
 	defer c.Close()
 	return c.Attempt(ctx, st, standin.AttemptOptions{})
 }
