Records of open streams are recovered after each loss of nodes, not after a start only

Cause: only the node of rank 0 recovers the saved records, and it did so in the first 3 s after its own start only. A survivor of rank 0 doesn't start, and those that start aren't of rank 0. The same holds for a node of rank 0 that can't reach the store in these 3 s, and for one that is lost in them. Change: a loss, or a start within the time of its detection, makes the records due at every node for as long as callers may return; whichever node is first by rank reads them, repeats a read that failed, and sends them to their holders again when others have joined. Objects are deleted when the last of their records has ended; before, half a minute after the read. Why it works: the duty follows from what was lost and not from who has started, and it stays due until a node has done it. TestStreamsAreSavedDuringRecovery now asks that an object whose record lasts for a minute isn't deleted before.

--- a/internal/sagemesh/receive.go
+++ b/internal/sagemesh/receive.go
@@ -59,6 +59,7 @@
 		s.mu.Unlock()
 		return
 	}
+	restarted := s.live[h.Address] && p.stamp.Incarnation != h.Stamp.Incarnation
 	p.stamp, p.lastContact, p.shortInterval = h.Stamp, now, h.ShortInterval
 	s.queueForwarded(h)
 	s.recordUnresponsive(now, h)
@@ -77,6 +78,9 @@
 	if joined {
 		s.OnJoined(h.Member())
 	}
+	if restarted && s.OnRestarted != nil {
+		s.OnRestarted(h.Member())
+	}
 	s.OnHeartbeat(h, stamp)
 }
 
--- a/internal/sagemesh/service.go
+++ b/internal/sagemesh/service.go
@@ -83,6 +83,8 @@
 	OnMessage func(b []byte, from string)
 	// OnJoined is called for each node that becomes live, OnLost for each that is dropped.
 	OnJoined, OnLost func(m Member)
+	// OnRestarted is called for each live node that has started again before it was dropped. May be nil.
+	OnRestarted func(m Member)
 	// Listen opens the socket; nil means UDP. Now is the clock; nil means [sageclock.Now].
 	Listen func(address string) (net.PacketConn, error)
 	Now    func() sageclock.Instant
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -119,6 +119,7 @@
 	relay           *sagerelay.Service
 	origins         *sageorigind.Service
 	claimKeeper     *claimKeeper
+	recovery        *snapshotRecovery
 	view            *view
 	fleet           *fleet
 	copies          sagemesh.Copies
@@ -180,10 +181,8 @@
 	}
 	n.origins.Began = snapshots.began
 	n.kernel.Register("snapshots", snapshots)
-	n.kernel.Register("recovery", &snapshotRecovery{
-		Kind: n.Kinds.Snapshots, Name: snapshots.Name, Store: n.Store, Restore: n.origins.Restore, Recovers: n.claimKeeper.Writes,
-		Log: n.Log.Component("origins"),
-	})
+	n.recovery.Name, n.recovery.Restore, n.recovery.Recovers = snapshots.Name, n.origins.Restore, n.claimKeeper.Writes
+	n.kernel.Register("recovery", n.recovery)
 	n.kernel.Register("paths", &pathProber{node: n, wake: n.fleet.pathSuspected})
 	n.kernel.Register("recall", n.cacheResync)
 	n.kernel.Register("shares", &shareController{node: n})
@@ -193,16 +192,30 @@
 
 func (n *Node) makeMesh() {
 	cfg := &n.Settings
+	n.recovery = &snapshotRecovery{Kind: n.Kinds.Snapshots, Store: n.Store, Log: n.Log.Component("origins")}
 	n.peers = &peerLog{DataCentre: cfg.DataCentre, Log: n.Log.Component("mesh")}
 	n.mesh = &sagemesh.Service{
 		Name: cfg.Node, Address: cfg.Listen.Mesh, Entry: cfg.Listen.Entry, DataCentre: cfg.DataCentre, Region: cfg.Region, Seeds: cfg.meshSeeds(),
 		LinkMbps: int(cfg.LinkMbps),
 		Fill:     n.fillHeartbeat, FillUpdates: n.fillUpdates, FillSum: n.fillSum, OnHeartbeat: n.handleHeartbeat,
-		OnJoined: n.peers.Joined, OnLost: n.peers.Lost,
+		OnJoined: n.handleJoined, OnLost: n.handleLost, OnRestarted: func(sagemesh.Member) { n.recovery.nodeLost() },
 		Log: n.Log.Component("mesh"),
 	}
 }
 
+func (n *Node) handleJoined(m sagemesh.Member) {
+	n.peers.Joined(m)
+	n.recovery.nodeJoined()
+}
+
+// handleLost has what a node knew recovered. One that leaves has handed its records over.
+func (n *Node) handleLost(m sagemesh.Member) {
+	n.peers.Lost(m)
+	if !m.Leaving {
+		n.recovery.nodeLost()
+	}
+}
+
 func (n *Node) makeFleet() {
 	cfg := &n.Settings
 	placer := new(sagechain.Placer)
--- a/internal/sagerouter/recovery.go
+++ b/internal/sagerouter/recovery.go
@@ -4,6 +4,9 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
+	"strings"
+	"sync"
 	"time"
 
 	"sagestand.example/sagestand/internal/sagefollow"
@@ -12,17 +15,25 @@
 	"sagestand.example/sagestand/pkg/sageorigin"
 )
 
-// recoveryTime is the time after its start within which a node gets what was recovered.
-const recoveryTime = 4 * time.Second
+// Times of the recovery.
+const (
+	// recoveryTime is the time after its start within which a node gets what was recovered.
+	recoveryTime = 4 * time.Second
+	// recoveryCheck is how often a node checks whether it has something to recover.
+	recoveryCheck = 100 * time.Millisecond
+	// recoverySpacing is the least time between two times that records are sent to their holders.
+	recoverySpacing = 800 * time.Millisecond
+)
 
-// restoreDelays are the times after its start at which a node sends the records that were found in the store to their holders.
-// Nodes that start at the same time discover each other meanwhile.
+// restoreDelays are the times after the start or the loss of a node, or after one has joined, at which records that were found in
+// the store are sent to their holders. Nodes that start at the same time discover each other meanwhile.
 var restoreDelays = []time.Duration{200 * time.Millisecond, time.Second, 3 * time.Second}
 
-// snapshotRecovery recovers the records that the nodes saved before all of them were lost. Exported fields are set before Run.
+// snapshotRecovery recovers the records that nodes have saved and that are lost with them. The first node by rank does so after its
+// own start and after the loss of others, as long as callers may return. Exported fields are set before Run.
 type snapshotRecovery struct {
 	Kind string
-	// Name is the name of this node's own object, which is left alone.
+	// Name begins the names of this node's own objects, which are left alone.
 	Name  string
 	Store Store
 	// Restore takes recovered records and sends them to their holders.
@@ -33,10 +44,28 @@
 	// Now is the clock; nil means [sageclock.Now].
 	Now func() sageclock.Instant
 
-	// recovered are the objects that were read, by name, with their revisions. Those that haven't changed since are deleted at
-	// dropAt.
-	recovered map[string]uint64
-	dropAt    sageclock.Instant
+	mu sync.Mutex
+	// lostAt is when this node started or last found that another one had been lost, and unread says that the store hasn't been read
+	// since.
+	lostAt sageclock.Instant
+	unread bool
+	// changedAt is when this node started or last found that another one had been lost or had joined, and sent the number of
+	// restoreDelays that have passed since.
+	changedAt sageclock.Instant
+	sent      int
+
+	// The fields from here on are used by Run only.
+	notBefore sageclock.Instant // earliest time of the next attempt
+	records   []sageorigin.Record
+	// recovered are the objects that were read, by name.
+	recovered map[string]savedObject
+}
+
+// savedObject is an object that was read.
+type savedObject struct {
+	revision uint64
+	// until is when the last of its records ends. If the object hasn't changed by then, it is deleted.
+	until sageclock.Instant
 }
 
 func (r *snapshotRecovery) now() sageclock.Instant {
@@ -46,84 +75,140 @@
 	return sageclock.Now()
 }
 
+// nodeLost records that a node was lost, or has started again. Its streams are known to its peers, unless they were lost as well.
+func (r *snapshotRecovery) nodeLost() {
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lostAt, r.unread = now, true
+	r.changedAt, r.sent = now, 0
+}
+
+// nodeJoined records that a node has joined, which may hold records from now on.
+func (r *snapshotRecovery) nodeJoined() {
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.changedAt, r.sent = now, 0
+}
+
 // Run works until ctx ends.
 func (r *snapshotRecovery) Run(ctx context.Context) error {
-	r.recover(ctx)
-	r.dropRecovered(ctx)
-	<-ctx.Done()
+	r.nodeLost()
+	for sageclock.Sleep(ctx, recoveryCheck) {
+		if err := r.recover(ctx); err != nil && ctx.Err() == nil {
+			r.Log.Limited(sagelog.KindStateChange, "Records of open streams not recovered.", "err", err)
+		}
+		if err := r.drop(ctx); err != nil && ctx.Err() == nil {
+			r.Log.Limited(sagelog.KindStateChange, "Recovered records not deleted.", "err", err)
+		}
+	}
 	return nil
 }
 
-// recover reads the records that nodes saved before all of them were lost, and sends them to their holders.
-func (r *snapshotRecovery) recover(ctx context.Context) {
-	var records []sageorigin.Record
-	started, read := r.now(), false
-	for _, delay := range restoreDelays {
-		sageclock.Sleep(ctx, delay-r.now().Sub(started))
-		if ctx.Err() != nil || !r.Recovers() {
-			continue
-		}
-		if !read {
-			var err error
-			if records, err = r.load(ctx); err != nil {
-				r.Log.Warn("Records of open streams not recovered.", "err", err)
-				continue
-			}
-			read = true
-		}
-		if len(records) > 0 {
-			r.Restore(records)
-			r.Log.Info("Records of open streams recovered.", "records", len(records), "objects", len(r.recovered))
+// recover reads the records that nodes saved before they were lost, and sends them to their holders, if it is time.
+func (r *snapshotRecovery) recover(ctx context.Context) error {
+	now := r.now()
+	read, send := r.due(now)
+	if !read && !send || now < r.notBefore || !r.Recovers() {
+		return nil
+	}
+	if read {
+		r.setUnread(false) // before the call: what is lost meanwhile has to be read again
+		if err := r.load(ctx); err != nil {
+			r.setUnread(true)
+			r.notBefore = r.now().Add(snapshotRetry)
+			return err
 		}
 	}
+	r.passDelays(now)
+	r.records = slices.DeleteFunc(r.records, func(o sageorigin.Record) bool { return o.Until <= now })
+	if len(r.records) == 0 {
+		return nil
+	}
+	r.notBefore = now.Add(recoverySpacing)
+	r.Restore(r.records)
+	r.Log.Info("Records of open streams recovered.", "records", len(r.records), "objects", len(r.recovered), "read", read)
+	return nil
+}
+
+// due reports whether the store has to be read before records are sent, and whether it is time to send them.
+//
+// A node that wasn't first by rank when another one was lost may become so later, as the first one is lost or can't reach the
+// store. It doesn't know whether that one has recovered the records.
+func (r *snapshotRecovery) due(now sageclock.Instant) (read, send bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	read = r.unread && now.Sub(r.lostAt) >= restoreDelays[0] && now.Sub(r.lostAt) < sageorigin.Window
+	send = r.sent < len(restoreDelays) && now.Sub(r.changedAt) >= restoreDelays[r.sent]
+	return read, send
+}
+
+func (r *snapshotRecovery) setUnread(unread bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.unread = unread
+}
+
+// passDelays leaves out the delays that have passed.
+func (r *snapshotRecovery) passDelays(now sageclock.Instant) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.sent < len(restoreDelays) && now.Sub(r.changedAt) >= restoreDelays[r.sent] {
+		r.sent++
+	}
 }
 
 // load reads the records in the store.
-func (r *snapshotRecovery) load(ctx context.Context) ([]sageorigin.Record, error) {
+func (r *snapshotRecovery) load(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	d, err := sagefollow.ListAll(ctx, r.Store.List, r.Kind)
 	if err != nil {
-		return nil, fmt.Errorf("list records: %w", err)
+		return fmt.Errorf("list records: %w", err)
 	}
 	now := r.now()
-	var out []sageorigin.Record
-	r.recovered, r.dropAt = make(map[string]uint64), now.Add(sageorigin.Window)
+	r.records, r.recovered = nil, make(map[string]savedObject)
 	for i := range d.Changes {
 		o := &d.Changes[i].Object
-		if o.Name == r.Name {
-			continue
-		}
-		r.recovered[o.Name] = o.Revision
-		var s sageorigin.Snapshot
-		if err := json.Unmarshal(o.Status, &s); err != nil {
-			r.Log.Warn("Records can't be read.", "name", o.Name, "err", err)
+		if strings.HasPrefix(o.Name, r.Name) {
 			continue
 		}
-		records, err := s.Records(now)
+		records, err := decodeSnapshot(o, now)
 		if err != nil {
 			r.Log.Warn("Records can't be read.", "name", o.Name, "err", err)
-			continue
 		}
-		out = append(out, records...)
+		saved := savedObject{revision: o.Revision, until: now.Add(sageorigin.Window)}
+		for i := range records {
+			saved.until = max(saved.until, records[i].Until)
+		}
+		r.recovered[o.Name] = saved
+		r.records = append(r.records, records...)
 	}
-	return out, nil
+	return nil
 }
 
-// dropRecovered drops what was recovered when it is time.
-func (r *snapshotRecovery) dropRecovered(ctx context.Context) {
-	for len(r.recovered) > 0 && sageclock.Sleep(ctx, max(snapshotRetry, r.dropAt.Sub(r.now()))) {
-		if err := r.drop(ctx); err != nil && ctx.Err() == nil {
-			r.Log.Limited(sagelog.KindStateChange, "Recovered records not deleted.", "err", err)
-		}
+func decodeSnapshot(o *sagefollow.Object, now sageclock.Instant) ([]sageorigin.Record, error) {
+	var s sageorigin.Snapshot
+	if err := json.Unmarshal(o.Status, &s); err != nil {
+		return nil, fmt.Errorf("decode records: %w", err)
 	}
+	return s.Records(now)
 }
 
-// drop deletes the objects that were recovered once no caller can return. Nodes that run write theirs again.
+// drop deletes the objects that were recovered once no caller can return, unless they have changed since.
 func (r *snapshotRecovery) drop(ctx context.Context) error {
-	if len(r.recovered) == 0 || r.now() < r.dropAt {
+	now := r.now()
+	ended := make(map[string]uint64)
+	for name, o := range r.recovered {
+		if now >= o.until {
+			ended[name] = o.revision
+		}
+	}
+	if len(ended) == 0 || now < r.notBefore {
 		return nil
 	}
+	r.notBefore = now.Add(snapshotRetry)
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	d, err := sagefollow.ListAll(ctx, r.Store.List, r.Kind)
@@ -132,13 +217,15 @@
 	}
 	for i := range d.Changes {
 		o := &d.Changes[i].Object
-		if revision, ok := r.recovered[o.Name]; !ok || revision != o.Revision {
+		if revision, ok := ended[o.Name]; !ok || revision != o.Revision {
 			continue
 		}
 		if err := r.Store.Delete(ctx, r.Kind, o.Name); err != nil {
 			return fmt.Errorf("delete recovered records: %w", err)
 		}
 	}
-	r.recovered = nil
+	for name := range ended {
+		delete(r.recovered, name)
+	}
 	return nil
 }
--- a/internal/sagerouter/snapshots_test.go
+++ b/internal/sagerouter/snapshots_test.go
@@ -101,7 +101,8 @@
 	restoreDelays = []time.Duration{0}
 	defer func() { restoreDelays = delays }()
 	r, restored := newSnapshotRecovery(store, "a2")
-	r.recover(t.Context())
+	r.nodeLost()
+	require.NoError(t, r.recover(t.Context()))
 	origins := make(map[sageorigin.Key]string)
 	for _, r := range *restored {
 		origins[r.Key] = r.Origin.Version
@@ -112,7 +113,7 @@
 	require.Len(t, store.objects, 2, "callers may still return")
 	running := newSnapshotKeeper(store, "b", &open[0])
 	require.NoError(t, running.save(t.Context()))
-	r.dropAt = sageclock.Now()
+	r.Now = func() sageclock.Instant { return until.Add(time.Second) }
 	require.NoError(t, r.drop(t.Context()))
 	require.Len(t, store.objects, 1, "a node that runs has written again")
 }
@@ -191,9 +192,8 @@
 		require.NoError(t, <-done)
 		other, _ := newSnapshotRecovery(store, "b")
 		other.Now = k.Now
-		records, err := other.load(t.Context())
-		require.NoError(t, err)
-		require.Len(t, records, len(*open.Load()))
+		require.NoError(t, other.load(t.Context()))
+		require.Len(t, other.records, len(*open.Load()))
 	})
 }
 
@@ -220,7 +220,10 @@
 		synctest.Wait()
 		writes, _ := store.counts()
 		require.Equal(t, 4, writes, "both have created an object and written once")
-		time.Sleep(sageorigin.Window + restoreDelays[0] + snapshotInterval)
+		time.Sleep(sageorigin.Window + recoveryCheck)
+		synctest.Wait()
+		require.Len(t, store.objects, 2, "the caller of the recovered stream may still return")
+		time.Sleep(time.Minute)
 		cancel()
 		require.NoError(t, <-done)
 		require.NoError(t, <-done)
@@ -262,7 +265,6 @@
 		require.NoError(t, store.SetStatus(t.Context(), "", name, 0, json.RawMessage(status)))
 	}
 	other, _ := newSnapshotRecovery(store, "b")
-	records, err := other.load(t.Context())
-	require.NoError(t, err)
-	require.Len(t, records, 1)
+	require.NoError(t, other.load(t.Context()))
+	require.Len(t, other.records, 1)
 }
