Few nodes write the records of open streams for all

Class: a bound of the fleet divided among all its nodes, so that each gets slower as the fleet grows. The old TestSnapshotsAreSpaced asked for 2 s with 400 nodes. Change: the first ten nodes by rank that reach the store write for all. A node that isn't one of them sends each record to two of them, in different data centres. Records are appended to segments, so that a write doesn't grow with the number of open streams; a stream that ends before it is written needs no write. As segments keep records of ended streams until their callers can't return, a recovery has more records: it is done in batches, and after the loss of so many nodes only that a record may have no holder. Why it works: ten writers at 50 ms make the calls that 5 ms a node allowed, and the interval doesn't depend on the fleet.

--- a/internal/sagemesh/ranks.go
+++ b/internal/sagemesh/ranks.go
@@ -1,5 +1,7 @@
 package sagemesh
 
+import "slices"
+
 // Rank returns this node's position, from 0, in an order of the live nodes by the hash of their addresses. Leaving
 // nodes are left out. Nodes that can't reach the store come last, and are ignored by those that can.
 //
@@ -13,6 +15,20 @@
 	return r.rank
 }
 
+// NodeAddress is where a node is reached by others.
+type NodeAddress struct {
+	Address, DataCentre, Region string
+}
+
+// Writers returns the live nodes that reach the store, in the order of [Service.Rank]. If no other node does, this one is the only one.
+func (s *Service) Writers(storeUnreachable bool) []NodeAddress {
+	all := s.currentRoles().writers
+	if !storeUnreachable || len(all) == 1 {
+		return all
+	}
+	return slices.DeleteFunc(slices.Clone(all), func(n NodeAddress) bool { return n.Address == s.Address })
+}
+
 // FetchesForDataCentre reports whether this node fetches new content from other data centres for its own one.
 func (s *Service) FetchesForDataCentre() bool {
 	return s.currentRoles().aggregators[s.DataCentre].primary == s.Address
--- a/internal/sagemesh/roles.go
+++ b/internal/sagemesh/roles.go
@@ -27,6 +27,8 @@
 	rank, rankUnreachable int
 	// standby are the addresses of the standby nodes.
 	standby []string
+	// writers are the live nodes that reach the store, by rank; this one is among them.
+	writers []NodeAddress
 	// aggregators are the aggregators by data centre.
 	aggregators map[string]aggregatorPair
 }
@@ -90,6 +92,15 @@
 	for _, c := range standby[:min(standbyCount, len(standby))] {
 		r.standby = append(r.standby, c.address)
 	}
+	for _, c := range standby {
+		switch {
+		case c.address == s.Address:
+			r.writers = append(r.writers, NodeAddress{Address: s.Address, DataCentre: s.DataCentre, Region: s.Region})
+		case s.live[c.address]:
+			m := &s.peers[c.address].member
+			r.writers = append(r.writers, NodeAddress{Address: c.address, DataCentre: m.DataCentre, Region: m.Region})
+		}
+	}
 	return r
 }
 
--- /dev/null
+++ b/internal/sagemesh/writers_test.go
@@ -0,0 +1,49 @@
+package sagemesh
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Prevents records from being sent to nodes that can't write them: those that leave, were never seen or can't reach the store.
+func TestWritersReachTheStore(t *testing.T) {
+	n := newNode("a", freePort(t), unusedAddress(50))
+	require.NoError(t, n.Open())
+	defer func() { _ = n.conn.Close() }()
+	self := NodeAddress{Address: n.Address}
+	require.Equal(t, []NodeAddress{self}, n.Writers(false), "a seed that wasn't seen doesn't write")
+	require.Equal(t, []NodeAddress{self}, n.Writers(true), "no other node does")
+
+	heartbeat := func(i int, h Heartbeat) string {
+		h.Identity, h.Address = Identity{Node: unusedAddress(i), DataCentre: "dc"}, unusedAddress(i)
+		h.Stamp = Stamp{1, 1}
+		n.handleHeartbeat(&h)
+		return h.Address
+	}
+	leaving, cut := heartbeat(1, Heartbeat{Leaving: true}), heartbeat(2, Heartbeat{StoreUnreachable: true})
+	var others []NodeAddress
+	for i := range 5 {
+		others = append(others, NodeAddress{Address: heartbeat(10+i, Heartbeat{}), DataCentre: "dc"})
+	}
+	got := n.Writers(false)
+	require.ElementsMatch(t, append(others, self), got)
+	require.Equal(t, self, got[n.Rank(false)])
+	require.ElementsMatch(t, others, n.Writers(true))
+	for _, w := range got {
+		require.NotContains(t, []string{leaving, cut}, w.Address)
+	}
+}
+
+// Prevents what a node knew from being lost unnoticed if it starts again before the others have found that it was lost.
+func TestRestartIsReported(t *testing.T) {
+	n := newNode("a", freePort(t))
+	require.NoError(t, n.Open())
+	defer func() { _ = n.conn.Close() }()
+	var restarted []string
+	n.OnRestarted = func(m Member) { restarted = append(restarted, m.Node) }
+	for _, s := range []Stamp{{1, 1}, {1, 2}, {7, 1}, {7, 2}} {
+		n.handleHeartbeat(&Heartbeat{Identity: Identity{Node: "b"}, Address: unusedAddress(1), Stamp: s})
+	}
+	require.Equal(t, []string{"b"}, restarted)
+}
--- a/internal/sageorigind/doc.go
+++ b/internal/sageorigind/doc.go
@@ -1,7 +1,7 @@
 // Package sageorigind keeps where streams began on several nodes, and finds it for callers that return.
 //
-// After a loss of all nodes, [Service.Find] relies on the claims in the platform's store, and [Service.Restore] takes the records
-// that [Service.OpenRecords] had given for it. Service.Began is called as soon as there is another one to save.
+// After a loss of all nodes, [Service.Find] relies on the claims in the platform's store, and [Service.Restore] takes the records that
+// were saved there. A few nodes write them for all: each node sends the records of its streams to two of them, unless it is one itself.
 //
 // [Service.Begin] is called when a node passes on the first event of a stream. It keeps a record, and sends copies to the
 // nodes that the stream's key ranks first, unless the route had only one version of one service. While the stream runs, its
@@ -20,5 +20,5 @@
 //	end := s.Begin(route, key, origin, until) // before the first event is passed on
 //	defer end()
 //	f := s.Find(ctx, route, key)              // when a caller returns
-//	s.Handle(message, from)                   // for each message of another node
+//	s.Handle(message, from)                   // for each message of another node; its records to be saved go to s.Save
 package sageorigind
--- a/internal/sageorigind/find.go
+++ b/internal/sageorigind/find.go
@@ -214,6 +214,9 @@
 	for _, r := range m.Records {
 		s.table.Put(now, r)
 	}
+	if len(m.Save) > 0 && s.Save != nil {
+		s.Save(m.Save)
+	}
 	if q := m.Query; q != nil {
 		s.send(now, from, &sageorigin.Message{Answer: s.answer(now, q)})
 	}
--- a/internal/sageorigind/service.go
+++ b/internal/sageorigind/service.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"iter"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,8 +41,11 @@
 	Refresh func(ctx context.Context) error
 	// ReadClaims returns the claims of sole versions in the store, by service.
 	ReadClaims func(ctx context.Context) (map[string]sageorigin.Claim, error)
-	// Began is called when a stream whose record is needed has begun; nil if nobody has to know.
-	Began func()
+	// Writers returns the nodes that write records to the store; this one may be among them. Save has records written by this node, and
+	// Forget takes one back whose stream has ended, unless it is written already. They must not wait. All are nil if nothing is saved.
+	Writers func() []sageorigin.Holder
+	Save    func(records []sageorigin.Record)
+	Forget  func(k sageorigin.Key)
 	// RecoversUntil is the time until which records that were lost with all nodes may still be recovered.
 	RecoversUntil sageclock.Instant
 	Metrics       *metrics.Set
@@ -55,8 +60,12 @@
 	// asks are the searches in progress, by number.
 	asks       map[uint64]*ask
 	lastNumber uint64
-	ring       *sageorigin.Ring
-	ringUntil  sageclock.Instant
+	// ring has the nodes that hold records, writers those that write them to the store since writersSince.
+	ring         *sageorigin.Ring
+	writers      *sageorigin.Ring
+	writerNodes  []sageorigin.Holder
+	writersSince sageclock.Instant
+	ringUntil    sageclock.Instant
 
 	claims, refreshes storeRead
 }
@@ -98,15 +107,18 @@
 	s.open[st] = struct{}{}
 	s.mu.Unlock()
 	if !s.sole(now, route) {
-		s.sendCopies(now, []*openStream{st})
-		if s.Began != nil {
-			s.Began()
-		}
+		s.sendCopies(now, s.due(now))
 	}
-	return func() {
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		delete(s.open, st)
+	return func() { s.end(st) }
+}
+
+// end ends a stream at this node.
+func (s *Service) end(st *openStream) {
+	s.mu.Lock()
+	delete(s.open, st)
+	s.mu.Unlock()
+	if s.Forget != nil {
+		s.Forget(st.record.Key)
 	}
 }
 
@@ -162,9 +174,10 @@
 	sole := make(map[string]bool)
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.updateRings(now)
 	var out []*openStream
 	for st := range s.open {
-		if st.sentAt != 0 && now.Sub(st.sentAt) < resendInterval {
+		if st.sentAt != 0 && now.Sub(st.sentAt) < resendInterval && st.sentAt >= s.writersSince {
 			continue
 		}
 		if _, ok := sole[st.route]; !ok {
@@ -177,24 +190,6 @@
 	return out
 }
 
-// OpenRecords returns the records of the open streams whose routes had several origins.
-func (s *Service) OpenRecords() []sageorigin.Record {
-	now := s.now()
-	sole := make(map[string]bool)
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	var out []sageorigin.Record
-	for st := range s.open {
-		if _, ok := sole[st.route]; !ok {
-			sole[st.route] = s.sole(now, st.route)
-		}
-		if !sole[st.route] {
-			out = append(out, st.record)
-		}
-	}
-	return out
-}
-
 // Restore takes records that were recovered and sends them to their holders.
 func (s *Service) Restore(records []sageorigin.Record) {
 	now := s.now()
@@ -219,6 +214,7 @@
 	}
 	s.mu.Unlock()
 	s.sendRecords(now, records)
+	s.saveRecords(now, records)
 }
 
 // handOver sends all records to their holders, for which this node was one.
@@ -243,16 +239,53 @@
 		}
 	}
 	for address, rs := range byHolder {
+		for part := range messageParts(rs) {
+			s.send(now, address, &sageorigin.Message{Records: part})
+		}
+	}
+}
+
+// saveRecords has each record written to the store, by this node or by others.
+func (s *Service) saveRecords(now sageclock.Instant, records []sageorigin.Record) {
+	if s.Writers == nil {
+		return
+	}
+	byWriter := make(map[string][]sageorigin.Record)
+	ring := s.currentWriters(now)
+	for _, r := range records {
+		if r.Origin.Check() != nil {
+			continue
+		}
+		for _, address := range ring.Writers(r.Key, s.Self) {
+			byWriter[address] = append(byWriter[address], r)
+		}
+	}
+	for address, rs := range byWriter {
+		if address == s.Self {
+			s.Save(rs)
+			continue
+		}
+		for part := range messageParts(rs) {
+			s.send(now, address, &sageorigin.Message{Save: part})
+		}
+	}
+}
+
+// messageParts splits records into parts that fit into a message.
+func messageParts(records []sageorigin.Record) iter.Seq[[]sageorigin.Record] {
+	return func(yield func([]sageorigin.Record) bool) {
 		size, first := 0, 0
-		for i := range rs {
-			n := rs[i].MaxEncodedBytes()
+		for i := range records {
+			n := records[i].MaxEncodedBytes()
 			if size+n > sageorigin.MaxMessageBytes {
-				s.send(now, address, &sageorigin.Message{Records: rs[first:i]})
+				if !yield(records[first:i]) {
+					return
+				}
 				size, first = 0, i
 			}
 			size += n
 		}
-		s.send(now, address, &sageorigin.Message{Records: rs[first:]})
+		yield(records[first:])
 	}
 }
 
@@ -266,12 +299,32 @@
 	}
 }
 
-// currentRing returns the order of the nodes.
+// currentRing returns the order of the nodes that hold records.
 func (s *Service) currentRing(now sageclock.Instant) *sageorigin.Ring {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.ring == nil || now >= s.ringUntil {
-		s.ring, s.ringUntil = sageorigin.NewRing(s.Nodes()), now.Add(ringTTL)
-	}
+	s.updateRings(now)
 	return s.ring
 }
+
+// currentWriters returns the order of the nodes that write records to the store.
+func (s *Service) currentWriters(now sageclock.Instant) *sageorigin.Ring {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.updateRings(now)
+	return s.writers
+}
+
+// updateRings determines the nodes again after some time. The caller holds mu.
+func (s *Service) updateRings(now sageclock.Instant) {
+	if s.ring != nil && now < s.ringUntil {
+		return
+	}
+	s.ring, s.ringUntil = sageorigin.NewRing(s.Nodes()), now.Add(ringTTL)
+	if s.Writers == nil {
+		return
+	}
+	if nodes := s.Writers(); s.writers == nil || !slices.Equal(nodes, s.writerNodes) {
+		s.writers, s.writerNodes, s.writersSince = sageorigin.NewRing(nodes), nodes, now
+	}
+}
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -174,12 +174,9 @@
 		Self: cfg.Node, Kind: n.Kinds.Quarantines, Tracker: &n.quarantine, Store: n.Store, Rank: n.quarantineRank, Log: n.Log.Component("quarantine"),
 	})
 	n.kernel.Register("claims", n.claimKeeper)
-	snapshots := &snapshotKeeper{
-		Kind: n.Kinds.Snapshots, Name: fmt.Sprintf("%s-%08x", cfg.Node, rand.Uint32()), Store: n.Store, Open: n.origins.OpenRecords,
-		Nodes: func() int { return len(n.knownNodes()) }, Log: n.Log.Component("origins"),
-		Began: make(chan struct{}, 1),
-	}
-	n.origins.Began = snapshots.began
+	snapshots := newSnapshotKeeper(n.Kinds.Snapshots, fmt.Sprintf("%s-%08x", cfg.Node, rand.Uint32()), n.Store,
+		func() int { return len(n.recordWriters()) }, n.Log.Component("origins"))
+	n.origins.Save, n.origins.Forget = snapshots.Save, snapshots.Forget
 	n.kernel.Register("snapshots", snapshots)
 	n.recovery.Name, n.recovery.Restore, n.recovery.Recovers = snapshots.Name, n.origins.Restore, n.claimKeeper.Writes
 	n.kernel.Register("recovery", n.recovery)
--- a/internal/sagerouter/origins.go
+++ b/internal/sagerouter/origins.go
@@ -25,7 +25,7 @@
 	n.origins = &sageorigind.Service{
 		Self: n.Settings.Listen.Mesh, History: &n.view.history, Nodes: n.recordHolders, Send: n.mesh.SendMessage,
 		Fresh: n.upstreamsFresh, Refresh: n.copies[n.Kinds.Upstreams].Refresh, RecoversUntil: n.startedAt.Add(recoveryTime),
-		ReadClaims: n.claimKeeper.claims, Metrics: n.metrics, Log: n.Log.Component("origins"),
+		Writers: n.recordWriters, ReadClaims: n.claimKeeper.claims, Metrics: n.metrics, Log: n.Log.Component("origins"),
 	}
 	n.mesh.OnMessage = n.origins.Handle
 	n.relay.Origins = n.origins
@@ -51,6 +51,16 @@
 	return out
 }
 
+// recordWriters returns the nodes that write records to the store for all.
+func (n *Node) recordWriters() []sageorigin.Holder {
+	nodes := n.mesh.Writers(n.copies[n.Kinds.Upstreams].Failing())
+	out := make([]sageorigin.Holder, min(maxWriters, len(nodes)))
+	for i := range out {
+		out[i] = sageorigin.Holder{Address: nodes[i].Address, DataCentre: nodes[i].DataCentre}
+	}
+	return out
+}
+
 // resumableRoutes returns the services of the routes on which callers may return, by name.
 func resumableRoutes(t *sageroute.Table) map[string][]string {
 	out := make(map[string][]string)
--- a/internal/sagerouter/recovery.go
+++ b/internal/sagerouter/recovery.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -21,8 +22,12 @@
 	recoveryTime = 4 * time.Second
 	// recoveryCheck is how often a node checks whether it has something to recover.
 	recoveryCheck = 100 * time.Millisecond
-	// recoverySpacing is the least time between two times that records are sent to their holders.
+	// recoverySpacing is the least time between two times that all records are sent to their holders.
 	recoverySpacing = 800 * time.Millisecond
+	// recoveryBatch is the number of records that are sent per recoveryCheck, so that the node has time for its callers and peers.
+	recoveryBatch = 500
+	// minLosses is the number of lost nodes from which on a record may have no holder: its stream's node and all holders.
+	minLosses = sageorigin.NumHolders + 1
 )
 
 // restoreDelays are the times after the start or the loss of a node, or after one has joined, at which records that were found in
@@ -30,7 +35,7 @@
 var restoreDelays = []time.Duration{200 * time.Millisecond, time.Second, 3 * time.Second}
 
 // snapshotRecovery recovers the records that nodes have saved and that are lost with them. The first node by rank does so after its
-// own start and after the loss of others, as long as callers may return. Exported fields are set before Run.
+// own start and after the loss of several others, as long as callers may return. Exported fields are set before Run.
 type snapshotRecovery struct {
 	Kind string
 	// Name begins the names of this node's own objects, which are left alone.
@@ -45,8 +50,10 @@
 	Now func() sageclock.Instant
 
 	mu sync.Mutex
-	// lostAt is when this node started or last found that another one had been lost, and unread says that the store hasn't been read
-	// since.
+	// losses are when other nodes were lost or started again, as far as callers may still return to their streams.
+	losses []sageclock.Instant
+	// lostAt is when this node started or last found that too many others had been lost, and unread says that the store hasn't been
+	// read since.
 	lostAt sageclock.Instant
 	unread bool
 	// changedAt is when this node started or last found that another one had been lost or had joined, and sent the number of
@@ -56,7 +63,8 @@
 
 	// The fields from here on are used by Run only.
 	notBefore sageclock.Instant // earliest time of the next attempt
-	records   []sageorigin.Record
+	records   map[sageorigin.Key]sageorigin.Record
+	queue     []sageorigin.Record // records to be sent
 	// recovered are the objects that were read, by name.
 	recovered map[string]savedObject
 }
@@ -75,8 +83,21 @@
 	return sageclock.Now()
 }
 
-// nodeLost records that a node was lost, or has started again. Its streams are known to its peers, unless they were lost as well.
+// nodeLost records that a node was lost, or has started again. Its streams are known to their holders, unless these were lost as well.
 func (r *snapshotRecovery) nodeLost() {
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.losses = slices.DeleteFunc(r.losses, func(at sageclock.Instant) bool { return now.Sub(at) >= sageorigin.Window })
+	r.losses = append(r.losses, now)
+	if len(r.losses) >= minLosses {
+		r.lostAt, r.unread = now, true
+	}
+	r.changedAt, r.sent = now, 0
+}
+
+// started records that this node has started, and knows nothing of the loss of others.
+func (r *snapshotRecovery) started() {
 	now := r.now()
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -94,8 +115,9 @@
 
 // Run works until ctx ends.
 func (r *snapshotRecovery) Run(ctx context.Context) error {
-	r.nodeLost()
+	r.started()
 	for sageclock.Sleep(ctx, recoveryCheck) {
+		r.sendBatch()
 		if err := r.recover(ctx); err != nil && ctx.Err() == nil {
 			r.Log.Limited(sagelog.KindStateChange, "Records of open streams not recovered.", "err", err)
 		}
@@ -110,7 +132,7 @@
 func (r *snapshotRecovery) recover(ctx context.Context) error {
 	now := r.now()
 	read, send := r.due(now)
-	if !read && !send || now < r.notBefore || !r.Recovers() {
+	if !read && !send || now < r.notBefore || len(r.queue) > 0 || !r.Recovers() {
 		return nil
 	}
 	if read {
@@ -122,16 +144,27 @@
 		}
 	}
 	r.passDelays(now)
-	r.records = slices.DeleteFunc(r.records, func(o sageorigin.Record) bool { return o.Until <= now })
+	maps.DeleteFunc(r.records, func(_ sageorigin.Key, o sageorigin.Record) bool { return o.Until <= now })
 	if len(r.records) == 0 {
 		return nil
 	}
 	r.notBefore = now.Add(recoverySpacing)
-	r.Restore(r.records)
+	r.queue = slices.Collect(maps.Values(r.records))
 	r.Log.Info("Records of open streams recovered.", "records", len(r.records), "objects", len(r.recovered), "read", read)
+	r.sendBatch()
 	return nil
 }
 
+// sendBatch sends some of the records that wait to be sent to their holders.
+func (r *snapshotRecovery) sendBatch() {
+	n := min(recoveryBatch, len(r.queue))
+	if n == 0 {
+		return
+	}
+	r.Restore(r.queue[:n])
+	r.queue = r.queue[n:]
+}
+
 // due reports whether the store has to be read before records are sent, and whether it is time to send them.
 //
 // A node that wasn't first by rank when another one was lost may become so later, as the first one is lost or can't reach the
@@ -168,26 +201,38 @@
 		return fmt.Errorf("list records: %w", err)
 	}
 	now := r.now()
-	r.records, r.recovered = nil, make(map[string]savedObject)
+	r.records, r.recovered = make(map[sageorigin.Key]sageorigin.Record), make(map[string]savedObject)
 	for i := range d.Changes {
 		o := &d.Changes[i].Object
 		if strings.HasPrefix(o.Name, r.Name) {
 			continue
 		}
+		saved := savedObject{revision: o.Revision, until: now.Add(recoveryTime)}
 		records, err := decodeSnapshot(o, now)
 		if err != nil {
 			r.Log.Warn("Records can't be read.", "name", o.Name, "err", err)
+			saved.until = now.Add(sageorigin.Window)
 		}
-		saved := savedObject{revision: o.Revision, until: now.Add(sageorigin.Window)}
-		for i := range records {
-			saved.until = max(saved.until, records[i].Until)
+		for _, record := range records {
+			saved.until = max(saved.until, record.Until)
+			r.add(record)
 		}
 		r.recovered[o.Name] = saved
-		r.records = append(r.records, records...)
 	}
 	return nil
 }
 
+// add adds a record. If two differ, the version isn't known.
+func (r *snapshotRecovery) add(record sageorigin.Record) {
+	if old, ok := r.records[record.Key]; ok {
+		if old.Origin != record.Origin {
+			record.Origin.Version = ""
+		}
+		record.Until = max(record.Until, old.Until)
+	}
+	r.records[record.Key] = record
+}
+
 func decodeSnapshot(o *sagefollow.Object, now sageclock.Instant) ([]sageorigin.Record, error) {
 	var s sageorigin.Snapshot
 	if err := json.Unmarshal(o.Status, &s); err != nil {
--- a/internal/sagerouter/recovery_test.go
+++ b/internal/sagerouter/recovery_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -30,6 +31,13 @@
 	change()
 }
 
+// loseOthers has so many other nodes lost that records may have no holder.
+func (n *recoveringNode) loseOthers() {
+	for range minLosses {
+		n.nodeLost()
+	}
+}
+
 func (n *recoveringNode) counts() (lists, restored int) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
@@ -57,14 +65,13 @@
 func runRecovery(t *testing.T, nodes ...*recoveringNode) *snapshotStore {
 	t.Helper()
 	store := new(snapshotStore)
-	now := func() sageclock.Instant { return sageclock.Instant(time.Now().UnixNano()) }
-	open := []sageorigin.Record{{Key: sageorigin.KeyOf("a", "1"), Origin: sageorigin.Origin{Service: "s", Version: "v1"}, Until: now().Add(time.Hour)}}
-	keeper := newSnapshotKeeper(store, "lost", &open)
-	keeper.Now = now
+	keeper := newTestKeeper(store, "lost")
+	keeper.Now = virtualNow
+	keeper.Save([]sageorigin.Record{testRecord("1", "v1", virtualNow().Add(time.Hour))})
 	require.NoError(t, keeper.save(t.Context()))
 	for _, n := range nodes {
 		n.snapshotRecovery = &snapshotRecovery{
-			Name: "survivor", Store: &cuttableStore{store, n}, Now: now,
+			Name: "survivor", Store: &cuttableStore{store, n}, Now: virtualNow,
 			Recovers: func() bool {
 				n.mu.Lock()
 				defer n.mu.Unlock()
@@ -77,6 +84,9 @@
 	return store
 }
 
+// virtualNow is the clock of a test in virtual time.
+func virtualNow() sageclock.Instant { return sageclock.Instant(time.Now().UnixNano()) }
+
 // pause advances the virtual time.
 func pause(d time.Duration) {
 	time.Sleep(d)
@@ -96,7 +106,14 @@
 		lists, _ = n.counts()
 		require.Zero(t, lists, "nothing was lost while callers may return")
 
-		n.nodeLost()
+		for range minLosses - 1 {
+			n.nodeLost()
+		}
+		pause(sageorigin.Window)
+		lists, _ = n.counts()
+		require.Zero(t, lists, "a holder is left")
+
+		n.loseOthers()
 		pause(restoreDelays[0] + recoveryCheck)
 		lists, restored := n.counts()
 		require.Equal(t, [2]int{1, 1}, [2]int{lists, restored})
@@ -117,8 +134,8 @@
 		first, second := &recoveringNode{first: true, cut: true}, &recoveringNode{}
 		runRecovery(t, first, second)
 		pause(2 * sageorigin.Window)
-		first.nodeLost()
-		second.nodeLost()
+		first.loseOthers()
+		second.loseOthers()
 		pause(sageorigin.Window / 2)
 		lists, restored := first.counts()
 		require.Zero(t, restored)
@@ -139,13 +156,13 @@
 		pause(sageorigin.Window)
 		before, _ := n.counts()
 		for range 3 {
-			n.nodeLost()
+			n.loseOthers()
 			pause(sageorigin.Window / 2)
 		}
 		lists, _ := n.counts()
 		require.Equal(t, before+3, lists)
 		n.set(func() { n.cut = true })
-		n.nodeLost()
+		n.loseOthers()
 		pause(time.Second)
 		n.set(func() { n.cut = false })
 		_, restored := n.counts()
@@ -154,3 +171,51 @@
 		require.Equal(t, restored+1, after)
 	})
 }
+
+// Prevents the first node by rank from being taken for lost, so that the next one starts over, because it is busy with the recovery of
+// many records.
+func TestManyRecordsAreSentInBatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const streams = 5 * recoveryBatch / 2
+		store := new(snapshotStore)
+		for _, name := range []string{"a", "b"} { // each record is written by two nodes
+			k := newTestKeeper(store, name)
+			k.Now = virtualNow
+			for i := range streams {
+				k.Save([]sageorigin.Record{testRecord(fmt.Sprint(i), "v1", virtualNow().Add(time.Minute))})
+			}
+			require.NoError(t, k.save(t.Context()))
+		}
+		r, _ := newSnapshotRecovery(store, "c")
+		r.Now = virtualNow
+		var mu sync.Mutex
+		var sizes []int
+		r.Restore = func(records []sageorigin.Record) {
+			mu.Lock()
+			defer mu.Unlock()
+			sizes = append(sizes, len(records))
+		}
+		go func() { _ = r.Run(t.Context()) }()
+		pause(restoreDelays[0] + 3*recoveryCheck)
+		mu.Lock()
+		defer mu.Unlock()
+		require.Equal(t, []int{recoveryBatch, recoveryBatch, recoveryBatch / 2}, sizes)
+	})
+}
+
+// Prevents a stream from going on at one of two versions that records name for it.
+func TestContradictoryRecordsNameNoVersion(t *testing.T) {
+	store := new(snapshotStore)
+	until := sageclock.Now().Add(time.Minute)
+	for name, version := range map[string]string{"a": "v1", "b": "v2"} {
+		k := newTestKeeper(store, name)
+		k.Save([]sageorigin.Record{testRecord("1", version, until)})
+		require.NoError(t, k.save(t.Context()))
+	}
+	r, _ := newSnapshotRecovery(store, "c")
+	require.NoError(t, r.load(t.Context()))
+	require.Len(t, r.records, 1)
+	for _, record := range r.records {
+		require.Empty(t, record.Origin.Version)
+	}
+}
--- a/internal/sagerouter/snapshots_test.go
+++ b/internal/sagerouter/snapshots_test.go
@@ -4,15 +4,14 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"slices"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
+	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sageorigin"
 )
@@ -67,11 +66,14 @@
 	return nil
 }
 
-// newSnapshotKeeper returns the keeper of a node whose open streams are those in open.
-func newSnapshotKeeper(store Store, name string, open *[]sageorigin.Record) *snapshotKeeper {
-	return &snapshotKeeper{
-		Name: name, Store: store, Open: func() []sageorigin.Record { return *open }, Nodes: func() int { return 1 }, Began: make(chan struct{}, 1),
-	}
+// newTestKeeper returns the keeper of the only node that writes.
+func newTestKeeper(store Store, name string) *snapshotKeeper {
+	return newSnapshotKeeper("", name, store, func() int { return 1 }, sagelog.Logger{})
+}
+
+// testRecord returns the record of a stream whose caller may return until a time.
+func testRecord(id, version string, until sageclock.Instant) sageorigin.Record {
+	return sageorigin.Record{Key: sageorigin.KeyOf("a", id), Origin: sageorigin.Origin{Service: "s", Version: version}, Until: until}
 }
 
 // newSnapshotRecovery returns the recovery of a node, and the records that it restores.
@@ -86,22 +88,28 @@
 func TestOpenStreamsOutliveAllNodes(t *testing.T) {
 	store := new(snapshotStore)
 	until := sageclock.Now().Add(time.Minute)
-	record := func(id, version string) sageorigin.Record {
-		return sageorigin.Record{Key: sageorigin.KeyOf("a", id), Origin: sageorigin.Origin{Service: "s", Version: version}, Until: until}
-	}
-	open := [][]sageorigin.Record{{record("1", "v1"), record("2", "v2")}, {record("3", "v2")}}
-	for i := range open {
-		k := newSnapshotKeeper(store, string(rune('a'+i)), &open[i])
+	saved := [][]sageorigin.Record{{testRecord("1", "v1", until), testRecord("2", "v2", until)}, {testRecord("3", "v2", until)}}
+	for i := range saved {
+		k := newTestKeeper(store, string(rune('a'+i)))
+		k.Save(saved[i])
 		require.NoError(t, k.save(t.Context()))
 		writes := store.writes
+		k.Save(saved[i])
+		later := saved[i][0]
+		later.Until = later.Until.Add(snapshotExtension)
+		k.Save([]sageorigin.Record{later})
 		require.NoError(t, k.save(t.Context()))
 		require.Equal(t, writes, store.writes, "nothing has changed")
+		later.Until = later.Until.Add(time.Millisecond)
+		k.Save([]sageorigin.Record{later})
+		require.NoError(t, k.save(t.Context()))
+		require.Greater(t, store.writes, writes, "its caller may return for longer")
 	}
 	delays := restoreDelays
 	restoreDelays = []time.Duration{0}
 	defer func() { restoreDelays = delays }()
-	r, restored := newSnapshotRecovery(store, "a2")
-	r.nodeLost()
+	r, restored := newSnapshotRecovery(store, "c")
+	r.started()
 	require.NoError(t, r.recover(t.Context()))
 	origins := make(map[sageorigin.Key]string)
 	for _, r := range *restored {
@@ -111,17 +119,20 @@
 
 	require.NoError(t, r.drop(t.Context()))
 	require.Len(t, store.objects, 2, "callers may still return")
-	running := newSnapshotKeeper(store, "b", &open[0])
+	running := newTestKeeper(store, "b")
+	running.Save([]sageorigin.Record{testRecord("4", "v1", until.Add(time.Minute))})
 	require.NoError(t, running.save(t.Context()))
-	r.Now = func() sageclock.Instant { return until.Add(time.Second) }
+	r.Now = func() sageclock.Instant { return until.Add(3 * time.Second) }
 	require.NoError(t, r.drop(t.Context()))
 	require.Len(t, store.objects, 1, "a node that runs has written again")
 }
 
 // Prevents a node without such streams from calling the store.
 func TestNoStreamsNoSnapshots(t *testing.T) {
-	store, none := new(snapshotStore), []sageorigin.Record{}
-	require.NoError(t, newSnapshotKeeper(store, "a", &none).save(t.Context()))
+	store := new(snapshotStore)
+	k := newTestKeeper(store, "a")
+	k.Save(nil)
+	require.NoError(t, k.save(t.Context()))
 	r, _ := newSnapshotRecovery(store, "a")
 	require.NoError(t, r.drop(t.Context()))
 	require.Zero(t, store.calls)
@@ -132,19 +143,12 @@
 func TestStreamIsSavedAsItBegins(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := new(snapshotStore)
-		var open atomic.Pointer[[]sageorigin.Record]
-		open.Store(new([]sageorigin.Record))
-		k := newSnapshotKeeper(store, "a", nil)
-		k.Open = func() []sageorigin.Record { return *open.Load() }
-		k.Now = func() sageclock.Instant { return sageclock.Instant(time.Now().UnixNano()) }
+		k := newTestKeeper(store, "a")
+		k.Now = virtualNow
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		done := make(chan error, 1)
 		go func() { done <- k.Run(ctx) }()
-		pause := func(d time.Duration) {
-			time.Sleep(d)
-			synctest.Wait()
-		}
 		writes := func() int {
 			n, _ := store.counts()
 			return n
@@ -152,70 +156,118 @@
 		began := 0
 		add := func() {
 			began++
-			records := append(slices.Clone(*open.Load()), sageorigin.Record{
-				Key: sageorigin.KeyOf("a", fmt.Sprint(began)), Origin: sageorigin.Origin{Service: "s", Version: "v1"}, Until: k.now().Add(time.Minute),
-			})
-			open.Store(&records)
+			k.Save([]sageorigin.Record{testRecord(fmt.Sprint(began), "v1", virtualNow().Add(time.Hour))})
 		}
 		pause(time.Minute + time.Millisecond)
 		require.Zero(t, writes())
 
 		for i := range 3 {
 			add()
-			k.began()
 			pause(snapshotInterval)
 			require.Equal(t, i+2, writes(), "the first one creates the object")
 		}
-		first := (*open.Load())[:1]
-		open.Store(&first)
-		pause(snapshotRefresh / 2)
-		require.Equal(t, 4, writes(), "streams that have ended need no write at once")
-		pause(snapshotRefresh)
+		pause(time.Minute / 2)
+		require.Equal(t, 4, writes(), "streams that end need no write")
+		add()
+		pause(snapshotInterval / 2)
 		require.Equal(t, 5, writes())
-
-		add() // needed no record when it began
-		pause(snapshotCheck)
-		require.Equal(t, 6, writes())
+		add()
+		k.Forget(sageorigin.KeyOf("a", fmt.Sprint(began)))
+		began--
+		pause(time.Minute / 2)
+		require.Equal(t, 5, writes(), "a stream that has ended before the write needs none")
 
 		store.setRefuses(true)
 		for range 100 {
 			add()
-			k.began()
 			pause(10 * time.Millisecond)
 		}
 		_, refused := store.counts()
 		require.NotZero(t, refused)
 		require.LessOrEqual(t, refused, int(time.Second/snapshotRetry)+1, "a store in trouble is spared")
 		store.setRefuses(false)
-		pause(snapshotCheck + snapshotRetry)
+		pause(2 * snapshotRetry)
 		cancel()
 		require.NoError(t, <-done)
 		other, _ := newSnapshotRecovery(store, "b")
 		other.Now = k.Now
 		require.NoError(t, other.load(t.Context()))
-		require.Len(t, other.records, len(*open.Load()))
+		require.Len(t, other.records, began)
+	})
+}
+
+// Prevents the objects of a node, and its writes, from growing with the number of streams that began in the past.
+func TestSegmentsAreReplaced(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const perSecond, lifetime = 1000, 10 * time.Second
+		store := new(snapshotStore)
+		k := newTestKeeper(store, "a")
+		k.Now = virtualNow
+		go func() { _ = k.Run(t.Context()) }()
+		began := 0
+		run := func(d time.Duration) {
+			for range int(d / time.Second * perSecond) {
+				began++
+				k.Save([]sageorigin.Record{testRecord(fmt.Sprint(began), "v1", virtualNow().Add(lifetime))})
+				pause(time.Second / perSecond)
+			}
+		}
+		run(30 * time.Second)
+		objects := len(store.objects)
+		run(30 * time.Second)
+		require.Len(t, store.objects, objects)
+		for _, o := range store.objects {
+			require.Less(t, len(o.Status), 2*segmentRecords*50, "bytes of an object")
+		}
+		pause(snapshotInterval)
+		r, _ := newSnapshotRecovery(store, "b")
+		r.Now = virtualNow
+		require.NoError(t, r.load(t.Context()))
+		found := make(map[sageorigin.Key]bool)
+		for _, o := range r.records {
+			found[o.Key] = true
+		}
+		for i := began - perSecond*int(lifetime/time.Second) + perSecond; i <= began; i++ {
+			require.True(t, found[sageorigin.KeyOf("a", fmt.Sprint(i))], "stream %d of %d", i, began)
+		}
 	})
 }
 
+// Prevents a writer that gets more records than the store takes from growing without bound.
+func TestPendingRecordsAreBounded(t *testing.T) {
+	store := new(snapshotStore)
+	store.setRefuses(true)
+	k := newTestKeeper(store, "a")
+	for i := range 3 * maxPending {
+		k.Save([]sageorigin.Record{testRecord(fmt.Sprint(i), "v1", sageclock.Now().Add(time.Minute))})
+	}
+	require.Error(t, k.save(t.Context()))
+	require.Len(t, k.pending, maxPending)
+	store.setRefuses(false)
+	require.NoError(t, k.save(t.Context()))
+	require.Empty(t, k.pending)
+	r, _ := newSnapshotRecovery(store, "b")
+	require.NoError(t, r.load(t.Context()))
+	require.Len(t, r.records, maxPending)
+}
+
 // Prevents streams that begin in the first seconds after a start from being refused if all nodes are lost again.
 func TestStreamsAreSavedDuringRecovery(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		store := new(snapshotStore)
-		now := func() sageclock.Instant { return sageclock.Instant(time.Now().UnixNano()) }
-		before := []sageorigin.Record{{Key: sageorigin.KeyOf("a", "1"), Origin: sageorigin.Origin{Service: "s", Version: "v1"}, Until: now().Add(time.Minute)}}
-		first := newSnapshotKeeper(store, "a1", &before)
-		first.Now = now
+		first := newTestKeeper(store, "a1")
+		first.Now = virtualNow
+		first.Save([]sageorigin.Record{testRecord("1", "v1", virtualNow().Add(time.Minute))})
 		require.NoError(t, first.save(t.Context()))
-		open := []sageorigin.Record{{Key: sageorigin.KeyOf("a", "2"), Origin: sageorigin.Origin{Service: "s", Version: "v2"}, Until: now().Add(time.Hour)}}
-		k := newSnapshotKeeper(store, "a2", &open)
+		k := newTestKeeper(store, "a2")
 		r, restored := newSnapshotRecovery(store, "a2")
-		k.Now, r.Now = now, now
+		k.Now, r.Now = virtualNow, virtualNow
 		ctx, cancel := context.WithCancel(t.Context())
 		defer cancel()
 		done := make(chan error, 2)
 		go func() { done <- k.Run(ctx) }()
 		go func() { done <- r.Run(ctx) }()
-		k.began()
+		k.Save([]sageorigin.Record{testRecord("2", "v2", virtualNow().Add(time.Hour))})
 		time.Sleep(snapshotInterval)
 		synctest.Wait()
 		writes, _ := store.counts()
@@ -235,20 +287,20 @@
 // Prevents many nodes, and nodes with many streams, from writing more often than the store and their processors bear.
 func TestSnapshotsAreSpaced(t *testing.T) {
 	for _, tc := range []struct {
-		nodes, streams int
-		want           time.Duration
+		writers, streams int
+		want             time.Duration
 	}{
 		{1, 1, snapshotInterval},
-		{400, 1, 400 * snapshotSpacing},
-		{9, sageorigin.MaxSnapshotRecords, sageorigin.MaxSnapshotRecords * snapshotSpacingPerRecord},
+		{maxWriters, 1, snapshotInterval},
+		{maxWriters + 1, 1, time.Duration(maxWriters+1) * snapshotSpacing},
+		{9, maxPending, time.Duration(maxPending) * snapshotSpacingPerRecord},
 	} {
-		var open []sageorigin.Record
+		k := newTestKeeper(new(snapshotStore), "a")
+		now := sageclock.Now()
+		k.Writers, k.Now = func() int { return tc.writers }, func() sageclock.Instant { return now }
 		for i := range tc.streams {
-			open = append(open, sageorigin.Record{Key: sageorigin.KeyOf("a", fmt.Sprint(i)), Origin: sageorigin.Origin{Service: "s", Version: "v1"}, Until: sageclock.Now().Add(time.Minute)})
+			k.Save([]sageorigin.Record{testRecord(fmt.Sprint(i), "v1", now.Add(time.Minute))})
 		}
-		k := newSnapshotKeeper(new(snapshotStore), "a", &open)
-		now := sageclock.Now()
-		k.Nodes, k.Now = func() int { return tc.nodes }, func() sageclock.Instant { return now }
 		require.NoError(t, k.save(t.Context()))
 		require.Equal(t, tc.want, k.nextAt.Sub(now))
 	}
@@ -257,8 +309,9 @@
 // Prevents unreadable objects from hiding the records in others.
 func TestUnreadableSnapshotIsSkipped(t *testing.T) {
 	store := new(snapshotStore)
-	open := []sageorigin.Record{{Key: sageorigin.KeyOf("a", "1"), Origin: sageorigin.Origin{Service: "s", Version: "v1"}, Until: sageclock.Now().Add(time.Minute)}}
-	require.NoError(t, newSnapshotKeeper(store, "a", &open).save(t.Context()))
+	k := newTestKeeper(store, "a")
+	k.Save([]sageorigin.Record{testRecord("1", "v1", sageclock.Now().Add(time.Minute))})
+	require.NoError(t, k.save(t.Context()))
 	for name, status := range map[string]string{"x": `{"origins":7}`, "y": `{"origins":[{"service":"s","version":"v1","streams":{"zz":1}}]}`} {
 		_, err := store.Create(t.Context(), "", name, nil)
 		require.NoError(t, err)
--- a/pkg/sageorigin/doc.go
+++ b/pkg/sageorigin/doc.go
@@ -20,8 +20,8 @@
 //
 // # Services with several versions
 //
-// A [Snapshot] of the records of each node's open streams is in the store as well. A record is true whoever holds it, and an
-// old one is harmless.
+// Records are in the store as well, in [Snapshot]s that few nodes write for all ([Ring.Writers]). A record is true whoever holds it,
+// and an old one is harmless.
 //
 // A node must not believe in a sole version while another one already serves. Its copy of the upstreams has to be fresh,
 // and a version that is new to a node gets no requests for a time that is longer than the age of a copy that counts as
--- a/pkg/sageorigin/holders.go
+++ b/pkg/sageorigin/holders.go
@@ -14,6 +14,8 @@
 	// numAsked is the number of nodes that are asked for a record. It exceeds NumHolders, since the asking node may
 	// know of nodes that have joined since.
 	numAsked = NumHolders + 2
+	// numWriters is the number of nodes that write the record of a stream to the store. One may be lost or cut off unnoticed.
+	numWriters = 2
 )
 
 // Holder is a node that may hold records.
@@ -57,6 +59,25 @@
 // been its holders before nodes joined or left.
 func (r *Ring) Asked(k Key, self string) []string { return r.first(k, numAsked, self) }
 
+// Writers returns the addresses of the nodes that write the record of a key to the store, in a ring of those that write. A node that
+// writes does so for its own streams.
+func (r *Ring) Writers(k Key, self string) []string {
+	if r.contains(self) {
+		return []string{self}
+	}
+	return r.first(k, numWriters, self)
+}
+
+// contains reports whether a node is in the ring.
+func (r *Ring) contains(address string) bool {
+	for _, hs := range r.centres {
+		if slices.ContainsFunc(hs, func(h rankedHolder) bool { return h.address == address }) {
+			return true
+		}
+	}
+	return false
+}
+
 // first returns the first n nodes for a key except self. The best node of each data centre comes first, then the second
 // best of each, so that the loss of a data centre leaves other holders.
 //
--- a/pkg/sageorigin/holders_test.go
+++ b/pkg/sageorigin/holders_test.go
@@ -81,3 +81,25 @@
 		})
 	}
 }
+
+func TestWritersSpreadOverDataCentres(t *testing.T) {
+	nodes := testNodes(9, 3)
+	r := NewRing(nodes)
+	require.Equal(t, []string{nodes[4].Address}, r.Writers(testKey(1), nodes[4].Address), "a writer writes its own")
+	load := make(map[string]int)
+	for i := range 900 {
+		got := r.Writers(testKey(i), "10.9.9.9:7")
+		require.Len(t, got, numWriters)
+		centre := func(a string) string {
+			return nodes[slices.IndexFunc(nodes, func(h Holder) bool { return h.Address == a })].DataCentre
+		}
+		require.NotEqual(t, centre(got[0]), centre(got[1]))
+		for _, a := range got {
+			load[a]++
+		}
+	}
+	for _, n := range nodes {
+		require.InDelta(t, 200, load[n.Address], 70)
+	}
+	require.Empty(t, NewRing(nil).Writers(testKey(1), "10.9.9.9:7"))
+}
--- a/pkg/sageorigin/message.go
+++ b/pkg/sageorigin/message.go
@@ -42,9 +42,12 @@
 
 // Message is what nodes send each other: records, a query or an answer.
 type Message struct {
+	// Records are records to be held.
 	Records []Record
 	Query   *Query
 	Answer  *Answer
+	// Save are records to be written to the store.
+	Save []Record
 }
 
 // Field numbers of messages and of their parts.
@@ -52,6 +55,7 @@
 	fieldRecord protowire.Number = 1
 	fieldQuery  protowire.Number = 2
 	fieldAnswer protowire.Number = 3
+	fieldSave   protowire.Number = 4
 
 	fieldKey     protowire.Number = 1
 	fieldTTL     protowire.Number = 2 // milliseconds
@@ -66,12 +70,8 @@
 // Encode returns the encoded message. Records that have ended are left out.
 func (m *Message) Encode(now sageclock.Instant) []byte {
 	var b []byte
-	for i := range m.Records {
-		r := &m.Records[i]
-		if ttl := r.Until.Sub(now); ttl > 0 {
-			b = appendPart(b, fieldRecord, r.append(nil, min(ttl, maxTTL)))
-		}
-	}
+	b = appendRecords(b, fieldRecord, now, m.Records)
+	b = appendRecords(b, fieldSave, now, m.Save)
 	if q := m.Query; q != nil {
 		part := appendNumber(nil, fieldNumber, q.Number)
 		part = appendBytes(part, fieldKey, q.Key[:])
@@ -86,6 +86,15 @@
 	return b
 }
 
+func appendRecords(b []byte, n protowire.Number, now sageclock.Instant, records []Record) []byte {
+	for i := range records {
+		if ttl := records[i].Until.Sub(now); ttl > 0 {
+			b = appendPart(b, n, records[i].append(nil, min(ttl, maxTTL)))
+		}
+	}
+	return b
+}
+
 // MaxEncodedBytes returns the maximum size of the encoded record.
 func (r *Record) MaxEncodedBytes() int { return len(r.append(nil, maxTTL)) + 4 }
 
@@ -130,7 +139,7 @@
 		return m, fmt.Errorf("%d bytes: %w", len(b), ErrMessage)
 	}
 	err := eachField(b, func(n protowire.Number, _ uint64, part []byte) error {
-		if n > fieldAnswer {
+		if n > fieldSave {
 			return nil
 		}
 		f, err := decodePart(part)
@@ -139,7 +148,9 @@
 		}
 		switch n {
 		case fieldRecord:
-			return m.addRecord(now, f)
+			return addRecord(&m.Records, now, f)
+		case fieldSave:
+			return addRecord(&m.Save, now, f)
 		case fieldQuery:
 			return m.setQuery(f)
 		case fieldAnswer:
@@ -153,7 +164,7 @@
 	return m, nil
 }
 
-func (m *Message) addRecord(now sageclock.Instant, f *fields) error {
+func addRecord(records *[]Record, now sageclock.Instant, f *fields) error {
 	r := Record{Origin: Origin{f.service, f.version}}
 	if err := r.Origin.Check(); err != nil {
 		return fmt.Errorf("record: %v: %w", err, ErrMessage)
@@ -163,7 +174,7 @@
 	}
 	copy(r.Key[:], f.key)
 	r.Until = now.Add(time.Duration(f.ttl) * time.Millisecond)
-	m.Records = append(m.Records, r)
+	*records = append(*records, r)
 	return nil
 }
 
--- a/pkg/sageorigin/message_test.go
+++ b/pkg/sageorigin/message_test.go
@@ -13,6 +13,7 @@
 	k := KeyOf("acc", "q1")
 	for _, m := range []Message{
 		{Records: []Record{{k, chatV1, 5 * second}, {KeyOf("", "q2"), Origin{Service: "app"}, 3 * second}}},
+		{Save: []Record{{k, chatV1, 5 * second}, {KeyOf("", "q2"), chatV2, 3 * second}}},
 		{Query: &Query{Number: 7, Key: k, Route: "r"}},
 		{Answer: &Answer{Number: 7, Status: Found, Origin: chatV2, Age: 3 * time.Second}},
 		{Answer: &Answer{Number: 7, Status: Unknown}},
--- a/pkg/sageorigin/snapshot.go
+++ b/pkg/sageorigin/snapshot.go
@@ -10,7 +10,7 @@
 	"sagestand.example/sagestand/pkg/sageclock"
 )
 
-// Snapshot holds the records of the streams that one node carries, in the form in which the platform's store keeps them.
+// Snapshot holds records of streams in the form in which the platform's store keeps them.
 type Snapshot struct {
 	Origins []SnapshotOrigin `json:"origins"`
 }
