Each region recovers the records of its streams

What callers would see: in a fleet of several regions, streams of all regions but one are refused after a loss of all nodes. No site has several regions, so none has seen it; found by reading, as the same cause elsewhere. Cause: the first node by rank of the whole fleet recovered the records and sent them to their holders, which are nodes of its own region; callers return to nodes of theirs. Change: the first node of each region recovers. Rank in the region counts nodes whose region isn't known yet, as the other rank does. Evidence: TestEachRegionHasItsFirstNode; the method didn't exist before.

--- a/internal/sagemesh/ranks.go
+++ b/internal/sagemesh/ranks.go
@@ -15,9 +15,18 @@
 	return r.rank
 }
 
+// RegionRank is like Rank among the nodes of this region.
+func (s *Service) RegionRank(storeUnreachable bool) int {
+	r := s.currentRoles()
+	if storeUnreachable {
+		return r.regionRankUnreachable
+	}
+	return r.regionRank
+}
+
 // NodeAddress is where a node is reached by others.
 type NodeAddress struct {
-	Address, DataCentre, Region string
+	Address, DataCentre string
 }
 
 // Writers returns the live nodes that reach the store, in the order of [Service.Rank]. If no other node does, this one is the only one.
--- a/internal/sagemesh/roles.go
+++ b/internal/sagemesh/roles.go
@@ -25,6 +25,8 @@
 	validUntil sageclock.Instant
 	// rank is this node's rank among the nodes that reach the store, rankUnreachable its rank if it doesn't.
 	rank, rankUnreachable int
+	// regionRank and regionRankUnreachable are the same among the nodes of this region and those whose region isn't known yet.
+	regionRank, regionRankUnreachable int
 	// standby are the addresses of the standby nodes.
 	standby []string
 	// writers are the live nodes that reach the store, by rank; this one is among them.
@@ -72,16 +74,19 @@
 		default:
 			continue
 		}
-		before := c.rankHash > self.rankHash
+		before, inRegion := c.rankHash > self.rankHash, !s.live[a] || m.Region == s.Region
 		switch {
 		case m.StoreUnreachable && before:
 			r.rankUnreachable++
+			r.regionRankUnreachable += count(inRegion)
 		case m.StoreUnreachable:
 		default:
 			r.rankUnreachable++
+			r.regionRankUnreachable += count(inRegion)
 			standby = append(standby, c)
 			if before {
 				r.rank++
+				r.regionRank += count(inRegion)
 			}
 		}
 	}
@@ -95,15 +100,22 @@
 	for _, c := range standby {
 		switch {
 		case c.address == s.Address:
-			r.writers = append(r.writers, NodeAddress{Address: s.Address, DataCentre: s.DataCentre, Region: s.Region})
+			r.writers = append(r.writers, NodeAddress{Address: s.Address, DataCentre: s.DataCentre})
 		case s.live[c.address]:
-			m := &s.peers[c.address].member
-			r.writers = append(r.writers, NodeAddress{Address: c.address, DataCentre: m.DataCentre, Region: m.Region})
+			r.writers = append(r.writers, NodeAddress{Address: c.address, DataCentre: s.peers[c.address].member.DataCentre})
 		}
 	}
 	return r
 }
 
+// count returns 1 if a condition holds.
+func count(condition bool) int {
+	if condition {
+		return 1
+	}
+	return 0
+}
+
 // insert adds a candidate to the first two in the order of aggregators.
 func insert(pair [2]candidate, c candidate) [2]candidate {
 	switch {
--- a/internal/sagemesh/writers_test.go
+++ b/internal/sagemesh/writers_test.go
@@ -47,3 +47,24 @@
 	}
 	require.Equal(t, []string{"b"}, restarted)
 }
+
+// Prevents the records of a region from staying in the store because the first node of the whole fleet is in another one.
+func TestEachRegionHasItsFirstNode(t *testing.T) {
+	n := newNode("a", freePort(t))
+	n.Region = "r1"
+	require.NoError(t, n.Open())
+	defer func() { _ = n.conn.Close() }()
+	for i := range 30 {
+		h := Heartbeat{Identity: Identity{Node: unusedAddress(i), Region: "r2"}, Address: unusedAddress(i), Stamp: Stamp{1, 1}}
+		n.handleHeartbeat(&h)
+	}
+	require.Positive(t, n.Rank(false))
+	require.Zero(t, n.RegionRank(false))
+	require.Zero(t, n.RegionRank(true))
+	for i := range 30 {
+		h := Heartbeat{Identity: Identity{Node: unusedAddress(50 + i), Region: "r1"}, Address: unusedAddress(50 + i), Stamp: Stamp{1, 1}}
+		n.handleHeartbeat(&h)
+	}
+	require.Positive(t, n.RegionRank(false))
+	require.Equal(t, 30, n.RegionRank(true), "a node that can't reach the store comes last in its region")
+}
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -178,7 +178,7 @@
 		func() int { return len(n.recordWriters()) }, n.Log.Component("origins"))
 	n.origins.Save, n.origins.Forget = snapshots.Save, snapshots.Forget
 	n.kernel.Register("snapshots", snapshots)
-	n.recovery.Name, n.recovery.Restore, n.recovery.Recovers = snapshots.Name, n.origins.Restore, n.claimKeeper.Writes
+	n.recovery.Name, n.recovery.Restore, n.recovery.Recovers = snapshots.Name, n.origins.Restore, n.recoversRecords
 	n.kernel.Register("recovery", n.recovery)
 	n.kernel.Register("paths", &pathProber{node: n, wake: n.fleet.pathSuspected})
 	n.kernel.Register("recall", n.cacheResync)
--- a/internal/sagerouter/origins.go
+++ b/internal/sagerouter/origins.go
@@ -51,6 +51,11 @@
 	return out
 }
 
+// recoversRecords reports whether this node recovers records for its region, to whose nodes callers return.
+func (n *Node) recoversRecords() bool {
+	return !n.leaving.Load() && n.mesh.RegionRank(n.copies[n.Kinds.Upstreams].Failing()) == 0
+}
+
 // recordWriters returns the nodes that write records to the store for all.
 func (n *Node) recordWriters() []sageorigin.Holder {
 	nodes := n.mesh.Writers(n.copies[n.Kinds.Upstreams].Failing())
