Recovered records are saved by the node that recovers, and the old objects deleted

Cause: the time left in an object counts from when it is read. Change: the recovering node writes what it has read as its own, and deletes the objects that haven't changed 4 s later.

--- a/internal/sagerouter/recovery.go
+++ b/internal/sagerouter/recovery.go
@@ -41,8 +41,11 @@
 	// Name begins the names of this node's own objects, which are left alone.
 	Name  string
 	Store Store
-	// Restore takes recovered records and sends them to their holders.
+	// Restore takes recovered records and sends them to their holders. Save has them written by this node, and Saved reports whether
+	// that is done.
 	Restore func(records []sageorigin.Record)
+	Save    func(records []sageorigin.Record)
+	Saved   func() bool
 	// Recovers reports whether this node recovers the records for all nodes.
 	Recovers func() bool
 	Log      sagelog.Logger
@@ -65,15 +68,10 @@
 	notBefore sageclock.Instant // earliest time of the next attempt
 	records   map[sageorigin.Key]sageorigin.Record
 	queue     []sageorigin.Record // records to be sent
-	// recovered are the objects that were read, by name.
-	recovered map[string]savedObject
-}
-
-// savedObject is an object that was read.
-type savedObject struct {
-	revision uint64
-	// until is when the last of its records ends. If the object hasn't changed by then, it is deleted.
-	until sageclock.Instant
+	// recovered are the revisions of the objects that were read, by name. Those that haven't changed by dropAt belong to nodes that were
+	// lost, or have no new records, and are deleted.
+	recovered map[string]uint64
+	dropAt    sageclock.Instant
 }
 
 func (r *snapshotRecovery) now() sageclock.Instant {
@@ -161,6 +159,7 @@
 	if n == 0 {
 		return
 	}
+	r.Save(r.queue[:n]) // records that are saved already are left out
 	r.Restore(r.queue[:n])
 	r.queue = r.queue[n:]
 }
@@ -201,23 +200,21 @@
 		return fmt.Errorf("list records: %w", err)
 	}
 	now := r.now()
-	r.records, r.recovered = make(map[sageorigin.Key]sageorigin.Record), make(map[string]savedObject)
+	r.records = make(map[sageorigin.Key]sageorigin.Record)
+	r.recovered, r.dropAt = make(map[string]uint64), now.Add(recoveryTime)
 	for i := range d.Changes {
 		o := &d.Changes[i].Object
 		if strings.HasPrefix(o.Name, r.Name) {
 			continue
 		}
-		saved := savedObject{revision: o.Revision, until: now.Add(recoveryTime)}
+		r.recovered[o.Name] = o.Revision
 		records, err := decodeSnapshot(o, now)
 		if err != nil {
 			r.Log.Warn("Records can't be read.", "name", o.Name, "err", err)
-			saved.until = now.Add(sageorigin.Window)
 		}
 		for _, record := range records {
-			saved.until = max(saved.until, record.Until)
 			r.add(record)
 		}
-		r.recovered[o.Name] = saved
 	}
 	return nil
 }
@@ -241,16 +238,11 @@
 	return s.Records(now)
 }
 
-// drop deletes the objects that were recovered once no caller can return, unless they have changed since.
+// drop deletes the objects that were recovered once this node has saved their records. The time that is left in an object counts from
+// when it is read, so that one which stays would be recovered again and again.
 func (r *snapshotRecovery) drop(ctx context.Context) error {
 	now := r.now()
-	ended := make(map[string]uint64)
-	for name, o := range r.recovered {
-		if now >= o.until {
-			ended[name] = o.revision
-		}
-	}
-	if len(ended) == 0 || now < r.notBefore {
+	if len(r.recovered) == 0 || now < max(r.dropAt, r.notBefore) || len(r.queue) > 0 || !r.Saved() {
 		return nil
 	}
 	r.notBefore = now.Add(snapshotRetry)
@@ -262,15 +254,13 @@
 	}
 	for i := range d.Changes {
 		o := &d.Changes[i].Object
-		if revision, ok := ended[o.Name]; !ok || revision != o.Revision {
+		if revision, ok := r.recovered[o.Name]; !ok || revision != o.Revision {
 			continue
 		}
 		if err := r.Store.Delete(ctx, r.Kind, o.Name); err != nil {
 			return fmt.Errorf("delete recovered records: %w", err)
 		}
 	}
-	for name := range ended {
-		delete(r.recovered, name)
-	}
+	r.recovered = nil
 	return nil
 }
--- a/internal/sagerouter/snapshots.go
+++ b/internal/sagerouter/snapshots.go
@@ -59,8 +59,9 @@
 	mu      sync.Mutex
 	pending []sageorigin.Record
 	// until holds when the records end that are pending or in a segment.
-	until map[sageorigin.Key]sageclock.Instant
-	wake  chan struct{} // has a value if records are pending
+	until   map[sageorigin.Key]sageclock.Instant
+	writing bool
+	wake    chan struct{} // has a value if records are pending
 
 	// The fields from here on are used by Run only.
 	segments []*segment
@@ -158,6 +159,7 @@
 	if len(records) == 0 {
 		return nil
 	}
+	defer k.written()
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	s := k.segment(k.now())
@@ -184,11 +186,26 @@
 	defer k.mu.Unlock()
 	n := min(maxPending, len(k.pending))
 	out := k.pending[:n:n]
+	k.writing = n > 0
 	k.pending = k.pending[n:]
 	k.notify()
 	return out
 }
 
+// Saved reports whether all records are written.
+func (k *snapshotKeeper) Saved() bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return len(k.pending) == 0 && !k.writing
+}
+
+// written ends a write.
+func (k *snapshotKeeper) written() {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.writing = false
+}
+
 // putBack makes records pending again that could not be written.
 func (k *snapshotKeeper) putBack(records []sageorigin.Record) {
 	k.mu.Lock()
