A segment of an idle writer is created again before its next write

Cause: a recovery deletes objects that haven't changed for 4 s. The next write of a node that was idle failed then, and its stream was saved a retry of 0.25 s later. Change: a segment that wasn't written for 3 s is created again first, one call more in an idle period. Evidence: TestStreamIsSavedAfterObjectWasDeleted; TestStreamIsSavedAsItBegins counts the call. Measured: go test ./internal/sagerouter passes.

--- a/internal/sagerouter/snapshots.go
+++ b/internal/sagerouter/snapshots.go
@@ -71,10 +71,11 @@
 
 // segment is an object with records.
 type segment struct {
-	name    string
-	created bool // the object exists
-	records []sageorigin.Record
-	until   sageclock.Instant // when the last of the records ends
+	name string
+	// createdUntil is until when the object surely exists: a recovery deletes those that haven't changed for some time.
+	createdUntil sageclock.Instant
+	records      []sageorigin.Record
+	until        sageclock.Instant // when the last of the records ends
 }
 
 // newSnapshotKeeper returns a keeper of records.
@@ -167,7 +168,7 @@
 	s.records = append(s.records, records...)
 	interval := max(snapshotInterval, time.Duration(k.Writers())*snapshotSpacing, time.Duration(len(s.records))*snapshotSpacingPerRecord)
 	if err := k.write(ctx, s); err != nil {
-		s.created = false // it may have been deleted
+		s.createdUntil = 0 // it may have been deleted
 		s.records = s.records[:n]
 		k.putBack(records)
 		k.nextAt = k.now().Add(max(snapshotRetry, interval))
@@ -232,7 +233,7 @@
 	k.current = next
 	s := k.segments[next]
 	k.forget(s.records)
-	s.records, s.until, s.created = nil, 0, false // it may have been deleted
+	s.records, s.until = nil, 0
 	return s
 }
 
@@ -247,15 +248,15 @@
 	}
 }
 
-// write writes a segment, and creates the object if needed.
+// write writes a segment, and creates the object if it may not exist.
 func (k *snapshotKeeper) write(ctx context.Context, s *segment) error {
-	if !s.created {
+	now := k.now()
+	if now >= s.createdUntil {
 		if _, err := k.Store.Create(ctx, k.Kind, s.name, json.RawMessage(`{}`)); err != nil {
 			return fmt.Errorf("create: %w", err)
 		}
-		s.created = true
 	}
-	snapshot := sageorigin.NewSnapshot(k.now(), s.records)
+	snapshot := sageorigin.NewSnapshot(now, s.records)
 	b, err := json.Marshal(&snapshot)
 	if err != nil {
 		return fmt.Errorf("encode: %w", err)
@@ -263,5 +264,6 @@
 	if err := k.Store.SetStatus(ctx, k.Kind, s.name, 0, b); err != nil {
 		return fmt.Errorf("write: %w", err)
 	}
+	s.createdUntil = now.Add(recoveryTime - snapshotTimeout)
 	return nil
 }
