Cold upstreams take requests before warm ones go above the load bound

What callers saw: while all upstreams of a version were replaced, their requests went to few upstreams and waited there.

Change: with cold upstreams beside, a warm one above the load bound is passed over; then cold ones are picked within their rate, and only then warm ones above the bound. The bound of that step allows for all requests of the service that come before the nodes know each other's counts: if few upstreams are warm, they would get all of these.

Tests: both new ones failed before, the first with 18 of 18 requests at the one that was warm; the second doesn't compile on the code before, and without the last change the choice is the hash order, at an upstream that 15 more requests are about to reach.

--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -160,6 +160,7 @@
 //
 // It prefers warm and healthy upstreams, then those that declined requests, then those that failed recently, then cold
 // ones, which are limited to this node's share of their capacity. Paused ones get nothing, even if no other is left.
+// Cold ones precede warm ones above the load bound: the first that is warm would otherwise get what all others can take.
 func (f *fleet) pickAmong(now sageclock.Instant, set *sageupstream.Set, es []*sageupstream.Entry, canary bool, q *sagerelay.Query) *sagerelay.Pick {
 	buf := pickBuffers.Get().(*pickBuffer)
 	defer pickBuffers.Put(buf)
@@ -191,24 +192,54 @@
 	if canary {
 		warm = f.canaryUpstreams(q.Service, warm)
 	}
-	all := set.All(q.Service)
-	for len(warm) > 0 {
-		e, c := f.choose(now, buf, warm, all, loads, q)
-		if place, ok := f.acquirePlace(now, e); ok {
-			return f.newPick(set, e, c, place, loads, q)
+	c, mayDecline := choosing{now: now, buf: buf, set: set, all: set.All(q.Service), loads: loads, q: q}, len(cold) > 0 && !canary
+	p, warm := f.pickWarm(&c, warm, mayDecline)
+	if p == nil {
+		p = f.pickCold(&c, cold)
+	}
+	if p == nil && mayDecline {
+		p, _ = f.pickWarm(&c, warm, false)
+	}
+	return p
+}
+
+// choosing holds what the choices for one pick have in common.
+type choosing struct {
+	now   sageclock.Instant
+	buf   *pickBuffer
+	set   *sageupstream.Set
+	all   []*sageupstream.Entry // of the service
+	loads sageflight.Counts
+	q     *sagerelay.Query
+}
+
+// pickWarm picks one of es, or returns nil and those that remain. With mayDecline it picks none above the load bound.
+func (f *fleet) pickWarm(c *choosing, es []*sageupstream.Entry, mayDecline bool) (*sagerelay.Pick, []*sageupstream.Entry) {
+	for len(es) > 0 {
+		e, choice := f.choose(c, es, mayDecline)
+		if mayDecline && choice.Reason == sagechain.ReasonAllAtBound {
+			break
+		}
+		if place, ok := f.acquirePlace(c.now, e); ok {
+			return f.newPick(c.set, e, choice, place, c.loads, c.q), nil
 		}
-		warm = slices.DeleteFunc(warm, func(o *sageupstream.Entry) bool { return o == e })
+		es = slices.DeleteFunc(es, func(o *sageupstream.Entry) bool { return o == e })
 	}
-	perSecond := f.coldPerSecond(q.Service)
-	for len(cold) > 0 {
-		e, c := f.choose(now, buf, cold, all, loads, q)
-		if place, ok := f.acquirePlace(now, e); ok {
-			if f.allowCold(now, e.ID, perSecond) {
-				return f.newPick(set, e, c, place, loads, q)
+	return nil, es
+}
+
+// pickCold picks one of es within this node's share of what they take while they are cold, or returns nil.
+func (f *fleet) pickCold(c *choosing, es []*sageupstream.Entry) *sagerelay.Pick {
+	perSecond := f.coldPerSecond(c.q.Service)
+	for len(es) > 0 {
+		e, choice := f.choose(c, es, false)
+		if place, ok := f.acquirePlace(c.now, e); ok {
+			if f.allowCold(c.now, e.ID, perSecond) {
+				return f.newPick(c.set, e, choice, place, c.loads, c.q)
 			}
 			f.brittle.limits.Release(place)
 		}
-		cold = slices.DeleteFunc(cold, func(o *sageupstream.Entry) bool { return o == e })
+		es = slices.DeleteFunc(es, func(o *sageupstream.Entry) bool { return o == e })
 	}
 	return nil
 }
@@ -222,30 +253,29 @@
 
 var pickBuffers = sync.Pool{New: func() any { return new(pickBuffer) }}
 
-// choose selects one of es by the prompt's chain, or the least loaded one if there is no chain. all are the
-// service's upstreams, es among them; the load of the others enters the load bound.
-func (f *fleet) choose(now sageclock.Instant, buf *pickBuffer, es, all []*sageupstream.Entry, loads map[string]int, q *sagerelay.Query) (*sageupstream.Entry, sagechain.Choice) {
-	if len(es) == 0 {
-		return nil, sagechain.Choice{}
+// choose selects one of es by the prompt's chain, or the least loaded one if there is no chain. es are among the service's
+// upstreams; the load of the others enters the load bound.
+func (f *fleet) choose(c *choosing, es []*sageupstream.Entry, mayDecline bool) (*sageupstream.Entry, sagechain.Choice) {
+	if len(c.q.Chain) == 0 {
+		return f.choosePlain(c.now, es, c.loads, c.q.Service)
 	}
-	if len(q.Chain) == 0 {
-		return f.choosePlain(now, es, loads, q.Service)
+	cands := slices.Grow(c.buf.candidates[:0], len(es))[:len(es)]
+	c.buf.candidates = cands
+	params := sagechain.BoundParams{
+		ExcludedUpstreams: len(c.all) - len(es), CountLag: f.countLag(), MeanRunTime: f.latencies.of(c.q.Service).serviceTime.Value(), MayDecline: mayDecline,
 	}
-	cands := slices.Grow(buf.candidates[:0], len(es))[:len(es)]
-	buf.candidates = cands
-	params := sagechain.BoundParams{ExcludedUpstreams: len(all) - len(es), CountLag: f.countLag(), MeanRunTime: f.latencies.of(q.Service).serviceTime.Value()}
 	if limit := f.loadCap.Load(); limit != nil {
 		params.CapFactor = *limit
 	}
-	for _, e := range all {
-		params.ExcludedLoad += loads[e.ID]
+	for _, e := range c.all {
+		params.ExcludedLoad += c.loads[e.ID]
 	}
 	for i, e := range es {
-		cands[i] = sagechain.Candidate{ID: e.ID, Load: loads[e.ID]}
-		params.ExcludedLoad -= loads[e.ID]
+		cands[i] = sagechain.Candidate{ID: e.ID, Load: c.loads[e.ID]}
+		params.ExcludedLoad -= c.loads[e.ID]
 	}
-	c, _ := f.placer.Choose(now, cands, params, q.Chain)
-	return es[c.Index], c
+	choice, _ := f.placer.Choose(c.now, cands, params, c.q.Chain)
+	return es[choice.Index], choice
 }
 
 // leastLoaded returns an entry with the least load. Ties are broken at random: the counts are delayed, and all
--- a/internal/sagerouter/fleet_test.go
+++ b/internal/sagerouter/fleet_test.go
@@ -63,6 +63,25 @@
 	require.Equal(t, 2, sent, "one for each cold upstream; the others are refused without a wait")
 }
 
+// Prevents all requests of a service from going to the first upstream that is warm while the others stay cold: it held
+// several times the mean, and each cold one could have taken some.
+func TestWarmUpstreamAtBoundLeavesRequestsToColdOnes(t *testing.T) {
+	f := newFleet(t, 18, 17)
+	got := make(map[string]int)
+	for prompt := range uint64(18) {
+		p := f.Pick(&sagerelay.Query{Service: "s", Chain: chain(prompt)})
+		require.NotNil(t, p)
+		got[p.Upstream.ID]++
+	}
+	require.LessOrEqual(t, got["u17"], 4, "twice the mean of 1, and the slack")
+	for i := range 17 {
+		require.LessOrEqual(t, got[fmt.Sprintf("u%d", i)], 1, "the rate of cold upstreams")
+	}
+	for prompt := range uint64(18) {
+		require.NotNil(t, f.Pick(&sagerelay.Query{Service: "s", Chain: chain(prompt)}), "served above the bound if nothing else is left")
+	}
+}
+
 // An engine resets connections. Requests must be sent to the idle others, but also to a broken upstream if no
 // other is left.
 func TestBrokenUpstreamsAreUsedOnlyWithoutAlternative(t *testing.T) {
--- a/pkg/sagechain/bound.go
+++ b/pkg/sagechain/bound.go
@@ -33,6 +33,9 @@
 	// MeanRunTime is the mean duration of a request. During CountLag an upstream receives about the mean load
 	// times CountLag / MeanRunTime requests that are not in the counts.
 	MeanRunTime time.Duration
+	// MayDecline says that the caller has upstreams beside the candidates, and uses these if the choice is
+	// [ReasonAllAtBound].
+	MayDecline bool
 }
 
 // LoadBound returns the greatest load at which an upstream may still be chosen. Below the platform's cap, a cached
@@ -49,13 +52,18 @@
 	}
 	candidateMean := float64(candidateLoad) / float64(max(1, len(cands)))
 	serviceMean := float64(candidateLoad+params.ExcludedLoad) / float64(max(1, len(cands)+params.ExcludedUpstreams))
-	uncounted := 0.0
-	if params.MeanRunTime > 0 {
-		uncounted = serviceMean * float64(min(params.CountLag, maxCountLag)) / float64(params.MeanRunTime)
-	}
 	factor := params.CapFactor
 	if factor == 0 {
 		factor = DefaultCapFactor
 	}
-	return max(factor*serviceMean+capSlack-capMargin-uncounted, candidateMean+meanSlack)
+	bound := factor*serviceMean + capSlack - capMargin
+	lags := 0.0
+	if params.MeanRunTime > 0 {
+		lags = float64(min(params.CountLag, maxCountLag)) / float64(params.MeanRunTime)
+	}
+	if params.MayDecline {
+		// Without the bound all requests of the service would go to the candidates, however few these are.
+		return bound - lags*float64(candidateLoad+params.ExcludedLoad)/float64(max(1, len(cands)))
+	}
+	return max(bound-lags*serviceMean, candidateMean+meanSlack)
 }
--- a/pkg/sagechain/placer_test.go
+++ b/pkg/sagechain/placer_test.go
@@ -218,3 +218,26 @@
 	c, _ = p.Choose(at(6), only, BoundParams{}, testChain(7))
 	require.Equal(t, "y", c.CopyFrom, "the engine used last")
 }
+
+// Prevents the nodes of a fleet from all filling the first upstream that is warm, up to the bound that each of them sees,
+// before they know each other's counts.
+func TestBoundOfFewCandidatesAllowsForAllRequestsOfTheLag(t *testing.T) {
+	one := []Candidate{{"a", 3}}
+	params := BoundParams{ExcludedUpstreams: 31, ExcludedLoad: 77, CountLag: 200 * time.Millisecond, MeanRunTime: 1100 * time.Millisecond, MayDecline: true}
+	var p Placer
+	c, ok := p.Choose(at(1), one, params, testChain(7))
+	require.True(t, ok)
+	require.Equal(t, ReasonAllAtBound, c.Reason, "15 more requests come before the counts of the others")
+	params.MayDecline = false
+	c, _ = p.Choose(at(1), one, params, testChain(7))
+	require.Equal(t, ReasonHashOrder, c.Reason, "nowhere else to go")
+
+	many := candidates(28)
+	for i := range many {
+		many[i].Load = 2
+	}
+	params = BoundParams{ExcludedUpstreams: 4, ExcludedLoad: 8, CountLag: 200 * time.Millisecond, MeanRunTime: 1100 * time.Millisecond}
+	usual := LoadBound(many, params)
+	params.MayDecline = true
+	require.InDelta(t, usual, LoadBound(many, params), 0.1, "nearly all upstreams are candidates")
+}
