A new version waits for the nodes that know more of the fleet

Callers: a node that knew fewer than 20 others sent a new version its first requests after 1.6 s, while one that knew more believed a copy of the upstreams without it for up to 2.2 s: a stream that broke at the first and was taken up at the second within these 0.6 s would have gone on at the old version. Cause: the wait was that of the node's own propagation delay, and fixed when the version arrived. Change: a node waits as the largest number of nodes asks for that any node may know: the discovered ones, those in the list of nodes, or the longest wait until it has read that list. The wait grows as long as it lasts. The gap in a copy keeps its bound by the node's own delay, which no wait is shorter than.

--- a/internal/sagemesh/rounds.go
+++ b/internal/sagemesh/rounds.go
@@ -23,7 +23,14 @@
 // datagram is lost. Each hop takes two intervals, one for the stamp and one for the heartbeat that echoes it. With
 // aggregators there are three hops.
 func (s *Service) PropagationDelay() time.Duration {
-	if s.Interval() > shortestInterval {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return MaxPropagationDelay(len(s.peers) + 1)
+}
+
+// MaxPropagationDelay returns the propagation delay at a node that knows the given number of nodes, itself included.
+func MaxPropagationDelay(nodes int) time.Duration {
+	if nodes > smallFleetSize {
 		return 3 * 2 * shortestInterval
 	}
 	return 2 * shortestInterval
--- a/internal/sagerouter/origins.go
+++ b/internal/sagerouter/origins.go
@@ -29,9 +29,9 @@
 	}
 	n.mesh.OnMessage = n.origins.Handle
 	n.relay.Origins = n.origins
-	n.view.newVersionDelay = func() time.Duration { return n.maxSoleProofAge() + newVersionMargin }
+	n.view.newVersionDelay = n.newVersionDelay
 	n.copies[n.Kinds.Upstreams].OnGap = func() { n.view.history.RecordGap(sageclock.Now()) }
-	n.copies[n.Kinds.Upstreams].MaxGap = n.view.newVersionDelay
+	n.copies[n.Kinds.Upstreams].MaxGap = func() time.Duration { return n.maxSoleProofAge() + newVersionMargin }
 }
 
 // upstreamsFresh reports whether this node knows all versions that get requests.
--- a/internal/sagerouter/versions.go
+++ b/internal/sagerouter/versions.go
@@ -1,10 +1,12 @@
 package sagerouter
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"sagestand.example/sagestand/internal/sagefollow"
+	"sagestand.example/sagestand/internal/sagemesh"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sageorigin"
 	"sagestand.example/sagestand/pkg/sageupstream"
@@ -49,11 +51,11 @@
 func (v *view) holdBackVersions(now sageclock.Instant) {
 	counts := v.countVersions()
 	v.history.SetVersions(now, counts.present())
-	var newUntil sageclock.Instant
+	var delay time.Duration
 	if v.newVersionDelay != nil && v.upstreams.Load() != nil {
-		newUntil = now.Add(v.newVersionDelay())
+		delay = v.newVersionDelay()
 	}
-	v.arrivals.update(now, counts, newUntil)
+	v.arrivals.update(now, counts, delay)
 	v.wakeForClaims(now)
 	v.admitOrdered(counts)
 	heldBack := v.unordered()
@@ -156,14 +158,17 @@
 }
 
 // update records the versions that have upstreams. Those that were gone for less than [sageorigin.Window] aren't new, the
-// others are until the given time.
-func (a versionArrivals) update(now sageclock.Instant, counts versionCounts, newUntil sageclock.Instant) {
+// others are for the given time, or longer if it grows meanwhile.
+func (a versionArrivals) update(now sageclock.Instant, counts versionCounts, delay time.Duration) {
 	for service, byVersion := range counts {
 		for version, c := range byVersion {
 			o := sageorigin.Origin{Service: service, Version: version}
 			arrival, ok := a[o]
 			if !ok {
-				arrival.newUntil, arrival.since, arrival.arrived = newUntil, now, c.created
+				arrival.since, arrival.arrived = now, c.created
+			}
+			if until := arrival.since.Add(delay); delay > 0 && (!ok || now < arrival.newUntil) {
+				arrival.newUntil = max(arrival.newUntil, until)
 			}
 			arrival.lastSeen = now
 			a[o] = arrival
@@ -319,3 +324,18 @@
 
 // maxSoleProofAge returns the age of a copy of the upstreams up to which this node knows all versions that get requests.
 func (n *Node) maxSoleProofAge() time.Duration { return soleProofAge + n.mesh.PropagationDelay() }
+
+// newVersionDelay returns how long a version that is new to this node gets no requests while others serve: longer than any node of
+// the fleet believes its copy. One that knows more nodes than this one does may believe a copy for longer.
+func (n *Node) newVersionDelay() time.Duration {
+	return soleProofAge + max(n.mesh.PropagationDelay(), sagemesh.MaxPropagationDelay(n.fleetSizeLimit())) + newVersionMargin
+}
+
+// fleetSizeLimit returns the greatest number of nodes that a node may know; a node that hasn't read the list of them yet may know few of
+// very many.
+func (n *Node) fleetSizeLimit() int {
+	if n.registeredNames.Load() == nil {
+		return math.MaxInt
+	}
+	return n.countNodes()
+}
