--- a/internal/sagerouter/outofstep_test.go
+++ b/internal/sagerouter/outofstep_test.go
@@ -9,6 +9,7 @@
 
 	"sagestand.example/sagestand/internal/sagefollow"
 	"sagestand.example/sagestand/pkg/sageclock"
+	"sagestand.example/sagestand/pkg/sageorigin"
 )
 
 // newSizedNode returns a node that knows a number of nodes, itself included, and of which the list of nodes has others; none if it hasn't
@@ -83,3 +84,36 @@
 		})
 	}
 }
+
+// takesUp returns the origin at which a node that starts after the loss of all others continues a stream of route r whose record is lost;
+// none if it refuses. upstreams are those that are there by then.
+func takesUp(t *testing.T, store *claimStore, changes ...sagefollow.Change) sageorigin.Origin {
+	t.Helper()
+	n := newClaimNode(t, store, false)
+	n.applyUpstreams(changes, false)
+	_ = n.work(t, 0)
+	claims, err := n.keeper.claims(t.Context())
+	require.NoError(t, err)
+	n.history.SetClaims(sageclock.Now(), claims)
+	o, status := n.history.Status(sageclock.Now(), "r")
+	if status != sageorigin.Sole {
+		return sageorigin.Origin{}
+	}
+	return o
+}
+
+// Prevents streams of a version that has left from going on at another one because a restore has taken away the claims of the service.
+func TestFirstClaimAfterRestoreIsNotSole(t *testing.T) {
+	store := &claimStore{revision: 20}
+	n := newClaimNode(t, store, true)
+	n.listed("v1", "v2")
+	require.NoError(t, n.work(t, 0))
+	store.era, store.objects = 1, nil
+	require.Empty(t, takesUp(t, store, upstreamEntry("u1", "v1", 10)))
+	later := newClaimNode(t, store, true)
+	later.listed("v1")
+	for i := range 40 {
+		require.NoError(t, later.work(t, time.Duration(i)*time.Second))
+	}
+	require.True(t, store.claim(t).Sole, "claimed by a node that knows what was before")
+}
