A claim loses a route that leads elsewhere although it was the service's only one

Callers: a route moves to another service, or is split, for minutes; its streams begin there. It comes back within half a minute of a loss of all nodes, or while all are down: a stream that began elsewhere would have gone on at the service that the claim names. Cause: a claim was replaced only in favour of the routes that can be claimed. If the service's only route had left, there was none, and the claim kept the route for as long as it was away. Change: the node that claims compares the claims with the routes after its start (with the claims that it read then), and after each change of the services of a route (one read of all claims), and removes the routes that lead, or led within the window, to another service. Evidence: TestClaimLosesRouteThatMoves, three cases: the stream went on at v1 of the claim's service before; now the return is refused. The test also holds the number of calls: none without a change, none after the one for each change.

--- a/internal/sagerouter/claims.go
+++ b/internal/sagerouter/claims.go
@@ -85,6 +85,11 @@
 	Log    sagelog.Logger
 
 	observed map[string]observedClaim // by service
+	// first are the claims of the first read, until the routes have been compared with claims.
+	first    *storedClaims
+	compared bool
+	// routesAt is up to when changes of the routes have been compared with the claims.
+	routesAt sageclock.Instant
 }
 
 // observedClaim is a claim as this node last read or wrote it.
@@ -123,6 +128,7 @@
 	if err != nil {
 		k.Log.Warn("Claims not read at the start.", "err", err)
 	}
+	k.first = claims
 	k.View.setFirstClaims(claims)
 }
 
@@ -136,7 +142,14 @@
 	if !k.Writes() || !k.Fresh() {
 		return nil
 	}
-	for _, service := range k.View.history.Services() {
+	services := k.View.history.Services()
+	if len(services) == 0 {
+		return nil
+	}
+	if err := k.dropRoutes(ctx, now); err != nil {
+		return err
+	}
+	for _, service := range services {
 		if err := k.claimSole(ctx, now, service); err != nil {
 			return err
 		}
@@ -229,6 +242,44 @@
 	return nil
 }
 
+// dropRoutes removes the routes from the claims that lead to another service, or did. A node that starts later may find them where they
+// were.
+func (k *claimKeeper) dropRoutes(ctx context.Context, now sageclock.Instant) error {
+	since := k.View.history.RoutesSince()
+	if k.compared && since <= k.routesAt {
+		return nil
+	}
+	claims := k.first
+	if claims == nil || since > k.routesAt || len(k.led(claims, now)) > 0 {
+		var err error
+		if claims, err = k.read(ctx, k.Store.List); err != nil {
+			return err
+		}
+	}
+	for _, c := range k.led(claims, now) {
+		if err := k.write(ctx, &c); err != nil {
+			return err
+		}
+		k.observe(now, c)
+	}
+	k.first, k.compared, k.routesAt = nil, true, since
+	return nil
+}
+
+// led returns the claims with routes that lead to another service, or did, without them.
+func (k *claimKeeper) led(claims *storedClaims, now sageclock.Instant) []storedClaim {
+	var out []storedClaim
+	for service := range claims.byService {
+		c := claims.of(service)
+		routes := slices.DeleteFunc(slices.Clone(c.Routes), func(r string) bool { return k.View.history.LedElsewhere(now, r, service) })
+		if len(routes) < len(c.Routes) {
+			c.Routes = routes
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
 // observe records a claim that was read or written.
 func (k *claimKeeper) observe(now sageclock.Instant, c storedClaim) observedClaim {
 	if k.observed == nil {
--- a/internal/sagerouter/outofstep_test.go
+++ b/internal/sagerouter/outofstep_test.go
@@ -117,3 +117,41 @@
 	}
 	require.True(t, store.claim(t).Sole, "claimed by a node that knows what was before")
 }
+
+// Prevents streams that began while a route led to another service from going on at the one to which it has come back: the claim named
+// the route as long as the service had no other.
+func TestClaimLosesRouteThatMoves(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		services []string
+		started  bool // a node that has started since carries the streams
+	}{
+		{"it moves", []string{"other"}, false},
+		{"it is split", []string{"s", "other"}, false},
+		{"it moved while all nodes were down", []string{"other"}, true},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			store := &claimStore{revision: 20}
+			n := newClaimNode(t, store, true)
+			n.listed("v1")
+			require.NoError(t, n.work(t, 0))
+			require.Equal(t, []string{"r"}, store.claim(t).Routes)
+			calls := store.calls
+			require.NoError(t, n.work(t, time.Second))
+			require.Equal(t, calls, store.calls, "nothing is read while no route changes")
+			require.Equal(t, sageorigin.Origin{Service: "s", Version: "v1"}, takesUp(t, store, upstreamEntry("u1", "v1", 10)))
+			if tt.started {
+				n = newClaimNode(t, store, false)
+				n.history = sageorigin.History{}
+				n.listed("v1")
+			}
+			n.history.SetRoutes(sageclock.Now(), map[string][]string{"r": tt.services})
+			require.NoError(t, n.work(t, time.Second))
+			require.Empty(t, takesUp(t, store, upstreamEntry("u1", "v1", 10)))
+			require.Empty(t, store.claim(t).Routes)
+			calls = store.calls
+			require.NoError(t, n.work(t, 2*time.Second))
+			require.Equal(t, calls, store.calls, "once for each change")
+		})
+	}
+}
--- a/pkg/sageorigin/history.go
+++ b/pkg/sageorigin/history.go
@@ -19,6 +19,7 @@
 	departed      map[Origin]sageclock.Instant
 	routes        map[string][]string // services by route
 	changed       map[string]sageclock.Instant
+	routesSince   sageclock.Instant // when a route last got or lost a service
 	// claims are those in the store, as they were learned after observedSince, by service.
 	claims map[string]Claim
 }
@@ -62,12 +63,31 @@
 	}
 	for name, services := range h.routes {
 		if lostService(services, routes[name]) {
-			h.changed[name] = now
+			h.changed[name], h.routesSince = now, now
+		}
+		if lostService(routes[name], services) {
+			h.routesSince = now
 		}
 	}
 	h.routes = routes
 }
 
+// RoutesSince returns when a route that this node knew last got or lost a service, 0 if none has.
+func (h *History) RoutesSince() sageclock.Instant {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.routesSince
+}
+
+// LedElsewhere reports whether streams of a route may have begun at another service than the given one within [Window], as far as
+// this node knows.
+func (h *History) LedElsewhere(now sageclock.Instant, route, service string) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	at, ok := h.changed[route]
+	return ok && now.Sub(at) < Window || lostService(h.routes[route], []string{service})
+}
+
 // lostService reports whether a service of before is missing.
 func lostService(before, after []string) bool {
 	for _, s := range before {
