Recovered records are deleted once they themselves are written

What callers saw: streams whose records had been recovered could be refused after a further loss of all nodes, and records of former losses were recovered again at each loss. Cause: the recovering node asked whether no record at all was waiting to be written. While streams begin all the time that is almost never so, and nothing was deleted. And the keeper drops records beyond its limit, as when the store refuses writes for a while: then nothing waits once the others are written, and the objects with the dropped ones were deleted. Change: Unsaved returns which of the recovered records aren't written. They are saved again until there are none; then the objects are deleted. Why it works: what is asked concerns the records of the objects that are deleted, and nothing else. TestOpenStreamsOutliveAllNodes advances its clock by the retry time before the next check, as unsaved records are looked for at that interval; the stores of the tests lock their listing and deletion.

--- a/internal/sagerouter/recovery.go
+++ b/internal/sagerouter/recovery.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"iter"
 	"maps"
 	"slices"
 	"strings"
@@ -41,11 +42,11 @@
 	// Name begins the names of this node's own objects, which are left alone.
 	Name  string
 	Store Store
-	// Restore takes recovered records and sends them to their holders. Save has them written by this node, and Saved reports whether
-	// that is done.
+	// Restore takes recovered records and sends them to their holders. Save has them written by this node, as far as it has space, and
+	// Unsaved returns those for which that isn't done yet.
 	Restore func(records []sageorigin.Record)
 	Save    func(records []sageorigin.Record)
-	Saved   func() bool
+	Unsaved func(records iter.Seq[sageorigin.Record]) []sageorigin.Record
 	// Recovers reports whether this node recovers the records for all nodes.
 	Recovers func() bool
 	Log      sagelog.Logger
@@ -242,7 +243,12 @@
 // when it is read, so that one which stays would be recovered again and again.
 func (r *snapshotRecovery) drop(ctx context.Context) error {
 	now := r.now()
-	if len(r.recovered) == 0 || now < max(r.dropAt, r.notBefore) || len(r.queue) > 0 || !r.Saved() {
+	if len(r.recovered) == 0 || now < max(r.dropAt, r.notBefore) || len(r.queue) > 0 {
+		return nil
+	}
+	r.dropAt = now.Add(snapshotRetry)
+	if unsaved := r.Unsaved(maps.Values(r.records)); len(unsaved) > 0 {
+		r.Save(unsaved[:min(recoveryBatch, len(unsaved))])
 		return nil
 	}
 	r.notBefore = now.Add(snapshotRetry)
--- a/internal/sagerouter/recovery_test.go
+++ b/internal/sagerouter/recovery_test.go
@@ -1,8 +1,11 @@
 package sagerouter
 
 import (
+	"cmp"
 	"context"
+	"encoding/json"
 	"fmt"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -78,7 +81,7 @@
 				return n.first
 			},
 			Restore: func([]sageorigin.Record) { n.set(func() { n.restored++ }) },
-			Save:    func([]sageorigin.Record) {}, Saved: func() bool { return false },
+			Save:    func([]sageorigin.Record) {}, Unsaved: slices.Collect[sageorigin.Record],
 		}
 		go func() { _ = n.Run(t.Context()) }()
 	}
@@ -220,3 +223,95 @@
 		require.Empty(t, record.Origin.Version)
 	}
 }
+
+// remoteStore is a store whose calls take time, and whose listings come in pages of one object each.
+type remoteStore struct {
+	*snapshotStore
+	delay time.Duration
+}
+
+func (s *remoteStore) List(ctx context.Context, kind, after string) (sagefollow.Page, error) {
+	if err := s.wait(ctx); err != nil {
+		return sagefollow.Page{}, err
+	}
+	p, err := s.snapshotStore.List(ctx, kind, after)
+	slices.SortFunc(p.Changes, func(a, b sagefollow.Change) int { return cmp.Compare(a.Object.Name, b.Object.Name) })
+	p.Changes = slices.DeleteFunc(p.Changes, func(c sagefollow.Change) bool { return c.Object.Name <= after })
+	if len(p.Changes) > 1 {
+		p.Changes, p.Next = p.Changes[:1], p.Changes[0].Object.Name
+	}
+	return p, err
+}
+
+func (s *remoteStore) SetStatus(ctx context.Context, kind, name string, revision uint64, status json.RawMessage) error {
+	if err := s.wait(ctx); err != nil {
+		return err
+	}
+	return s.snapshotStore.SetStatus(ctx, kind, name, revision, status)
+}
+
+func (s *remoteStore) wait(ctx context.Context) error {
+	if !sageclock.Sleep(ctx, s.delay) {
+		return ctx.Err()
+	}
+	return nil
+}
+
+// saveOf returns a store with the records of streams whose node was lost.
+func saveOf(t *testing.T, streams int) *snapshotStore {
+	t.Helper()
+	store := new(snapshotStore)
+	k := newTestKeeper(store, "lost")
+	k.Now = virtualNow
+	for i := range streams {
+		k.Save([]sageorigin.Record{testRecord(fmt.Sprint("lost", i), "v1", virtualNow().Add(time.Minute))})
+		if i%segmentRecords == segmentRecords-1 || i == streams-1 {
+			require.NoError(t, k.save(t.Context()))
+		}
+	}
+	return store
+}
+
+// Prevents what was recovered from being recovered again after each loss, because it isn't deleted while streams begin all the time.
+func TestRecoveredObjectsAreDeletedUnderTraffic(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		store := saveOf(t, 1)
+		k := newTestKeeper(&remoteStore{store, 5 * time.Millisecond}, "survivor")
+		k.Now = virtualNow
+		r, _ := newSnapshotRecovery(store, k)
+		go func() { _ = k.Run(t.Context()) }()
+		go func() { _ = r.Run(t.Context()) }()
+		for i := range int(2 * recoveryTime / time.Millisecond) {
+			k.Save([]sageorigin.Record{testRecord(fmt.Sprint(i), "v1", virtualNow().Add(time.Second))})
+			pause(time.Millisecond)
+		}
+		require.False(t, store.has("lost-0"))
+	})
+}
+
+// Prevents recovered records from being deleted that nobody has written, because the store refused writes meanwhile.
+func TestRecoveredRecordsOutliveStoreThatRefuses(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const streams = 2 * maxPending
+		store := saveOf(t, streams)
+		k := newTestKeeper(store, "survivor")
+		r, _ := newSnapshotRecovery(store, k)
+		k.Now, r.Now = virtualNow, virtualNow
+		ctx, cancel := context.WithCancel(t.Context())
+		done := make(chan error, 2)
+		go func() { done <- k.Run(ctx) }()
+		go func() { done <- r.Run(ctx) }()
+		store.setRefuses(true)
+		pause(recoveryTime)
+		store.setRefuses(false)
+		pause(recoveryTime)
+		cancel()
+		require.NoError(t, <-done)
+		require.NoError(t, <-done)
+		require.False(t, store.has("lost-0"))
+		next, _ := newSnapshotRecovery(store, newTestKeeper(store, "next"))
+		next.Now = virtualNow
+		require.NoError(t, next.load(t.Context()))
+		require.Equal(t, streams, len(next.records), "callers may still return")
+	})
+}
--- a/internal/sagerouter/snapshots.go
+++ b/internal/sagerouter/snapshots.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"iter"
 	"slices"
 	"sync"
 	"time"
@@ -60,8 +61,8 @@
 	pending []sageorigin.Record
 	// until holds when the records end that are pending or in a segment.
 	until   map[sageorigin.Key]sageclock.Instant
-	writing bool
-	wake    chan struct{} // has a value if records are pending
+	writing []sageorigin.Record // those of the write in progress
+	wake    chan struct{}       // has a value if records are pending
 
 	// The fields from here on are used by Run only.
 	segments []*segment
@@ -101,7 +102,7 @@
 	dropped := 0
 	for _, r := range records {
 		switch {
-		case r.Until <= now || r.Until <= k.until[r.Key].Add(snapshotExtension) || r.Origin.Version == "" || r.Origin.Check() != nil:
+		case !k.isNew(now, r):
 		case len(k.pending) >= maxPending:
 			dropped++
 		default:
@@ -115,6 +116,11 @@
 	k.notify()
 }
 
+// isNew reports whether a record has to be written that is neither pending nor in a segment. The caller holds mu.
+func (k *snapshotKeeper) isNew(now sageclock.Instant, r sageorigin.Record) bool {
+	return r.Until > now && r.Until > k.until[r.Key].Add(snapshotExtension) && r.Origin.Version != "" && r.Origin.Check() == nil
+}
+
 // Forget leaves out the record of a stream that has ended before it was written.
 func (k *snapshotKeeper) Forget(key sageorigin.Key) {
 	k.mu.Lock()
@@ -187,24 +193,37 @@
 	defer k.mu.Unlock()
 	n := min(maxPending, len(k.pending))
 	out := k.pending[:n:n]
-	k.writing = n > 0
+	k.writing = out
 	k.pending = k.pending[n:]
 	k.notify()
 	return out
 }
 
-// Saved reports whether all records are written.
-func (k *snapshotKeeper) Saved() bool {
+// Unsaved returns those of some records that still have to be written, or whose write isn't confirmed yet.
+func (k *snapshotKeeper) Unsaved(records iter.Seq[sageorigin.Record]) []sageorigin.Record {
+	now := k.now()
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	return len(k.pending) == 0 && !k.writing
+	waiting := make(map[sageorigin.Key]bool)
+	for _, rs := range [][]sageorigin.Record{k.pending, k.writing} {
+		for i := range rs {
+			waiting[rs[i].Key] = true
+		}
+	}
+	var out []sageorigin.Record
+	for r := range records {
+		if waiting[r.Key] || k.isNew(now, r) {
+			out = append(out, r)
+		}
+	}
+	return out
 }
 
 // written ends a write.
 func (k *snapshotKeeper) written() {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.writing = false
+	k.writing = nil
 }
 
 // putBack makes records pending again that could not be written.
--- a/internal/sagerouter/snapshots_test.go
+++ b/internal/sagerouter/snapshots_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"sagestand.example/sagestand/internal/sagefollow"
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sageorigin"
@@ -62,10 +63,26 @@
 }
 
 func (s *snapshotStore) Delete(_ context.Context, _, name string) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	delete(s.objects, name)
 	return nil
 }
 
+func (s *snapshotStore) List(ctx context.Context, kind, after string) (sagefollow.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.claimStore.List(ctx, kind, after)
+}
+
+// has reports whether an object exists.
+func (s *snapshotStore) has(name string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	_, ok := s.objects[name]
+	return ok
+}
+
 // newTestKeeper returns the keeper of the only node that writes.
 func newTestKeeper(store Store, name string) *snapshotKeeper {
 	return newSnapshotKeeper("", name, store, func() int { return 1 }, sagelog.Logger{})
@@ -80,7 +97,7 @@
 func newSnapshotRecovery(store Store, k *snapshotKeeper) (*snapshotRecovery, *[]sageorigin.Record) {
 	restored := new([]sageorigin.Record)
 	return &snapshotRecovery{
-		Name: k.Name, Store: store, Restore: func(rs []sageorigin.Record) { *restored = rs }, Save: k.Save, Saved: k.Saved,
+		Name: k.Name, Store: store, Restore: func(rs []sageorigin.Record) { *restored = rs }, Save: k.Save, Unsaved: k.Unsaved,
 		Recovers: func() bool { return true }, Now: k.Now,
 	}, restored
 }
@@ -126,6 +143,7 @@
 	running := newTestKeeper(store, "b")
 	running.Save([]sageorigin.Record{testRecord("4", "v1", until.Add(time.Minute))})
 	require.NoError(t, running.save(t.Context()))
+	r.Now = func() sageclock.Instant { return sageclock.Now().Add(2*recoveryTime + snapshotRetry) }
 	require.NoError(t, r.drop(t.Context()))
 	require.Len(t, store.objects, 2, "a node that runs has written again")
 	next, _ := newSnapshotRecovery(store, newTestKeeper(store, "d"))
