Each page of the saved records has its own timeout

What callers saw: with more records than a store lists within a second none was recovered, and every caller that returned was refused. Cause: one timeout of a second covered all pages (some 500 objects or 1 MB each), each retry began with the first page. Change: the timeout bounds the read of one page; that of the deletions is counted from the end of the listing. Why it works: the number of pages is bounded by the objects that exist, and a store that doesn't answer ends the read as before. Evidence: TestManyPagesAreRead (10 pages, 200 ms each) failed before with "list after "lost-4": context deadline exceeded".

--- a/internal/sagerouter/recovery.go
+++ b/internal/sagerouter/recovery.go
@@ -194,9 +194,7 @@
 
 // load reads the records in the store.
 func (r *snapshotRecovery) load(ctx context.Context) error {
-	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
-	defer cancel()
-	d, err := sagefollow.ListAll(ctx, r.Store.List, r.Kind)
+	d, err := sagefollow.ListAll(ctx, r.listPage, r.Kind)
 	if err != nil {
 		return fmt.Errorf("list records: %w", err)
 	}
@@ -220,6 +218,13 @@
 	return nil
 }
 
+// listPage reads a page of a listing.
+func (r *snapshotRecovery) listPage(ctx context.Context, kind, after string) (sagefollow.Page, error) {
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
+	return r.Store.List(ctx, kind, after)
+}
+
 // add adds a record. If two differ, the version isn't known.
 func (r *snapshotRecovery) add(record sageorigin.Record) {
 	if old, ok := r.records[record.Key]; ok {
@@ -252,12 +257,12 @@
 		return nil
 	}
 	r.notBefore = now.Add(snapshotRetry)
-	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
-	defer cancel()
-	d, err := sagefollow.ListAll(ctx, r.Store.List, r.Kind)
+	d, err := sagefollow.ListAll(ctx, r.listPage, r.Kind)
 	if err != nil {
 		return fmt.Errorf("list recovered records: %w", err)
 	}
+	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
+	defer cancel()
 	for i := range d.Changes {
 		o := &d.Changes[i].Object
 		if revision, ok := r.recovered[o.Name]; !ok || revision != o.Revision {
--- a/internal/sagerouter/recovery_test.go
+++ b/internal/sagerouter/recovery_test.go
@@ -315,3 +315,15 @@
 		require.Equal(t, streams, len(next.records), "callers may still return")
 	})
 }
+
+// Prevents the records of a large fleet from never being recovered because they fill more pages than can be read within one timeout.
+func TestManyPagesAreRead(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const streams = 10 * segmentRecords
+		store := saveOf(t, streams)
+		r, _ := newSnapshotRecovery(&remoteStore{store, snapshotTimeout / 5}, newTestKeeper(store, "survivor"))
+		r.Now = virtualNow
+		require.NoError(t, r.load(t.Context()))
+		require.Equal(t, streams, len(r.records))
+	})
+}
