--- a/internal/sagerouter/claims.go
+++ b/internal/sagerouter/claims.go
@@ -193,12 +193,11 @@
 
 // admission returns the claim with which a version is admitted.
 //
-// A service gets its first claim before its first stream, so without one no stream has begun yet, unless a restore of the store has
-// taken it away.
+// A service gets its first claim before its first stream, so without one no stream has begun yet.
 func (k *claimKeeper) admission(claims *storedClaims, c *storedClaim, o sageorigin.Origin) sageorigin.Claim {
 	at := claims.at
 	version, routes, sole := k.View.history.Claimable(sageclock.Now(), o.Service, true)
-	if c.Name != "" || at.Era > 0 || !sole || version != o.Version {
+	if c.Name != "" || !sole || version != o.Version {
 		return c.Admit(o.Version, at.Era, at.Revision)
 	}
 	routes = slices.DeleteFunc(routes, claims.mayHaveLedElsewhere)
