The wait of a new version uses the cached number of nodes

Cause: the wait is asked for with each change of the upstreams, and counted the nodes anew each time. Change: Node.fleetSize, which is cached for a second. Nodes that are discovered within that second count at once, by the mesh's own number.

--- a/internal/sagerouter/versions.go
+++ b/internal/sagerouter/versions.go
@@ -331,11 +331,11 @@
 	return soleProofAge + max(n.mesh.PropagationDelay(), sagemesh.MaxPropagationDelay(n.fleetSizeLimit())) + newVersionMargin
 }
 
-// fleetSizeLimit returns the greatest number of nodes that a node may know; a node that hasn't read the list of them yet may know few of
-// very many.
+// fleetSizeLimit returns the greatest number of nodes that a node may know. One that hasn't read the list of them yet may know few of very
+// many.
 func (n *Node) fleetSizeLimit() int {
-	if n.registeredNames.Load() == nil {
-		return math.MaxInt
+	if size := n.fleetSize(); size > 0 {
+		return size
 	}
-	return n.countNodes()
+	return math.MaxInt
 }
