A node that recovers many records keeps those that it holds for others

What callers saw: after the recovery of more than some 32,000 records, streams that the recovering node held were refused at their return. Cause: Restore put all recovered records into the node's own table, which then drops its oldest. Change: from half of the table on recovered records are left to their holders; those whose key is known are still compared, and a fleet of no more nodes than holders keeps all. Why it works: three other nodes hold each record, which are asked at a return.

--- a/internal/sageorigind/service.go
+++ b/internal/sageorigind/service.go
@@ -24,6 +24,9 @@
 	ringTTL = 250 * time.Millisecond
 )
 
+// maxRestored is the number of records from which on recovered ones are left to their holders.
+const maxRestored = sageorigin.DefaultMaxRecords / 2
+
 // Service holds the records of one node. Exported fields are set before use.
 type Service struct {
 	// Self is this node's address for other nodes.
@@ -193,8 +196,12 @@
 // Restore takes records that were recovered and sends them to their holders.
 func (s *Service) Restore(records []sageorigin.Record) {
 	now := s.now()
+	alone := s.currentRing(now).Len() <= sageorigin.NumHolders
 	for _, r := range records {
-		s.table.Put(now, r)
+		// With too many, what this node holds for others would be dropped.
+		if _, _, known := s.table.Get(now, r.Key); known || alone || s.table.Len() < maxRestored {
+			s.table.Put(now, r)
+		}
 	}
 	s.sendRecords(now, records)
 }
