Returns before a loss is detected find their records in the store

What callers saw: eight of nine nodes were killed amid two versions, and 20 to 44 attempts to take up some 51 streams were refused with origin_unknown in each case until the survivor had detected the loss (1.3 s) and recovered the records, though the store had them all the while. Later than 4 s after its own start, a survivor told its callers that the record won't be known, while a recovery was due. RecoversUntil followed from the node's own start. Change: a node whose search ends without a record, while peers don't answer or were lost within the window of returns, reads the saved records into its table, once for all callers that wait, and looks again. Nothing but a record is concluded. The fleet's reads are bounded in calls and bytes whatever its size (0.25 s, 5 ms a node, 16 MB a second for all); a read ends at the bytes that a node may read in half a minute. A read that began after the return, was whole and lacks the record makes the refusal final; one that failed, was cut off or isn't due yet says when to return. RecoversUntil follows from the losses that call for a recovery. Why it works: the record was in the store before the loss, so that no detection is needed to find it; a read that begins after the return sees every record that could have been saved before.

--- a/internal/sageorigind/find.go
+++ b/internal/sageorigind/find.go
@@ -37,14 +37,35 @@
 
 // Find returns where the stream with a key began, whose caller has returned on a route.
 func (s *Service) Find(ctx context.Context, route string, k sageorigin.Key) sageorigin.Finding {
-	f := s.find(ctx, route, k)
-	f.MayFollow = f.Status == sageorigin.Unknown && (f.MayFollow || s.now() < s.RecoversUntil)
+	returned := s.now()
+	f := s.find(ctx, returned, route, k)
+	if f.Status == sageorigin.Unknown {
+		s.findLost(ctx, returned, route, k, &f)
+	}
 	s.Metrics.GetOrCreateCounter(fmt.Sprintf(`sagestand_origin_searches_total{status=%q,asked="%t"}`, f.Status.String(), f.Asked > 0)).Inc()
 	return f
 }
 
-func (s *Service) find(ctx context.Context, route string, k sageorigin.Key) sageorigin.Finding {
-	returned := s.now()
+// findLost continues a search that found no record, as its holders may be lost.
+func (s *Service) findLost(ctx context.Context, returned sageclock.Instant, route string, k sageorigin.Key, f *sageorigin.Finding) {
+	recovers := s.RecoversUntil != nil && s.now() < s.RecoversUntil()
+	if !s.mayBeLost(f) {
+		f.MayFollow = f.MayFollow || recovers
+		return
+	}
+	whole, dueIn := s.findSaved(ctx, returned, route, k, f)
+	switch {
+	case f.Status == sageorigin.Found:
+		f.MayFollow = false
+	case !whole:
+		f.MayFollow = true
+		if !recovers { // a recovery may come first
+			f.FollowsIn = dueIn
+		}
+	}
+}
+
+func (s *Service) find(ctx context.Context, returned sageclock.Instant, route string, k sageorigin.Key) sageorigin.Finding {
 	o, age, status, fresh := s.lookUp(returned, route, k)
 	nodes := s.currentRing(returned).Asked(k, s.Self)
 	if isSole(status) && !fresh && len(nodes) == 0 {
--- /dev/null
+++ b/internal/sageorigind/saved.go
@@ -0,0 +1,144 @@
+package sageorigind
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"sagestand.example/sagestand/internal/sagelog"
+	"sagestand.example/sagestand/pkg/sageclock"
+	"sagestand.example/sagestand/pkg/sageorigin"
+)
+
+// Limits of the reads of saved records for callers that return. All nodes may read at the same time.
+const (
+	// savedTimeout is the longest time for which a return waits for reads, savedReadTimeout the longest time that a read takes.
+	savedTimeout     = time.Second
+	savedReadTimeout = 900 * time.Millisecond
+	// savedInterval is the least time between two reads of a node, savedSpacing that between two reads of the fleet.
+	savedInterval = 250 * time.Millisecond
+	savedSpacing  = 5 * time.Millisecond
+	// savedBytesPerSecond limits what the fleet reads. A listing that would take a node longer than [sageorigin.Window] isn't read whole.
+	savedBytesPerSecond = 16 << 20
+)
+
+// Saved are the records that nodes have saved in the store.
+type Saved struct {
+	Records []sageorigin.Record
+	// Objects and Bytes are the size of what was read, also if the read failed.
+	Objects, Bytes int
+}
+
+// savedReads are this node's reads of the saved records.
+type savedReads struct {
+	mu sync.Mutex
+	// done is closed when the read in progress ends; nil if there is none.
+	done chan struct{}
+	// startedAt is when the last read began, and failed says that it failed.
+	startedAt sageclock.Instant
+	failed    bool
+	notBefore sageclock.Instant // earliest time of the next read
+}
+
+// findSaved continues a search that found no record in the store, if its holders may be lost. It returns false if the store hasn't been
+// read whole since the return, and for how long it won't be.
+func (s *Service) findSaved(ctx context.Context, returned sageclock.Instant, route string, k sageorigin.Key, f *sageorigin.Finding) (whole bool, dueIn time.Duration) {
+	ctx, cancel := context.WithTimeout(ctx, savedTimeout)
+	defer cancel()
+	for ctx.Err() == nil {
+		done, dueIn := s.startRead(f)
+		if done == nil && dueIn > answerTimeout {
+			return false, dueIn
+		}
+		due := time.NewTimer(dueIn)
+		select {
+		case <-ctx.Done():
+			due.Stop()
+			return false, 0
+		case <-done:
+		case <-due.C:
+		}
+		due.Stop()
+		if o, age, status, _ := s.lookUp(s.now(), route, k); status == sageorigin.Found {
+			f.Status, f.Origin, f.Age = status, o, age
+			return true, 0
+		}
+		if ended, whole, dueIn := s.saved.readSince(s.now(), returned); ended {
+			return whole, dueIn
+		}
+	}
+	return false, 0
+}
+
+// mayBeLost reports whether records may be known to the store only: holders don't answer, or nodes were lost.
+func (s *Service) mayBeLost(f *sageorigin.Finding) bool {
+	return s.ReadSaved != nil && (f.Answered < f.Asked || s.LostNodes != nil && s.LostNodes())
+}
+
+// startRead starts a read unless one is in progress, which callers that return at once share. If it isn't due yet, done is nil.
+func (s *Service) startRead(f *sageorigin.Finding) (done <-chan struct{}, dueIn time.Duration) {
+	r := &s.saved
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := s.now()
+	if r.done != nil {
+		return r.done, savedTimeout
+	}
+	if now < r.notBefore {
+		return nil, r.notBefore.Sub(now)
+	}
+	r.done, r.startedAt = make(chan struct{}), now
+	go s.readSaved(f.Asked, f.Answered)
+	return r.done, savedTimeout
+}
+
+// readSince returns whether a read that began after a time has ended, whether it was whole, and when the next one is due.
+func (r *savedReads) readSince(now, t sageclock.Instant) (ended, whole bool, dueIn time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.done == nil && r.startedAt >= t, !r.failed, max(0, r.notBefore.Sub(now).Truncate(time.Millisecond)+time.Millisecond)
+}
+
+// readSaved reads the saved records into the table. The callers that wait may leave meanwhile.
+func (s *Service) readSaved(asked, answered int) {
+	nodes := max(1, s.FleetSize())
+	ctx, cancel := context.WithTimeout(context.Background(), savedReadTimeout)
+	defer cancel()
+	start := s.now()
+	saved, err := s.ReadSaved(ctx, int(sageorigin.Window.Seconds()*savedBytesPerSecond)/nodes)
+	now := s.now()
+	added := 0
+	for _, r := range saved.Records {
+		if s.addSaved(now, r) {
+			added++
+		}
+	}
+	result := "ok"
+	if err != nil {
+		result = "failed"
+	}
+	s.Metrics.GetOrCreateCounter(fmt.Sprintf(`sagestand_origin_saved_reads_total{result=%q}`, result)).Inc()
+	interval := max(savedInterval, time.Duration(nodes)*savedSpacing, time.Duration(nodes*saved.Bytes)*time.Second/savedBytesPerSecond)
+	s.Log.Limited(sagelog.KindStateChange, "Saved records read for callers that returned.", "asked", asked, "answered", answered, "objects", saved.Objects,
+		"records", len(saved.Records), "added", added, "bytes", saved.Bytes, "took_ms", now.Sub(start).Milliseconds(), "next_in_ms", interval.Milliseconds(), "err", err)
+	s.saved.end(now.Add(interval), err != nil)
+}
+
+// end ends a read.
+func (r *savedReads) end(notBefore sageclock.Instant, failed bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.done)
+	r.done, r.notBefore, r.failed = nil, notBefore, failed
+}
+
+// addSaved adds a record unless it is known. The time that is left in the store counts from when a record is read, so that each read
+// would extend it.
+func (s *Service) addSaved(now sageclock.Instant, r sageorigin.Record) bool {
+	if o, _, ok := s.table.Get(now, r.Key); ok && o == r.Origin {
+		return false
+	}
+	s.table.Put(now, r)
+	return true
+}
--- a/internal/sageorigind/service.go
+++ b/internal/sageorigind/service.go
@@ -49,10 +49,16 @@
 	Writers func() []sageorigin.Holder
 	Save    func(records []sageorigin.Record)
 	Forget  func(k sageorigin.Key)
-	// RecoversUntil is the time until which records that were lost with all nodes may still be recovered.
-	RecoversUntil sageclock.Instant
-	Metrics       *metrics.Set
-	Log           sagelog.Logger
+	// RecoversUntil returns the time until which records that were lost with their holders may still be recovered; nil if none are.
+	RecoversUntil func() sageclock.Instant
+	// ReadSaved reads the records that are saved in the store, up to a number of bytes; nil if nothing is saved.
+	ReadSaved func(ctx context.Context, maxBytes int) (Saved, error)
+	// LostNodes reports whether nodes were lost, or started, while callers may return to their streams.
+	LostNodes func() bool
+	// FleetSize returns the number of nodes that read the store.
+	FleetSize func() int
+	Metrics   *metrics.Set
+	Log       sagelog.Logger
 	// Now is the clock; nil means [sageclock.Now].
 	Now func() sageclock.Instant
 
@@ -71,6 +77,7 @@
 	ringUntil    sageclock.Instant
 
 	claims, refreshes storeRead
+	saved             savedReads
 }
 
 // storeRead is the last read of a kind of objects in the store; mu is held during a read.
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -264,8 +264,9 @@
 	case VersionGone:
 		retryAfter = versionReturn
 	case OriginUnknown:
-		if !j.originMayFollow {
-			retryAfter = max(0, time.Until(j.deadline).Truncate(time.Millisecond)) // it won't be known later
+		retryAfter = max(shortRetryAfter, j.originFollowsIn)
+		if left := max(0, time.Until(j.deadline).Truncate(time.Millisecond)); !j.originMayFollow || left < retryAfter {
+			retryAfter = left // it won't be known in time
 		}
 	}
 	if until := j.relay.pauseUntil; until != 0 && reason == j.relay.refusal {
--- a/internal/sagerelay/origin.go
+++ b/internal/sagerelay/origin.go
@@ -25,8 +25,9 @@
 type originState struct {
 	// origin is where the stream began; nil before its first event. The version is empty if it isn't known.
 	origin *sageorigin.Origin
-	// originMayFollow says that the origin isn't known yet and may be soon.
+	// originMayFollow says that the origin isn't known yet and may be soon, originFollowsIn in how long at the earliest.
 	originMayFollow bool
+	originFollowsIn time.Duration
 	// begun says that this node has passed on an event.
 	begun bool
 	// end ends the stream at this node; nil if it wasn't recorded.
@@ -56,7 +57,7 @@
 	reason := Reason("")
 	switch {
 	case f.Status == sageorigin.Unknown || f.Status == sageorigin.Found && f.Origin.Version == "":
-		reason, j.originMayFollow = OriginUnknown, f.MayFollow
+		reason, j.originMayFollow, j.originFollowsIn = OriginUnknown, f.MayFollow, f.FollowsIn
 	case !j.leadsTo(f.Origin.Service):
 		reason = OriginMoved
 	default:
--- a/internal/sagerelay/origin_test.go
+++ b/internal/sagerelay/origin_test.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -109,6 +110,8 @@
 		{"the only version", sageorigin.Finding{Status: sageorigin.Sole, Origin: v2}, map[string]upstream{"a": crash, "b": events(4, 5, true)}, 200, lastTwoEvents, ""},
 		{"not found", sageorigin.Finding{}, map[string]upstream{"a": crash, "b": crash}, 503, `{"reason":"origin_unknown"}`, "4"},
 		{"not found yet", sageorigin.Finding{MayFollow: true}, map[string]upstream{"a": crash, "b": crash}, 503, `{"reason":"origin_unknown"}`, "0.3"},
+		{"not found before some time", sageorigin.Finding{MayFollow: true, FollowsIn: 1500 * time.Millisecond}, map[string]upstream{"a": crash, "b": crash}, 503, `{"reason":"origin_unknown"}`, "1.5"},
+		{"not found before the deadline", sageorigin.Finding{MayFollow: true, FollowsIn: time.Minute}, map[string]upstream{"a": crash, "b": crash}, 503, `{"reason":"origin_unknown"}`, "4"},
 		{"found without version", found(sageorigin.Origin{Service: "s"}), map[string]upstream{"a": crash, "b": crash}, 503, `{"reason":"origin_unknown"}`, "4"},
 		{"another service", found(sageorigin.Origin{Service: "t", Version: "v2"}), map[string]upstream{"a": crash, "b": crash}, 503, `{"reason":"origin_moved"}`, ""},
 		{"no upstream of the version", found(v2), map[string]upstream{"a": crash}, 503, `{"reason":"version_gone"}`, "2"},
--- a/internal/sagerouter/recovery.go
+++ b/internal/sagerouter/recovery.go
@@ -11,8 +11,11 @@
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sagestand.example/sagestand/internal/sagefollow"
 	"sagestand.example/sagestand/internal/sagelog"
+	"sagestand.example/sagestand/internal/sageorigind"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sageorigin"
 )
@@ -31,6 +34,9 @@
 	minLosses = sageorigin.NumHolders + 1
 )
 
+// errTooManyBytes reports that the saved records are too many to be read for callers that return.
+var errTooManyBytes = errors.New("too many bytes")
+
 // restoreDelays are the times after the start or the loss of a node, or after one has joined, at which records that were found in
 // the store are sent to their holders. Nodes that start at the same time discover each other meanwhile.
 var restoreDelays = []time.Duration{200 * time.Millisecond, time.Second, 3 * time.Second}
@@ -67,7 +73,7 @@
 
 	// The fields from here on are used by Run only.
 	notBefore sageclock.Instant // earliest time of the next attempt
-	records   map[sageorigin.Key]sageorigin.Record
+	records   savedRecords
 	queue     []sageorigin.Record // records to be sent
 	// recovered are the revisions of the objects that were read, by name. Those that haven't changed by dropAt belong to nodes that were
 	// lost, or have no new records, and are deleted.
@@ -112,6 +118,26 @@
 	r.changedAt, r.sent = now, 0
 }
 
+// lostNodes reports whether this node has started, or others were lost, while callers may return to their streams.
+func (r *snapshotRecovery) lostNodes() bool {
+	now := r.now()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	recent := func(at sageclock.Instant) bool { return now.Sub(at) < sageorigin.Window }
+	return r.lostAt != 0 && recent(r.lostAt) || slices.ContainsFunc(r.losses, recent)
+}
+
+// until returns the time until which records that were lost with their holders may be recovered. It doesn't depend on whether this node
+// does that: it isn't informed of what the first one by rank has done.
+func (r *snapshotRecovery) until() sageclock.Instant {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lostAt == 0 {
+		return 0
+	}
+	return r.lostAt.Add(recoveryTime)
+}
+
 // Run works until ctx ends.
 func (r *snapshotRecovery) Run(ctx context.Context) error {
 	r.started()
@@ -199,7 +225,7 @@
 		return fmt.Errorf("list records: %w", err)
 	}
 	now := r.now()
-	r.records = make(map[sageorigin.Key]sageorigin.Record)
+	r.records = make(savedRecords)
 	r.recovered, r.dropAt = make(map[string]uint64), now.Add(recoveryTime)
 	for i := range d.Changes {
 		o := &d.Changes[i].Object
@@ -207,13 +233,7 @@
 			continue
 		}
 		r.recovered[o.Name] = o.Revision
-		records, err := decodeSnapshot(o, now)
-		if err != nil {
-			r.Log.Warn("Records can't be read.", "name", o.Name, "err", err)
-		}
-		for _, record := range records {
-			r.add(record)
-		}
+		r.addObject(r.records, o, now)
 	}
 	return nil
 }
@@ -225,18 +245,61 @@
 	return r.Store.List(ctx, kind, after)
 }
 
+// readSaved reads the records in the store for callers that return, up to a number of bytes. This node's own objects are among them:
+// it saves records for others.
+func (r *snapshotRecovery) readSaved(ctx context.Context, maxBytes int) (sageorigind.Saved, error) {
+	var out sageorigind.Saved
+	records := make(savedRecords)
+	_, err := sagefollow.ListAll(ctx, func(ctx context.Context, kind, after string) (sagefollow.Page, error) {
+		if out.Bytes > maxBytes {
+			return sagefollow.Page{}, errTooManyBytes
+		}
+		p, err := r.Store.List(ctx, kind, after)
+		now := r.now()
+		for i := range p.Changes {
+			o := &p.Changes[i].Object
+			out.Objects++
+			out.Bytes += len(o.Name) + len(o.Status)
+			r.addObject(records, o, now)
+		}
+		return p, err
+	}, r.Kind)
+	out.Records = slices.Collect(maps.Values(records))
+	if err != nil {
+		return out, fmt.Errorf("list saved records: %w", err)
+	}
+	return out, nil
+}
+
+// savedRecords are records by stream.
+type savedRecords map[sageorigin.Key]sageorigin.Record
+
+// addObject adds the records of an object.
+func (r *snapshotRecovery) addObject(to savedRecords, o *sagefollow.Object, now sageclock.Instant) {
+	records, err := decodeSnapshot(o, now)
+	if err != nil {
+		r.Log.Limited(sagelog.KindStateChange, "Records can't be read.", "name", o.Name, "err", err)
+	}
+	for _, record := range records {
+		to.add(record)
+	}
+}
+
 // add adds a record. If two differ, the version isn't known.
-func (r *snapshotRecovery) add(record sageorigin.Record) {
-	if old, ok := r.records[record.Key]; ok {
+func (s savedRecords) add(record sageorigin.Record) {
+	if old, ok := s[record.Key]; ok {
 		if old.Origin != record.Origin {
 			record.Origin.Version = ""
 		}
 		record.Until = max(record.Until, old.Until)
 	}
-	r.records[record.Key] = record
+	s[record.Key] = record
 }
 
 func decodeSnapshot(o *sagefollow.Object, now sageclock.Instant) ([]sageorigin.Record, error) {
+	if len(o.Status) == 0 {
+		return nil, nil // created, not written yet
+	}
 	var s sageorigin.Snapshot
 	if err := json.Unmarshal(o.Status, &s); err != nil {
 		return nil, fmt.Errorf("decode records: %w", err)
--- a/internal/sagerouter/recovery_test.go
+++ b/internal/sagerouter/recovery_test.go
@@ -327,3 +327,94 @@
 		require.Equal(t, streams, len(r.records))
 	})
 }
+
+// Prevents callers of a survivor from giving up because only a node's own start counted as the begin of a recovery.
+func TestRecoveryIsExpectedAfterLossOfHolders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &recoveringNode{}
+		runRecovery(t, n)
+		synctest.Wait()
+		start := virtualNow()
+		require.Equal(t, start.Add(recoveryTime), n.until())
+		require.True(t, n.lostNodes())
+		pause(sageorigin.Window)
+		require.False(t, n.lostNodes())
+		for range minLosses - 1 {
+			n.nodeLost()
+		}
+		require.True(t, n.lostNodes())
+		require.Equal(t, start.Add(recoveryTime), n.until(), "a holder is left")
+		n.nodeLost()
+		require.Equal(t, virtualNow().Add(recoveryTime), n.until())
+		pause(sageorigin.Window)
+		require.False(t, n.lostNodes())
+	})
+}
+
+// Prevents callers from being refused whose streams this node has saved for another one, and reads of more than they may cost.
+func TestSavedRecordsAreReadForReturns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &recoveringNode{}
+		store := runRecovery(t, n)
+		keeper := newTestKeeper(store, "survivor-0")
+		keeper.Now = virtualNow
+		keeper.Save([]sageorigin.Record{testRecord("1", "v2", virtualNow().Add(time.Hour)), testRecord("2", "v2", virtualNow().Add(time.Hour))})
+		require.NoError(t, keeper.save(t.Context()))
+		_, err := store.Create(t.Context(), "", "not-written-yet", nil)
+		require.NoError(t, err)
+
+		got, err := n.readSaved(t.Context(), 1<<20)
+		require.NoError(t, err)
+		require.Equal(t, 3, got.Objects)
+		versions := make(map[sageorigin.Key]string)
+		for _, r := range got.Records {
+			versions[r.Key] = r.Origin.Version
+		}
+		require.Equal(t, map[sageorigin.Key]string{sageorigin.KeyOf("a", "1"): "", sageorigin.KeyOf("a", "2"): "v2"}, versions, "two objects differ in the first")
+		require.Positive(t, got.Bytes)
+		n.set(func() { n.cut = true })
+		_, err = n.readSaved(t.Context(), 1<<20)
+		require.ErrorIs(t, err, errNoAnswer)
+	})
+}
+
+// Prevents a listing of many pages from being read to its end by each node of a large fleet, and one that a restore crosses from being
+// taken for whole.
+func TestReadsForReturnsEnd(t *testing.T) {
+	record := func(i int) sagefollow.Change {
+		s := sageorigin.NewSnapshot(virtualNow(), []sageorigin.Record{testRecord(fmt.Sprint(i), "v1", virtualNow().Add(time.Hour))})
+		b, err := json.Marshal(&s)
+		require.NoError(t, err)
+		return sagefollow.Change{Object: sagefollow.Object{Name: fmt.Sprint(i), Status: b}}
+	}
+	pages := &pagedStore{page: func(i int) sagefollow.Page {
+		return sagefollow.Page{Changes: []sagefollow.Change{record(i)}, Next: fmt.Sprint(i)}
+	}}
+	r := &snapshotRecovery{Store: pages, Now: virtualNow}
+	got, err := r.readSaved(t.Context(), 1000)
+	require.ErrorIs(t, err, errTooManyBytes)
+	require.Len(t, got.Records, pages.read, "what was read is used")
+	require.Less(t, got.Bytes, 1200)
+
+	pages = &pagedStore{page: func(i int) sagefollow.Page {
+		return sagefollow.Page{Changes: []sagefollow.Change{record(i)}, Next: "more", Era: uint64(i / 3)}
+	}}
+	r.Store = pages
+	got, err = r.readSaved(t.Context(), 1<<20)
+	require.Error(t, err)
+	require.NotErrorIs(t, err, errTooManyBytes)
+	require.Equal(t, 4, pages.read)
+	require.NotEmpty(t, got.Records)
+}
+
+// pagedStore is a store whose listing has many pages.
+type pagedStore struct {
+	Store
+	page func(i int) sagefollow.Page
+	read int
+}
+
+func (s *pagedStore) List(context.Context, string, string) (sagefollow.Page, error) {
+	s.read++
+	return s.page(s.read - 1), nil
+}
--- a/pkg/sageorigin/origin.go
+++ b/pkg/sageorigin/origin.go
@@ -81,8 +81,9 @@
 	Age time.Duration
 	// From is the address of the node that had the record; empty if this one had it.
 	From string
-	// MayFollow says that the origin isn't known yet and may be soon.
+	// MayFollow says that the origin isn't known yet and may be soon, FollowsIn in how long at the earliest; 0 if that isn't known.
 	MayFollow bool
+	FollowsIn time.Duration
 	// Asked and Answered count the nodes that were asked and those that answered.
 	Asked, Answered int
 }
