Cold upstreams that take no request aren't chosen first

Cause: a pick chose among all cold upstreams and asked the limiter afterwards, for each that was refused once more among the others: quadratic in the upstreams. Change: the limiter is asked first, without counting, and the names of the nodes are listed once a pick.

--- a/internal/sagerouter/fleet.go
+++ b/internal/sagerouter/fleet.go
@@ -192,7 +192,8 @@
 	if canary {
 		warm = f.canaryUpstreams(q.Service, warm)
 	}
-	c, mayDecline := choosing{now: now, buf: buf, set: set, all: set.All(q.Service), loads: loads, q: q}, len(cold) > 0 && !canary
+	c := choosing{now: now, buf: buf, set: set, all: set.All(q.Service), loads: loads, q: q}
+	mayDecline := len(cold) > 0 && !canary
 	p, warm := f.pickWarm(&c, warm, mayDecline)
 	if p == nil {
 		p = f.pickCold(&c, cold)
@@ -230,11 +231,12 @@
 
 // pickCold picks one of es within this node's share of what they take while they are cold, or returns nil.
 func (f *fleet) pickCold(c *choosing, es []*sageupstream.Entry) *sagerelay.Pick {
-	perSecond := f.coldPerSecond(c.q.Service)
+	perSecond, known := f.coldPerSecond(c.q.Service), f.knownNodes()
+	es = f.mayAllowCold(c.now, known, es, perSecond)
 	for len(es) > 0 {
 		e, choice := f.choose(c, es, false)
 		if place, ok := f.acquirePlace(c.now, e); ok {
-			if f.allowCold(c.now, e.ID, perSecond) {
+			if f.allowCold(c.now, known, e.ID, perSecond) {
 				return f.newPick(c.set, e, choice, place, c.loads, c.q)
 			}
 			f.brittle.limits.Release(place)
@@ -326,8 +328,14 @@
 	return 0
 }
 
-func (f *fleet) allowCold(now sageclock.Instant, upstream string, perSecond float64) bool {
-	known := f.knownNodes()
+// mayAllowCold returns those of es that take a request. A choice among the others would be made in vain.
+func (f *fleet) mayAllowCold(now sageclock.Instant, known []string, es []*sageupstream.Entry, perSecond float64) []*sageupstream.Entry {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return slices.DeleteFunc(es, func(e *sageupstream.Entry) bool { return !f.coldLimiter.MayAllow(now, known, e.ID, perSecond) })
+}
+
+func (f *fleet) allowCold(now sageclock.Instant, known []string, upstream string, perSecond float64) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	return f.coldLimiter.Allow(now, known, upstream, perSecond)
--- a/internal/sagerouter/fleet_test.go
+++ b/internal/sagerouter/fleet_test.go
@@ -19,7 +19,7 @@
 )
 
 // newFleet returns a fleet with upstreams u0, u1, ... of service s, the first ones of which are cold.
-func newFleet(t *testing.T, upstreams, cold int) *fleet {
+func newFleet(t testing.TB, upstreams, cold int) *fleet {
 	t.Helper()
 	v := newView()
 	tab, err := sageroute.New(1, nil, []sageroute.Service{{Name: "s", ColdPerSecond: 10, Engine: true}}, nil, sageroute.Limits{})
--- a/pkg/sageshare/cold.go
+++ b/pkg/sageshare/cold.go
@@ -35,22 +35,36 @@
 	if perSecond <= 0 {
 		return true
 	}
-	senders := min(maxColdSenders, max(1, len(nodes)))
-	interval := sageclock.DurationOf(float64(senders)/perSecond, time.Second)
-	next, ok := c.nextSend[upstream]
-	if !ok {
-		next = c.Start.Add(interval) // this node may have sent just before it restarted
-	}
-	if !c.isSender(nodes, upstream, senders) || now < next {
+	if !c.MayAllow(now, nodes, upstream, perSecond) {
 		return false
 	}
 	if c.nextSend == nil {
 		c.nextSend = make(map[string]sageclock.Instant)
 	}
-	c.nextSend[upstream] = now.Add(interval)
+	c.nextSend[upstream] = now.Add(coldInterval(nodes, perSecond))
 	return true
 }
 
+// MayAllow reports what Allow would, and counts nothing.
+func (c *ColdLimiter) MayAllow(now sageclock.Instant, nodes []string, upstream string, perSecond float64) bool {
+	if perSecond <= 0 {
+		return true
+	}
+	next, ok := c.nextSend[upstream]
+	if !ok {
+		next = c.Start.Add(coldInterval(nodes, perSecond)) // this node may have sent just before it restarted
+	}
+	return now >= next && c.isSender(nodes, upstream, coldSenders(nodes))
+}
+
+// coldSenders returns the number of nodes that send to one cold upstream.
+func coldSenders(nodes []string) int { return min(maxColdSenders, max(1, len(nodes))) }
+
+// coldInterval returns the time between two requests of a node to one cold upstream.
+func coldInterval(nodes []string, perSecond float64) time.Duration {
+	return sageclock.DurationOf(float64(coldSenders(nodes))/perSecond, time.Second)
+}
+
 // isSender reports whether this node is among the first n nodes in the rendezvous order of the
 // upstream.
 func (c *ColdLimiter) isSender(nodes []string, upstream string, n int) bool {
