A read that lacks a record isn't final while a recovery is due, and one read after a loss is enough

Cause: a whole read made the refusal final though a recovery was due, and each return asked for a read of its own even where all peers answered. Change: while a recovery is due, the record may follow. If all peers answered, a whole read that began a second after the last loss is enough for all returns; LostAt replaces LostNodes. The table is looked up again first, as a read may have ended during the search.

--- a/internal/sageorigind/find.go
+++ b/internal/sageorigind/find.go
@@ -57,11 +57,10 @@
 	switch {
 	case f.Status == sageorigin.Found:
 		f.MayFollow = false
-	case !whole:
+	case recovers: // holders that remain, and writers, may still have what the store lacks
 		f.MayFollow = true
-		if !recovers { // a recovery may come first
-			f.FollowsIn = dueIn
-		}
+	case !whole:
+		f.MayFollow, f.FollowsIn = true, dueIn
 	}
 }
 
--- a/internal/sageorigind/saved.go
+++ b/internal/sageorigind/saved.go
@@ -16,6 +16,8 @@
 	// savedTimeout is the longest time for which a return waits for reads, savedReadTimeout the longest time that a read takes.
 	savedTimeout     = time.Second
 	savedReadTimeout = 900 * time.Millisecond
+	// savedDelay is the time after a loss within which nodes that remain have written what they save for lost ones.
+	savedDelay = time.Second
 	// savedInterval is the least time between two reads of a node, savedSpacing that between two reads of the fleet.
 	savedInterval = 250 * time.Millisecond
 	savedSpacing  = 5 * time.Millisecond
@@ -42,38 +44,48 @@
 }
 
 // findSaved continues a search that found no record in the store, if its holders may be lost. It returns false if the store hasn't been
-// read whole since the return, and for how long it won't be.
+// read whole since, and for how long it won't be. If all nodes answered, their loss was detected, and a read after it is enough for all.
 func (s *Service) findSaved(ctx context.Context, returned sageclock.Instant, route string, k sageorigin.Key, f *sageorigin.Finding) (whole bool, dueIn time.Duration) {
 	ctx, cancel := context.WithTimeout(ctx, savedTimeout)
 	defer cancel()
-	for ctx.Err() == nil {
+	since := returned
+	if f.Answered == f.Asked { // so that LostAt is set
+		since = min(since, s.LostAt().Add(savedDelay))
+	}
+	for waited := false; ctx.Err() == nil; {
+		ended, whole, dueIn := s.saved.readSince(s.now(), since)
+		// The table is looked up after that, as the read may have ended since the search began.
+		if o, age, status, _ := s.lookUp(s.now(), route, k); status == sageorigin.Found {
+			f.Status, f.Origin, f.Age = status, o, age
+			return true, 0
+		}
+		if ended && (whole || waited) {
+			return whole, dueIn
+		}
 		done, dueIn := s.startRead(f)
 		if done == nil && dueIn > answerTimeout {
 			return false, dueIn
 		}
+		waited = done != nil
 		due := time.NewTimer(dueIn)
 		select {
 		case <-ctx.Done():
-			due.Stop()
-			return false, 0
 		case <-done:
 		case <-due.C:
 		}
 		due.Stop()
-		if o, age, status, _ := s.lookUp(s.now(), route, k); status == sageorigin.Found {
-			f.Status, f.Origin, f.Age = status, o, age
-			return true, 0
-		}
-		if ended, whole, dueIn := s.saved.readSince(s.now(), returned); ended {
-			return whole, dueIn
-		}
 	}
 	return false, 0
 }
 
 // mayBeLost reports whether records may be known to the store only: holders don't answer, or nodes were lost.
 func (s *Service) mayBeLost(f *sageorigin.Finding) bool {
-	return s.ReadSaved != nil && (f.Answered < f.Asked || s.LostNodes != nil && s.LostNodes())
+	return s.ReadSaved != nil && (f.Answered < f.Asked || s.LostAt != nil && s.lostWithinWindow())
+}
+
+func (s *Service) lostWithinWindow() bool {
+	at := s.LostAt()
+	return at != 0 && s.now().Sub(at) < sageorigin.Window
 }
 
 // startRead starts a read unless one is in progress, which callers that return at once share. If it isn't due yet, done is nil.
--- a/internal/sageorigind/service.go
+++ b/internal/sageorigind/service.go
@@ -53,8 +53,8 @@
 	RecoversUntil func() sageclock.Instant
 	// ReadSaved reads the records that are saved in the store, up to a number of bytes; nil if nothing is saved.
 	ReadSaved func(ctx context.Context, maxBytes int) (Saved, error)
-	// LostNodes reports whether nodes were lost, or started, while callers may return to their streams.
-	LostNodes func() bool
+	// LostAt returns when this node started or last found that another one was lost; 0 if neither.
+	LostAt func() sageclock.Instant
 	// FleetSize returns the number of nodes that read the store.
 	FleetSize func() int
 	Metrics   *metrics.Set
--- a/internal/sagerouter/recovery.go
+++ b/internal/sagerouter/recovery.go
@@ -118,13 +118,15 @@
 	r.changedAt, r.sent = now, 0
 }
 
-// lostNodes reports whether this node has started, or others were lost, while callers may return to their streams.
-func (r *snapshotRecovery) lostNodes() bool {
-	now := r.now()
+// lastLoss returns when this node started or last found that another one was lost; 0 if neither.
+func (r *snapshotRecovery) lastLoss() sageclock.Instant {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	recent := func(at sageclock.Instant) bool { return now.Sub(at) < sageorigin.Window }
-	return r.lostAt != 0 && recent(r.lostAt) || slices.ContainsFunc(r.losses, recent)
+	at := r.lostAt
+	for _, l := range r.losses {
+		at = max(at, l)
+	}
+	return at
 }
 
 // until returns the time until which records that were lost with their holders may be recovered. It doesn't depend on whether this node
