A return keeps the record of its stream from being taken back

What callers saw: nothing shown; found by the review in reading. A caller that returns to the node whose attempt has just broken begins the same stream again, and the end of the first attempt took the pending record back; it was sent again 2 s later only. Change: a record is taken back only if no open stream of this node has its key. Result: go test ./internal/sageorigind passes; no test of its own.

--- a/internal/sageorigind/service.go
+++ b/internal/sageorigind/service.go
@@ -126,8 +126,12 @@
 func (s *Service) end(st *openStream) {
 	s.mu.Lock()
 	delete(s.open, st)
+	goesOn := false // its caller has returned to this node
+	for o := range s.open {
+		goesOn = goesOn || o.record.Key == st.record.Key
+	}
 	s.mu.Unlock()
-	if s.Forget != nil {
+	if s.Forget != nil && !goesOn {
 		s.Forget(st.record.Key)
 	}
 }
