Reads for returning callers are shared among the live nodes

Cause: the bound of the fleet was divided among the registered nodes. Change: among the live ones, which a survivor knows 1.3 s after the loss. Result: go vet and the tests of the package pass; the reads before the loss is detected are spaced as before.

--- a/internal/sagerouter/origins.go
+++ b/internal/sagerouter/origins.go
@@ -25,7 +25,7 @@
 	n.origins = &sageorigind.Service{
 		Self: n.Settings.Listen.Mesh, History: &n.view.history, Nodes: n.recordHolders, Send: n.mesh.SendMessage,
 		Fresh: n.upstreamsFresh, Refresh: n.copies[n.Kinds.Upstreams].Refresh, RecoversUntil: n.recovery.until,
-		ReadSaved: n.recovery.readSaved, LostAt: n.recovery.lastLoss, FleetSize: n.knownNodeCount,
+		ReadSaved: n.recovery.readSaved, LostAt: n.recovery.lastLoss, FleetSize: func() int { return n.mesh.LiveCount() + 1 },
 		Writers: n.recordWriters, ReadClaims: n.claimKeeper.claims, Metrics: n.metrics, Log: n.Log.Component("origins"),
 	}
 	n.mesh.OnMessage = n.origins.Handle
