Recovered objects stay until their records have ended

Cause: a recovery moved the records into objects of its own 4 s after the read, believing that only it recovers. Change: objects are deleted when their records have ended, as at first, with the ages that they carry now; the copies and the states that they needed are gone. A read doesn't wait for the records of the read before; those of streams that began last are sent first. Own objects are read as well. Why it works: a record is in the store until its caller can't return, whoever reads it.

--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -179,7 +179,6 @@
 	n.origins.Save, n.origins.Forget = snapshots.Save, snapshots.Forget
 	n.kernel.Register("snapshots", snapshots)
 	n.recovery.Name, n.recovery.Restore, n.recovery.Recovers = snapshots.Name, n.origins.Restore, n.recoversRecords
-	n.recovery.Save, n.recovery.Unsaved = snapshots.Save, snapshots.Unsaved
 	n.kernel.Register("recovery", n.recovery)
 	n.kernel.Register("paths", &pathProber{node: n, wake: n.fleet.pathSuspected})
 	n.kernel.Register("recall", n.cacheResync)
--- a/internal/sagerouter/recovery.go
+++ b/internal/sagerouter/recovery.go
@@ -1,10 +1,10 @@
 package sagerouter
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
-	"iter"
 	"maps"
 	"slices"
 	"strings"
@@ -45,14 +45,11 @@
 // own start and after the loss of several others, as long as callers may return. Exported fields are set before Run.
 type snapshotRecovery struct {
 	Kind string
-	// Name begins the names of this node's own objects, which are left alone.
+	// Name begins the names of this node's own objects, which aren't deleted.
 	Name  string
 	Store Store
-	// Restore takes recovered records and sends them to their holders. Save has them written by this node, as far as it has space, and
-	// Unsaved returns those for which that isn't done yet.
+	// Restore takes recovered records and sends them to their holders.
 	Restore func(records []sageorigin.Record)
-	Save    func(records []sageorigin.Record)
-	Unsaved func(records iter.Seq[sageorigin.Record]) []sageorigin.Record
 	// Recovers reports whether this node recovers the records for all nodes.
 	Recovers func() bool
 	Log      sagelog.Logger
@@ -75,10 +72,15 @@
 	notBefore sageclock.Instant // earliest time of the next attempt
 	records   savedRecords
 	queue     []sageorigin.Record // records to be sent
-	// recovered are the revisions of the objects that were read, by name. Those that haven't changed by dropAt belong to nodes that were
-	// lost, or have no new records, and are deleted.
-	recovered map[string]uint64
-	dropAt    sageclock.Instant
+	// recovered are the objects that were read, by name.
+	recovered map[string]savedObject
+}
+
+// savedObject is an object that was read.
+type savedObject struct {
+	revision uint64
+	// until is when the last of its records ends. If the object hasn't changed by then, it is deleted.
+	until sageclock.Instant
 }
 
 func (r *snapshotRecovery) now() sageclock.Instant {
@@ -159,7 +161,7 @@
 func (r *snapshotRecovery) recover(ctx context.Context) error {
 	now := r.now()
 	read, send := r.due(now)
-	if !read && !send || now < r.notBefore || len(r.queue) > 0 || !r.Recovers() {
+	if !read && (!send || len(r.queue) > 0) || now < r.notBefore || !r.Recovers() {
 		return nil
 	}
 	if read {
@@ -176,7 +178,8 @@
 		return nil
 	}
 	r.notBefore = now.Add(recoverySpacing)
-	r.queue = slices.Collect(maps.Values(r.records))
+	// Callers have waited least whose streams began last.
+	r.queue = slices.SortedFunc(maps.Values(r.records), func(a, b sageorigin.Record) int { return cmp.Compare(b.Until, a.Until) })
 	r.Log.Info("Records of open streams recovered.", "records", len(r.records), "objects", len(r.recovered), "read", read)
 	r.sendBatch()
 	return nil
@@ -188,7 +191,6 @@
 	if n == 0 {
 		return
 	}
-	r.Save(r.queue[:n]) // records that are saved already are left out
 	r.Restore(r.queue[:n])
 	r.queue = r.queue[n:]
 }
@@ -228,15 +230,14 @@
 	}
 	now := r.now()
 	r.records = make(savedRecords)
-	r.recovered, r.dropAt = make(map[string]uint64), now.Add(recoveryTime)
+	r.recovered = make(map[string]savedObject)
 	ages := snapshotAges(d.Changes)
 	for i := range d.Changes {
 		o := &d.Changes[i].Object
-		if strings.HasPrefix(o.Name, r.Name) {
-			continue
+		until := r.addObject(r.records, o, now, ages[o.Name])
+		if !strings.HasPrefix(o.Name, r.Name) {
+			r.recovered[o.Name] = savedObject{revision: o.Revision, until: until}
 		}
-		r.recovered[o.Name] = o.Revision
-		r.addObject(r.records, o, now, ages[o.Name])
 	}
 	return nil
 }
@@ -277,17 +278,22 @@
 // savedRecords are records by stream.
 type savedRecords map[sageorigin.Key]sageorigin.Record
 
-// addObject adds the records of an object that had not been written for a time when its writer wrote for the last time.
-func (r *snapshotRecovery) addObject(to savedRecords, o *sagefollow.Object, now sageclock.Instant, age time.Duration) {
+// addObject adds the records of an object that had not been written for a time when its writer wrote for the last time. It returns
+// when the last of them ends; those of an unreadable one may be anything.
+func (r *snapshotRecovery) addObject(to savedRecords, o *sagefollow.Object, now sageclock.Instant, age time.Duration) (until sageclock.Instant) {
 	records, err := decodeSnapshot(o, now)
 	if err != nil {
 		r.Log.Limited(sagelog.KindStateChange, "Records can't be read.", "name", o.Name, "err", err)
+		return now.Add(sageorigin.Window)
 	}
+	until = now.Add(recoveryTime) // the object may have been created just before its first write
 	for _, record := range records {
 		if record.Until = record.Until.Add(-age); record.Until > now {
+			until = max(until, record.Until)
 			to.add(record)
 		}
 	}
+	return until
 }
 
 // add adds a record. If two differ, the version isn't known.
@@ -312,16 +318,17 @@
 	return s.Records(now)
 }
 
-// drop deletes the objects that were recovered once this node has saved their records. The time that is left in an object counts from
-// when it is read, so that one which stays would be recovered again and again.
+// drop deletes the objects whose records have ended, unless they have changed since they were read. One that is still written by its
+// node is created again.
 func (r *snapshotRecovery) drop(ctx context.Context) error {
 	now := r.now()
-	if len(r.recovered) == 0 || now < max(r.dropAt, r.notBefore) || len(r.queue) > 0 {
-		return nil
+	ended := make(map[string]uint64)
+	for name, o := range r.recovered {
+		if now >= o.until {
+			ended[name] = o.revision
+		}
 	}
-	r.dropAt = now.Add(snapshotRetry)
-	if unsaved := r.Unsaved(maps.Values(r.records)); len(unsaved) > 0 {
-		r.Save(unsaved[:min(recoveryBatch, len(unsaved))])
+	if len(ended) == 0 || now < r.notBefore {
 		return nil
 	}
 	r.notBefore = now.Add(snapshotRetry)
@@ -333,13 +340,15 @@
 	defer cancel()
 	for i := range d.Changes {
 		o := &d.Changes[i].Object
-		if revision, ok := r.recovered[o.Name]; !ok || revision != o.Revision {
+		if revision, ok := ended[o.Name]; !ok || revision != o.Revision {
 			continue
 		}
 		if err := r.Store.Delete(ctx, r.Kind, o.Name); err != nil {
 			return fmt.Errorf("delete recovered records: %w", err)
 		}
 	}
-	r.recovered = nil
+	for name := range ended {
+		delete(r.recovered, name)
+	}
 	return nil
 }
--- a/internal/sagerouter/snapshots.go
+++ b/internal/sagerouter/snapshots.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"iter"
 	"slices"
 	"sync"
 	"time"
@@ -60,9 +59,8 @@
 	mu      sync.Mutex
 	pending []sageorigin.Record
 	// until holds when the records end that are pending or in a segment.
-	until   map[sageorigin.Key]sageclock.Instant
-	writing []sageorigin.Record // those of the write in progress
-	wake    chan struct{}       // has a value if records are pending
+	until map[sageorigin.Key]sageclock.Instant
+	wake  chan struct{} // has a value if records are pending
 
 	// The fields from here on are used by Run only.
 	segments []*segment
@@ -72,12 +70,11 @@
 
 // segment is an object with records.
 type segment struct {
-	name   string
-	number int
-	// createdUntil is until when the object surely exists: a recovery deletes those that haven't changed for some time.
-	createdUntil sageclock.Instant
-	records      []sageorigin.Record
-	until        sageclock.Instant // when the last of the records ends
+	name    string
+	number  int
+	created bool // the object exists until its records have ended, when a recovery may delete it
+	records []sageorigin.Record
+	until   sageclock.Instant // when the last of the records ends
 	// encodedAt is when the records were last encoded, from which the time counts that is left to them; 0 if that wasn't done yet.
 	encodedAt sageclock.Instant
 }
@@ -103,6 +100,9 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	dropped := 0
+	if len(k.pending)+len(records) > maxPending {
+		k.forgetEnded(now)
+	}
 	for _, r := range records {
 		switch {
 		case !k.isNew(now, r):
@@ -119,6 +119,17 @@
 	k.notify()
 }
 
+// forgetEnded leaves out the pending records that have ended. The caller holds mu.
+func (k *snapshotKeeper) forgetEnded(now sageclock.Instant) {
+	k.pending = slices.DeleteFunc(k.pending, func(r sageorigin.Record) bool {
+		if r.Until > now {
+			return false
+		}
+		delete(k.until, r.Key)
+		return true
+	})
+}
+
 // isNew reports whether a record has to be written that is neither pending nor in a segment. The caller holds mu.
 func (k *snapshotKeeper) isNew(now sageclock.Instant, r sageorigin.Record) bool {
 	return r.Until > now && r.Until > k.until[r.Key].Add(snapshotExtension) && r.Origin.Version != "" && r.Origin.Check() == nil
@@ -169,7 +180,6 @@
 	if len(records) == 0 {
 		return nil
 	}
-	defer k.written()
 	ctx, cancel := context.WithTimeout(ctx, snapshotTimeout)
 	defer cancel()
 	s := k.segment(k.now())
@@ -177,7 +187,7 @@
 	s.records = append(s.records, records...)
 	interval := max(snapshotInterval, time.Duration(k.Writers())*snapshotSpacing, time.Duration(len(s.records))*snapshotSpacingPerRecord)
 	if err := k.write(ctx, s); err != nil {
-		s.createdUntil = 0 // it may have been deleted
+		s.created = false // it may have been deleted
 		s.records = s.records[:n]
 		k.putBack(records)
 		k.nextAt = k.now().Add(max(snapshotRetry, interval))
@@ -196,39 +206,11 @@
 	defer k.mu.Unlock()
 	n := min(maxPending, len(k.pending))
 	out := k.pending[:n:n]
-	k.writing = out
 	k.pending = k.pending[n:]
 	k.notify()
 	return out
 }
 
-// Unsaved returns those of some records that still have to be written, or whose write isn't confirmed yet.
-func (k *snapshotKeeper) Unsaved(records iter.Seq[sageorigin.Record]) []sageorigin.Record {
-	now := k.now()
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	waiting := make(map[sageorigin.Key]bool)
-	for _, rs := range [][]sageorigin.Record{k.pending, k.writing} {
-		for i := range rs {
-			waiting[rs[i].Key] = true
-		}
-	}
-	var out []sageorigin.Record
-	for r := range records {
-		if waiting[r.Key] || k.isNew(now, r) {
-			out = append(out, r)
-		}
-	}
-	return out
-}
-
-// written ends a write.
-func (k *snapshotKeeper) written() {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	k.writing = nil
-}
-
 // putBack makes records pending again that could not be written.
 func (k *snapshotKeeper) putBack(records []sageorigin.Record) {
 	k.mu.Lock()
@@ -273,7 +255,7 @@
 // write writes a segment, and creates the object if it may not exist.
 func (k *snapshotKeeper) write(ctx context.Context, s *segment) error {
 	now := k.now()
-	if now >= s.createdUntil {
+	if !s.created || now >= s.until {
 		if _, err := k.Store.Create(ctx, k.Kind, s.name, json.RawMessage(`{}`)); err != nil {
 			return fmt.Errorf("create: %w", err)
 		}
@@ -288,6 +270,6 @@
 	if err := k.Store.SetStatus(ctx, k.Kind, s.name, 0, b); err != nil {
 		return fmt.Errorf("write: %w", err)
 	}
-	s.createdUntil = now.Add(recoveryTime - snapshotTimeout)
+	s.created = true
 	return nil
 }
