Recovered records are sent in the order of their objects' revisions

Records were sorted by when they end, which counts from the read: those of an old object that is read again have as much left as those of a new one, so that their order was that of a map. Change: the objects that were written last come first, and records keep that order. The store and the records of the tests are read under locks: the race detector found TestOwnObjectsAreRecovered and TestStreamsAreSavedDuringRecovery reading them while a recovery went on.

--- a/internal/sagerouter/recoveries_test.go
+++ b/internal/sagerouter/recoveries_test.go
@@ -136,8 +136,8 @@
 		r.Now = virtualNow
 		go func() { _ = r.Run(t.Context()) }()
 		pause(restoreDelays[0] + recoveryCheck)
-		require.Len(t, *restored, 1)
+		require.Len(t, restored.get(), 1)
 		pause(2 * time.Minute)
-		require.Len(t, store.objects, 1, "the node writes there")
+		require.Len(t, store.copied(), 1, "the node writes there")
 	})
 }
--- a/internal/sagerouter/recovery.go
+++ b/internal/sagerouter/recovery.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -173,14 +172,12 @@
 		}
 	}
 	r.passDelays(now)
-	maps.DeleteFunc(r.records, func(_ sageorigin.Key, o sageorigin.Record) bool { return o.Until <= now })
-	if len(r.records) == 0 {
+	open := r.records.open(now)
+	if len(open) == 0 {
 		return nil
 	}
-	r.notBefore = now.Add(recoverySpacing)
-	// Callers have waited least whose streams began last.
-	r.queue = slices.SortedFunc(maps.Values(r.records), func(a, b sageorigin.Record) int { return cmp.Compare(b.Until, a.Until) })
-	r.Log.Info("Records of open streams recovered.", "records", len(r.records), "objects", len(r.recovered), "read", read)
+	r.notBefore, r.queue = now.Add(recoverySpacing), open
+	r.Log.Info("Records of open streams recovered.", "records", len(open), "objects", len(r.recovered), "read", read)
 	r.sendBatch()
 	return nil
 }
@@ -229,12 +226,14 @@
 		return fmt.Errorf("list records: %w", err)
 	}
 	now := r.now()
-	r.records = make(savedRecords)
+	r.records = savedRecords{}
+	// The streams of the last writes have the most time left.
+	slices.SortFunc(d.Changes, func(a, b sagefollow.Change) int { return cmp.Compare(b.Object.Revision, a.Object.Revision) })
 	r.recovered = make(map[string]savedObject)
 	ages := snapshotAges(d.Changes)
 	for i := range d.Changes {
 		o := &d.Changes[i].Object
-		until := r.addObject(r.records, o, now, ages[o.Name])
+		until := r.addObject(&r.records, o, now, ages[o.Name])
 		if !strings.HasPrefix(o.Name, r.Name) {
 			r.recovered[o.Name] = savedObject{revision: o.Revision, until: until}
 		}
@@ -253,7 +252,7 @@
 // it saves records for others.
 func (r *snapshotRecovery) readSaved(ctx context.Context, maxBytes int) (sageorigind.Saved, error) {
 	var out sageorigind.Saved
-	records := make(savedRecords)
+	var records savedRecords
 	_, err := sagefollow.ListAll(ctx, func(ctx context.Context, kind, after string) (sagefollow.Page, error) {
 		if out.Bytes > maxBytes {
 			return sagefollow.Page{}, errTooManyBytes
@@ -264,23 +263,37 @@
 			o := &p.Changes[i].Object
 			out.Objects++
 			out.Bytes += len(o.Name) + len(o.Status)
-			r.addObject(records, o, now, 0)
+			r.addObject(&records, o, now, 0)
 		}
 		return p, err
 	}, r.Kind)
-	out.Records = slices.Collect(maps.Values(records))
+	out.Records = records.open(r.now())
 	if err != nil {
 		return out, fmt.Errorf("list saved records: %w", err)
 	}
 	return out, nil
 }
 
-// savedRecords are records by stream.
-type savedRecords map[sageorigin.Key]sageorigin.Record
+// savedRecords are records by stream, in the order in which they were added.
+type savedRecords struct {
+	byKey map[sageorigin.Key]sageorigin.Record
+	order []sageorigin.Key
+}
+
+// open returns the records that have not ended.
+func (s *savedRecords) open(now sageclock.Instant) []sageorigin.Record {
+	var out []sageorigin.Record
+	for _, k := range s.order {
+		if record := s.byKey[k]; record.Until > now {
+			out = append(out, record)
+		}
+	}
+	return out
+}
 
 // addObject adds the records of an object that had not been written for a time when its writer wrote for the last time. It returns
 // when the last of them ends; those of an unreadable one may be anything.
-func (r *snapshotRecovery) addObject(to savedRecords, o *sagefollow.Object, now sageclock.Instant, age time.Duration) (until sageclock.Instant) {
+func (r *snapshotRecovery) addObject(to *savedRecords, o *sagefollow.Object, now sageclock.Instant, age time.Duration) (until sageclock.Instant) {
 	records, err := decodeSnapshot(o, now)
 	if err != nil {
 		r.Log.Limited(sagelog.KindStateChange, "Records can't be read.", "name", o.Name, "err", err)
@@ -297,14 +310,21 @@
 }
 
 // add adds a record. If two differ, the version isn't known.
-func (s savedRecords) add(record sageorigin.Record) {
-	if old, ok := s[record.Key]; ok {
+func (s *savedRecords) add(record sageorigin.Record) {
+	old, ok := s.byKey[record.Key]
+	switch {
+	case s.byKey == nil:
+		s.byKey = make(map[sageorigin.Key]sageorigin.Record)
+		fallthrough
+	case !ok:
+		s.order = append(s.order, record.Key)
+	default:
 		if old.Origin != record.Origin {
 			record.Origin.Version = ""
 		}
 		record.Until = max(record.Until, old.Until)
 	}
-	s[record.Key] = record
+	s.byKey[record.Key] = record
 }
 
 func decodeSnapshot(o *sagefollow.Object, now sageclock.Instant) ([]sageorigin.Record, error) {
--- a/internal/sagerouter/recovery_test.go
+++ b/internal/sagerouter/recovery_test.go
@@ -217,8 +217,8 @@
 	}
 	r, _ := newSnapshotRecovery(store, newTestKeeper(store, "c"))
 	require.NoError(t, r.load(t.Context()))
-	require.Len(t, r.records, 1)
-	for _, record := range r.records {
+	require.Len(t, r.records.order, 1)
+	for _, record := range r.records.byKey {
 		require.Empty(t, record.Origin.Version)
 	}
 }
@@ -307,7 +307,7 @@
 		next, _ := newSnapshotRecovery(store, newTestKeeper(store, "next"))
 		next.Now = virtualNow
 		require.NoError(t, next.load(t.Context()))
-		require.Equal(t, streams, len(next.records), "callers may still return")
+		require.Equal(t, streams, len(next.records.order), "callers may still return")
 		pause(time.Minute)
 		cancel()
 		require.NoError(t, <-done)
@@ -324,7 +324,7 @@
 		r, _ := newSnapshotRecovery(&remoteStore{store, snapshotTimeout / 5}, newTestKeeper(store, "survivor"))
 		r.Now = virtualNow
 		require.NoError(t, r.load(t.Context()))
-		require.Equal(t, streams, len(r.records))
+		require.Equal(t, streams, len(r.records.order))
 	})
 }
 
--- a/internal/sagerouter/snapshotage_test.go
+++ b/internal/sagerouter/snapshotage_test.go
@@ -41,7 +41,7 @@
 		r.Now = virtualNow
 		require.NoError(t, r.load(t.Context()))
 		for key, at := range until {
-			record, ok := r.records[key]
+			record, ok := r.records.byKey[key]
 			switch now := virtualNow(); {
 			case at > now:
 				require.True(t, ok, "its caller may return for %v", at.Sub(now))
--- a/internal/sagerouter/snapshotcost_test.go
+++ b/internal/sagerouter/snapshotcost_test.go
@@ -71,7 +71,7 @@
 				require.NoError(t, r.load(t.Context()))
 				open := perWriter * int((lifetime-time.Second)/time.Second)
 				for i := began - open; i < began; i++ {
-					_, ok := r.records[costRecord(i, 0).Key]
+					_, ok := r.records.byKey[costRecord(i, 0).Key]
 					require.True(t, ok, "stream %d of %d", i, began)
 				}
 				total := 0
@@ -80,7 +80,7 @@
 				}
 				t.Logf("%d records/s: %.1f calls/s (fleet %.0f), %.0f bytes a write, largest %d, %.0f KB/s, %d objects with %d records, %d KB",
 					perWriter, float64(calls)/seconds, float64(calls*maxWriters)/seconds, float64(store.bytes)/float64(store.writes), store.largest,
-					float64(store.bytes)/seconds/1000, len(store.objects), len(r.records), total/1000)
+					float64(store.bytes)/seconds/1000, len(store.objects), len(r.records.order), total/1000)
 			})
 		})
 	}
@@ -161,8 +161,8 @@
 			r.Now = func() sageclock.Instant { return now }
 			b.ReportAllocs()
 			for b.Loop() {
-				if err := r.load(b.Context()); err != nil || len(r.records) != n {
-					b.Fatal(len(r.records), err)
+				if err := r.load(b.Context()); err != nil || len(r.records.order) != n {
+					b.Fatal(len(r.records.order), err)
 				}
 			}
 			b.ReportMetric(float64(bytes)/1e6, "MB")
--- a/internal/sagerouter/snapshots_test.go
+++ b/internal/sagerouter/snapshots_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"maps"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -62,6 +63,13 @@
 	return s.writes, s.refused
 }
 
+// copied returns the objects.
+func (s *snapshotStore) copied() map[string]sagefollow.Object {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return maps.Clone(s.objects)
+}
+
 func (s *snapshotStore) Delete(_ context.Context, _, name string) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -94,14 +102,31 @@
 }
 
 // newSnapshotRecovery returns the recovery of a node with a keeper, and the records that it restores.
-func newSnapshotRecovery(store Store, k *snapshotKeeper) (*snapshotRecovery, *[]sageorigin.Record) {
-	restored := new([]sageorigin.Record)
+func newSnapshotRecovery(store Store, k *snapshotKeeper) (*snapshotRecovery, *restoredRecords) {
+	restored := new(restoredRecords)
 	return &snapshotRecovery{
-		Name: k.Name, Store: store, Restore: func(rs []sageorigin.Record) { *restored = rs },
-		Recovers: func() bool { return true }, Now: k.Now,
+		Name: k.Name, Store: store, Restore: restored.set, Recovers: func() bool { return true }, Now: k.Now,
 	}, restored
 }
 
+// restoredRecords are the records that a recovery sent last.
+type restoredRecords struct {
+	mu      sync.Mutex
+	records []sageorigin.Record
+}
+
+func (r *restoredRecords) set(records []sageorigin.Record) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.records = records
+}
+
+func (r *restoredRecords) get() []sageorigin.Record {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.records
+}
+
 // Prevents streams of services with several versions from being lost with all nodes although upstreams of their version serve.
 func TestOpenStreamsOutliveAllNodes(t *testing.T) {
 	store := new(snapshotStore)
@@ -130,20 +155,20 @@
 	r.started()
 	require.NoError(t, r.recover(t.Context()))
 	origins := make(map[sageorigin.Key]string)
-	for _, r := range *restored {
+	for _, r := range restored.get() {
 		origins[r.Key] = r.Origin.Version
 	}
 	require.Equal(t, map[sageorigin.Key]string{sageorigin.KeyOf("a", "1"): "v1", sageorigin.KeyOf("a", "2"): "v2", sageorigin.KeyOf("a", "3"): "v2"}, origins)
 
 	r.Now = func() sageclock.Instant { return sageclock.Now().Add(2 * recoveryTime) }
 	require.NoError(t, r.drop(t.Context()))
-	require.Len(t, store.objects, 2, "callers may still return")
+	require.Len(t, store.copied(), 2, "callers may still return")
 	running := newTestKeeper(store, "b")
 	running.Save([]sageorigin.Record{testRecord("4", "v1", until.Add(time.Minute))})
 	require.NoError(t, running.save(t.Context()))
 	r.Now = func() sageclock.Instant { return until.Add(2 * snapshotExtension) }
 	require.NoError(t, r.drop(t.Context()))
-	require.Len(t, store.objects, 1, "a node that runs has written again")
+	require.Len(t, store.copied(), 1, "a node that runs has written again")
 }
 
 // Prevents a node without such streams from calling the store.
@@ -211,7 +236,7 @@
 		other, _ := newSnapshotRecovery(store, newTestKeeper(store, "b"))
 		other.Now = k.Now
 		require.NoError(t, other.load(t.Context()))
-		require.Len(t, other.records, began)
+		require.Len(t, other.records.order, began)
 	})
 }
 
@@ -232,10 +257,10 @@
 			}
 		}
 		run(30 * time.Second)
-		objects := len(store.objects)
+		objects := len(store.copied())
 		run(30 * time.Second)
-		require.Len(t, store.objects, objects)
-		for _, o := range store.objects {
+		require.Len(t, store.copied(), objects)
+		for _, o := range store.copied() {
 			require.Less(t, len(o.Status), 2*segmentRecords*50, "bytes of an object")
 		}
 		pause(snapshotInterval)
@@ -243,7 +268,7 @@
 		r.Now = virtualNow
 		require.NoError(t, r.load(t.Context()))
 		found := make(map[sageorigin.Key]bool)
-		for _, o := range r.records {
+		for _, o := range r.records.byKey {
 			found[o.Key] = true
 		}
 		for i := began - perSecond*int(lifetime/time.Second) + perSecond; i <= began; i++ {
@@ -265,13 +290,13 @@
 		pause(snapshotInterval)
 		go func() { _ = r.Run(t.Context()) }()
 		pause(2 * recoveryTime)
-		require.Len(t, store.objects, 1)
+		require.Len(t, store.copied(), 1)
 		k.Save([]sageorigin.Record{testRecord("2", "v1", virtualNow().Add(time.Minute))})
 		pause(snapshotInterval)
 		next, _ := newSnapshotRecovery(store, newTestKeeper(store, "c"))
 		next.Now = virtualNow
 		require.NoError(t, next.load(t.Context()))
-		require.Len(t, next.records, 2)
+		require.Len(t, next.records.order, 2)
 	})
 }
 
@@ -290,7 +315,7 @@
 	require.Empty(t, k.pending)
 	r, _ := newSnapshotRecovery(store, newTestKeeper(store, "b"))
 	require.NoError(t, r.load(t.Context()))
-	require.Len(t, r.records, maxPending)
+	require.Len(t, r.records.order, maxPending)
 }
 
 // Prevents streams that begin in the first seconds after a start from being refused if all nodes are lost again.
@@ -316,13 +341,13 @@
 		require.Equal(t, 4, writes, "both have created an object and written once")
 		time.Sleep(2 * recoveryTime)
 		synctest.Wait()
-		require.Len(t, *restored, 2, "with what this node has saved, maybe for a node that was lost")
-		require.Len(t, store.objects, 2, "callers may still return")
+		require.Len(t, restored.get(), 2, "with what this node has saved, maybe for a node that was lost")
+		require.Len(t, store.copied(), 2, "callers may still return")
 		time.Sleep(time.Minute)
 		cancel()
 		require.NoError(t, <-done)
 		require.NoError(t, <-done)
-		require.Len(t, store.objects, 1, "what was recovered is deleted once no caller can return")
+		require.Len(t, store.copied(), 1, "what was recovered is deleted once no caller can return")
 	})
 }
 
@@ -361,5 +386,5 @@
 	}
 	other, _ := newSnapshotRecovery(store, newTestKeeper(store, "b"))
 	require.NoError(t, other.load(t.Context()))
-	require.Len(t, other.records, 1)
+	require.Len(t, other.records.order, 1)
 }
