--- a/cmd/sagebench/cases.go
+++ b/cmd/sagebench/cases.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -139,6 +140,40 @@
 	return c
 }
 
+func stopsCommand() *cobra.Command {
+	p := new(casePlayer)
+	var seed uint64
+	var rounds int
+	c := &cobra.Command{
+		Use:   "stops",
+		Short: "Stop nodes in series under callers that keep their connections, and check all answers",
+		Args:  sagecli.ExactArgs(),
+		RunE: func(c *cobra.Command, _ []string) error {
+			if rounds < 0 {
+				return fmt.Errorf("%w: --rounds: must not be negative", sagecli.ErrUsage)
+			}
+			for _, x := range sagesoak.StopCases() {
+				err := p.play(c, x.Name, func(dir string) (string, bool, error) {
+					x.Program, x.Dir, x.Seed, x.Rounds = p.program, dir, seed, cmp.Or(rounds, x.Rounds)
+					r, err := x.Run(c.Context())
+					if err != nil {
+						return "", false, err
+					}
+					return strings.Join(append([]string{r.String()}, r.Details...), "\n  "), r.Failed(), nil
+				})
+				if err != nil {
+					return err
+				}
+			}
+			return p.result()
+		},
+	}
+	c.Flags().Uint64Var(&seed, "seed", 1, "seed of the requests")
+	c.Flags().IntVar(&rounds, "rounds", 0, "number of stops in series; 0 means that of each case")
+	p.addFlags(c)
+	return c
+}
+
 func crowdCommand() *cobra.Command {
 	p := new(casePlayer)
 	var seed uint64
