A request that the exit of a node cuts writes a line and is counted

It now has a line of its own, with the last event, the age and what was left of the deadline, and sagestand_requests_cut_total counts it. The node waits up to 0.1 s for these lines. What is served doesn't change.

--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -184,7 +184,7 @@
 // abandon ends a request whose caller has disconnected.
 func (j *job) abandon() {
 	j.s.countEnd(CallerLeft)
-	panic(http.ErrAbortHandler)
+	j.abort()
 }
 
 // logFailure logs an exchange that produced no final response.
@@ -232,9 +232,9 @@
 	j.logGivenUp(reason)
 	switch {
 	case j.headerSent:
-		panic(http.ErrAbortHandler) // a truncated stream must not look complete
+		j.abort() // a truncated stream must not look complete
 	case j.r.Context().Err() != nil:
-		panic(http.ErrAbortHandler)
+		j.abort()
 	case j.upstreamFailure != nil:
 		j.upstreamFailure.writeTo(j)
 	case j.possibleRuns > 0 && ctx.Err() != nil:
--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -76,6 +76,7 @@
 	sending     exchangeSet
 	inFlight    atomic.Int64
 	relayed     atomic.Int64 // requests of peers in progress
+	cutting     atomic.Bool  // the node exits and aborts what is in progress
 }
 
 // Relayed returns the number of requests of peers in progress.
@@ -188,8 +189,7 @@
 		j.refuse(http.StatusRequestEntityTooLarge, TooLarge, 0)
 		return false
 	case err != nil:
-		j.s.countEnd(CallerLeft)
-		panic(http.ErrAbortHandler) // the caller aborted its request
+		j.abandon() // the caller aborted its request
 	}
 	j.body = b
 	return true
--- a/internal/sagerouter/services.go
+++ b/internal/sagerouter/services.go
@@ -59,7 +59,20 @@
 	n.awaitRelayed(ctx)
 	n.Log.Component("node").Info("Entry closed.", "in_flight", n.relay.InFlight())
 	n.relay.CloseIdleConnections()
-	return s.http.Close()
+	n.relay.RecordCuts()
+	err := s.http.Close()
+	n.awaitAborted()
+	return err
+}
+
+// abortTimeout limits the wait for the ends of aborted requests, which log them.
+const abortTimeout = 100 * time.Millisecond
+
+// awaitAborted waits until the requests that were aborted have ended.
+func (n *Node) awaitAborted() {
+	for deadline := time.Now().Add(abortTimeout); n.relay.InFlight() > n.relay.Relayed() && time.Now().Before(deadline); {
+		time.Sleep(time.Millisecond)
+	}
 }
 
 // relayedPollInterval is how often a stopping node checks whether it still relays requests of peers.
