A leaving node refuses what may not end before its exit

What callers saw: a stream that broke off, or a booking without any answer, 7.3 s after SIGTERM to their node.

Cause: the entry accepted every request for 3.5 s after SIGTERM and aborted what was left at 7.3 s; nothing asked whether what it accepts can end before.

Change: sagedrain.Closing accepts a request if its deadline passes before the exit, or if the longest recent request of its route took at most half of what is left. Anything else is refused as not run, with Connection: close and Retry-After 0.02 s, so that its caller goes to another node at once. A declined request isn't sent to a second upstream if it no longer fits. A peer's request gets relay_busy, after which peers of any version try another node.

--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -353,7 +353,7 @@
 }
 
 func (f *fakeFleet) service() *Service {
-	s := &Service{Node: "vm1", Dialect: testDialect{}, Fleet: f, Origins: f, Metrics: metrics.NewSet(), Log: sagelog.Logger{}, Closing: func() bool { return false }, Quarantine: new(sagequarantine.Tracker),
+	s := &Service{Node: "vm1", Dialect: testDialect{}, Fleet: f, Origins: f, Metrics: metrics.NewSet(), Log: sagelog.Logger{}, Quarantine: new(sagequarantine.Tracker),
 		SendsTrials: func() bool { return f.sendsTrials }}
 	s.Dial = f.dial
 	s.peers.once.Do(func() { s.peers.init(f.dial) })
--- a/internal/sagerelay/interfaces.go
+++ b/internal/sagerelay/interfaces.go
@@ -113,7 +113,9 @@
 	NoCapacity Reason = "no_capacity"
 	// NoPath: this node reaches no upstream of the service, and no peer takes the request.
 	NoPath Reason = "no_path"
-	// RelayBusy: this node relays as many requests of peers as it can.
+	// Leaving: this node stops, and might abort the request before its end.
+	Leaving Reason = "leaving"
+	// RelayBusy: this node relays as many requests of peers as it can, or is leaving.
 	RelayBusy Reason = "relay_busy"
 	// RelayOutdated: the peer that sent the request has a newer configuration.
 	RelayOutdated Reason = "relay_outdated"
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -96,6 +96,9 @@
 	if j.serviceName = j.relay.service; j.serviceName == "" {
 		j.serviceName = j.pickService()
 	}
+	if !j.acceptBeforeExit() {
+		return
+	}
 	ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline)
 	defer cancel()
 	defer j.endOrigin()
@@ -213,6 +216,8 @@
 		return TimedOut, false
 	case j.sends >= maxSends:
 		return reason, false
+	case j.possibleRuns == 0 && !j.headerSent && !j.fitsBeforeExit():
+		return j.leavingReason(), false
 	case j.quarantined():
 		return Quarantined, false
 	case v == notSent:
@@ -259,6 +264,9 @@
 func (j *job) refuseNotRun(reason Reason) {
 	retryAfter := shortRetryAfter
 	switch reason {
+	case Leaving, RelayBusy:
+		j.refuse(http.StatusServiceUnavailable, reason, minReturn)
+		return
 	case OriginMoved:
 		retryAfter = 0 // it won't lead there again
 	case VersionGone:
--- /dev/null
+++ b/internal/sagerelay/leaving_test.go
@@ -0,0 +1,105 @@
+package sagerelay
+
+import (
+	"net"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"sagestand.example/sagestand/pkg/sagedrain"
+	"sagestand.example/sagestand/pkg/sageroute"
+)
+
+// usualRequests is a number of requests after which a node knows how long those of a route take.
+const usualRequests = 20
+
+// leavingNode returns a service whose node stops accepting requests after closeIn and aborts them after cutIn. leave has it
+// leave.
+func leavingNode(f *fakeFleet, closeIn, cutIn time.Duration) (s *Service, leave func()) {
+	s = f.service()
+	var closing *sagedrain.Closing
+	s.Closing = func() *sagedrain.Closing { return closing }
+	return s, func() {
+		now := time.Now()
+		closing = &sagedrain.Closing{CertainFrom: now.Add(closeIn), CloseAt: now.Add(closeIn), CutAt: now.Add(cutIn)}
+	}
+}
+
+// after returns an upstream that responds after a time.
+func after(d time.Duration, up upstream) upstream {
+	return func(c net.Conn, req *http.Request) {
+		time.Sleep(d)
+		up(c, req)
+	}
+}
+
+// Prevents a leaving node from sending requests to upstreams that it would abort before their end.
+func TestLeavingNodeRefusesWhatItWouldCut(t *testing.T) {
+	ok := respond(200, sealHeader, "fine")
+	for _, tt := range []struct {
+		name     string
+		run      time.Duration
+		earlier  int
+		deadline string // in ms
+		cutIn    time.Duration
+		status   int
+	}{
+		{"deadline before the exit", time.Millisecond, 0, "900", time.Second, 200},
+		{"deadline after the exit", time.Millisecond, 0, "1100", time.Second, 503},
+		{"the route's timeout is before the exit", time.Millisecond, 0, "60000", 4 * time.Second, 200},
+		{"requests of the route are short", 100 * time.Millisecond, usualRequests, "3000", time.Second, 200},
+		{"requests of the route are too long", 600 * time.Millisecond, usualRequests, "3000", time.Second, 503},
+		{"few requests are known", 100 * time.Millisecond, 3, "3000", time.Second, 503},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeFleet(t, testRoute(sageroute.Once), map[string]upstream{"a": after(tt.run, ok)})
+				s, leave := leavingNode(f, 500*time.Millisecond, tt.cutIn)
+				for range tt.earlier {
+					require.Equal(t, 200, f.callOn(t.Context(), s, nil, "body").Code)
+				}
+				leave()
+				out := f.callOn(t.Context(), s, map[string]string{testDeadline: tt.deadline}, "body")
+				require.Equal(t, tt.status, out.Code)
+				require.Equal(t, "close", out.Header().Get("Connection"))
+				if tt.status == 503 {
+					require.Equal(t, `{"reason":"leaving"}`, out.Body.String())
+					require.Equal(t, "0.02", out.Header().Get("Retry-After"))
+					require.Len(t, f.sent, tt.earlier)
+				}
+			})
+		})
+	}
+}
+
+// Prevents a leaving node from sending a declined request to a second upstream that it would abort before its end.
+func TestLeavingNodeRefusesDeclinedRequest(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		declines := after(time.Second, respond(503, testNotRun+": 1\r\n", ""))
+		f := newFakeFleet(t, testRoute(sageroute.Once), map[string]upstream{"a": declines, "b": declines})
+		s, leave := leavingNode(f, 500*time.Millisecond, 1500*time.Millisecond)
+		time.AfterFunc(500*time.Millisecond, leave)
+		out := f.callOn(t.Context(), s, nil, "body")
+		require.Equal(t, 503, out.Code)
+		require.Len(t, f.sent, 1)
+		require.Equal(t, `{"reason":"leaving"}`, out.Body.String())
+	})
+}
+
+// Prevents a request that a leaving peer can't end from being refused although another peer can take it.
+func TestRequestOverLeavingPeerGoesToAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ok := respond(200, sealHeader, "fine")
+		env := newHopEnv(t, sageroute.Once, map[string]upstream{"a": ok}, map[string]upstream{"b": ok})
+		s, leave := leavingNode(env.peers["p1"], 500*time.Millisecond, time.Second)
+		env.node.upstreams["p1"] = peer(s)
+		leave()
+		out := env.node.call(t.Context(), nil, "body")
+		require.Equal(t, 200, out.Code)
+		require.Empty(t, env.peers["p1"].sent)
+		require.Len(t, env.peers["p2"].sent, 1)
+	})
+}
--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -16,6 +16,7 @@
 	"golang.org/x/sync/singleflight"
 
 	"sagestand.example/sagestand/internal/sagelog"
+	"sagestand.example/sagestand/pkg/sagedrain"
 	"sagestand.example/sagestand/pkg/sagequarantine"
 	"sagestand.example/sagestand/pkg/sageroute"
 )
@@ -48,8 +49,9 @@
 	Origins Origins
 	Metrics *metrics.Set
 	Log     sagelog.Logger
-	// Closing reports whether responses should ask callers to close their connection.
-	Closing func() bool
+	// Closing returns when the node stops, from the request to stop on, and nil before it. Responses then ask callers to close
+	// their connection. A nil function means that the node never stops.
+	Closing func() *sagedrain.Closing
 	// Quarantine holds the requests and parts of prompts that crash upstreams.
 	Quarantine *sagequarantine.Tracker
 	// SendsTrials reports whether this node sends the trials of quarantined requests.
@@ -76,7 +78,8 @@
 	sending     exchangeSet
 	inFlight    atomic.Int64
 	relayed     atomic.Int64 // requests of peers in progress
-	cutting     atomic.Bool  // the node exits and aborts what is in progress
+	durations   sagedrain.Durations
+	cutting     atomic.Bool // the node exits and aborts what is in progress
 }
 
 // Relayed returns the number of requests of peers in progress.
@@ -93,11 +96,12 @@
 func (s *Service) serveJob(j *job) {
 	s.inFlight.Add(1)
 	defer s.inFlight.Add(-1)
-	if s.Closing() {
+	if s.closing() != nil {
 		j.w.Header().Set("Connection", "close")
 	}
 	s.metricsOnce.Do(s.registerMetrics)
 	defer j.releaseBuffers()
+	defer j.recordDuration()
 	if s.accept(j) {
 		j.serve()
 	}
--- a/internal/sagerouter/heartbeat.go
+++ b/internal/sagerouter/heartbeat.go
@@ -28,7 +28,7 @@
 
 // fillHeartbeat sets this node's state in a heartbeat.
 func (n *Node) fillHeartbeat(h *sagemesh.Heartbeat) {
-	h.Ready, h.Leaving, h.Synced = n.Ready(), n.leaving.Load(), n.cacheResync.synced.Load()
+	h.Ready, h.Leaving, h.Synced = n.Ready(), n.isLeaving(), n.cacheResync.synced.Load()
 	h.Copies = make(map[string]sagefollow.Position, len(n.copies))
 	for kind, f := range n.copies {
 		h.Copies[kind] = f.Position()
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -24,6 +24,7 @@
 	"sagestand.example/sagestand/internal/sagerelay"
 	"sagestand.example/sagestand/pkg/sagechain"
 	"sagestand.example/sagestand/pkg/sageclock"
+	"sagestand.example/sagestand/pkg/sagedrain"
 	"sagestand.example/sagestand/pkg/sagefresh"
 	"sagestand.example/sagestand/pkg/sagehealth"
 	"sagestand.example/sagestand/pkg/sagequarantine"
@@ -136,7 +137,7 @@
 	quarantine sagequarantine.Tracker
 	// quarantinesListed is set once the quarantine objects have been listed.
 	quarantinesListed bool
-	leaving           atomic.Bool
+	closing           atomic.Pointer[sagedrain.Closing] // set while the node is leaving
 }
 
 // Open opens the listeners and creates the services. Nothing is served before Run.
@@ -256,7 +257,7 @@
 	n.fleet.setBounds(&cfg.Bounds)
 	n.relay = &sagerelay.Service{
 		Node: cfg.Node, MaxRelayed: int64(relayMemoryFraction*float64(cfg.MemoryMB)) << 20 / bytesPerRelayed,
-		Dialect: n.Dialect, Fleet: n.fleet, Dial: n.Dial, SourceIP: cfg.SourceIP, Metrics: n.metrics, Log: n.Log.Component("relay"), Closing: n.leaving.Load, Quarantine: &n.quarantine,
+		Dialect: n.Dialect, Fleet: n.fleet, Dial: n.Dial, SourceIP: cfg.SourceIP, Metrics: n.metrics, Log: n.Log.Component("relay"), Closing: n.closing.Load, Quarantine: &n.quarantine,
 		SendsTrials:      func() bool { return n.quarantineRank() == 0 },
 		MaxBufferedBytes: int64(bodyMemoryFraction*float64(cfg.MemoryMB)) << 20,
 		Nodes:            n.knownNodeCount,
@@ -406,7 +407,10 @@
 	return names
 }
 
+// isLeaving reports whether this node has been asked to stop.
+func (n *Node) isLeaving() bool { return n.closing.Load() != nil }
+
 // Ready reports whether this node can serve callers.
 func (n *Node) Ready() bool {
-	return !n.leaving.Load() && n.fleet.Table() != nil && n.view.upstreams.Load() != nil && n.fleet.Fresh()
+	return !n.isLeaving() && n.fleet.Table() != nil && n.view.upstreams.Load() != nil && n.fleet.Fresh()
 }
--- a/internal/sagerouter/origins.go
+++ b/internal/sagerouter/origins.go
@@ -18,7 +18,7 @@
 	}
 	n.claimKeeper = &claimKeeper{
 		Kind: n.Kinds.Claims, View: n.view, Store: n.Store, Fresh: n.upstreamsFresh, Era: n.storeEra.Load, Log: n.Log.Component("origins"),
-		Writes: func() bool { return !n.leaving.Load() && n.mesh.Rank(n.copies[n.Kinds.Upstreams].Failing()) == 0 },
+		Writes: func() bool { return !n.isLeaving() && n.mesh.Rank(n.copies[n.Kinds.Upstreams].Failing()) == 0 },
 		Spread: func() time.Duration { return time.Duration(len(n.knownNodes())) * registrationInterval },
 	}
 	n.view.awaitsClaims, n.view.claimsWake = true, make(chan struct{}, 1)
@@ -54,7 +54,7 @@
 
 // recoversRecords reports whether this node recovers records for its region, to whose nodes callers return.
 func (n *Node) recoversRecords() bool {
-	return !n.leaving.Load() && n.mesh.RegionRank(n.copies[n.Kinds.Upstreams].Failing()) == 0
+	return !n.isLeaving() && n.mesh.RegionRank(n.copies[n.Kinds.Upstreams].Failing()) == 0
 }
 
 // recordWriters returns the nodes that write records to the store for all.
--- a/internal/sagerouter/quarantine.go
+++ b/internal/sagerouter/quarantine.go
@@ -116,7 +116,7 @@
 	if f := n.copies[n.Kinds.Quarantines]; f.Failing() || f.AsOf() == 0 {
 		return -1
 	}
-	return writerRank(n.mesh.Rank(false), n.leaving.Load(), n.Settings.Node)
+	return writerRank(n.mesh.Rank(false), n.isLeaving(), n.Settings.Node)
 }
 
 // writerRank returns the rank of a node as a writer. Nodes that leave come after the first others. While all nodes leave,
--- a/internal/sagerouter/rollouts.go
+++ b/internal/sagerouter/rollouts.go
@@ -89,7 +89,7 @@
 func (c *rolloutController) step(ctx context.Context, now sageclock.Instant) {
 	n := c.node
 	entries := n.fleet.rollouts.Entries()
-	if len(entries) == 0 || n.leaving.Load() || n.mesh.Rank(n.copies[n.Kinds.Rollouts].Failing()) != 0 {
+	if len(entries) == 0 || n.isLeaving() || n.mesh.Rank(n.copies[n.Kinds.Rollouts].Failing()) != 0 {
 		return
 	}
 	live := make(map[uint64]bool, len(entries))
--- /dev/null
+++ b/pkg/sagedrain/closing.go
@@ -0,0 +1,51 @@
+package sagedrain
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/pkg/errors"
+)
+
+// ErrInvalidClosing reports times of a stop that aren't in order.
+var ErrInvalidClosing = errors.New("malformed times of a stop")
+
+// durationMargin multiplies the longest recent duration in the estimate of a request that is about to start: the load may rise
+// while it runs.
+const durationMargin = 2
+
+// Closing decides which requests a process accepts that stops at a stated time. Its fields must not change.
+type Closing struct {
+	// CertainFrom is when the callers have been sent elsewhere. Requests that still come are accepted only if their deadline
+	// passes before CutAt.
+	CertainFrom time.Time
+	// CloseAt is when no request is accepted any more.
+	CloseAt time.Time
+	// CutAt is when requests in progress are aborted.
+	CutAt time.Time
+}
+
+// Check reports times that aren't in order. Its error wraps [ErrInvalidClosing].
+func (c *Closing) Check() error {
+	if c.CertainFrom.After(c.CloseAt) || c.CloseAt.After(c.CutAt) {
+		return fmt.Errorf("certain from %v, close at %v, cut at %v: %w", c.CertainFrom, c.CloseAt, c.CutAt, ErrInvalidClosing)
+	}
+	return nil
+}
+
+// Accepts reports whether a request of a class with a deadline is accepted. d holds what requests have lately taken.
+func (c *Closing) Accepts(now, deadline time.Time, class string, d *Durations) bool {
+	return now.Before(c.CloseAt) && c.Fits(now, deadline, class, d)
+}
+
+// Fits reports whether a request that starts now is expected to end before CutAt. A request always ends at its deadline.
+func (c *Closing) Fits(now, deadline time.Time, class string, d *Durations) bool {
+	if !deadline.After(c.CutAt) {
+		return true
+	}
+	if !now.Before(c.CertainFrom) {
+		return false
+	}
+	longest, ok := d.Longest(now, class)
+	return ok && longest <= c.CutAt.Sub(now)/durationMargin
+}
--- /dev/null
+++ b/pkg/sagedrain/closing_test.go
@@ -0,0 +1,91 @@
+package sagedrain
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+// Prevents a process that stops from accepting requests that it would abort.
+func TestClosingAcceptsWhatEndsBeforeTheCut(t *testing.T) {
+	const class = "route"
+	start := time.Unix(1_000, 0)
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	closing := Closing{CertainFrom: at(3), CloseAt: at(3.5), CutAt: at(7)}
+	require.NoError(t, closing.Check())
+	for _, tc := range []struct {
+		name          string
+		now, deadline float64
+		runs          int
+		longest       time.Duration
+		accepts, fits bool
+	}{
+		{"deadline before the cut", 0, 6.9, 0, 0, true, true},
+		{"deadline at the cut", 0, 7, 0, 0, true, true},
+		{"nothing known of the class", 0, 12, 0, 0, false, false},
+		{"too little known of the class", 0, 12, minDurations - 1, time.Second, false, false},
+		{"short runs", 0, 12, minDurations, 3500 * time.Millisecond, true, true},
+		{"runs that may be too long", 0, 12, minDurations, 3501 * time.Millisecond, false, false},
+		{"short runs, late", 2.9, 12, minDurations, 2 * time.Second, true, true},
+		{"longer runs, late", 2.9, 12, minDurations, 2100 * time.Millisecond, false, false},
+		{"short runs, callers have been sent elsewhere", 3, 12, minDurations, time.Millisecond, false, false},
+		{"deadline before the cut, callers have been sent elsewhere", 3, 6, 0, 0, true, true},
+		{"closed", 3.5, 6, 0, 0, false, true},
+		{"after the cut", 7.1, 12, minDurations, time.Millisecond, false, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			d := new(Durations)
+			for range tc.runs {
+				d.Record(at(tc.now), class, tc.longest)
+			}
+			require.Equal(t, tc.accepts, closing.Accepts(at(tc.now), at(tc.deadline), class, d))
+			require.Equal(t, tc.fits, closing.Fits(at(tc.now), at(tc.deadline), class, d))
+		})
+	}
+}
+
+func TestClosingCheck(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	require.ErrorIs(t, (&Closing{CertainFrom: now.Add(1), CloseAt: now, CutAt: now}).Check(), ErrInvalidClosing)
+	require.ErrorIs(t, (&Closing{CertainFrom: now, CloseAt: now.Add(1), CutAt: now}).Check(), ErrInvalidClosing)
+	require.NoError(t, (&Closing{CertainFrom: now, CloseAt: now, CutAt: now}).Check())
+}
+
+// Prevents a long run of the past from being forgotten too early, or kept for good.
+func TestDurationsForgetAfterTheirWindow(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	d := new(Durations)
+	for range minDurations {
+		d.Record(now, "a", time.Second)
+	}
+	d.Record(now, "a", 5*time.Second)
+	for _, tc := range []struct {
+		after   time.Duration
+		longest time.Duration
+		ok      bool
+	}{
+		{0, 5 * time.Second, true},
+		{durationWindow - 1, 5 * time.Second, true},
+		{durationWindow, 5 * time.Second, true},
+		{2*durationWindow - 1, 5 * time.Second, true},
+		{2 * durationWindow, 0, false},
+	} {
+		longest, ok := d.Longest(now.Add(tc.after), "a")
+		require.Equal(t, tc.longest, longest, tc.after)
+		require.Equal(t, tc.ok, ok, tc.after)
+	}
+	_, ok := d.Longest(now, "b")
+	require.False(t, ok)
+}
+
+// Prevents durations from before a time without requests from counting after it.
+func TestDurationsForgetWithoutRequests(t *testing.T) {
+	now := time.Unix(1_000, 0)
+	d := new(Durations)
+	for range minDurations {
+		d.Record(now, "a", time.Second)
+	}
+	_, ok := d.Longest(now.Add(10*durationWindow), "a")
+	require.False(t, ok)
+}
--- a/pkg/sagedrain/doc.go
+++ b/pkg/sagedrain/doc.go
@@ -8,6 +8,9 @@
 // the remaining requests are aborted. The caller of the machine logs each of these and ends its stream
 // with an explicit error, so that no stream looks complete.
 //
+// A process that has to end by a stated time can't let every request finish. [Closing] decides which ones it still accepts: those
+// whose deadline passes before, and those whose class has lately taken much less than the time that is left ([Durations]).
+//
 // # Usage
 //
 //	m := &sagedrain.Machine{
@@ -22,4 +25,11 @@
 //		case sagedrain.Done: // stop
 //		}
 //	}
+//
+// A process with a time limit, for each request:
+//
+//	if closing != nil && !closing.Accepts(now, deadline, route, &durations) {
+//		// refuse it as not run
+//	}
+//	defer func() { durations.Record(time.Now(), route, time.Since(start)) }()
 package sagedrain
