--- a/internal/sagesoak/pauses.go
+++ b/internal/sagesoak/pauses.go
@@ -102,8 +102,8 @@
 // String returns the counts.
 func (r *PausesResult) String() string {
 	o := r.Outcomes
-	return fmt.Sprintf("%d requests, %d served, %d refused, %d failed, %d timed out, %d cut, %d closed; TWICE %d, REFUSED %d, ORDER %d, MIXED %d, LOST %d",
-		o.Requests, o.Served, o.Refused, o.Failed, o.TimedOut, o.Cut, o.Closed, o.Twice, o.RefusedRan, o.Order, o.Mixed, o.Lost)
+	return fmt.Sprintf("%d requests, %d served, %d refused, %d failed, %d timed out, %d cut, %d closed; TWICE %d, REFUSED %d, ORDER %d, MIXED %d, LOST %d, streams executed twice at once %d",
+		o.Requests, o.Served, o.Refused, o.Failed, o.TimedOut, o.Cut, o.Closed, o.Twice, o.RefusedRan, o.Order, o.Mixed, o.Lost, o.Overlaps)
 }
 
 // PauseCases returns the cases.
--- a/internal/sagesoak/stops.go
+++ b/internal/sagesoak/stops.go
@@ -107,13 +107,13 @@
 		lost -= r.Excused
 	}
 	o := r.Outcomes
-	return lost > 0 || o.Twice+o.RefusedRan+o.Order+o.Mixed > 0
+	return lost > 0 || o.Twice+o.Overlaps+o.RefusedRan+o.Order+o.Mixed > 0
 }
 
 // String returns the counts.
 func (r *StopsResult) String() string {
-	return fmt.Sprintf("%d requests, %d sent after SIGTERM, %d whole; LOST %d (%d excused), closed unread %d, TWICE %d, REFUSED %d, ORDER %d, MIXED %d; %d refused by leaving nodes, %d of them served by another, sent again within %v",
-		r.Outcomes.Requests, r.Sent, r.Whole, r.Lost, r.Excused, r.Unread, r.Outcomes.Twice, r.Outcomes.RefusedRan, r.Outcomes.Order, r.Outcomes.Mixed, r.Retries.Refused, r.Retries.Served, r.Retries.Slowest.Round(time.Millisecond))
+	return fmt.Sprintf("%d requests, %d sent after SIGTERM, %d whole; LOST %d (%d excused), closed unread %d, TWICE %d and %d at once, REFUSED %d, ORDER %d, MIXED %d; %d refused by leaving nodes, %d of them served by another, sent again within %v",
+		r.Outcomes.Requests, r.Sent, r.Whole, r.Lost, r.Excused, r.Unread, r.Outcomes.Twice, r.Outcomes.Overlaps, r.Outcomes.RefusedRan, r.Outcomes.Order, r.Outcomes.Mixed, r.Retries.Refused, r.Retries.Served, r.Retries.Slowest.Round(time.Millisecond))
 }
 
 // StopCases returns the cases.
