A leaving node takes a request if the longest of its route took four fifths of what is left

What callers saw: in a rollout several nodes leave at once, and a caller that one refuses may be refused by another, which uses up its retry.

Cause: with twice the longest recent request of its route as the estimate, a leaving node refused most streams from 2 s after SIGTERM on.

Change: 1.25 times. A cut is still rarer than a second refusal: the estimate is the longest of 16 requests or more, and from 3 s on only deadlines count.

--- a/pkg/sagedrain/closing.go
+++ b/pkg/sagedrain/closing.go
@@ -11,8 +11,8 @@
 var ErrInvalidClosing = errors.New("malformed times of a stop")
 
 // durationMargin multiplies the longest recent duration in the estimate of a request that is about to start: the load may rise
-// while it runs.
-const durationMargin = 2
+// while it runs. It is small, since a caller that is refused may meet another process that stops.
+const durationMargin = 1.25
 
 // Closing decides which requests a process accepts that stops at a stated time. Its fields must not change.
 type Closing struct {
@@ -52,5 +52,5 @@
 	if !ok {
 		return c.UnknownFits
 	}
-	return longest <= c.CutAt.Sub(now)/durationMargin
+	return float64(longest)*durationMargin <= float64(c.CutAt.Sub(now))
 }
