A route with few known requests isn't refused for that alone at a leaving node

Cause: a route of which fewer than 16 requests had ended in the last 30 to 60 s counted as unknown, and what isn't known was refused.

Change: with 4 to 15 known requests, three times the longest one is the estimate; from 16 on 1.25 times. sagedrain.Durations returns the estimate.

--- a/internal/sagerelay/leaving.go
+++ b/internal/sagerelay/leaving.go
@@ -33,14 +33,14 @@
 	}
 	now := time.Now()
 	ok := c.Accepts(now, j.deadline, j.route.Name, &j.s.durations)
-	longest, known := j.s.durations.Longest(now, j.route.Name)
+	estimate, known := j.s.durations.Estimate(now, j.route.Name)
 	decision := "accepted"
 	if !ok {
 		decision = "refused"
 	}
 	j.s.Metrics.GetOrCreateCounter(`sagestand_leaving_requests_total{decision="` + decision + `"}`).Inc()
 	j.s.Log.Limited(sagelog.KindStateChange, "Request at a leaving node.", "id", j.meta.ID, "decision", decision, "route", j.route.Name, "from", j.relay.from,
-		"cut_in_ms", c.CutAt.Sub(now).Milliseconds(), "deadline_ms", j.deadline.Sub(now).Milliseconds(), "longest_ms", longest.Milliseconds(), "longest_known", known)
+		"cut_in_ms", c.CutAt.Sub(now).Milliseconds(), "deadline_ms", j.deadline.Sub(now).Milliseconds(), "estimate_ms", estimate.Milliseconds(), "estimate_known", known)
 	if !ok {
 		j.refuse(http.StatusServiceUnavailable, j.leavingReason(), minReturn)
 	}
--- a/pkg/sagedrain/closing.go
+++ b/pkg/sagedrain/closing.go
@@ -10,10 +10,6 @@
 // ErrInvalidClosing reports times of a stop that aren't in order.
 var ErrInvalidClosing = errors.New("malformed times of a stop")
 
-// durationMargin multiplies the longest recent duration in the estimate of a request that is about to start: the load may rise
-// while it runs. It is small, since a caller that is refused may meet another process that stops.
-const durationMargin = 1.25
-
 // Closing decides which requests a process accepts that stops at a stated time. Its fields must not change.
 type Closing struct {
 	// CertainFrom is when the callers have been sent elsewhere. Requests that still come are accepted only if their deadline
@@ -48,9 +44,9 @@
 	if !now.Before(c.CertainFrom) {
 		return false
 	}
-	longest, ok := d.Longest(now, class)
+	estimate, ok := d.Estimate(now, class)
 	if !ok {
 		return c.UnknownFits
 	}
-	return float64(longest)*durationMargin <= float64(c.CutAt.Sub(now))
+	return estimate <= c.CutAt.Sub(now)
 }
--- a/pkg/sagedrain/durations.go
+++ b/pkg/sagedrain/durations.go
@@ -8,8 +8,13 @@
 const (
 	// durationWindow is how long a duration counts at least; it counts for twice as long at most.
 	durationWindow = 30 * time.Second
-	// minDurations is the number of durations below which the longest one says little.
-	minDurations = 16
+	// minDurations is the number of durations below which the longest one says little, manyDurations that from which it says much.
+	minDurations  = 4
+	manyDurations = 16
+	// fewMargin and manyMargin multiply the longest of few and of many durations in an estimate: the load may rise while a request
+	// runs. They are small, since a caller that is refused may meet another process that stops.
+	fewMargin  = 3
+	manyMargin = 1.25
 )
 
 // Durations keeps the longest time that requests of each class have lately taken. The zero value is ready to use. It is safe
@@ -35,13 +40,17 @@
 	d.current[class] = durations{n: x.n + 1, longest: max(x.longest, took)}
 }
 
-// Longest returns the longest time that a request of a class has lately taken, or false if too few have ended.
-func (d *Durations) Longest(now time.Time, class string) (longest time.Duration, ok bool) {
+// Estimate returns the time that a request of a class is expected to take at most, or false if too few have ended lately.
+func (d *Durations) Estimate(now time.Time, class string) (time.Duration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.rotate(now)
 	a, b := d.current[class], d.earlier[class]
-	return max(a.longest, b.longest), a.n+b.n >= minDurations
+	margin := float64(manyMargin)
+	if a.n+b.n < manyDurations {
+		margin = fewMargin
+	}
+	return time.Duration(margin * float64(max(a.longest, b.longest))), a.n+b.n >= minDurations
 }
 
 // rotate begins a new window if the current one is over. The caller holds mu.
