A leaving node refuses queued requests, takes no time-out for a duration, and answers what it cuts

What callers could see, all found by a reviewer who hadn't seen the work, each with a test that failed before: - A request that waited for admission at SIGTERM was sent although it couldn't end before the exit (TestLeavingNodeRefusesQueuedRequest), or was still queued at the exit and got no answer at all (TestLeavingNodeAnswersQueuedRequestBeforeTheCut: 4 s for 1 s). Cause: the decision was made once, before the wait. Now it is made again before the first send, and ten times a second for what waits. - A route whose requests all hang and time out after 0.4 s counted as one of 0.4 s (TestLeavingNodeTakesTimeoutsForNoDurations: 200 for 503). Now what was given up only raises the longest duration, and doesn't count as known. - Requests in progress didn't count: beside 20 requests of 2 s a node took one more with 1 s left (TestLeavingNodeCountsRequestsInProgress). - A declined request that a leaving peer handed back was sent on without a retry token (TestDeclinedRequestOfLeavingPeerNeedsRetryBudget: 2 arrivals for 1), and a leaving node without a path tried a second peer for what no longer fits (TestLeavingNodeTriesNoSecondPeer). - A booking that outlasts the stop of its node ended without an answer (TestStopAnswersBookingsItCuts). Now it gets 502, which promises nothing, and only streams that have begun break off. Lines of leaving nodes have a limit of their own, 200 a second.

Why it works: a request is sent only after the decision, in one step that a refusal can't cross (sendState), and every request in progress is known to the relay, so that the exit can end each in its own way.

--- a/internal/sageentry/leaving.go
+++ b/internal/sageentry/leaving.go
@@ -19,7 +19,10 @@
 // leaving returns the refusal of a request that may not end before the stop of the process; nil if it is accepted.
 func (s *Service) leaving(w http.ResponseWriter, req *Request) *sagewire.Refusal {
 	c, now := s.closing.Load(), time.Now()
-	if c == nil || c.Accepts(now, req.Deadline, req.Route, &s.durations) {
+	if c == nil {
+		return nil
+	}
+	if estimate, known := s.durations.Estimate(now, req.Route); c.Accepts(now, req.Deadline, estimate, known) {
 		return nil
 	}
 	w.Header().Set("Connection", "close")
--- a/internal/sagelog/limit.go
+++ b/internal/sagelog/limit.go
@@ -18,6 +18,8 @@
 	KindCrash
 	KindRetry
 	KindLibrary
+	// KindExit is for requests at a node that leaves, of which there are few.
+	KindExit
 	numKinds
 )
 
@@ -25,12 +27,16 @@
 // than a hundredth of a small VM's processor. For served requests, samples are enough.
 const (
 	linesPerSecond       = 20
+	exitLinesPerSecond   = 200
 	servedLinesPerSecond = 2
 )
 
 func (k Kind) limit() int {
-	if k == KindServed {
+	switch k {
+	case KindServed:
 		return servedLinesPerSecond
+	case KindExit:
+		return exitLinesPerSecond
 	}
 	return linesPerSecond
 }
--- a/internal/sagerelay/cancel.go
+++ b/internal/sagerelay/cancel.go
@@ -60,31 +60,31 @@
 	}
 }
 
-// exchangeSet holds the exchanges with upstreams that are in progress.
-type exchangeSet struct {
-	mu        sync.Mutex
-	exchanges map[*exchange]struct{}
+// activeSet holds what is in progress. The zero value is ready to use. It is safe for concurrent use.
+type activeSet[T comparable] struct {
+	mu    sync.Mutex
+	items map[T]struct{}
 }
 
-func (e *exchangeSet) add(x *exchange) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	if e.exchanges == nil {
-		e.exchanges = make(map[*exchange]struct{})
+func (a *activeSet[T]) add(x T) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.items == nil {
+		a.items = make(map[T]struct{})
 	}
-	e.exchanges[x] = struct{}{}
+	a.items[x] = struct{}{}
 }
 
-func (e *exchangeSet) remove(x *exchange) {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	delete(e.exchanges, x)
+func (a *activeSet[T]) remove(x T) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	delete(a.items, x)
 }
 
-func (e *exchangeSet) list() []*exchange {
-	e.mu.Lock()
-	defer e.mu.Unlock()
-	return slices.Collect(maps.Keys(e.exchanges))
+func (a *activeSet[T]) list() []T {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return slices.Collect(maps.Keys(a.items))
 }
 
 // failCancelled handles an exchange that this node cancelled for a reason that says nothing about the upstream.
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -80,6 +80,10 @@
 		j.tried, j.cause = append(j.tried, p.Upstream.ID), "upstream no longer usable"
 		return notSent
 	}
+	if !j.beginSend() {
+		j.cause = errLeaving.Error()
+		return notSent
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x := &exchange{j: j, p: p, start: time.Now(), cancel: cancel}
@@ -239,7 +243,7 @@
 		x.recordAbandoned()
 		return x.rejectResponse(errUnidentified.Error())
 	}
-	if cause := context.Cause(ctx); errors.Is(cause, errQuarantined) || errors.Is(cause, errUndelivered) {
+	if cause := context.Cause(ctx); errors.Is(cause, errQuarantined) || errors.Is(cause, errUndelivered) || errors.Is(cause, errExit) {
 		return x.failCancelled(cause, unsent)
 	}
 	stalled := errors.Is(context.Cause(ctx), errStalled)
--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -65,7 +65,9 @@
 	maxDeclines     []int // of announcements that upstreams are brittle
 	limitedAccounts []string
 	// admit decides on requests; nil admits all. admitQueries are the queries in order.
-	admit           func(q *AdmitQuery) Admission
+	admit func(q *AdmitQuery) Admission
+	// neverAdmits has requests wait until their context ends.
+	neverAdmits     bool
 	admitQueries    []AdmitQuery
 	waited          time.Duration // for which callers have waited before
 	queueTime       time.Duration
@@ -182,10 +184,14 @@
 	return func() {}, !slices.Contains(f.limitedAccounts, account)
 }
 
-func (f *fakeFleet) Admit(_ context.Context, q *AdmitQuery) Admission {
+func (f *fakeFleet) Admit(ctx context.Context, q *AdmitQuery) Admission {
 	f.mu.Lock()
 	f.admitQueries = append(f.admitQueries, *q)
 	f.mu.Unlock()
+	if f.neverAdmits {
+		<-ctx.Done()
+		return Admission{}
+	}
 	if f.admit == nil {
 		return Admission{OK: true}
 	}
--- a/internal/sagerelay/hop.go
+++ b/internal/sagerelay/hop.go
@@ -85,10 +85,15 @@
 	return len(j.unreached) >= maxUnreached && j.s.Fleet.ReachedByOthers(j.unreached)
 }
 
-// serveByHelper sends the request to peers until one responds or no further one may be tried.
-func (j *job) serveByHelper(ctx context.Context) {
+// serveByHelper sends the request to peers until one responds or no further one may be tried. It reports whether the caller got the
+// complete response of an upstream.
+func (j *job) serveByHelper(ctx context.Context) bool {
 	reason := NoPath
 	for len(j.relay.tried) < maxHelpers {
+		if j.possibleRuns == 0 && !j.headerSent && !j.fitsBeforeExit() {
+			reason = j.leavingReason()
+			break
+		}
 		h := j.s.Fleet.PickHelper(j.serviceName, j.relay.tried)
 		if h == nil {
 			break
@@ -100,7 +105,7 @@
 			j.s.observeDuration(j)
 			j.s.Log.Limited(sagelog.KindServed, "Request answered by a peer.", "id", j.meta.ID, "route", j.route.Name, "peer", h.Node, "hops", len(j.relay.tried),
 				"sends", j.sends, "resumes", j.meta.Resumes, "config_version", j.version, "age_ms", time.Since(j.start).Milliseconds())
-			return
+			return true
 		}
 		j.s.Log.Limited(sagelog.KindExchange, "Exchange with a peer failed.", "id", j.meta.ID, "peer", h.Node, "verdict", v.String(), "refusal", string(j.relay.refusal),
 			"cause", j.cause, "hop", len(j.relay.tried), "age_ms", time.Since(j.start).Milliseconds())
@@ -113,6 +118,7 @@
 		}
 	}
 	j.finish(ctx, reason)
+	return false
 }
 
 // mayTryNextHelper reports whether the request may be sent to another peer, and otherwise why not.
@@ -143,6 +149,11 @@
 		j.cause = "configuration no longer fresh"
 		return notSent
 	}
+	if !j.beginSend() {
+		h.Done(false)
+		j.cause = errLeaving.Error()
+		return notSent
+	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x := &exchange{j: j, helper: h, start: time.Now(), cancel: cancel}
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagequarantine"
@@ -67,7 +69,9 @@
 	deadline     time.Time
 	serviceName  string
 	sends        int
-	possibleRuns int // sends after which the request may have been executed
+	cancel       context.CancelCauseFunc
+	state        atomic.Int32 // a sendState
+	possibleRuns int          // sends after which the request may have been executed
 	tried        []string
 	headerSent   bool   // the response header has been written to the caller
 	lastEventID  string // ID of the last event written to the caller
@@ -101,6 +105,12 @@
 	}
 	ctx, cancel := context.WithDeadline(j.r.Context(), j.deadline)
 	defer cancel()
+	ctx, j.cancel = context.WithCancelCause(ctx)
+	defer j.cancel(nil)
+	j.s.jobs.add(j)
+	defer j.s.jobs.remove(j)
+	complete := false
+	defer func() { j.recordDuration(complete) }()
 	defer j.endOrigin()
 	j.setWriteDeadline()
 	if reason, ok := j.findOrigin(ctx); !ok {
@@ -119,7 +129,7 @@
 		return
 	}
 	if j.needsHelper() {
-		j.serveByHelper(ctx)
+		complete = j.serveByHelper(ctx)
 		return
 	}
 	leave, ok := j.s.Fleet.AdmitAccount(j.serviceName, j.accountName())
@@ -128,20 +138,24 @@
 		return
 	}
 	defer leave()
-	j.serveByUpstream(ctx)
+	complete = j.serveByUpstream(ctx)
 }
 
-// serveByUpstream sends the request to upstreams, or to peers if no upstream can be reached.
-func (j *job) serveByUpstream(ctx context.Context) {
+// serveByUpstream sends the request to upstreams, or to peers if no upstream can be reached. It reports whether the caller got the
+// complete response of one.
+func (j *job) serveByUpstream(ctx context.Context) bool {
 	waited := false
 	for {
 		if j.needsHelper() {
-			j.serveByHelper(ctx)
-			return
+			return j.serveByHelper(ctx)
 		}
 		if j.relay.from != "" && j.unreachable() {
 			j.finish(ctx, NoPath)
-			return
+			return false
+		}
+		if j.sends == 0 && !j.fitsBeforeExit() {
+			j.finish(ctx, j.leavingReason())
+			return false
 		}
 		p := j.s.Fleet.Pick(&Query{Service: j.serviceName, Route: j.route.Name, Chain: j.meta.Chain, Tried: j.tried, Origin: j.origin})
 		if p == nil && !waited {
@@ -152,7 +166,7 @@
 		}
 		if p == nil {
 			j.finish(ctx, j.missingReason())
-			return
+			return false
 		}
 		start := time.Now()
 		v := j.sendTo(ctx, p)
@@ -163,7 +177,7 @@
 			j.s.countEnd(Answered)
 			j.s.observeDuration(j)
 			j.logAnswered(p)
-			return
+			return true
 		}
 		j.logFailure(p, v)
 		if v == callerGone {
@@ -171,7 +185,7 @@
 		}
 		if reason, ok := j.mayResend(ctx, v); !ok {
 			j.finish(ctx, reason)
-			return
+			return false
 		}
 	}
 }
@@ -216,8 +230,11 @@
 		return TimedOut, false
 	case j.sends >= maxSends:
 		return reason, false
-	case j.possibleRuns == 0 && !j.headerSent && !j.fitsBeforeExit():
-		return j.leavingReason(), false
+	case !j.headerSent && !j.fitsBeforeExit():
+		if j.possibleRuns == 0 && j.relay.from == "" {
+			reason = Leaving // a peer needs a token of its retry budget to send it on
+		}
+		return reason, false
 	case j.quarantined():
 		return Quarantined, false
 	case v == notSent:
@@ -235,6 +252,8 @@
 // It reports the request as not executed only if it was never sent or every upstream declined it.
 func (j *job) finish(ctx context.Context, reason Reason) {
 	j.logGivenUp(reason)
+	cause := context.Cause(ctx)
+	exits := errors.Is(cause, errExit)
 	switch {
 	case j.headerSent:
 		j.abort() // a truncated stream must not look complete
@@ -242,10 +261,15 @@
 		j.abort()
 	case j.upstreamFailure != nil:
 		j.upstreamFailure.writeTo(j)
+	case j.possibleRuns > 0 && exits:
+		j.logCut()
+		j.refuse(http.StatusBadGateway, Leaving, 0)
 	case j.possibleRuns > 0 && ctx.Err() != nil:
 		j.refuse(http.StatusGatewayTimeout, TimedOut, 0)
 	case j.possibleRuns > 0:
 		j.refuse(http.StatusBadGateway, reason, 0)
+	case exits, errors.Is(cause, errLeaving):
+		j.refuseNotRun(j.leavingReason())
 	case reason == Quarantined:
 		j.refuseQuarantined()
 	default:
--- a/internal/sagerelay/leaving.go
+++ b/internal/sagerelay/leaving.go
@@ -4,10 +4,27 @@
 	"net/http"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sagestand.example/sagestand/internal/sagelog"
 	"sagestand.example/sagestand/pkg/sagedrain"
 )
 
+// Causes with which a leaving node cancels requests.
+var (
+	errLeaving = errors.New("the node leaves, and the request may not end before its exit")
+	errExit    = errors.New("the node exits")
+)
+
+// sendState says whether a request has been sent, or may no longer be.
+type sendState = int32
+
+const (
+	waiting    sendState = iota // not sent yet
+	begun                       // may have been sent
+	refusedNow                  // refused by a leaving node
+)
+
 // closing returns when the node stops, or nil if it doesn't.
 func (s *Service) closing() *sagedrain.Closing {
 	if s.Closing == nil {
@@ -16,10 +33,26 @@
 	return s.Closing()
 }
 
-// fitsBeforeExit reports whether the request is expected to end before the node aborts it, also if it is sent once more.
+// estimate returns how long a request of a route is expected to take at most, or false if that isn't known. Requests in progress
+// count with their age, since those that have ended say nothing of upstreams that have become slow.
+func (s *Service) estimate(now time.Time, route string) (time.Duration, bool) {
+	out, ok := s.durations.Estimate(now, route)
+	for _, j := range s.jobs.list() {
+		if j.state.Load() == begun && j.route.Name == route {
+			out = max(out, now.Sub(j.start))
+		}
+	}
+	return out, ok
+}
+
+// fitsBeforeExit reports whether the request, if it is sent now, is expected to end before the node aborts it.
 func (j *job) fitsBeforeExit() bool {
-	c := j.s.closing()
-	return c == nil || c.Fits(time.Now(), j.deadline, j.route.Name, &j.s.durations)
+	c, now := j.s.closing(), time.Now()
+	if c == nil {
+		return true
+	}
+	estimate, known := j.s.estimate(now, j.route.Name)
+	return c.Fits(now, j.deadline, estimate, known)
 }
 
 // acceptBeforeExit refuses the request and returns false if the node is leaving and may abort it.
@@ -32,19 +65,43 @@
 		return true
 	}
 	now := time.Now()
-	ok := c.Accepts(now, j.deadline, j.route.Name, &j.s.durations)
-	estimate, known := j.s.durations.Estimate(now, j.route.Name)
-	decision := "accepted"
-	if !ok {
-		decision = "refused"
+	estimate, known := j.s.estimate(now, j.route.Name)
+	if c.Accepts(now, j.deadline, estimate, known) {
+		j.recordLeaving(c, "accepted", estimate, known)
+		return true
 	}
+	j.recordLeaving(c, "refused", estimate, known)
+	j.refuse(http.StatusServiceUnavailable, j.leavingReason(), minReturn)
+	return false
+}
+
+// recordLeaving logs and counts a decision on a request at a leaving node.
+func (j *job) recordLeaving(c *sagedrain.Closing, decision string, estimate time.Duration, known bool) {
 	j.s.Metrics.GetOrCreateCounter(`sagestand_leaving_requests_total{decision="` + decision + `"}`).Inc()
-	j.s.Log.Limited(sagelog.KindStateChange, "Request at a leaving node.", "id", j.meta.ID, "decision", decision, "route", j.route.Name, "from", j.relay.from,
-		"cut_in_ms", c.CutAt.Sub(now).Milliseconds(), "deadline_ms", j.deadline.Sub(now).Milliseconds(), "estimate_ms", estimate.Milliseconds(), "estimate_known", known)
-	if !ok {
-		j.refuse(http.StatusServiceUnavailable, j.leavingReason(), minReturn)
+	j.s.Log.Limited(sagelog.KindExit, "Request at a leaving node.", "id", j.meta.ID, "decision", decision, "route", j.route.Name, "from", j.relay.from, "cut_in_ms", time.Until(c.CutAt).Milliseconds(),
+		"deadline_ms", time.Until(j.deadline).Milliseconds(), "estimate_ms", estimate.Milliseconds(), "estimate_known", known, "age_ms", time.Since(j.start).Milliseconds())
+}
+
+// RefuseWaiting refuses the requests that a leaving node has accepted and not sent yet, if they may no longer end before its
+// exit. It has to be called several times a second.
+func (s *Service) RefuseWaiting() {
+	c, now := s.closing(), time.Now()
+	if c == nil {
+		return
+	}
+	for _, j := range s.jobs.list() {
+		estimate, known := s.estimate(now, j.route.Name)
+		if c.Fits(now, j.deadline, estimate, known) || !j.state.CompareAndSwap(waiting, refusedNow) {
+			continue
+		}
+		j.recordLeaving(c, "refused_waiting", estimate, known)
+		j.cancel(errLeaving)
 	}
-	return ok
+}
+
+// beginSend reports whether the request may be sent. From then on, [Service.RefuseWaiting] leaves it alone.
+func (j *job) beginSend() bool {
+	return j.state.CompareAndSwap(waiting, begun) || j.state.Load() == begun
 }
 
 // leavingReason returns the reason of a refusal by a leaving node. Peers of any version try another node after RelayBusy.
@@ -55,10 +112,12 @@
 	return Leaving
 }
 
-// recordDuration records how long a request took that was sent.
-func (j *job) recordDuration() {
-	if j.route != nil && (j.sends > 0 || len(j.relay.tried) > 0) {
-		now := time.Now()
+// recordDuration records how long the request took.
+func (j *job) recordDuration(complete bool) {
+	now := time.Now()
+	if complete {
 		j.s.durations.Record(now, j.route.Name, now.Sub(j.start))
+	} else if j.state.Load() == begun {
+		j.s.durations.RecordIncomplete(now, j.route.Name, now.Sub(j.start))
 	}
 }
--- a/internal/sagerelay/leaving_test.go
+++ b/internal/sagerelay/leaving_test.go
@@ -1,15 +1,12 @@
 package sagerelay
 
 import (
-	"net"
-	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
-	"sagestand.example/sagestand/pkg/sagedrain"
 	"sagestand.example/sagestand/pkg/sageroute"
 )
 
@@ -19,21 +16,8 @@
 // leavingNode returns a service whose node stops accepting requests after closeIn and aborts them after cutIn. leave has it
 // leave.
 func leavingNode(f *fakeFleet, closeIn, cutIn time.Duration) (s *Service, leave func()) {
-	s = f.service()
-	var closing *sagedrain.Closing
-	s.Closing = func() *sagedrain.Closing { return closing }
-	return s, func() {
-		now := time.Now()
-		closing = &sagedrain.Closing{CertainFrom: now.Add(closeIn), CloseAt: now.Add(closeIn), CutAt: now.Add(cutIn)}
-	}
-}
-
-// after returns an upstream that responds after a time.
-func after(d time.Duration, up upstream) upstream {
-	return func(c net.Conn, req *http.Request) {
-		time.Sleep(d)
-		up(c, req)
-	}
+	s, stop := stoppableService(f)
+	return s, func() { stop(closeIn, cutIn) }
 }
 
 // Prevents a leaving node from sending requests to upstreams that it would abort before their end.
@@ -58,7 +42,7 @@
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				f := newFakeFleet(t, testRoute(sageroute.Once), map[string]upstream{"a": after(tt.run, ok)})
+				f := newFakeFleet(t, testRoute(sageroute.Once), map[string]upstream{"a": delayed(tt.run, ok)})
 				s, leave := leavingNode(f, 500*time.Millisecond, tt.cutIn)
 				for range tt.earlier {
 					require.Equal(t, 200, f.callOn(t.Context(), s, nil, "body").Code)
@@ -80,7 +64,7 @@
 // Prevents a leaving node from sending a declined request to a second upstream that it would abort before its end.
 func TestLeavingNodeRefusesDeclinedRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		declines := after(time.Second, respond(503, testNotRun+": 1\r\n", ""))
+		declines := delayed(time.Second, respond(503, testNotRun+": 1\r\n", ""))
 		f := newFakeFleet(t, testRoute(sageroute.Once), map[string]upstream{"a": declines, "b": declines})
 		s, leave := leavingNode(f, 500*time.Millisecond, 1500*time.Millisecond)
 		time.AfterFunc(500*time.Millisecond, leave)
--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -75,7 +75,8 @@
 	connLimits  connLimits
 	dials       atomic.Int64 // connections to upstreams that were begun
 	crashProbes singleflight.Group
-	sending     exchangeSet
+	sending     activeSet[*exchange]
+	jobs        activeSet[*job]
 	inFlight    atomic.Int64
 	relayed     atomic.Int64 // requests of peers in progress
 	durations   sagedrain.Durations
@@ -101,7 +102,6 @@
 	}
 	s.metricsOnce.Do(s.registerMetrics)
 	defer j.releaseBuffers()
-	defer j.recordDuration()
 	if s.accept(j) {
 		j.serve()
 	}
--- a/internal/sagerouter/services.go
+++ b/internal/sagerouter/services.go
@@ -72,6 +72,7 @@
 			n.peers.Flush()
 			n.fleet.settleEvidence(sageclock.Now())
 			n.relay.CancelUndelivered()
+			n.relay.RefuseWaiting()
 			n.view.expireLapsed(n.storeProof.Age(sageclock.Now()) > sagefollow.LongOutage)
 			if !released && n.view.upstreams.Load() != nil {
 				released = true
--- a/internal/sagerouter/stop.go
+++ b/internal/sagerouter/stop.go
@@ -10,6 +10,10 @@
 	"sagestand.example/sagestand/pkg/sagedrain"
 )
 
+// certainTTLs times DirectoryTTL is how long a leaving node takes requests that will probably end before its exit. Those that
+// come later are from callers that use a directory answer for longer than it is valid.
+const certainTTLs = 3
+
 // drain stops the entry server gracefully, so that a planned stop fails no request.
 //
 // Callers cache directory answers, so the listener stays open until these have expired. What may not end before the exit is
@@ -29,35 +33,25 @@
 	}
 	n.awaitRelayed(ctx)
 	n.Log.Component("node").Info("Entry closed.", "in_flight", n.relay.InFlight())
-	n.relay.CloseIdleConnections()
-	n.relay.RecordCuts()
-	err := s.http.Close()
+	n.relay.AbortRequests()
 	n.awaitAborted()
-	return err
+	n.relay.CloseIdleConnections()
+	return s.http.Close()
 }
 
 // newClosing returns the times of a stop that begins now and may take the given time.
 func newClosing(now time.Time, within time.Duration) *sagedrain.Closing {
-	cutAt := now.Add(max(0, within-exitMargin))
-	earliest := func(a, b time.Time) time.Time {
-		if b.Before(a) {
-			return b
-		}
-		return a
-	}
-	return &sagedrain.Closing{
-		CertainFrom: earliest(now.Add(maxCachedTTLs*DirectoryTTL), cutAt),
-		CloseAt:     earliest(now.Add(maxCachedTTLs*DirectoryTTL+DirectoryTTL/2), cutAt),
-		CutAt:       cutAt,
-	}
+	cutIn := max(0, within-exitMargin)
+	closeIn := min(maxCachedTTLs*DirectoryTTL+DirectoryTTL/2, cutIn)
+	return &sagedrain.Closing{CertainFrom: now.Add(min(certainTTLs*DirectoryTTL, closeIn)), CloseAt: now.Add(closeIn), CutAt: now.Add(cutIn)}
 }
 
-// abortTimeout limits the wait for the ends of aborted requests, which log them.
-const abortTimeout = 100 * time.Millisecond
+// abortTimeout limits the wait for the ends of aborted requests, whose callers get an answer if they have none yet.
+const abortTimeout = 200 * time.Millisecond
 
-// awaitAborted waits until the callers' requests that were aborted have ended.
+// awaitAborted waits until the requests that were aborted have ended.
 func (n *Node) awaitAborted() {
-	for deadline := time.Now().Add(abortTimeout); n.relay.InFlight() > n.relay.Relayed() && time.Now().Before(deadline); {
+	for deadline := time.Now().Add(abortTimeout); n.relay.InFlight() > 0 && time.Now().Before(deadline); {
 		time.Sleep(time.Millisecond)
 	}
 }
--- a/pkg/sagedrain/closing.go
+++ b/pkg/sagedrain/closing.go
@@ -31,21 +31,19 @@
 	return nil
 }
 
-// Accepts reports whether a request of a class with a deadline is accepted. d holds what requests have lately taken.
-func (c *Closing) Accepts(now, deadline time.Time, class string, d *Durations) bool {
-	return now.Before(c.CloseAt) && c.Fits(now, deadline, class, d)
+// Accepts reports whether a request with a deadline is accepted that is expected to take the estimate at most, if that is known.
+func (c *Closing) Accepts(now, deadline time.Time, estimate time.Duration, known bool) bool {
+	return now.Before(c.CloseAt) && c.Fits(now, deadline, estimate, known)
 }
 
 // Fits reports whether a request that starts now is expected to end before CutAt. A request always ends at its deadline.
-func (c *Closing) Fits(now, deadline time.Time, class string, d *Durations) bool {
-	if !deadline.After(c.CutAt) {
+func (c *Closing) Fits(now, deadline time.Time, estimate time.Duration, known bool) bool {
+	switch {
+	case !deadline.After(c.CutAt):
 		return true
-	}
-	if !now.Before(c.CertainFrom) {
+	case !now.Before(c.CertainFrom):
 		return false
-	}
-	estimate, ok := d.Estimate(now, class)
-	if !ok {
+	case !known:
 		return c.UnknownFits
 	}
 	return estimate <= c.CutAt.Sub(now)
--- a/pkg/sagedrain/closing_test.go
+++ b/pkg/sagedrain/closing_test.go
@@ -41,8 +41,9 @@
 			for range tc.runs {
 				d.Record(at(tc.now), class, tc.longest)
 			}
-			require.Equal(t, tc.accepts, closing.Accepts(at(tc.now), at(tc.deadline), class, d))
-			require.Equal(t, tc.fits, closing.Fits(at(tc.now), at(tc.deadline), class, d))
+			estimate, known := d.Estimate(at(tc.now), class)
+			require.Equal(t, tc.accepts, closing.Accepts(at(tc.now), at(tc.deadline), estimate, known))
+			require.Equal(t, tc.fits, closing.Fits(at(tc.now), at(tc.deadline), estimate, known))
 		})
 	}
 }
@@ -51,14 +52,28 @@
 func TestClosingWithUnknownClass(t *testing.T) {
 	now := time.Unix(1_000, 0)
 	closing := Closing{CertainFrom: now.Add(time.Minute), CloseAt: now.Add(time.Minute), CutAt: now.Add(2 * time.Minute), UnknownFits: true}
+	later := now.Add(time.Hour)
+	require.True(t, closing.Accepts(now, later, 0, false))
+	require.True(t, closing.Accepts(now, later, 2*time.Minute, true))
+	require.False(t, closing.Accepts(now, later, 2*time.Minute+1, true))
+	require.False(t, closing.Accepts(now.Add(time.Minute), later, 0, false))
+}
+
+// Prevents requests that were given up from counting as short ones.
+func TestIncompleteRequestsOnlyRaiseEstimates(t *testing.T) {
+	now := time.Unix(1_000, 0)
 	d := new(Durations)
-	require.True(t, closing.Accepts(now, now.Add(time.Hour), "a", d))
+	for range 2 * manyDurations {
+		d.RecordIncomplete(now, "a", time.Second)
+	}
+	_, ok := d.Estimate(now, "a")
+	require.False(t, ok)
 	for range manyDurations {
-		d.Record(now, "a", 97*time.Second)
+		d.Record(now, "a", time.Millisecond)
 	}
-	require.False(t, closing.Accepts(now, now.Add(time.Hour), "a", d))
-	require.True(t, closing.Accepts(now, now.Add(time.Hour), "b", d))
-	require.False(t, closing.Accepts(now.Add(time.Minute), now.Add(time.Hour), "b", d))
+	estimate, ok := d.Estimate(now, "a")
+	require.True(t, ok)
+	require.Equal(t, time.Duration(manyMargin*float64(time.Second)), estimate)
 }
 
 func TestClosingCheck(t *testing.T) {
--- a/pkg/sagedrain/doc.go
+++ b/pkg/sagedrain/doc.go
@@ -28,7 +28,8 @@
 //
 // A process with a time limit, for each request:
 //
-//	if closing != nil && !closing.Accepts(now, deadline, route, &durations) {
+//	estimate, known := durations.Estimate(now, route)
+//	if closing != nil && !closing.Accepts(now, deadline, estimate, known) {
 //		// refuse it as not run
 //	}
 //	defer func() { durations.Record(time.Now(), route, time.Since(start)) }()
--- a/pkg/sagedrain/durations.go
+++ b/pkg/sagedrain/durations.go
@@ -33,11 +33,20 @@
 
 // Record records how long a request of a class took.
 func (d *Durations) Record(now time.Time, class string, took time.Duration) {
+	d.record(now, class, took, 1)
+}
+
+// RecordIncomplete records how long a request of a class took that was given up before its end. It would have taken longer.
+func (d *Durations) RecordIncomplete(now time.Time, class string, took time.Duration) {
+	d.record(now, class, took, 0)
+}
+
+func (d *Durations) record(now time.Time, class string, took time.Duration, n int) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.rotate(now)
 	x := d.current[class]
-	d.current[class] = durations{n: x.n + 1, longest: max(x.longest, took)}
+	d.current[class] = durations{n: x.n + n, longest: max(x.longest, took)}
 }
 
 // Estimate returns the time that a request of a class is expected to take at most, or false if too few have ended lately.
