serve: a request that waited for admission is decided on again when the node leaves

What callers could see: a booking that waited for admission at SIGTERM was sent, and aborted by the stop, so that its outcome was unknown.

Cause: the decision was made before admission only. Evidence: TestLeavingNodeRefusesQueuedRequest of sageentry failed before. Now it is made after admission, too.

--- a/internal/sageentry/serve.go
+++ b/internal/sageentry/serve.go
@@ -86,6 +86,10 @@
 		return
 	}
 	defer release()
+	if ref := s.leaving(w, req); ref != nil { // it may have waited
+		s.refuse(w, req, ref, 0)
+		return
+	}
 	claim, storedResponse, ref := s.claim(ctx, req)
 	if ref != nil {
 		s.refuseClaim(w, req, storedResponse, ref)
