A quarantined request stays so beside a part that explains more

Callers: a request under which three upstreams had ended was sent 6 to 9 times more (deadly).

Cause: a new quarantine ended those whose crashes it explains besides others, whole requests too. A crash counts under every suspect at the upstream, so the part may have run there in other requests: it bars no repeat of the request, nor one that lacks its companions, and the first success of the part clears it. The node deletes the request's object in the store, which the others take for a release by an operator and forget its crashes.

Now only quarantines of parts end so. A whole request bars nothing but its own repeats.

TestRequestStaysBarredBesidePartThatExplainsMore failed before in its three cases (parts_test.go:354, 360 and 364, the last naming the request's object to be deleted). What it costs sound requests that ran in three crashes beside a fatal part, and that were released so far, isn't measured.

--- a/pkg/sagequarantine/decision.go
+++ b/pkg/sagequarantine/decision.go
@@ -122,11 +122,12 @@
 	return Suspect{Kind: SharedPart, Fingerprint: r.Shared, Label: r.Label}, crashes, enough
 }
 
-// enter quarantines a suspect, and ends the quarantines of those whose crashes it explains besides others.
+// enter quarantines a suspect, and ends the quarantines of parts whose crashes it explains besides others. Those of whole requests stay:
+// what explains their crashes may have run beside them in other requests, and bars none of their repeats then.
 func (t *Tracker) enter(now sageclock.Instant, s Suspect, companions []Suspect, crashes []Crash) Entry {
 	e := &Entry{Suspect: s, Companions: companions, Crashes: slices.Clone(crashes), Since: now, Until: now.Add(QuarantineDuration)}
 	for f, other := range t.entries {
-		if len(other.Crashes) > 0 && len(other.Crashes) < len(e.Crashes) && isSubset(other.Crashes, e.Crashes) {
+		if other.Suspect.Kind != Request && len(other.Crashes) > 0 && len(other.Crashes) < len(e.Crashes) && isSubset(other.Crashes, e.Crashes) {
 			t.dropEntry(f)
 		}
 	}
--- a/pkg/sagequarantine/parts_test.go
+++ b/pkg/sagequarantine/parts_test.go
@@ -334,3 +334,34 @@
 	require.Empty(t, started.Merge(start.Add(1100*time.Millisecond), reports, nil))
 	require.False(t, quarantined(started, start.Add(1100*time.Millisecond), 7))
 }
+
+// Prevents a fatal request from being sent again once a part that ran beside it is quarantined in its place.
+func TestRequestStaysBarredBesidePartThatExplainsMore(t *testing.T) {
+	beside := part("acc", 1)
+	newTracker := func(t *testing.T) *Tracker {
+		tr := new(Tracker)
+		for i := range CrashID(3) {
+			crashAt(tr, start, i+1, NewRequest(9), beside)
+		}
+		require.True(t, quarantined(tr, start, 9))
+		require.False(t, barred(tr, start, beside))
+		tr.Restore(start, NewRequest(9)) // written by a node
+		crashAt(tr, start, 4, beside)
+		require.True(t, barred(tr, start, beside))
+		return tr
+	}
+	t.Run("the part isn't in the request", func(t *testing.T) {
+		require.True(t, quarantined(newTracker(t), start, 9))
+	})
+	t.Run("the part succeeds", func(t *testing.T) {
+		tr := newTracker(t)
+		tr.RecordSuccess(start.Add(time.Second), beside)
+		require.False(t, barred(tr, start.Add(time.Second), beside))
+		require.True(t, quarantined(tr, start.Add(time.Second), 9))
+	})
+	t.Run("no node ends it in the store", func(t *testing.T) {
+		for _, d := range newTracker(t).Differences(start) {
+			require.True(t, d.Quarantined, d.Suspect.Name())
+		}
+	})
+}
