Deadly request traced: a part that took its place was cleared by a success

Its lines: the request is quarantined at 12.58 s; at 12.98 s a part of it that explains a fourth crash is, which ends the request's quarantine, deleted in the store at 13.20 s; until 14.19 s the part bars the request, then the part's own quarantine is ended in turn, as by a success in another request, and the request is executed again: nothing bars it, and the deletion made the nodes forget its crashes.

--- a/pkg/sagequarantine/decision.go
+++ b/pkg/sagequarantine/decision.go
@@ -123,7 +123,7 @@
 }
 
 // enter quarantines a suspect, and ends the quarantines of parts whose crashes it explains besides others. Those of whole requests stay:
-// what explains their crashes may have run beside them in other requests, and bars none of their repeats then.
+// what explains their crashes may succeed in other requests, or be no part of them.
 func (t *Tracker) enter(now sageclock.Instant, s Suspect, companions []Suspect, crashes []Crash) Entry {
 	e := &Entry{Suspect: s, Companions: companions, Crashes: slices.Clone(crashes), Since: now, Until: now.Add(QuarantineDuration)}
 	for f, other := range t.entries {
