A peer doesn't run again what its configuration lets run once

What callers could see: a request that ran twice although the configuration in force lets it run once, or once more often than max_attempts.

Cause: a node that may have sent a request to an upstream relays it to a peer with the number of runs. The peer matches it against its own, maybe newer, configuration, and asked its route about a further run only before its own second send. Its first send is a further run too.

TestPeerDoesNotRepeatWhatItsConfigurationForbids failed before in both cases with one earlier run ("Should be empty, but was [0x569b511dd540]": the upstream got the request), and passes now, as do the tests of sagerelay.

Why it works: the peer refuses before it accepts if its route allows no further run. The first node counts its own run, so that its caller gets 502 and no promise. With the same configuration on both nodes nothing changes: the first node has asked the same question.

--- a/internal/sagerelay/hop_test.go
+++ b/internal/sagerelay/hop_test.go
@@ -229,3 +229,30 @@
 		}
 	})
 }
+
+// Prevents a second execution of a request that a newer configuration, which the peer has already, allows to run only once.
+func TestPeerDoesNotRepeatWhatItsConfigurationForbids(t *testing.T) {
+	lowered := testRoute(sageroute.Idempotent)
+	lowered.MaxAttempts = 1
+	for name, route := range map[string]sageroute.Route{"runs once": testRoute(sageroute.Once), "one attempt": lowered} {
+		for _, runs := range []string{"0", "1"} {
+			t.Run(name+", ran "+runs, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					fleet := newFakeFleet(t, route, map[string]upstream{"a": respond(200, sealHeader, "fine")})
+					req := httptest.NewRequest(http.MethodPost, "http://h.example/x", strings.NewReader("body"))
+					for k, v := range map[string]string{testID: "id1", testKey: "good", headerRelayFrom: "vm1", headerRelayService: "s", headerRelayRuns: runs} {
+						req.Header.Set(k, v)
+					}
+					rec := httptest.NewRecorder()
+					fleet.service().ServeRelayed(rec, req)
+					if runs == "0" {
+						require.Equal(t, 200, rec.Code)
+						return
+					}
+					require.Empty(t, fleet.sent)
+					require.Equal(t, string(AnswerLost), rec.Header().Get(headerRelayRefusal))
+				})
+			})
+		}
+	}
+}
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -202,6 +202,11 @@
 	return [...]string{"answered", "not_sent", "not_run", "failed", "cut", "caller_gone"}[v]
 }
 
+// mayRunAgain reports whether the route lets the request run once more than it may have so far.
+func (j *job) mayRunAgain() bool {
+	return j.route.Repeatable() && j.relay.earlierRuns+j.possibleRuns < j.route.MaxAttempts
+}
+
 // mayResend reports whether the request may be sent to another upstream, and otherwise why not.
 func (j *job) mayResend(ctx context.Context, v verdict) (Reason, bool) {
 	reason := AnswerLost
@@ -222,7 +227,7 @@
 		return Quarantined, false
 	case v == notSent:
 		return "", true
-	case v != notRun && !(j.route.Repeatable() && j.relay.earlierRuns+j.possibleRuns < j.route.MaxAttempts):
+	case v != notRun && !j.mayRunAgain():
 		return reason, false
 	case !j.retryGranted.Swap(false) && !j.allowRetry(j.possibleRuns > 0, j.sends, j.cause):
 		return reason, false
--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -136,6 +136,10 @@
 		j.refuse(http.StatusServiceUnavailable, NoRoute, 0)
 		return false
 	}
+	if j.relay.earlierRuns > 0 && !j.mayRunAgain() { // the peer's configuration is older
+		j.refuse(http.StatusServiceUnavailable, AnswerLost, 0)
+		return false
+	}
 	if !j.authorize(t) {
 		return false
 	}
