Plays of streams that callers take up at other nodes

sagebench takeovers: nine nodes in three data centres, 18 engines, three applications with six slots; callers leave streams after some events or a time and take them up at another node at once, beside upstreams that cut, tear, hang, slow down five times, crash or send extra bytes, nodes that are cut from all upstreams, stopped in turn, killed and started at the same address, frozen or short of processor time, and changing configurations. It counts requests that run too often and streams that two upstreams execute at once for more than 0.4 s, and says which of these concern nodes out of touch, executions that ended at once since they had been given up before they arrived, and stalls of the playing process itself.

--- a/cmd/sagebench/main.go
+++ b/cmd/sagebench/main.go
@@ -20,6 +20,6 @@
 		Long:  "sagebench runs stand-ins for platform, engines and applications, and checks and measures the system.\n\n" + sagecli.ExitHelp,
 	}
 	out.AddFlag(c)
-	c.AddCommand(standinCommand(), pathCommand(out), chaosCommand(out), confirmCommand(out), costCommand(out), scaleCommand(out), measureCommand(out), recordCommand(out), replayCommand(out), soakCommand(out), partitionCommand(), rejoinCommand(), pausesCommand(), stopsCommand(), crowdCommand(), lossCommand(), pairsCommand())
+	c.AddCommand(standinCommand(), pathCommand(out), chaosCommand(out), confirmCommand(out), costCommand(out), scaleCommand(out), measureCommand(out), recordCommand(out), replayCommand(out), soakCommand(out), partitionCommand(), rejoinCommand(), pausesCommand(), stopsCommand(), crowdCommand(), takeoversCommand(), lossCommand(), pairsCommand())
 	return c
 }
--- /dev/null
+++ b/internal/sagesoak/takeover_faults.go
@@ -0,0 +1,154 @@
+package sagesoak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"syscall"
+	"time"
+
+	"sagestand.example/sagestand/pkg/sageclock"
+	"sagestand.example/sagestand/platform/standin"
+)
+
+// Parameters of the disturbances of [Takeovers].
+const (
+	takeoverTermEvery  = 1500 * time.Millisecond
+	takeoverKillEvery  = 1200 * time.Millisecond
+	takeoverCutEvery   = 3 * time.Second
+	takeoverCutFor     = 2500 * time.Millisecond
+	takeoverCutNodes   = 3 // at once
+	takeoverCrashEvery = 900 * time.Millisecond
+	takeoverChange     = 200 * time.Millisecond
+	takeoverRoutes     = 40 // that changes add
+)
+
+// disturb begins what happens beside the requests, until ctx ends.
+func (t *Takeovers) disturb(ctx context.Context, all *sync.WaitGroup) {
+	start := func(on bool, stream uint64, run func(rng *rand.Rand)) {
+		if on {
+			all.Go(func() { run(rand.New(rand.NewPCG(t.Seed, stream))) })
+		}
+	}
+	const first = 1_000_000 // numbers of the callers are smaller
+	start(t.Cuts, first, func(rng *rand.Rand) { t.cutNodes(ctx, rng) })
+	start(t.Signal == signalTerm, first+1, func(*rand.Rand) { t.signalInTurn(ctx, syscall.SIGTERM, takeoverTermEvery, all) })
+	start(t.Signal == signalKill, first+1, func(*rand.Rand) { t.signalInTurn(ctx, syscall.SIGKILL, takeoverKillEvery, all) })
+	start(t.Crashes, first+2, func(rng *rand.Rand) { t.crashUpstreams(ctx, rng) })
+	start(t.Changes, first+3, func(*rand.Rand) { t.change(ctx) })
+	for i := range takeoverNodes {
+		start(t.Signal == signalStop, uint64(first+10+i), func(rng *rand.Rand) { t.standStill(ctx, i, rng) })
+		start(t.Signal == signalShare, uint64(first+10+i), func(*rand.Rand) { t.shareProcessor(ctx, i) })
+	}
+}
+
+// signalInTurn ends one node after the other and starts it again. A node that stops is out of touch for contactTime after SIGTERM
+// and from its exit on.
+func (t *Takeovers) signalInTurn(ctx context.Context, sig syscall.Signal, every time.Duration, all *sync.WaitGroup) {
+	ending := make([]sync.Mutex, takeoverNodes)
+	for i := 0; sageclock.Sleep(ctx, every) && ctx.Err() == nil; i++ {
+		node := i % takeoverNodes
+		all.Go(func() {
+			ending[node].Lock()
+			defer ending[node].Unlock()
+			t.sendSignal(node, sig)()
+			kill := time.AfterFunc(standin.StopTimeout, func() { t.sys.Signal(node, syscall.SIGKILL) })
+			<-t.sys.Exited(node)
+			kill.Stop()
+			back := t.setAway(node)
+			if err := t.sys.StartNode(node); err != nil {
+				t.sys.Ledger.RecordViolation("start node: %v", err)
+			}
+			for !t.sys.Ready(ctx, node) && ctx.Err() == nil {
+				sageclock.Sleep(ctx, stopLoopThink)
+			}
+			back()
+		})
+	}
+}
+
+// standStill has a node stand still at times.
+func (t *Takeovers) standStill(ctx context.Context, node int, rng *rand.Rand) {
+	for sageclock.Sleep(ctx, maxStop+time.Duration(rng.Int64N(int64(4*maxStopGap)))) && ctx.Err() == nil {
+		back := t.sendSignal(node, syscall.SIGSTOP)
+		time.Sleep(minStop + time.Duration(rng.Int64N(int64(longStop))))
+		t.sys.Signal(node, syscall.SIGCONT)
+		back()
+	}
+}
+
+// shareProcessor gives a node a small share of a processor. It stays in touch.
+func (t *Takeovers) shareProcessor(ctx context.Context, node int) {
+	for ctx.Err() == nil {
+		t.sys.Signal(node, syscall.SIGSTOP)
+		time.Sleep(sharePeriod - 2*shareSlice)
+		t.sys.Signal(node, syscall.SIGCONT)
+		time.Sleep(2 * shareSlice)
+	}
+}
+
+// cutNodes cuts some nodes from all upstreams, again and again.
+func (t *Takeovers) cutNodes(ctx context.Context, rng *rand.Rand) {
+	modes := [...]linkMode{linkHeld, linkReset, linkHeldBack, linkRefuseNew}
+	for i := 0; ctx.Err() == nil; i++ {
+		nodes, mode := rng.Perm(takeoverNodes)[:takeoverCutNodes], modes[i%len(modes)]
+		var back []func()
+		for _, n := range nodes {
+			back = append(back, t.setAway(n))
+			t.setLink(n, mode)
+		}
+		sageclock.Sleep(ctx, takeoverCutFor)
+		for k, n := range nodes {
+			t.setLink(n, linkOpen)
+			back[k]()
+		}
+		sageclock.Sleep(ctx, takeoverCutEvery-takeoverCutFor)
+	}
+}
+
+func (t *Takeovers) setLink(node int, mode linkMode) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	for _, x := range t.proxies {
+		x.setSourceMode(t.sys.NodeIP(node), mode)
+	}
+}
+
+// crashUpstreams has upstreams crash, and others start in their place.
+func (t *Takeovers) crashUpstreams(ctx context.Context, rng *rand.Rand) {
+	for sageclock.Sleep(ctx, takeoverCrashEvery) && ctx.Err() == nil {
+		i := rng.IntN(takeoverEngines)
+		t.sys.Runner(i).Crash()
+		if err := t.sys.Replace(i); err != nil {
+			t.sys.Ledger.RecordViolation("replace upstream: %v", err)
+			return
+		}
+		t.inject(i)
+	}
+}
+
+// change changes the timeouts and adds routes, in quick succession.
+func (t *Takeovers) change(ctx context.Context) {
+	for i := 1; sageclock.Sleep(ctx, takeoverChange) && ctx.Err() == nil; i++ {
+		t.changeRoutes(takeoverDeadline-time.Duration(i%4)*time.Second, min(i, takeoverRoutes))
+	}
+}
+
+// changeRoutes sets the timeout of all routes, and adds the route with a number; 0 adds none.
+func (t *Takeovers) changeRoutes(timeout time.Duration, added int) {
+	t.sys.ChangeConfig(func(routes []map[string]any, config map[string]any) {
+		for _, r := range routes {
+			r["timeout_ms"] = timeout.Milliseconds()
+		}
+		if added == 0 || len(routes) >= takeoverRoutes {
+			return
+		}
+		route := make(map[string]any)
+		for name, v := range routes[added%4] {
+			route[name] = v
+		}
+		route["name"], route["path_prefix"] = fmt.Sprint("added-", added), fmt.Sprintf("/added-%d/", added)
+		config["routes"] = append(config["routes"].([]any), route)
+	})
+}
