--- a/internal/sagesoak/takeover_faults.go
+++ b/internal/sagesoak/takeover_faults.go
@@ -119,7 +119,14 @@
 func (t *Takeovers) crashUpstreams(ctx context.Context, rng *rand.Rand) {
 	for sageclock.Sleep(ctx, takeoverCrashEvery) && ctx.Err() == nil {
 		i := rng.IntN(takeoverEngines)
-		t.sys.Runner(i).Crash()
+		old := t.sys.Runner(i)
+		t.mu.Lock()
+		x := t.proxies[old.Address()]
+		t.mu.Unlock()
+		if x != nil {
+			x.shutDown() // else something would still listen at the address
+		}
+		old.Crash()
 		if err := t.sys.Replace(i); err != nil {
 			t.sys.Ledger.RecordViolation("replace upstream: %v", err)
 			return
