Plays of stops over hops, in series, after starts, with full applications, slow and pipelined requests

Callers saw nothing of this; the cases of planned stops had no hops, no stops of all nodes in series, no stop right after a start, and no planned work without a stop.

--- a/internal/sagesoak/stops.go
+++ b/internal/sagesoak/stops.go
@@ -64,6 +64,7 @@
 	Beside         stopEvents
 	// Unforeseen says that the requests to nodes that stop run for longer than any before, so that the rules' excuse counts.
 	Unforeseen bool
+	stopVariant
 
 	sys      *standin.System
 	outcomes standin.Outcomes
@@ -123,7 +124,7 @@
 		s.From, s.To, s.Every = -200*ms, 3600*ms, 50*ms
 		return s
 	}
-	return []*Stops{
+	return append(moreStopCases(grid), []*Stops{
 		grid(&Stops{Name: "runs of 5 s", MinRun: 5000 * ms, MaxRun: 5000 * ms, Rounds: 2}),
 		grid(&Stops{Name: "runs of 0.2 to 5.5 s", MinRun: 200 * ms, MaxRun: 5500 * ms, Rounds: 2}),
 		grid(&Stops{Name: "runs of 3.5 to 4.5 s", MinRun: 3500 * ms, MaxRun: 4500 * ms, Rounds: 2}),
@@ -138,17 +139,23 @@
 		grid(&Stops{Name: "configurations meanwhile", MinRun: 200 * ms, MaxRun: 5500 * ms, Beside: configurations, Rounds: 2}),
 		grid(&Stops{Name: "SIGHUP and SIGTERM meanwhile", MinRun: 200 * ms, MaxRun: 3000 * ms, Beside: hangups, Rounds: 2}),
 		grid(&Stops{Name: "upstreams are replaced meanwhile", MinRun: 200 * ms, MaxRun: 3000 * ms, Beside: replacements, Rounds: 2}),
-	}
+	}...)
 }
 
 // Run plays the case. It returns an error if it can't be played.
 func (s *Stops) Run(ctx context.Context) (StopsResult, error) {
 	s.sys = &standin.System{Nodes: stopNodes, Engines: stopEngines, Apps: stopApps, Program: s.Program, Dir: s.Dir, Subnet: 48}
+	s.prepare()
 	defer s.sys.Stop()
 	if err := s.sys.Start(ctx); err != nil {
 		return StopsResult{}, fmt.Errorf("start system: %w", err)
 	}
 	s.setTimeouts(stopDeadline)
+	s.cutPaths()
+	if s.playsAlone() {
+		s.playAlone(ctx)
+		return s.result(), ctx.Err()
+	}
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	var load sync.WaitGroup
@@ -159,7 +166,7 @@
 	for round := range s.Rounds {
 		var nodes []int
 		for i := range max(1, s.AtOnce) {
-			nodes = append(nodes, (round*max(1, s.AtOnce)+i)%stopNodes)
+			nodes = append(nodes, s.stopping(round, i))
 		}
 		if err := s.stopNodes(ctx, nodes); err != nil {
 			return StopsResult{}, err
@@ -181,7 +188,7 @@
 
 // stopNodes sends SIGTERM to nodes, sends them requests until they end, and starts them again.
 func (s *Stops) stopNodes(ctx context.Context, nodes []int) error {
-	term := time.Now().Add(max(0, -s.From) + stopIdle)
+	term := time.Now().Add(max(0, -s.From) + s.idle())
 	besideCtx, stopBeside := context.WithCancel(ctx)
 	defer stopBeside()
 	var callers, beside sync.WaitGroup
@@ -297,10 +304,12 @@
 	if s.Extra > 0 {
 		k = standin.Booking
 	}
+	stopping := node
+	node = s.entryOf(node)
 	c := s.caller(node)
 	defer c.Close()
 	if !s.Fresh {
-		sageclock.Sleep(ctx, time.Until(term.Add(s.From-time.Duration(rng.Int64N(int64(stopIdle))))))
+		sageclock.Sleep(ctx, time.Until(term.Add(s.From-time.Duration(rng.Int64N(int64(s.idle()))))))
 		c.Path = standin.RunPath(time.Millisecond, 0)
 		c.Send(standin.Lookup, standin.NewRequestID(), nil)
 	}
@@ -311,10 +320,17 @@
 		defer s.mu.Unlock()
 		s.ends = append(s.ends, stopEnd{RequestEnd: e, node: node, sent: e.SentAt.Sub(term), end: e.EndAt.Sub(term), run: run})
 	}
+	if s.Pipelined > 0 {
+		s.sendPipelined(c, k)
+		return
+	}
+	if s.MaxBodyPause > 0 {
+		c.BodyPause = time.Duration(1 + rng.Int64N(int64(s.MaxBodyPause)))
+	}
 	if c.Send(k, standin.NewRequestID(), nil) != "503" {
 		return
 	}
-	other := s.caller((node + max(1, s.AtOnce)) % stopNodes)
+	other := s.caller((stopping + max(1, s.AtOnce)) % stopNodes)
 	defer other.Close()
 	other.Path = c.Path
 	again := time.Since(term.Add(at))
