A begun stream isn't cut for silence while nothing could continue it

Callers of a resumable stream saw the connection end without a whole answer when the stream's only upstream was silent for longer than the stall timeout (1.6 times the expected gap), for instance the last upstream of a version in a rollout.

Cause: the stall timer asked the retry budget only. It cancelled the exchange although no other upstream of the stream's version existed, and the request then ended with nothing to send it to.

Evidence: TestStreamOfSilentUpstream without the check: rows 'no other' and 'another version' fail with 'the stream was cut'; the row with another upstream of the version passes with and without it.

The timer now asks whether another upstream may be chosen, once the answer has begun, and otherwise looks again every 100 ms. The silence is still recorded as evidence about the path, once, and an exchange on a path that isn't known to be open is cancelled as before, since a peer may continue it.

--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -107,7 +108,8 @@
 // data arrives while another upstream could still respond in time, but only if the fleet allows a
 // retry: without one, a late response is better than none.
 //
-// While several upstreams are unresponsive and the path is probed, it waits: a retry would get no response either.
+// While several upstreams are unresponsive and the path is probed, it waits: a retry would get no response either. An answer that
+// has begun isn't cancelled while nothing could continue it, since its caller would get nothing more.
 func (x *exchange) startStallTimer(ctx context.Context) *time.Timer {
 	j := x.j
 	if !j.route.Repeatable() || j.relay.earlierRuns+j.possibleRuns+1 >= j.route.MaxAttempts || j.sends >= maxSends {
@@ -117,7 +119,8 @@
 	if x.helper != nil {
 		timeout *= helperStallFactor
 	}
-	sends := j.sends // the timer may still run when the next exchange begins
+	sends, tried := j.sends, slices.Clone(j.tried) // the timer may still run when the next exchange begins
+	reported := false
 	var t *time.Timer
 	t = time.AfterFunc(math.MaxInt64, func() {
 		if ctx.Err() != nil {
@@ -127,6 +130,14 @@
 			t.Reset(stallRecheckInterval)
 			return
 		}
+		if x.begun.Load() && !x.replaceable(tried) {
+			if !reported {
+				x.recordUnanswered() // has the path probed
+				reported = true
+			}
+			t.Reset(stallRecheckInterval)
+			return
+		}
 		if j.allowRetry(true, sends, errStalled.Error()) {
 			j.retryGranted.Store(true)
 			x.cancel(errStalled)
@@ -136,6 +147,20 @@
 	return t
 }
 
+// replaceable reports whether another upstream or a peer may continue the answer of the exchange.
+func (x *exchange) replaceable(tried []string) bool {
+	j := x.j
+	if x.helper != nil || j.s.Fleet.PathState(j.serviceName) != sagereach.Open {
+		return true
+	}
+	q := &Query{Service: j.serviceName, Route: j.route.Name, Tried: tried}
+	if j.tracksOrigin() {
+		o := x.exchangeOrigin()
+		q.Origin = &o
+	}
+	return j.s.Fleet.HasAnother(q)
+}
+
 // firstByteTimeout is the time allowed for the first byte of the response to a repeatable request.
 //
 // It includes the prefill time of the prompt. Otherwise the exchange is cancelled during prefill, the
--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -120,6 +120,12 @@
 	return nil
 }
 
+func (f *fakeFleet) HasAnother(q *Query) bool {
+	return slices.ContainsFunc(f.names, func(n string) bool {
+		return !slices.Contains(q.Tried, n) && (q.Origin == nil || q.Origin.Version == f.versions[n])
+	})
+}
+
 func (f *fakeFleet) Serves(o sageorigin.Origin) bool {
 	for _, n := range f.names {
 		if f.versions[n] == o.Version {
--- a/internal/sagerelay/interfaces.go
+++ b/internal/sagerelay/interfaces.go
@@ -250,6 +250,8 @@
 	AwaitCacheSync(ctx context.Context, service string, c sagechain.Chain)
 	// Pick chooses an upstream; nil if none may be used.
 	Pick(q *Query) *Pick
+	// HasAnother reports whether an upstream that hasn't been tried may be chosen.
+	HasAnother(q *Query) bool
 	// Upstream returns the upstream with an ID if its start is known; nil otherwise.
 	Upstream(id string, born int64) *sageupstream.Entry
 	// Serves reports whether a version of a service has an upstream that doesn't leave, and may get requests.
--- a/internal/sagerouter/origins.go
+++ b/internal/sagerouter/origins.go
@@ -1,6 +1,7 @@
 package sagerouter
 
 import (
+	"slices"
 	"time"
 
 	"sagestand.example/sagestand/internal/sageorigind"
@@ -100,6 +101,18 @@
 	return out
 }
 
+// HasAnother implements [sagerelay.Fleet].
+func (f *fleet) HasAnother(q *sagerelay.Query) bool {
+	set, now := f.view.upstreams.Load(), sageclock.Now()
+	es := set.Available(q.Service)
+	if q.Origin != nil {
+		es = f.originUpstreams(set, q)
+	}
+	return slices.ContainsFunc(es, func(e *sageupstream.Entry) bool {
+		return !slices.Contains(q.Tried, e.ID) && f.pauses.PausedUntil(now, e.Start()) == 0
+	})
+}
+
 // Serves implements [sagerelay.Fleet].
 func (f *fleet) Serves(o sageorigin.Origin) bool {
 	set := f.view.upstreams.Load()
