--- a/cmd/sagebench/soak.go
+++ b/cmd/sagebench/soak.go
@@ -31,6 +31,7 @@
 		contention  bool
 		retries     bool
 		responses   bool
+		stops       bool
 		program     string
 		self, dir   string
 	)
@@ -47,7 +48,7 @@
 				if err := os.MkdirAll(seedDir, 0o700); err != nil {
 					return fmt.Errorf("make directory for logs: %w", err)
 				}
-				s := &sagesoak.Soak{Seed: n, Program: program, Dir: seedDir, Nodes: nodes, Duration: time.Duration(seconds * float64(time.Second)), NoFaults: calm, Series: series, Restores: restores, Paths: paths, Versions: versions, Parts: parts, Contention: contention, Retries: retries, Responses: responses}
+				s := &sagesoak.Soak{Seed: n, Program: program, Dir: seedDir, Nodes: nodes, Duration: time.Duration(seconds * float64(time.Second)), NoFaults: calm, Series: series, Restores: restores, Paths: paths, Versions: versions, Parts: parts, Contention: contention, Retries: retries, Responses: responses, Stops: stops}
 				report, err := s.Run(c.Context())
 				if err != nil {
 					return fmt.Errorf("seed %d: %w", n, err)
@@ -66,6 +67,9 @@
 					if report.Parts != "" {
 						_, _ = fmt.Fprintf(w, "  parts %s\n", report.Parts)
 					}
+					if report.Stops != "" {
+						_, _ = fmt.Fprintf(w, "  stops %s\n", report.Stops)
+					}
 					if report.Contention != "" {
 						_, _ = fmt.Fprintf(w, "  contention %s\n", report.Contention)
 					}
@@ -96,6 +100,7 @@
 	f.BoolVar(&parts, "parts", false, "have parts of prompts crash engines, which also crash for other reasons, and stop nodes, beside the other faults")
 	f.BoolVar(&contention, "contention", false, "have accounts ask for too much, applications slow down and callers read slowly, and stop and cut nodes, beside the other faults")
 	f.BoolVar(&responses, "responses", false, "have upstreams repeat responses late, leave the ID out of rejections and send bytes that never end, beside the other faults")
+	f.BoolVar(&stops, "stops", false, "stop nodes under requests that run for long, beside the other faults")
 	f.BoolVar(&retries, "retries", false, "have all upstreams of a service fail while many nodes are killed and frozen, beside the other faults")
 	f.StringVar(&dir, "dir", filepath.Join(os.TempDir(), "sagestand-soak"), "directory for the nodes' settings and logs")
 	addProgramFlag(c, &program, &self)
--- a/internal/sagesoak/soak.go
+++ b/internal/sagesoak/soak.go
@@ -50,6 +50,8 @@
 	Returns string `json:"returns,omitempty"`
 	// Parts says what became of requests with fatal parts, and of sound ones beside them.
 	Parts string `json:"parts,omitempty"`
+	// Stops says what became of long requests at nodes that stopped.
+	Stops string `json:"stops,omitempty"`
 	// Contention says what became of the requests of accounts that ask for too much, and of others beside them.
 	Contention string `json:"contention,omitempty"`
 }
@@ -83,6 +85,8 @@
 	// Responses has upstreams repeat responses late, leave the ID out of rejections, and send bytes that never end, beside the
 	// other faults.
 	Responses bool
+	// Stops has nodes stop under requests that run for long, beside the other faults.
+	Stops bool
 
 	sys            *standin.System
 	rng            *rand.Rand
@@ -103,6 +107,7 @@
 	contention     *contentionFaults // nil without contention
 	retries        *retryFaults      // nil without failures of whole services
 	responses      *responseFaults   // nil without bytes beside responses
+	stops          *stopFaults       // nil without stops under long requests
 }
 
 // Run runs the soak and returns the violations that it found. It returns an error if the soak can't be run.
@@ -121,6 +126,7 @@
 	s.contention = s.newContentionFaults()
 	s.retries = s.newRetryFaults()
 	s.responses = s.newResponseFaults()
+	s.stops = s.newStopFaults()
 	s.sys = &standin.System{FatalBody: fatalBody, OnFatalCrash: s.handleCrash, Nodes: s.Nodes, Engines: 4, Apps: 3, Program: s.Program, Dir: s.Dir, Subnet: int(s.Seed%200) + 20, Advertise: s.advertise}
 	if s.parts != nil {
 		s.parts.configure(s.sys)
@@ -131,6 +137,9 @@
 	if s.contention != nil {
 		s.contention.configure(s.sys)
 	}
+	if s.stops != nil {
+		s.sys.RouteTimeout = longTimeout
+	}
 	defer s.sys.Stop()
 	if err := s.sys.Start(ctx); err != nil {
 		return Result{}, fmt.Errorf("start system: %w", err)
@@ -172,9 +181,15 @@
 	if s.responses != nil {
 		others.Go(func() { s.responses.run(ctx) })
 	}
+	if s.stops != nil {
+		others.Go(func() { s.stops.run(ctx) })
+	}
 	s.injectFaults(ctx)
 	s.pendingReverts.Wait()
 	others.Wait()
+	if s.stops != nil {
+		s.stops.pending.Wait()
+	}
 	if s.retries != nil {
 		s.retries.pending.Wait()
 	}
@@ -222,6 +237,9 @@
 	if s.parts != nil {
 		out.Parts = s.parts.summary()
 	}
+	if s.stops != nil {
+		out.Stops = s.stops.summary()
+	}
 	if s.contention != nil {
 		out.Contention = s.contention.summary()
 	}
@@ -411,7 +429,7 @@
 // checkRecovery checks that the system serves requests again, and that no streams were cut if only planned
 // faults were injected.
 func (s *Soak) checkRecovery(ctx context.Context) {
-	if !s.enabled[upstreamFaults] && !s.enabled[networkFaults] && !s.enabled[nodeFaults] && s.fatal == nil && s.paths == nil && s.versions == nil && s.parts == nil && s.contention == nil && s.retries == nil && s.responses == nil {
+	if !s.enabled[upstreamFaults] && !s.enabled[networkFaults] && !s.enabled[nodeFaults] && !s.disturbs() {
 		for _, k := range []standin.Kind{standin.Chat, standin.Reply} {
 			if n := s.sys.Ledger.Counts()[string(k)+" cut"]; n > 0 {
 				s.sys.Ledger.RecordViolation("%d streams of kind %s were cut although only planned faults were injected", n, k)
--- a/internal/sagesoak/stopsmore.go
+++ b/internal/sagesoak/stopsmore.go
@@ -69,7 +69,7 @@
 
 // prepare sets what the variant needs of the system before it starts.
 func (s *Stops) prepare() {
-	s.terms = make(map[string]time.Time)
+	s.terms, s.sys.RouteTimeout = make(map[string]time.Time), stopDeadline
 	if s.CutOff > 0 {
 		s.proxies = make(map[string]*proxy)
 		s.sys.Advertise = func(address string) (string, error) {
