A leaving node asks for certainty before the callers' answers have expired

Cause: the node counts the 3 s, in which it accepts what is likely to end, from when it sees the signal; callers count from its sending.

Evidence: TestClosingCountsTheSignalsDelay without the fix: 'seen after 100ms' accepts a request sent 3.001 s after the signal.

The node now asks for certainty 0.2 s earlier. A signal that is seen later than that still leaves the gap.

--- a/internal/sagerouter/stop.go
+++ b/internal/sagerouter/stop.go
@@ -36,6 +36,9 @@
 	return err
 }
 
+// signalDelay is how long a signal may have been on its way when the node sees it. Callers count from its sending.
+const signalDelay = 200 * time.Millisecond
+
 // newClosing returns the times of a stop that begins now and may take the given time.
 func newClosing(now time.Time, within time.Duration) *sagedrain.Closing {
 	cutAt := now.Add(max(0, within-exitMargin))
@@ -46,7 +49,7 @@
 		return a
 	}
 	return &sagedrain.Closing{
-		CertainFrom: earliest(now.Add(maxCachedTTLs*DirectoryTTL), cutAt),
+		CertainFrom: earliest(now.Add(maxCachedTTLs*DirectoryTTL-signalDelay), cutAt),
 		CloseAt:     earliest(now.Add(maxCachedTTLs*DirectoryTTL+DirectoryTTL/2), cutAt),
 		CutAt:       cutAt,
 	}
