--- a/internal/sagesoak/soakstops.go
+++ b/internal/sagesoak/soakstops.go
@@ -99,14 +99,15 @@
 	sageclock.Sleep(ctx, time.Until(term.Add(time.Duration(i)*longSendEvery)))
 	kinds := [...]standin.Kind{standin.Chat, standin.Reply, standin.Booking}
 	run := minLongRun + time.Duration(rng.Int64N(int64(maxLongRun-minLongRun)))
-	c.Path, c.Timeout = standin.RunPath(run, 0), minLongLimit+time.Duration(rng.Int64N(int64(longTimeout-minLongLimit)))
-	c.OnEnd = func(e standin.RequestEnd) { f.check(e, term, run) }
+	deadline := minLongLimit + time.Duration(rng.Int64N(int64(longTimeout-minLongLimit)))
+	c.Path, c.Timeout = standin.RunPath(run, 0), deadline.Truncate(time.Millisecond)
+	c.OnEnd = func(e standin.RequestEnd) { f.check(e, term, run, c.Timeout) }
 	c.Send(kinds[i%len(kinds)], standin.NewRequestID(), nil)
 }
 
 // check records a violation if a node has accepted a request after its SIGTERM and cut it at its exit. Requests that were sent
-// early may be cut if their upstreams are still at work shortly before.
-func (f *stopFaults) check(e standin.RequestEnd, term time.Time, run time.Duration) {
+// early may be cut if their upstreams are still at work shortly before, and all at their deadline.
+func (f *stopFaults) check(e standin.RequestEnd, term time.Time, run, deadline time.Duration) {
 	s := f.soak
 	sent, end := e.SentAt.Sub(term), e.EndAt.Sub(term)
 	f.mu.Lock()
@@ -120,7 +121,7 @@
 	default:
 		return
 	}
-	atExit := end >= exitFrom && end < maxLateExit
+	atExit := end >= exitFrom && end < maxLateExit && end-sent < deadline
 	long := sent+run >= ruleWorkFrom || s.enabled[upstreamFaults] || s.enabled[networkFaults] || s.enabled[nodeFaults] || s.disturbs()
 	if e.Reached && atExit && !(sent <= ruleSentBy && long) {
 		s.sys.Ledger.RecordViolation("%s %s, sent %v after SIGTERM, was cut by the exit of its node after %v: %s, run of %v", e.Kind, e.ID, sent.Round(time.Millisecond), end.Round(time.Millisecond), e.Outcome, run.Round(time.Millisecond))
