--- a/internal/sagerouter/origins_test.go
+++ b/internal/sagerouter/origins_test.go
@@ -57,6 +57,7 @@
 			require.Equal(t, tt.versions != "", f.Serves(sageorigin.Origin{Service: "s", Version: tt.version}))
 			var tried []string
 			for range 5 {
+				require.Equal(t, tt.versions != "", f.HasAnother(query(tt.version, tried...)))
 				p := f.Pick(query(tt.version, tried...))
 				if tt.versions == "" {
 					require.Nil(t, p)
@@ -67,6 +68,7 @@
 				p.Done()
 			}
 			require.Nil(t, f.Pick(query(tt.version, tried...)), "all upstreams of the version were tried")
+			require.False(t, f.HasAnother(query(tt.version, tried...)))
 		})
 	}
 }
