--- a/internal/sagerelay/leaving.go
+++ b/internal/sagerelay/leaving.go
@@ -20,9 +20,9 @@
 type sendState = int32
 
 const (
-	waiting    sendState = iota // not sent yet
-	begun                       // may have been sent
-	refusedNow                  // refused by a leaving node
+	sendWaiting sendState = iota // not sent yet
+	sendBegun                    // may have been sent
+	sendRefused                  // refused by a leaving node
 )
 
 // closing returns when the node stops, or nil if it doesn't.
@@ -38,7 +38,7 @@
 func (s *Service) estimate(now time.Time, route string) (time.Duration, bool) {
 	out, ok := s.durations.Estimate(now, route)
 	for _, j := range s.jobs.list() {
-		if j.state.Load() == begun && j.route.Name == route {
+		if j.state.Load() == sendBegun && j.route.Name == route {
 			out = max(out, now.Sub(j.start))
 		}
 	}
@@ -91,7 +91,7 @@
 	}
 	for _, j := range s.jobs.list() {
 		estimate, known := s.estimate(now, j.route.Name)
-		if c.Fits(now, j.deadline, estimate, known) || !j.state.CompareAndSwap(waiting, refusedNow) {
+		if c.Fits(now, j.deadline, estimate, known) || !j.state.CompareAndSwap(sendWaiting, sendRefused) {
 			continue
 		}
 		j.recordLeaving(c, "refused_waiting", estimate, known)
@@ -101,7 +101,7 @@
 
 // beginSend reports whether the request may be sent. From then on, [Service.RefuseWaiting] leaves it alone.
 func (j *job) beginSend() bool {
-	return j.state.CompareAndSwap(waiting, begun) || j.state.Load() == begun
+	return j.state.CompareAndSwap(sendWaiting, sendBegun) || j.state.Load() == sendBegun
 }
 
 // leavingReason returns the reason of a refusal by a leaving node. Peers of any version try another node after RelayBusy.
@@ -117,7 +117,7 @@
 	now := time.Now()
 	if complete {
 		j.s.durations.Record(now, j.route.Name, now.Sub(j.start))
-	} else if j.state.Load() == begun {
+	} else if j.state.Load() == sendBegun {
 		j.s.durations.RecordIncomplete(now, j.route.Name, now.Sub(j.start))
 	}
 }
