Requests that are sent again are logged and counted with the reason

"Request sent again." names kind, verdict and cause of the exchange before, whether its connection was reused, whether a response had named the request, how often it may have run and the time since; sagestand_resends_total counts all by kind and verdict. No decision changes.

--- a/internal/sagelog/limit.go
+++ b/internal/sagelog/limit.go
@@ -20,6 +20,8 @@
 	KindLibrary
 	// KindExit is for requests at a node that leaves, of which there are few.
 	KindExit
+	// KindResend is for requests that are sent again.
+	KindResend
 	numKinds
 )
 
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -76,7 +76,7 @@
 }
 
 // sendTo sends the request to an upstream and forwards the response.
-func (j *job) sendTo(ctx context.Context, p *Pick) verdict {
+func (j *job) sendTo(ctx context.Context, p *Pick) (v verdict) {
 	if !j.s.Fleet.Usable(p.Upstream) || j.keyChecked && !j.s.Fleet.Fresh() {
 		j.tried, j.cause = append(j.tried, p.Upstream.ID), "upstream no longer usable"
 		return notSent
@@ -88,6 +88,8 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x := &exchange{j: j, p: p, start: time.Now(), cancel: cancel}
+	j.recordResend(p.Upstream.ID)
+	defer func() { x.recordEnd(p.Upstream.ID, v) }()
 	j.sends++
 	j.tried = append(j.tried, p.Upstream.ID)
 	j.s.sending.add(x)
--- a/internal/sagerelay/hop.go
+++ b/internal/sagerelay/hop.go
@@ -141,7 +141,7 @@
 }
 
 // sendToHelper sends the request to a peer and forwards the response.
-func (j *job) sendToHelper(ctx context.Context, h *Helper) verdict {
+func (j *job) sendToHelper(ctx context.Context, h *Helper) (v verdict) {
 	j.relay.tried = append(j.relay.tried, h.Node)
 	j.relay.refusal, j.relay.pauseUntil = "", 0
 	if j.keyChecked && !j.s.Fleet.Fresh() {
@@ -157,18 +157,20 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
 	x := &exchange{j: j, helper: h, start: time.Now(), cancel: cancel}
+	j.recordResend(h.Node)
+	defer func() { x.recordEnd(h.Node, v) }()
 	stallTimer := x.startStallTimer(ctx)
 	if stallTimer != nil {
 		defer stallTimer.Stop()
 	}
 	res, err := x.send(ctx)
 	if err != nil {
-		v := x.failExchange(ctx, err)
+		v = x.failExchange(ctx, err)
 		h.Done(v == notSent)
 		return v
 	}
 	defer func() { _ = res.Body.Close() }()
-	v := x.handleResponse(ctx, res, stallTimer)
+	v = x.handleResponse(ctx, res, stallTimer)
 	h.Done(v == notRun && retriableRefusals[j.relay.refusal])
 	return v
 }
