Tests of four guards that no test noticed

A request could have been sent after its refusal, cut although it would have ended, or have run more often than its route allows.

--- a/internal/sagerelay/budget_test.go
+++ b/internal/sagerelay/budget_test.go
@@ -2,11 +2,15 @@
 
 import (
 	"context"
+	"net/http/httptest"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"sagestand.example/sagestand/pkg/sageroute"
 )
 
 func TestByteBudget(t *testing.T) {
@@ -59,3 +63,36 @@
 		require.NoError(t, second.grow(t.Context(), 50, 100))
 	})
 }
+
+// Prevents the responses to relayed requests, and their bodies, from taking the buffer that a node's own callers need.
+func TestRelayedRequestsTakeHalfOfTheBuffer(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		relayed  bool
+		buffered int64
+		status   int
+	}{
+		{"own, within the limit", false, 150, 200},
+		{"own, beyond the limit", false, 151, 503},
+		{"relayed, within half of it", true, 50, 200},
+		{"relayed, beyond half of it", true, 51, 503},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeFleet(t, testRoute(sageroute.Once), map[string]upstream{"a": respond(200, sealHeader, "")})
+				s := f.service()
+				s.MaxBufferedBytes = 200
+				require.True(t, s.buffers.tryReserve(tt.buffered, 0))
+				req, rec := testRequest(t.Context(), nil, strings.Repeat("x", 50)), httptest.NewRecorder()
+				if tt.relayed {
+					req.Header.Set(headerRelayFrom, "vm2")
+					req.Header.Set(headerRelayService, "s")
+					s.ServeRelayed(rec, req)
+				} else {
+					s.ServeHTTP(rec, req)
+				}
+				require.Equal(t, tt.status, rec.Code)
+			})
+		})
+	}
+}
--- a/internal/sagerelay/fakes_test.go
+++ b/internal/sagerelay/fakes_test.go
@@ -275,6 +275,9 @@
 func (f *fakeFleet) PathReturn(string) time.Duration { return time.Second }
 
 func (f *fakeFleet) PickHelper(_ string, tried []string) *Helper {
+	if f.beforePick != nil {
+		f.beforePick()
+	}
 	for _, n := range f.helpers {
 		if !slices.Contains(tried, n) {
 			return &Helper{Node: n, Address: n + ":80", Done: func(refused bool) {
--- a/internal/sagerelay/hop_test.go
+++ b/internal/sagerelay/hop_test.go
@@ -256,3 +256,14 @@
 		}
 	}
 }
+
+// Prevents a request from running more often than its route allows when the first peer may have executed it twice.
+func TestRunsOfAPeerCount(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ok := respond(200, sealHeader, "fine")
+		env := newHopEnv(t, sageroute.Idempotent, map[string]upstream{"a": crash, "b": crash}, map[string]upstream{"c": ok})
+		out := env.node.call(t.Context(), nil, "body")
+		require.Equal(t, 2, env.sent(), "sends of a request that may run twice")
+		require.Equal(t, 502, out.Code)
+	})
+}
--- a/internal/sagerelay/leaving_queue_test.go
+++ b/internal/sagerelay/leaving_queue_test.go
@@ -172,3 +172,50 @@
 		})
 	}
 }
+
+// Prevents a leaving node from aborting, as one that waits, a request that it has sent.
+func TestLeavingNodeLeavesSentRequestsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t, testRoute(sageroute.Once), map[string]upstream{"a": delayed(time.Second, respond(200, sealHeader, "fine"))})
+		s, leave := stoppableService(f)
+		time.AfterFunc(100*time.Millisecond, func() {
+			leave(500*time.Millisecond, 1500*time.Millisecond)
+			for range 5 {
+				s.RefuseWaiting()
+				time.Sleep(100 * time.Millisecond)
+			}
+		})
+		out := f.callOn(t.Context(), s, nil, "body")
+		require.Equal(t, 200, out.Code)
+	})
+}
+
+// Prevents a request that a leaving node has refused as not run from being sent afterwards.
+func TestRefusedRequestIsNotSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for _, hop := range []bool{false, true} {
+			ok := respond(200, sealHeader, "fine")
+			env := newHopEnv(t, sageroute.Once, map[string]upstream{"a": ok}, map[string]upstream{"b": ok})
+			f, name := env.node, "peer"
+			if !hop {
+				f, name = env.peers["p1"], "upstream"
+			}
+			s, leave := stoppableService(f)
+			for range usualRequests {
+				require.Equal(t, 200, f.callOn(t.Context(), s, nil, "body").Code)
+			}
+			before := env.sent()
+			// The request is refused between its last check and the send, and its context isn't cancelled yet.
+			f.beforePick = func() {
+				leave(0, time.Second)
+				for _, j := range s.jobs.list() {
+					require.True(t, j.state.CompareAndSwap(sendWaiting, sendRefused))
+				}
+			}
+			out := f.callOn(t.Context(), s, nil, "body")
+			require.Equal(t, before, env.sent(), name)
+			require.Equal(t, 503, out.Code, name)
+			require.Equal(t, `{"reason":"leaving"}`, out.Body.String(), name)
+		}
+	})
+}
