Endless responses don't take the buffer that others need

Callers of sound upstreams were refused (503, no_memory) or waited for their deadline while other upstreams sent bodies without end. The buffer for requests and responses was one, and whoever asked for space first got it: each endless body held up to 4 MiB until it was found too large, and all of its space was gone with eight of them at a node of 136 MB.

Requests now keep half of the limit. A response beyond eight times its route's mean size (16 KiB at least) is large until it is complete: large ones get a quarter of the limit, and all of their space at once, so that they don't wait for one another with parts of it. Those of upstreams that sent the fewest oversized ones come first. What waits holds an eighth at most; beyond that the last ones are given up at once, as requests that may have run (502, or a retry where the route allows it).

--- a/internal/sagerelay/budget.go
+++ b/internal/sagerelay/budget.go
@@ -1,12 +1,24 @@
 package sagerelay
 
 import (
+	"cmp"
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/pkg/errors"
 )
 
+// Parts of the limit on buffered bytes.
+const (
+	// responseDivisor limits the bytes of all responses, so that requests find space for their bodies whatever upstreams send.
+	responseDivisor = 2
+	// largeDivisor limits the bytes of large responses, so that they don't delay others.
+	largeDivisor = 4
+	// waitingDivisor limits the bytes of responses that wait for space of large ones.
+	waitingDivisor = 8
+)
+
 // errNoBuffer is the error of a response that found no buffer space before its deadline.
 var errNoBuffer = errors.New("no buffer space for the response")
 
@@ -15,36 +27,52 @@
 type byteBudget struct {
 	mu   sync.Mutex
 	used int64
+	// responses and large are the parts of used that belong to responses and to large ones.
+	responses, large int64
 	// freed is closed when bytes are released; nil if nobody waits.
 	freed chan struct{}
 	// overdraft is set while one reservation is beyond the limit. Without it, responses that each hold a part of their
 	// space could wait for one another.
 	overdraft *reservation
+	// waiting are the responses that wait for space of large ones, those of upstreams that sent the fewest oversized ones first.
+	waiting []*reservation
+	// oversized counts the responses of each upstream that were too large, since its last large one that wasn't.
+	oversized map[string]int
 }
 
-// reservation is the buffer space of one exchange.
+// reservation is the buffer space of a response.
+//
+// A response beyond its usual size is large until it is complete. It then reserves space for its greatest size at once, so that
+// large responses don't wait for one another with parts of their space.
 type reservation struct {
-	budget *byteBudget
-	bytes  int64
+	budget   *byteBudget
+	upstream string
+	// usual is the size beyond which the response is large, most its greatest size. A usual size of 0 means no bound.
+	usual, most int64
+	// bytes is what the response may fill, reserved what is reserved for it.
+	bytes, reserved int64
+	large           bool
+	// givenUp is set if too many responses wait for space of large ones.
+	givenUp bool
 }
 
-// tryReserve reserves n bytes and reports whether there was enough space. A limit of 0 means none. If nothing else is
-// reserved, any number is.
+// tryReserve reserves n bytes for a request and reports whether there was enough space. A limit of 0 means none. If nothing else
+// is reserved, any number is.
 func (b *byteBudget) tryReserve(n, limit int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	return b.reserveLocked(n, limit)
-}
-
-func (b *byteBudget) reserveLocked(n, limit int64) bool {
-	if n > 0 && limit > 0 && b.used > 0 && b.used+n > limit {
+	if !b.fitsLocked(n, limit) {
 		return false
 	}
 	b.used += n
 	return true
 }
 
-// release returns n bytes.
+func (b *byteBudget) fitsLocked(n, limit int64) bool {
+	return n <= 0 || limit <= 0 || b.used == 0 || b.used+n <= limit
+}
+
+// release returns n bytes of a request.
 func (b *byteBudget) release(n int64) {
 	if n == 0 {
 		return
@@ -69,32 +97,89 @@
 	return b.used
 }
 
+// awaitLocked returns a channel that is closed when space is released.
+func (b *byteBudget) awaitLocked() <-chan struct{} {
+	if b.freed == nil {
+		b.freed = make(chan struct{})
+	}
+	return b.freed
+}
+
+// enqueueLocked has a response wait for the space of a large one. If the responses that wait hold too much, the last ones are
+// given up.
+func (b *byteBudget) enqueueLocked(r *reservation, limit int64) {
+	if slices.Contains(b.waiting, r) {
+		return
+	}
+	b.waiting = append(b.waiting, r)
+	slices.SortStableFunc(b.waiting, func(x, y *reservation) int { return cmp.Compare(b.oversized[x.upstream], b.oversized[y.upstream]) })
+	held := int64(0)
+	for i, w := range b.waiting {
+		if held += w.reserved; i > 0 && limit > 0 && held > limit/waitingDivisor {
+			for _, last := range b.waiting[i:] {
+				last.givenUp = true
+			}
+			b.waiting = slices.Delete(b.waiting, i, len(b.waiting))
+			b.wakeLocked()
+			return
+		}
+	}
+}
+
+func (b *byteBudget) dequeueLocked(r *reservation) {
+	if i := slices.Index(b.waiting, r); i >= 0 {
+		b.waiting = slices.Delete(b.waiting, i, i+1)
+		b.wakeLocked()
+	}
+}
+
 // tryGrow adds n bytes to the reservation, beyond the limit if no other reservation is. If there is no space it returns a
 // channel that is closed when some is released.
-func (r *reservation) tryGrow(n, limit int64) (freed <-chan struct{}) {
+func (r *reservation) tryGrow(n, limit int64) (freed <-chan struct{}, err error) {
 	b := r.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	ok := b.reserveLocked(n, limit)
-	if !ok && (b.overdraft == nil || b.overdraft == r) {
-		b.overdraft, b.used, ok = r, b.used+n, true
+	add, large := n, r.usual > 0 && r.bytes+n > r.usual
+	if large {
+		add = max(r.bytes+n, r.most) - r.reserved
 	}
-	if ok {
-		r.bytes += n
-		return nil
+	if large && !r.large {
+		if !r.givenUp {
+			b.enqueueLocked(r, limit)
+		}
+		if r.givenUp {
+			return nil, errNoBuffer
+		}
+		if b.waiting[0] != r || b.large > 0 && limit > 0 && b.large+r.reserved+add > limit/largeDivisor {
+			return b.awaitLocked(), nil
+		}
 	}
-	if b.freed == nil {
-		b.freed = make(chan struct{})
+	if !b.responseFitsLocked(add, limit) {
+		if b.overdraft != nil && b.overdraft != r {
+			return b.awaitLocked(), nil
+		}
+		b.overdraft = r
 	}
-	return b.freed
+	if large && !r.large {
+		r.large = true
+		b.large += r.reserved
+		b.dequeueLocked(r)
+	}
+	r.bytes += n
+	r.resizeLocked(add)
+	return nil, nil
+}
+
+func (b *byteBudget) responseFitsLocked(n, limit int64) bool {
+	return b.fitsLocked(n, limit) && (limit <= 0 || b.used == 0 || b.responses+n <= limit/responseDivisor)
 }
 
 // grow adds n bytes to the reservation. It waits for space until ctx ends.
 func (r *reservation) grow(ctx context.Context, n, limit int64) error {
 	for {
-		freed := r.tryGrow(n, limit)
+		freed, err := r.tryGrow(n, limit)
 		if freed == nil {
-			return nil
+			return err
 		}
 		select {
 		case <-freed:
@@ -104,18 +189,56 @@
 	}
 }
 
-// release returns the space of the reservation.
-func (r *reservation) release() {
-	if r.bytes == 0 {
+// complete returns what the response has not filled. It no longer counts as a large one.
+func (r *reservation) complete() {
+	b := r.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !r.large {
 		return
 	}
+	delete(b.oversized, r.upstream)
+	r.resizeLocked(r.bytes - r.reserved)
+	r.large = false
+	b.large -= r.reserved
+	b.wakeLocked()
+}
+
+// recordOversized records that the response was too large.
+func (r *reservation) recordOversized() {
 	b := r.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.oversized == nil {
+		b.oversized = make(map[string]int)
+	}
+	b.oversized[r.upstream]++
+}
+
+// release returns the space of the reservation.
+func (r *reservation) release() {
+	b := r.budget
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.dequeueLocked(r)
+	if r.reserved == 0 {
+		return
+	}
 	if b.overdraft == r {
 		b.overdraft = nil
 	}
-	b.used -= r.bytes
-	r.bytes = 0
+	r.resizeLocked(-r.reserved)
+	r.bytes, r.large = 0, false
 	b.wakeLocked()
 }
+
+// resizeLocked adds n bytes, which may be negative, to what is reserved.
+func (r *reservation) resizeLocked(n int64) {
+	b := r.budget
+	r.reserved += n
+	b.used += n
+	b.responses += n
+	if r.large {
+		b.large += n
+	}
+}
--- a/internal/sagerelay/budget_test.go
+++ b/internal/sagerelay/budget_test.go
@@ -8,6 +8,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"sagestand.example/sagestand/pkg/sageroute"
@@ -64,6 +65,69 @@
 	})
 }
 
+// Prevents responses that wait for space of large ones from taking what other responses need.
+func TestTooManyWaitingResponsesAreGivenUp(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const limit, usual, waiting = 1000, 10, 30
+		var b byteBudget
+		first := &reservation{budget: &b, upstream: "faulty", usual: usual, most: limit / largeDivisor}
+		require.NoError(t, first.grow(t.Context(), usual+1, limit))
+		first.recordOversized()
+		ended := make(chan error, 2*waiting)
+		for range waiting {
+			go func() {
+				r := &reservation{budget: &b, upstream: "faulty", usual: usual, most: limit / largeDivisor}
+				defer r.release()
+				ended <- r.grow(t.Context(), usual, limit)
+				ended <- r.grow(t.Context(), 1, limit)
+			}()
+		}
+		synctest.Wait()
+		require.Equal(t, int64(limit/largeDivisor+limit/waitingDivisor/usual*usual), b.inUse())
+		require.Len(t, ended, 2*waiting-limit/waitingDivisor/usual)
+		refused := 0
+		for range len(ended) {
+			if errors.Is(<-ended, errNoBuffer) {
+				refused++
+			}
+		}
+		require.Equal(t, waiting-limit/waitingDivisor/usual, refused)
+		sound := &reservation{budget: &b, upstream: "sound", usual: usual, most: limit / largeDivisor}
+		require.NoError(t, sound.grow(t.Context(), usual, limit))
+		time.AfterFunc(time.Second, first.release)
+		require.NoError(t, sound.grow(t.Context(), 1, limit), "before those of the upstream whose responses were too large")
+		sound.complete()
+		sound.release()
+		synctest.Wait()
+		require.Zero(t, b.inUse())
+	})
+}
+
+// Prevents responses of usual size from taking the space that the bodies of requests need.
+func TestResponsesLeaveSpaceForRequests(t *testing.T) {
+	const limit = 1000
+	var b byteBudget
+	for range limit {
+		freed, err := (&reservation{budget: &b}).tryGrow(10, limit)
+		require.NoError(t, err)
+		if freed != nil {
+			break
+		}
+	}
+	require.True(t, b.tryReserve(limit/responseDivisor-10, limit), "%d bytes in use", b.inUse())
+}
+
+// Prevents what a route's responses usually take from being counted as large.
+func TestUsualSizeOfResponses(t *testing.T) {
+	var s responseSizes
+	require.EqualValues(t, minUsualBytes, s.usual("r"))
+	for range 100 {
+		s.record("r", 100_000)
+	}
+	require.Greater(t, s.usual("r"), int64(400_000))
+	require.EqualValues(t, minUsualBytes, s.usual("other"))
+}
+
 // Prevents the responses to relayed requests, and their bodies, from taking the buffer that a node's own callers need.
 func TestRelayedRequestsTakeHalfOfTheBuffer(t *testing.T) {
 	for _, tt := range []struct {
--- a/internal/sagerelay/response.go
+++ b/internal/sagerelay/response.go
@@ -37,7 +37,10 @@
 // exchange.
 func (x *exchange) readResponse(ctx context.Context, res *http.Response, stallTimer *time.Timer) (*bufferedResponse, verdict) {
 	x.begun.Store(true)
-	r := &reservation{budget: &x.j.s.buffers}
+	r := &reservation{budget: &x.j.s.buffers, upstream: x.upstreamID(), usual: x.j.s.responseSizes.usual(x.j.route.Name), most: maxPlainResponseBytes + 1}
+	if res.ContentLength >= 0 {
+		r.most = min(res.ContentLength+1, r.most)
+	}
 	b, err := x.readBody(ctx, res, r, stallTimer)
 	if stallTimer != nil {
 		stallTimer.Stop()
@@ -47,12 +50,15 @@
 		return nil, x.rejectForeign(res)
 	}
 	if err == nil {
+		r.complete()
+		x.j.s.responseSizes.record(x.j.route.Name, len(b))
 		x.j.responses = append(x.j.responses, r)
 		return &bufferedResponse{status: res.StatusCode, header: sageheader.EndToEnd(res.Header), body: b}, answered
 	}
 	r.release()
 	switch {
 	case errors.Is(err, errTooLarge):
+		r.recordOversized()
 		return nil, x.rejectResponse(err.Error())
 	case errors.Is(err, errNoBuffer):
 		return nil, x.failWithoutBuffer(err)
@@ -98,8 +104,8 @@
 // reserveBuffer reserves n bytes. The upstream isn't timed while its response waits for space.
 func (x *exchange) reserveBuffer(ctx context.Context, r *reservation, n int64, stallTimer *time.Timer) error {
 	limit := x.j.bufferLimit()
-	if r.tryGrow(n, limit) == nil {
-		return nil
+	if freed, err := r.tryGrow(n, limit); freed == nil {
+		return err
 	}
 	x.j.s.Metrics.GetOrCreateCounter("sagestand_response_buffer_waits_total").Inc()
 	if stallTimer != nil {
--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -67,20 +67,21 @@
 	// MaxRelayed limits the requests of peers in progress; 0 means no limit.
 	MaxRelayed int64
 
-	buffers     byteBudget
-	metricsOnce sync.Once
-	upstreams   transports
-	peers       transports
-	idleBounds  idleBounds
-	connLimits  connLimits
-	dials       atomic.Int64 // connections to upstreams that were begun
-	crashProbes singleflight.Group
-	sending     activeSet[*exchange]
-	jobs        activeSet[*job]
-	inFlight    atomic.Int64
-	relayed     atomic.Int64 // requests of peers in progress
-	durations   sagedrain.Durations
-	cutting     atomic.Bool // the node exits and aborts what is in progress
+	buffers       byteBudget
+	responseSizes responseSizes
+	metricsOnce   sync.Once
+	upstreams     transports
+	peers         transports
+	idleBounds    idleBounds
+	connLimits    connLimits
+	dials         atomic.Int64 // connections to upstreams that were begun
+	crashProbes   singleflight.Group
+	sending       activeSet[*exchange]
+	jobs          activeSet[*job]
+	inFlight      atomic.Int64
+	relayed       atomic.Int64 // requests of peers in progress
+	durations     sagedrain.Durations
+	cutting       atomic.Bool // the node exits and aborts what is in progress
 }
 
 // Relayed returns the number of requests of peers in progress.
