Streams that a lost node relayed over this one are cancelled

What callers see: nothing at first. A node that reaches no upstream sends a stream over a peer. If that node freezes or loses power, its caller gives up after a gap of two seconds or more and takes the stream up at a third node, which sends it to another upstream. The peer is in touch and still works on the first one, as nothing ends the connection between the two nodes: a stopped process or a machine without power sends no reset, and events of some bytes fit into the sockets' buffers.

Cause: the peer took an open connection for a caller that still waits. Its mesh knew better and was not asked.

Evidence: TestStreamOfLostNodeEndsAtItsPeer (a node of the mesh that falls silent, its connection open and unread) fails on: "the upstream still works on the stream" after 8 s, until its deadline, although "Node is unresponsive." was logged 1.6 s after the loss.

Change: when the mesh drops a node, the resumable streams that it relayed here are cancelled, also before their first event. That says nothing about their upstreams. A node that is only out of contact with this one finds its stream broken and goes on at another peer, within its retries; what can't be sent again is left alone, as a peer that lives still waits for it.

--- a/internal/sagerelay/cancel.go
+++ b/internal/sagerelay/cancel.go
@@ -60,6 +60,23 @@
 	}
 }
 
+// errPeerLost is the cause with which a request is cancelled that a lost peer relayed.
+var errPeerLost = errors.New("the node that relayed the request is lost")
+
+// CancelRelayed cancels the streams that a peer relayed which is no longer in contact, since their callers take them up at another
+// node, and the connection to a peer that is frozen or has no power may stay open. A peer that is only out of contact goes on at
+// another node; requests that it can't send again are left alone.
+func (s *Service) CancelRelayed(peer string) {
+	for _, j := range s.jobs.list() {
+		if j.relay.from != peer || !j.tracksOrigin() {
+			continue
+		}
+		s.Log.Limited(sagelog.KindExchange, "Stream cancelled: the node that relayed it is lost.", "id", j.meta.ID, "from", peer, "route", j.route.Name,
+			"age_ms", time.Since(j.start).Milliseconds())
+		j.cancel(errPeerLost)
+	}
+}
+
 // activeSet holds what is in progress. The zero value is ready to use. It is safe for concurrent use.
 type activeSet[T comparable] struct {
 	mu    sync.Mutex
--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -270,7 +270,7 @@
 		x.recordAbandoned()
 		return x.rejectResponse(errUnidentified.Error())
 	}
-	if cause := context.Cause(ctx); errors.Is(cause, errQuarantined) || errors.Is(cause, errUndelivered) || errors.Is(cause, errExit) {
+	if cause := context.Cause(ctx); errors.Is(cause, errQuarantined) || errors.Is(cause, errUndelivered) || errors.Is(cause, errExit) || errors.Is(cause, errPeerLost) {
 		return x.failCancelled(cause, unsent)
 	}
 	stalled := errors.Is(context.Cause(ctx), errStalled)
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -266,6 +266,8 @@
 		j.abort() // a truncated stream must not look complete
 	case j.r.Context().Err() != nil:
 		j.abort()
+	case errors.Is(cause, errPeerLost):
+		j.abandon()
 	case j.upstreamFailure != nil:
 		j.upstreamFailure.writeTo(j)
 	case j.possibleRuns > 0 && exits:
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -206,9 +206,10 @@
 	n.recovery.nodeJoined()
 }
 
-// handleLost has what a node knew recovered. One that leaves has handed its records over.
+// handleLost has what a node knew recovered, and ends what it relayed. One that leaves has handed its records over.
 func (n *Node) handleLost(m sagemesh.Member) {
 	n.peers.Lost(m)
+	n.relay.CancelRelayed(m.Node)
 	if !m.Leaving {
 		n.recovery.nodeLost()
 	}
