A stream's exchange ends with its caller also while a write to it blocks

What callers see: nothing; the upstream works on a stream whose caller has gone, and the caller may have taken it up at another node (GONE, TWICE for streams).

Cause: since connections are closed by their tracker, the transport only stops reads and writes when a request's context ends; the goroutine of the request resets the connection to the upstream. If it is blocked in a write to a caller that doesn't read, nothing does until the write's deadline, a second after that of the request. A caller that closes its socket sends a reset, so that the write fails at once (a trial: the upstream's connection ended after 1.4 ms); one that ends only its own side doesn't. The same holds for a relayed stream of a lost node whose buffers are full.

Change: the end of the exchange's context resets its connection itself while a stream is forwarded.

Evidence: TestCallerThatLeavesDuringWriteEndsExchange failed before ("the connection to the upstream stays open", 10 s) and passes, two of two with -race; the tests of sagerelay pass.

--- a/internal/sagerelay/stream.go
+++ b/internal/sagerelay/stream.go
@@ -40,6 +40,8 @@
 // responses.
 func (x *exchange) forwardStream(ctx context.Context, res *http.Response, stallTimer *time.Timer) verdict {
 	j := x.j
+	stop := context.AfterFunc(ctx, x.tracker.Reset) // also while a write to the caller blocks
+	defer stop()
 	buffer := &reservation{budget: &j.s.buffers} // of a large event
 	defer buffer.release()
 	r := &sagesse.Reader{R: bufio.NewReaderSize(res.Body, streamBufferBytes), MaxEventBytes: maxEventBytes}
