serve: a declined request is decided on again while the VM leaves

Callers of a leaving VM got the outcome unknown for a request that an upstream had declined: the VM sent it to a second one, though its stop aborts it there before requests of the route end. The router decides on such a request again since; `serve` only did before the first attempt.

Before another attempt, the route's estimate is compared with the time to the stop. Unlike a new request, one that came before may be sent late in the stop if it is known to be short: its caller hasn't been sent elsewhere, and has waited. What doesn't fit ends as the attempts before it say, a declined booking as not run.

TestLeavingNodeRefusesDeclinedRequest failed before ("should have 1 item(s), but has 2" attempts) and passes.

--- a/internal/sageentry/leaving.go
+++ b/internal/sageentry/leaving.go
@@ -29,6 +29,16 @@
 	return sagewire.Refuse(sagewire.ReasonLeaving, "this VM stops before requests like this one end; use another address", now)
 }
 
+// mayRetry reports whether a request may be sent once more: unless the process stops before requests like it end.
+func (s *Service) mayRetry(req *Request) bool {
+	c, now := s.closing.Load(), time.Now()
+	if c == nil || !req.Deadline.After(c.CutAt) {
+		return true
+	}
+	estimate, known := s.durations.Estimate(now, req.Route)
+	return !known || estimate <= c.CutAt.Sub(now)
+}
+
 // recordDuration records how long a request took that was sent.
 func (s *Service) recordDuration(req *Request) {
 	now := time.Now()
--- a/internal/sageentry/leaving_queue_test.go
+++ b/internal/sageentry/leaving_queue_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,3 +36,45 @@
 		require.Equal(t, 503, w.Code)
 	})
 }
+
+// slowDispatch answers attempts after a time.
+type slowDispatch struct {
+	*fakeSteps
+	takes time.Duration
+}
+
+func (d slowDispatch) Do(ctx context.Context, w http.ResponseWriter, a *sagedispatch.Attempt) sagedispatch.Result {
+	time.Sleep(d.takes)
+	return d.fakeSteps.Do(ctx, w, a)
+}
+
+// Prevents a leaving node from sending a booking that an upstream has declined to a second one, and aborting it there.
+func TestLeavingNodeRefusesDeclinedRequest(t *testing.T) {
+	for _, tt := range []struct {
+		name     string
+		stopIn   time.Duration
+		attempts int
+	}{{"doesn't fit", 10 * time.Second, 1}, {"fits", 20 * time.Second, 2}} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				declined := sagedispatch.Result{Outcome: sagewire.NotRun, Reason: sagewire.ReasonOverloaded}
+				f := &fakeSteps{results: []sagedispatch.Result{declined, {Outcome: sagewire.Complete}}}
+				s := testService(f)
+				for range 20 {
+					s.recordDuration(&Request{Route: "orders", ArrivedAt: time.Now().Add(-7 * time.Second)})
+				}
+				s.Dispatch = slowDispatch{f, 5 * time.Second}
+				s.setClosing(time.Now().Add(time.Second), time.Now().Add(tt.stopIn))
+				w := call(s, "POST", "/v1/services/orders/x", "", sagewire.HeaderDeadline, time.Now().Add(time.Minute).Format(time.RFC3339Nano))
+				require.Len(t, f.attempts, tt.attempts)
+				if tt.attempts > 1 {
+					require.Equal(t, 200, w.Code)
+					return
+				}
+				ref, err := sagewire.DecodeRefusal(w.Body.Bytes())
+				require.NoError(t, err)
+				require.Equal(t, sagewire.NotRun, ref.Outcome)
+			})
+		})
+	}
+}
--- a/internal/sageentry/serve.go
+++ b/internal/sageentry/serve.go
@@ -168,7 +168,7 @@
 	case <-ctx.Done():
 		return false
 	case <-time.After(retryAt.Sub(now)):
-		return true
+		return s.mayRetry(req)
 	}
 }
 
