serve: requests in progress and failed ones count in a leaving VM's estimates

A leaving VM accepted requests that it aborts, and callers got the outcome unknown, when the upstreams of a route had become slow: its estimate came from requests that had ended, while all that were in progress had taken longer. Requests that failed at once, or whose callers gave up, counted as short ones.

Now the age of the oldest request in progress raises the estimate of its route, and what didn't end completely only raises it.

--- a/internal/sageentry/leaving.go
+++ b/internal/sageentry/leaving.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"time"
 
 	"sagestand.example/sagestand/pkg/sagedrain"
@@ -22,7 +23,7 @@
 	if c == nil {
 		return nil
 	}
-	if estimate, known := s.durations.Estimate(now, req.Route); c.Accepts(now, req.Deadline, estimate, known) {
+	if estimate, known := s.estimate(now, req.Route); c.Accepts(now, req.Deadline, estimate, known) {
 		return nil
 	}
 	w.Header().Set("Connection", "close")
@@ -35,12 +36,57 @@
 	if c == nil || !req.Deadline.After(c.CutAt) {
 		return true
 	}
-	estimate, known := s.durations.Estimate(now, req.Route)
+	estimate, known := s.estimate(now, req.Route)
 	return !known || estimate <= c.CutAt.Sub(now)
 }
 
-// recordDuration records how long a request took that was sent.
-func (s *Service) recordDuration(req *Request) {
+// sentRequests is the set of requests that were sent and haven't ended. Its zero value is ready to use.
+type sentRequests struct {
+	mu       sync.Mutex
+	requests map[*Request]struct{}
+}
+
+func (x *sentRequests) add(req *Request) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if x.requests == nil {
+		x.requests = make(map[*Request]struct{})
+	}
+	x.requests[req] = struct{}{}
+}
+
+func (x *sentRequests) remove(req *Request) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	delete(x.requests, req)
+}
+
+// oldest returns the age of the oldest request of a route; 0 if there is none.
+func (x *sentRequests) oldest(now time.Time, route string) time.Duration {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	var age time.Duration
+	for req := range x.requests {
+		if req.Route == route {
+			age = max(age, now.Sub(req.ArrivedAt))
+		}
+	}
+	return age
+}
+
+// estimate returns how long a request of a route is expected to take at most, or false if that isn't known. Requests in progress
+// count with their age, since those that have ended say nothing of upstreams that have become slow.
+func (s *Service) estimate(now time.Time, route string) (time.Duration, bool) {
+	estimate, known := s.durations.Estimate(now, route)
+	return max(estimate, s.sent.oldest(now, route)), known
+}
+
+// recordDuration records how long a request took that was sent. One that wasn't answered completely would have taken longer.
+func (s *Service) recordDuration(req *Request, complete bool) {
 	now := time.Now()
-	s.durations.Record(now, req.Route, now.Sub(req.ArrivedAt))
+	if complete {
+		s.durations.Record(now, req.Route, now.Sub(req.ArrivedAt))
+	} else {
+		s.durations.RecordIncomplete(now, req.Route, now.Sub(req.ArrivedAt))
+	}
 }
--- a/internal/sageentry/leaving_queue_test.go
+++ b/internal/sageentry/leaving_queue_test.go
@@ -27,7 +27,7 @@
 		f := &fakeSteps{results: []sagedispatch.Result{{Outcome: sagewire.Complete}}}
 		s := testService(f)
 		for range 20 {
-			s.recordDuration(&Request{Route: "orders", ArrivedAt: time.Now().Add(-8 * time.Second)})
+			s.recordDuration(&Request{Route: "orders", ArrivedAt: time.Now().Add(-8 * time.Second)}, true)
 		}
 		s.Admission = slowAdmission(2 * time.Second)
 		time.AfterFunc(time.Second, func() { s.setClosing(time.Now().Add(5*time.Second), time.Now().Add(10*time.Second)) })
@@ -61,7 +61,7 @@
 				f := &fakeSteps{results: []sagedispatch.Result{declined, {Outcome: sagewire.Complete}}}
 				s := testService(f)
 				for range 20 {
-					s.recordDuration(&Request{Route: "orders", ArrivedAt: time.Now().Add(-7 * time.Second)})
+					s.recordDuration(&Request{Route: "orders", ArrivedAt: time.Now().Add(-7 * time.Second)}, true)
 				}
 				s.Dispatch = slowDispatch{f, 5 * time.Second}
 				s.setClosing(time.Now().Add(time.Second), time.Now().Add(tt.stopIn))
--- a/internal/sageentry/leaving_test.go
+++ b/internal/sageentry/leaving_test.go
@@ -1,6 +1,7 @@
 package sageentry
 
 import (
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -35,7 +36,7 @@
 				f := &fakeSteps{results: []sagedispatch.Result{complete}}
 				s := testService(f)
 				for range tt.earlier {
-					s.recordDuration(&Request{Route: "orders", ArrivedAt: time.Now().Add(-tt.run)})
+					s.recordDuration(&Request{Route: "orders", ArrivedAt: time.Now().Add(-tt.run)}, true)
 				}
 				s.setClosing(time.Now().Add(stopIn/2), time.Now().Add(stopIn))
 				w := call(s, "POST", "/v1/services/orders/x", "", sagewire.HeaderDeadline, time.Now().Add(tt.deadline).Format(time.RFC3339Nano))
@@ -55,3 +56,33 @@
 		})
 	}
 }
+
+// Prevents a leaving node from taking a route for short whose upstreams have become slow, so that all its requests are in progress.
+func TestRequestsInProgressRaiseEstimate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeSteps{results: []sagedispatch.Result{{Outcome: sagewire.Complete}, {Outcome: sagewire.Complete}}}
+		s := testService(f)
+		for range 20 {
+			s.recordDuration(&Request{Route: "orders", ArrivedAt: time.Now().Add(-time.Second)}, true)
+		}
+		s.Dispatch = slowDispatch{f, 20 * time.Second}
+		deadline := time.Now().Add(time.Minute).Format(time.RFC3339Nano)
+		var slow sync.WaitGroup
+		slow.Go(func() { call(s, "POST", "/v1/services/orders/x", "", sagewire.HeaderDeadline, deadline) })
+		time.Sleep(11 * time.Second)
+		s.setClosing(time.Now().Add(5*time.Second), time.Now().Add(10*time.Second))
+		require.Equal(t, 503, call(s, "POST", "/v1/services/orders/x", "", sagewire.HeaderDeadline, deadline).Code)
+		slow.Wait()
+	})
+}
+
+// Prevents requests whose callers gave up, or whose upstreams failed, from counting as short ones.
+func TestFailedRequestsOnlyRaiseEstimate(t *testing.T) {
+	s := testService(new(fakeSteps))
+	now := time.Now()
+	for range 20 {
+		s.recordDuration(&Request{Route: "orders", ArrivedAt: now.Add(-time.Second)}, false)
+	}
+	_, known := s.estimate(now, "orders")
+	require.False(t, known)
+}
--- a/internal/sageentry/serve.go
+++ b/internal/sageentry/serve.go
@@ -95,8 +95,12 @@
 		s.refuseClaim(w, req, storedResponse, ref)
 		return
 	}
-	defer s.recordDuration(req)
+	s.sent.add(req)
+	defer s.sent.remove(req)
+	complete := false
+	defer func() { s.recordDuration(req, complete) }()
 	res, pick, attempts := s.runAttempts(ctx, w, req)
+	complete = res.Outcome == sagewire.Complete && !res.Abort
 	if claim != nil {
 		s.finish(ctx, claim, &res)
 	}
--- a/internal/sageentry/server.go
+++ b/internal/sageentry/server.go
@@ -41,6 +41,7 @@
 	inFlight  atomic.Int64
 	closing   atomic.Pointer[sagedrain.Closing] // set while the node is leaving
 	durations sagedrain.Durations
+	sent      sentRequests
 }
 
 // InFlight returns the number of requests being served.
