Plays of stops know the durations of all routes, and have short deadlines

The cause was in the plays: 24 callers for 6 s, of which each node saw two of the four kinds only, taught the nodes fewer than four requests of a route.

New case: a node handles SIGTERM 1.5 s late, and requests have deadlines of 4.5 s.

--- a/internal/sagesoak/stops.go
+++ b/internal/sagesoak/stops.go
@@ -1,6 +1,7 @@
 package sagesoak
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"math/rand/v2"
@@ -165,10 +166,11 @@
 	loadCtx, stopLoad := context.WithCancel(ctx)
 	defer stopLoad()
 	var load sync.WaitGroup
-	for i := range stopLoops {
+	loops, warmUp := s.loops()
+	for i := range loops {
 		load.Go(func() { s.sendLoop(loadCtx, i) })
 	}
-	sageclock.Sleep(ctx, stopWarmUp)
+	sageclock.Sleep(ctx, warmUp)
 	for round := range s.Rounds {
 		nodes := s.stoppingNodes(round)
 		if err := s.stopNodes(ctx, nodes); err != nil {
@@ -281,11 +283,15 @@
 func (s *Stops) sendLoop(ctx context.Context, i int) {
 	rng := rand.New(rand.NewPCG(s.Seed, uint64(1_000_000+i)))
 	kinds := [...]standin.Kind{standin.Chat, standin.Reply, standin.Booking, standin.Lookup}
+	k := kinds[i%len(kinds)]
+	if s.Known {
+		k = kinds[i/stopNodes%len(kinds)]
+	}
 	c, node := s.caller(i%stopNodes), i%stopNodes
 	defer func() { c.Close() }()
 	for ctx.Err() == nil {
 		c.Path = standin.RunPath(s.randomRun(rng), 0)
-		outcome := c.Send(kinds[i%len(kinds)], standin.NewRequestID(), nil)
+		outcome := c.Send(k, standin.NewRequestID(), nil)
 		if outcome != "200" {
 			c.Close()
 			node = (node + 1) % stopNodes
@@ -316,7 +322,7 @@
 		c.Send(standin.Lookup, standin.NewRequestID(), nil)
 	}
 	sageclock.Sleep(ctx, time.Until(term.Add(at)))
-	c.Path, c.ReadDelay = standin.RunPath(run, s.Extra), s.ReadDelay
+	c.Path, c.ReadDelay, c.Timeout = standin.RunPath(run, s.Extra), s.ReadDelay, cmp.Or(s.Deadline, stopDeadline)
 	c.OnEnd = func(e standin.RequestEnd) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
@@ -377,6 +383,9 @@
 		default:
 			continue
 		}
+		if e.end-e.sent >= cmp.Or(s.Deadline, stopDeadline) {
+			continue // its deadline has passed
+		}
 		out.Lost++
 		if e.sent <= ruleSentBy && e.sent+e.run >= ruleWorkFrom {
 			out.Excused++
--- a/internal/sagesoak/stopslate.go
+++ b/internal/sagesoak/stopslate.go
@@ -18,6 +18,9 @@
 	slowBytes    = 6
 	holdLead     = 20 * time.Millisecond // between SIGSTOP and SIGTERM
 	maxStartWait = 10 * time.Second      // until a node that starts accepts connections
+	// Nodes with so many callers for so long know how long the requests of all routes run.
+	knownLoops  = 120
+	knownWarmUp = 18 * time.Second
 )
 
 // lateVariant is how a case of [Stops] differs from stops of single nodes that run and serve.
@@ -30,6 +33,10 @@
 	BothOfHop, SecondFirst bool
 	// Early has nodes stop that have just started and aren't ready.
 	Early bool
+	// Deadline is that of the requests to nodes that stop; 0 means stopDeadline.
+	Deadline time.Duration
+	// Known has many callers send requests of all kinds to all nodes before the first stop.
+	Known bool
 	// SingleBytes is the largest number of bytes at the end of a body that are sent one at a time.
 	SingleBytes int
 }
@@ -39,18 +46,32 @@
 	ms := time.Millisecond
 	late := lateVariant{MinHold: 300 * ms, MaxHold: 1500 * ms}
 	bodies := stopVariant{MaxBodyPause: byteInterval, lateVariant: lateVariant{SingleBytes: slowBytes}}
-	return []*Stops{
+	cases := []*Stops{
 		grid(&Stops{Name: "all nodes at once", MinRun: 200 * ms, MaxRun: 5500 * ms, AtOnce: stopNodes, Rounds: 2}),
 		grid(&Stops{Name: "all nodes in a fast series", MinRun: 200 * ms, MaxRun: 5500 * ms, AtOnce: stopNodes, Rounds: 2, stopVariant: stopVariant{lateVariant: lateVariant{Gap: fastGap}}}),
 		grid(&Stops{Name: "late signal", MinRun: 200 * ms, MaxRun: 5500 * ms, Rounds: 3, stopVariant: stopVariant{lateVariant: late}}),
 		grid(&Stops{Name: "late signal, runs of 4 to 5 s", MinRun: 4000 * ms, MaxRun: 5000 * ms, Rounds: 3, stopVariant: stopVariant{lateVariant: late}}),
+		{Name: "late signal, deadlines before the exit", MinRun: 3800 * ms, MaxRun: 4400 * ms, From: 1500 * ms, To: 5000 * ms, Every: 50 * ms, Rounds: 2, stopVariant: stopVariant{lateVariant: lateVariant{MinHold: 1500 * ms, MaxHold: 1500 * ms, Deadline: 4500 * ms}}},
 		grid(&Stops{Name: "hop both nodes stop at once", MinRun: 200 * ms, MaxRun: 5500 * ms, Rounds: 2, stopVariant: stopVariant{CutOff: 4, First: 4, lateVariant: lateVariant{BothOfHop: true}}}),
 		grid(&Stops{Name: "hop first node stops, then the second", MinRun: 200 * ms, MaxRun: 5500 * ms, Rounds: 2, stopVariant: stopVariant{CutOff: 4, First: 4, lateVariant: lateVariant{BothOfHop: true, Gap: hopGap}}}),
 		grid(&Stops{Name: "hop second node stops, then the first", MinRun: 200 * ms, MaxRun: 5500 * ms, Rounds: 2, stopVariant: stopVariant{CutOff: 4, First: 4, lateVariant: lateVariant{BothOfHop: true, SecondFirst: true, Gap: hopGap}}}),
 		grid(&Stops{Name: "again just after the start", MinRun: 200 * ms, MaxRun: 5500 * ms, Rounds: 3, Beside: hangups, Fresh: true, stopVariant: stopVariant{Repeated: true, lateVariant: lateVariant{Early: true}}}),
 		grid(&Stops{Name: "a byte a second", MinRun: 200 * ms, MaxRun: 4000 * ms, Rounds: 2, stopVariant: bodies}),
 		grid(&Stops{Name: "a byte a second, short runs", MinRun: 20 * ms, MaxRun: 200 * ms, Rounds: 2, stopVariant: bodies}),
+		grid(&Stops{Name: "all nodes at once, runs of 2 to 4 s", MinRun: 2000 * ms, MaxRun: 4000 * ms, AtOnce: stopNodes, Rounds: 2}),
 	}
+	for _, s := range cases {
+		s.Known = true
+	}
+	return cases
+}
+
+// loops returns the number of callers that send all the time, and for how long they do before the first stop.
+func (s *Stops) loops() (int, time.Duration) {
+	if s.Known {
+		return knownLoops, knownWarmUp
+	}
+	return stopLoops, stopWarmUp
 }
 
 // stoppingNodes returns the nodes that stop in a round, in the order of their SIGTERM.
