A node that stood still at its SIGTERM counts its stop from the time before

Callers of a planned stop got no answer: the node had taken their requests late in the grace, and was killed before they ended.

A leaving node counted its limits from when it handled the signal. The grace counts from when the signal was sent, and a process that gets no processor time handles it late. A deadline "before the exit" was then as much as 0.8 s after the end of the grace.

The process can't see when a signal was sent, but that it didn't run: it records every 100 ms that it does. If it handles the signal up to 0.3 s after a gap of 0.3 s or more, the signal may have been sent at the beginning of the gap, and the decisions count from there. Shorter delays are within the margin of 0.7 s before the exit. The listener closes as late as before, since callers are told to go elsewhere only now, and what is in progress is given as much time as before.

--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -138,6 +138,7 @@
 	// quarantinesListed is set once the quarantine objects have been listed.
 	quarantinesListed bool
 	closing           atomic.Pointer[sagedrain.Closing] // set while the node is leaving
+	progress          progress
 }
 
 // Open opens the listeners and creates the services. Nothing is served before Run.
--- a/internal/sagerouter/stop.go
+++ b/internal/sagerouter/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -21,12 +22,13 @@
 // the server waits for the requests in flight, up to the time by which the process has to end.
 func (s *server) drain() error {
 	n := s.node
-	closing := newClosing(time.Now(), seconds(n.Settings.Bounds.StopWithinSeconds))
+	now, within := time.Now(), seconds(n.Settings.Bounds.StopWithinSeconds)
+	closing := newClosing(n.progress.earliestSignal(now), now, within)
 	n.closing.Store(closing)
 	n.mesh.TriggerHeartbeats(true)
 	n.Log.Component("node").Info("Leaving.", "in_flight", n.relay.InFlight(), "close_at", closing.CloseAt, "cut_at", closing.CutAt)
 	time.Sleep(time.Until(closing.CloseAt))
-	ctx, cancel := context.WithDeadline(context.Background(), closing.CutAt)
+	ctx, cancel := context.WithDeadline(context.Background(), now.Add(within-exitMargin))
 	defer cancel()
 	if err := s.http.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
 		return fmt.Errorf("shut down %s: %w", s.name, err)
@@ -39,11 +41,55 @@
 	return s.http.Close()
 }
 
-// newClosing returns the times of a stop that begins now and may take the given time.
-func newClosing(now time.Time, within time.Duration) *sagedrain.Closing {
-	cutIn := max(0, within-exitMargin)
-	closeIn := min(maxCachedTTLs*DirectoryTTL+DirectoryTTL/2, cutIn)
-	return &sagedrain.Closing{CertainFrom: now.Add(min(certainTTLs*DirectoryTTL, closeIn)), CloseAt: now.Add(closeIn), CutAt: now.Add(cutIn)}
+// newClosing returns the times of a stop that may take the given time from the signal, which is handled now. Directory answers name
+// the node until then.
+func newClosing(signal, now time.Time, within time.Duration) *sagedrain.Closing {
+	cutAt := signal.Add(max(0, within-exitMargin))
+	closeAt := earlier(now.Add(maxCachedTTLs*DirectoryTTL+DirectoryTTL/2), cutAt)
+	return &sagedrain.Closing{CertainFrom: earlier(signal.Add(certainTTLs*DirectoryTTL), closeAt), CloseAt: closeAt, CutAt: cutAt}
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// maxProgressGap is the time between two records of [progress] from which the process counts as having stood still.
+const maxProgressGap = 3 * expiryInterval
+
+// progress keeps when the process last ran. A signal that arrives while it gets no processor time is handled late, and the time until
+// the process is killed counts from the signal. Its zero value is ready to use; it is safe for concurrent use.
+type progress struct {
+	mu               sync.Mutex
+	last             time.Time
+	stopped, resumed time.Time // the last time at which the process stood still
+}
+
+// record records that the process runs. It has to be called every expiryInterval.
+func (p *progress) record(now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.last.IsZero() && now.Sub(p.last) >= maxProgressGap {
+		p.stopped, p.resumed = p.last, now
+	}
+	p.last = now
+}
+
+// earliestSignal returns the earliest time at which a signal may have been sent that is handled now.
+func (p *progress) earliestSignal(now time.Time) time.Time {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	switch {
+	case p.last.IsZero():
+		return now
+	case now.Sub(p.last) >= maxProgressGap:
+		return p.last
+	case !p.resumed.IsZero() && now.Sub(p.resumed) < maxProgressGap:
+		return p.stopped
+	}
+	return now
 }
 
 // abortTimeout limits the wait for the ends of aborted requests, whose callers get an answer if they have none yet.
