--- a/internal/sageentry/serve.go
+++ b/internal/sageentry/serve.go
@@ -95,8 +95,12 @@
 		s.refuseClaim(w, req, storedResponse, ref)
 		return
 	}
-	defer s.recordDuration(req)
+	s.sent.add(req)
+	defer s.sent.remove(req)
+	complete := false
+	defer func() { s.recordDuration(req, complete) }()
 	res, pick, attempts := s.runAttempts(ctx, w, req)
+	complete = res.Outcome == sagewire.Complete && !res.Abort
 	if claim != nil {
 		s.finish(ctx, claim, &res)
 	}
@@ -168,7 +172,7 @@
 	case <-ctx.Done():
 		return false
 	case <-time.After(retryAt.Sub(now)):
-		return true
+		return s.mayRetry(req)
 	}
 }
 
