Plays of streams taken up beside what only one sheet has

A stream may go on at a second upstream while the first still works on it. The plays of that lacked what the deployment with the reports has beside slow upstreams: nodes with 0.4 of a processor, with and without overload; a configuration that grows by 350 routes and back; upstreams that notice a reset late; paths that are held up in one direction. Six cases have them. Upstreams that work on do so for 250 ms behind a proxy; an overlap counts from 400 ms on without a deduction, so that a node may add at most 150 ms. A node whose answers are held up still reaches its upstreams and counts as in touch; one whose requests and closes are held up doesn't.

--- a/internal/sagesoak/proxy.go
+++ b/internal/sagesoak/proxy.go
@@ -29,6 +29,7 @@
 	linkHeld      = numLinkModes + 1 + iota // data is held up in both directions, also on new connections
 	linkHeldBack                            // the same for responses only
 	linkRefuseNew                           // new connections are reset, open ones work
+	linkHeldOut                             // data is held up on the way to the upstream only
 	numSourceModes
 )
 
@@ -40,7 +41,10 @@
 
 // proxy is a TCP proxy in front of one upstream.
 type proxy struct {
-	target   string
+	target string
+	// closeDelay is how long the upstream's connection stays open after the other one has ended.
+	closeDelay time.Duration
+
 	mu       sync.Mutex
 	mode     linkMode
 	sources  map[string]linkMode // modes for the connections from some IP addresses
@@ -148,8 +152,15 @@
 	p.conns[in] = true
 	p.mu.Unlock()
 	var wg sync.WaitGroup
-	wg.Go(func() { p.forward(source, out, in, []linkMode{linkHeld}, linkStalled) })
-	wg.Go(func() { p.forward(source, in, out, []linkMode{linkHeld, linkHeldBack}, linkStalled, linkOneWay) })
+	wg.Go(func() {
+		defer abort(out)
+		p.forward(source, out, in, []linkMode{linkHeld, linkHeldOut}, linkStalled)
+		time.Sleep(p.closeDelay)
+	})
+	wg.Go(func() {
+		defer abort(in)
+		p.forward(source, in, out, []linkMode{linkHeld, linkHeldBack}, linkStalled, linkOneWay)
+	})
 	wg.Wait()
 	p.mu.Lock()
 	delete(p.conns, in)
@@ -171,9 +182,8 @@
 }
 
 // forward copies data from src to dst for a connection from an IP address. It drops the data while the mode is one of
-// discardIn, and holds it while the mode is one of holdIn.
+// discardIn, and holds it while the mode is one of holdIn. The caller closes dst.
 func (p *proxy) forward(source string, dst, src net.Conn, holdIn []linkMode, discardIn ...linkMode) {
-	defer abort(dst)
 	b := make([]byte, 16<<10)
 	for {
 		n, err := src.Read(b)
--- a/internal/sagesoak/takeover_faults.go
+++ b/internal/sagesoak/takeover_faults.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -14,14 +16,20 @@
 
 // Parameters of the disturbances of [Takeovers].
 const (
-	takeoverTermEvery  = 1500 * time.Millisecond
-	takeoverKillEvery  = 1200 * time.Millisecond
-	takeoverCutEvery   = 3 * time.Second
-	takeoverCutFor     = 2500 * time.Millisecond
-	takeoverCutNodes   = 3 // at once
-	takeoverCrashEvery = 900 * time.Millisecond
-	takeoverChange     = 200 * time.Millisecond
-	takeoverRoutes     = 40 // that changes add
+	takeoverTermEvery   = 1500 * time.Millisecond
+	takeoverKillEvery   = 1200 * time.Millisecond
+	takeoverCutEvery    = 3 * time.Second
+	takeoverCutFor      = 2500 * time.Millisecond
+	takeoverCutNodes    = 3 // at once
+	takeoverCrashEvery  = 900 * time.Millisecond
+	takeoverChange      = 200 * time.Millisecond
+	takeoverRoutes      = 40 // that changes add
+	takeoverGrowEvery   = 900 * time.Millisecond
+	takeoverFirstRoutes = 4
+	takeoverGrowth      = 350 // routes that a large change adds
+	takeoverHoldEvery   = 1200 * time.Millisecond
+	maxTakeoverHold     = 900 * time.Millisecond
+	largeShareSlice     = 40 * time.Millisecond
 )
 
 // disturb begins what happens beside the requests, until ctx ends.
@@ -37,37 +45,43 @@
 	start(t.Signal == signalKill, first+1, func(*rand.Rand) { t.signalInTurn(ctx, syscall.SIGKILL, takeoverKillEvery, all) })
 	start(t.Crashes, first+2, func(rng *rand.Rand) { t.crashUpstreams(ctx, rng) })
 	start(t.Changes, first+3, func(*rand.Rand) { t.change(ctx) })
+	start(t.Grows, first+4, func(*rand.Rand) { t.grow(ctx) })
+	start(t.OneWay, first+5, func(rng *rand.Rand) { t.holdOneWay(ctx, rng) })
 	for i := range takeoverNodes {
 		start(t.Signal == signalStop, uint64(first+10+i), func(rng *rand.Rand) { t.standStill(ctx, i, rng) })
-		start(t.Signal == signalShare, uint64(first+10+i), func(*rand.Rand) { t.shareProcessor(ctx, i) })
+		start(t.Signal == signalShare, uint64(first+10+i), func(*rand.Rand) { t.shareProcessor(ctx, i, 2*shareSlice) })
+		start(t.Signal == signalShareMore, uint64(first+10+i), func(*rand.Rand) { t.shareProcessor(ctx, i, largeShareSlice) })
 	}
 }
 
-// signalInTurn ends one node after the other and starts it again. A node that stops is out of touch for contactTime after SIGTERM
-// and from its exit on.
+// signalInTurn ends one node after the other and starts it again.
 func (t *Takeovers) signalInTurn(ctx context.Context, sig syscall.Signal, every time.Duration, all *sync.WaitGroup) {
-	ending := make([]sync.Mutex, takeoverNodes)
 	for i := 0; sageclock.Sleep(ctx, every) && ctx.Err() == nil; i++ {
-		node := i % takeoverNodes
 		all.Go(func() {
-			ending[node].Lock()
-			defer ending[node].Unlock()
-			t.sendSignal(node, sig)()
-			kill := time.AfterFunc(standin.StopTimeout, func() { t.sys.Signal(node, syscall.SIGKILL) })
-			<-t.sys.Exited(node)
-			kill.Stop()
-			back := t.setAway(node)
-			if err := t.sys.StartNode(node); err != nil {
-				t.sys.Ledger.RecordViolation("start node: %v", err)
-			}
-			for !t.sys.Ready(ctx, node) && ctx.Err() == nil {
-				sageclock.Sleep(ctx, stopLoopThink)
-			}
-			back()
+			node := i % takeoverNodes
+			t.ending[node].Lock()
+			defer t.ending[node].Unlock()
+			t.restart(ctx, node, sig)
 		})
 	}
 }
 
+// restart ends a node and starts it again. A node that stops is out of touch for contactTime after SIGTERM and from its exit on.
+func (t *Takeovers) restart(ctx context.Context, node int, sig syscall.Signal) {
+	t.sendSignal(node, sig)()
+	kill := time.AfterFunc(standin.StopTimeout, func() { t.sys.Signal(node, syscall.SIGKILL) })
+	<-t.sys.Exited(node)
+	kill.Stop()
+	back := t.setAway(node)
+	if err := t.sys.StartNode(node); err != nil {
+		t.sys.Ledger.RecordViolation("start node: %v", err)
+	}
+	for !t.sys.Ready(ctx, node) && ctx.Err() == nil {
+		sageclock.Sleep(ctx, stopLoopThink)
+	}
+	back()
+}
+
 // standStill has a node stand still at times.
 func (t *Takeovers) standStill(ctx context.Context, node int, rng *rand.Rand) {
 	for sageclock.Sleep(ctx, maxStop+time.Duration(rng.Int64N(int64(4*maxStopGap)))) && ctx.Err() == nil {
@@ -78,13 +92,13 @@
 	}
 }
 
-// shareProcessor gives a node a small share of a processor. It stays in touch.
-func (t *Takeovers) shareProcessor(ctx context.Context, node int) {
+// shareProcessor lets a node run for a slice of each sharePeriod. It stays in touch.
+func (t *Takeovers) shareProcessor(ctx context.Context, node int, slice time.Duration) {
 	for ctx.Err() == nil {
 		t.sys.Signal(node, syscall.SIGSTOP)
-		time.Sleep(sharePeriod - 2*shareSlice)
+		time.Sleep(sharePeriod - slice)
 		t.sys.Signal(node, syscall.SIGCONT)
-		time.Sleep(2 * shareSlice)
+		time.Sleep(slice)
 	}
 }
 
@@ -118,21 +132,24 @@
 // crashUpstreams has upstreams crash, and others start in their place.
 func (t *Takeovers) crashUpstreams(ctx context.Context, rng *rand.Rand) {
 	for sageclock.Sleep(ctx, takeoverCrashEvery) && ctx.Err() == nil {
-		i := rng.IntN(takeoverEngines)
-		old := t.sys.Runner(i)
-		t.mu.Lock()
-		x := t.proxies[old.Address()]
-		t.mu.Unlock()
-		if x != nil {
-			x.shutDown() // else something would still listen at the address
-		}
-		old.Crash()
-		if err := t.sys.Replace(i); err != nil {
-			t.sys.Ledger.RecordViolation("replace upstream: %v", err)
-			return
-		}
-		t.inject(i)
+		t.crashUpstream(rng.IntN(takeoverEngines))
+	}
+}
+
+func (t *Takeovers) crashUpstream(i int) {
+	old := t.sys.Runner(i)
+	t.mu.Lock()
+	x := t.proxies[old.Address()]
+	t.mu.Unlock()
+	if x != nil {
+		x.shutDown() // else something would still listen at the address
+	}
+	old.Crash()
+	if err := t.sys.Replace(i); err != nil {
+		t.sys.Ledger.RecordViolation("replace upstream: %v", err)
+		return
 	}
+	t.inject(i)
 }
 
 // change changes the timeouts and adds routes, in quick succession.
@@ -151,11 +168,60 @@
 		if added == 0 || len(routes) >= takeoverRoutes {
 			return
 		}
-		route := make(map[string]any)
-		for name, v := range routes[added%4] {
-			route[name] = v
+		config["routes"] = append(config["routes"].([]any), addedRoute(routes, added))
+	})
+}
+
+// addedRoute returns a route like one of the first ones, at a path of its own.
+func addedRoute(routes []map[string]any, number int) map[string]any {
+	route := maps.Clone(routes[number%takeoverFirstRoutes])
+	route["name"], route["path_prefix"] = fmt.Sprint("added-", number), fmt.Sprintf("/added-%d/", number)
+	return route
+}
+
+// grow adds many routes at once and takes them away again, by turns.
+func (t *Takeovers) grow(ctx context.Context) {
+	for grown := true; sageclock.Sleep(ctx, takeoverGrowEvery) && ctx.Err() == nil; grown = !grown {
+		t.setGrown(grown)
+	}
+}
+
+func (t *Takeovers) setGrown(grown bool) {
+	t.sys.ChangeConfig(func(routes []map[string]any, config map[string]any) {
+		all := slices.Clone(config["routes"].([]any)[:takeoverFirstRoutes])
+		for i := 1; grown && i <= takeoverGrowth; i++ {
+			all = append(all, addedRoute(routes, i))
 		}
-		route["name"], route["path_prefix"] = fmt.Sprint("added-", added), fmt.Sprintf("/added-%d/", added)
-		config["routes"] = append(config["routes"].([]any), route)
+		config["routes"] = all
 	})
 }
+
+// holdOneWay holds up what some nodes get from upstreams, or send to them, again and again. A node whose closes don't arrive is out
+// of touch; one that only gets no answers isn't.
+func (t *Takeovers) holdOneWay(ctx context.Context, rng *rand.Rand) {
+	for i := 0; sageclock.Sleep(ctx, takeoverHoldEvery-maxTakeoverHold) && ctx.Err() == nil; i++ {
+		mode := linkHeldBack
+		if i%2 > 0 {
+			mode = linkHeldOut
+		}
+		t.holdNodes(ctx, rng.Perm(takeoverNodes)[:takeoverCutNodes], mode, maxTakeoverHold)
+	}
+}
+
+// holdNodes disturbs the links of some nodes for a time.
+func (t *Takeovers) holdNodes(ctx context.Context, nodes []int, mode linkMode, d time.Duration) {
+	var back []func()
+	for _, n := range nodes {
+		if mode != linkHeldBack {
+			back = append(back, t.setAway(n))
+		}
+		t.setLink(n, mode)
+	}
+	sageclock.Sleep(ctx, d)
+	for _, n := range nodes {
+		t.setLink(n, linkOpen)
+	}
+	for _, f := range back {
+		f()
+	}
+}
--- a/internal/sagesoak/takeovers.go
+++ b/internal/sagesoak/takeovers.go
@@ -34,6 +34,7 @@
 	maxTakeoverLeave    = 1500 * time.Millisecond
 	maxStopAfter        = 9 // events
 	maxTakeoverDetail   = 8
+	takeoverWorksOn     = 250 * time.Millisecond
 	stallTick           = 5 * time.Millisecond
 	minMachineStall     = 100 * time.Millisecond // from which a late tick shows that the machine stood still
 	droppedWithin       = 100 * time.Millisecond // in which an upstream ends a request whose sender has given it up
@@ -43,11 +44,12 @@
 type takeoverSignal int
 
 const (
-	signalNone  takeoverSignal = iota
-	signalTerm                 // nodes are stopped in turn and started again
-	signalKill                 // nodes are killed and started again at the same address at once
-	signalStop                 // nodes stand still
-	signalShare                // nodes get an eighth of a processor
+	signalNone      takeoverSignal = iota
+	signalTerm                     // nodes are stopped in turn and started again
+	signalKill                     // nodes are killed and started again at the same address at once
+	signalStop                     // nodes stand still
+	signalShare                    // nodes get a quarter of a processor
+	signalShareMore                // nodes get 0.4 of a processor
 )
 
 // Takeovers has callers take up streams that broke off, or that they left, at another node at once, and counts streams that two
@@ -73,6 +75,11 @@
 	Cuts             bool
 	Signal           takeoverSignal
 	Crashes, Changes bool
+	// Grows adds many routes and takes them away again, OneWay holds up what some nodes send to upstreams, or get from them.
+	Grows, OneWay bool
+	// WorksOn is how long upstreams work on after their connection was reset. It is below standin.MaxOverlap, and isn't deducted
+	// from overlaps.
+	WorksOn time.Duration
 
 	sys      *standin.System
 	proxies  map[string]*proxy // by the address that the upstream registers
@@ -82,6 +89,7 @@
 	away     []absence
 	stalls   []absence // of this process
 	lost     []standin.RequestEnd
+	ending   [takeoverNodes]sync.Mutex // held while a node's process is disturbed
 }
 
 // absence is a time in which a node was out of touch, from its end on for contactTime more.
@@ -147,6 +155,12 @@
 		{Name: "nodes stand still", Leaves: true, Signal: signalStop, Slow: 0.2},
 		{Name: "processor shares", Leaves: true, Signal: signalShare, Slow: 0.2, Faults: lost},
 		{Name: "overload", Leaves: true, ShortDeadlines: true, Callers: 240, Faults: lost},
+		{Name: "slow upstreams beside nodes with 0.4 of a processor", Leaves: true, Signal: signalShareMore, Slow: 0.4, Faults: lost},
+		{Name: "overload beside nodes with 0.4 of a processor", Leaves: true, ShortDeadlines: true, Callers: 240, Signal: signalShareMore, Faults: lost},
+		{Name: "configuration grows", Leaves: true, Grows: true, Slow: 0.2, Faults: lost},
+		{Name: "configuration grows beside nodes with 0.4 of a processor", Leaves: true, Grows: true, Signal: signalShareMore, Slow: 0.2, Faults: lost},
+		{Name: "upstreams work on", Leaves: true, WorksOn: takeoverWorksOn, Slow: 0.2, Faults: hanging},
+		{Name: "paths held up in one direction", Leaves: true, OneWay: true, Slow: 0.2, Faults: lost},
 		{Name: "all", Leaves: true, ShortDeadlines: true, Cuts: true, Signal: signalTerm, Crashes: true, Changes: true, Slow: 0.3, Faults: broken, Extra: extra, MaxRun: 4 * time.Second},
 	}
 }
@@ -161,7 +175,7 @@
 		},
 		Program: t.Program, Dir: t.Dir, Subnet: 60,
 	}
-	if t.Cuts {
+	if t.Cuts || t.OneWay || t.WorksOn > 0 {
 		t.sys.Advertise = t.advertise
 	}
 	defer t.sys.Stop()
@@ -200,7 +214,7 @@
 }
 
 func (t *Takeovers) advertise(address string) (string, error) {
-	x := &proxy{target: address}
+	x := &proxy{target: address, closeDelay: t.WorksOn}
 	registered, err := x.listen()
 	t.mu.Lock()
 	defer t.mu.Unlock()
