A play of all kinds of trouble in series

Kinds of trouble that give no request that runs twice alone might give one together; nothing played them so. Beside that, callers give up requests of all kinds and go on at once, and a tenth of the bodies is up to 256 KB long. Some answers come late, without ID or before their request all the time. Cuts from the store excuse no overlap. The kinds of trouble with their times are printed if a play fails.

--- a/internal/sagesoak/takeover_faults.go
+++ b/internal/sagesoak/takeover_faults.go
@@ -47,6 +47,9 @@
 	start(t.Changes, first+3, func(*rand.Rand) { t.change(ctx) })
 	start(t.Grows, first+4, func(*rand.Rand) { t.grow(ctx) })
 	start(t.OneWay, first+5, func(rng *rand.Rand) { t.holdOneWay(ctx, rng) })
+	for i := range seriesLanes {
+		start(t.Series, first+6, func(*rand.Rand) { t.runSeries(ctx, i) })
+	}
 	for i := range takeoverNodes {
 		start(t.Signal == signalStop, uint64(first+10+i), func(rng *rand.Rand) { t.standStill(ctx, i, rng) })
 		start(t.Signal == signalShare, uint64(first+10+i), func(*rand.Rand) { t.shareProcessor(ctx, i, 2*shareSlice) })
--- a/internal/sagesoak/takeovers.go
+++ b/internal/sagesoak/takeovers.go
@@ -80,6 +80,8 @@
 	// WorksOn is how long upstreams work on after their connection was reset. It is below standin.MaxOverlap, and isn't deducted
 	// from overlaps.
 	WorksOn time.Duration
+	// Series has all kinds of trouble follow each other and overlap, and callers give up requests of all kinds and send long bodies.
+	Series bool
 
 	sys      *standin.System
 	proxies  map[string]*proxy // by the address that the upstream registers
@@ -90,6 +92,7 @@
 	stalls   []absence // of this process
 	lost     []standin.RequestEnd
 	ending   [takeoverNodes]sync.Mutex // held while a node's process is disturbed
+	series   seriesState
 }
 
 // absence is a time in which a node was out of touch, from its end on for contactTime more.
@@ -161,6 +164,7 @@
 		{Name: "configuration grows beside nodes with 0.4 of a processor", Leaves: true, Grows: true, Signal: signalShareMore, Slow: 0.2, Faults: lost},
 		{Name: "upstreams work on", Leaves: true, WorksOn: takeoverWorksOn, Slow: 0.2, Faults: hanging},
 		{Name: "paths held up in one direction", Leaves: true, OneWay: true, Slow: 0.2, Faults: lost},
+		{Name: "series", Leaves: true, Series: true, Callers: 108, Extra: standin.ExtraBytes{Repeated: 0.02, NoID: 0.1, Early: 0.08}},
 		{Name: "all", Leaves: true, ShortDeadlines: true, Cuts: true, Signal: signalTerm, Crashes: true, Changes: true, Slow: 0.3, Faults: broken, Extra: extra, MaxRun: 4 * time.Second},
 	}
 }
@@ -171,11 +175,11 @@
 	t.sys = &standin.System{
 		Nodes: takeoverNodes, DataCentres: takeoverDataCentres, Engines: takeoverEngines, Apps: takeoverApps, AppSlots: takeoverAppSlots,
 		AppCapacity: func(i int) *standin.Capacity {
-			return &standin.Capacity{Queue: takeoverQueue, MeanRun: takeoverAppRun, RunSpread: crowdSpread, Seed: t.Seed + uint64(i)}
+			return &standin.Capacity{Queue: takeoverQueue, MeanRun: takeoverAppRun, RunSpread: crowdSpread, MaxConns: t.appConns(), Seed: t.Seed + uint64(i)}
 		},
 		Program: t.Program, Dir: t.Dir, Subnet: 60,
 	}
-	if t.Cuts || t.OneWay || t.WorksOn > 0 {
+	if t.Cuts || t.OneWay || t.Series || t.WorksOn > 0 {
 		t.sys.Advertise = t.advertise
 	}
 	defer t.sys.Stop()
@@ -209,8 +213,10 @@
 	if i < takeoverEngines && float64(i%10) < t.Slow*10 {
 		faults.SlowTimes = takeoverSlowTimes
 	}
+	extra := t.Extra
+	t.series.apply(i, &faults, &extra)
 	t.sys.Runner(i).InjectFaults(faults)
-	t.sys.Runner(i).InjectExtra(t.Extra)
+	t.sys.Runner(i).InjectExtra(extra)
 }
 
 func (t *Takeovers) advertise(address string) (string, error) {
@@ -251,13 +257,20 @@
 // sendLoop sends the requests of one caller, one after the other. It takes up streams that aren't complete at the next node at once.
 func (t *Takeovers) sendLoop(ctx context.Context, i int) {
 	rng := rand.New(rand.NewPCG(t.Seed, uint64(i)))
-	kinds := [...]standin.Kind{standin.Chat, standin.Chat, standin.Chat, standin.Chat, standin.Reply, standin.Booking, standin.Booking, standin.Lookup}
+	kinds := []standin.Kind{standin.Chat, standin.Chat, standin.Chat, standin.Chat, standin.Reply, standin.Booking, standin.Booking, standin.Lookup}
+	if t.Series {
+		kinds = append(kinds, seriesKinds...)
+	}
 	node := i % takeoverNodes
 	c := t.caller(node, rng)
 	defer func() { c.Close() }()
 	for ctx.Err() == nil {
 		k := kinds[rng.IntN(len(kinds))]
 		st := standin.NewStream(k)
+		left := false
+		if t.Series && rng.Float64() < longBodyShare {
+			st.Content += strings.Repeat("b", rng.IntN(maxLongBody))
+		}
 		c.Path = ""
 		if k == standin.Chat || k == standin.Reply {
 			c.Path = standin.RunPath(t.randomRun(rng), 0)
@@ -272,6 +285,9 @@
 					c.Leave = time.Millisecond + time.Duration(rng.Int64N(int64(maxTakeoverLeave)))
 				}
 			}
+			if t.Series && k != standin.Chat && rng.Float64() < givenUpShare {
+				c.Leave, left = time.Millisecond+time.Duration(rng.Int64N(int64(maxGivenUp))), true
+			}
 			outcome := t.send(c, node, k, st)
 			if outcome == "200" {
 				break
@@ -285,7 +301,9 @@
 				break
 			}
 		}
-		sageclock.Sleep(ctx, time.Duration(rng.Int64N(int64(takeoverThink))))
+		if !left {
+			sageclock.Sleep(ctx, time.Duration(rng.Int64N(int64(takeoverThink))))
+		}
 	}
 }
 
@@ -398,6 +416,9 @@
 			out.Details = append(out.Details, text)
 		}
 	}
+	if out.Failed() {
+		out.Details = append(out.Details, t.series.events...)
+	}
 	return out
 }
 
