--- a/internal/sagesoak/takeovers.go
+++ b/internal/sagesoak/takeovers.go
@@ -34,6 +34,7 @@
 	maxTakeoverLeave    = 1500 * time.Millisecond
 	maxStopAfter        = 9 // events
 	maxTakeoverDetail   = 8
+	takeoverWorksOn     = 250 * time.Millisecond
 	stallTick           = 5 * time.Millisecond
 	minMachineStall     = 100 * time.Millisecond // from which a late tick shows that the machine stood still
 	droppedWithin       = 100 * time.Millisecond // in which an upstream ends a request whose sender has given it up
@@ -43,11 +44,12 @@
 type takeoverSignal int
 
 const (
-	signalNone  takeoverSignal = iota
-	signalTerm                 // nodes are stopped in turn and started again
-	signalKill                 // nodes are killed and started again at the same address at once
-	signalStop                 // nodes stand still
-	signalShare                // nodes get an eighth of a processor
+	signalNone      takeoverSignal = iota
+	signalTerm                     // nodes are stopped in turn and started again
+	signalKill                     // nodes are killed and started again at the same address at once
+	signalStop                     // nodes stand still
+	signalShare                    // nodes get a quarter of a processor
+	signalShareMore                // nodes get 0.4 of a processor
 )
 
 // Takeovers has callers take up streams that broke off, or that they left, at another node at once, and counts streams that two
@@ -73,6 +75,13 @@
 	Cuts             bool
 	Signal           takeoverSignal
 	Crashes, Changes bool
+	// Grows adds many routes and takes them away again, OneWay holds up what some nodes send to upstreams, or get from them.
+	Grows, OneWay bool
+	// WorksOn is how long upstreams work on after their connection was reset. It is below standin.MaxOverlap, and isn't deducted
+	// from overlaps.
+	WorksOn time.Duration
+	// Series has all kinds of trouble follow each other and overlap, and callers give up requests of all kinds and send long bodies.
+	Series bool
 
 	sys      *standin.System
 	proxies  map[string]*proxy // by the address that the upstream registers
@@ -82,6 +91,8 @@
 	away     []absence
 	stalls   []absence // of this process
 	lost     []standin.RequestEnd
+	ending   [takeoverNodes]sync.Mutex // held while a node's process is disturbed
+	series   seriesState
 }
 
 // absence is a time in which a node was out of touch, from its end on for contactTime more.
@@ -147,6 +158,13 @@
 		{Name: "nodes stand still", Leaves: true, Signal: signalStop, Slow: 0.2},
 		{Name: "processor shares", Leaves: true, Signal: signalShare, Slow: 0.2, Faults: lost},
 		{Name: "overload", Leaves: true, ShortDeadlines: true, Callers: 240, Faults: lost},
+		{Name: "slow upstreams beside nodes with 0.4 of a processor", Leaves: true, Signal: signalShareMore, Slow: 0.4, Faults: lost},
+		{Name: "overload beside nodes with 0.4 of a processor", Leaves: true, ShortDeadlines: true, Callers: 240, Signal: signalShareMore, Faults: lost},
+		{Name: "configuration grows", Leaves: true, Grows: true, Slow: 0.2, Faults: lost},
+		{Name: "configuration grows beside nodes with 0.4 of a processor", Leaves: true, Grows: true, Signal: signalShareMore, Slow: 0.2, Faults: lost},
+		{Name: "upstreams work on", Leaves: true, WorksOn: takeoverWorksOn, Slow: 0.2, Faults: hanging},
+		{Name: "paths held up in one direction", Leaves: true, OneWay: true, Slow: 0.2, Faults: lost},
+		{Name: "series", Leaves: true, Series: true, Callers: 108, Extra: standin.ExtraBytes{Repeated: 0.02, NoID: 0.1, Early: 0.08}},
 		{Name: "all", Leaves: true, ShortDeadlines: true, Cuts: true, Signal: signalTerm, Crashes: true, Changes: true, Slow: 0.3, Faults: broken, Extra: extra, MaxRun: 4 * time.Second},
 	}
 }
@@ -157,11 +175,11 @@
 	t.sys = &standin.System{
 		Nodes: takeoverNodes, DataCentres: takeoverDataCentres, Engines: takeoverEngines, Apps: takeoverApps, AppSlots: takeoverAppSlots,
 		AppCapacity: func(i int) *standin.Capacity {
-			return &standin.Capacity{Queue: takeoverQueue, MeanRun: takeoverAppRun, RunSpread: crowdSpread, Seed: t.Seed + uint64(i)}
+			return &standin.Capacity{Queue: takeoverQueue, MeanRun: takeoverAppRun, RunSpread: crowdSpread, MaxConns: t.appConns(), Seed: t.Seed + uint64(i)}
 		},
 		Program: t.Program, Dir: t.Dir, Subnet: 60,
 	}
-	if t.Cuts {
+	if t.Cuts || t.OneWay || t.Series || t.WorksOn > 0 {
 		t.sys.Advertise = t.advertise
 	}
 	defer t.sys.Stop()
@@ -195,12 +213,14 @@
 	if i < takeoverEngines && float64(i%10) < t.Slow*10 {
 		faults.SlowTimes = takeoverSlowTimes
 	}
+	extra := t.Extra
+	t.series.apply(i, &faults, &extra)
 	t.sys.Runner(i).InjectFaults(faults)
-	t.sys.Runner(i).InjectExtra(t.Extra)
+	t.sys.Runner(i).InjectExtra(extra)
 }
 
 func (t *Takeovers) advertise(address string) (string, error) {
-	x := &proxy{target: address}
+	x := &proxy{target: address, closeDelay: t.WorksOn}
 	registered, err := x.listen()
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -237,13 +257,20 @@
 // sendLoop sends the requests of one caller, one after the other. It takes up streams that aren't complete at the next node at once.
 func (t *Takeovers) sendLoop(ctx context.Context, i int) {
 	rng := rand.New(rand.NewPCG(t.Seed, uint64(i)))
-	kinds := [...]standin.Kind{standin.Chat, standin.Chat, standin.Chat, standin.Chat, standin.Reply, standin.Booking, standin.Booking, standin.Lookup}
+	kinds := []standin.Kind{standin.Chat, standin.Chat, standin.Chat, standin.Chat, standin.Reply, standin.Booking, standin.Booking, standin.Lookup}
+	if t.Series {
+		kinds = append(kinds, seriesKinds...)
+	}
 	node := i % takeoverNodes
 	c := t.caller(node, rng)
 	defer func() { c.Close() }()
 	for ctx.Err() == nil {
 		k := kinds[rng.IntN(len(kinds))]
 		st := standin.NewStream(k)
+		left := false
+		if t.Series && rng.Float64() < longBodyShare {
+			st.Content += strings.Repeat("b", rng.IntN(maxLongBody))
+		}
 		c.Path = ""
 		if k == standin.Chat || k == standin.Reply {
 			c.Path = standin.RunPath(t.randomRun(rng), 0)
@@ -258,6 +285,9 @@
 					c.Leave = time.Millisecond + time.Duration(rng.Int64N(int64(maxTakeoverLeave)))
 				}
 			}
+			if t.Series && k != standin.Chat && rng.Float64() < givenUpShare {
+				c.Leave, left = time.Millisecond+time.Duration(rng.Int64N(int64(maxGivenUp))), true
+			}
 			outcome := t.send(c, node, k, st)
 			if outcome == "200" {
 				break
@@ -271,7 +301,9 @@
 				break
 			}
 		}
-		sageclock.Sleep(ctx, time.Duration(rng.Int64N(int64(takeoverThink))))
+		if !left {
+			sageclock.Sleep(ctx, time.Duration(rng.Int64N(int64(takeoverThink))))
+		}
 	}
 }
 
@@ -384,6 +416,9 @@
 			out.Details = append(out.Details, text)
 		}
 	}
+	if out.Failed() {
+		out.Details = append(out.Details, t.series.events...)
+	}
 	return out
 }
 
