--- a/internal/sageentry/leaving_test.go
+++ b/internal/sageentry/leaving_test.go
@@ -57,6 +57,11 @@
 	}
 }
 
+// noRecorder drops observations. It is safe for concurrent use.
+type noRecorder struct{}
+
+func (noRecorder) Record(Observation) {}
+
 // Prevents a leaving node from taking a route for short whose upstreams have become slow, so that all its requests are in progress.
 func TestRequestsInProgressRaiseEstimate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
@@ -65,7 +70,7 @@
 		for range 20 {
 			s.recordDuration(&Request{Route: "orders", ArrivedAt: time.Now().Add(-time.Second)}, true)
 		}
-		s.Dispatch = slowDispatch{f, 20 * time.Second}
+		s.Dispatch, s.Recorder = slowDispatch{f, 20 * time.Second}, noRecorder{}
 		deadline := time.Now().Add(time.Minute).Format(time.RFC3339Nano)
 		var slow sync.WaitGroup
 		slow.Go(func() { call(s, "POST", "/v1/services/orders/x", "", sagewire.HeaderDeadline, deadline) })
