--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -138,6 +138,7 @@
 	// quarantinesListed is set once the quarantine objects have been listed.
 	quarantinesListed bool
 	closing           atomic.Pointer[sagedrain.Closing] // set while the node is leaving
+	progress          progress
 }
 
 // Open opens the listeners and creates the services. Nothing is served before Run.
@@ -206,9 +207,10 @@
 	n.recovery.nodeJoined()
 }
 
-// handleLost has what a node knew recovered. One that leaves has handed its records over.
+// handleLost has what a node knew recovered, and ends what it relayed. One that leaves has handed its records over.
 func (n *Node) handleLost(m sagemesh.Member) {
 	n.peers.Lost(m)
+	n.relay.CancelRelayed(m.Node)
 	if !m.Leaving {
 		n.recovery.nodeLost()
 	}
