Only responses of upstreams that sent oversized ones reserve their greatest size

The mend of endless responses had every response beyond its route's usual size reserve 4 MiB of a quarter of the buffer until it is complete.

Cause: size alone was taken for evidence against the upstream. Now a response that grows takes what it needs of the responses' half, and waits and reserves as before only if its upstream has sent an oversized one since its last sound large one. So that large responses don't take all of the responses' half, those of usual size find an eighth of the limit beside it.

TestTooManyWaitingResponsesAreGivenUp now has its upstreams send oversized ones first; what it asks for is the same.

--- a/internal/sagerelay/budget.go
+++ b/internal/sagerelay/budget.go
@@ -13,7 +13,9 @@
 const (
 	// responseDivisor limits the bytes of all responses, so that requests find space for their bodies whatever upstreams send.
 	responseDivisor = 2
-	// largeDivisor limits the bytes of large responses, so that they don't delay others.
+	// smallDivisor limits the bytes that responses of usual size find when all responses together have reached their limit.
+	smallDivisor = 8
+	// largeDivisor limits the bytes of large responses of upstreams that sent oversized ones, so that they don't delay others.
 	largeDivisor = 4
 	// waitingDivisor limits the bytes of responses that wait for space of large ones.
 	waitingDivisor = 8
@@ -27,8 +29,9 @@
 type byteBudget struct {
 	mu   sync.Mutex
 	used int64
-	// responses and large are the parts of used that belong to responses and to large ones.
-	responses, large int64
+	// responses is the part of used that belongs to responses: small to those of usual size, large to large ones of upstreams that sent
+	// oversized ones.
+	responses, small, large int64
 	// freed is closed when bytes are released; nil if nobody waits.
 	freed chan struct{}
 	// overdraft is set while one reservation is beyond the limit. Without it, responses that each hold a part of their
@@ -40,10 +43,22 @@
 	oversized map[string]int
 }
 
+// reservationKind says which part of the limit a response counts towards.
+type reservationKind int
+
+const (
+	// smallResponse: it hasn't exceeded its usual size.
+	smallResponse reservationKind = iota
+	// largeResponse: it is beyond its usual size.
+	largeResponse
+	// suspectResponse: it is large, and its upstream has sent an oversized one.
+	suspectResponse
+)
+
 // reservation is the buffer space of a response.
 //
-// A response beyond its usual size is large until it is complete. It then reserves space for its greatest size at once, so that
-// large responses don't wait for one another with parts of their space.
+// A response beyond its usual size is large until it is complete. If its upstream has sent an oversized one, it then reserves space for
+// its greatest size at once, so that such responses don't wait for one another with parts of their space.
 type reservation struct {
 	budget   *byteBudget
 	upstream string
@@ -51,7 +66,7 @@
 	usual, most int64
 	// bytes is what the response may fill, reserved what is reserved for it.
 	bytes, reserved int64
-	large           bool
+	kind            reservationKind
 	// givenUp is set if too many responses wait for space of large ones.
 	givenUp bool
 }
@@ -139,11 +154,11 @@
 	b := r.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	add, large := n, r.usual > 0 && r.bytes+n > r.usual
-	if large {
+	add, kind := n, r.kindAfterLocked(n)
+	if kind == suspectResponse {
 		add = max(r.bytes+n, r.most) - r.reserved
 	}
-	if large && !r.large {
+	if kind == suspectResponse && r.kind != suspectResponse {
 		if !r.givenUp {
 			b.enqueueLocked(r, limit)
 		}
@@ -154,24 +169,36 @@
 			return b.awaitLocked(), nil
 		}
 	}
-	if !b.responseFitsLocked(add, limit) {
+	if !b.responseFitsLocked(add, limit, kind) {
 		if b.overdraft != nil && b.overdraft != r {
 			return b.awaitLocked(), nil
 		}
 		b.overdraft = r
 	}
-	if large && !r.large {
-		r.large = true
-		b.large += r.reserved
+	if kind == suspectResponse && r.kind != suspectResponse {
 		b.dequeueLocked(r)
 	}
+	r.setKindLocked(kind)
 	r.bytes += n
 	r.resizeLocked(add)
 	return nil, nil
 }
 
-func (b *byteBudget) responseFitsLocked(n, limit int64) bool {
-	return b.fitsLocked(n, limit) && (limit <= 0 || b.used == 0 || b.responses+n <= limit/responseDivisor)
+// kindAfterLocked returns the kind of the response once it has grown by n bytes.
+func (r *reservation) kindAfterLocked(n int64) reservationKind {
+	switch {
+	case r.kind == suspectResponse:
+		return suspectResponse
+	case r.usual == 0 || r.bytes+n <= r.usual:
+		return smallResponse
+	case r.budget.oversized[r.upstream] > 0:
+		return suspectResponse
+	}
+	return largeResponse
+}
+
+func (b *byteBudget) responseFitsLocked(n, limit int64, kind reservationKind) bool {
+	return b.fitsLocked(n, limit) && (limit <= 0 || b.used == 0 || b.responses+n <= limit/responseDivisor || kind == smallResponse && b.small+n <= limit/smallDivisor)
 }
 
 // grow adds n bytes to the reservation. It waits for space until ctx ends.
@@ -189,18 +216,17 @@
 	}
 }
 
-// complete returns what the response has not filled. It no longer counts as a large one.
+// complete returns what the response has not filled. Its upstream no longer counts as one that sends oversized ones if it was large.
 func (r *reservation) complete() {
 	b := r.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !r.large {
+	if r.kind == smallResponse {
 		return
 	}
 	delete(b.oversized, r.upstream)
 	r.resizeLocked(r.bytes - r.reserved)
-	r.large = false
-	b.large -= r.reserved
+	r.setKindLocked(largeResponse)
 	b.wakeLocked()
 }
 
@@ -228,17 +254,32 @@
 		b.overdraft = nil
 	}
 	r.resizeLocked(-r.reserved)
-	r.bytes, r.large = 0, false
+	r.bytes = 0
+	r.setKindLocked(smallResponse)
 	b.wakeLocked()
 }
 
 // resizeLocked adds n bytes, which may be negative, to what is reserved.
 func (r *reservation) resizeLocked(n int64) {
-	b := r.budget
 	r.reserved += n
-	b.used += n
-	b.responses += n
-	if r.large {
-		b.large += n
+	r.budget.used += n
+	r.budget.responses += n
+	r.countLocked(n)
+}
+
+// setKindLocked has the response count towards another part of the limit.
+func (r *reservation) setKindLocked(kind reservationKind) {
+	r.countLocked(-r.reserved)
+	r.kind = kind
+	r.countLocked(r.reserved)
+}
+
+// countLocked adds n bytes to the part of the limit that the response counts towards.
+func (r *reservation) countLocked(n int64) {
+	switch r.kind {
+	case smallResponse:
+		r.budget.small += n
+	case suspectResponse:
+		r.budget.large += n
 	}
 }
--- a/internal/sagerelay/budget_test.go
+++ b/internal/sagerelay/budget_test.go
@@ -71,8 +71,9 @@
 		const limit, usual, waiting = 1000, 10, 30
 		var b byteBudget
 		first := &reservation{budget: &b, upstream: "faulty", usual: usual, most: limit / largeDivisor}
-		require.NoError(t, first.grow(t.Context(), usual+1, limit))
 		first.recordOversized()
+		first.recordOversized()
+		require.NoError(t, first.grow(t.Context(), usual+1, limit))
 		ended := make(chan error, 2*waiting)
 		for range waiting {
 			go func() {
@@ -93,9 +94,10 @@
 		}
 		require.Equal(t, waiting-limit/waitingDivisor/usual, refused)
 		sound := &reservation{budget: &b, upstream: "sound", usual: usual, most: limit / largeDivisor}
+		sound.recordOversized()
 		require.NoError(t, sound.grow(t.Context(), usual, limit))
 		time.AfterFunc(time.Second, first.release)
-		require.NoError(t, sound.grow(t.Context(), 1, limit), "before those of the upstream whose responses were too large")
+		require.NoError(t, sound.grow(t.Context(), 1, limit), "before those of the upstream that sent more oversized ones")
 		require.Equal(t, int64(limit/largeDivisor), sound.reserved)
 		sound.complete()
 		require.Equal(t, int64(usual+1), sound.reserved, "it keeps what it fills")
