--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -67,20 +68,21 @@
 	// MaxRelayed limits the requests of peers in progress; 0 means no limit.
 	MaxRelayed int64
 
-	buffers     byteBudget
-	metricsOnce sync.Once
-	upstreams   transports
-	peers       transports
-	idleBounds  idleBounds
-	connLimits  connLimits
-	dials       atomic.Int64 // connections to upstreams that were begun
-	crashProbes singleflight.Group
-	sending     activeSet[*exchange]
-	jobs        activeSet[*job]
-	inFlight    atomic.Int64
-	relayed     atomic.Int64 // requests of peers in progress
-	durations   sagedrain.Durations
-	cutting     atomic.Bool // the node exits and aborts what is in progress
+	buffers       byteBudget
+	responseSizes responseSizes
+	metricsOnce   sync.Once
+	upstreams     transports
+	peers         transports
+	idleBounds    idleBounds
+	connLimits    connLimits
+	dials         atomic.Int64 // connections to upstreams that were begun
+	crashProbes   singleflight.Group
+	sending       activeSet[*exchange]
+	jobs          activeSet[*job]
+	inFlight      atomic.Int64
+	relayed       atomic.Int64 // requests of peers in progress
+	durations     sagedrain.Durations
+	cutting       atomic.Bool // the node exits and aborts what is in progress
 }
 
 // Relayed returns the number of requests of peers in progress.
@@ -190,9 +192,16 @@
 	if limits.BodyBytes > 0 {
 		in = http.MaxBytesReader(j.w, in, limits.BodyBytes)
 	}
+	controller := http.NewResponseController(j.w)
+	_ = controller.SetReadDeadline(j.finalDeadline()) // fails for writers without deadline support, such as test recorders
 	b, err := io.ReadAll(in)
+	_ = controller.SetReadDeadline(time.Time{})
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		j.w.Header().Set("Connection", "close")
+		j.refuse(http.StatusGatewayTimeout, TimedOut, 0)
+		return false
 	case errors.As(err, &tooLarge):
 		j.refuse(http.StatusRequestEntityTooLarge, TooLarge, 0)
 		return false
