A stopping node writes its last responses before it closes their connections

What callers saw: of bookings that outlasted the stop of their node, most got 502 and some a closed connection with no answer at all, so that they didn't know whether the booking had run.

Cause: after the abort the node waited until no request was in progress and then closed its server. A request ends in the relay before net/http has written the response that is in its buffer; whoever was between the two lost it. The server for other nodes was closed in the same way, so that a peer could lose the response to a request that it had relayed.

Fix: both servers are shut down, which waits until each connection has written its response, up to the time that the abort has (0.2 s), and closed only then.

--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -332,11 +332,11 @@
 		maxHeader     int
 		handler       http.Handler
 	}{
-		{"peers", cfg.Listen.Mesh, maxPeerHeaderBytes, n.peerHandler(peers)},
+		{peersName, cfg.Listen.Mesh, maxPeerHeaderBytes, n.peerHandler(peers)},
 		{"operator", cfg.Listen.Operator, maxHeaderBytes, operator},
 		{"directory", cfg.Listen.Directory, maxHeaderBytes, n.Directory},
 		{"readiness", cfg.Listen.Readiness, maxHeaderBytes, n.Readiness},
-		{"entry", cfg.Listen.Entry, maxHeaderBytes, n.relay},
+		{entryName, cfg.Listen.Entry, maxHeaderBytes, n.relay},
 	} {
 		if l.address == "" {
 			continue
--- a/internal/sagerouter/services.go
+++ b/internal/sagerouter/services.go
@@ -12,8 +12,12 @@
 	"sagestand.example/sagestand/pkg/sageclock"
 )
 
-// entryName is the name of the server that callers connect to.
-const entryName = "entry"
+const (
+	// entryName is the name of the server that callers connect to.
+	entryName = "entry"
+	// peersName is the name of the server for other nodes, whose requests the node relays.
+	peersName = "peers"
+)
 
 // server runs one HTTP server.
 type server struct {
@@ -23,7 +27,8 @@
 	http     *http.Server
 }
 
-// Run serves until ctx ends. The entry server then stops gracefully, the others immediately.
+// Run serves until ctx ends. The entry server then stops gracefully, that for other nodes once its responses are written, the others
+// immediately.
 func (s *server) Run(ctx context.Context) error {
 	done := make(chan error, 1)
 	go func() { done <- s.http.Serve(s.listener) }()
@@ -32,10 +37,13 @@
 		return fmt.Errorf("serve %s: %w", s.name, err)
 	case <-ctx.Done():
 	}
-	if s.name != entryName {
-		return s.http.Close()
+	switch s.name {
+	case entryName:
+		return s.drain()
+	case peersName:
+		return closeAfterResponses(s.http, time.Now().Add(abortTimeout))
 	}
-	return s.drain()
+	return s.http.Close()
 }
 
 // recordCleanupInterval is how often health records of removed upstreams, and ended pauses and back-offs, are dropped.
--- a/internal/sagerouter/stop.go
+++ b/internal/sagerouter/stop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"net/http"
 	"sync"
 	"time"
 
@@ -36,9 +37,21 @@
 	n.awaitRelayed(ctx)
 	n.Log.Component("node").Info("Entry closed.", "in_flight", n.relay.InFlight())
 	n.relay.AbortRequests()
-	n.awaitAborted()
+	abortBy := time.Now().Add(abortTimeout)
+	n.awaitAborted(abortBy)
 	n.relay.CloseIdleConnections()
-	return s.http.Close()
+	return closeAfterResponses(s.http, abortBy)
+}
+
+// closeAfterResponses closes a server once the responses of its handlers have been written, or at the deadline. A request that no
+// longer counts as in progress may still have its response in the server's buffer.
+func closeAfterResponses(srv *http.Server, deadline time.Time) error {
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
+	defer cancel()
+	if err := srv.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+		return fmt.Errorf("shut down: %w", err)
+	}
+	return srv.Close()
 }
 
 // newClosing returns the times of a stop that may take the given time from the signal, which is handled now. Directory answers name
@@ -95,9 +108,9 @@
 // abortTimeout limits the wait for the ends of aborted requests, whose callers get an answer if they have none yet.
 const abortTimeout = 200 * time.Millisecond
 
-// awaitAborted waits until the requests that were aborted have ended.
-func (n *Node) awaitAborted() {
-	for deadline := time.Now().Add(abortTimeout); n.relay.InFlight() > 0 && time.Now().Before(deadline); {
+// awaitAborted waits until the requests that were aborted have ended, or until the deadline.
+func (n *Node) awaitAborted(deadline time.Time) {
+	for n.relay.InFlight() > 0 && time.Now().Before(deadline) {
 		time.Sleep(time.Millisecond)
 	}
 }
