serve: a stop that is set to its longest request needs no larger margin for few

What callers saw: a leaving VM refused streams of 1.6 s as leaving 4.5 s before its stop, while the other VMs still named it (TestGracefulStopCompletesStreams, known red).

Cause: with 4 to 15 streams known, the estimate is three times the longest, 4.8 s, so that a VM with a stop of 12 s refuses from 7.2 s on. With fewer it accepts, since the operator has set the stop to the longest request; so the knowledge of a few short streams made it refuse more.

Fix: `serve` gives few durations the margin of many. What has been seen to take too long is refused as before. The users' platform keeps the larger margin: its stop is given.

Evidence: row "few usual requests are short" of TestLeavingNodeRefusesWhatItWouldCut fails before; a row with long ones is refused in both.

--- a/internal/sageentry/leaving.go
+++ b/internal/sageentry/leaving.go
@@ -77,7 +77,7 @@
 // estimate returns how long a request of a route is expected to take at most, or false if that isn't known. Requests in progress
 // count with their age, since those that have ended say nothing of upstreams that have become slow.
 func (s *Service) estimate(now time.Time, route string) (time.Duration, bool) {
-	estimate, known := s.durations.Estimate(now, route)
+	estimate, known := s.durations.EstimateWithin(now, route)
 	return max(estimate, s.sent.oldest(now, route)), known
 }
 
--- a/internal/sageentry/leaving_test.go
+++ b/internal/sageentry/leaving_test.go
@@ -12,7 +12,8 @@
 	"sagestand.example/sagestand/pkg/sagewire"
 )
 
-// Prevents a leaving node from sending a booking to its upstream that its stop would abort, so that nobody knows whether it ran.
+// Prevents a leaving node from sending a booking to its upstream that its stop would abort, so that nobody knows whether it ran, and
+// from refusing requests that end long before its stop because few like them are known.
 func TestLeavingNodeRefusesWhatItWouldCut(t *testing.T) {
 	const (
 		earlier = 20
@@ -30,6 +31,8 @@
 		{"usual requests are short", 7 * time.Second, earlier, time.Minute, false},
 		{"the deadline is before the stop", 6 * time.Second, earlier, 9 * time.Second, false},
 		{"nothing is known", 0, 0, time.Minute, false},
+		{"few usual requests are short", 4 * time.Second, 8, time.Minute, false},
+		{"few usual requests are too long", 9 * time.Second, 8, time.Minute, true},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/pkg/sagedrain/durations.go
+++ b/pkg/sagedrain/durations.go
@@ -51,13 +51,23 @@
 
 // Estimate returns the time that a request of a class is expected to take at most, or false if too few have ended lately.
 func (d *Durations) Estimate(now time.Time, class string) (time.Duration, bool) {
+	return d.estimate(now, class, fewMargin)
+}
+
+// EstimateWithin is [Durations.Estimate] for a process whose stop is set to last as long as its longest requests: few durations get
+// no larger margin than many.
+func (d *Durations) EstimateWithin(now time.Time, class string) (time.Duration, bool) {
+	return d.estimate(now, class, manyMargin)
+}
+
+func (d *Durations) estimate(now time.Time, class string, few float64) (time.Duration, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.rotate(now)
 	a, b := d.current[class], d.earlier[class]
-	margin := float64(manyMargin)
+	margin := manyMargin
 	if a.n+b.n < manyDurations {
-		margin = fewMargin
+		margin = few
 	}
 	return time.Duration(margin * float64(max(a.longest, b.longest))), a.n+b.n >= minDurations
 }
