A copy of the rejection of an earlier send is not the answer to a later one

What callers would see: a booking that runs twice, or a booking that has run and is refused as not run (TWICE, REFUSED).

Cause: a response belongs to a request if it names its ID. The ID names the request and not the send. If an upstream's process is replaced at its address, its entry and that of its successor have one address. A request that was sent to the first and rejected (421, or 503 with its statement) went to the second over the same connection. A late second copy of the rejection arrived there with the right ID while the request ran, and was believed.

Fix: a request that goes to an address once more takes a new connection, on which nothing of the earlier send can arrive. Other requests keep using the old one, and what comes there for this request names another than theirs.

Evidence: TestCopyOfRejectionOfEarlierSendIsNotBelieved, four cases. Before: with two entries 503 after one run, with a third upstream 200 after two runs. After: one run at most, and no refusal of what ran. That the fleet picks both entries in turn was shown by a trial of its Pick.

--- a/internal/sagerelay/conn.go
+++ b/internal/sagerelay/conn.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/http/httptrace"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -105,6 +106,10 @@
 	if !x.j.route.Repeatable() {
 		tries = maxPooledTriesOnce
 	}
+	if slices.Contains(x.j.sentTo, x.address()) {
+		tries = 0 // a late copy of the response to the earlier send bears the same ID as the response to this one
+	}
+	x.j.sentTo = append(x.j.sentTo, x.address())
 	for range tries {
 		x.conn.got = false
 		res, err := x.tracker.RoundTrip(t.pooled, req)
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -80,6 +80,8 @@
 	upstreamFailure *bufferedResponse
 	retryGranted    atomic.Bool // a retry was granted before the exchange was cancelled
 	cause           string      // of the last failed exchange, for the log
+	// sentTo are the addresses of the upstreams that the request was sent to.
+	sentTo []string
 	// lastEnd is the end of the last exchange; its zero value is none.
 	lastEnd exchangeEnd
 	// connWait is how long the request has waited for free connections.
