The connection of an unfinished body is closed after its 504

What operators saw: a caller that never finished its body got 504 at its deadline, and its connection and goroutine stayed for as long as it liked. A stop lasted until its cut for it.

Cause: the read deadline was taken off even when it had passed, so that net/http waited for the rest of the body before it closed the connection.

Fix: a deadline that has passed stays.

Evidence: TestUnfinishedBodyEndsConnection: open 4 s after the answer before, closed at once after, for a body of a stated length and a chunked one. TestUnfinishedBodies passes in both.

--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -195,7 +195,9 @@
 	controller := http.NewResponseController(j.w)
 	_ = controller.SetReadDeadline(j.finalDeadline()) // fails for writers without deadline support, such as test recorders
 	b, err := io.ReadAll(in)
-	_ = controller.SetReadDeadline(time.Time{})
+	if !errors.Is(err, os.ErrDeadlineExceeded) { // after which the server would wait for the rest of the body
+		_ = controller.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
