A body without a length holds only the buffer space that it fills

What callers saw: with bodies of 5 bytes in chunks, 34 requests at once were served by a node with 34 MiB and the others refused (no_memory).

Cause: such a body reserves the largest size, and kept it until its request ended. Same class as endless responses: space for what will never come.

Fix: what the body doesn't fill is returned when it has been read.

Evidence: TestBodyWithoutLengthReservesWhatItHolds: 35,651,584 bytes reserved and 16 of 50 refused before, 250 bytes and none after.

--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -211,9 +211,18 @@
 		j.abandon() // the caller aborted its request
 	}
 	j.body = b
+	s.releaseUnread(j)
 	return true
 }
 
+// releaseUnread returns the space that was reserved for a body without a length and isn't needed.
+func (s *Service) releaseUnread(j *job) {
+	if unread := j.reservedBytes - int64(len(j.body)); unread > 0 {
+		j.reservedBytes -= unread
+		s.buffers.release(unread)
+	}
+}
+
 // reserveBody reserves buffer space for the request's body and reports whether there was enough.
 //
 // Bodies are buffered completely so that requests can be sent again. Without a limit, many large
