A large response of a relayed request holds up no own one that fits

What callers saw: with 4 of 34 MiB in use, a large response of an upstream that had sent oversized ones waited although it had space.

Cause: such responses wait in one order, and only the first may take space. That of a request that a peer relayed has half of the limit, and held up those behind it while it didn't fit.

Fix: those with the higher limit come first.

Evidence: TestRelayedResponsesDoNotHoldUpOwn fails before, passes after.

--- a/internal/sagerelay/budget.go
+++ b/internal/sagerelay/budget.go
@@ -37,7 +37,8 @@
 	// overdraft is set while one reservation is beyond the limit. Without it, responses that each hold a part of their
 	// space could wait for one another.
 	overdraft *reservation
-	// waiting are the responses that wait for space of large ones, those of upstreams that sent the fewest oversized ones first.
+	// waiting are the responses that wait for space of large ones: those with the highest limit first, of these those of upstreams that
+	// sent the fewest oversized ones.
 	waiting []*reservation
 	// oversized counts the responses of each upstream that were too large, since its last large one that wasn't.
 	oversized map[string]int
@@ -67,6 +68,8 @@
 	// bytes is what the response may fill, reserved what is reserved for it.
 	bytes, reserved int64
 	kind            reservationKind
+	// limit is that of the response while it waits for space of large ones.
+	limit int64
 	// givenUp is set if too many responses wait for space of large ones.
 	givenUp bool
 }
@@ -126,8 +129,12 @@
 	if slices.Contains(b.waiting, r) {
 		return
 	}
+	r.limit = limit
 	b.waiting = append(b.waiting, r)
-	slices.SortStableFunc(b.waiting, func(x, y *reservation) int { return cmp.Compare(b.oversized[x.upstream], b.oversized[y.upstream]) })
+	slices.SortStableFunc(b.waiting, func(x, y *reservation) int {
+		// One with a lower limit would hold up others that fit.
+		return cmp.Or(cmp.Compare(y.limit, x.limit), cmp.Compare(b.oversized[x.upstream], b.oversized[y.upstream]))
+	})
 	held := int64(0)
 	for i, w := range b.waiting {
 		if held += w.reserved; i > 0 && limit > 0 && held > limit/waitingDivisor {
--- a/internal/sagerelay/budget_test.go
+++ b/internal/sagerelay/budget_test.go
@@ -164,3 +164,20 @@
 		})
 	}
 }
+
+// Prevents a large response that a peer's request waits for from holding up one of an own request that fits.
+func TestRelayedResponsesDoNotHoldUpOwn(t *testing.T) {
+	const limit, mb = 34 << 20, 1 << 20
+	var b byteBudget
+	b.oversized = map[string]int{"u": 1}
+	newReservation := func() *reservation { return &reservation{budget: &b, upstream: "u", usual: 16 << 10, most: 4*mb + 1} }
+	first, relayed, own := newReservation(), newReservation(), newReservation()
+	grow := func(r *reservation, limit int64) bool {
+		freed, err := r.tryGrow(32<<10, limit)
+		require.NoError(t, err)
+		return freed == nil
+	}
+	require.True(t, grow(first, limit))
+	require.False(t, grow(relayed, limit/2))
+	require.True(t, grow(own, limit), "fits: %d MiB of %d", b.used/mb, limit/mb)
+}
