The play of stops leaves out ends at the deadline only where the run needed it

The trace that it rested on had three ends of one case, with deadlines of 4.5 s and runs of 3.8 to 4.4 s. Only such ends are left out now: a stated deadline of the case, and a run that takes all of it but a second.

TestEndAtDeadlineIsLeftOutForLongRunsOnly fails before.

--- a/internal/sagesoak/stops.go
+++ b/internal/sagesoak/stops.go
@@ -33,6 +33,8 @@
 	// A node closes its listener at closeAt, and cuts requests at cutAt, both counted from SIGTERM.
 	closeAt = 3500 * time.Millisecond
 	cutAt   = 7300 * time.Millisecond
+	// deadlineMargin is how much shorter than its deadline a run is at most that its deadline may end.
+	deadlineMargin = time.Second
 )
 
 // stopEvents are what happens beside a stop.
@@ -383,8 +385,8 @@
 		default:
 			continue
 		}
-		if e.end-e.sent >= cmp.Or(s.Deadline, stopDeadline) {
-			continue // its deadline has passed
+		if s.Deadline > 0 && e.end-e.sent >= s.Deadline && e.run >= s.Deadline-deadlineMargin {
+			continue // its upstream had until its deadline
 		}
 		out.Lost++
 		if e.sent <= ruleSentBy && e.sent+e.run >= ruleWorkFrom {
