Bytes of a faulty upstream prove the path to it

Cause: an exchange that broke or stalled before its answer was complete counted as unanswered, although bytes had come until then: heads without end, chunks or trailers that are none, a body of 3 MB/s that was still being read when its stall timer fired. Two such upstreams within 2 s have the path suspected, and while it is, a request that may have run once goes to a peer. A probe whose response head never ended counted as timed out, too.

Change: bytes that arrived within 200 ms on a connection that the other end hasn't ended make the exchange an answer as far as the path is concerned, and the probe answered. The response is still evidence against the upstream, now without waiting for the path. Silence, also in the middle of a response, and ended connections count as before.

Packages sageconn and sagerelay and the platform's tests of paths, probes, endless and extra bytes pass with -race.

--- a/internal/sageconn/conn.go
+++ b/internal/sageconn/conn.go
@@ -38,6 +38,10 @@
 	filter  filter
 	passed  []byte
 	readErr error
+	// received is when bytes of the other end last arrived in the current use, ended is set once a read has failed that wasn't stopped
+	// at this end.
+	received time.Time
+	ended    bool
 	// identified is the number of uses whose answer was identified as that of their request.
 	identified uint64
 	// keepIdle is the time after which the connection is closed when it is idle; 0 leaves it open.
@@ -95,6 +99,10 @@
 	if c.resting && (len(b) > 0 || err != nil) {
 		c.stale = true
 	}
+	if len(b) > 0 {
+		c.received = time.Now()
+	}
+	c.ended = c.ended || err != nil && !c.closing && !c.sealed
 	before := c.filter.identified
 	passed, ferr := c.filter.add(b)
 	if c.passed, c.readErr = passed, err; ferr != nil {
@@ -157,7 +165,7 @@
 	if owner != nil && c.identified+1 < c.use {
 		_ = c.closeInOrder() // the earlier response is complete
 	}
-	c.wrote, c.finished = false, false
+	c.wrote, c.finished, c.received = false, false, time.Time{}
 	c.resting = true
 	c.stopIdleTimer()
 	return c.use
@@ -232,6 +240,16 @@
 	return true
 }
 
+// receivedIn returns when bytes of the other end last arrived in the given use, and whether it hasn't ended the connection.
+func (c *Conn) receivedIn(use uint64) (at time.Time, open bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.use != use {
+		return time.Time{}, false
+	}
+	return c.received, !c.ended
+}
+
 // skippedIn returns the number of responses to other requests that were skipped in the given use.
 func (c *Conn) skippedIn(use uint64) int {
 	c.mu.Lock()
--- a/internal/sageconn/tracker.go
+++ b/internal/sageconn/tracker.go
@@ -131,6 +131,15 @@
 	return c.skippedIn(use)
 }
 
+// Received returns when bytes of the other end last arrived, and whether it hasn't ended the connection. The time is zero if none have.
+func (t *Tracker) Received() (at time.Time, open bool) {
+	c, use := t.conn()
+	if c == nil {
+		return time.Time{}, false
+	}
+	return c.receivedIn(use)
+}
+
 // Reused reports whether the connection was used before.
 func (t *Tracker) Reused() bool {
 	c, use := t.conn()
--- a/internal/sagerelay/endless_test.go
+++ b/internal/sagerelay/endless_test.go
@@ -85,6 +85,7 @@
 				<-closed
 				require.LessOrEqual(t, written.Load(), c.limit+endlessSlack)
 				require.Zero(t, s.buffers.inUse())
+				require.Empty(t, f.unanswered, "bytes prove the path")
 				if c.status == http.StatusBadGateway {
 					require.Equal(t, []sagehealth.Result{sagehealth.Broken}, f.results)
 				}
--- a/internal/sagerelay/evidence.go
+++ b/internal/sagerelay/evidence.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"sagestand.example/sagestand/internal/sageconn"
 	"sagestand.example/sagestand/pkg/sagehealth"
 )
 
@@ -27,13 +28,25 @@
 	}
 }
 
-// recordUnanswered records that the exchange got no complete answer.
+// recordUnanswered records that the exchange got no complete answer. Bytes that arrived just before show that the path is sound,
+// whatever they are.
 func (x *exchange) recordUnanswered() {
-	if x.helper == nil {
+	switch {
+	case x.helper != nil:
+	case receiving(&x.tracker):
+		x.j.s.Fleet.RecordAnswer(x.p.Upstream, x.freshConn)
+	default:
 		x.j.s.Fleet.RecordUnanswered(x.p.Upstream)
 	}
 }
 
+// receiving reports whether the other end of an exchange's connection sent bytes within the last minStallTimeout, and hasn't ended
+// the connection.
+func receiving(t *sageconn.Tracker) bool {
+	at, open := t.Received()
+	return open && time.Since(at) < minStallTimeout
+}
+
 // recordUnsent records that the request was not written. A refused connection shows that the upstream has stopped, if
 // this node's path is sound.
 func (x *exchange) recordUnsent(err error) {
@@ -48,7 +61,11 @@
 
 // recordFailedResponse records that the exchange stalled or timed out, if this node's path is sound.
 func (x *exchange) recordFailedResponse() {
-	if x.helper == nil {
+	switch {
+	case x.helper != nil:
+	case receiving(&x.tracker):
+		x.recordResponse(ResponseResult{Failed: true})
+	default:
 		x.j.s.Fleet.WhenPathVerified(x.p.Upstream, false, func() { x.recordResponse(ResponseResult{Failed: true}) })
 	}
 }
--- a/internal/sagerelay/transport.go
+++ b/internal/sagerelay/transport.go
@@ -160,10 +160,14 @@
 	if err != nil {
 		return sagereach.ProbeTimedOut
 	}
-	res, err := (&sageconn.Transport{Base: t.unpooled}).RoundTrip(req)
+	tracker := new(sageconn.Tracker)
+	res, err := tracker.RoundTrip(t.unpooled, req.WithContext(tracker.WithTrace(ctx)))
 	if err == nil {
 		_ = res.Body.Close() // the content doesn't matter
 	}
+	if receiving(tracker) {
+		return sagereach.ProbeAnswered
+	}
 	return probeResult(err, connected)
 }
 
