A repeatable request doesn't wait for buffer space at an upstream that sends oversized responses

Callers: a response that was large, at an upstream that had sent an oversized one, waited for the space of such responses until the request's deadline and got 504, while other upstreams were free.

Cause: the stall timer was stopped while a response waited for space, whoever had caused the lack of it.

Change: it runs on while the response waits behind other large ones of such upstreams. A request that may be repeated then goes to another upstream within its retry budget; one that may not waits as before, since its response may still be whole. The wait is this node's, so that it is no evidence against the upstream or the path.

Evidence: TestResponseWithoutSpaceIsTriedElsewhere, idempotent: 504 after 4 s before, 200 after 200 ms since (virtual time); once: 504 after 4 s, unchanged. Tests of large and endless responses, buffers and budgets pass with -race. Not played with real nodes.

--- a/internal/sagerelay/budget.go
+++ b/internal/sagerelay/budget.go
@@ -148,6 +148,13 @@
 	}
 }
 
+// waitsAsSuspect reports whether the response waits for the space of large ones of upstreams that sent oversized ones.
+func (r *reservation) waitsAsSuspect() bool {
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	return slices.Contains(r.budget.waiting, r)
+}
+
 // tryGrow adds n bytes to the reservation, beyond the limit if no other reservation is. If there is no space it returns a
 // channel that is closed when some is released.
 func (r *reservation) tryGrow(n, limit int64) (freed <-chan struct{}, err error) {
--- a/internal/sagerelay/largeresponse_test.go
+++ b/internal/sagerelay/largeresponse_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"sagestand.example/sagestand/pkg/sagehealth"
 	"sagestand.example/sagestand/pkg/sageroute"
 )
 
@@ -70,3 +71,38 @@
 		require.Equal(t, map[int]int{http.StatusOK: atOnce}, counts)
 	})
 }
+
+// Prevents a request that may be repeated from waiting until its deadline for buffer space at an upstream that sends oversized responses,
+// while another upstream could answer it.
+func TestResponseWithoutSpaceIsTriedElsewhere(t *testing.T) {
+	for _, tt := range []struct {
+		kind   sageroute.Kind
+		status int
+		held   time.Duration
+	}{{sageroute.Idempotent, http.StatusOK, minStallTimeout}, {sageroute.Once, http.StatusGatewayTimeout, testRoute(sageroute.Once).Timeout}} {
+		t.Run(string(tt.kind), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFakeFleet(t, testRoute(tt.kind), map[string]upstream{"a": slowEndless, "b": respond(200, sealHeader, "ok")})
+				s := f.service()
+				s.MaxBufferedBytes = 34 << 20
+				var others [2]reservation // large responses of the same upstream, which take all that such ones may
+				for i := range others {
+					others[i] = reservation{budget: &s.buffers, upstream: "a", usual: 1, most: maxPlainResponseBytes + 1}
+					others[i].recordOversized()
+					freed, err := others[i].tryGrow(2, s.MaxBufferedBytes)
+					require.NoError(t, err)
+					require.Nil(t, freed)
+				}
+				start := time.Now()
+				require.Equal(t, tt.status, f.callOn(t.Context(), s, nil, "body").Code)
+				require.Equal(t, tt.held, time.Since(start))
+				require.NotContains(t, f.results, sagehealth.Stalled, "the upstream waits for this node")
+				require.Empty(t, f.unanswered)
+				for i := range others {
+					others[i].release()
+				}
+				require.Zero(t, s.buffers.inUse())
+			})
+		})
+	}
+}
--- a/internal/sagerelay/response.go
+++ b/internal/sagerelay/response.go
@@ -101,14 +101,15 @@
 	}
 }
 
-// reserveBuffer reserves n bytes. The upstream isn't timed while its response waits for space.
+// reserveBuffer reserves n bytes. The upstream isn't timed while its response waits for space, unless it has sent oversized ones: the
+// request then goes to another one if it may be repeated.
 func (x *exchange) reserveBuffer(ctx context.Context, r *reservation, n int64, stallTimer *time.Timer) error {
 	limit := x.j.bufferLimit()
 	if freed, err := r.tryGrow(n, limit); freed == nil {
 		return err
 	}
 	x.j.s.Metrics.GetOrCreateCounter("sagestand_response_buffer_waits_total").Inc()
-	if stallTimer != nil {
+	if stallTimer != nil && !r.waitsAsSuspect() {
 		stallTimer.Stop()
 		defer func() { stallTimer.Reset(x.j.firstByteTimeout()) }()
 	}
