serve: a VM that handles its SIGTERM late counts its stop from the time before

A VM that stood still when it got SIGTERM took streams that were still running when it was killed, `stop.within_millis` after the signal: callers saw a stream without its end, and can't know what ran.

Cause: the decision counted from when the signal was handled. Routers count from the beginning of the gap; serve didn't.

serve now records its progress ten times a second and counts from the beginning of a gap of 0.3 s or more that the signal may have come in. The record moved to pkg/sagedrain (Progress), unchanged, so that both use it. The listener closes, and what is in progress ends, as long after the signal is handled as before: ending it sooner would break off what may still have time.

The tests of internal/sagerouter name the moved type; their assertions are the same.

--- a/internal/sageentry/leaving_test.go
+++ b/internal/sageentry/leaving_test.go
@@ -1,6 +1,8 @@
 package sageentry
 
 import (
+	"context"
+	"net/http"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -57,6 +59,60 @@
 	}
 }
 
+// honours is a [Leaver] of a node that is named for as long.
+type honours time.Duration
+
+func (h honours) Leave(now time.Time) time.Time { return now.Add(time.Duration(h)) }
+
+// Prevents a VM that stood still when it got SIGTERM from accepting requests that end after it is killed.
+func TestLateSignalMovesNoLimit(t *testing.T) {
+	const (
+		within = 8 * time.Second
+		stall  = 1500 * time.Millisecond
+		run    = 4 * time.Second
+	)
+	for _, tt := range []struct {
+		name         string
+		recordsFirst bool // the process records its progress before it handles the signal
+		stall        time.Duration
+		after        time.Duration // from the signal to a request
+		status       int
+	}{
+		{"stood still, signal first", false, stall, 3 * time.Second, 200},
+		{"stood still, record first", true, stall, 3 * time.Second, 200},
+		{"stood still, signal first, late", false, stall, 3200 * time.Millisecond, 503},
+		{"stood still, record first, late", true, stall, 3200 * time.Millisecond, 503},
+		{"ran", false, 0, 3 * time.Second, 200},
+		{"ran, late", false, 0, 3200 * time.Millisecond, 503},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeSteps{results: []sagedispatch.Result{{Outcome: sagewire.Complete}}}
+				s := testService(f)
+				s.Leaver, s.Stop.WithinMillis = honours(within/2), int(within/time.Millisecond)
+				for range 20 {
+					s.recordDuration(&Request{Route: "orders", ArrivedAt: time.Now().Add(-run * 97 / 100)}, true)
+				}
+				s.progress.Record(time.Now())
+				signal := time.Now()
+				time.Sleep(tt.stall)
+				if tt.recordsFirst {
+					s.progress.Record(time.Now())
+				}
+				ctx, cancel := context.WithCancel(t.Context())
+				var stopping sync.WaitGroup
+				stopping.Go(func() { s.stop(new(http.Server), cancel) })
+				time.Sleep(time.Until(signal.Add(tt.after)))
+				status := call(s, "POST", "/v1/services/orders/x", "", sagewire.HeaderDeadline, time.Now().Add(time.Minute).Format(time.RFC3339Nano)).Code
+				stopping.Wait()
+				require.Equal(t, tt.status, status)
+				require.NoError(t, ctx.Err())
+				cancel()
+			})
+		})
+	}
+}
+
 // noRecorder drops observations. It is safe for concurrent use.
 type noRecorder struct{}
 
--- a/internal/sageentry/server.go
+++ b/internal/sageentry/server.go
@@ -42,6 +42,7 @@
 	closing   atomic.Pointer[sagedrain.Closing] // set while the node is leaving
 	durations sagedrain.Durations
 	sent      sentRequests
+	progress  sagedrain.Progress
 }
 
 // InFlight returns the number of requests being served.
@@ -99,6 +100,7 @@
 		IdleTimeout:       idleTimeout,
 		BaseContext:       func(net.Listener) context.Context { return baseCtx },
 	}
+	go s.recordProgress(ctx)
 	stopped := make(chan struct{})
 	go func() {
 		defer close(stopped)
@@ -113,13 +115,28 @@
 	return nil
 }
 
+// recordProgress records that the process runs until ctx ends.
+func (s *Service) recordProgress(ctx context.Context) {
+	t := time.NewTicker(sagedrain.ProgressInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			s.progress.Record(time.Now())
+		}
+	}
+}
+
 // stop performs the graceful stop. It aborts the requests that still run at the deadline and logs their
 // number.
 func (s *Service) stop(srv *http.Server, cancelRequests context.CancelFunc) {
 	now := time.Now()
 	stopBy := now.Add(millis(s.Stop.WithinMillis))
 	serveUntil := s.Leaver.Leave(now)
-	s.setClosing(serveUntil, stopBy)
+	// The process may be killed as long after the signal as its stop may take, also if it has handled the signal late.
+	s.setClosing(serveUntil, s.progress.EarliestSignal(now).Add(millis(s.Stop.WithinMillis)))
 	s.Log.Info("Leaving.", "serve_until", serveUntil, "stop_by", stopBy, "in_flight", s.InFlight())
 	time.Sleep(time.Until(serveUntil))
 	ctx, cancel := context.WithDeadline(context.Background(), stopBy)
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -46,7 +46,7 @@
 	// kinds. No callers wait yet.
 	maxFirstStartWait = 6 * time.Second
 	// expiryInterval is how often lapsed upstream entries are expired.
-	expiryInterval = 100 * time.Millisecond
+	expiryInterval = sagedrain.ProgressInterval
 	// DirectoryTTL is how long callers may cache a directory answer. Some cache it three times as long.
 	DirectoryTTL = time.Second
 	// maxCachedTTLs times DirectoryTTL is the longest time for which callers use a directory answer. A stopping node
@@ -138,7 +138,7 @@
 	// quarantinesListed is set once the quarantine objects have been listed.
 	quarantinesListed bool
 	closing           atomic.Pointer[sagedrain.Closing] // set while the node is leaving
-	progress          progress
+	progress          sagedrain.Progress
 }
 
 // Open opens the listeners and creates the services. Nothing is served before Run.
--- a/internal/sagerouter/services.go
+++ b/internal/sagerouter/services.go
@@ -69,7 +69,7 @@
 			n.fleet.retainHelpers()
 			tuneGC()
 		case <-t.C:
-			n.progress.record(time.Now())
+			n.progress.Record(time.Now())
 			n.peers.Flush()
 			n.fleet.settleEvidence(sageclock.Now())
 			n.relay.CancelUndelivered()
--- a/internal/sagerouter/stop.go
+++ b/internal/sagerouter/stop.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -25,7 +24,7 @@
 func (s *server) drain() error {
 	n := s.node
 	now, within := time.Now(), seconds(n.Settings.Bounds.StopWithinSeconds)
-	signal := n.progress.earliestSignal(now)
+	signal := n.progress.EarliestSignal(now)
 	closing := newClosing(signal, now, within)
 	n.closing.Store(closing)
 	n.mesh.TriggerHeartbeats(true)
@@ -57,7 +56,7 @@
 // have missed of the time since the signal.
 func aloneClosing(c *sagedrain.Closing, signal time.Time) *sagedrain.Closing {
 	out := *c
-	out.CertainFrom = earlier(signal.Add(maxCachedTTLs*DirectoryTTL-maxProgressGap), c.CloseAt)
+	out.CertainFrom = earlier(signal.Add(maxCachedTTLs*DirectoryTTL-sagedrain.MaxProgressGap), c.CloseAt)
 	out.Alone = true
 	return &out
 }
@@ -96,42 +95,6 @@
 	return b
 }
 
-// maxProgressGap is the time between two records of [progress] from which the process counts as having stood still.
-const maxProgressGap = 3 * expiryInterval
-
-// progress keeps when the process last ran. A signal that arrives while it gets no processor time is handled late, and the time until
-// the process is killed counts from the signal. Its zero value is ready to use; it is safe for concurrent use.
-type progress struct {
-	mu               sync.Mutex
-	last             time.Time
-	stopped, resumed time.Time // the last time at which the process stood still
-}
-
-// record records that the process runs. It has to be called every expiryInterval.
-func (p *progress) record(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.last.IsZero() && now.Sub(p.last) >= maxProgressGap {
-		p.stopped, p.resumed = p.last, now
-	}
-	p.last = now
-}
-
-// earliestSignal returns the earliest time at which a signal may have been sent that is handled now.
-func (p *progress) earliestSignal(now time.Time) time.Time {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	switch {
-	case p.last.IsZero():
-		return now
-	case now.Sub(p.last) >= maxProgressGap:
-		return p.last
-	case !p.resumed.IsZero() && now.Sub(p.resumed) < maxProgressGap:
-		return p.stopped
-	}
-	return now
-}
-
 // abortTimeout limits the wait for the ends of aborted requests, whose callers get an answer if they have none yet.
 const abortTimeout = 200 * time.Millisecond
 
--- a/internal/sagerouter/stop_test.go
+++ b/internal/sagerouter/stop_test.go
@@ -7,6 +7,7 @@
 	"github.com/stretchr/testify/require"
 
 	"sagestand.example/sagestand/internal/sagemesh"
+	"sagestand.example/sagestand/pkg/sagedrain"
 )
 
 // Prevents a request that is sent when all answers that name the node have expired from being accepted although it may be cut, because
@@ -33,16 +34,16 @@
 		ticksBefore bool // the process records its progress before it handles the signal
 	}{{"signal first", false}, {"record first", true}} {
 		t.Run(tt.name, func(t *testing.T) {
-			var p progress
+			var p sagedrain.Progress
 			signal := time.Unix(1_000, 0)
 			for at := -time.Second; at < 0; at += expiryInterval {
-				p.record(signal.Add(at))
+				p.Record(signal.Add(at))
 			}
 			now := signal.Add(stall)
 			if tt.ticksBefore {
-				p.record(now)
+				p.Record(now)
 			}
-			c := newClosing(p.earliestSignal(now.Add(time.Millisecond)), now.Add(time.Millisecond), within)
+			c := newClosing(p.EarliestSignal(now.Add(time.Millisecond)), now.Add(time.Millisecond), within)
 			require.NoError(t, c.Check())
 			at := signal.Add(3 * time.Second)
 			require.False(t, c.Accepts(at, signal.Add(within), time.Millisecond, true), "ends when the process is killed")
@@ -53,17 +54,17 @@
 
 // Prevents a node that ran all the time, or stood still long ago, from losing time of its stop.
 func TestSignalInTime(t *testing.T) {
-	var p progress
+	var p sagedrain.Progress
 	now := time.Unix(1_000, 0)
-	require.Equal(t, now, p.earliestSignal(now))
-	p.record(now)
-	require.Equal(t, now.Add(expiryInterval), p.earliestSignal(now.Add(expiryInterval)))
-	p.record(now.Add(time.Second))
-	require.Equal(t, now, p.earliestSignal(now.Add(time.Second)))
+	require.Equal(t, now, p.EarliestSignal(now))
+	p.Record(now)
+	require.Equal(t, now.Add(expiryInterval), p.EarliestSignal(now.Add(expiryInterval)))
+	p.Record(now.Add(time.Second))
+	require.Equal(t, now, p.EarliestSignal(now.Add(time.Second)))
 	for i := range 10 {
-		p.record(now.Add(time.Second + time.Duration(i)*expiryInterval))
+		p.Record(now.Add(time.Second + time.Duration(i)*expiryInterval))
 	}
-	require.Equal(t, now.Add(2*time.Second), p.earliestSignal(now.Add(2*time.Second)))
+	require.Equal(t, now.Add(2*time.Second), p.EarliestSignal(now.Add(2*time.Second)))
 }
 
 // Prevents callers that have nowhere else to go from being refused what their node would end, and from losing what they send after
@@ -71,7 +72,7 @@
 func TestLeavingNodeThatServesAlone(t *testing.T) {
 	const run = 3 * time.Second
 	signal := time.Unix(1_000, 0)
-	for _, delay := range []time.Duration{0, maxProgressGap - time.Millisecond} { // until the signal is handled, as far as it goes unnoticed
+	for _, delay := range []time.Duration{0, sagedrain.MaxProgressGap - time.Millisecond} { // until the signal is handled, as far as it goes unnoticed
 		handled := signal.Add(delay)
 		c := newClosing(handled, handled, 8*time.Second)
 		alone := aloneClosing(c, handled)
