--- a/internal/sagesoak/stopslate.go
+++ b/internal/sagesoak/stopslate.go
@@ -29,6 +29,8 @@
 	Gap time.Duration
 	// MinHold and MaxHold bound how long a node stands still across its SIGTERM; 0 means that it doesn't.
 	MinHold, MaxHold time.Duration
+	// HoldSecond has only the second node of a hop stand still.
+	HoldSecond bool
 	// BothOfHop has a node that is cut off stop in each round, and a node that it relays to: that one first, if SecondFirst is set.
 	BothOfHop, SecondFirst bool
 	// Early has nodes stop that have just started and aren't ready.
@@ -59,6 +61,8 @@
 		grid(&Stops{Name: "a byte a second", MinRun: 200 * ms, MaxRun: 4000 * ms, Rounds: 2, stopVariant: bodies}),
 		grid(&Stops{Name: "a byte a second, short runs", MinRun: 20 * ms, MaxRun: 200 * ms, Rounds: 2, stopVariant: bodies}),
 		grid(&Stops{Name: "all nodes at once, runs of 2 to 4 s", MinRun: 2000 * ms, MaxRun: 4000 * ms, AtOnce: stopNodes, Rounds: 2}),
+		grid(&Stops{Name: "late signal of all nodes", MinRun: 200 * ms, MaxRun: 5500 * ms, AtOnce: stopNodes, Rounds: 2, stopVariant: stopVariant{lateVariant: late}}),
+		grid(&Stops{Name: "hop late signal of the second node", MinRun: 200 * ms, MaxRun: 5500 * ms, Rounds: 2, stopVariant: stopVariant{CutOff: 4, First: 4, lateVariant: lateVariant{BothOfHop: true, HoldSecond: true, MinHold: late.MinHold, MaxHold: late.MaxHold}}}),
 	}
 	for _, s := range cases {
 		s.Known = true
@@ -97,7 +101,7 @@
 
 // holdUp stops a node from shortly before its SIGTERM until a random time after it.
 func (s *Stops) holdUp(ctx context.Context, node int, term time.Time) {
-	if s.MaxHold == 0 {
+	if s.MaxHold == 0 || s.HoldSecond && node < s.CutOff {
 		return
 	}
 	rng := rand.New(rand.NewPCG(s.Seed, uint64(2_000_000+node)))
