--- a/internal/sageentry/leaving_queue_test.go
+++ b/internal/sageentry/leaving_queue_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"io"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -37,6 +39,48 @@
 	})
 }
 
+// slowBody is a body that arrives a byte a second.
+type slowBody int
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if *b == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(time.Second)
+	*b--
+	return copy(p, "x"), nil
+}
+
+// Prevents a leaving node from sending a booking whose body has arrived so late that it would abort it.
+func TestLeavingNodeRefusesLateBody(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		bytes  slowBody
+		status int
+	}{{"in time", 2, 200}, {"too late to end", 4, 503}, {"after the listener closes", 7, 503}} {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := &fakeSteps{results: []sagedispatch.Result{{Outcome: sagewire.Complete}}}
+				s := testService(f)
+				for range 20 {
+					s.recordDuration(&Request{Route: "orders", ArrivedAt: time.Now().Add(-4 * time.Second)}, true)
+				}
+				time.AfterFunc(time.Second, func() { s.setClosing(time.Now().Add(5*time.Second), time.Now().Add(7500*time.Millisecond)) })
+				r := httptest.NewRequest(http.MethodPost, "/v1/services/orders/x", &tt.bytes)
+				r.Header.Set("Authorization", "Bearer "+testKey)
+				r.Header.Set(sagewire.HeaderDeadline, time.Now().Add(time.Minute).Format(time.RFC3339Nano))
+				w := httptest.NewRecorder()
+				s.Handler().ServeHTTP(w, r)
+				require.Equal(t, tt.status, w.Code)
+				if tt.status == 503 {
+					require.Empty(t, f.attempts)
+					require.Equal(t, "close", w.Header().Get("Connection"))
+				}
+			})
+		})
+	}
+}
+
 // slowDispatch answers attempts after a time.
 type slowDispatch struct {
 	*fakeSteps
