--- a/internal/sagerouter/stop.go
+++ b/internal/sagerouter/stop.go
@@ -4,11 +4,12 @@
 	"context"
 	"fmt"
 	"net/http"
-	"sync"
+	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
+	"sagestand.example/sagestand/internal/sagemesh"
 	"sagestand.example/sagestand/pkg/sagedrain"
 )
 
@@ -24,11 +25,12 @@
 func (s *server) drain() error {
 	n := s.node
 	now, within := time.Now(), seconds(n.Settings.Bounds.StopWithinSeconds)
-	closing := newClosing(n.progress.earliestSignal(now), now, within)
+	signal := n.progress.EarliestSignal(now)
+	closing := newClosing(signal, now, within)
 	n.closing.Store(closing)
 	n.mesh.TriggerHeartbeats(true)
 	n.Log.Component("node").Info("Leaving.", "in_flight", n.relay.InFlight(), "close_at", closing.CloseAt, "cut_at", closing.CutAt)
-	time.Sleep(time.Until(closing.CloseAt))
+	n.awaitClose(closing, aloneClosing(closing, signal))
 	ctx, cancel := context.WithDeadline(context.Background(), now.Add(within-exitMargin))
 	defer cancel()
 	if err := s.http.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
@@ -62,47 +64,48 @@
 	return &sagedrain.Closing{CertainFrom: earlier(signal.Add(certainTTLs*DirectoryTTL), closeAt), CloseAt: closeAt, CutAt: cutAt}
 }
 
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
+// aloneClosing returns the times of the same stop while no other node serves. What is likely to end before the exit is accepted for
+// longer, since a refused caller has nowhere to go: as long as callers may use answers that name the node, less what the node may
+// have missed of the time since the signal.
+func aloneClosing(c *sagedrain.Closing, signal time.Time) *sagedrain.Closing {
+	out := *c
+	out.CertainFrom = earlier(signal.Add(maxCachedTTLs*DirectoryTTL-sagedrain.MaxProgressGap), c.CloseAt)
+	out.Alone = true
+	return &out
 }
 
-// maxProgressGap is the time between two records of [progress] from which the process counts as having stood still.
-const maxProgressGap = 3 * expiryInterval
+// stopPollInterval is how often a stopping node checks whether others serve, and whether it still relays requests of peers.
+const stopPollInterval = 20 * time.Millisecond
 
-// progress keeps when the process last ran. A signal that arrives while it gets no processor time is handled late, and the time until
-// the process is killed counts from the signal. Its zero value is ready to use; it is safe for concurrent use.
-type progress struct {
-	mu               sync.Mutex
-	last             time.Time
-	stopped, resumed time.Time // the last time at which the process stood still
+// awaitClose waits until the listener closes, and meanwhile sets the times of the stop that apply.
+func (n *Node) awaitClose(closing, alone *sagedrain.Closing) {
+	for {
+		wait := time.Until(closing.CloseAt)
+		if wait <= 0 {
+			return
+		}
+		time.Sleep(min(wait, stopPollInterval))
+		// A node cut off from the others knows nothing of them.
+		current := closing
+		if !n.isolated() && !anyServes(n.mesh.Live()) {
+			current = alone
+		}
+		if n.closing.Swap(current) != current {
+			n.Log.Component("node").Info("Other nodes began or ceased to serve.", "alone", current.Alone)
+		}
+	}
 }
 
-// record records that the process runs. It has to be called every expiryInterval.
-func (p *progress) record(now time.Time) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if !p.last.IsZero() && now.Sub(p.last) >= maxProgressGap {
-		p.stopped, p.resumed = p.last, now
-	}
-	p.last = now
+// anyServes reports whether callers can be sent to one of the nodes.
+func anyServes(nodes []sagemesh.Member) bool {
+	return slices.ContainsFunc(nodes, func(m sagemesh.Member) bool { return m.Ready && !m.Leaving })
 }
 
-// earliestSignal returns the earliest time at which a signal may have been sent that is handled now.
-func (p *progress) earliestSignal(now time.Time) time.Time {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	switch {
-	case p.last.IsZero():
-		return now
-	case now.Sub(p.last) >= maxProgressGap:
-		return p.last
-	case !p.resumed.IsZero() && now.Sub(p.resumed) < maxProgressGap:
-		return p.stopped
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
 	}
-	return now
+	return b
 }
 
 // abortTimeout limits the wait for the ends of aborted requests, whose callers get an answer if they have none yet.
@@ -115,12 +118,9 @@
 	}
 }
 
-// relayedPollInterval is how often a stopping node checks whether it still relays requests of peers.
-const relayedPollInterval = 20 * time.Millisecond
-
 // awaitRelayed waits until no request of a peer is in progress or ctx ends.
 func (n *Node) awaitRelayed(ctx context.Context) {
-	t := time.NewTicker(relayedPollInterval)
+	t := time.NewTicker(stopPollInterval)
 	defer t.Stop()
 	for n.relay.Relayed() > 0 {
 		select {
