A pause that a response without an ID asks for is believed for 5 s at most

An upstream that declined requests with 503 and a Retry-After, but without their IDs, got up to three and more requests of a node in that pause. Their callers got 502 where the requests may run once only.

Cause: since rejections without an ID belong to no request, nothing in them was believed. But a pause says nothing about a request: it is the sender's word about itself.

The pause is believed now where bytes of an earlier exchange can't be meant: on a new connection, and on a reused one if the request's own response doesn't follow (none within the time, or the connection breaks). It lasts 5 s at most, since on reused connections it may be an old response, or text of a caller in a body that is longer than its length; an upstream that still wants none says so again. The request counts as a possible run as before, so that nothing is sent again or refused by it. Leaving, brittle and "not run" stay unbelieved without an ID.

It asserted that no pause is kept in any case; it asserts now in which cases one is kept and for how long, and that none is kept beside the request's own response. Its new row closes the connection after the rejection.

--- a/internal/sagerelay/exchange.go
+++ b/internal/sagerelay/exchange.go
@@ -71,8 +71,10 @@
 	skipped int
 	// identified is set once the response to the request has arrived.
 	identified atomic.Bool
-	tracker    sageconn.Tracker
-	cancel     context.CancelCauseFunc
+	// heldPause is the [sageclock.Instant] until which a response without an ID asked for no requests; zero if none did.
+	heldPause atomic.Int64
+	tracker   sageconn.Tracker
+	cancel    context.CancelCauseFunc
 }
 
 // sendTo sends the request to an upstream and forwards the response.
@@ -267,6 +269,7 @@
 		return x.rejectResponse(err.Error()) // says nothing about the connection's idle time
 	}
 	if errors.Is(context.Cause(ctx), errUnidentified) {
+		x.believePause(0)
 		x.recordAbandoned()
 		return x.rejectResponse(errUnidentified.Error())
 	}
@@ -275,6 +278,9 @@
 	}
 	stalled := errors.Is(context.Cause(ctx), errStalled)
 	timedOut := ctx.Err() != nil && !stalled
+	if !x.identified.Load() {
+		x.believePause(0)
+	}
 	if !timedOut {
 		x.recordUnanswered()
 		x.recordExchange(brokenResult(err, stalled))
--- a/internal/sagerelay/owner.go
+++ b/internal/sagerelay/owner.go
@@ -9,12 +9,16 @@
 
 	"sagestand.example/sagestand/internal/sageconn"
 	"sagestand.example/sagestand/internal/sagelog"
+	"sagestand.example/sagestand/pkg/sageclock"
 	"sagestand.example/sagestand/pkg/sagehealth"
 )
 
 // errUnidentified is the cause with which an exchange is cancelled that got a response without an ID, and no other one after it.
 var errUnidentified = errors.New("no response after one without a request ID")
 
+// maxUnidentifiedPause limits the pause that a response without an ID asks for. Who wrote it is less certain.
+const maxUnidentifiedPause = 5 * time.Second
+
 // ownerOf returns whose a response is. A faulty upstream may send a second copy of an earlier response, or one to no request,
 // which arrives before the response to the next request on the connection. It is skipped.
 func (x *exchange) ownerOf(res *http.Response) sageconn.Owner {
@@ -36,6 +40,7 @@
 		return owner
 	}
 	x.recordUnidentified(res)
+	x.holdPause(res)
 	t := time.AfterFunc(x.j.identifyTimeout(), func() {
 		// Without a skipped response, the exchange has taken another connection since.
 		if ctx.Err() == nil && !x.identified.Load() && x.tracker.Skipped() > 0 {
@@ -56,7 +61,7 @@
 }
 
 // owns reports whether a response is the one to this exchange's request. Until then nothing in it may be believed, neither
-// that the request has not run nor what it says about its upstream. Upstreams and peers echo the request's ID, so a response
+// that the request has not run nor what it says about its upstream, but for [exchange.holdPause]. Upstreams and peers echo the request's ID, so a response
 // without one belongs to no request.
 func (x *exchange) owns(res *http.Response) bool {
 	x.recordSkipped()
@@ -90,9 +95,29 @@
 	j.s.Log.Limited(sagelog.KindExchange, "Response isn't known to belong to its request.", "id", j.meta.ID, "response_id", truncate(meta.ID), "upstream", x.upstreamID(), "status", res.StatusCode,
 		"not_run", meta.NotRun, "reused", x.conn.reused, "idle_ms", x.conn.idle.Milliseconds())
 	x.countForeign("rejected", 1)
+	if meta.ID == "" && !x.conn.reused {
+		x.believePause(res.StatusCode) // nothing precedes it on the connection
+	}
 	return x.rejectResponse("response isn't known to belong to the request")
 }
 
+// holdPause remembers the pause that a response without an ID asks for. It is about the upstream and no request, but on a reused
+// connection the response may be an old one or inside another's body, so it is believed only once the request's own doesn't follow.
+func (x *exchange) holdPause(res *http.Response) {
+	until := x.j.s.Dialect.ParseResponse(res).PauseUntil
+	if x.helper != nil || until == 0 {
+		return
+	}
+	x.heldPause.Store(int64(min(until, sageclock.Now().Add(maxUnidentifiedPause))))
+}
+
+// believePause records the pause that [exchange.holdPause] remembered, after which no response to the request came.
+func (x *exchange) believePause(status int) {
+	if until := sageclock.Instant(x.heldPause.Swap(0)); until != 0 {
+		x.j.observeAnnouncements(x.p.Upstream, status, &ResponseMetadata{ID: x.j.meta.ID, PauseUntil: until})
+	}
+}
+
 // recordUnidentified records a response without an ID.
 func (x *exchange) recordUnidentified(res *http.Response) {
 	x.countForeign("unidentified", 1)
--- a/internal/sagerelay/unidentified_test.go
+++ b/internal/sagerelay/unidentified_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -29,7 +30,8 @@
 }
 
 // Prevents a rejection without an ID, which an upstream sends beside its responses, from being believed of a request that
-// runs: the request would be sent to another upstream or refused as not run.
+// runs: the request would be sent to another upstream or refused as not run. Prevents the pause in it from being overlooked, and
+// from being kept for a minute or beside a response to the request, as any bytes of a faulty upstream may ask for one.
 func TestRejectionWithoutIDBelongsToNoRequest(t *testing.T) {
 	positions := []struct {
 		name   string
@@ -38,12 +40,17 @@
 		// once is the status of a request that must be executed at most once, idempotent the upstream that answers another.
 		once       int
 		idempotent string
+		// pauses is set if a pause that the rejection asks for is believed.
+		pauses bool
+		// closes is set if the upstream closes the connection after it.
+		closes bool
 	}{
-		{"before the response on a reused connection", true, func(extra, own string) string { return extra + own }, 200, "from a"},
-		{"twice before the response on a reused connection", true, func(extra, own string) string { return extra + extra + own }, 200, "from a"},
-		{"in place of the response on a reused connection", true, func(extra, _ string) string { return extra }, 502, "from b"},
-		{"before the response on a new connection", false, func(extra, own string) string { return extra + own }, 502, "from b"},
-		{"in place of the response on a new connection", false, func(extra, _ string) string { return extra }, 502, "from b"},
+		{"before the response on a reused connection", true, func(extra, own string) string { return extra + own }, 200, "from a", false, false},
+		{"twice before the response on a reused connection", true, func(extra, own string) string { return extra + extra + own }, 200, "from a", false, false},
+		{"in place of the response on a reused connection", true, func(extra, _ string) string { return extra }, 502, "from b", true, false},
+		{"in place of the response on a reused connection that closes", true, func(extra, _ string) string { return extra }, 502, "from b", true, true},
+		{"before the response on a new connection", false, func(extra, own string) string { return extra + own }, 502, "from b", true, false},
+		{"in place of the response on a new connection", false, func(extra, _ string) string { return extra }, 502, "from b", true, false},
 	}
 	for name, extra := range unidentifiedRejections() {
 		for _, p := range positions {
@@ -67,13 +74,14 @@
 								out = p.write(extra, out)
 							}
 							_, err := io.WriteString(w, out)
-							return err == nil
+							return err == nil && !(p.closes && id == "id2")
 						})
 						if p.reused {
 							proveReuse(s)
 							require.Equal(t, http.StatusOK, serveID(t, s, "id1").Code)
 							synctest.Wait()
 						}
+						asked := sageclock.Now()
 						w := serveID(t, s, "id2")
 						synctest.Wait()
 						s.toUpstreams().pooled.CloseIdleConnections()
@@ -89,7 +97,13 @@
 						require.Empty(t, f.misdirected)
 						require.Empty(t, f.declined)
 						require.Empty(t, f.maxDeclines)
-						require.Zero(t, f.pauses.PausedUntil(sageclock.Now(), "a"))
+						paused := f.pauses.PausedUntil(asked, "a")
+						if !p.pauses || !strings.Contains(extra, testPause) {
+							require.Zero(t, paused)
+							return
+						}
+						require.GreaterOrEqual(t, paused, asked.Add(maxUnidentifiedPause))
+						require.LessOrEqual(t, paused, sageclock.Now().Add(maxUnidentifiedPause), "not a minute")
 					})
 				})
 			}
