The time in which a body arrives no longer counts in a leaving node's estimate

A caller whose body arrived slowly made a leaving node refuse the route's other requests, however short, for 30 to 60 s.

Cause: requests were timed from their headers, though the decision is taken once the body is read. They are now timed from then, in the routers and in serve; those in progress too.

Evidence: TestSlowBodyRaisesNoEstimate of internal/sagerelay and internal/sageentry (virtual time) got 503 before and 200 after.

--- a/internal/sageentry/decode.go
+++ b/internal/sageentry/decode.go
@@ -91,7 +91,7 @@
 		return sagewire.Refuse(sagewire.ReasonBadRequest, "the body broke off", time.Time{})
 	}
 	_ = rc.SetReadDeadline(time.Time{})
-	req.Body = b
+	req.Body, req.ReadAt = b, time.Now()
 	return nil
 }
 
--- a/internal/sageentry/leaving.go
+++ b/internal/sageentry/leaving.go
@@ -68,7 +68,7 @@
 	var age time.Duration
 	for req := range x.requests {
 		if req.Route == route {
-			age = max(age, now.Sub(req.ArrivedAt))
+			age = max(age, now.Sub(req.ReadAt))
 		}
 	}
 	return age
@@ -81,12 +81,12 @@
 	return max(estimate, s.sent.oldest(now, route)), known
 }
 
-// recordDuration records how long a request took that was sent. One that wasn't answered completely would have taken longer.
+// recordDuration records how long a request took that was sent, from when its body had been read, as the decision is taken then. One that wasn't answered completely would have taken longer.
 func (s *Service) recordDuration(req *Request, complete bool) {
 	now := time.Now()
 	if complete {
-		s.durations.Record(now, req.Route, now.Sub(req.ArrivedAt))
+		s.durations.Record(now, req.Route, now.Sub(req.ReadAt))
 	} else {
-		s.durations.RecordIncomplete(now, req.Route, now.Sub(req.ArrivedAt))
+		s.durations.RecordIncomplete(now, req.Route, now.Sub(req.ReadAt))
 	}
 }
--- a/internal/sageentry/leaving_queue_test.go
+++ b/internal/sageentry/leaving_queue_test.go
@@ -29,7 +29,7 @@
 		f := &fakeSteps{results: []sagedispatch.Result{{Outcome: sagewire.Complete}}}
 		s := testService(f)
 		for range 20 {
-			s.recordDuration(&Request{Route: "orders", ArrivedAt: time.Now().Add(-8 * time.Second)}, true)
+			s.recordDuration(&Request{Route: "orders", ReadAt: time.Now().Add(-8 * time.Second)}, true)
 		}
 		s.Admission = slowAdmission(2 * time.Second)
 		time.AfterFunc(time.Second, func() { s.setClosing(time.Now().Add(5*time.Second), time.Now().Add(10*time.Second)) })
@@ -63,7 +63,7 @@
 				f := &fakeSteps{results: []sagedispatch.Result{{Outcome: sagewire.Complete}}}
 				s := testService(f)
 				for range 20 {
-					s.recordDuration(&Request{Route: "orders", ArrivedAt: time.Now().Add(-4 * time.Second)}, true)
+					s.recordDuration(&Request{Route: "orders", ReadAt: time.Now().Add(-4 * time.Second)}, true)
 				}
 				time.AfterFunc(time.Second, func() { s.setClosing(time.Now().Add(5*time.Second), time.Now().Add(7500*time.Millisecond)) })
 				r := httptest.NewRequest(http.MethodPost, "/v1/services/orders/x", &tt.bytes)
@@ -81,6 +81,29 @@
 	}
 }
 
+// Prevents a leaving node from refusing the short requests of a route, of which one had a body that arrived slowly.
+func TestSlowBodyRaisesNoEstimate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &fakeSteps{results: []sagedispatch.Result{{Outcome: sagewire.Complete}, {Outcome: sagewire.Complete}}}
+		s := testService(f)
+		for range 20 {
+			s.recordDuration(&Request{Route: "orders", ReadAt: time.Now().Add(-time.Second)}, true)
+		}
+		send := func(bytes int) int {
+			body := slowBody(bytes)
+			r := httptest.NewRequest(http.MethodPost, "/v1/services/orders/x", &body)
+			r.Header.Set("Authorization", "Bearer "+testKey)
+			r.Header.Set(sagewire.HeaderDeadline, time.Now().Add(time.Minute).Format(time.RFC3339Nano))
+			w := httptest.NewRecorder()
+			s.Handler().ServeHTTP(w, r)
+			return w.Code
+		}
+		require.Equal(t, 200, send(8))
+		s.setClosing(time.Now().Add(2*time.Second), time.Now().Add(4*time.Second))
+		require.Equal(t, 200, send(0))
+	})
+}
+
 // slowDispatch answers attempts after a time.
 type slowDispatch struct {
 	*fakeSteps
@@ -105,7 +128,7 @@
 				f := &fakeSteps{results: []sagedispatch.Result{declined, {Outcome: sagewire.Complete}}}
 				s := testService(f)
 				for range 20 {
-					s.recordDuration(&Request{Route: "orders", ArrivedAt: time.Now().Add(-7 * time.Second)}, true)
+					s.recordDuration(&Request{Route: "orders", ReadAt: time.Now().Add(-7 * time.Second)}, true)
 				}
 				s.Dispatch = slowDispatch{f, 5 * time.Second}
 				s.setClosing(time.Now().Add(time.Second), time.Now().Add(tt.stopIn))
--- a/internal/sageentry/leaving_test.go
+++ b/internal/sageentry/leaving_test.go
@@ -41,7 +41,7 @@
 				f := &fakeSteps{results: []sagedispatch.Result{complete}}
 				s := testService(f)
 				for range tt.earlier {
-					s.recordDuration(&Request{Route: "orders", ArrivedAt: time.Now().Add(-tt.run)}, true)
+					s.recordDuration(&Request{Route: "orders", ReadAt: time.Now().Add(-tt.run)}, true)
 				}
 				s.setClosing(time.Now().Add(stopIn/2), time.Now().Add(stopIn))
 				w := call(s, "POST", "/v1/services/orders/x", "", sagewire.HeaderDeadline, time.Now().Add(tt.deadline).Format(time.RFC3339Nano))
@@ -94,7 +94,7 @@
 				s := testService(f)
 				s.Leaver, s.Stop.WithinMillis = honours(within/2), int(within/time.Millisecond)
 				for range 20 {
-					s.recordDuration(&Request{Route: "orders", ArrivedAt: time.Now().Add(-run * 97 / 100)}, true)
+					s.recordDuration(&Request{Route: "orders", ReadAt: time.Now().Add(-run * 97 / 100)}, true)
 				}
 				s.progress.Record(time.Now())
 				signal := time.Now()
@@ -127,7 +127,7 @@
 		f := &fakeSteps{results: []sagedispatch.Result{{Outcome: sagewire.Complete}, {Outcome: sagewire.Complete}}}
 		s := testService(f)
 		for range 20 {
-			s.recordDuration(&Request{Route: "orders", ArrivedAt: time.Now().Add(-time.Second)}, true)
+			s.recordDuration(&Request{Route: "orders", ReadAt: time.Now().Add(-time.Second)}, true)
 		}
 		s.Dispatch, s.Recorder = slowDispatch{f, 20 * time.Second}, noRecorder{}
 		deadline := time.Now().Add(time.Minute).Format(time.RFC3339Nano)
@@ -145,7 +145,7 @@
 	s := testService(new(fakeSteps))
 	now := time.Now()
 	for range 20 {
-		s.recordDuration(&Request{Route: "orders", ArrivedAt: now.Add(-time.Second)}, false)
+		s.recordDuration(&Request{Route: "orders", ReadAt: now.Add(-time.Second)}, false)
 	}
 	_, known := s.estimate(now, "orders")
 	require.False(t, known)
--- a/internal/sageentry/steps.go
+++ b/internal/sageentry/steps.go
@@ -35,6 +35,8 @@
 	Stream         bool
 	// ArrivedAt is when the headers had been read.
 	ArrivedAt time.Time
+	// ReadAt is when the body had been read.
+	ReadAt time.Time
 }
 
 // Config is the configuration in force on this node.
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -55,6 +55,7 @@
 	w          http.ResponseWriter
 	r          *http.Request
 	start      time.Time
+	bodyRead   time.Time // when the body had been read
 	meta       RequestMetadata
 	route      *sageroute.Route
 	version    uint64 // of the configuration that the request was matched against
@@ -96,7 +97,7 @@
 
 // serve sends the request to upstreams until one responds or no further attempt is allowed.
 func (j *job) serve() {
-	j.deadline = j.finalDeadline()
+	j.bodyRead, j.deadline = time.Now(), j.finalDeadline()
 	j.lastEventID = j.meta.LastEventID
 	j.lastEventNumber, _ = strconv.ParseUint(j.meta.LastEventID, 10, 64) // 0 if not numeric
 	if j.serviceName = j.relay.service; j.serviceName == "" {
--- a/internal/sagerelay/leaving.go
+++ b/internal/sagerelay/leaving.go
@@ -43,7 +43,7 @@
 	}
 	for _, j := range s.jobs.list() {
 		if j.state.Load() == sendBegun && j.route.Name == route {
-			out = max(out, now.Sub(j.start))
+			out = max(out, now.Sub(j.bodyRead))
 		}
 	}
 	return out, ok
@@ -116,12 +116,12 @@
 	return Leaving
 }
 
-// recordDuration records how long the request took.
+// recordDuration records how long the request took from when its body had been read, as the decision is taken then.
 func (j *job) recordDuration(complete bool) {
 	now := time.Now()
 	if complete {
-		j.s.durations.Record(now, j.route.Name, now.Sub(j.start))
+		j.s.durations.Record(now, j.route.Name, now.Sub(j.bodyRead))
 	} else if j.state.Load() == sendBegun {
-		j.s.durations.RecordIncomplete(now, j.route.Name, now.Sub(j.start))
+		j.s.durations.RecordIncomplete(now, j.route.Name, now.Sub(j.bodyRead))
 	}
 }
--- a/internal/sagerelay/leaving_test.go
+++ b/internal/sagerelay/leaving_test.go
@@ -1,6 +1,8 @@
 package sagerelay
 
 import (
+	"io"
+	"net/http/httptest"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -94,6 +96,38 @@
 	}
 }
 
+// slowBody is a body that arrives a byte a second.
+type slowBody int
+
+func (b *slowBody) Read(p []byte) (int, error) {
+	if *b == 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(time.Second)
+	*b--
+	return copy(p, "x"), nil
+}
+
+// Prevents a leaving node from refusing the short requests of a route, of which one had a body that arrived slowly.
+func TestSlowBodyRaisesNoEstimate(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFakeFleet(t, testRoute(sageroute.Once), map[string]upstream{"a": delayed(100*time.Millisecond, respond(200, sealHeader, "fine"))})
+		s, leave := leavingNode(f, time.Second, 2*time.Second)
+		for range usualRequests {
+			require.Equal(t, 200, f.callOn(t.Context(), s, nil, "body").Code)
+		}
+		body := slowBody(3)
+		r := testRequest(t.Context(), nil, "body")
+		r.Body = io.NopCloser(&body)
+		w := httptest.NewRecorder()
+		s.ServeHTTP(w, r)
+		require.Equal(t, 200, w.Code)
+		s.toUpstreams().forRequest(true).CloseIdleConnections()
+		leave()
+		require.Equal(t, 200, f.callOn(t.Context(), s, nil, "body").Code)
+	})
+}
+
 // Prevents a leaving node from sending a declined request to a second upstream that it would abort before its end.
 func TestLeavingNodeRefusesDeclinedRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
