soak: a path that drops data takes it slowly

Cause: while a path drops data, the soak's proxy read at full speed what it dropped, and the check takes what an upstream has written for what a node read.

Each read that is dropped is delayed by 10 ms now. What a sender can get rid of is what sockets hold and 1.6 MB a second, 5.4 MB in the first second; 32 MB would need more than 15 s. The check itself is unchanged.

Evidence: TestProxyDropsNoMoreThanAPathTakes failed before, 64 MB were dropped in 0.03 and 0.04 s; it passes now.

--- a/internal/sagesoak/proxy.go
+++ b/internal/sagesoak/proxy.go
@@ -39,6 +39,9 @@
 // slowDelay is the delay of each read while the link is slow, and of the close after the end of the data.
 const slowDelay = 150 * time.Millisecond
 
+// discardDelay is the delay of each read whose data is dropped, so that a sender can't take it for read at any rate.
+const discardDelay = 10 * time.Millisecond
+
 // proxy is a TCP proxy in front of one upstream.
 type proxy struct {
 	target string
@@ -201,6 +204,7 @@
 		for _, s := range discardIn {
 			if mode == s {
 				n = 0
+				time.Sleep(discardDelay)
 			}
 		}
 		if n > 0 {
--- a/internal/sagesoak/proxy_test.go
+++ b/internal/sagesoak/proxy_test.go
@@ -1,6 +1,7 @@
 package sagesoak
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -110,3 +111,19 @@
 	require.NoError(t, err)
 	require.Equal(t, "request", string(got))
 }
+
+// Prevents an endless response from being taken for one that a node reads while the proxy drops it.
+func TestProxyDropsNoMoreThanAPathTakes(t *testing.T) {
+	for _, mode := range []linkMode{linkStalled, linkOneWay} {
+		t.Run(fmt.Sprint(mode), func(t *testing.T) {
+			p := new(proxy)
+			_, upstream := proxyPair(t, p)
+			p.setMode(mode)
+			require.NoError(t, upstream.SetWriteDeadline(time.Now().Add(time.Second)))
+			n, err := upstream.Write(make([]byte, 64<<20))
+			t.Logf("%d bytes", n)
+			require.ErrorIs(t, err, os.ErrDeadlineExceeded)
+			require.Less(t, n, 16<<20)
+		})
+	}
+}
