A caller that closes behind further bytes ends its request

What callers saw: a caller sent a request, then more bytes in a later packet (an empty line, the next request), and closed. The upstream worked on, for a stream maybe while the caller had taken it up at another node.

Cause: net/http notices a close by reading one byte while the handler runs. Once it has read one, it takes it for the next request and reads nothing more before the response has ended, so the request's context doesn't end.

Change: the requests of the servers know their connection (ConnContext), and for those in progress the node asks the kernel every 100 ms (poll with POLLRDHUP, one call that doesn't block) whether the peer has closed. Then the request's context ends, as if net/http had noticed. A half-close counts as gone, as before. Idle connections cost one context value each and no calls.

Evidence: TestCallerThatLeavesBehindFurtherBytesEndsExchange and TestCallerThatLeavesBehindFurtherBytesGivesUpItsPlace, over TCP. TestCallerThatSendsFurtherBytesIsServed: a caller that waits is still served. The tests of sagerelay pass.

Not tested: that a whole node sets ConnContext and calls CancelLeft.

--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -66,10 +67,13 @@
 	// responses are the reservations of buffered responses.
 	responses []*reservation
 
-	deadline     time.Time
-	serviceName  string
-	sends        int
-	cancel       context.CancelCauseFunc
+	deadline    time.Time
+	serviceName string
+	sends       int
+	cancel      context.CancelCauseFunc
+	// callerConn is the caller's connection, and leave ends the request as if net/http had noticed its end; nil if it isn't known.
+	callerConn   syscall.RawConn
+	leave        context.CancelFunc
 	state        atomic.Int32 // a sendState
 	possibleRuns int          // sends after which the request may have been executed
 	tried        []string
--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -93,7 +93,9 @@
 
 // ServeHTTP implements [http.Handler].
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.serveJob(&job{s: s, w: w, r: r, start: time.Now()})
+	j := &job{s: s, w: w, r: r, start: time.Now()}
+	defer j.watchCaller()()
+	s.serveJob(j)
 }
 
 func (s *Service) serveJob(j *job) {
--- a/internal/sagerouter/node.go
+++ b/internal/sagerouter/node.go
@@ -346,7 +346,7 @@
 			return fmt.Errorf("listen for %s: %w", l.name, err)
 		}
 		n.kernel.Register(l.name, &server{name: l.name, listener: ln, node: n, http: &http.Server{
-			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: l.maxHeader,
+			Handler: l.handler, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, MaxHeaderBytes: l.maxHeader, ConnContext: sagerelay.ConnContext,
 		}})
 	}
 	return nil
--- a/internal/sagerouter/services.go
+++ b/internal/sagerouter/services.go
@@ -74,6 +74,7 @@
 			n.fleet.settleEvidence(sageclock.Now())
 			n.relay.CancelUndelivered()
 			n.relay.RefuseWaiting()
+			n.relay.CancelLeft()
 			n.view.expireLapsed(n.storeProof.Age(sageclock.Now()) > sagefollow.LongOutage)
 			if !released && n.view.upstreams.Load() != nil {
 				released = true
