--- a/internal/sagerelay/budget.go
+++ b/internal/sagerelay/budget.go
@@ -13,7 +13,7 @@
 const (
 	// responseDivisor limits the bytes of all responses, so that requests find space for their bodies whatever upstreams send.
 	responseDivisor = 2
-	// smallDivisor limits the bytes that responses of usual size find when all responses together have reached their limit.
+	// smallDivisor limits the bytes that responses of usual size find when requests and other responses have reached their limits.
 	smallDivisor = 8
 	// largeDivisor limits the bytes of large responses of upstreams that sent oversized ones, so that they don't delay others.
 	largeDivisor = 4
@@ -37,7 +37,8 @@
 	// overdraft is set while one reservation is beyond the limit. Without it, responses that each hold a part of their
 	// space could wait for one another.
 	overdraft *reservation
-	// waiting are the responses that wait for space of large ones, those of upstreams that sent the fewest oversized ones first.
+	// waiting are the responses that wait for space of large ones: those with the highest limit first, of these those of upstreams that
+	// sent the fewest oversized ones.
 	waiting []*reservation
 	// oversized counts the responses of each upstream that were too large, since its last large one that wasn't.
 	oversized map[string]int
@@ -67,6 +68,8 @@
 	// bytes is what the response may fill, reserved what is reserved for it.
 	bytes, reserved int64
 	kind            reservationKind
+	// limit is that of the response while it waits for space of large ones.
+	limit int64
 	// givenUp is set if too many responses wait for space of large ones.
 	givenUp bool
 }
@@ -76,13 +79,18 @@
 func (b *byteBudget) tryReserve(n, limit int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.fitsLocked(n, limit) {
+	if !b.fitsLocked(n, limit) || !b.leavesSmallLocked(n, limit) {
 		return false
 	}
 	b.used += n
 	return true
 }
 
+// leavesSmallLocked reports whether responses of usual size find their part of the limit beside n more bytes of others.
+func (b *byteBudget) leavesSmallLocked(n, limit int64) bool {
+	return limit <= 0 || b.used == 0 || b.used-b.small+n <= limit-limit/smallDivisor
+}
+
 func (b *byteBudget) fitsLocked(n, limit int64) bool {
 	return n <= 0 || limit <= 0 || b.used == 0 || b.used+n <= limit
 }
@@ -126,8 +134,12 @@
 	if slices.Contains(b.waiting, r) {
 		return
 	}
+	r.limit = limit
 	b.waiting = append(b.waiting, r)
-	slices.SortStableFunc(b.waiting, func(x, y *reservation) int { return cmp.Compare(b.oversized[x.upstream], b.oversized[y.upstream]) })
+	slices.SortStableFunc(b.waiting, func(x, y *reservation) int {
+		// One with a lower limit would hold up others that fit.
+		return cmp.Or(cmp.Compare(y.limit, x.limit), cmp.Compare(b.oversized[x.upstream], b.oversized[y.upstream]))
+	})
 	held := int64(0)
 	for i, w := range b.waiting {
 		if held += w.reserved; i > 0 && limit > 0 && held > limit/waitingDivisor {
@@ -148,6 +160,13 @@
 	}
 }
 
+// waitsAsSuspect reports whether the response waits for the space of large ones of upstreams that sent oversized ones.
+func (r *reservation) waitsAsSuspect() bool {
+	r.budget.mu.Lock()
+	defer r.budget.mu.Unlock()
+	return slices.Contains(r.budget.waiting, r)
+}
+
 // tryGrow adds n bytes to the reservation, beyond the limit if no other reservation is. If there is no space it returns a
 // channel that is closed when some is released.
 func (r *reservation) tryGrow(n, limit int64) (freed <-chan struct{}, err error) {
@@ -198,7 +217,15 @@
 }
 
 func (b *byteBudget) responseFitsLocked(n, limit int64, kind reservationKind) bool {
-	return b.fitsLocked(n, limit) && (limit <= 0 || b.used == 0 || b.responses+n <= limit/responseDivisor || kind == smallResponse && b.small+n <= limit/smallDivisor)
+	switch {
+	case !b.fitsLocked(n, limit):
+		return false
+	case limit <= 0 || b.used == 0:
+		return true
+	case kind == smallResponse && b.small+n <= limit/smallDivisor:
+		return true
+	}
+	return b.responses+n <= limit/responseDivisor && (kind == smallResponse || b.leavesSmallLocked(n, limit))
 }
 
 // grow adds n bytes to the reservation. It waits for space until ctx ends.
--- a/internal/sagerelay/job.go
+++ b/internal/sagerelay/job.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
@@ -55,6 +56,7 @@
 	w          http.ResponseWriter
 	r          *http.Request
 	start      time.Time
+	bodyRead   time.Time // when the body had been read
 	meta       RequestMetadata
 	route      *sageroute.Route
 	version    uint64 // of the configuration that the request was matched against
@@ -66,10 +68,13 @@
 	// responses are the reservations of buffered responses.
 	responses []*reservation
 
-	deadline     time.Time
-	serviceName  string
-	sends        int
-	cancel       context.CancelCauseFunc
+	deadline    time.Time
+	serviceName string
+	sends       int
+	cancel      context.CancelCauseFunc
+	// callerConn is the caller's connection, and leave ends the request as if net/http had noticed its end; nil if it isn't known.
+	callerConn   syscall.RawConn
+	leave        context.CancelFunc
 	state        atomic.Int32 // a sendState
 	possibleRuns int          // sends after which the request may have been executed
 	tried        []string
@@ -80,6 +85,8 @@
 	upstreamFailure *bufferedResponse
 	retryGranted    atomic.Bool // a retry was granted before the exchange was cancelled
 	cause           string      // of the last failed exchange, for the log
+	// sentTo are the addresses of the upstreams that the request was sent to.
+	sentTo []string
 	// lastEnd is the end of the last exchange; its zero value is none.
 	lastEnd exchangeEnd
 	// connWait is how long the request has waited for free connections.
@@ -96,7 +103,7 @@
 
 // serve sends the request to upstreams until one responds or no further attempt is allowed.
 func (j *job) serve() {
-	j.deadline = j.finalDeadline()
+	j.bodyRead, j.deadline = time.Now(), j.finalDeadline()
 	j.lastEventID = j.meta.LastEventID
 	j.lastEventNumber, _ = strconv.ParseUint(j.meta.LastEventID, 10, 64) // 0 if not numeric
 	if j.serviceName = j.relay.service; j.serviceName == "" {
--- a/internal/sagerelay/service.go
+++ b/internal/sagerelay/service.go
@@ -93,7 +93,9 @@
 
 // ServeHTTP implements [http.Handler].
 func (s *Service) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	s.serveJob(&job{s: s, w: w, r: r, start: time.Now()})
+	j := &job{s: s, w: w, r: r, start: time.Now()}
+	defer j.watchCaller()()
+	s.serveJob(j)
 }
 
 func (s *Service) serveJob(j *job) {
@@ -195,7 +197,9 @@
 	controller := http.NewResponseController(j.w)
 	_ = controller.SetReadDeadline(j.finalDeadline()) // fails for writers without deadline support, such as test recorders
 	b, err := io.ReadAll(in)
-	_ = controller.SetReadDeadline(time.Time{})
+	if !errors.Is(err, os.ErrDeadlineExceeded) { // after which the server would wait for the rest of the body
+		_ = controller.SetReadDeadline(time.Time{})
+	}
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -209,9 +213,18 @@
 		j.abandon() // the caller aborted its request
 	}
 	j.body = b
+	s.releaseUnread(j)
 	return true
 }
 
+// releaseUnread returns the space that was reserved for a body without a length and isn't needed.
+func (s *Service) releaseUnread(j *job) {
+	if unread := j.reservedBytes - int64(len(j.body)); unread > 0 {
+		j.reservedBytes -= unread
+		s.buffers.release(unread)
+	}
+}
+
 // reserveBody reserves buffer space for the request's body and reports whether there was enough.
 //
 // Bodies are buffered completely so that requests can be sent again. Without a limit, many large
--- a/internal/sagerouter/services.go
+++ b/internal/sagerouter/services.go
@@ -77,11 +77,12 @@
 			n.fleet.retainHelpers()
 			tuneGC()
 		case <-t.C:
-			n.progress.record(time.Now())
+			n.progress.Record(time.Now())
 			n.peers.Flush()
 			n.fleet.settleEvidence(sageclock.Now())
 			n.relay.CancelUndelivered()
 			n.relay.RefuseWaiting()
+			n.relay.CancelLeft()
 			n.view.expireLapsed(n.storeProof.Age(sageclock.Now()) > sagefollow.LongOutage)
 			if !released && n.view.upstreams.Load() != nil {
 				released = true
