Revert "A leaving node with no other node to go to accepts what fits without a margin"

TestStopCutsNoRequest (platform, one node, so that none serves beside it) failed with it: a booking that was sent 2.6 s after the signal was accepted on an estimate of 1.2 s, ran longer than any before, and got 502 4.70 s later. From 2 s on only deadlines counted before. Without the change the test is green. Tests that go are those of the reverted decision.

--- a/internal/sagerelay/leaving.go
+++ b/internal/sagerelay/leaving.go
@@ -34,13 +34,9 @@
 }
 
 // estimate returns how long a request of a route is expected to take at most, or false if that isn't known. Requests in progress
-// count with their age, since those that have ended say nothing of upstreams that have become slow. There is no margin over many
-// requests if callers have nowhere else to go.
-func (s *Service) estimate(c *sagedrain.Closing, now time.Time, route string) (time.Duration, bool) {
+// count with their age, since those that have ended say nothing of upstreams that have become slow.
+func (s *Service) estimate(now time.Time, route string) (time.Duration, bool) {
 	out, ok := s.durations.Estimate(now, route)
-	if longest, many := s.durations.Longest(now, route); many && c.Alone {
-		out = longest
-	}
 	for _, j := range s.jobs.list() {
 		if j.state.Load() == sendBegun && j.route.Name == route {
 			out = max(out, now.Sub(j.bodyRead))
@@ -55,7 +51,7 @@
 	if c == nil {
 		return true
 	}
-	estimate, known := j.s.estimate(c, now, j.route.Name)
+	estimate, known := j.s.estimate(now, j.route.Name)
 	return c.Fits(now, j.deadline, estimate, known)
 }
 
@@ -69,7 +65,7 @@
 		return true
 	}
 	now := time.Now()
-	estimate, known := j.s.estimate(c, now, j.route.Name)
+	estimate, known := j.s.estimate(now, j.route.Name)
 	if c.Accepts(now, j.deadline, estimate, known) {
 		j.recordLeaving(c, "accepted", estimate, known)
 		return true
@@ -82,7 +78,7 @@
 // recordLeaving logs and counts a decision on a request at a leaving node.
 func (j *job) recordLeaving(c *sagedrain.Closing, decision string, estimate time.Duration, known bool) {
 	j.s.Metrics.GetOrCreateCounter(`sagestand_leaving_requests_total{decision="` + decision + `"}`).Inc()
-	j.s.Log.Limited(sagelog.KindExit, "Request at a leaving node.", "id", j.meta.ID, "decision", decision, "route", j.route.Name, "from", j.relay.from, "alone", c.Alone, "cut_in_ms", time.Until(c.CutAt).Milliseconds(),
+	j.s.Log.Limited(sagelog.KindExit, "Request at a leaving node.", "id", j.meta.ID, "decision", decision, "route", j.route.Name, "from", j.relay.from, "cut_in_ms", time.Until(c.CutAt).Milliseconds(),
 		"deadline_ms", time.Until(j.deadline).Milliseconds(), "estimate_ms", estimate.Milliseconds(), "estimate_known", known, "age_ms", time.Since(j.start).Milliseconds())
 }
 
@@ -94,7 +90,7 @@
 		return
 	}
 	for _, j := range s.jobs.list() {
-		estimate, known := s.estimate(c, now, j.route.Name)
+		estimate, known := s.estimate(now, j.route.Name)
 		if c.Fits(now, j.deadline, estimate, known) || !j.state.CompareAndSwap(sendWaiting, sendRefused) {
 			continue
 		}
--- a/internal/sagerelay/leaving_test.go
+++ b/internal/sagerelay/leaving_test.go
@@ -9,7 +9,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"sagestand.example/sagestand/pkg/sagedrain"
 	"sagestand.example/sagestand/pkg/sageroute"
 )
 
@@ -64,38 +63,6 @@
 	}
 }
 
-// Prevents callers that have nowhere else to go from being refused what takes as long as requests before it, and a leaving node from
-// sending what takes longer.
-func TestLeavingNodeThatServesAloneNeedsNoMargin(t *testing.T) {
-	for _, tt := range []struct {
-		name    string
-		alone   bool
-		earlier int
-		cutIn   time.Duration
-		status  int
-	}{
-		{"others serve", false, usualRequests, 1100 * time.Millisecond, 503},
-		{"alone", true, usualRequests, 1100 * time.Millisecond, 200},
-		{"alone, would be cut", true, usualRequests, 990 * time.Millisecond, 503},
-		{"alone, few requests are known", true, 5, 1100 * time.Millisecond, 503},
-		{"alone, none are known", true, 0, 1100 * time.Millisecond, 503},
-	} {
-		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				f := newFakeFleet(t, testRoute(sageroute.Once), map[string]upstream{"a": delayed(time.Second, respond(200, sealHeader, "fine"))})
-				s := f.service()
-				for range tt.earlier {
-					require.Equal(t, 200, f.callOn(t.Context(), s, nil, "body").Code)
-				}
-				now := time.Now()
-				c := &sagedrain.Closing{CertainFrom: now.Add(time.Second), CloseAt: now.Add(time.Second), CutAt: now.Add(tt.cutIn), Alone: tt.alone}
-				s.Closing = func() *sagedrain.Closing { return c }
-				require.Equal(t, tt.status, f.callOn(t.Context(), s, nil, "body").Code)
-			})
-		})
-	}
-}
-
 // slowBody is a body that arrives a byte a second.
 type slowBody int
 
--- a/internal/sagerouter/stop.go
+++ b/internal/sagerouter/stop.go
@@ -4,12 +4,10 @@
 	"context"
 	"fmt"
 	"net/http"
-	"slices"
 	"time"
 
 	"github.com/pkg/errors"
 
-	"sagestand.example/sagestand/internal/sagemesh"
 	"sagestand.example/sagestand/pkg/sagedrain"
 )
 
@@ -25,12 +23,11 @@
 func (s *server) drain() error {
 	n := s.node
 	now, within := time.Now(), seconds(n.Settings.Bounds.StopWithinSeconds)
-	signal := n.progress.EarliestSignal(now)
-	closing := newClosing(signal, now, within)
+	closing := newClosing(n.progress.EarliestSignal(now), now, within)
 	n.closing.Store(closing)
 	n.mesh.TriggerHeartbeats(true)
 	n.Log.Component("node").Info("Leaving.", "in_flight", n.relay.InFlight(), "close_at", closing.CloseAt, "cut_at", closing.CutAt)
-	n.awaitClose(closing, aloneClosing(closing, signal))
+	time.Sleep(time.Until(closing.CloseAt))
 	ctx, cancel := context.WithDeadline(context.Background(), now.Add(within-exitMargin))
 	defer cancel()
 	if err := s.http.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
@@ -64,43 +61,6 @@
 	return &sagedrain.Closing{CertainFrom: earlier(signal.Add(certainTTLs*DirectoryTTL), closeAt), CloseAt: closeAt, CutAt: cutAt}
 }
 
-// aloneClosing returns the times of the same stop while no other node serves. What is likely to end before the exit is accepted for
-// longer, since a refused caller has nowhere to go: as long as callers may use answers that name the node, less what the node may
-// have missed of the time since the signal.
-func aloneClosing(c *sagedrain.Closing, signal time.Time) *sagedrain.Closing {
-	out := *c
-	out.CertainFrom = earlier(signal.Add(maxCachedTTLs*DirectoryTTL-sagedrain.MaxProgressGap), c.CloseAt)
-	out.Alone = true
-	return &out
-}
-
-// stopPollInterval is how often a stopping node checks whether others serve, and whether it still relays requests of peers.
-const stopPollInterval = 20 * time.Millisecond
-
-// awaitClose waits until the listener closes, and meanwhile sets the times of the stop that apply.
-func (n *Node) awaitClose(closing, alone *sagedrain.Closing) {
-	for {
-		wait := time.Until(closing.CloseAt)
-		if wait <= 0 {
-			return
-		}
-		time.Sleep(min(wait, stopPollInterval))
-		// A node cut off from the others knows nothing of them.
-		current := closing
-		if !n.isolated() && !anyServes(n.mesh.Live()) {
-			current = alone
-		}
-		if n.closing.Swap(current) != current {
-			n.Log.Component("node").Info("Other nodes began or ceased to serve.", "alone", current.Alone)
-		}
-	}
-}
-
-// anyServes reports whether callers can be sent to one of the nodes.
-func anyServes(nodes []sagemesh.Member) bool {
-	return slices.ContainsFunc(nodes, func(m sagemesh.Member) bool { return m.Ready && !m.Leaving })
-}
-
 func earlier(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -118,9 +78,12 @@
 	}
 }
 
+// relayedPollInterval is how often a stopping node checks whether it still relays requests of peers.
+const relayedPollInterval = 20 * time.Millisecond
+
 // awaitRelayed waits until no request of a peer is in progress or ctx ends.
 func (n *Node) awaitRelayed(ctx context.Context) {
-	t := time.NewTicker(stopPollInterval)
+	t := time.NewTicker(relayedPollInterval)
 	defer t.Stop()
 	for n.relay.Relayed() > 0 {
 		select {
--- a/internal/sagerouter/stop_test.go
+++ b/internal/sagerouter/stop_test.go
@@ -6,7 +6,6 @@
 
 	"github.com/stretchr/testify/require"
 
-	"sagestand.example/sagestand/internal/sagemesh"
 	"sagestand.example/sagestand/pkg/sagedrain"
 )
 
@@ -66,34 +65,3 @@
 	}
 	require.Equal(t, now.Add(2*time.Second), p.EarliestSignal(now.Add(2*time.Second)))
 }
-
-// Prevents callers that have nowhere else to go from being refused what their node would end, and from losing what they send after
-// all answers that name it have expired.
-func TestLeavingNodeThatServesAlone(t *testing.T) {
-	const run = 3 * time.Second
-	signal := time.Unix(1_000, 0)
-	for _, delay := range []time.Duration{0, sagedrain.MaxProgressGap - time.Millisecond} { // until the signal is handled, as far as it goes unnoticed
-		handled := signal.Add(delay)
-		c := newClosing(handled, handled, 8*time.Second)
-		alone := aloneClosing(c, handled)
-		require.NoError(t, alone.Check())
-		require.False(t, c.Alone)
-		require.True(t, alone.Alone)
-		require.Equal(t, c.CutAt, alone.CutAt)
-		deadline := signal.Add(20 * time.Second)
-		require.False(t, c.Accepts(signal.Add(2400*time.Millisecond), deadline, run, true), "other nodes serve")
-		require.True(t, alone.Accepts(signal.Add(2400*time.Millisecond), deadline, run, true))
-		require.False(t, alone.Accepts(signal.Add(2400*time.Millisecond), deadline, 2*run, true), "would be cut")
-		require.False(t, alone.Accepts(signal.Add(maxCachedTTLs*DirectoryTTL), deadline, time.Millisecond, true), "late")
-	}
-	short := newClosing(signal, signal, time.Second)
-	require.NoError(t, aloneClosing(short, signal).Check())
-}
-
-// Prevents a node from counting as the only one that serves while callers can be sent to another.
-func TestAnyServes(t *testing.T) {
-	ready, leaving, starting := sagemesh.Member{Ready: true}, sagemesh.Member{Ready: true, Leaving: true}, sagemesh.Member{}
-	require.False(t, anyServes(nil))
-	require.False(t, anyServes([]sagemesh.Member{leaving, starting}))
-	require.True(t, anyServes([]sagemesh.Member{leaving, ready, starting}))
-}
--- a/pkg/sagedrain/closing.go
+++ b/pkg/sagedrain/closing.go
@@ -21,9 +21,6 @@
 	CutAt time.Time
 	// UnknownFits has requests of classes of which too little is known count as short: the operator has set CutAt to the longest.
 	UnknownFits bool
-	// Alone says that callers have nowhere else to go: a refusal costs them more than a second connection, so that estimates should be
-	// without a margin.
-	Alone bool
 }
 
 // Check reports times that aren't in order. Its error wraps [ErrInvalidClosing].
--- a/pkg/sagedrain/durations.go
+++ b/pkg/sagedrain/durations.go
@@ -82,13 +82,3 @@
 	}
 	d.current, d.windowEnds = make(map[string]durations), now.Add(durationWindow)
 }
-
-// Longest returns the longest time that requests of a class have lately taken, without a margin, and whether many have ended. The
-// longest of few says little.
-func (d *Durations) Longest(now time.Time, class string) (longest time.Duration, many bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.rotate(now)
-	a, b := d.current[class], d.earlier[class]
-	return max(a.longest, b.longest), a.n+b.n >= manyDurations
-}
