Four cases of crowds can find a second run

"connections reset", "idle connections closed", "two nodes at once beside stops" and "rejections without ID" gave 0 and couldn't fail: what they do to a request never comes with its execution, and in the first no connection was reset (the nodes kept to the limit).

Change: the first three lose 3 % of the responses after execution as well, and the first allows three connections to an upstream, fewer than there are nodes. The fourth sends early rejections of no request beside those without ID.

--- a/internal/sagesoak/crowd.go
+++ b/internal/sagesoak/crowd.go
@@ -33,6 +33,7 @@
 	crowdWarmUp      = time.Second
 	crowdSettle      = time.Second
 	crowdMaxConns    = 24 // as the configuration states it
+	crowdFewConns    = 3  // fewer than there are nodes, so that some are reset
 
 	minShortDeadline = 40 * time.Millisecond
 	maxShortDeadline = 400 * time.Millisecond
@@ -113,8 +114,8 @@
 		{Name: "no fault"},
 		{Name: "processor shares", Shares: true},
 		{Name: "nodes stand still", Stops: true},
-		{Name: "connections reset", MaxConns: crowdMaxConns},
-		{Name: "idle connections closed", IdleTimeout: 25 * time.Millisecond},
+		{Name: "connections reset", MaxConns: crowdFewConns, Faults: standin.RunnerFaults{Lost: 0.03}},
+		{Name: "idle connections closed", IdleTimeout: 25 * time.Millisecond, Faults: standin.RunnerFaults{Lost: 0.03}},
 		{Name: "reset before execution", Faults: standin.RunnerFaults{Dropped: 0.05}},
 		{Name: "reset after execution", Faults: standin.RunnerFaults{Lost: 0.05}},
 		{Name: "rejections of no request", Extra: standin.ExtraBytes{Unasked: 0.05}},
@@ -122,7 +123,7 @@
 		{Name: "attached rejections of no request", Extra: standin.ExtraBytes{Attached: 0.05}},
 		{Name: "early and attached beside stops", Stops: true, ShortDeadlines: true, Extra: standin.ExtraBytes{Early: 0.03, Attached: 0.03}},
 		{Name: "early and attached beside hangs", Faults: standin.RunnerFaults{Hang: 0.01, Lost: 0.02, Dropped: 0.02}, Extra: standin.ExtraBytes{Early: 0.05, Attached: 0.05}},
-		{Name: "rejections without ID", Extra: standin.ExtraBytes{NoID: 0.5}},
+		{Name: "rejections without ID", Extra: standin.ExtraBytes{NoID: 0.5, Early: 0.05}},
 		{Name: "late copies", Extra: standin.ExtraBytes{Repeated: 0.3}},
 		{Name: "late copies without ID", Extra: standin.ExtraBytes{Repeated: 0.3, NoID: 0.5}},
 		{Name: "copies inside streams", Faults: standin.RunnerFaults{Unframed: 0.5}, Inside: 0.05},
@@ -134,7 +135,7 @@
 		{Name: "short deadlines", ShortDeadlines: true, Stops: true},
 		{Name: "short deadlines beside shares", ShortDeadlines: true, Shares: true},
 		{Name: "two nodes at once", Pairs: true},
-		{Name: "two nodes at once beside stops", Pairs: true, Stops: true},
+		{Name: "two nodes at once beside stops", Pairs: true, Stops: true, Faults: standin.RunnerFaults{Lost: 0.03}},
 		{Name: "stops beside resets", Stops: true, MaxConns: crowdMaxConns, Faults: standin.RunnerFaults{Dropped: 0.03, Lost: 0.03}},
 		{Name: "stops beside rejections of no request", Stops: true, ShortDeadlines: true, Extra: standin.ExtraBytes{Unasked: 0.03}},
 	}
