--- a/internal/sagerelay/budget.go
+++ b/internal/sagerelay/budget.go
@@ -13,7 +13,7 @@
 const (
 	// responseDivisor limits the bytes of all responses, so that requests find space for their bodies whatever upstreams send.
 	responseDivisor = 2
-	// smallDivisor limits the bytes that responses of usual size find when requests and other responses have reached their limits.
+	// smallDivisor limits the bytes that responses of usual size find when all responses together have reached their limit.
 	smallDivisor = 8
 	// largeDivisor limits the bytes of large responses of upstreams that sent oversized ones, so that they don't delay others.
 	largeDivisor = 4
@@ -79,18 +79,13 @@
 func (b *byteBudget) tryReserve(n, limit int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if !b.fitsLocked(n, limit) || !b.leavesSmallLocked(n, limit) {
+	if !b.fitsLocked(n, limit) {
 		return false
 	}
 	b.used += n
 	return true
 }
 
-// leavesSmallLocked reports whether responses of usual size find their part of the limit beside n more bytes of others.
-func (b *byteBudget) leavesSmallLocked(n, limit int64) bool {
-	return limit <= 0 || b.used == 0 || b.used-b.small+n <= limit-limit/smallDivisor
-}
-
 func (b *byteBudget) fitsLocked(n, limit int64) bool {
 	return n <= 0 || limit <= 0 || b.used == 0 || b.used+n <= limit
 }
@@ -217,15 +212,7 @@
 }
 
 func (b *byteBudget) responseFitsLocked(n, limit int64, kind reservationKind) bool {
-	switch {
-	case !b.fitsLocked(n, limit):
-		return false
-	case limit <= 0 || b.used == 0:
-		return true
-	case kind == smallResponse && b.small+n <= limit/smallDivisor:
-		return true
-	}
-	return b.responses+n <= limit/responseDivisor && (kind == smallResponse || b.leavesSmallLocked(n, limit))
+	return b.fitsLocked(n, limit) && (limit <= 0 || b.used == 0 || b.responses+n <= limit/responseDivisor || kind == smallResponse && b.small+n <= limit/smallDivisor)
 }
 
 // grow adds n bytes to the reservation. It waits for space until ctx ends.
