Returns are answered by a proof that is younger than they are

Cause: a return was answered by the sole version that a node knew if its copy of the upstreams was younger than 1 s and the propagation delay. A new version waits for longer than that, but not if no other one is left, or at a node that starts. A node that was frozen for 0.45 s woke with such a copy after others had begun streams of v2.

Change: a sole version counts only if the copy is proven as of the return, by a read of the store that began after it. Returns share reads, which are spaced for the fleet. Peers that are asked prove theirs as of the query. It works since whoever began a stream at v2 had read v2's entry before the caller could return.

--- a/internal/sageorigind/find.go
+++ b/internal/sageorigind/find.go
@@ -19,7 +19,7 @@
 	answerTimeout = 300 * time.Millisecond
 	// maxAsks is the number of searches at the same time. Beyond it, callers are refused.
 	maxAsks = 512
-	// claimsInterval is the least time between two reads of the claims, or of the upstreams. Many callers return at once.
+	// claimsInterval is the least time between two reads of the claims. Many callers return at once.
 	claimsInterval = time.Second
 )
 
@@ -64,24 +64,25 @@
 	}
 }
 
+// find looks a stream's origin up. A sole version counts only if the copy of the upstreams is proven as of the return: whoever began
+// the stream at another version had read that version's entry in the store before.
 func (s *Service) find(ctx context.Context, returned sageclock.Instant, route string, k sageorigin.Key) sageorigin.Finding {
-	o, age, status, fresh := s.lookUp(returned, route, k)
-	nodes := s.currentRing(returned).Asked(k, s.Self)
-	if isSole(status) && !fresh && len(nodes) == 0 {
-		s.refresh(ctx)
-		o, age, status, fresh = s.lookUp(s.now(), route, k)
+	o, age, status, proven := s.lookUp(returned, returned, route, k)
+	if isSole(status) && !proven && s.prove(ctx, returned, proofTimeout) {
+		o, age, status, proven = s.lookUp(s.now(), returned, route, k)
 	}
-	if status == sageorigin.Found || status == sageorigin.Sole && fresh {
+	if status == sageorigin.Found || status == sageorigin.Sole && proven {
 		return sageorigin.Finding{Status: status, Origin: o, Age: age}
 	}
-	// A sole version that was not known here for long enough, or not freshly, needs the other nodes' word.
-	f, complete := s.search(ctx, route, k, nodes, local{o, isSole(status), fresh})
+	// A sole version that was not known here for long enough, or isn't proven, needs the other nodes' word.
+	nodes := s.currentRing(returned).Asked(k, s.Self)
+	f, complete := s.search(ctx, route, k, nodes, local{o, isSole(status), proven})
 	if f.Status != sageorigin.SoleSinceStart {
 		return f
 	}
 	switch {
 	case complete:
-	case fresh:
+	case proven:
 		s.learnClaims(ctx, s.History.KnownSince())
 	default:
 		s.learnClaims(ctx, returned) // what happened since an earlier read may have been missed
@@ -100,18 +101,18 @@
 // local is what this node knows itself when a search begins.
 type local struct {
 	origin sageorigin.Origin
-	// sole says that origin is the only one that this node knows, fresh that its copy of the upstreams is fresh.
-	sole, fresh bool
+	// sole says that origin is the only one that this node knows, proven that its copy of the upstreams is proven as of the return.
+	sole, proven bool
 }
 
-// search asks other nodes. If one origin only is known to this node and to the others, and one of them has a fresh copy of the
-// upstreams, the status is SoleSinceStart; complete says that the history of one that has reaches back far enough.
+// search asks other nodes. If one origin only is known to this node and to the others, and the copy of the upstreams of one of them is
+// proven as of the return, the status is SoleSinceStart; complete says that the history of one whose copy is reaches back far enough.
 func (s *Service) search(ctx context.Context, route string, k sageorigin.Key, nodes []string, own local) (f sageorigin.Finding, complete bool) {
 	now := s.now()
-	complete = own.fresh && s.History.Complete(now)
+	complete = own.proven && s.History.Complete(now)
 	if len(nodes) == 0 {
 		f.MayFollow = own.sole
-		if own.sole && own.fresh {
+		if own.sole && own.proven {
 			f = sageorigin.Finding{Status: sageorigin.SoleSinceStart, Origin: own.origin}
 		}
 		return f, complete
@@ -126,7 +127,7 @@
 		s.send(now, n, q)
 	}
 	f.Asked = len(nodes)
-	answered, agreed, informed := make(map[string]bool), own.sole, own.fresh
+	answered, agreed, informed := make(map[string]bool), own.sole, own.proven
 	repeat, timeout := time.NewTimer(repeatAfter), time.NewTimer(answerTimeout)
 	defer repeat.Stop()
 	defer timeout.Stop()
@@ -207,22 +208,6 @@
 	s.Log.Limited(sagelog.KindStateChange, "Claims of sole versions read.", "claims", len(claims))
 }
 
-// refresh reads the upstreams from the store unless the copy is fresh, or that was tried just before.
-func (s *Service) refresh(ctx context.Context) {
-	s.refreshes.mu.Lock()
-	defer s.refreshes.mu.Unlock()
-	if now := s.now(); s.Refresh == nil || s.Fresh() || s.refreshes.readAt != 0 && now.Sub(s.refreshes.readAt) < claimsInterval {
-		return
-	}
-	ctx, cancel := context.WithTimeout(ctx, answerTimeout)
-	defer cancel()
-	err := s.Refresh(ctx)
-	s.refreshes.readAt = s.now()
-	if err != nil {
-		s.Log.Limited(sagelog.KindStateChange, "Upstreams not read for a caller that returned.", "err", err)
-	}
-}
-
 // Handle handles a message of another node. Malformed ones are ignored.
 func (s *Service) Handle(b []byte, from string) {
 	now := s.now()
@@ -237,41 +222,71 @@
 	if len(m.Save) > 0 && s.Save != nil {
 		s.Save(m.Save)
 	}
-	if q := m.Query; q != nil {
-		s.send(now, from, &sageorigin.Message{Answer: s.answer(now, q)})
+	if m.Query != nil {
+		s.answerQuery(now, m.Query, from)
 	}
 	if m.Answer != nil {
 		s.deliver(nodeAnswer{*m.Answer, from})
 	}
 }
 
-// answer returns what this node knows of a stream's origin.
-func (s *Service) answer(now sageclock.Instant, q *sageorigin.Query) *sageorigin.Answer {
-	a := &sageorigin.Answer{Number: q.Number}
-	var fresh bool
-	a.Origin, a.Age, a.Status, fresh = s.lookUp(now, q.Route, q.Key)
-	if a.Status != sageorigin.Found && !fresh {
-		a.Origin, a.Age, a.Status = sageorigin.Origin{}, 0, sageorigin.Uninformed
+// answerQuery answers a query, at once unless this node knows of one origin only and its copy of the upstreams isn't proven as of the
+// query.
+func (s *Service) answerQuery(received sageclock.Instant, q *sageorigin.Query, from string) {
+	a, sole := s.answer(received, received, q)
+	if a.Status != sageorigin.Uninformed || !sole || !s.beginProof() {
+		s.send(received, from, &sageorigin.Message{Answer: a})
+		return
+	}
+	go func() {
+		defer s.proving.Add(-1)
+		if s.prove(context.Background(), received, peerProofTimeout) {
+			a, _ = s.answer(s.now(), received, q)
+		}
+		s.send(s.now(), from, &sageorigin.Message{Answer: a})
+	}()
+}
+
+// beginProof reports whether another query may wait for a proof, and counts it if so.
+func (s *Service) beginProof() bool {
+	if s.Refresh == nil {
+		return false
+	}
+	if s.proving.Add(1) > maxAsks {
+		s.proving.Add(-1)
+		return false
+	}
+	return true
+}
+
+// answer returns what this node knows of a stream's origin, and whether it knows of one origin only. That counts only if its copy of the
+// upstreams is proven as of an instant.
+func (s *Service) answer(now, since sageclock.Instant, q *sageorigin.Query) (a *sageorigin.Answer, sole bool) {
+	o, age, status, proven := s.lookUp(now, since, q.Route, q.Key)
+	a = &sageorigin.Answer{Number: q.Number, Origin: o, Age: age, Status: status}
+	sole = isSole(status)
+	if sole && !proven || status == sageorigin.Unknown && !s.Fresh() {
+		*a = sageorigin.Answer{Number: q.Number, Status: sageorigin.Uninformed}
 	}
-	return a
+	return a, sole
 }
 
-// lookUp returns what this node knows of a stream's origin. A record without a version says no more than that the stream
-// began, and contradicts a sole version.
+// lookUp returns what this node knows of a stream's origin, and whether its copy of the upstreams is proven as of an instant. A record
+// without a version says no more than that the stream began, and contradicts a sole version.
 //
-// Whether the copy of the upstreams is fresh is determined before the history is read. In the reverse order an old history would
-// count if the copy became fresh in between, as after a pause of the process.
-func (s *Service) lookUp(now sageclock.Instant, route string, k sageorigin.Key) (o sageorigin.Origin, age time.Duration, status sageorigin.Status, fresh bool) {
-	fresh = s.Fresh()
+// Whether the copy is proven is determined before the history is read. In the reverse order an old history would count if the copy
+// was renewed in between, as after a pause of the process.
+func (s *Service) lookUp(now, since sageclock.Instant, route string, k sageorigin.Key) (o sageorigin.Origin, age time.Duration, status sageorigin.Status, proven bool) {
+	proven = s.proven(since)
 	o, age, recorded := s.table.Get(now, k)
 	if recorded && o.Version != "" {
-		return o, age, sageorigin.Found, fresh
+		return o, age, sageorigin.Found, proven
 	}
 	o, status = s.History.Status(now, route)
 	if recorded && o.Version != "" {
-		return sageorigin.Origin{}, 0, sageorigin.Unknown, fresh
+		return sageorigin.Origin{}, 0, sageorigin.Unknown, proven
 	}
-	return o, 0, status, fresh
+	return o, 0, status, proven
 }
 
 // deliver passes an answer on to the search that it belongs to. Answers of nodes that weren't asked are ignored.
--- a/internal/sageorigind/saved.go
+++ b/internal/sageorigind/saved.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"sync"
 	"time"
 
 	"sagestand.example/sagestand/internal/sagelog"
@@ -32,17 +31,6 @@
 	Objects, Bytes int
 }
 
-// savedReads are this node's reads of the saved records.
-type savedReads struct {
-	mu sync.Mutex
-	// done is closed when the read in progress ends; nil if there is none.
-	done chan struct{}
-	// startedAt is when the last read began, and failed says that it failed.
-	startedAt sageclock.Instant
-	failed    bool
-	notBefore sageclock.Instant // earliest time of the next read
-}
-
 // findSaved continues a search that found no record in the store, if its holders may be lost. It returns false if the store hasn't been
 // read whole since, and for how long it won't be. If all nodes answered, their loss was detected, and a read after it is enough for all.
 func (s *Service) findSaved(ctx context.Context, returned sageclock.Instant, route string, k sageorigin.Key, f *sageorigin.Finding) (whole bool, dueIn time.Duration) {
@@ -55,7 +43,7 @@
 	for waited := false; ctx.Err() == nil; {
 		ended, whole, dueIn := s.saved.readSince(s.now(), since)
 		// The table is looked up after that, as the read may have ended since the search began.
-		if o, age, status, _ := s.lookUp(s.now(), route, k); status == sageorigin.Found {
+		if o, age, status, _ := s.lookUp(s.now(), returned, route, k); status == sageorigin.Found {
 			f.Status, f.Origin, f.Age = status, o, age
 			return true, 0
 		}
@@ -90,26 +78,11 @@
 
 // startRead starts a read unless one is in progress, which callers that return at once share. If it isn't due yet, done is nil.
 func (s *Service) startRead(f *sageorigin.Finding) (done <-chan struct{}, dueIn time.Duration) {
-	r := &s.saved
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	now := s.now()
-	if r.done != nil {
-		return r.done, savedTimeout
-	}
-	if now < r.notBefore {
-		return nil, r.notBefore.Sub(now)
+	done, dueIn = s.saved.start(s.now(), func() { s.readSaved(f.Asked, f.Answered) })
+	if done != nil {
+		dueIn = savedTimeout
 	}
-	r.done, r.startedAt = make(chan struct{}), now
-	go s.readSaved(f.Asked, f.Answered)
-	return r.done, savedTimeout
-}
-
-// readSince returns whether a read that began after a time has ended, whether it was whole, and when the next one is due.
-func (r *savedReads) readSince(now, t sageclock.Instant) (ended, whole bool, dueIn time.Duration) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	return r.done == nil && r.startedAt >= t, !r.failed, max(0, r.notBefore.Sub(now).Truncate(time.Millisecond)+time.Millisecond)
+	return done, dueIn
 }
 
 // readSaved reads the saved records into the table. The callers that wait may leave meanwhile.
@@ -137,14 +110,6 @@
 	s.saved.end(now.Add(interval), err != nil)
 }
 
-// end ends a read.
-func (r *savedReads) end(notBefore sageclock.Instant, failed bool) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	close(r.done)
-	r.done, r.notBefore, r.failed = nil, notBefore, failed
-}
-
 // addSaved adds a record unless it is known. The time that is left in the store counts from when a record is read, so that each read
 // would extend it.
 func (s *Service) addSaved(now sageclock.Instant, r sageorigin.Record) bool {
--- a/internal/sageorigind/service.go
+++ b/internal/sageorigind/service.go
@@ -5,6 +5,7 @@
 	"iter"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/VictoriaMetrics/metrics"
@@ -37,10 +38,11 @@
 	Nodes func() []sageorigin.Holder
 	// Send sends a message to a node, once.
 	Send func(address string, b []byte) error
-	// Fresh reports whether this node's copy of the upstreams is so fresh that no version that it doesn't know gets
-	// requests.
+	// Fresh reports whether this node's copy of the upstreams is so recent that records may be left out while it has one version.
 	Fresh func() bool
-	// Refresh reads the upstreams from the store, after which the copy is fresh; nil if that isn't possible.
+	// ProvenAt returns the instant up to which the copy of the upstreams has all that the store acknowledged; 0 if that isn't known.
+	ProvenAt func() sageclock.Instant
+	// Refresh reads the upstreams from the store, after which the copy is proven as of the call; nil if that isn't possible.
 	Refresh func(ctx context.Context) error
 	// ReadClaims returns the claims of sole versions in the store, by service.
 	ReadClaims func(ctx context.Context) (map[string]sageorigin.Claim, error)
@@ -76,8 +78,10 @@
 	writersSince sageclock.Instant
 	ringUntil    sageclock.Instant
 
-	claims, refreshes storeRead
-	saved             savedReads
+	claims        storeRead
+	saved, proofs sharedReads
+	// proving is the number of other nodes' queries that wait for a proof.
+	proving atomic.Int64
 }
 
 // storeRead is the last read of a kind of objects in the store; mu is held during a read.
--- a/internal/sagerouter/origins.go
+++ b/internal/sagerouter/origins.go
@@ -1,9 +1,13 @@
 package sagerouter
 
 import (
+	"context"
+	"fmt"
 	"slices"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"sagestand.example/sagestand/internal/sageorigind"
 	"sagestand.example/sagestand/internal/sagerelay"
 	"sagestand.example/sagestand/pkg/sageclock"
@@ -25,7 +29,7 @@
 	n.view.awaitsClaims, n.view.claimsWake = true, make(chan struct{}, 1)
 	n.origins = &sageorigind.Service{
 		Self: n.Settings.Listen.Mesh, History: &n.view.history, Nodes: n.recordHolders, Send: n.mesh.SendMessage,
-		Fresh: n.upstreamsFresh, Refresh: n.copies[n.Kinds.Upstreams].Refresh, RecoversUntil: n.recovery.until,
+		Fresh: n.upstreamsFresh, ProvenAt: n.copies[n.Kinds.Upstreams].Proof.At, Refresh: n.refreshUpstreams, RecoversUntil: n.recovery.until,
 		ReadSaved: n.recovery.readSaved, LostAt: n.recovery.lastLoss, FleetSize: func() int { return n.mesh.LiveCount() + 1 },
 		Writers: n.recordWriters, ReadClaims: n.claimKeeper.claims, Metrics: n.metrics, Log: n.Log.Component("origins"),
 	}
@@ -36,7 +40,22 @@
 	n.copies[n.Kinds.Upstreams].MaxGap = func() time.Duration { return n.maxSoleProofAge() + newVersionMargin }
 }
 
-// upstreamsFresh reports whether this node knows all versions that get requests.
+// errStoreFails reports that this node's last call to the store failed.
+var errStoreFails = errors.New("store does not answer")
+
+// refreshUpstreams reads the upstreams from the store. While the store doesn't answer this node's polls, it isn't called for each return.
+func (n *Node) refreshUpstreams(ctx context.Context) error {
+	f := n.copies[n.Kinds.Upstreams]
+	if f.Failing() {
+		return errStoreFails
+	}
+	if err := f.Refresh(ctx); err != nil {
+		return fmt.Errorf("refresh upstreams: %w", err)
+	}
+	return nil
+}
+
+// upstreamsFresh reports whether this node's copy of the upstreams is so recent that it knows the versions that get requests beside others.
 func (n *Node) upstreamsFresh() bool {
 	return n.copies[n.Kinds.Upstreams].Proof.Age(sageclock.Now()) <= n.maxSoleProofAge()
 }
--- a/pkg/sagefresh/proof.go
+++ b/pkg/sagefresh/proof.go
@@ -29,6 +29,9 @@
 	p.advance(int64(stamp.Add(-age)))
 }
 
+// At returns the instant up to which the copy is proven to be complete, 0 without a proof.
+func (p *Proof) At() sageclock.Instant { return sageclock.Instant(p.at.Load()) }
+
 // Age returns how old the proof is at now, or [Unproven].
 func (p *Proof) Age(now sageclock.Instant) time.Duration {
 	at := p.at.Load()
