An end of data after a failed write of the request ends no response

Cause: the kernel reports a reset once. If the write of the request gets it, the next read finds the end of the data without an error, and a response that ends with its connection looks complete.

Change: Conn keeps the error of the first failed write; a read that finds the end of the data waits for a write in progress and returns that error. A write that succeeds has consumed no error, so that the end after it is genuine.

Related: all clients of nodes read through sageconn but the one for orders of serve, which does now.

--- a/internal/sageconn/conn.go
+++ b/internal/sageconn/conn.go
@@ -1,6 +1,8 @@
 package sageconn
 
 import (
+	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -55,6 +57,10 @@
 	// stale is set if the connection was read, closed or broken while it rested, or if bytes came after a response.
 	stale     bool
 	idleTimer *time.Timer
+
+	// writing is held during a write to the connection below; writeErr is the error of the first one that failed.
+	writing  sync.Mutex
+	writeErr error
 }
 
 // NetConn returns the connection below.
@@ -78,7 +84,24 @@
 	}
 	c.wrote, c.resting = true, false
 	c.mu.Unlock()
-	return c.Conn.Write(b)
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	n, err := c.Conn.Write(b)
+	if err != nil && c.writeErr == nil {
+		c.writeErr = err
+	}
+	return n, err
+}
+
+// endOfData returns the error of a read that found the end of the data. The kernel reports a reset once: if a write got it, a read finds
+// the end of the data as after a close in order. So the result of a write that is in progress is awaited.
+func (c *Conn) endOfData() error {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	if c.writeErr != nil {
+		return fmt.Errorf("end of data after a failed write: %w", c.writeErr)
+	}
+	return io.EOF
 }
 
 // Read implements [net.Conn]. It skips responses to earlier requests.
@@ -88,6 +111,9 @@
 			return n, err
 		}
 		n, err := c.Conn.Read(b)
+		if err == io.EOF {
+			err = c.endOfData()
+		}
 		c.pass(b[:n], err)
 	}
 }
--- a/internal/sagenode/claims.go
+++ b/internal/sagenode/claims.go
@@ -71,7 +71,7 @@
 			Term: orderTerm, Margin: orderMargin, MaxDeliveryDelay: maxOrderDelay,
 		},
 		IsCandidate: func() bool { return rank(n.Settings.Listen.Peer, n.livePeers(), orderLeaseKey) < orderCandidates },
-		HTTP:        &http.Client{Timeout: orderTimeout},
+		HTTP:        &http.Client{Transport: sagepeer.NewCountingTransport(&n.controlBytes), Timeout: orderTimeout},
 		Log:         n.Log.Component("orders"),
 	}
 }
