Heads of responses are checked before net/http reads them

Cause: nodes believed what net/http makes of a head. The relay checked status lines and statuses itself; serve, the store's client, lists, probes and calls between nodes checked nothing.

Change: sageconn checks each head, 1xx included, on plain connections. A malformed one ends the read: a request that may be repeated goes elsewhere, another one gets 502. The load report that serve reads itself is checked as well.

--- a/internal/sageconn/conn.go
+++ b/internal/sageconn/conn.go
@@ -182,12 +182,12 @@
 
 // beginUse begins the use of the connection by another request and returns the number of the use. If owner isn't nil, it says
 // whose the responses are, those to other requests before the request's own are skipped, and the connection is sealed if an
-// earlier response wasn't identified.
-func (c *Conn) beginUse(owner func(*http.Response) Owner) uint64 {
+// earlier response wasn't identified. If checks is set, heads are checked.
+func (c *Conn) beginUse(owner func(*http.Response) Owner, checks bool) uint64 {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.use++
-	c.filter = filter{owner: owner, skips: c.use > 1}
+	c.filter = filter{owner: owner, checks: checks, skips: c.use > 1}
 	if owner != nil && c.identified+1 < c.use {
 		_ = c.closeInOrder() // the earlier response is complete
 	}
--- a/internal/sageconn/doc.go
+++ b/internal/sageconn/doc.go
@@ -15,6 +15,9 @@
 // say whose it is. So an answer without an ID is no copy. Answers are examined before the transport sees them, since it hands
 // out a connection again before it returns an answer without a body.
 //
+// Heads are checked before the transport sees them: net/http accepts lines that are no fields of HTTP/1. The kernel reports a reset of
+// the connection once; if the write of the request gets it, the end of the data that a read finds counts as that error.
+//
 // After a close in order, the kernel goes on sending what hasn't been acknowledged: bytes that a partition holds up arrive when it
 // heals. A reset discards them. So a connection is reset unless its response is complete, also by the end of the process, and
 // closed in order between requests. A reset says nothing about whether the request had arrived before.
--- a/internal/sageconn/filter.go
+++ b/internal/sageconn/filter.go
@@ -60,8 +60,10 @@
 // filter examines the head of the response to a request, and removes the responses to other requests that precede it. The
 // zero value passes all on.
 type filter struct {
-	// owner returns whose a response is; nil examines none.
+	// owner returns whose a response is; nil if it isn't asked.
 	owner func(*http.Response) Owner
+	// checks is set while heads are checked.
+	checks bool
 	// skips is set if responses to other requests are removed, skipped is their number.
 	skips   bool
 	skipped int
@@ -81,12 +83,12 @@
 
 // add takes bytes that were read and returns those to pass on. After the head of a response that isn't skipped, all are, up to the
 // end of that response. It fails if there is more, if the end of a response that is skipped can't be found, if two heads have
-// merged, or if net/http takes what isn't HTTP/1 for a head.
+// merged, or if a head is malformed.
 func (f *filter) add(b []byte) ([]byte, error) {
 	if f.own {
 		return f.passBody(b)
 	}
-	if f.owner == nil {
+	if f.owner == nil && !f.checks {
 		return b, nil
 	}
 	f.unread = append(f.unread, b...)
@@ -103,9 +105,12 @@
 			return append(out, f.passAll()...), nil
 		}
 		head := f.unread[:n]
-		if f.merged(head) {
+		if f.owner != nil && f.merged(head) {
 			return out, ErrMergedHead
 		}
+		if err := CheckHead(head); err != nil {
+			return out, err
+		}
 		switch f.examine(head) {
 		case passHead:
 			out = append(out, head...)
@@ -115,8 +120,6 @@
 			rest, err := f.passBody(f.unread[n:])
 			f.unread = nil
 			return append(append(out, head...), rest...), err
-		case reject:
-			return out, errNoResponse
 		}
 		f.unread = f.unread[len(head):]
 	}
@@ -183,7 +186,7 @@
 // passAll ends the filter and returns what it holds.
 func (f *filter) passAll() []byte {
 	out := f.unread
-	f.owner, f.unread, f.own = nil, nil, false
+	f.owner, f.checks, f.unread, f.own = nil, false, nil, false
 	return out
 }
 
@@ -199,8 +202,6 @@
 	passResponse
 	// skip: its body is skipped as well.
 	skip
-	// reject: it isn't one of HTTP/1.
-	reject
 )
 
 // examine returns what becomes of the response with a head.
@@ -210,12 +211,12 @@
 		return passAll
 	}
 	_ = res.Body.Close() // holds nothing but the head
-	if !responseStart.Match(head) {
-		return reject
-	}
 	if informational(res.StatusCode) {
 		return passHead
 	}
+	if f.owner == nil {
+		return passAll
+	}
 	owner := f.owner(res)
 	f.identified = owner == OwnerSelf
 	known := false
--- a/internal/sageconn/filter_test.go
+++ b/internal/sageconn/filter_test.go
@@ -107,7 +107,6 @@
 		{"too long", "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 99999999\r\n\r\n" + own, "HTTP/1.1 200 OK\r\nId: 1\r\nContent-Length: 99999999\r\n\r\n" + own, 0},
 		{"head cut off", foreignEmpty[:30], foreignEmpty[:30], 0},
 		{"body cut off", foreignBody[:len(foreignBody)-2], "", 1},
-		{"no response", "\x00\xff\r\n\r\n" + own, "\x00\xff\r\n\r\n" + own, 0},
 		{"endless line", endless, endless, 0},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/internal/sageconn/tracker.go
+++ b/internal/sageconn/tracker.go
@@ -36,8 +36,9 @@
 		return
 	}
 	sent := t.Sent()
-	t.Abandon() // an earlier connection on which the transport failed
-	use := c.beginUse(t.owner())
+	t.Abandon()                   // an earlier connection on which the transport failed
+	_, plain := info.Conn.(*Conn) // of TLS, c has the records
+	use := c.beginUse(t.owner(), plain)
 	t.mu.Lock()
 	t.current, t.use, t.sent = c, use, sent
 	t.mu.Unlock()
--- a/internal/sageloadd/dial.go
+++ b/internal/sageloadd/dial.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -11,6 +12,7 @@
 
 	"github.com/pkg/errors"
 
+	"sagestand.example/sagestand/internal/sageconn"
 	"sagestand.example/sagestand/internal/sageheader"
 )
 
@@ -99,12 +101,16 @@
 	if err := req.Write(c); err != nil {
 		return "", fmt.Errorf("send: %w", err)
 	}
-	in := bufio.NewReaderSize(io.LimitReader(c, sageheader.MaxResponseBytes+maxReportBytes), maxReportBytes)
+	var head bytes.Buffer
+	in := bufio.NewReaderSize(io.TeeReader(io.LimitReader(c, sageheader.MaxResponseBytes+maxReportBytes), &head), maxReportBytes)
 	res, err := http.ReadResponse(in, req)
 	if err != nil {
 		return "", fmt.Errorf("receive: %w", err)
 	}
 	defer func() { _ = res.Body.Close() }()
+	if err := sageconn.CheckHead(head.Bytes()); err != nil {
+		return "", fmt.Errorf("receive: %w", err)
+	}
 	r, err := decodeReport(res)
 	if err != nil {
 		return "", err
--- a/internal/sageloadd/dial_test.go
+++ b/internal/sageloadd/dial_test.go
@@ -18,6 +18,7 @@
 	}{
 		{"report", report, true},
 		{"two reports", report + report, false},
+		{"malformed head", strings.Replace(report, "\r\n", "\r\nX Odd: 1\r\n", 1), false},
 		{"endless head", "HTTP/1.1 200 OK\r\nH: " + strings.Repeat("x", 1<<20), false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
