--- a/internal/sageconn/tracker.go
+++ b/internal/sageconn/tracker.go
@@ -36,8 +36,10 @@
 		return
 	}
 	sent := t.Sent()
-	t.Abandon()                   // an earlier connection on which the transport failed
-	_, plain := info.Conn.(*Conn) // of TLS, c has the records
+	t.Abandon() // an earlier connection on which the transport failed
+
+	// Below TLS, the connection reads encrypted records.
+	_, plain := info.Conn.(*Conn)
 	use := c.beginUse(t.owner(), plain)
 	t.mu.Lock()
 	t.current, t.use, t.sent = c, use, sent
