Keep-alive probes end connections later than requests' own limits

Cause: keep-alive ended the connection 4 s after the partition began, before the node gave the request up. A connection that has ended can't be reset, and what a partition holds up arrives when it heals.

The limits of requests come first, and reset the connection.

--- a/internal/sagerelay/transport.go
+++ b/internal/sagerelay/transport.go
@@ -33,9 +33,10 @@
 	// since each has two buffers and two goroutines.
 	maxIdlePerUpstream = 8
 	maxIdle            = 256
-	// TCP keep-alive detects connections whose other end vanished without a reset.
+	// TCP keep-alive detects connections whose other end vanished without a reset. The limits of requests come first: the node then
+	// resets the connection, which discards bytes that a partition holds up. After the probes have ended it, there is nothing to reset.
 	keepAliveInterval = time.Second
-	keepAliveProbes   = 3
+	keepAliveProbes   = int(maxIdleTimeout / keepAliveInterval)
 )
 
 // crashProbeDelay is the time between a broken exchange and the probe of the upstream's address. A
