TestResponsesCutAnywhereOverTCP doesn't depend on how fast its process runs

Cause: the node takes the first upstream for unreachable after 250 ms, or for stalled after 0.2 s, in real time, and rightly sends nothing more to it. The test dials without the time limit and its routes have an objective and a time limit of a minute; it asks for the same.

--- a/internal/sagerelay/cut_test.go
+++ b/internal/sagerelay/cut_test.go
@@ -130,7 +130,8 @@
 		}()
 	}
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		return new(net.Dialer).DialContext(ctx, network, addresses[strings.TrimSuffix(address, ":80")])
+		// A process that stands still for longer than the time to connect would send nothing to the address.
+		return new(net.Dialer).DialContext(context.WithoutCancel(ctx), network, addresses[strings.TrimSuffix(address, ":80")])
 	}
 }
 
--- a/internal/sagerelay/heads_test.go
+++ b/internal/sagerelay/heads_test.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -217,6 +218,8 @@
 			}
 			for _, route := range r.routes() {
 				t.Run(fmt.Sprintf("%s/%s %t/%s", r.name, route.Kind, route.Resumable, end), func(t *testing.T) {
+					// Otherwise a process that stands still takes the upstream for a stalled one.
+					route.Objective, route.Timeout = time.Minute, time.Minute
 					f := newFakeFleet(t, route, map[string]upstream{"a": nil, "b": nil})
 					f.retryBudget = 1 << 20
 					s := f.service()
